--- a/src/dir-catalog.c
+++ b/src/dir-catalog.c
@@ -66,10 +66,10 @@
 
 	catalog->refs = 1;
 	catalog->routes = g_ptr_array_new_with_free_func(route_free);
-	catalog->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-	    service_free);
-	catalog->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-	    NULL);
+	catalog->services =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, service_free);
+	catalog->keys =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	catalog->customers = g_ptr_array_new_with_free_func(customer_free);
 	return (catalog);
 }
--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -68,10 +68,12 @@
 void
 fleet_clear(struct fleet *fleet)
 {
-	struct endpoint *ep;
+	struct endpoint *ep, *next;
 
-	while ((ep = TAILQ_FIRST(&fleet->endpoints)) != NULL)
+	for (ep = TAILQ_FIRST(&fleet->endpoints); ep != NULL; ep = next) {
+		next = TAILQ_NEXT(ep, entry);
 		endpoint_free(fleet, ep);
+	}
 	g_hash_table_destroy(fleet->by_id);
 	g_hash_table_destroy(fleet->by_key);
 }
--- a/src/dir.c
+++ b/src/dir.c
@@ -82,7 +82,7 @@
 		return;
 	}
 	if (!dir->decode->endpoint(record->key, record->value, record->length,
-	    &report, &error)) {
+		&report, &error)) {
 		event_log(LOG_WARNING, "endpoint_ignored", "reason=%s",
 		    error->message);
 		return;
@@ -175,8 +175,8 @@
 dir_sweep(struct dir *dir, uint64_t now_ms)
 {
 	const struct dir_follow *f = &dir->endpoints;
-	bool near_outage = f->failed_ms != 0 &&
-	    now_ms - f->failed_ms < DIR_OUTAGE_NEAR_MS;
+	bool near_outage =
+	    f->failed_ms != 0 && now_ms - f->failed_ms < DIR_OUTAGE_NEAR_MS;
 
 	/* While the store is away nothing can be told of a lapse. */
 	if (f->failures > 0)
--- a/src/edge-announce.c
+++ b/src/edge-announce.c
@@ -56,8 +56,7 @@
 		return;
 	}
 	event_log(LOG_INFO, "announced", "result=%s end=%llu",
-	    store_result_name(answer->result),
-	    (unsigned long long)answer->end);
+	    store_result_name(answer->result), (unsigned long long)answer->end);
 	dir_follow_init(&e->daemons, e->store, e->loop, TOPIC_DAEMONS,
 	    &daemons_ops, e);
 	e->daemons.wait_ms = DAEMONS_WAIT_MS;
@@ -74,8 +73,8 @@
 void
 edge_announce(struct edge *e)
 {
-	g_autoptr(GArray) records = g_array_new(FALSE, TRUE,
-	    sizeof(struct store_record));
+	g_autoptr(GArray) records =
+	    g_array_new(FALSE, TRUE, sizeof(struct store_record));
 	struct store_record record = { 0 };
 	g_autofree char *ip = NULL;
 	json_auto_t *root = NULL;
@@ -83,8 +82,8 @@
 	char *text;
 
 	setting_split_address(e->set.peer_address, &ip, &port);
-	root = json_pack("{s:s,s:i,s:s}", "ip", ip, "port", (int)port,
-	    "domain", e->set.domain);
+	root = json_pack("{s:s,s:i,s:s}", "ip", ip, "port", (int)port, "domain",
+	    e->set.domain);
 	text = json_dumps(root, JSON_COMPACT);
 	g_array_set_clear_func(records, store_record_clear);
 	record.key = g_strdup(e->set.name);
@@ -93,6 +92,6 @@
 	free(text);
 	g_array_append_val(records, record);
 	if (!e->store->ops->append(e->store, TOPIC_DAEMONS, records, -1,
-	    on_announced, e))
+		on_announced, e))
 		uv_timer_start(&e->leave, on_again, ANNOUNCE_AGAIN_MS, 0);
 }
--- a/src/edge-status.c
+++ b/src/edge-status.c
@@ -95,7 +95,6 @@
 	print_value(body, "store_calls_total", (double)e->store->calls);
 	print_value(body, "store_failures_total", (double)e->store->failures);
 	if (getrusage(RUSAGE_SELF, &usage) == 0)
-		print_value(body, "resident_peak_kb",
-		    (double)usage.ru_maxrss);
+		print_value(body, "resident_peak_kb", (double)usage.ru_maxrss);
 	return (STATUS_OK);
 }
--- a/src/edge.c
+++ b/src/edge.c
@@ -66,8 +66,8 @@
 	set->domain = e->set.domain;
 	set->key_proof_ms = (uint64_t)MAX(e->set.key_proof_ms - KEY_MARGIN_MS,
 	    e->set.key_proof_ms / 2);
-	set->deny_proof_ms = (uint64_t)MAX(e->set.apply_ms,
-	    2 * (int64_t)e->dir.config.wait_ms);
+	set->deny_proof_ms =
+	    (uint64_t)MAX(e->set.apply_ms, 2 * (int64_t)e->dir.config.wait_ms);
 	set->stall_ms = (uint64_t)e->set.stall_ms;
 	set->retry.ratio = e->set.retry_ratio;
 	set->retry.slack = (double)e->set.retry_slack;
--- a/src/edge.h
+++ b/src/edge.h
@@ -19,8 +19,8 @@
 	const struct wire_ops *wire;
 	const struct dir_decode *decode;
 	const struct order_ops *orders;
-	struct store *(*store_open)(uv_loop_t *, const struct sockaddr_in *,
-	    unsigned);
+	struct store *(
+	    *store_open)(uv_loop_t *, const struct sockaddr_in *, unsigned);
 };
 
 /**
--- a/src/event-log.c
+++ b/src/event-log.c
@@ -76,15 +76,14 @@
 		log_buffer.lines = 0;
 	}
 	log_buffer.lines++;
-	return (log_buffer.lines <= (level <= LOG_NOTICE ? LINES_MOST_GRAVE :
-								 LINES_MOST));
+	return (log_buffer.lines <=
+	    (level <= LOG_NOTICE ? LINES_MOST_GRAVE : LINES_MOST));
 }
 
 static void
 buffer_add(int level, const char *line, size_t length)
 {
-	if (!buffer_admits(level) ||
-	    log_buffer.used + length > BUFFER_BYTES) {
+	if (!buffer_admits(level) || log_buffer.used + length > BUFFER_BYTES) {
 		log_buffer.dropped++;
 		return;
 	}
--- a/src/fwd-admit.c
+++ b/src/fwd-admit.c
@@ -54,8 +54,8 @@
 	if (key != NULL)
 		ex->customer = g_hash_table_lookup(ex->catalog->keys, key);
 	if (ex->customer == NULL)
-		return (admit_deny(ex, STATUS_UNAUTHORIZED, "unknown_key",
-		    age));
+		return (
+		    admit_deny(ex, STATUS_UNAUTHORIZED, "unknown_key", age));
 	if (age > ex->fwd->set.key_proof_ms)
 		return (admit_stale(ex, "key_unproved", age));
 	return (true);
--- a/src/fwd-again.c
+++ b/src/fwd-again.c
@@ -37,8 +37,8 @@
 		return ("caller_left");
 	if (ex->runs > 0 && !fwd_exchange_repeatable(ex))
 		return ("may_have_run");
-	if (ex->runs > ex->moved && ex->runs - ex->moved >=
-	    MAX(ex->route->max_attempts, 1))
+	if (ex->runs > ex->moved &&
+	    ex->runs - ex->moved >= MAX(ex->route->max_attempts, 1))
 		return ("attempts");
 	if (ex->sends >= SENDS_MAX)
 		return ("sends");
--- a/src/fwd-answer.c
+++ b/src/fwd-answer.c
@@ -77,8 +77,10 @@
 	ex->fwd->wire->read_answer(status, head, &answer);
 	if (answer.id != NULL && strcmp(answer.id, ex->id) != 0) {
 		fwd_stats_count(&ex->fwd->stats, COUNT_STRAY_ANSWERS);
-		event_log(LOG_NOTICE, "stray_answer", "id=%s answers=%s "
-		    "endpoint=%s", ex->id, answer.id, ex->endpoint->report.id);
+		event_log(LOG_NOTICE, "stray_answer",
+		    "id=%s answers=%s "
+		    "endpoint=%s",
+		    ex->id, answer.id, ex->endpoint->report.id);
 		return (NET_SKIP);
 	}
 	ex->heard_ms = uv_now(ex->fwd->loop);
@@ -197,8 +199,8 @@
 	ex->heard_ms = uv_now(ex->fwd->loop);
 	ex->endpoint->heard_ms = ex->heard_ms;
 	g_byte_array_append(ex->answer, (const guint8 *)at, (guint)length);
-	if (!ex->passing && (ex->answer->len <= HELD_ANSWER_BYTES ||
-	    ex->not_run || !ex->proof))
+	if (!ex->passing &&
+	    (ex->answer->len <= HELD_ANSWER_BYTES || ex->not_run || !ex->proof))
 		return;
 	if (!ex->passing) {
 		ex->passing = true;
@@ -286,9 +288,10 @@
 		endpoint_rest(ex, REST_MS, "failures");
 	}
 	fwd_exchange_release(ex);
-	fwd_exchange_again(ex, why == NET_UNREACHED ? "unreached" :
-		why == NET_BROKEN		    ? "connection_lost" :
-						      "no_answer_in_protocol");
+	fwd_exchange_again(ex,
+	    why == NET_UNREACHED  ? "unreached" :
+		why == NET_BROKEN ? "connection_lost" :
+				    "no_answer_in_protocol");
 }
 
 const struct net_client_ops fwd_answer_ops = {
--- a/src/fwd-budget.c
+++ b/src/fwd-budget.c
@@ -53,7 +53,8 @@
 		repeats += b->repeats[i];
 	}
 	most = FWD_BUDGET_MARGIN *
-	    (rule->ratio * requests + rule->slack / (daemons > 0 ? daemons : 1));
+	    (rule->ratio * requests +
+		rule->slack / (daemons > 0 ? daemons : 1));
 	if (repeats + 1 > most)
 		return (false);
 	b->repeats[at]++;
--- a/src/fwd-caller.c
+++ b/src/fwd-caller.c
@@ -152,8 +152,8 @@
 static void
 caller_refuse_input(struct fwd_caller *c)
 {
-	unsigned status = c->bad_status != 0 ? c->bad_status :
-						     STATUS_BAD_REQUEST;
+	unsigned status =
+	    c->bad_status != 0 ? c->bad_status : STATUS_BAD_REQUEST;
 
 	fwd_stats_count(&c->fwd->stats, COUNT_BAD_REQUESTS);
 	event_log(LOG_INFO, "request_unreadable", "status=%u reason=%s", status,
@@ -166,8 +166,8 @@
 static size_t
 caller_parse(struct fwd_caller *c, const char *at, size_t length)
 {
-	size_t used = http_parser_execute(&c->parser, &request_settings, at,
-	    length);
+	size_t used =
+	    http_parser_execute(&c->parser, &request_settings, at, length);
 	enum http_errno rc = HTTP_PARSER_ERRNO(&c->parser);
 
 	if (rc == HPE_PAUSED && c->whole) {
@@ -196,8 +196,8 @@
 static void
 caller_run(struct fwd_caller *c)
 {
-	while (c->exchange == NULL && !c->stream.closing &&
-	    !c->stream.finish && c->held->len > 0) {
+	while (c->exchange == NULL && !c->stream.closing && !c->stream.finish &&
+	    c->held->len > 0) {
 		g_autoptr(GString) bytes = g_steal_pointer(&c->held);
 		size_t used;
 
@@ -349,8 +349,8 @@
 fwd_caller_answer(struct fwd_caller *c, unsigned status, const char *headers,
     const void *body, size_t length)
 {
-	bool bodiless = status == STATUS_NO_CONTENT ||
-	    status == STATUS_NOT_MODIFIED;
+	bool bodiless =
+	    status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
 
 	caller_write_head(c, status, headers);
 	if (!bodiless)
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -136,8 +136,7 @@
 		if (!endpoint_fits(ep, want) || ep->gone)
 			continue;
 		choice->known++;
-		if (!endpoint_usable(ep, want->now_ms) ||
-		    want_tried(want, ep))
+		if (!endpoint_usable(ep, want->now_ms) || want_tried(want, ep))
 			continue;
 		choice->usable++;
 		if (endpoint_running(ep) < endpoint_places(ep, want))
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -22,8 +22,8 @@
 	    ex->endpoint != NULL ? ex->endpoint->report.id : "-", ex->sends,
 	    ex->runs, ex->moved, (unsigned long long)(now - ex->arrived_ms),
 	    (unsigned long long)(ex->first_us > 0 ?
-		(ex->first_us - ex->arrived_us) / 1000 :
-		0),
+		    (ex->first_us - ex->arrived_us) / 1000 :
+		    0),
 	    ex->events.held != NULL ? (long long)ex->events.last : -1LL,
 	    ex->catalog != NULL ? (long long)ex->catalog->version : -1LL);
 }
@@ -71,9 +71,9 @@
 	catalog_unref(ex->catalog);
 	g_free(ex->id);
 	g_string_free(ex->request, TRUE);
-	g_byte_array_free(ex->body, TRUE);
+	g_byte_array_unref(ex->body);
 	g_string_free(ex->headers, TRUE);
-	g_byte_array_free(ex->answer, TRUE);
+	g_byte_array_unref(ex->answer);
 	fwd_events_clear(&ex->events);
 	g_free(ex);
 }
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -67,8 +67,8 @@
 static GString *
 exchange_text(const struct fwd_exchange *ex)
 {
-	GString *text = g_string_new_len(ex->request->str,
-	    (gssize)ex->request->len);
+	GString *text =
+	    g_string_new_len(ex->request->str, (gssize)ex->request->len);
 	const struct wire_forward fwd = {
 		.endpoint = ex->endpoint->report.id,
 		.customer = ex->customer != NULL ? ex->customer->name : NULL,
@@ -92,8 +92,8 @@
 exchange_send(struct fwd_exchange *ex, const struct fwd_choice *choice)
 {
 	struct fwd *fwd = ex->fwd;
-	uint64_t idle = fwd_exchange_repeatable(ex) ? IDLE_MOST_MS :
-							    IDLE_ONCE_MS;
+	uint64_t idle =
+	    fwd_exchange_repeatable(ex) ? IDLE_MOST_MS : IDLE_ONCE_MS;
 	g_autoptr(GString) text = NULL;
 
 	TAILQ_REMOVE(&fwd->waiting, ex, wait_entry);
@@ -103,8 +103,8 @@
 	ex->sends++;
 	ex->sent_ms = uv_now(fwd->loop);
 	ex->heard_ms = ex->sent_ms;
-	ex->client = net_pool_take(&ex->endpoint->pool, idle, &fwd_answer_ops,
-	    ex);
+	ex->client =
+	    net_pool_take(&ex->endpoint->pool, idle, &fwd_answer_ops, ex);
 	if (ex->client == NULL) {
 		fwd_exchange_release(ex);
 		fwd_exchange_again(ex, "no_connection");
@@ -158,8 +158,8 @@
 	int64_t retry = choice->usable == 0 ? RETRY_NONE_MS : RETRY_FULL_MS;
 
 	if (choice->endpoint != NULL)
-		retry = MAX(retry, (int64_t)choice->first_ms -
-			ex->route->objective_ms);
+		retry = MAX(retry,
+		    (int64_t)choice->first_ms - ex->route->objective_ms);
 	event_log(LOG_NOTICE, "no_place",
 	    "id=%s service=%s known=%u usable=%u load=%.2f expected_ms=%.0f",
 	    ex->id, ex->service, choice->known, choice->usable, choice->load,
@@ -327,9 +327,9 @@
 	double gap;
 
 	if (ex->model == NULL)
-		return (MAX(PLAIN_SILENCE_FACTOR *
-			(double)ex->route->objective_ms,
-		    PLAIN_SILENCE_LEAST_MS));
+		return (
+		    MAX(PLAIN_SILENCE_FACTOR * (double)ex->route->objective_ms,
+			PLAIN_SILENCE_LEAST_MS));
 	if (ex->reading)
 		return (MAX(SILENCE_FIRST_FACTOR * ex->expected_ms,
 		    SILENCE_FIRST_LEAST_MS));
--- a/src/fwd-stats.c
+++ b/src/fwd-stats.c
@@ -31,10 +31,10 @@
 void
 fwd_stats_init(struct fwd_stats *stats)
 {
-	stats->routes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-	    g_free);
-	stats->customers = g_hash_table_new_full(g_str_hash, g_str_equal,
-	    g_free, g_free);
+	stats->routes =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	stats->customers =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 /**
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -52,8 +52,8 @@
 	struct fwd *fwd = timer->data;
 	uint64_t now = uv_now(fwd->loop);
 
-	if (fwd->last_tick_ms != 0 && now - fwd->last_tick_ms >
-		TICK_IDLE_MS + PAUSE_MS) {
+	if (fwd->last_tick_ms != 0 &&
+	    now - fwd->last_tick_ms > TICK_IDLE_MS + PAUSE_MS) {
 		fwd->blind_until_ms = now + BLIND_MS;
 		event_log(LOG_NOTICE, "paused", "ms=%llu",
 		    (unsigned long long)(now - fwd->last_tick_ms));
@@ -138,8 +138,8 @@
 	TAILQ_INIT(&fwd->callers);
 	TAILQ_INIT(&fwd->exchanges);
 	TAILQ_INIT(&fwd->waiting);
-	fwd->budgets = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-	    g_free);
+	fwd->budgets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fwd_stats_init(&fwd->stats);
 	uv_timer_init(loop, &fwd->tick);
 	uv_timer_init(loop, &fwd->kick);
@@ -192,8 +192,7 @@
 		next = TAILQ_NEXT(c, entry);
 		if (c->exchange != NULL && busy)
 			fwd_exchange_break(c->exchange, "daemon_ends");
-		else if (c->exchange == NULL && !c->began &&
-		    !c->stream.finish)
+		else if (c->exchange == NULL && !c->began && !c->stream.finish)
 			net_stream_close(&c->stream);
 	}
 }
--- a/src/keeper-lease.c
+++ b/src/keeper-lease.c
@@ -85,8 +85,8 @@
 		    !g_str_has_prefix(record->key, GROUP_PREFIX))
 			continue;
 		TAILQ_FOREACH(r, &k->replicas, entry) {
-			if (strcmp(r->name, record->key +
-				strlen(GROUP_PREFIX)) == 0)
+			if (strcmp(r->name,
+				record->key + strlen(GROUP_PREFIX)) == 0)
 				r->recorded = true;
 		}
 	}
@@ -115,8 +115,8 @@
 			break;
 		case STORE_REFUSED:
 			/* Nothing was done: keep them for the next try. */
-			g_array_prepend_vals(k->records,
-			    append->records->data, append->records->len);
+			g_array_prepend_vals(k->records, append->records->data,
+			    append->records->len);
 			g_array_set_clear_func(append->records, NULL);
 			break;
 		default:
@@ -149,7 +149,7 @@
 	g_array_set_clear_func(k->records, store_record_clear);
 	k->writing = true;
 	if (!k->store->ops->append(k->store, TOPIC_PLACEMENT, append->records,
-	    (int64_t)k->end, on_written, append)) {
+		(int64_t)k->end, on_written, append)) {
 		const struct store_answer none = { .result = STORE_REFUSED };
 
 		on_written(append, &none);
@@ -185,8 +185,8 @@
 static void
 lease_take(struct keeper *k)
 {
-	g_autoptr(GArray) records = g_array_new(FALSE, TRUE,
-	    sizeof(struct store_record));
+	g_autoptr(GArray) records =
+	    g_array_new(FALSE, TRUE, sizeof(struct store_record));
 	struct store_record record = { 0 };
 
 	g_array_set_clear_func(records, store_record_clear);
@@ -197,7 +197,7 @@
 	k->state = KEEPER_TAKING;
 	k->writing = true;
 	if (!k->store->ops->append(k->store, TOPIC_PLACEMENT, records,
-	    (int64_t)k->end, on_taken, k)) {
+		(int64_t)k->end, on_taken, k)) {
 		k->writing = false;
 		keeper_lose(k, "store_unreachable");
 	}
@@ -213,8 +213,9 @@
 	if (record->value == NULL)
 		return;
 	if (strcmp(record->key, LEASE_KEY) == 0) {
-		k->term = MAX(k->term, keeper_decode_lease(record->value,
-		    record->length, &holder));
+		k->term = MAX(k->term,
+		    keeper_decode_lease(record->value, record->length,
+			&holder));
 		return;
 	}
 	if (!g_str_has_prefix(record->key, GROUP_PREFIX))
@@ -246,9 +247,9 @@
 		lease_take_record(k,
 		    &g_array_index(answer->records, struct store_record, i));
 	if (answer->more && answer->records->len > 0) {
-		const struct store_record *last = &g_array_index(
-		    answer->records, struct store_record,
-		    answer->records->len - 1);
+		const struct store_record *last =
+		    &g_array_index(answer->records, struct store_record,
+			answer->records->len - 1);
 
 		g_free(k->after);
 		k->after = g_strdup(last->key);
@@ -263,8 +264,8 @@
 lease_read(struct keeper *k)
 {
 	k->writing = true;
-	if (!k->store->ops->newest(k->store, TOPIC_PLACEMENT, k->after,
-	    on_read, k)) {
+	if (!k->store->ops->newest(k->store, TOPIC_PLACEMENT, k->after, on_read,
+		k)) {
 		k->writing = false;
 		keeper_lose(k, "store_unreachable");
 	}
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -57,8 +57,8 @@
 static const char *
 replica_domain(const struct keeper *k, const struct replica *r)
 {
-	const struct endpoint *head = fleet_find(&k->dir->fleet,
-	    r->members[0].id);
+	const struct endpoint *head =
+	    fleet_find(&k->dir->fleet, r->members[0].id);
 
 	return (head != NULL ? head->report.domain : "-");
 }
@@ -77,16 +77,15 @@
 		if (!replica_wanted(r) || strcmp(r->service, service) != 0)
 			continue;
 		for (guint i = 0; i < view->engine->models->len &&
-		    i < G_N_ELEMENTS(view->held); i++) {
+		     i < G_N_ELEMENTS(view->held);
+		     i++) {
 			const struct model_profile *m =
 			    view->engine->models->pdata[i];
 
 			view->held[i] += strcmp(m->name, r->model) == 0;
 		}
-		key = g_strdup_printf("%s %s", r->model,
-		    replica_domain(k, r));
-		n = GPOINTER_TO_UINT(g_hash_table_lookup(view->by_domain,
-		    key));
+		key = g_strdup_printf("%s %s", r->model, replica_domain(k, r));
+		n = GPOINTER_TO_UINT(g_hash_table_lookup(view->by_domain, key));
 		g_hash_table_replace(view->by_domain, key,
 		    GUINT_TO_POINTER(n + 1));
 	}
@@ -127,8 +126,8 @@
 {
 	int64_t epoch = k->term * EPOCHS_A_TERM + ++k->groups;
 	g_autofree char *name = g_strdup_printf("g%lld", (long long)epoch);
-	struct replica *r = replica_create(name, service, plan->model->name,
-	    epoch);
+	struct replica *r =
+	    replica_create(name, service, plan->model->name, epoch);
 
 	r->made_ms = now_ms;
 	for (guint i = 0; i < plan->members->len; i++) {
@@ -162,8 +161,8 @@
 	bool formed;
 
 	view.hosts = g_array_new(FALSE, TRUE, sizeof(struct form_host));
-	view.by_domain = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-	    NULL);
+	view.by_domain =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	view_add_hosts(k, service->name, &view, now_ms);
 	view_count_replicas(k, service->name, &view);
 	view.loads = loads_free(k, service->engine, now_ms);
--- a/src/keeper-record.c
+++ b/src/keeper-record.c
@@ -36,8 +36,9 @@
 		char ip[INET_ADDRSTRLEN];
 
 		inet_ntop(AF_INET, &m->address.sin_addr, ip, sizeof ip);
-		json_array_append_new(members, json_pack("{s:s,s:s,s:i}", "id",
-		    m->id, "ip", ip, "port", ntohs(m->address.sin_port)));
+		json_array_append_new(members,
+		    json_pack("{s:s,s:s,s:i}", "id", m->id, "ip", ip, "port",
+			ntohs(m->address.sin_port)));
 	}
 	json_object_set_new(root, "service", json_string(r->service));
 	json_object_set_new(root, "model", json_string(r->model));
@@ -65,9 +66,9 @@
 	size_t i;
 	int port;
 
-	if (root == NULL || json_unpack(root, "{s:s,s:s,s:I,s:o}", "service",
-		&service, "model", &model, "epoch", &epoch, "members",
-		&members) != 0) {
+	if (root == NULL ||
+	    json_unpack(root, "{s:s,s:s,s:I,s:o}", "service", &service, "model",
+		&model, "epoch", &epoch, "members", &members) != 0) {
 		event_log(LOG_ERR, "record_ignored", "group=%s reason=format",
 		    name);
 		return (NULL);
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -152,8 +152,11 @@
 	struct replica_member *m = &r->members[index];
 	g_autoptr(GPtrArray) ids = g_ptr_array_new();
 	struct keeper_call *call = call_new(k, r, index);
-	struct order order = { .kind = kind, .fence = k->term,
-		.group = r->name, .epoch = r->epoch, .members = ids };
+	struct order order = { .kind = kind,
+		.fence = k->term,
+		.group = r->name,
+		.epoch = r->epoch,
+		.members = ids };
 
 	for (unsigned i = 0; i < r->n; i++)
 		g_ptr_array_add(ids, r->members[i].id);
@@ -185,8 +188,7 @@
 		if (report == NULL)
 			event_log(LOG_INFO, "member_silent",
 			    "group=%s member=%s silent_ms=%llu", call->group,
-			    call->id,
-			    (unsigned long long)(now - m->silent_ms));
+			    call->id, (unsigned long long)(now - m->silent_ms));
 	}
 	call_free(call);
 }
@@ -229,8 +231,8 @@
 		m->life = MEMBER_DEAD;
 	m->here = g_strcmp0(ep->report.group, r->name) == 0 &&
 	    ep->report.epoch == r->epoch;
-	m->elsewhere = !m->here && ep->report.group != NULL &&
-	    ep->report.epoch > r->epoch;
+	m->elsewhere =
+	    !m->here && ep->report.group != NULL && ep->report.epoch > r->epoch;
 	m->state = m->here ? ep->report.state : GROUP_NONE;
 }
 
@@ -238,13 +240,13 @@
 static void
 replica_ask(struct keeper *k, struct replica *r, uint64_t now_ms)
 {
-	bool suspect = r->suspect_ms != 0 &&
-	    now_ms - r->suspect_ms < SUSPECT_MS;
+	bool suspect =
+	    r->suspect_ms != 0 && now_ms - r->suspect_ms < SUSPECT_MS;
 
 	for (unsigned i = 0; i < r->n; i++) {
 		const struct replica_member *m = &r->members[i];
-		bool head = i == 0 && r->doomed != NULL &&
-		    m->life != MEMBER_ALIVE;
+		bool head =
+		    i == 0 && r->doomed != NULL && m->life != MEMBER_ALIVE;
 
 		if (m->life != MEMBER_DEAD && (suspect || head))
 			member_ask(k, r, i);
@@ -260,8 +262,8 @@
 	    (long long)r->epoch, r->model, r->doomed,
 	    (unsigned long long)(now_ms - r->doomed_ms));
 	for (unsigned i = 0; i < r->n; i++) {
-		struct endpoint *ep = fleet_find(&k->dir->fleet,
-		    r->members[i].id);
+		struct endpoint *ep =
+		    fleet_find(&k->dir->fleet, r->members[i].id);
 
 		/* A dead host is no spare until its entry says otherwise. */
 		if (ep != NULL && r->members[i].life == MEMBER_DEAD)
@@ -329,8 +331,8 @@
 	if (k->state == KEEPER_HOLDING && now - k->last_ms > PAUSE_MS)
 		k->verified_ms = 0;
 	k->last_ms = now;
-	k->mesh->self.store_ok = k->dir->endpoints.synced &&
-	    k->dir->endpoints.failures == 0;
+	k->mesh->self.store_ok =
+	    k->dir->endpoints.synced && k->dir->endpoints.failures == 0;
 	keeper_lease_look(k, now);
 	if (k->state != KEEPER_HOLDING || k->dir->catalog == NULL)
 		return;
@@ -354,7 +356,7 @@
 	keeper_look(k);
 	uv_timer_start(timer, on_timer,
 	    k->state == KEEPER_HOLDING && keeper_busy(k) ? LOOK_BUSY_MS :
-								 LOOK_CALM_MS,
+							   LOOK_CALM_MS,
 	    0);
 }
 
@@ -386,8 +388,8 @@
 	k->records = g_array_new(FALSE, TRUE, sizeof(struct store_record));
 	g_array_set_clear_func(k->records, store_record_clear);
 	k->loads = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	k->pools = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
-	    NULL);
+	k->pools =
+	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	TAILQ_INIT(&k->replicas);
 	uv_timer_init(loop, &k->timer);
 	k->timer.data = k;
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -28,8 +28,8 @@
 	for (guint i = 0; i < peer->loads->len; i++) {
 		const struct mesh_load *load =
 		    &g_array_index(peer->loads, struct mesh_load, i);
-		struct endpoint *ep = fleet_find_key(&mesh->dir->fleet,
-		    load->key);
+		struct endpoint *ep =
+		    fleet_find_key(&mesh->dir->fleet, load->key);
 
 		if (ep == NULL)
 			continue;
@@ -46,8 +46,8 @@
 {
 	for (uint32_t i = 0; i < news->n_loads; i++) {
 		const struct mesh_load *load = &news->loads[i];
-		struct endpoint *ep = fleet_find_key(&mesh->dir->fleet,
-		    load->key);
+		struct endpoint *ep =
+		    fleet_find_key(&mesh->dir->fleet, load->key);
 
 		if (ep == NULL)
 			continue;
@@ -95,8 +95,8 @@
 		peer = g_new0(struct mesh_peer, 1);
 		peer->name = g_strdup(name);
 		peer->domain = g_strdup(domain);
-		peer->loads = g_array_new(FALSE, FALSE,
-		    sizeof(struct mesh_load));
+		peer->loads =
+		    g_array_new(FALSE, FALSE, sizeof(struct mesh_load));
 		peer->met_ms = uv_now(mesh->loop);
 		TAILQ_INSERT_TAIL(&mesh->peers, peer, entry);
 		event_log(LOG_INFO, "peer_known", "peer=%s domain=%s", name,
@@ -218,10 +218,10 @@
 	news->store_ok = mesh->self.store_ok;
 	news->serving = mesh->self.serving;
 	news->term = mesh->self.term;
-	news->config_version = dir->catalog != NULL ? dir->catalog->version :
-							    -1;
-	news->config_age_ms = age < MESH_NO_PROOF ? (uint32_t)age :
-							  MESH_NO_PROOF;
+	news->config_version =
+	    dir->catalog != NULL ? dir->catalog->version : -1;
+	news->config_age_ms =
+	    age < MESH_NO_PROOF ? (uint32_t)age : MESH_NO_PROOF;
 	news->n_loads = 0;
 	TAILQ_FOREACH(ep, &dir->fleet.endpoints, entry) {
 		if (ep->inflight == 0 || news->n_loads == MESH_LOADS_MAX)
@@ -240,8 +240,8 @@
 	uv_buf_t buf;
 
 	news->pong = peer->ping;
-	buf = uv_buf_init(out, (unsigned)mesh_news_encode(news, out,
-	    sizeof out));
+	buf =
+	    uv_buf_init(out, (unsigned)mesh_news_encode(news, out, sizeof out));
 	/* A datagram that does not go out now is made good by the next. */
 	if (buf.len > 0)
 		(void)uv_udp_try_send(&mesh->udp, &buf, 1,
@@ -250,8 +250,7 @@
 
 /* Whether a peer is told in this round. */
 static bool
-peer_due(const struct mesh *mesh, const struct mesh_peer *peer,
-    unsigned living)
+peer_due(const struct mesh *mesh, const struct mesh_peer *peer, unsigned living)
 {
 	if (!peer_lives(mesh, peer))
 		return (mesh->round % DEAD_ROUNDS == 0 ||
@@ -289,12 +288,12 @@
 	struct mesh_peer *peer;
 
 	mesh->round++;
-	mesh_age(mesh);
 	news_fill(mesh, &news);
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
 		if (peer_due(mesh, peer, living))
 			peer_tell(mesh, peer, &news);
 	}
+	mesh_age(mesh);
 }
 
 static void
--- a/src/net-client.c
+++ b/src/net-client.c
@@ -120,7 +120,7 @@
 	if (client->skipping || client->ops == NULL)
 		return (0);
 	if (client->ops->head(client->owner, parser->status_code,
-	    &client->head) == NET_SKIP) {
+		&client->head) == NET_SKIP) {
 		client->skipping = true;
 		client->poisoned = true;
 	}
@@ -205,8 +205,7 @@
 	}
 	/* An answer without a length ends with its connection. */
 	if (clean && !client->answered) {
-		http_parser_execute(&client->parser, &response_settings, "",
-		    0);
+		http_parser_execute(&client->parser, &response_settings, "", 0);
 		client->poisoned = true;
 	}
 	if (client->ops == NULL)
@@ -304,7 +303,7 @@
 	pool->open++;
 	pool->opened++;
 	if (net_stream_connect(&client->stream,
-	    (const struct sockaddr *)&pool->addr) != 0) {
+		(const struct sockaddr *)&pool->addr) != 0) {
 		net_stream_close(&client->stream);
 		return (NULL);
 	}
--- a/src/net-stream.c
+++ b/src/net-stream.c
@@ -213,7 +213,7 @@
 	memcpy(w->bytes, bytes + n, length);
 	buf = uv_buf_init(w->bytes, (unsigned)length);
 	if (uv_write(&w->req, (uv_stream_t *)&stream->tcp, &buf, 1,
-	    on_written) != 0) {
+		on_written) != 0) {
 		g_free(w);
 		stream_end(stream, false);
 		return;
--- a/src/order-ops.c
+++ b/src/order-ops.c
@@ -3,8 +3,8 @@
 
 static const char *const kind_names[] = { "join", "open", "close", "cancel",
 	"leave", "stage" };
-static const char *const result_names[] = { "taken", "unfit", "fenced",
-	"other", "refused", "unknown" };
+static const char *const result_names[] = { "taken", "unfit", "fenced", "other",
+	"refused", "unknown" };
 
 /**
  * order_kind_name() - name of a kind of order, for logs.
--- a/src/replica-form.c
+++ b/src/replica-form.c
@@ -72,8 +72,8 @@
 {
 	const struct model_profile *m = view->engine->models->pdata[index];
 
-	return (m->share * view->hosts->len / m->size -
-	    (double)view->held[index]);
+	return (
+	    m->share * view->hosts->len / m->size - (double)view->held[index]);
 }
 
 /*
@@ -136,8 +136,7 @@
 
 			if (plan->members->len == try->model->size)
 				return;
-			if (h->free &&
-			    g_strcmp0(h->fabric, try->fabric) == 0 &&
+			if (h->free && g_strcmp0(h->fabric, try->fabric) == 0 &&
 			    host_rank(h, try->model) == (enum load_rank)rank)
 				g_array_append_val(plan->members, i);
 		}
--- a/src/replica.c
+++ b/src/replica.c
@@ -122,8 +122,7 @@
 static bool
 member_ready(const struct replica_member *m)
 {
-	return (m->here &&
-	    (m->state == GROUP_READY || m->state == GROUP_OPEN));
+	return (m->here && (m->state == GROUP_READY || m->state == GROUP_OPEN));
 }
 
 /* Joins, then, once every member itself says that it is ready, opens. */
@@ -137,8 +136,8 @@
 
 		if (!member_ready(m))
 			all = false;
-		if (!m->here && member_due(m, ORDER_JOIN, now_ms,
-		    REPLICA_JOIN_SHOWS_MS)) {
+		if (!m->here &&
+		    member_due(m, ORDER_JOIN, now_ms, REPLICA_JOIN_SHOWS_MS)) {
 			step_order(step, i, ORDER_JOIN);
 			return;
 		}
@@ -148,7 +147,7 @@
 	if (r->members[0].state == GROUP_OPEN)
 		r->opened = true;
 	else if (member_due(&r->members[0], ORDER_OPEN, now_ms,
-	    REPLICA_ORDER_AGAIN_MS))
+		     REPLICA_ORDER_AGAIN_MS))
 		step_order(step, 0, ORDER_OPEN);
 }
 
@@ -184,8 +183,8 @@
 		return;
 	}
 	/* A gentle close runs on until the head says that it is done. */
-	if (gentle && head->here && (head->state == GROUP_OPEN ||
-	    head->state == GROUP_CLOSING))
+	if (gentle && head->here &&
+	    (head->state == GROUP_OPEN || head->state == GROUP_CLOSING))
 		return;
 	if (member_due(head, ORDER_LEAVE, now_ms, REPLICA_ORDER_AGAIN_MS))
 		step_order(step, 0, ORDER_LEAVE);
--- a/src/setting-table.c
+++ b/src/setting-table.c
@@ -63,8 +63,8 @@
 }
 
 static bool
-setting_store_int(const struct setting *s, void *set,
-    const char *value, GError **error)
+setting_store_int(const struct setting *s, void *set, const char *value,
+    GError **error)
 {
 	g_autofree char *why = NULL;
 	gint64 n;
@@ -88,7 +88,7 @@
 
 	if (end == value || *end != '\0' || !(n >= 0) || n > (double)s->max)
 		return (setting_bad(s, error, "must be a number in its range"));
-	*(double *)((char *)set + s->offset) = n;
+	memcpy((char *)set + s->offset, &n, sizeof n);
 	return (true);
 }
 
@@ -158,8 +158,7 @@
 	int rc;
 
 	setting_fill_options(table, options, values, check);
-	context = poptGetContext(NULL, source->argc, source->argv, options,
-	    0);
+	context = poptGetContext(NULL, source->argc, source->argv, options, 0);
 	rc = poptGetNextOpt(context);
 	if (rc < -1) {
 		error_set(error, ERROR_BAD_SETTING, "%s: %s",
@@ -208,8 +207,8 @@
 		if (path == NULL || path[0] == '\0')
 			return (true);
 		*file = g_key_file_new();
-		return (g_key_file_load_from_file(*file, path,
-		    G_KEY_FILE_NONE, error));
+		return (g_key_file_load_from_file(*file, path, G_KEY_FILE_NONE,
+		    error));
 	}
 	return (true);
 }
@@ -235,8 +234,8 @@
 	    setting_open_file(table, source->file_setting, values, &file,
 		error);
 	for (size_t i = 0; ok && table[i].name != NULL; i++) {
-		g_autofree char *value = setting_find(&table[i], values[i],
-		    file);
+		g_autofree char *value =
+		    setting_find(&table[i], values[i], file);
 
 		ok = setting_store(&table[i], set, value, error);
 	}
--- a/src/setting.c
+++ b/src/setting.c
@@ -107,7 +107,8 @@
 
 	memset(set, 0, sizeof *set);
 	return (setting_table_parse(setting_table, set, &source, &set->check,
-	    error) && setting_check_rules(set, error));
+		    error) &&
+	    setting_check_rules(set, error));
 }
 
 /**
