Keep groups through cuts, and close what serves without a record

Change: only another incarnation at the address proves death; lapsed members that answer keep their group; a whole group that comes back goes on; heads that serve without a record are closed; the socket is asked at an end of file; lateness is judged for a prompt of the usual size.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -52,17 +52,19 @@
  * fwd_expect_first() - expected time to the first event of a request.
  * @ep: the endpoint
  * @want: the request; its engine and model are known
+ * @prompt: tokens of its prompt
  *
  * Passes alternate: a piece of the prompts that wait, then some steps for the
  * requests that write. A request waits for the pass that runs, for the
  * prompts before its own, and for its own first steps.
  */
 double
-fwd_expect_first(const struct endpoint *ep, const struct fwd_want *want)
+fwd_expect_first(const struct endpoint *ep, const struct fwd_want *want,
+    double prompt)
 {
 	const struct engine_profile *e = want->engine;
 	double running = endpoint_running(ep);
-	double backlog = ep->reading + ep->peer_reading + want->prompt;
+	double backlog = ep->reading + ep->peer_reading + prompt;
 	double steps = step_ms(e, want->model, running + 1) * e->stride;
 	double writers = running > 0 ? steps : 0;
 	double passes = e->chunk > 0 ? ceil(backlog / e->chunk) : 1;
@@ -105,7 +107,7 @@
 
 	*first = 0;
 	if (want->model != NULL) {
-		*first = fwd_expect_first(ep, want);
+		*first = fwd_expect_first(ep, want, want->prompt);
 		return (*first * (1 + ERROR_WEIGHT * ep->error_rate) +
 		    (across ? CROSS_DOMAIN_MS : 0));
 	}
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -49,7 +49,8 @@
 
 void fwd_choose(const struct fleet *, const struct fwd_want *,
     struct fwd_choice *);
-double fwd_expect_first(const struct endpoint *, const struct fwd_want *);
+double fwd_expect_first(const struct endpoint *, const struct fwd_want *,
+    double);
 double fwd_expect_gap(const struct endpoint *, const struct engine_profile *,
     const struct model_profile *);
 
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -144,11 +144,17 @@
     const struct fwd_choice *choice)
 {
 	uint64_t now = uv_now(ex->fwd->loop);
-	double first = (double)(now - ex->arrived_ms) + choice->first_ms;
+	struct fwd_want want;
+	double first;
 
-	return (ex->model != NULL && ex->sends == 0 &&
-	    choice->load >= FULL_ENOUGH &&
-	    first > (double)ex->route->objective_ms);
+	if (ex->model == NULL || ex->sends > 0 || choice->load < FULL_ENOUGH)
+		return (false);
+	exchange_want(ex, &want);
+	/* Judged for a prompt of usual size, so that large ones get through. */
+	first = fwd_expect_first(choice->endpoint, &want,
+	    MIN(ex->prompt, ex->engine->usual_prompt));
+	return ((double)(now - ex->arrived_ms) + first >
+	    (double)ex->route->objective_ms);
 }
 
 /* Gives up on a request that found no place in time. */
--- /dev/null
+++ b/src/keeper-adopt.c
@@ -0,0 +1,85 @@
+/* Groups that serve without a record: they are closed before any reuse. */
+#include <string.h>
+
+#include "event-log.h"
+#include "keeper.h"
+
+/* Entries read this long after a group's end are newer than its end. */
+#define ENTRY_NEWER_MS 1500
+
+/* Whether a group has a record. */
+static bool
+group_known(const struct keeper *k, const char *name)
+{
+	const struct replica *r;
+
+	TAILQ_FOREACH(r, &k->replicas, entry) {
+		if (strcmp(r->name, name) == 0)
+			return (true);
+	}
+	return (false);
+}
+
+/* Whether an entry may date from before its group was dissolved here. */
+static bool
+entry_old(const struct keeper *k, const struct endpoint *ep)
+{
+	const uint64_t *ended = g_hash_table_lookup(k->ended, ep->report.group);
+
+	return (ended != NULL && ep->seen_ms < *ended + ENTRY_NEWER_MS);
+}
+
+/* A replica, to be dissolved, of all that report a head's group. */
+static void
+adopt_head(struct keeper *k, const struct endpoint *head, uint64_t now_ms)
+{
+	struct replica *r =
+	    replica_create(head->report.group, head->report.service,
+		head->report.model != NULL ? head->report.model : "-",
+		head->report.epoch);
+	const struct endpoint *ep;
+
+	replica_add_member(r, head->report.id, &head->report.address);
+	TAILQ_FOREACH(ep, &k->dir->fleet.endpoints, entry) {
+		if (ep != head && g_strcmp0(ep->report.group, r->name) == 0 &&
+		    ep->report.epoch == r->epoch)
+			replica_add_member(r, ep->report.id,
+			    &ep->report.address);
+	}
+	r->made_ms = now_ms;
+	r->recorded = true;
+	r->adopted = true;
+	r->doomed = "no_record";
+	r->doomed_ms = now_ms;
+	event_log(LOG_NOTICE, "group_adopted",
+	    "group=%s epoch=%lld head=%s state=%s hosts=%u", r->name,
+	    (long long)r->epoch, head->report.id,
+	    group_state_name(head->report.state), r->n);
+	TAILQ_INSERT_TAIL(&k->replicas, r, entry);
+}
+
+/**
+ * keeper_adopt() - find heads that serve without a record.
+ * @k: the keeper
+ * @now_ms: loop time
+ *
+ * Such a group was dissolved while its head could not be reached, or was
+ * opened by an order that came late.
+ */
+void
+keeper_adopt(struct keeper *k, uint64_t now_ms)
+{
+	struct endpoint *ep;
+
+	TAILQ_FOREACH(ep, &k->dir->fleet.endpoints, entry) {
+		const struct endpoint_report *report = &ep->report;
+
+		if (report->group == NULL || report->rank != 0 ||
+		    ep->lapsed_ms != 0 ||
+		    (report->state != GROUP_OPEN &&
+			report->state != GROUP_CLOSING))
+			continue;
+		if (!group_known(k, report->group) && !entry_old(k, ep))
+			adopt_head(k, ep, now_ms);
+	}
+}
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -184,8 +184,7 @@
 			m->silent_ms = 0;
 		else if (m->silent_ms == 0)
 			m->silent_ms = call->sent_ms;
-		if (answer == ANSWER_ABSENT)
-			m->life = MEMBER_DEAD;
+		m->absent = answer == ANSWER_ABSENT;
 		if (answer != ANSWER_REPORT)
 			event_log(LOG_INFO, "member_silent",
 			    "group=%s member=%s absent=%d silent_ms=%llu",
@@ -219,8 +218,10 @@
 {
 	const struct endpoint *ep = fleet_find(&k->dir->fleet, m->id);
 
-	if (m->life == MEMBER_DEAD)
+	if (m->absent || m->life == MEMBER_DEAD) {
+		m->life = MEMBER_DEAD;
 		return;
+	}
 	m->life = ep == NULL || ep->lapsed_ms != 0 || ep->gone ? MEMBER_LAPSED :
 	    ep->draining ? MEMBER_DRAINING :
 			   MEMBER_ALIVE;
@@ -246,10 +247,10 @@
 
 	for (unsigned i = 0; i < r->n; i++) {
 		const struct replica_member *m = &r->members[i];
-		bool head =
-		    i == 0 && r->doomed != NULL && m->life != MEMBER_ALIVE;
+		bool unlisted =
+		    m->life == MEMBER_LAPSED || m->life == MEMBER_SILENT;
 
-		if (m->life != MEMBER_DEAD && (suspect || head))
+		if (m->life != MEMBER_DEAD && (suspect || unlisted))
 			member_ask(k, r, i);
 	}
 }
@@ -270,6 +271,8 @@
 		if (ep != NULL && r->members[i].life >= MEMBER_SILENT)
 			ep->rest_until_ms = now_ms + SUSPECT_MS;
 	}
+	g_hash_table_replace(k->ended, g_strdup(r->name),
+	    g_memdup2(&now_ms, sizeof now_ms));
 	keeper_record_replica(k, r, true);
 	TAILQ_REMOVE(&k->replicas, r, entry);
 	replica_free(r);
@@ -343,6 +346,7 @@
 		next = TAILQ_NEXT(r, entry);
 		replica_look(k, r, now);
 	}
+	keeper_adopt(k, now);
 	keeper_place(k, now);
 	keeper_write(k);
 	if (keeper_busy(k))
@@ -389,6 +393,8 @@
 	k->records = g_array_new(FALSE, TRUE, sizeof(struct store_record));
 	g_array_set_clear_func(k->records, store_record_clear);
 	k->loads = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	k->ended =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	k->pools =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	TAILQ_INIT(&k->replicas);
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -38,6 +38,7 @@
  * @replicas: by their records
  * @groups: made under this lease so far
  * @loads: loop times of the loads begun lately
+ * @ended: names of groups dissolved by this daemon to when
  * @pools: connections to hosts whose entries lapsed, by address
  * @alone_ms: since when no placer has been heard; 0 while one is
  * @last_ms: loop time of the last look
@@ -62,6 +63,7 @@
 	struct replica_list replicas;
 	unsigned groups;
 	GArray *loads;
+	GHashTable *ended;
 	GHashTable *pools;
 	uint64_t alone_ms;
 	uint64_t last_ms;
@@ -86,6 +88,9 @@
 guint8 *keeper_encode_lease(const char *, int64_t, size_t *);
 int64_t keeper_decode_lease(const void *, size_t, char **);
 
+/* keeper-adopt.c: groups that serve without a record. */
+void keeper_adopt(struct keeper *, uint64_t);
+
 /* keeper-place.c: forming new replicas. */
 void keeper_place(struct keeper *, uint64_t);
 
--- a/src/net-call.c
+++ b/src/net-call.c
@@ -84,7 +84,6 @@
 	call->client = NULL;
 	call->answer.status = 0;
 	call->answer.reached = why != NET_UNREACHED;
-	call->answer.refused = why == NET_UNREACHED;
 	call_end(call);
 }
 
--- a/src/net-call.h
+++ b/src/net-call.h
@@ -10,14 +10,12 @@
  * @body: of the answer; lives until the function that is told returns
  * @asked_ms: loop time at which it was sent
  * @reached: the peer may have carried it out
- * @refused: nobody listens there
  */
 struct net_answer {
 	unsigned status;
 	const GByteArray *body;
 	uint64_t asked_ms;
 	bool reached;
-	bool refused;
 };
 
 /* Told once, when the call ends. */
--- a/src/net-stream.c
+++ b/src/net-stream.c
@@ -3,6 +3,7 @@
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/socket.h>
 
 #include "net-stream.h"
 
@@ -45,6 +46,21 @@
 	stream->ops->ended(stream, clean);
 }
 
+/*
+ * libuv takes a hang-up that arrives together with data for an end of file,
+ * also where the peer reset the connection; the socket knows better.
+ */
+static bool
+stream_was_reset(struct net_stream *stream)
+{
+	uv_os_fd_t fd;
+	char byte;
+
+	if (uv_fileno((uv_handle_t *)&stream->tcp, &fd) != 0)
+		return (true);
+	return (recv(fd, &byte, 1, MSG_DONTWAIT | MSG_PEEK) < 0);
+}
+
 static void
 on_read(uv_stream_t *handle, ssize_t n, const uv_buf_t *buf)
 {
@@ -54,7 +70,7 @@
 		return;
 	if (n < 0) {
 		net_stream_read(stream, false);
-		stream_end(stream, n == UV_EOF);
+		stream_end(stream, n == UV_EOF && !stream_was_reset(stream));
 		return;
 	}
 	stream->ops->readable(stream, buf->base, (size_t)n);
--- a/src/order-ops.h
+++ b/src/order-ops.h
@@ -68,8 +68,8 @@
 /**
  * enum order_answer - how an endpoint answered a question.
  * @ANSWER_REPORT: by its report
- * @ANSWER_NONE: not in time
- * @ANSWER_ABSENT: nobody, or another incarnation, listens at its address
+ * @ANSWER_NONE: none; a refused connection too, since cuts may refuse
+ * @ANSWER_ABSENT: another incarnation has its address
  */
 enum order_answer {
 	ANSWER_REPORT,
--- a/src/replica.c
+++ b/src/replica.c
@@ -84,8 +84,10 @@
 			return ("member_dead");
 		if (m->life == MEMBER_SILENT)
 			return ("member_silent");
-		if (m->life == MEMBER_LAPSED)
-			return ("member_lapsed");
+		/* Requests reach the head only, so any other member may be cut
+		 * from the store as long as it answers. */
+		if (m->life == MEMBER_LAPSED && i == 0)
+			return ("head_lapsed");
 		if (m->life == MEMBER_DRAINING)
 			return ("member_drains");
 		if (m->elsewhere)
@@ -215,6 +217,20 @@
 		step_order(step, 0, ORDER_LEAVE);
 }
 
+/*
+ * Whether nothing was done yet to dissolve it: what was cut off whole and
+ * comes back whole goes on.
+ */
+static bool
+replica_undone(const struct replica *r)
+{
+	for (unsigned i = 0; i < r->n; i++) {
+		if (r->members[i].left || r->members[i].elsewhere)
+			return (false);
+	}
+	return (!r->head_closed && r->split_ms == 0 && !r->adopted);
+}
+
 /**
  * replica_next() - the next step for a replica.
  * @r: the replica; notes that it has opened or is doomed
@@ -227,10 +243,12 @@
     struct replica_step *step)
 {
 	memset(step, 0, sizeof *step);
-	if (r->doomed == NULL) {
-		r->doomed = replica_judge(r, now_ms);
+	const char *judged = replica_judge(r, now_ms);
+
+	if (r->doomed == NULL && judged != NULL)
 		r->doomed_ms = now_ms;
-	}
+	if (r->doomed == NULL || replica_undone(r))
+		r->doomed = judged;
 	if (r->doomed != NULL)
 		next_doomed(r, now_ms, stall_ms, step);
 	else if (r->recorded)
--- a/src/replica.h
+++ b/src/replica.h
@@ -32,7 +32,7 @@
  * enum member_life - what is known of a member.
  * @MEMBER_ALIVE: it writes to the store
  * @MEMBER_DRAINING: it will leave
- * @MEMBER_LAPSED: its entry is gone; it may still serve
+ * @MEMBER_LAPSED: its entry is gone; it may still serve and answer
  * @MEMBER_SILENT: it does not answer either; it may still serve others
  * @MEMBER_DEAD: its incarnation has ended
  */
@@ -59,6 +59,7 @@
  * @asked_ms: when it was last asked directly
  * @silent_ms: since when it has not answered; 0 while it does
  * @asking: a question is on its way
+ * @absent: another incarnation has its address
  */
 struct replica_member {
 	char *id;
@@ -74,6 +75,7 @@
 	uint64_t asked_ms;
 	uint64_t silent_ms;
 	bool asking;
+	bool absent;
 };
 
 /**
@@ -89,6 +91,7 @@
  * @opened: it was seen to serve
  * @head_closed: the head took the order to serve no more
  * @split_ms: since when a member has left a head that can't be reached
+ * @adopted: found serving without a record; it is dissolved
  * @suspect_ms: its streams fell silent then; 0 for never
  * @n: hosts
  * @members: the head first
@@ -106,6 +109,7 @@
 	bool opened;
 	bool head_closed;
 	uint64_t split_ms;
+	bool adopted;
 	uint64_t suspect_ms;
 	unsigned n;
 	struct replica_member members[REPLICA_SIZE_MAX];
