Draw candidates from all endpoints, not always the first three

Ruled out: double counting of peers' work (sums agree with the durations). Change: random_u32() for the draw; the end line of a request names its last endpoint, what was expected and what the endpoint had then.

--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -45,6 +45,8 @@
 	struct endpoint *ep = choice->endpoint;
 
 	ex->endpoint = ep;
+	ex->running_at_send = ep->inflight + ep->peer_inflight;
+	ex->reading_at_send = ep->reading + ep->peer_reading;
 	ep->refs++;
 	ep->inflight++;
 	ex->reading = ex->model != NULL;
@@ -135,7 +137,7 @@
 	for (unsigned i = 0; i < ex->n_tried; i++)
 		want->tried[i] = ex->tried[i];
 	want->now_ms = uv_now(ex->fwd->loop);
-	want->draw = random_below(UINT32_MAX);
+	want->draw = random_u32();
 }
 
 /* Whether a first send now would come too late while places are short. */
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -47,6 +47,8 @@
  * @client: connection to the endpoint
  * @sent_ms: when the endpoint got it
  * @expected_ms: when its first event was expected, from then
+ * @running_at_send: requests that the endpoint had then
+ * @reading_at_send: prompt tokens that it had not read then
  * @sends: times it was sent
  * @runs: of these, the ones that may have run
  * @moved: of these, the ones that ended before a first event
@@ -92,6 +94,8 @@
 	struct net_client *client;
 	uint64_t sent_ms;
 	double expected_ms;
+	unsigned running_at_send;
+	double reading_at_send;
 	unsigned sends;
 	unsigned runs;
 	unsigned moved;
--- a/src/random.c
+++ b/src/random.c
@@ -20,9 +20,18 @@
 	return (x);
 }
 
+/**
+ * random_u32() - 32 random bits for choices that need no secrecy.
+ */
+uint32_t
+random_u32(void)
+{
+	return (g_random_int());
+}
+
 /**
  * random_below() - a random number below a bound.
- * @bound: more than 0
+ * @bound: 1 to INT32_MAX
  */
 uint32_t
 random_below(uint32_t bound)
--- a/src/random.h
+++ b/src/random.h
@@ -5,6 +5,7 @@
 #include <stdint.h>
 
 uint64_t random_u64(void);
+uint32_t random_u32(void);
 uint32_t random_below(uint32_t);
 char *random_id(void);
 
