Repair large replicas from copies that smaller ones hold

A silent head was known to the placer only from its own streams, up to 2 s late. Ruled out: dissolving takes long (0.3 s unless the head itself is lost). Change: each fabric domain holds at most one replica of the largest model for twice its size; the smaller ones beside it serve, keep a copy of the large model staged, and donate hosts when it loses one; hosts with a copy are kept for it. Silent and closing heads are told to all daemons, which avoid them; the placer asks their members at once.

--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -76,6 +76,8 @@
  * @peer_reading: other daemons' prompt tokens
  * @failures: failures in a row
  * @rest_until_ms: no work before then
+ * @warned_ms: when this daemon found it silent or closed it; others are told
+ * @avoided_ms: when another daemon last warned of it
  * @heard_ms: loop time of its last byte in any exchange
  * @slowness: moving ratio of observed to expected event gaps
  * @error_rate: moving share of answers that were server failures
@@ -97,6 +99,8 @@
 	double peer_reading;
 	unsigned failures;
 	uint64_t rest_until_ms;
+	uint64_t warned_ms;
+	uint64_t avoided_ms;
 	uint64_t heard_ms;
 	double slowness;
 	double error_rate;
--- a/src/edge.c
+++ b/src/edge.c
@@ -210,6 +210,15 @@
 {
 	struct edge *e = arg;
 
+	keeper_suspect(&e->keeper, ep);
+	mesh_tell_now(&e->mesh);
+}
+
+static void
+on_avoided(void *arg, struct endpoint *ep)
+{
+	struct edge *e = arg;
+
 	keeper_suspect(&e->keeper, ep);
 }
 
@@ -253,6 +262,8 @@
 	e->mesh.dir = &e->dir;
 	e->mesh.name = e->set.name;
 	e->mesh.domain = e->set.domain;
+	e->mesh.avoided = on_avoided;
+	e->mesh.avoided_arg = e;
 	e->keeper.store = e->store;
 	e->keeper.dir = &e->dir;
 	e->keeper.mesh = &e->mesh;
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -22,10 +22,13 @@
 /* Silence of a replica's streams is judged against its expected gap, with
  * this factor, and never below this bound. */
 #define SILENCE_FACTOR 5.0
-#define SILENCE_LEAST_MS 400
+#define SILENCE_LEAST_MS 300
 /* Silence before a first event, against the expected first event. */
 #define SILENCE_FIRST_FACTOR 3.0
-#define SILENCE_FIRST_LEAST_MS 600
+#define SILENCE_FIRST_LEAST_MS 500
+/* Another daemon's warning counts this long, and lowers the bounds. */
+#define WARNED_MS 1500
+#define WARNED_SHARE 0.6
 /* How long a silent endpoint rests: the platform reports it broken by then. */
 #define REST_SILENT_MS 5000
 /* A plain endpoint that says nothing for this many objectives is left. */
@@ -369,7 +372,9 @@
 	/* A plain endpoint's other answers say nothing of this one. */
 	if (ex->model == NULL)
 		heard = ex->heard_ms;
-	return ((double)(now - MIN(heard, now)) > exchange_silence_ms(ex));
+	return ((double)(now - MIN(heard, now)) > exchange_silence_ms(ex) *
+		(now - ex->endpoint->avoided_ms < WARNED_MS ? WARNED_SHARE :
+							      1));
 }
 
 /* The endpoint is silent: avoid it, and move what may be moved. */
@@ -387,6 +392,7 @@
 		    (unsigned long long)(now - MAX(ex->heard_ms, ep->heard_ms)),
 		    ep->inflight, ep->reading, ep->slowness, ex->id);
 		ep->rest_until_ms = now + REST_SILENT_MS;
+		ep->warned_ms = now;
 		if (ex->fwd->suspect != NULL)
 			ex->fwd->suspect(ex->fwd->suspect_arg, ep);
 	}
--- a/src/keeper-lease.c
+++ b/src/keeper-lease.c
@@ -9,11 +9,11 @@
 
 /* Silence of the placer after which another takes its lease. Some missed
  * datagrams are no reason; the fencing token covers a placer that wakes. */
-#define PLACER_LOST_MS 900
+#define PLACER_LOST_MS 700
 /* Each daemon waits this much longer than the one before it. */
-#define RANK_STEP_MS 300
+#define RANK_STEP_MS 200
 /* At the very start, until the others have been heard. */
-#define START_WAIT_MS 250
+#define START_WAIT_MS 200
 /* Orders go out only while the lease was checked this lately. */
 #define VERIFY_MS 1500
 
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -13,26 +13,55 @@
 #define LOADS_SHARE 0.8
 /* Without a bound in the engine's profile. */
 #define LOADS_ANY 1000
+/* A copy with others beside it takes longer than one alone. */
+#define STAGE_FACTOR 1.5
 
-/* Whether a host is a member of a replica that still has a record. */
-static bool
-host_taken(const struct keeper *k, const char *id)
+/* The replica with a record that a host is a member of, or NULL. */
+static struct replica *
+host_group(const struct keeper *k, const char *id)
 {
-	const struct replica *r;
+	struct replica *r;
 
 	TAILQ_FOREACH(r, &k->replicas, entry) {
 		for (unsigned i = 0; i < r->n; i++) {
 			if (strcmp(r->members[i].id, id) == 0)
-				return (true);
+				return (r);
 		}
 	}
+	return (NULL);
+}
+
+/* Whether a host reports a copy of a model. */
+static bool
+report_staged(const struct endpoint_report *report, const char *model)
+{
+	for (guint i = 0; i < report->staged->len; i++) {
+		if (strcmp(report->staged->pdata[i], model) == 0)
+			return (true);
+	}
 	return (false);
 }
 
+/* The model that is being copied to a host, or NULL. */
+static const char *
+host_staging(struct keeper *k, const struct endpoint *ep, uint64_t now_ms)
+{
+	const struct keeper_stage *stage =
+	    g_hash_table_lookup(k->staging, ep->report.id);
+
+	if (stage == NULL)
+		return (NULL);
+	if (now_ms < stage->until_ms &&
+	    !report_staged(&ep->report, stage->model))
+		return (stage->model);
+	g_hash_table_remove(k->staging, ep->report.id);
+	return (NULL);
+}
+
 /* All hosts of a service that live. */
 static void
-view_add_hosts(const struct keeper *k, const char *service,
-    struct form_view *view, uint64_t now_ms)
+view_add_hosts(struct keeper *k, const char *service, struct form_view *view,
+    uint64_t now_ms)
 {
 	struct endpoint *ep;
 
@@ -47,20 +76,22 @@
 		host.fabric = ep->report.fabric;
 		host.last = ep->report.model;
 		host.staged = ep->report.staged;
-		host.free = !host_taken(k, ep->report.id) &&
-		    now_ms >= ep->rest_until_ms;
+		host.staging = host_staging(k, ep, now_ms);
+		host.group = host_group(k, ep->report.id);
+		host.free = host.group == NULL && now_ms >= ep->rest_until_ms;
 		g_array_append_val(view->hosts, host);
 	}
 }
 
-/* The failure domain of a replica, by its head. */
-static const char *
-replica_domain(const struct keeper *k, const struct replica *r)
+/* Adds one to the count of a model in a place. */
+static void
+count_add(GHashTable *table, const char *model, const char *place)
 {
-	const struct endpoint *head =
-	    fleet_find(&k->dir->fleet, r->members[0].id);
+	char *key =
+	    g_strdup_printf("%s %s", model, place != NULL ? place : "-");
+	guint n = GPOINTER_TO_UINT(g_hash_table_lookup(table, key));
 
-	return (head != NULL ? head->report.domain : "-");
+	g_hash_table_replace(table, key, GUINT_TO_POINTER(n + 1));
 }
 
 /* Counts the replicas that are wanted. */
@@ -71,32 +102,46 @@
 	const struct replica *r;
 
 	TAILQ_FOREACH(r, &k->replicas, entry) {
-		char *key;
-		guint n;
+		const struct endpoint *head =
+		    fleet_find(&k->dir->fleet, r->members[0].id);
 
 		if (!replica_wanted(r) || strcmp(r->service, service) != 0)
 			continue;
-		for (guint i = 0; i < view->engine->models->len &&
-		     i < G_N_ELEMENTS(view->held);
+		for (guint i = 0;
+		     i < view->engine->models->len && i < FORM_MODELS_MAX;
 		     i++) {
 			const struct model_profile *m =
 			    view->engine->models->pdata[i];
 
 			view->held[i] += strcmp(m->name, r->model) == 0;
 		}
-		key = g_strdup_printf("%s %s", r->model, replica_domain(k, r));
-		n = GPOINTER_TO_UINT(g_hash_table_lookup(view->by_domain, key));
-		g_hash_table_replace(view->by_domain, key,
-		    GUINT_TO_POINTER(n + 1));
+		if (head == NULL)
+			continue;
+		count_add(view->by_domain, r->model, head->report.domain);
+		count_add(view->by_fabric, r->model, head->report.fabric);
 	}
 }
 
+/* Copies that are being made. */
+static unsigned
+staging_count(struct keeper *k, uint64_t now_ms)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned n = 0;
+
+	g_hash_table_iter_init(&iter, k->staging);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		n += now_ms < ((struct keeper_stage *)value)->until_ms;
+	return (n);
+}
+
 /* Loads that may begin now. */
 static unsigned
 loads_free(struct keeper *k, const struct engine_profile *e, uint64_t now_ms)
 {
 	double most = e->loads_per_s * LOADS_WINDOW_MS / 1000 * LOADS_SHARE;
-	unsigned joining = 0;
+	unsigned joining = staging_count(k, now_ms);
 	const struct replica *r;
 
 	while (k->loads->len > 0 &&
@@ -104,18 +149,18 @@
 		g_array_remove_index(k->loads, 0);
 	if (e->loads_per_s <= 0)
 		return (LOADS_ANY);
-	/* More at once than this only slow each other down; two replicas'
-	 * worth keeps the weight store busy between two looks. */
+	/* More at once only slow each other down; before the first request,
+	 * twice as many keep the weight store busy between two looks. */
 	TAILQ_FOREACH(r, &k->replicas, entry) {
 		for (unsigned i = 0; i < r->n && replica_wanted(r); i++)
 			joining += !r->members[i].here ||
 			    r->members[i].state == GROUP_JOINING;
 	}
-	if (joining >= 2 * e->loads_at_once)
-		return (0);
-	/* Before the first request loads are quick and not counted. */
 	if (!mesh_serving(k->mesh))
-		return (LOADS_ANY);
+		/* Before the first request loads are quick and not counted. */
+		return (joining >= 2 * e->loads_at_once ? 0 : LOADS_ANY);
+	if (joining >= e->loads_at_once)
+		return (0);
 	return (k->loads->len >= most ? 0 : (unsigned)(most - k->loads->len));
 }
 
@@ -151,29 +196,88 @@
 	keeper_record_replica(k, r, false);
 }
 
-/* Forms what can be formed for one service; false when nothing was. */
+/* Has a host copy a model beside its work. */
+static void
+place_stage(struct keeper *k, const struct form_host *h,
+    const struct model_profile *m, uint64_t now_ms)
+{
+	struct keeper_stage *stage = g_new0(struct keeper_stage, 1);
+
+	stage->model = g_strdup(m->name);
+	stage->until_ms = now_ms + (uint64_t)(STAGE_FACTOR * m->load_ms);
+	g_hash_table_replace(k->staging, g_strdup(h->id), stage);
+	g_array_append_val(k->loads, now_ms);
+	event_log(LOG_NOTICE, "copy_planned",
+	    "host=%s model=%s fabric=%s free=%d", h->id, m->name, h->fabric,
+	    h->free);
+	keeper_order_stage(k, h->id, m->name);
+}
+
+/* Before the first request, copies wait until all replicas stand. */
+static bool
+place_may_stage(const struct keeper *k)
+{
+	const struct replica *r;
+
+	if (mesh_serving(k->mesh))
+		return (true);
+	TAILQ_FOREACH(r, &k->replicas, entry) {
+		if (!r->opened)
+			return (false);
+	}
+	return (!TAILQ_EMPTY(&k->replicas));
+}
+
+/* Forms one replica, or prepares one; false when nothing is left to do. */
+static bool
+place_step(struct keeper *k, const char *service, const struct form_view *view,
+    uint64_t now_ms)
+{
+	const struct model_profile *model;
+	const struct form_host *h;
+	struct form_plan plan = { 0 };
+	struct replica *donor;
+
+	if (form_next(view, &plan)) {
+		place_make(k, service, view, &plan, now_ms);
+		g_array_free(plan.members, TRUE);
+		return (true);
+	}
+	donor = form_donor(view);
+	if (donor != NULL) {
+		replica_donate(donor, now_ms);
+		keeper_doomed(k, donor, now_ms);
+		return (true);
+	}
+	h = place_may_stage(k) ? form_stage(view, &model) : NULL;
+	if (h != NULL)
+		place_stage(k, h, model, now_ms);
+	return (h != NULL);
+}
+
+/* Takes the next step for one service; false when nothing is left to do. */
 static bool
 place_service(struct keeper *k, const struct catalog_service *service,
     uint64_t now_ms)
 {
 	struct form_view view = { .engine = service->engine };
-	struct form_plan plan = { 0 };
-	bool formed;
+	bool more;
 
 	view.hosts = g_array_new(FALSE, TRUE, sizeof(struct form_host));
 	view.by_domain =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	view.by_fabric =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	view_add_hosts(k, service->name, &view, now_ms);
+	form_targets(&view);
 	view_count_replicas(k, service->name, &view);
+	view.serving = mesh_serving(k->mesh);
 	view.loads = loads_free(k, service->engine, now_ms);
-	formed = form_next(&view, &plan);
-	if (formed) {
-		place_make(k, service->name, &view, &plan, now_ms);
-		g_array_free(plan.members, TRUE);
-	}
+	more = place_step(k, service->name, &view, now_ms);
 	g_array_free(view.hosts, TRUE);
 	g_hash_table_destroy(view.by_domain);
-	return (formed);
+	g_hash_table_destroy(view.by_fabric);
+	return (more);
 }
 
 /**
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -10,14 +10,14 @@
 /* An order that has no answer after this is given again. */
 #define ORDER_TIMEOUT_MS 800
 /* A host that does not answer a question in this time is silent. */
-#define ASK_TIMEOUT_MS 400
+#define ASK_TIMEOUT_MS 250
 /* Between two questions to one host. */
-#define ASK_AGAIN_MS 500
+#define ASK_AGAIN_MS 300
 /* How long a suspicion keeps its replica under question. */
 #define SUSPECT_MS 3000
 /* Silence to direct questions after which a member is dead, though its entry
  * still stands; its entry lapses only after three missed beats. */
-#define MEMBER_SILENT_MS 900
+#define MEMBER_SILENT_MS 500
 /* A look this late means that this process stood still. */
 #define PAUSE_MS 1000
 
@@ -278,6 +278,30 @@
 	replica_free(r);
 }
 
+/**
+ * keeper_doomed() - a replica is about to be dissolved.
+ * @k: the keeper
+ * @r: the replica
+ * @now_ms: loop time
+ *
+ * Has all daemons avoid its head.
+ */
+void
+keeper_doomed(struct keeper *k, struct replica *r, uint64_t now_ms)
+{
+	struct endpoint *head = fleet_find(&k->dir->fleet, r->members[0].id);
+
+	event_log(LOG_NOTICE, "group_doomed",
+	    "group=%s epoch=%lld model=%s reason=%s", r->name,
+	    (long long)r->epoch, r->model, r->doomed);
+	if (head == NULL)
+		return;
+	head->warned_ms = now_ms;
+	head->rest_until_ms =
+	    MAX(head->rest_until_ms, now_ms + REPLICA_DONATE_MS);
+	mesh_tell_now(k->mesh);
+}
+
 /* Looks at one replica and takes its next steps. */
 static void
 replica_look(struct keeper *k, struct replica *r, uint64_t now_ms)
@@ -304,9 +328,53 @@
 		    (long long)r->epoch, r->model,
 		    (unsigned long long)(now_ms - r->made_ms));
 	if (!was_doomed && r->doomed != NULL)
-		event_log(LOG_NOTICE, "group_doomed",
-		    "group=%s epoch=%lld model=%s reason=%s", r->name,
-		    (long long)r->epoch, r->model, r->doomed);
+		keeper_doomed(k, r, now_ms);
+}
+
+static void
+stage_free(void *data)
+{
+	struct keeper_stage *stage = data;
+
+	g_free(stage->model);
+	g_free(stage);
+}
+
+static void
+on_staged(void *arg, enum order_result result)
+{
+	struct keeper_call *call = arg;
+
+	event_log(result == ORDER_TAKEN ? LOG_INFO : LOG_NOTICE, "order_ended",
+	    "member=%s order=stage result=%s term=%lld", call->id,
+	    order_result_name(result), (long long)call->term);
+	if (result != ORDER_TAKEN && result != ORDER_UNKNOWN)
+		g_hash_table_remove(call->keeper->staging, call->id);
+	call_free(call);
+}
+
+/**
+ * keeper_order_stage() - have a host copy a model beside its work.
+ * @k: the keeper
+ * @id: the host
+ * @model: the model
+ */
+void
+keeper_order_stage(struct keeper *k, const char *id, const char *model)
+{
+	struct endpoint *ep = fleet_find(&k->dir->fleet, id);
+	struct keeper_call *call = g_new0(struct keeper_call, 1);
+	const struct order order = { .kind = ORDER_STAGE,
+		.fence = k->term,
+		.model = model };
+
+	call->keeper = k;
+	call->term = k->term;
+	call->id = g_strdup(id);
+	if (ep == NULL ||
+	    !k->orders->send(&ep->pool, id, &order, ORDER_TIMEOUT_MS, on_staged,
+		call))
+		call_free(call);
 }
 
 /* Whether any replica is changing. */
@@ -393,6 +461,8 @@
 	k->records = g_array_new(FALSE, TRUE, sizeof(struct store_record));
 	g_array_set_clear_func(k->records, store_record_clear);
 	k->loads = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	k->staging =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, stage_free);
 	k->ended =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	k->pools =
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -19,6 +19,16 @@
 	KEEPER_HOLDING,
 };
 
+/**
+ * struct keeper_stage - a copy of a model being made on a host.
+ * @model: the model
+ * @until_ms: when it should be there; counted as lost after that
+ */
+struct keeper_stage {
+	char *model;
+	uint64_t until_ms;
+};
+
 /**
  * struct keeper - the placer's state.
  * @loop: the event loop
@@ -38,6 +48,7 @@
  * @replicas: by their records
  * @groups: made under this lease so far
  * @loads: loop times of the loads begun lately
+ * @staging: host id to struct keeper_stage
  * @ended: names of groups dissolved by this daemon to when
  * @pools: connections to hosts whose entries lapsed, by address
  * @alone_ms: since when no placer has been heard; 0 while one is
@@ -63,6 +74,7 @@
 	struct replica_list replicas;
 	unsigned groups;
 	GArray *loads;
+	GHashTable *staging;
 	GHashTable *ended;
 	GHashTable *pools;
 	uint64_t alone_ms;
@@ -75,6 +87,9 @@
 void keeper_suspect(struct keeper *, const struct endpoint *);
 void keeper_look(struct keeper *);
 
+void keeper_doomed(struct keeper *, struct replica *, uint64_t);
+void keeper_order_stage(struct keeper *, const char *, const char *);
+
 /* keeper-lease.c: taking, checking and losing the lease. */
 void keeper_lease_look(struct keeper *, uint64_t);
 void keeper_lose(struct keeper *, const char *);
--- a/src/mesh-news.c
+++ b/src/mesh-news.c
@@ -5,7 +5,7 @@
 #include "mesh-news.h"
 
 /* First word of each datagram: "BLM" and the version of the format. */
-#define MESH_MAGIC 0x424c4d01u
+#define MESH_MAGIC 0x424c4d02u
 
 static bool_t
 xdr_flag(XDR *xdr, bool *flag)
@@ -45,6 +45,19 @@
 	return (TRUE);
 }
 
+static bool_t
+xdr_avoid(XDR *xdr, struct mesh_news *news)
+{
+	if (!xdr_uint32_t(xdr, &news->n_avoid) ||
+	    news->n_avoid > MESH_AVOID_MAX)
+		return (FALSE);
+	for (uint32_t i = 0; i < news->n_avoid; i++) {
+		if (!xdr_uint32_t(xdr, &news->avoid[i]))
+			return (FALSE);
+	}
+	return (TRUE);
+}
+
 /* Encodes or decodes, as the XDR stream says. */
 static bool_t
 xdr_news(XDR *xdr, struct mesh_news *news)
@@ -60,7 +73,8 @@
 	    xdr_flag(xdr, &news->store_ok) && xdr_flag(xdr, &news->serving) &&
 	    xdr_int64_t(xdr, &news->term) &&
 	    xdr_int64_t(xdr, &news->config_version) &&
-	    xdr_uint32_t(xdr, &news->config_age_ms) && xdr_loads(xdr, news));
+	    xdr_uint32_t(xdr, &news->config_age_ms) && xdr_loads(xdr, news) &&
+	    xdr_avoid(xdr, news));
 }
 
 /**
--- a/src/mesh-news.h
+++ b/src/mesh-news.h
@@ -8,6 +8,8 @@
 
 /* Endpoints in one datagram; 600 of them fill 7 KB. */
 #define MESH_LOADS_MAX 600
+/* Endpoints to avoid in one datagram. */
+#define MESH_AVOID_MAX 64
 #define MESH_NAME_MAX 64
 /* Largest datagram. */
 #define MESH_BYTES 16384
@@ -43,6 +45,8 @@
  * @config_age_ms: how old its proof is that this is the newest
  * @loads: its work
  * @n_loads: how many
+ * @avoid: endpoints that fell silent there or are being closed
+ * @n_avoid: how many
  */
 struct mesh_news {
 	char name[MESH_NAME_MAX];
@@ -60,6 +64,8 @@
 	uint32_t config_age_ms;
 	struct mesh_load loads[MESH_LOADS_MAX];
 	uint32_t n_loads;
+	uint32_t avoid[MESH_AVOID_MAX];
+	uint32_t n_avoid;
 };
 
 size_t mesh_news_encode(const struct mesh_news *, char *, size_t);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -14,6 +14,9 @@
 #define LOADS_OLD_MS 700
 /* Silence after which a peer counts as dead. */
 #define PEER_DEAD_MS 1500
+/* How long a warning of an endpoint is repeated, and how long it counts. */
+#define AVOID_TOLD_MS 600
+#define AVOID_MS 1500
 /* Dead peers are told this many times less often. */
 #define DEAD_ROUNDS 20
 /* Dead peers are forgotten after this; a newcomer tells of itself. */
@@ -136,6 +139,30 @@
 	dir->peer_proof_ms = MAX(dir->peer_proof_ms, proof);
 }
 
+/* Sends no new work to what a peer warns of. */
+static void
+peer_take_avoid(struct mesh *mesh, const struct mesh_peer *peer,
+    const struct mesh_news *news)
+{
+	uint64_t now = uv_now(mesh->loop);
+
+	for (uint32_t i = 0; i < news->n_avoid; i++) {
+		struct endpoint *ep =
+		    fleet_find_key(&mesh->dir->fleet, news->avoid[i]);
+
+		if (ep == NULL)
+			continue;
+		if (now - ep->avoided_ms >= AVOID_MS) {
+			event_log(LOG_INFO, "endpoint_avoided",
+			    "endpoint=%s peer=%s", ep->report.id, peer->name);
+			if (mesh->avoided != NULL)
+				mesh->avoided(mesh->avoided_arg, ep);
+		}
+		ep->avoided_ms = now;
+		ep->rest_until_ms = MAX(ep->rest_until_ms, now + AVOID_MS);
+	}
+}
+
 /* Notes what a peer says of itself, with a line for each change. */
 static void
 peer_take(struct mesh *mesh, struct mesh_peer *peer,
@@ -164,6 +191,7 @@
 	peer_uncount(mesh, peer);
 	peer_count(mesh, peer, news);
 	peer_take_proof(mesh, news);
+	peer_take_avoid(mesh, peer, news);
 }
 
 static void
@@ -223,7 +251,11 @@
 	news->config_age_ms =
 	    age < MESH_NO_PROOF ? (uint32_t)age : MESH_NO_PROOF;
 	news->n_loads = 0;
+	news->n_avoid = 0;
 	TAILQ_FOREACH(ep, &dir->fleet.endpoints, entry) {
+		if (ep->warned_ms != 0 && now - ep->warned_ms < AVOID_TOLD_MS &&
+		    news->n_avoid < MESH_AVOID_MAX)
+			news->avoid[news->n_avoid++] = ep->key;
 		if (ep->inflight == 0 || news->n_loads == MESH_LOADS_MAX)
 			continue;
 		news->loads[news->n_loads].key = ep->key;
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -70,6 +70,8 @@
  * @peers: the others
  * @self: what this daemon says of itself
  * @round: rounds of telling so far
+ * @avoided: told when a peer says that an endpoint is to be avoided
+ * @avoided_arg: for @avoided
  */
 struct mesh {
 	uv_loop_t *loop;
@@ -84,6 +86,8 @@
 	struct mesh_peer_list peers;
 	struct mesh_self self;
 	uint64_t round;
+	void (*avoided)(void *, struct endpoint *);
+	void *avoided_arg;
 };
 
 int mesh_open(struct mesh *, uv_loop_t *, const struct sockaddr_in *);
--- a/src/replica-form.c
+++ b/src/replica-form.c
@@ -11,31 +11,54 @@
 	LOAD_STORE,
 };
 
+/* A load takes about ten times as long as a join from the host's copy. */
+#define LOAD_WEIGHT 1.0
+
 /* A candidate: some free hosts of one fabric domain for one model. */
 struct form_try {
 	const struct model_profile *model;
+	unsigned index;
 	const char *fabric;
 	const char *domain;
 	unsigned loads;
 	double score;
 };
 
-static bool
-staged_holds(const GPtrArray *staged, const char *model)
-{
-	for (guint i = 0; staged != NULL && i < staged->len; i++) {
-		if (strcmp(staged->pdata[i], model) == 0)
-			return (true);
-	}
-	return (false);
-}
-
 static enum load_rank
 host_rank(const struct form_host *h, const struct model_profile *m)
 {
 	if (g_strcmp0(h->last, m->name) == 0)
 		return (LOAD_LAST);
-	return (staged_holds(h->staged, m->name) ? LOAD_STAGED : LOAD_STORE);
+	return (form_host_has(h, m) ? LOAD_STAGED : LOAD_STORE);
+}
+
+static bool
+host_in(const struct form_host *h, const char *fabric)
+{
+	return (g_strcmp0(h->fabric, fabric) == 0);
+}
+
+/*
+ * Whether a free host may be taken for a model. While requests come, the
+ * largest model gets its hosts by copies made beside other work, and a host
+ * that holds its copy is kept for it where its fabric domain lacks a replica.
+ */
+static bool
+host_offered(const struct form_view *view, const struct form_host *h,
+    const struct form_try *try)
+{
+	const struct model_profile *big =
+	    view->engine->models->pdata[view->largest];
+
+	if (!h->free || !host_in(h, try->fabric))
+		return (false);
+	if (form_host_has(h, try->model) || view->engine->models->len == 1)
+		return (true);
+	if (try->model == big)
+		return (!view->serving);
+	return (!form_host_has(h, big) ||
+	    form_fabric_held(view, big, try->fabric) >=
+		form_fabric_cap(view, try->fabric));
 }
 
 /* Free hosts of a fabric domain, and how many need no load. */
@@ -49,65 +72,54 @@
 		const struct form_host *h =
 		    &g_array_index(view->hosts, struct form_host, i);
 
-		if (!h->free || g_strcmp0(h->fabric, try->fabric) != 0)
+		if (!host_offered(view, h, try))
 			continue;
 		(*free)++;
-		*local += host_rank(h, try->model) != LOAD_STORE;
+		*local += form_host_has(h, try->model);
 	}
 }
 
-/* Replicas of a model in a failure domain. */
-static unsigned
-domain_held(const struct form_view *view, const struct model_profile *m,
-    const char *domain)
-{
-	g_autofree char *key = g_strdup_printf("%s %s", m->name, domain);
-
-	return (GPOINTER_TO_UINT(g_hash_table_lookup(view->by_domain, key)));
-}
-
-/* How short a model is of its share of the hosts, in replicas. */
+/* How short a model is of what is wanted, in replicas. */
 static double
-model_deficit(const struct form_view *view, unsigned index)
+model_short(const struct form_view *view, unsigned index)
 {
-	const struct model_profile *m = view->engine->models->pdata[index];
-
-	return (
-	    m->share * view->hosts->len / m->size - (double)view->held[index]);
+	return (view->wanted[index] - (double)view->held[index]);
 }
 
 /*
- * A replica is worth more the further its model is below its share, and in
- * the failure domain that has fewest of it; loads cost time and money.
+ * A replica is worth more the further its model is below what is wanted, and
+ * in the failure domain that has fewest of it; loads cost time and money.
  */
 static double
-try_score(const struct form_view *view, unsigned index,
-    const struct form_try *try)
+try_score(const struct form_view *view, const struct form_try *try)
 {
-	const struct model_profile *m = try->model;
-	double wanted = MAX(m->share * view->hosts->len / m->size, 0.5);
-	double short_of = model_deficit(view, index) / wanted;
-	double here = domain_held(view, m, try->domain) / wanted;
+	double wanted = MAX(view->wanted[try->index], 0.5);
+	double here = form_domain_held(view, try->model, try->domain) / wanted;
 
-	return (short_of - here - 0.2 * try->loads / m->size);
+	return (model_short(view, try->index) / wanted - here -
+	    LOAD_WEIGHT * try->loads / try->model->size);
 }
 
-/* Whether hosts may be taken for the model at all. */
+/* Whether hosts of this fabric domain may be taken for the model at all. */
 static bool
-try_allowed(const struct form_view *view, unsigned index,
-    const struct form_try *try)
+try_allowed(const struct form_view *view, const struct form_try *try)
 {
-	double deficit = model_deficit(view, index);
+	bool largest = try->index == view->largest;
 
+	if (largest &&
+	    form_fabric_held(view, try->model, try->fabric) >=
+		form_fabric_cap(view, try->fabric))
+		return (false);
 	/* Hosts that hold the model already may as well serve it. */
 	if (try->loads == 0)
 		return (true);
-	return (try->loads <= view->loads && deficit > 0.25);
+	return (
+	    try->loads <= view->loads && model_short(view, try->index) > 0.25);
 }
 
 /* Weighs one fabric domain for one model. */
 static bool
-try_weigh(const struct form_view *view, unsigned index, struct form_try *try)
+try_weigh(const struct form_view *view, struct form_try *try)
 {
 	unsigned free, local, size = try->model->size;
 
@@ -115,9 +127,9 @@
 	if (free < size)
 		return (false);
 	try->loads = size - MIN(size, local);
-	if (!try_allowed(view, index, try))
+	if (!try_allowed(view, try))
 		return (false);
-	try->score = try_score(view, index, try);
+	try->score = try_score(view, try);
 	return (true);
 }
 
@@ -136,7 +148,7 @@
 
 			if (plan->members->len == try->model->size)
 				return;
-			if (h->free && g_strcmp0(h->fabric, try->fabric) == 0 &&
+			if (host_offered(view, h, try) &&
 			    host_rank(h, try->model) == (enum load_rank)rank)
 				g_array_append_val(plan->members, i);
 		}
@@ -156,14 +168,14 @@
 	struct form_try best = { .score = -INFINITY };
 	const GPtrArray *models = view->engine->models;
 
-	for (guint k = 0; k < models->len; k++) {
+	for (guint k = 0; k < models->len && k < FORM_MODELS_MAX; k++) {
 		for (guint i = 0; i < view->hosts->len; i++) {
 			const struct form_host *h =
 			    &g_array_index(view->hosts, struct form_host, i);
-			struct form_try try = { models->pdata[k], h->fabric,
+			struct form_try try = { models->pdata[k], k, h->fabric,
 				h->domain, 0, 0 };
 
-			if (h->free && try_weigh(view, k, &try) &&
+			if (h->free && try_weigh(view, &try) &&
 			    try.score > best.score)
 				best = try;
 		}
@@ -173,3 +185,148 @@
 	plan_take(view, &best, plan);
 	return (true);
 }
+
+/* Hosts of a fabric domain that the largest model could have soon. */
+static void
+fabric_reach(const struct form_view *view, const struct model_profile *big,
+    const char *fabric, unsigned *soon, struct replica **donor)
+{
+	*soon = 0;
+	*donor = NULL;
+	for (guint i = 0; i < view->hosts->len; i++) {
+		const struct form_host *h =
+		    &g_array_index(view->hosts, struct form_host, i);
+
+		if (!host_in(h, fabric) || !form_host_has(h, big))
+			continue;
+		if (h->free || (h->group != NULL && !replica_wanted(h->group)))
+			(*soon)++;
+		else if (*donor == NULL && form_host_donates(h, big))
+			*donor = h->group;
+	}
+}
+
+/* Hosts of a replica that hold the largest model. */
+static unsigned
+donor_hosts(const struct form_view *view, const struct model_profile *big,
+    const struct replica *donor)
+{
+	unsigned n = 0;
+
+	for (guint i = 0; i < view->hosts->len; i++) {
+		const struct form_host *h =
+		    &g_array_index(view->hosts, struct form_host, i);
+
+		n += h->group == donor && form_host_has(h, big);
+	}
+	return (n);
+}
+
+/**
+ * form_donor() - a replica to dissolve so that the largest model can form.
+ * @view: what is there
+ *
+ * Return: NULL where none need or could be.
+ */
+struct replica *
+form_donor(const struct form_view *view)
+{
+	const struct model_profile *big =
+	    view->engine->models->pdata[view->largest];
+
+	if (model_short(view, view->largest) < 0.5)
+		return (NULL);
+	for (guint i = 0; i < view->hosts->len; i++) {
+		const char *fabric =
+		    g_array_index(view->hosts, struct form_host, i).fabric;
+		struct replica *donor;
+		unsigned soon;
+
+		if (form_fabric_held(view, big, fabric) >=
+		    form_fabric_cap(view, fabric))
+			continue;
+		fabric_reach(view, big, fabric, &soon, &donor);
+		if (donor != NULL && soon < big->size &&
+		    soon + donor_hosts(view, big, donor) >= big->size)
+			return (donor);
+	}
+	return (NULL);
+}
+
+/* Hosts beside the large replicas that hold or get the largest model. */
+static unsigned
+fabric_copies(const struct form_view *view, const struct model_profile *big,
+    const char *fabric)
+{
+	unsigned n = 0;
+
+	for (guint i = 0; i < view->hosts->len; i++) {
+		const struct form_host *h =
+		    &g_array_index(view->hosts, struct form_host, i);
+		bool serves = h->group != NULL && replica_wanted(h->group) &&
+		    strcmp(h->group->model, big->name) == 0;
+
+		if (host_in(h, fabric) && !serves)
+			n += form_host_has(h, big) ||
+			    g_strcmp0(h->staging, big->name) == 0;
+	}
+	return (n);
+}
+
+/* A host of a fabric domain to copy the largest model to. */
+static const struct form_host *
+stage_pick(const struct form_view *view, const struct model_profile *big,
+    const char *fabric)
+{
+	const struct form_host *best = NULL;
+
+	for (guint i = 0; i < view->hosts->len; i++) {
+		const struct form_host *h =
+		    &g_array_index(view->hosts, struct form_host, i);
+
+		if (!host_in(h, fabric) || form_host_has(h, big) ||
+		    h->staging != NULL)
+			continue;
+		if (h->free)
+			return (h);
+		if (best == NULL && form_host_donates(h, big))
+			best = h;
+	}
+	return (best);
+}
+
+/**
+ * form_stage() - a host that should get a copy of the largest model.
+ * @view: what is there
+ * @model: set to the model
+ *
+ * Each fabric domain keeps one copy beside its large replicas, and as many as
+ * it needs to form one that is missing.
+ *
+ * Return: the host, or NULL.
+ */
+const struct form_host *
+form_stage(const struct form_view *view, const struct model_profile **model)
+{
+	const struct model_profile *big =
+	    view->engine->models->pdata[view->largest];
+
+	*model = big;
+	if (view->loads == 0 || view->engine->models->len < 2)
+		return (NULL);
+	for (guint i = 0; i < view->hosts->len; i++) {
+		const char *fabric =
+		    g_array_index(view->hosts, struct form_host, i).fabric;
+		unsigned cap = form_fabric_cap(view, fabric);
+		unsigned held = form_fabric_held(view, big, fabric);
+		unsigned need = held >= cap ? 1 : big->size;
+		const struct form_host *h;
+
+		if (cap == 0 || fabric_copies(view, big, fabric) >= need)
+			continue;
+		h = stage_pick(view, big, fabric);
+		if (h != NULL)
+			return (h);
+	}
+	return (NULL);
+}
--- a/src/replica.c
+++ b/src/replica.c
@@ -57,6 +57,20 @@
 	m->address = *address;
 }
 
+/**
+ * replica_donate() - dissolve a replica so that its hosts can join another.
+ * @r: the replica
+ * @now_ms: loop time
+ */
+void
+replica_donate(struct replica *r, uint64_t now_ms)
+{
+	r->doomed = "donates";
+	r->doomed_ms = now_ms;
+	r->finish_ms = REPLICA_DONATE_MS;
+	r->donates = true;
+}
+
 /**
  * replica_wanted() - whether a replica serves or is to serve.
  * @r: the replica
@@ -191,8 +205,7 @@
     struct replica_step *step)
 {
 	struct replica_member *head = &r->members[0];
-	bool gentle = strcmp(r->doomed, "member_drains") == 0 &&
-	    now_ms - r->doomed_ms < REPLICA_FINISH_MS;
+	bool gentle = now_ms - r->doomed_ms < r->finish_ms;
 	enum order_kind close = gentle ? ORDER_CLOSE : ORDER_CANCEL;
 
 	if (head->left || head->elsewhere || head->life == MEMBER_DEAD) {
@@ -204,6 +217,8 @@
 		return;
 	}
 	r->split_ms = 0;
+	if (gentle && now_ms - r->doomed_ms < REPLICA_WARN_MS)
+		return;
 	if (!r->head_closed) {
 		if (member_due(head, close, now_ms, REPLICA_ORDER_AGAIN_MS))
 			step_order(step, 0, close);
@@ -228,7 +243,8 @@
 		if (r->members[i].left || r->members[i].elsewhere)
 			return (false);
 	}
-	return (!r->head_closed && r->split_ms == 0 && !r->adopted);
+	return (
+	    !r->head_closed && r->split_ms == 0 && !r->adopted && !r->donates);
 }
 
 /**
@@ -245,8 +261,12 @@
 	memset(step, 0, sizeof *step);
 	const char *judged = replica_judge(r, now_ms);
 
-	if (r->doomed == NULL && judged != NULL)
+	if (r->doomed == NULL && judged != NULL) {
 		r->doomed_ms = now_ms;
+		r->finish_ms = strcmp(judged, "member_drains") == 0 ?
+		    REPLICA_FINISH_MS :
+		    0;
+	}
 	if (r->doomed == NULL || replica_undone(r))
 		r->doomed = judged;
 	if (r->doomed != NULL)
--- a/src/replica.h
+++ b/src/replica.h
@@ -27,6 +27,12 @@
 /* Time that a leaving member's group may take to finish its work: the
  * platform keeps the member as long, with a margin. */
 #define REPLICA_FINISH_MS 8000
+/* Time that a replica may take whose hosts another needs: most answers are
+ * whole by then. */
+#define REPLICA_DONATE_MS 2500
+/* Between the warning that a head is closed and the order: the time that the
+ * warning takes to the other daemons. */
+#define REPLICA_WARN_MS 150
 
 /**
  * enum member_life - what is known of a member.
@@ -88,9 +94,11 @@
  * @recorded: its record is in the store
  * @doomed: why it is being dissolved; NULL while it is wanted
  * @doomed_ms: since when
+ * @finish_ms: how long it may finish its work first; 0 to end at once
  * @opened: it was seen to serve
  * @head_closed: the head took the order to serve no more
  * @split_ms: since when a member has left a head that can't be reached
+ * @donates: its hosts are wanted by another
  * @adopted: found serving without a record; it is dissolved
  * @suspect_ms: its streams fell silent then; 0 for never
  * @n: hosts
@@ -106,9 +114,11 @@
 	bool recorded;
 	const char *doomed;
 	uint64_t doomed_ms;
+	uint64_t finish_ms;
 	bool opened;
 	bool head_closed;
 	uint64_t split_ms;
+	bool donates;
 	bool adopted;
 	uint64_t suspect_ms;
 	unsigned n;
@@ -152,5 +162,6 @@
 const char *replica_judge(const struct replica *, uint64_t);
 void replica_next(struct replica *, uint64_t, uint64_t, struct replica_step *);
 bool replica_wanted(const struct replica *);
+void replica_donate(struct replica *, uint64_t);
 
 #endif
