Test the new decisions by scripts and the daemon on a stand-in platform

Faults that they found, each shown failing first: every member of a split group was told to leave where one is enough; an answer that ends its connection could be lost to a reset, since input that still came was not read (the connection lingers now); a header name with a space passed; a service whose endpoints all rest answered nothing.

--- a/src/edge.c
+++ b/src/edge.c
@@ -128,7 +128,7 @@
 	if (since >= LEAVE_ACCEPT_MS) {
 		fwd_stop_listening(&e->fwd);
 		fwd_close_callers(&e->fwd, false);
-		if (TAILQ_EMPTY(&e->fwd.callers) && e->fwd.n_exchanges == 0) {
+		if (e->fwd.n_exchanges == 0 && fwd_callers_quiet(&e->fwd)) {
 			edge_stop(e, "drained");
 			return;
 		}
--- a/src/fwd-caller.c
+++ b/src/fwd-caller.c
@@ -15,6 +15,9 @@
 #define HEADER_FIRST_MS 3000
 #define IDLE_FIRST_MS 15000
 
+/* How long a caller may take to read an answer that ends its connection. */
+#define LINGER_MS 1000
+
 #define STATUS_BAD_REQUEST 400
 #define STATUS_TIMEOUT 408
 #define STATUS_BODY_TOO_LARGE 413
@@ -83,6 +86,10 @@
 	/* Trailers are read over: they come after the body. */
 	if (c->body->len > 0)
 		return (0);
+	/* The parser lets a space in a name pass; others read it as another
+	 * name. */
+	if (memchr(at, ' ', length) != NULL)
+		return (caller_bad(c, STATUS_BAD_REQUEST));
 	net_head_add_name(&c->head, at, length);
 	return (caller_head_fits(c));
 }
@@ -470,8 +477,13 @@
 	const struct caller_limits *limits = caller_limits_now(c);
 	uint64_t waited = now_ms - c->since_ms;
 
-	if (c->exchange != NULL || c->stream.closing || c->stream.finish)
+	if (c->exchange != NULL || c->stream.closing)
+		return;
+	if (c->stream.finish) {
+		if (waited > LINGER_MS)
+			net_stream_close(&c->stream);
 		return;
+	}
 	if (c->held->len > 0) {
 		caller_run(c);
 		return;
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -124,10 +124,13 @@
 	return (MAX(ep->report.slots, 1));
 }
 
-/* Collects the endpoints with a free place that have not failed it yet. */
+/*
+ * Collects the endpoints with a free place that have not failed it yet; with
+ * @resting, also those that rest.
+ */
 static GPtrArray *
 collect(const struct fleet *fleet, const struct fwd_want *want,
-    struct fwd_choice *choice)
+    struct fwd_choice *choice, bool resting)
 {
 	GPtrArray *found = g_ptr_array_new();
 	struct endpoint *ep;
@@ -138,7 +141,8 @@
 		if (!endpoint_fits(ep, want) || ep->gone)
 			continue;
 		choice->known++;
-		if (!endpoint_usable(ep, want->now_ms) || want_tried(want, ep))
+		if (!endpoint_usable(ep, resting ? UINT64_MAX : want->now_ms) ||
+		    want_tried(want, ep))
 			continue;
 		choice->usable++;
 		if (endpoint_running(ep) < endpoint_places(ep, want))
@@ -179,7 +183,12 @@
 	unsigned n;
 
 	memset(choice, 0, sizeof *choice);
-	found = collect(fleet, want, choice);
+	found = collect(fleet, want, choice, false);
+	/* Where all rest, one that may fail is better than none. */
+	if (choice->usable == 0 && want->model == NULL) {
+		g_ptr_array_free(found, TRUE);
+		found = collect(fleet, want, choice, true);
+	}
 	n = draw_candidates(found, want->draw);
 	for (unsigned i = 0; i < n; i++) {
 		struct endpoint *ep = found->pdata[i];
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -196,3 +196,24 @@
 			net_stream_close(&c->stream);
 	}
 }
+
+/**
+ * fwd_callers_quiet() - whether no caller waits for anything.
+ * @fwd: the engine
+ *
+ * Those that still read an answer have it in their hands: the system goes on
+ * sending it when the process is gone.
+ */
+bool
+fwd_callers_quiet(const struct fwd *fwd)
+{
+	const struct fwd_caller *c;
+
+	TAILQ_FOREACH(c, &fwd->callers, entry) {
+		if (!c->stream.closing && !c->stream.finish)
+			return (false);
+		if (c->stream.queued > 0)
+			return (false);
+	}
+	return (true);
+}
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -80,6 +80,7 @@
 void fwd_leave(struct fwd *);
 void fwd_stop_listening(struct fwd *);
 void fwd_close_callers(struct fwd *, bool);
+bool fwd_callers_quiet(const struct fwd *);
 void fwd_kick(struct fwd *);
 void fwd_wake(struct fwd *);
 struct fwd_budget *fwd_budget_of(struct fwd *, const char *);
--- a/src/net-stream.c
+++ b/src/net-stream.c
@@ -73,7 +73,10 @@
 		stream_end(stream, n == UV_EOF && !stream_was_reset(stream));
 		return;
 	}
-	stream->ops->readable(stream, buf->base, (size_t)n);
+	/* Closing with unread input would reset what the peer has yet to read.
+	 */
+	if (!stream->finish)
+		stream->ops->readable(stream, buf->base, (size_t)n);
 }
 
 static void
@@ -107,9 +110,7 @@
 	}
 	if (stream->queued > 0)
 		return;
-	if (stream->finish)
-		net_stream_close(stream);
-	else
+	if (!stream->finish)
 		stream->ops->drained(stream);
 }
 
@@ -237,15 +238,25 @@
 	stream->queued += length;
 }
 
+static void
+on_shutdown(uv_shutdown_t *req, int status)
+{
+}
+
 /**
- * net_stream_finish() - close once all output is written.
- * @stream: the connection
+ * net_stream_finish() - end our side once all output is written.
+ * @stream: the connection; the owner closes it when the peer has ended or
+ *	has had time to read
  */
 void
 net_stream_finish(struct net_stream *stream)
 {
+	if (stream->closing || stream->finish)
+		return;
 	stream->finish = true;
-	if (stream->queued == 0)
+	net_stream_read(stream, true);
+	if (uv_shutdown(&stream->shutdown, (uv_stream_t *)&stream->tcp,
+		on_shutdown) != 0)
 		net_stream_close(stream);
 }
 
--- a/src/net-stream.h
+++ b/src/net-stream.h
@@ -33,11 +33,13 @@
  * @reading: bytes are being read
  * @closing: no more is told but @closed
  * @ending: the end was told
- * @finish: close as soon as all output is written
+ * @finish: our side is ended; what still comes is dropped until the peer
+ *	ends too, or the owner closes
  */
 struct net_stream {
 	uv_tcp_t tcp;
 	uv_connect_t connect;
+	uv_shutdown_t shutdown;
 	const struct net_stream_ops *ops;
 	void *owner;
 	size_t queued;
--- a/src/replica.c
+++ b/src/replica.c
@@ -190,9 +190,12 @@
 			r->split_ms = now_ms;
 			return;
 		}
-		if (m->life != MEMBER_SILENT &&
-		    member_due(m, ORDER_LEAVE, now_ms, REPLICA_ORDER_AGAIN_MS))
+		if (m->life == MEMBER_SILENT)
+			continue;
+		/* One that leaves is enough; its answer is waited for. */
+		if (member_due(m, ORDER_LEAVE, now_ms, REPLICA_ORDER_AGAIN_MS))
 			step_order(step, i, ORDER_LEAVE);
+		return;
 	}
 }
 
--- a/src/status-server.c
+++ b/src/status-server.c
@@ -53,7 +53,7 @@
 		g_string_append_len(out, body->str, (gssize)body->len);
 	net_stream_write(&c->stream, out->str, out->len);
 	if (!keep)
-		net_stream_finish(&c->stream);
+		net_stream_close(&c->stream);
 	return (0);
 }
 
--- /dev/null
+++ b/tests/lib-edge.sh
@@ -0,0 +1,96 @@
+# What the tests of banklift-edge share: the stand-in platform and daemons.
+. tests/lib.sh
+
+STORE=http://127.$NET.0.1:9000
+
+edge_ip() { # DAEMON-NUMBER
+	echo "127.$NET.9.$1"
+}
+
+edge_url() { # DAEMON-NUMBER
+	echo "http://$(edge_ip "$1"):8080"
+}
+
+# start_edge DAEMON-NUMBER [FLAG...]
+start_edge() {
+	ip=$(edge_ip "$1")
+	n=$1
+	shift
+	start "edge-$n" "$BUILD/banklift-edge" --name "edge-$n" --domain a \
+	    --caller-address "$ip:8080" --ready-address "$ip:8083" \
+	    --metrics-address "$ip:9464" --peer-address "$ip:8084" \
+	    --store-address "127.$NET.0.1:9000" --key-proof-ms 2000 \
+	    --log-level debug "$@"
+}
+
+edge_ready() { # DAEMON-NUMBER
+	[ "$(curl -s -m 2 -o /dev/null -w '%{http_code}' \
+	    "http://$(edge_ip "$1"):8083/readyz")" = 200 ]
+}
+
+control() { # SWITCH NUMBER
+	curl -s -m 5 -X PUT --data "$1 $2" "$STORE/control"
+}
+
+journal() {
+	curl -s -m 5 "$STORE/journal"
+}
+
+metric() { # DAEMON-NUMBER NAME
+	curl -s -m 5 "http://$(edge_ip "$1"):9464/metrics" |
+	    sed -n "s/^banklift_$2 //p"
+}
+
+# put_config VERSION [sed expression]: the usual configuration.
+put_config() {
+	cat <<END | tr -d '\n' | sed "${2:-}" |
+{"version":$1,"routes":[
+{"name":"write","host":"h","path_prefix":"/write/","route_kind":"streaming",
+"timeout_ms":4000,"target_latency_ms":500,"service":"lm","max_attempts":2,
+"resumable":true},
+{"name":"once","host":"h","path_prefix":"/once/",
+"route_kind":"non_idempotent","timeout_ms":2000,"target_latency_ms":300,
+"service":"board","max_attempts":1},
+{"name":"look","host":"h","path_prefix":"/look/","route_kind":"idempotent",
+"timeout_ms":2000,"target_latency_ms":300,"service":"board",
+"max_attempts":2},
+{"name":"free","host":"h","path_prefix":"/free/","route_kind":"idempotent",
+"timeout_ms":2000,"service":"board","max_attempts":2,"public":true}],
+"services":[{"name":"lm","engine":{"slots":8,"step_ms":2,"read_per_s":46000,
+"chunk":2048,"stride":5,"loads_per_s":40,"loads_at_once":6,"models":[
+{"name":"m","size":2,"share":1,"pace":1,"load_s":0.1,"warm_s":0.1}]}},
+{"name":"board"}],
+"tenants":[{"name":"club","api_keys":["k1","k2"]}],
+"limits":{"max_header_bytes":2000,"max_body_bytes":5000,
+"header_timeout_ms":600,"idle_timeout_ms":3000}}
+END
+	    curl -s -m 5 -X PUT --data-binary @- "$STORE/config"
+}
+
+# start_edge_platform ENGINES SERVICES
+start_edge_platform() {
+	start platform "$BUILD/standin-platform" "$NET" "$1" "$2"
+	until_true 10 curl -s -m 1 "$STORE/journal"
+}
+
+# ask DAEMON-NUMBER PATH [curl argument...]: the body, then the status.
+ask() {
+	url=$(edge_url "$1")$2
+	shift 2
+	curl -s -m 10 -w ' %{http_code}' -H 'Host: h' -H "X-Api-Key: ${KEY-k1}" \
+	    -H "Attempt-Id: t$(date +%s%N)" -H 'Model: m' \
+	    -H 'Token-Counts: 100,40' "$@" "$url"
+}
+
+status_last() {
+	grep -o '[0-9]*$' | tail -n 1
+}
+
+# Ids of the events of a stream, in one line.
+event_ids() {
+	sed -n 's/^id: //p' | tr '\n' ' '
+}
+
+groups_open() { # DAEMON-NUMBER COUNT
+	[ "$(metric "$1" groups_open)" = "$2" ]
+}
--- /dev/null
+++ b/tests/proc-edge-outage.sh
@@ -0,0 +1,72 @@
+# banklift-edge while the store is away, and its ends.
+. tests/lib-edge.sh
+
+start_edge_platform 2 2
+start_edge 1
+start_edge 2
+put_config 1
+check_true "ready" until_true 10 edge_ready 1
+check_true "a group stands" until_true 10 groups_open 1 1
+check "served" 200 "$(ask 1 /look/x | status_last)"
+
+# Keys need a proof that is younger than the bound on keys taken away.
+control down 1
+check_true "keys are refused once their proof is too old" until_true 10 eval \
+    '[ "$(ask 1 /look/x | status_last)" = 503 ]'
+check "with when to come back" 1 \
+    "$(ask 1 /look/x -i | grep -ci '^retry-after: 0\.')"
+check "what needs no key is served" 200 "$(ask 1 /free/x | status_last)"
+check_true "an unknown route is not denied" until_true 5 eval \
+    '[ "$(ask 1 /no/x | status_last)" = 503 ]'
+check_true "not ready" eval '! edge_ready 1'
+control down 0
+check_true "all is well again" until_true 10 eval \
+    '[ "$(ask 1 /look/x | status_last)" = 200 ]'
+check_true "the loss of the store was logged" \
+    grep -q event=store_lost "$RUN/edge-1.out"
+check_true "and its return" grep -q event=store_regained "$RUN/edge-1.out"
+
+# An entry that lapses is gone; one that drains gets nothing new.
+control "drain-127.$NET.2.1" 1
+sleep 1.5
+before=$(journal | grep -c '^b1 ran')
+for _ in 1 2 3 4 5 6; do ask 1 /look/x >/dev/null; done
+check "nothing new to one that drains" "$before" \
+    "$(journal | grep -c '^b1 ran')"
+control "drain-127.$NET.2.1" 0
+
+# A caller that leaves: its stream is ended at the endpoint.
+timeout 0.05 curl -sN -H 'Host: h' -H 'X-Api-Key: k1' -H 'Attempt-Id: gone' \
+    -H 'Model: m' -d p "$(edge_url 1)/write/x" >/dev/null
+check_true "the endpoint sees it leave" until_true 5 eval \
+    'journal | grep -q "left gone" || ! journal | grep -q "ran gone"'
+
+# SIGTERM: out of rotation first, what runs is finished, then the end.
+control slow 1500
+ask 1 /once/x -d a >"$RUN/late" &
+until_true 5 eval 'journal | grep -c "/once/x" | grep -qv "^0$"'
+stop edge-1 TERM
+check_true "not ready at once" until_true 2 eval '! edge_ready 1'
+control slow 0
+check "new requests are still taken" 200 "$(ask 1 /look/x | status_last)"
+check "on connections that end" 1 \
+    "$(ask 1 /look/x -i | grep -ci '^connection: close')"
+check_true "the process ends" until_true 10 eval \
+    '! kill -0 "$(pid_of edge-1)"'
+check_true "what ran was answered" grep -q 'whole answer 200' "$RUN/late"
+check_true "one line at start" grep -q event=started "$RUN/edge-1.out"
+check_true "one line at the end" grep -q event=stopped "$RUN/edge-1.out"
+
+# Settings that can't be used stop the daemon with a clear line.
+check "a wrong setting" "banklift-edge: --drain-ms: must be 100 to 600000 ms" \
+    "$("$BUILD/banklift-edge" --name x --domain a --drain-ms soon 2>&1)"
+check "a missing one" "banklift-edge: --name: is required" \
+    "$("$BUILD/banklift-edge" --domain a 2>&1)"
+printf '[banklift]\nname=edge-3\ndomain=a\nretry-ratio=0.5\ndrain-ms=\n' \
+    >"$RUN/conf"
+check "a settings file" 0 \
+    "$("$BUILD/banklift-edge" --config "$RUN/conf" --check; echo $?)"
+check "flags go before it" 2 "$("$BUILD/banklift-edge" \
+    --config "$RUN/conf" --retry-ratio many --check 2>/dev/null; echo $?)"
+
+verdict
--- /dev/null
+++ b/tests/proc-edge-path.sh
@@ -0,0 +1,96 @@
+# The whole path of banklift-edge on the stand-in platform.
+. tests/lib-edge.sh
+
+start_edge_platform 4 2
+start_edge 1
+start_edge 2
+check "without a configuration: come back later" 503 \
+    "$(until_true 10 curl -s -m 1 "http://$(edge_ip 1):9464/metrics"
+    ask 1 /look/x | status_last)"
+check_true "not ready without a configuration" eval '! edge_ready 1'
+put_config 1
+check_true "ready with one" until_true 10 edge_ready 1
+check_true "the other too" until_true 10 edge_ready 2
+check_true "two groups of two are formed" until_true 10 groups_open 1 2
+check "each member was joined once" 4 "$(journal | grep -c ' join 202')"
+check "and each head opened once" 2 "$(journal | grep -c ' open 202')"
+
+check "a plain answer" "whole answer 200" "$(ask 1 /look/x)"
+check "one that runs once" "whole answer 200" "$(ask 2 /once/x -d a)"
+check "a stream, event by event" "0 1 2 3 4 5 6 7 " \
+    "$(ask 1 /write/x -d p | event_ids)"
+check "the customer is named, the key not passed on" 0 \
+    "$(journal | grep ' ran ' | grep -vc ' club key=none')"
+check "an unknown key" 401 "$(KEY=no ask 1 /look/x | status_last)"
+check "no route" 404 "$(ask 1 /nowhere/x | status_last)"
+check "a public route needs no key" 200 \
+    "$(KEY='' ask 1 /free/x | status_last)"
+
+# A stream that is cut in the middle of event 3 goes on elsewhere.
+control cut 3
+control cuts 1
+check "cut in an event, resumed: gapless" "0 1 2 3 4 5 6 7 " \
+    "$(ask 1 /write/x -d p | event_ids)"
+check "it was resumed once" 1 "$(metric 1 resumed_total)"
+control cut 0
+
+# Answers that are not this request's, refusals, failures.
+control stray 1
+check "a stray answer before the right one" "whole answer 200" \
+    "$(ask 1 /look/x)"
+control full 1
+check "refused by one endpoint, answered by another" "whole answer 200" \
+    "$(ask 1 /look/x)"
+control full 1
+check "refused, not run: may be sent again though it runs once" \
+    "whole answer 200" "$(ask 1 /once/x -d a)"
+control error 1
+check "a failure, tried again" "whole answer 200" "$(ask 1 /look/x)"
+control error 1
+check "a failure of what runs once is the answer" "failed 500" \
+    "$(ask 1 /once/x -d a)"
+control unframed 1
+check "an answer without a length" "whole answer 200" "$(ask 1 /once/x -d a)"
+control reset 1
+check "reset without a length: never a success" 502 \
+    "$(ask 1 /once/x -d a | status_last)"
+control unframed 0
+control reset 0
+control noproof 1
+check "a success without proof is none" 502 \
+    "$(ask 1 /once/x -d a | status_last)"
+control noproof 0
+
+# Configurations come and go; versions never go back.
+put_config 3 's/"k1",//'
+check_true "a key taken away opens nothing" until_true 5 eval \
+    '[ "$(ask 1 /look/x | status_last)" = 401 ]'
+check "the other key still does" 200 \
+    "$(KEY=k2 ask 1 /look/x | status_last)"
+put_config 2
+sleep 0.5
+check "an older version changes nothing" 401 "$(ask 1 /look/x | status_last)"
+put_config 4
+
+# A group whose member is lost is closed, and its host reused.
+control "dark-127.$NET.1.2" 1
+check_true "one group less" until_true 15 groups_open 1 1
+check "streams go on" "0 1 2 3 4 5 6 7 " "$(ask 1 /write/x -d p | event_ids)"
+control "dark-127.$NET.1.2" 0
+check_true "it is back" until_true 25 groups_open 1 2
+
+# The placer dies; another takes over and keeps the groups.
+placer=1
+[ "$(metric 2 placer)" = 1 ] && placer=2
+other=$((3 - placer))
+opens=$(journal | grep -c ' open 202')
+end "edge-$placer"
+check_true "another daemon places" until_true 10 eval \
+    '[ "$(metric $other placer)" = 1 ]'
+check "with a higher term" 2 "$(metric $other placer_term)"
+sleep 1
+check "no group was touched" "$opens" "$(journal | grep -c ' open 202')"
+check "streams go on there" "0 1 2 3 4 5 6 7 " \
+    "$(ask $other /write/x -d p | event_ids)"
+
+verdict
--- /dev/null
+++ b/tests/test-adapter.c
@@ -0,0 +1,238 @@
+/* Contract tests of the adapter's formats: what the platform sends. */
+#include <jansson.h>
+#include <string.h>
+
+#include "mesh-news.h"
+#include "platform.h"
+#include "script.h"
+
+static struct catalog *catalog;
+
+static void
+reset(void)
+{
+	g_clear_pointer(&catalog, catalog_unref);
+}
+
+/* config JSON: decode a configuration; shows what was understood */
+static void
+exec_config(const char *rest, GString *out)
+{
+	g_autoptr(GError) error = NULL;
+
+	reset();
+	catalog = platform_config_decode(rest, strlen(rest), &error);
+	if (catalog == NULL) {
+		g_string_append_printf(out, "refused: %s\n", error->message);
+		return;
+	}
+	g_string_append_printf(out,
+	    "version %lld routes %u services %u keys %u body %lld\n",
+	    (long long)catalog->version, catalog->routes->len,
+	    g_hash_table_size(catalog->services),
+	    g_hash_table_size(catalog->keys),
+	    (long long)catalog->limits.body_bytes);
+}
+
+/* route HOST PATH: which route a request takes */
+static void
+exec_route(const char *rest, GString *out)
+{
+	g_auto(GStrv) w = g_strsplit(rest, " ", 2);
+	const struct catalog_route *r = catalog_find_route(catalog, w[0], w[1]);
+
+	if (r == NULL) {
+		g_string_append(out, "none\n");
+		return;
+	}
+	g_string_append_printf(out,
+	    "%s repeat=%d resumable=%d open=%d timeout=%lld objective=%lld "
+	    "attempts=%u splits=%u\n",
+	    r->name, (int)r->repeat, r->resumable, r->open,
+	    (long long)r->timeout_ms, (long long)r->objective_ms,
+	    r->max_attempts, r->splits->len);
+}
+
+/* split PATH: requests of 100 draws that go to each service */
+static void
+exec_split(const char *rest, GString *out)
+{
+	const struct catalog_route *r = catalog_find_route(catalog, "h", rest);
+	unsigned n = 0;
+
+	for (uint64_t draw = 0; draw < 100; draw++)
+		n += strcmp(catalog_pick_service(r, draw), "a") == 0;
+	g_string_append_printf(out, "a %u\n", n);
+}
+
+/* engine SERVICE */
+static void
+exec_engine(const char *rest, GString *out)
+{
+	const struct engine_profile *e =
+	    catalog_find_service(catalog, rest)->engine;
+
+	g_string_append_printf(out,
+	    "slots %u step %.2f read %.1f/ms chunk %.0f loads %.0f/s at once "
+	    "%u staged %u\n",
+	    e->slots, e->step_ms, e->read_per_ms, e->chunk, e->loads_per_s,
+	    e->loads_at_once, e->staged_limit);
+	for (guint i = 0; i < e->models->len; i++) {
+		const struct model_profile *m = e->models->pdata[i];
+
+		g_string_append_printf(out,
+		    "model %s size %u share %.2f load %.0f warm %.0f\n",
+		    m->name, m->size, m->share, m->load_ms, m->warm_ms);
+	}
+}
+
+/* entry JSON: decode an endpoint's entry */
+static void
+exec_entry(const char *rest, GString *out)
+{
+	struct endpoint_report r;
+	g_autoptr(GError) error = NULL;
+
+	if (!platform_endpoint_decode("e1", rest, strlen(rest), &r, &error)) {
+		g_string_append_printf(out, "refused: %s\n", error->message);
+		return;
+	}
+	g_string_append_printf(out,
+	    "%s domain=%s fabric=%s slots=%u draining=%d staged=%u model=%s "
+	    "group=%s epoch=%lld rank=%d %s\n",
+	    r.service, r.domain, r.fabric != NULL ? r.fabric : "-", r.slots,
+	    r.draining, r.staged->len, r.model != NULL ? r.model : "-",
+	    r.group != NULL ? r.group : "-", (long long)r.epoch, r.rank,
+	    group_state_name(r.state));
+	endpoint_report_clear(&r);
+}
+
+/* Puts "Name: value|Name: value" into a head. */
+static void
+head_fill(struct net_head *head, const char *text)
+{
+	g_auto(GStrv) lines = g_strsplit(text, "|", 0);
+
+	net_head_init(head);
+	net_head_add_target(head, "/", 1);
+	for (char **l = lines; *l != NULL; l++) {
+		char *colon = strstr(*l, ": ");
+
+		net_head_add_name(head, *l, (size_t)(colon - *l));
+		net_head_add_value(head, colon + 2, strlen(colon + 2));
+	}
+	net_head_close_value(head);
+}
+
+/* request HEADERS: what is read of a request, and which headers go on */
+static void
+exec_request(const char *rest, GString *out)
+{
+	struct wire_request req;
+	struct net_head head;
+
+	head_fill(&head, rest);
+	platform_wire.read_request(&head, &req);
+	g_string_append_printf(out,
+	    "id=%s key=%s model=%s deadline=%lld tokens=%.0f,%.0f last=%lld\n",
+	    req.id != NULL ? req.id : "-", req.key != NULL ? req.key : "-",
+	    req.model != NULL ? req.model : "-", (long long)req.deadline_ms,
+	    req.prompt_tokens, req.answer_tokens, (long long)req.last_event);
+	g_string_append(out, "passes:");
+	for (unsigned i = 0; i < head.n_fields; i++) {
+		const char *name = net_head_name(&head, i);
+
+		if (!net_head_hop_by_hop(&head, i) &&
+		    platform_wire.passes(name))
+			g_string_append_printf(out, " %s", name);
+	}
+	g_string_append_c(out, '\n');
+	net_head_clear(&head);
+}
+
+/* answer STATUS HEADERS */
+static void
+exec_answer(const char *rest, GString *out)
+{
+	char *at;
+	unsigned status = (unsigned)strtoul(rest, &at, 10);
+	struct wire_answer answer;
+	struct net_head head;
+
+	head_fill(&head, at + 1);
+	platform_wire.read_answer(status, &head, &answer);
+	g_string_append_printf(out,
+	    "id=%s proof=%d not_run=%d wrong_endpoint=%d at_fault=%s\n",
+	    answer.id != NULL ? answer.id : "-", answer.proof, answer.not_run,
+	    answer.wrong_endpoint,
+	    answer.at_fault != NULL ? answer.at_fault : "-");
+	net_head_clear(&head);
+}
+
+/* forward: the headers that are set for an endpoint */
+static void
+exec_forward(const char *rest, GString *out)
+{
+	const struct wire_forward fwd = { "i-1", "club", 1234, 7, -1 };
+
+	platform_wire.write_forward(out, &fwd);
+	for (char *c = strchr(out->str, '\r'); c != NULL; c = strchr(c, '\r'))
+		*c = ' ';
+}
+
+/* news cut=N: daemons' news survive coding; N bytes less are refused */
+static void
+exec_news(const char *rest, GString *out)
+{
+	struct mesh_news in = { .name = "d1",
+		.domain = "a",
+		.life = 5,
+		.sequence = 9,
+		.pong = 77,
+		.placer = true,
+		.term = 3,
+		.config_version = 12,
+		.config_age_ms = 40,
+		.n_loads = 2,
+		.n_avoid = 1,
+		.avoid = { 99 } };
+	struct mesh_news back;
+	char bytes[MESH_BYTES];
+	size_t length;
+
+	in.loads[1] = (struct mesh_load){ 4, 2, 1000 };
+	length = mesh_news_encode(&in, bytes, sizeof bytes);
+	length -= script_number(rest, "cut", 0);
+	if (!mesh_news_decode(&back, bytes, length)) {
+		g_string_append(out, "refused\n");
+		return;
+	}
+	g_string_append_printf(out,
+	    "%s %s life=%d placer=%d term=%d version=%d loads=%u key=%u "
+	    "reading=%u avoid=%u\n",
+	    back.name, back.domain, (int)back.life, back.placer, (int)back.term,
+	    (int)back.config_version, back.n_loads, back.loads[1].key,
+	    back.loads[1].reading, back.avoid[0]);
+}
+
+static const struct script_command commands[] = {
+	{ "config", exec_config },
+	{ "route", exec_route },
+	{ "split", exec_split },
+	{ "engine", exec_engine },
+	{ "entry", exec_entry },
+	{ "request", exec_request },
+	{ "answer", exec_answer },
+	{ "forward", exec_forward },
+	{ "news", exec_news },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	int rc = script_main("adapter", commands, reset);
+
+	reset();
+	return (rc);
+}
--- /dev/null
+++ b/tests/test-fleet.c
@@ -0,0 +1,177 @@
+/* Scripts over endpoints that come, go and lapse, and the choice of one. */
+#include <string.h>
+
+#include "fwd-choose.h"
+#include "script.h"
+
+static uv_loop_t loop;
+static struct fleet fleet;
+static struct catalog *catalog;
+static struct engine_profile *engine;
+static struct model_profile *model;
+static uint64_t offset;
+
+static void
+reset(void)
+{
+	if (fleet.by_id != NULL)
+		fleet_clear(&fleet);
+	fleet_init(&fleet, &loop);
+	g_clear_pointer(&catalog, catalog_unref);
+	catalog = catalog_create();
+	engine = catalog_add_engine(catalog_add_service(catalog, "s"));
+	engine->slots = 8;
+	engine->step_ms = 6;
+	engine->per_seq_ms = 0.25;
+	engine->read_per_ms = 46;
+	engine->chunk = 2048;
+	engine->stride = 5;
+	model = g_new0(struct model_profile, 1);
+	model->name = g_strdup("m");
+	model->size = 2;
+	model->pace = 1;
+	g_ptr_array_add(engine->models, model);
+	offset = 0;
+}
+
+/* entry ID at=MS [state=draining] [domain=D] [head=1]: a report was read */
+static void
+exec_entry(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *state = script_word(rest, "state");
+	struct endpoint_report report = { 0 };
+
+	report.id = g_strdup(id);
+	report.service = g_strdup("s");
+	report.domain = script_word(rest, "domain");
+	report.slots = 4;
+	report.draining = g_strcmp0(state, "draining") == 0;
+	report.staged = g_ptr_array_new_with_free_func(g_free);
+	if (script_number(rest, "head", 0) != 0) {
+		report.model = g_strdup("m");
+		report.group = g_strdup("g");
+		report.state = GROUP_OPEN;
+	}
+	fleet_update(&fleet, &report, ++offset, script_number(rest, "at", 0));
+}
+
+/* lapse ID at=MS: the entry was removed */
+static void
+exec_lapse(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+
+	fleet_lapse(&fleet, id, script_number(rest, "at", 0));
+}
+
+/* sweep at=MS [take=0]: 0 while lapsed entries may still come back */
+static void
+exec_sweep(const char *rest, GString *out)
+{
+	fleet_sweep(&fleet, script_number(rest, "at", 0),
+	    script_number(rest, "take", 1) != 0);
+}
+
+/* elsewhere ID: another incarnation answered at its address */
+static void
+exec_elsewhere(const char *rest, GString *out)
+{
+	fleet_gone(fleet_find(&fleet, rest));
+}
+
+/* show at=MS: each endpoint, and whether new work may go there */
+static void
+exec_show(const char *rest, GString *out)
+{
+	const struct endpoint *ep;
+
+	TAILQ_FOREACH(ep, &fleet.endpoints, entry)
+		g_string_append_printf(out, "%s %s\n", ep->report.id,
+		    endpoint_usable(ep, script_number(rest, "at", 0)) ?
+			"usable" :
+			"not");
+}
+
+/* load ID own=N peers=N reading=N rest=MS errors=PERCENT slow=PERCENT */
+static void
+exec_load(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	struct endpoint *ep = fleet_find(&fleet, id);
+
+	ep->inflight = (unsigned)script_number(rest, "own", 0);
+	ep->peer_inflight = (unsigned)script_number(rest, "peers", 0);
+	ep->reading = (double)script_number(rest, "reading", 0);
+	ep->rest_until_ms = script_number(rest, "rest", 0);
+	ep->error_rate = (double)script_number(rest, "errors", 0) / 100;
+	ep->slowness = (double)script_number(rest, "slow", 100) / 100;
+}
+
+static int
+by_id(const void *a, const void *b)
+{
+	const struct endpoint *const *x = a;
+	const struct endpoint *const *y = b;
+
+	return (strcmp((*x)->report.id, (*y)->report.id));
+}
+
+/* choose at=MS [model=1] [tried=ID]: over many draws, who is ever chosen */
+static void
+exec_choose(const char *rest, GString *out)
+{
+	g_autoptr(GPtrArray) seen = g_ptr_array_new();
+	g_autofree char *tried = script_word(rest, "tried");
+	struct fwd_choice choice = { 0 };
+
+	for (uint32_t i = 0; i < 400; i++) {
+		struct fwd_want want = { .service = "s",
+			.domain = "a",
+			.prompt = 1000,
+			.draw = i * 2654435761u };
+
+		want.now_ms = script_number(rest, "at", 0);
+		if (script_number(rest, "model", 0) != 0) {
+			want.engine = engine;
+			want.model = model;
+		}
+		if (tried != NULL)
+			want.tried[want.n_tried++] = fleet_find(&fleet, tried);
+		fwd_choose(&fleet, &want, &choice);
+		if (choice.endpoint != NULL &&
+		    !g_ptr_array_find(seen, choice.endpoint, NULL))
+			g_ptr_array_add(seen, choice.endpoint);
+	}
+	g_ptr_array_sort(seen, by_id);
+	g_string_append_printf(out, "known %u usable %u:", choice.known,
+	    choice.usable);
+	for (guint i = 0; i < seen->len; i++)
+		g_string_append_printf(out, " %s",
+		    ((struct endpoint *)seen->pdata[i])->report.id);
+	g_string_append_c(out, '\n');
+}
+
+static const struct script_command commands[] = {
+	{ "entry", exec_entry },
+	{ "lapse", exec_lapse },
+	{ "sweep", exec_sweep },
+	{ "elsewhere", exec_elsewhere },
+	{ "show", exec_show },
+	{ "load", exec_load },
+	{ "choose", exec_choose },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	int rc;
+
+	uv_loop_init(&loop);
+	rc = script_main("fleet", commands, reset);
+	fleet_clear(&fleet);
+	catalog_unref(catalog);
+	uv_loop_close(&loop);
+	return (rc);
+}
--- /dev/null
+++ b/tests/test-form.c
@@ -0,0 +1,245 @@
+/* Scripts over which hosts form which replicas. */
+#include <string.h>
+
+#include "replica-form.h"
+#include "script.h"
+
+#define HOSTS_MAX 64
+
+static struct catalog *catalog;
+static struct engine_profile *engine;
+static struct form_host hosts[HOSTS_MAX];
+static unsigned n_hosts;
+static struct replica *replicas[HOSTS_MAX];
+static unsigned n_replicas;
+static guint64 loads, serving;
+
+static void
+reset(void)
+{
+	for (unsigned i = 0; i < n_hosts; i++) {
+		g_free((char *)hosts[i].id);
+		g_free((char *)hosts[i].domain);
+		g_free((char *)hosts[i].fabric);
+		g_free((char *)hosts[i].last);
+		g_free((char *)hosts[i].staging);
+		g_ptr_array_free((GPtrArray *)hosts[i].staged, TRUE);
+	}
+	for (unsigned i = 0; i < n_replicas; i++)
+		replica_free(replicas[i]);
+	n_hosts = 0;
+	n_replicas = 0;
+	loads = 100;
+	serving = 0;
+	g_clear_pointer(&catalog, catalog_unref);
+	catalog = catalog_create();
+	engine = catalog_add_engine(catalog_add_service(catalog, "s"));
+}
+
+/* model NAME size=N share=PERCENT */
+static void
+exec_model(const char *rest, GString *out)
+{
+	struct model_profile *m = g_new0(struct model_profile, 1);
+
+	m->name = g_strndup(rest, strcspn(rest, " "));
+	m->size = (unsigned)script_number(rest, "size", 1);
+	m->share = (double)script_number(rest, "share", 100) / 100;
+	g_ptr_array_add(engine->models, m);
+}
+
+/* hosts N domain=D fabric=F [last=M] [staged=M]: N free hosts */
+static void
+exec_hosts(const char *rest, GString *out)
+{
+	guint64 n = g_ascii_strtoull(rest, NULL, 10);
+
+	while (n-- > 0) {
+		struct form_host *h = &hosts[n_hosts];
+		g_autofree char *staged = script_word(rest, "staged");
+		GPtrArray *copies = g_ptr_array_new_with_free_func(g_free);
+
+		memset(h, 0, sizeof *h);
+		h->id = g_strdup_printf("h%u", n_hosts++);
+		h->domain = script_word(rest, "domain");
+		h->fabric = script_word(rest, "fabric");
+		h->last = script_word(rest, "last");
+		h->free = true;
+		if (staged != NULL)
+			g_ptr_array_add(copies, g_strdup(staged));
+		h->staged = copies;
+	}
+}
+
+/* group MODEL hosts=FIRST-LAST: an open replica of these hosts */
+static void
+exec_group(const char *rest, GString *out)
+{
+	g_autofree char *model = g_strndup(rest, strcspn(rest, " "));
+	guint64 first = script_number(rest, "first", 0);
+	guint64 last = script_number(rest, "last", 0);
+	g_autofree char *name = g_strdup_printf("g%u", n_replicas);
+	struct replica *r = replica_create(name, "s", model, 1);
+	struct sockaddr_in any = { 0 };
+
+	r->opened = true;
+	for (guint64 i = first; i <= last; i++) {
+		replica_add_member(r, hosts[i].id, &any);
+		hosts[i].free = false;
+		hosts[i].group = r;
+	}
+	replicas[n_replicas++] = r;
+}
+
+/* lost N: the host is no longer there */
+static void
+exec_lost(const char *rest, GString *out)
+{
+	hosts[g_ascii_strtoull(rest, NULL, 10)].free = false;
+}
+
+/* set [loads=N] [serving=0|1] */
+static void
+exec_set(const char *rest, GString *out)
+{
+	loads = script_number(rest, "loads", loads);
+	serving = script_number(rest, "serving", serving);
+}
+
+static void
+count_group(const struct form_view *view, GHashTable *table,
+    const struct replica *r, const char *place)
+{
+	char *key = g_strdup_printf("%s %s", r->model, place);
+	guint n = GPOINTER_TO_UINT(g_hash_table_lookup(table, key));
+
+	g_hash_table_replace(table, key, GUINT_TO_POINTER(n + 1));
+}
+
+static void
+view_make(struct form_view *view)
+{
+	memset(view, 0, sizeof *view);
+	view->engine = engine;
+	view->hosts = g_array_new(FALSE, TRUE, sizeof(struct form_host));
+	g_array_append_vals(view->hosts, hosts, n_hosts);
+	view->by_domain =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	view->by_fabric =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	view->loads = (unsigned)loads;
+	view->serving = serving != 0;
+	form_targets(view);
+	for (unsigned i = 0; i < n_hosts; i++) {
+		const struct replica *r = hosts[i].group;
+
+		if (r == NULL || !replica_wanted(r) ||
+		    strcmp(r->members[0].id, hosts[i].id) != 0)
+			continue;
+		for (guint k = 0; k < engine->models->len; k++) {
+			const struct model_profile *m =
+			    engine->models->pdata[k];
+
+			view->held[k] += strcmp(m->name, r->model) == 0;
+		}
+		count_group(view, view->by_domain, r, hosts[i].domain);
+		count_group(view, view->by_fabric, r, hosts[i].fabric);
+	}
+}
+
+static void
+view_free(struct form_view *view)
+{
+	g_array_free(view->hosts, TRUE);
+	g_hash_table_destroy(view->by_domain);
+	g_hash_table_destroy(view->by_fabric);
+}
+
+/* form [times=N]: the next replicas, which then stand */
+static void
+exec_form(const char *rest, GString *out)
+{
+	guint64 times = script_number(rest, "times", 1);
+
+	while (times-- > 0) {
+		struct form_plan plan = { 0 };
+		struct form_view view;
+		struct replica *r;
+		struct sockaddr_in any = { 0 };
+
+		view_make(&view);
+		if (!form_next(&view, &plan)) {
+			g_string_append(out, "none\n");
+			view_free(&view);
+			return;
+		}
+		r = replica_create("g", "s", plan.model->name, 1);
+		r->opened = true;
+		g_string_append_printf(out, "%s loads=%u", plan.model->name,
+		    plan.loads);
+		for (guint i = 0; i < plan.members->len; i++) {
+			struct form_host *h =
+			    &hosts[g_array_index(plan.members, guint, i)];
+
+			g_string_append_printf(out, " %s", h->id);
+			replica_add_member(r, h->id, &any);
+			h->free = false;
+			h->group = r;
+		}
+		g_string_append_printf(out, " in %s\n",
+		    hosts[g_array_index(plan.members, guint, 0)].fabric);
+		replicas[n_replicas++] = r;
+		g_array_free(plan.members, TRUE);
+		view_free(&view);
+	}
+}
+
+/* donor: the replica to dissolve */
+static void
+exec_donor(const char *rest, GString *out)
+{
+	struct form_view view;
+	const struct replica *r;
+
+	view_make(&view);
+	r = form_donor(&view);
+	g_string_append_printf(out, "%s\n",
+	    r != NULL ? r->members[0].id : "none");
+	view_free(&view);
+}
+
+/* stage: the host to copy the largest model to */
+static void
+exec_stage(const char *rest, GString *out)
+{
+	const struct model_profile *model;
+	const struct form_host *h;
+	struct form_view view;
+
+	view_make(&view);
+	h = form_stage(&view, &model);
+	g_string_append_printf(out, "%s\n", h != NULL ? h->id : "none");
+	view_free(&view);
+}
+
+static const struct script_command commands[] = {
+	{ "model", exec_model },
+	{ "hosts", exec_hosts },
+	{ "group", exec_group },
+	{ "lost", exec_lost },
+	{ "set", exec_set },
+	{ "form", exec_form },
+	{ "donor", exec_donor },
+	{ "stage", exec_stage },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	int rc = script_main("form", commands, reset);
+
+	reset();
+	g_clear_pointer(&catalog, catalog_unref);
+	return (rc);
+}
--- /dev/null
+++ b/tests/test-replica.c
@@ -0,0 +1,141 @@
+/* Scripts over the life of a replica: joins, opening, loss, dissolution. */
+#include <string.h>
+
+#include "replica.h"
+#include "script.h"
+
+#define STALL_MS 5000
+
+static struct replica *r;
+
+static void
+reset(void)
+{
+	g_clear_pointer(&r, replica_free);
+}
+
+/* new hosts=N: a recorded replica of hosts h0, h1, ... */
+static void
+exec_new(const char *rest, GString *out)
+{
+	guint64 n = script_number(rest, "hosts", 2);
+	struct sockaddr_in any = { 0 };
+
+	reset();
+	r = replica_create("g1", "s", "m", 1);
+	for (guint64 i = 0; i < n; i++) {
+		g_autofree char *id = g_strdup_printf("h%d", (int)i);
+
+		replica_add_member(r, id, &any);
+	}
+	r->recorded = script_number(rest, "recorded", 1) != 0;
+}
+
+static struct replica_member *
+member(const char *rest)
+{
+	return (&r->members[script_number(rest, "h", 0)]);
+}
+
+/* report h=N state=WORD: what the member reports of this group; "none" */
+static void
+exec_report(const char *rest, GString *out)
+{
+	static const char *const names[] = { "none", "joining", "ready", "open",
+		"closing", "broken" };
+	g_autofree char *state = script_word(rest, "state");
+	struct replica_member *m = member(rest);
+
+	for (int i = 0; i < (int)G_N_ELEMENTS(names); i++) {
+		if (strcmp(names[i], state) == 0)
+			m->state = (enum group_state)i;
+	}
+	m->here = m->state != GROUP_NONE;
+}
+
+/* life h=N is=WORD */
+static void
+exec_life(const char *rest, GString *out)
+{
+	static const char *const names[] = { "alive", "draining", "lapsed",
+		"silent", "dead" };
+	g_autofree char *is = script_word(rest, "is");
+
+	for (int i = 0; i < (int)G_N_ELEMENTS(names); i++) {
+		if (strcmp(names[i], is) == 0)
+			member(rest)->life = (enum member_life)i;
+	}
+}
+
+/* elsewhere h=N: it reports a higher epoch */
+static void
+exec_elsewhere(const char *rest, GString *out)
+{
+	member(rest)->here = false;
+	member(rest)->elsewhere = true;
+}
+
+/* left h=N: it said that it is in no group; closed: the head said so */
+static void
+exec_left(const char *rest, GString *out)
+{
+	member(rest)->left = true;
+}
+
+static void
+exec_closed(const char *rest, GString *out)
+{
+	r->head_closed = true;
+}
+
+/* donate now=MS */
+static void
+exec_donate(const char *rest, GString *out)
+{
+	replica_donate(r, script_number(rest, "now", 0));
+}
+
+/* look now=MS: the steps until there is nothing more to do now */
+static void
+exec_look(const char *rest, GString *out)
+{
+	guint64 now = script_number(rest, "now", 0);
+	struct replica_step step;
+
+	for (unsigned turn = 0; turn <= r->n; turn++) {
+		replica_next(r, now, STALL_MS, &step);
+		if (step.act != REPLICA_ORDER)
+			break;
+		g_string_append_printf(out, "%s h%u\n",
+		    order_kind_name(step.order), step.member);
+		r->members[step.member].order = step.order;
+		r->members[step.member].ordered_ms = now;
+	}
+	if (step.act == REPLICA_GONE)
+		g_string_append(out, "gone\n");
+	g_string_append_printf(out, "%s\n",
+	    r->doomed != NULL ? r->doomed :
+		r->opened     ? "serves" :
+				"forms");
+}
+
+static const struct script_command commands[] = {
+	{ "new", exec_new },
+	{ "report", exec_report },
+	{ "life", exec_life },
+	{ "elsewhere", exec_elsewhere },
+	{ "left", exec_left },
+	{ "closed", exec_closed },
+	{ "donate", exec_donate },
+	{ "look", exec_look },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	int rc = script_main("replica", commands, reset);
+
+	reset();
+	return (rc);
+}
