Wait for a silent endpoint where none may go on; probe a failing store shortly

Silence was also seen where a full replica answered other daemons only. Change: silence is judged with what other daemons heard; a request that may not move waits; reads do not wait while the store fails, and time out after 1.2 s. Copies for the large model go before loads for small ones, and are made before the first request once most small replicas stand.

--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -79,6 +79,7 @@
  * @warned_ms: when this daemon found it silent or closed it; others are told
  * @avoided_ms: when another daemon last warned of it
  * @heard_ms: loop time of its last byte in any exchange
+ * @peer_heard_ms: the same, of other daemons' exchanges
  * @slowness: moving ratio of observed to expected event gaps
  * @error_rate: moving share of answers that were server failures
  * @entry: in the fleet
@@ -102,6 +103,7 @@
 	uint64_t warned_ms;
 	uint64_t avoided_ms;
 	uint64_t heard_ms;
+	uint64_t peer_heard_ms;
 	double slowness;
 	double error_rate;
 	TAILQ_ENTRY(endpoint) entry;
--- a/src/dir-follow.c
+++ b/src/dir-follow.c
@@ -179,6 +179,18 @@
 		follow_ask(f);
 }
 
+/*
+ * How long a read may wait. After a failure it must not: one that a silent
+ * store swallows hides the store's return until it times out.
+ */
+static unsigned
+follow_wait_ms(const struct dir_follow *f)
+{
+	if (f->failures > 0)
+		return (0);
+	return (f->reader ? f->reader_wait_ms : f->wait_ms);
+}
+
 /* Asks for the next page or the next records. */
 static void
 follow_ask(struct dir_follow *f)
@@ -194,7 +206,7 @@
 		    on_newest, f);
 	else
 		begun = f->store->ops->read(f->store, f->topic, f->next,
-		    f->reader ? f->reader_wait_ms : f->wait_ms, on_read, f);
+		    follow_wait_ms(f), on_read, f);
 	f->busy = begun;
 	if (!begun)
 		follow_failed(f, &none);
--- a/src/edge.c
+++ b/src/edge.c
@@ -14,7 +14,7 @@
 /* Looks between two looks at the settings file. */
 #define FILE_LOOKS 8
 /* A call to the store; slow stores answer in some hundred ms. */
-#define STORE_TIMEOUT_MS 2500
+#define STORE_TIMEOUT_MS 1200
 /* Kept back from the bound on keys: a proof is used this much shorter. */
 #define KEY_MARGIN_MS 500
 /* A read of the configuration waits this part of the bound on keys: two of
--- a/src/fwd-again.c
+++ b/src/fwd-again.c
@@ -26,6 +26,23 @@
 	return (ex->route->repeat == REPEAT_FREELY);
 }
 
+/**
+ * fwd_exchange_movable() - whether a request may leave a silent endpoint.
+ * @ex: the exchange, with its endpoint
+ *
+ * Silence alone is no reason to cut an answer: where no other endpoint may go
+ * on with it, it waits for this one.
+ */
+bool
+fwd_exchange_movable(const struct fwd_exchange *ex)
+{
+	unsigned counted = ex->runs - ex->moved - (ex->reading ? 1 : 0);
+
+	return (ex->caller != NULL && fwd_exchange_repeatable(ex) &&
+	    counted < MAX(ex->route->max_attempts, 1) &&
+	    ex->sends < SENDS_MAX);
+}
+
 /* Why a request is not sent once more; NULL where it may be. */
 static const char *
 again_obstacle(struct fwd_exchange *ex)
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -367,6 +367,8 @@
 {
 	uint64_t heard = MAX(ex->heard_ms, ex->endpoint->heard_ms);
 
+	/* A replica that answers others is busy, not lost. */
+	heard = MAX(heard, ex->endpoint->peer_heard_ms);
 	if (ex->paused || now < ex->fwd->blind_until_ms)
 		return (false);
 	/* A plain endpoint's other answers say nothing of this one. */
@@ -396,7 +398,7 @@
 		if (ex->fwd->suspect != NULL)
 			ex->fwd->suspect(ex->fwd->suspect_arg, ep);
 	}
-	if (fwd_exchange_repeatable(ex) && ex->caller != NULL)
+	if (fwd_exchange_movable(ex))
 		fwd_exchange_move(ex, "endpoint_silent");
 }
 
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -145,6 +145,7 @@
 
 /* fwd-again.c: whether and how a request is sent once more. */
 bool fwd_exchange_repeatable(const struct fwd_exchange *);
+bool fwd_exchange_movable(const struct fwd_exchange *);
 void fwd_exchange_again(struct fwd_exchange *, const char *);
 
 #endif
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -15,6 +15,8 @@
 #define LOADS_ANY 1000
 /* A copy with others beside it takes longer than one alone. */
 #define STAGE_FACTOR 1.5
+/* Part of the small replicas that is formed before copies are made. */
+#define STAGE_AFTER 0.6
 
 /* The replica with a record that a host is a member of, or NULL. */
 static struct replica *
@@ -213,46 +215,72 @@
 	keeper_order_stage(k, h->id, m->name);
 }
 
-/* Before the first request, copies wait until all replicas stand. */
+/*
+ * Before the first request loads are quick, and there is no time for all of
+ * them: the large replicas come first, then most of the small ones, then the
+ * copies, then the rest.
+ */
 static bool
-place_may_stage(const struct keeper *k)
+place_may_stage(const struct form_view *view)
 {
-	const struct replica *r;
-
-	if (mesh_serving(k->mesh))
+	if (view->serving)
 		return (true);
-	TAILQ_FOREACH(r, &k->replicas, entry) {
-		if (!r->opened)
+	for (guint i = 0;
+	     i < view->engine->models->len && i < FORM_MODELS_MAX; i++) {
+		double part = i == view->largest ? 1 : STAGE_AFTER;
+
+		if (view->held[i] + 0.5 < view->wanted[i] * part)
 			return (false);
 	}
-	return (!TAILQ_EMPTY(&k->replicas));
+	return (true);
 }
 
-/* Forms one replica, or prepares one; false when nothing is left to do. */
+/* Forms a replica with up to some loads; false where there is none to form. */
 static bool
-place_step(struct keeper *k, const char *service, const struct form_view *view,
+place_form(struct keeper *k, const char *service, struct form_view *view,
+    unsigned loads, uint64_t now_ms)
+{
+	unsigned free = view->loads;
+	struct form_plan plan = { 0 };
+	bool formed;
+
+	view->loads = MIN(loads, free);
+	formed = form_next(view, &plan);
+	view->loads = free;
+	if (!formed)
+		return (false);
+	place_make(k, service, view, &plan, now_ms);
+	g_array_free(plan.members, TRUE);
+	return (true);
+}
+
+/*
+ * Forms one replica, or prepares one; false when nothing is left to do. What
+ * needs no load goes first, then hosts and copies for the largest model,
+ * then loads for others.
+ */
+static bool
+place_step(struct keeper *k, const char *service, struct form_view *view,
     uint64_t now_ms)
 {
 	const struct model_profile *model;
 	const struct form_host *h;
-	struct form_plan plan = { 0 };
 	struct replica *donor;
 
-	if (form_next(view, &plan)) {
-		place_make(k, service, view, &plan, now_ms);
-		g_array_free(plan.members, TRUE);
+	if (place_form(k, service, view, 0, now_ms))
 		return (true);
-	}
 	donor = form_donor(view);
 	if (donor != NULL) {
 		replica_donate(donor, now_ms);
 		keeper_doomed(k, donor, now_ms);
 		return (true);
 	}
-	h = place_may_stage(k) ? form_stage(view, &model) : NULL;
-	if (h != NULL)
+	h = place_may_stage(view) ? form_stage(view, &model) : NULL;
+	if (h != NULL) {
 		place_stage(k, h, model, now_ms);
-	return (h != NULL);
+		return (true);
+	}
+	return (place_form(k, service, view, view->loads, now_ms));
 }
 
 /* Takes the next step for one service; false when nothing is left to do. */
--- a/src/mesh-news.c
+++ b/src/mesh-news.c
@@ -5,7 +5,7 @@
 #include "mesh-news.h"
 
 /* First word of each datagram: "BLM" and the version of the format. */
-#define MESH_MAGIC 0x424c4d02u
+#define MESH_MAGIC 0x424c4d03u
 
 static bool_t
 xdr_flag(XDR *xdr, bool *flag)
@@ -29,7 +29,8 @@
 {
 	return (xdr_uint32_t(xdr, &load->key) &&
 	    xdr_uint32_t(xdr, &load->inflight) &&
-	    xdr_uint32_t(xdr, &load->reading));
+	    xdr_uint32_t(xdr, &load->reading) &&
+	    xdr_uint32_t(xdr, &load->heard_ms));
 }
 
 static bool_t
--- a/src/mesh-news.h
+++ b/src/mesh-news.h
@@ -21,11 +21,13 @@
  * @key: short name of the endpoint
  * @inflight: requests
  * @reading: prompt tokens without a first event yet
+ * @heard_ms: how long ago it last sent anything
  */
 struct mesh_load {
 	uint32_t key;
 	uint32_t inflight;
 	uint32_t reading;
+	uint32_t heard_ms;
 };
 
 /**
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -50,6 +50,8 @@
 peer_count(struct mesh *mesh, struct mesh_peer *peer,
     const struct mesh_news *news)
 {
+	uint64_t now = uv_now(mesh->loop);
+
 	for (uint32_t i = 0; i < news->n_loads; i++) {
 		const struct mesh_load *load = &news->loads[i];
 		struct endpoint *ep =
@@ -59,6 +61,9 @@
 			continue;
 		ep->peer_inflight += load->inflight;
 		ep->peer_reading += load->reading;
+		if (load->heard_ms < now)
+			ep->peer_heard_ms = MAX(ep->peer_heard_ms,
+			    now - load->heard_ms);
 		g_array_append_vals(peer->loads, load, 1);
 	}
 }
@@ -288,6 +293,8 @@
 		news->loads[news->n_loads].key = ep->key;
 		news->loads[news->n_loads].inflight = ep->inflight;
 		news->loads[news->n_loads].reading = (uint32_t)ep->reading;
+		news->loads[news->n_loads].heard_ms = (uint32_t)MIN(now -
+			ep->heard_ms, UINT32_MAX);
 		news->n_loads++;
 	}
 }
