Read the configuration shortly by one daemon; large replicas first

Replicas of 8 were planned after smaller ones, and copies only when requests came; donors took up to 2.5 s to close. Change: reads are never held back; proofs pass on by any daemon's word with their age; the reader tells all; large replicas first, copies before the last small ones, donors close within 0.7 s and their streams go on elsewhere.

--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -204,8 +204,9 @@
 		return;
 	ep->lapsed_ms = now_ms > 0 ? now_ms : 1;
 	ep->may_return = away;
-	event_log(LOG_INFO, "endpoint_lapsed", "endpoint=%s seen_ms_ago=%llu may_return=%d",
-	    id, (unsigned long long)(now_ms - ep->seen_ms), away);
+	event_log(LOG_INFO, "endpoint_lapsed",
+	    "endpoint=%s seen_ms_ago=%llu may_return=%d", id,
+	    (unsigned long long)(now_ms - ep->seen_ms), away);
 }
 
 /**
--- a/src/dir-follow.c
+++ b/src/dir-follow.c
@@ -43,6 +43,18 @@
 		uv_timer_start(&f->timer, on_timer, ms, 0);
 }
 
+/* Waits as long as the pause and the others' news allow. */
+static void
+follow_rest(struct dir_follow *f)
+{
+	unsigned spared = follow_spared_ms(f);
+
+	if (spared > 0 || f->pause_ms > 0)
+		follow_later(f, MAX(spared, f->pause_ms));
+	else
+		follow_ask(f);
+}
+
 /* Counts a failure; the first one is said. */
 static void
 follow_failed(struct dir_follow *f, const struct store_answer *answer)
@@ -142,14 +154,13 @@
 	}
 	follow_whole(f);
 	follow_proved(f, answer);
-	follow_ask(f);
+	follow_rest(f);
 }
 
 static void
 on_read(void *arg, const struct store_answer *answer)
 {
 	struct dir_follow *f = arg;
-	unsigned spared;
 	uint64_t from;
 
 	f->busy = false;
@@ -172,23 +183,7 @@
 	follow_proved(f, answer);
 	if (f->ops->fresh != NULL)
 		f->ops->fresh(f->owner, from, f->next);
-	spared = follow_spared_ms(f);
-	if (spared > 0 || f->pause_ms > 0)
-		follow_later(f, MAX(spared, f->pause_ms));
-	else
-		follow_ask(f);
-}
-
-/*
- * How long a read may wait. After a failure it must not: one that a silent
- * store swallows hides the store's return until it times out.
- */
-static unsigned
-follow_wait_ms(const struct dir_follow *f)
-{
-	if (f->failures > 0)
-		return (0);
-	return (f->reader ? f->reader_wait_ms : f->wait_ms);
+	follow_rest(f);
 }
 
 /* Asks for the next page or the next records. */
@@ -206,7 +201,7 @@
 		    on_newest, f);
 	else
 		begun = f->store->ops->read(f->store, f->topic, f->next,
-		    follow_wait_ms(f), on_read, f);
+		    on_read, f);
 	f->busy = begun;
 	if (!begun)
 		follow_failed(f, &none);
--- a/src/dir-follow.h
+++ b/src/dir-follow.h
@@ -25,8 +25,6 @@
  * @topic: what is followed
  * @ops: the owner's functions
  * @owner: the owner
- * @wait_ms: how long the store may hold a read that finds nothing
- * @reader_wait_ms: the same while this daemon reads for the others
  * @pause_ms: between two reads
  * @fallback_ms: without news from peers for so long, read oneself; 0 where
  *	there are no news from peers
@@ -49,8 +47,6 @@
 	enum store_topic topic;
 	const struct dir_follow_ops *ops;
 	void *owner;
-	unsigned wait_ms;
-	unsigned reader_wait_ms;
 	unsigned pause_ms;
 	unsigned fallback_ms;
 	bool reader;
--- a/src/dir.c
+++ b/src/dir.c
@@ -6,6 +6,9 @@
 
 /* Key of the configuration in its topic. */
 #define CONFIG_KEY "config"
+/* Reads of a reader that may go by without news from it: its proofs come by
+ * way of other daemons and are some rounds of telling old. */
+#define CONFIG_FALLBACK 5
 
 static void
 dir_tell(struct dir *dir)
@@ -177,16 +180,16 @@
 /**
  * dir_start() - begin to follow the store.
  * @dir: the knowledge
- * @config_wait_ms: how long a read of the configuration may wait
+ * @config_pause_ms: between two reads of the configuration
  * @endpoints_pause_ms: between two reads of the endpoints' entries
  */
 void
-dir_start(struct dir *dir, unsigned config_wait_ms, unsigned endpoints_pause_ms)
+dir_start(struct dir *dir, unsigned config_pause_ms,
+    unsigned endpoints_pause_ms)
 {
-	dir->config.wait_ms = config_wait_ms;
+	dir->config.pause_ms = config_pause_ms;
 	dir->endpoints.pause_ms = endpoints_pause_ms;
-	dir->config.fallback_ms = config_wait_ms;
-	dir->config.reader_wait_ms = config_wait_ms / 2;
+	dir->config.fallback_ms = config_pause_ms * CONFIG_FALLBACK;
 	dir->endpoints.fallback_ms = endpoints_pause_ms * 3 / 2;
 	dir_follow_start(&dir->config);
 	dir_follow_start(&dir->endpoints);
@@ -209,8 +212,8 @@
 	uint64_t now = uv_now(dir->loop);
 
 	if (returned_ms < DIR_RETURN_MS && returned_ms < now)
-		dir->endpoints.regained_ms = MAX(dir->endpoints.regained_ms,
-		    now - returned_ms);
+		dir->endpoints.regained_ms =
+		    MAX(dir->endpoints.regained_ms, now - returned_ms);
 	if (!dir_follow_feed(&dir->endpoints, from, end, records)) {
 		dir_follow_hurry(&dir->endpoints);
 		return (false);
--- a/src/edge-status.c
+++ b/src/edge-status.c
@@ -92,7 +92,11 @@
 	    (double)dir_config_age(&e->dir, now));
 	print_value(body, "endpoints_age_ms",
 	    (double)dir_follow_age(&e->dir.endpoints, now));
-	print_value(body, "store_calls_total", (double)e->store->calls);
+	for (int t = 0; t < TOPIC_COUNT; t++)
+		g_string_append_printf(body,
+		    "banklift_store_calls_total{topic=\"%s\"} %llu\n",
+		    store_topic_name((enum store_topic)t),
+		    (unsigned long long)e->store->calls[t]);
 	print_value(body, "store_failures_total", (double)e->store->failures);
 	if (getrusage(RUSAGE_SELF, &usage) == 0)
 		print_value(body, "resident_peak_kb", (double)usage.ru_maxrss);
--- a/src/edge.c
+++ b/src/edge.c
@@ -13,13 +13,15 @@
 #define SECOND_MS 250
 /* Looks between two looks at the settings file. */
 #define FILE_LOOKS 8
+/* Looks between two lines of counters. */
+#define COUNTER_LOOKS 40
 /* A call to the store; slow stores answer in some hundred ms. */
 #define STORE_TIMEOUT_MS 1200
 /* Kept back from the bound on keys: a proof is used this much shorter. */
 #define KEY_MARGIN_MS 500
-/* A read of the configuration waits this part of the bound on keys: two of
- * them and their calls must fit, since a proof dates from the asking. */
-#define CONFIG_WAIT_SHARE 0.36
+/* The configuration is read this often within the bound on keys, so that a
+ * proof that came by way of others is still young. */
+#define CONFIG_READS 10
 /* Endpoints are read this often within the bound on leaving ones. */
 #define ENDPOINT_READS 4
 /* Silence of the placer after which another daemon reads the store. */
@@ -69,7 +71,7 @@
 	set->key_proof_ms = (uint64_t)MAX(e->set.key_proof_ms - KEY_MARGIN_MS,
 	    e->set.key_proof_ms / 2);
 	set->deny_proof_ms =
-	    (uint64_t)MAX(e->set.apply_ms, 2 * (int64_t)e->dir.config.wait_ms);
+	    (uint64_t)MAX(e->set.apply_ms, (int64_t)e->dir.config.fallback_ms);
 	set->stall_ms = (uint64_t)e->set.stall_ms;
 	e->keeper.stall_ms = set->stall_ms;
 	set->retry.ratio = e->set.retry_ratio;
@@ -186,6 +188,32 @@
 	dir_follow_set_reader(&e->dir.endpoints, reader);
 }
 
+/* One line now and then with what was counted, for those with logs only. */
+static void
+edge_log_counters(struct edge *e)
+{
+	const uint64_t *counts = e->fwd.stats.counts;
+	const uint64_t *calls = e->store->calls;
+
+	event_log(LOG_INFO, "counters",
+	    "requests=%llu answered=%llu refused=%llu failed=%llu sent=%llu "
+	    "repeated=%llu resumed=%llu exchanges=%u peers=%u calls_config=%llu "
+	    "calls_endpoints=%llu calls_placement=%llu calls_daemons=%llu "
+	    "store_failures=%llu",
+	    (unsigned long long)counts[COUNT_REQUESTS],
+	    (unsigned long long)counts[COUNT_ANSWERED],
+	    (unsigned long long)counts[COUNT_REFUSED],
+	    (unsigned long long)counts[COUNT_FAILED],
+	    (unsigned long long)counts[COUNT_SENT],
+	    (unsigned long long)counts[COUNT_REPEATED],
+	    (unsigned long long)counts[COUNT_RESUMED], e->fwd.n_exchanges,
+	    mesh_living(&e->mesh), (unsigned long long)calls[TOPIC_CONFIG],
+	    (unsigned long long)calls[TOPIC_ENDPOINTS],
+	    (unsigned long long)calls[TOPIC_PLACEMENT],
+	    (unsigned long long)calls[TOPIC_DAEMONS],
+	    (unsigned long long)e->store->failures);
+}
+
 /* Looks at what has no timer of its own. */
 static void
 on_second(uv_timer_t *timer)
@@ -206,7 +234,9 @@
 	e->mesh.self.serving = e->fwd.stats.counts[COUNT_REQUESTS] > 0;
 	dir_sweep(&e->dir, uv_now(e->loop));
 	event_log_flush();
-	if (++looks % FILE_LOOKS != 0)
+	if (++looks % COUNTER_LOOKS == 0)
+		edge_log_counters(e);
+	if (looks % FILE_LOOKS != 0)
 		return;
 	changed = file_changed_ns(e->set.config);
 	if (changed != 0 && changed != e->file_changed_ns) {
@@ -333,8 +363,7 @@
 	    !opened(mesh_open(&e->mesh, e->loop, &peer), "--peer-address",
 		e->set.peer_address, error))
 		return (false);
-	dir_start(&e->dir,
-	    (unsigned)((double)e->set.key_proof_ms * CONFIG_WAIT_SHARE),
+	dir_start(&e->dir, (unsigned)(e->set.key_proof_ms / CONFIG_READS),
 	    (unsigned)(e->set.drain_ms / ENDPOINT_READS));
 	edge_apply(e);
 	keeper_open(&e->keeper, e->loop);
--- a/src/fwd-again.c
+++ b/src/fwd-again.c
@@ -39,8 +39,7 @@
 	unsigned counted = ex->runs - ex->moved - (ex->reading ? 1 : 0);
 
 	return (ex->caller != NULL && fwd_exchange_repeatable(ex) &&
-	    counted < MAX(ex->route->max_attempts, 1) &&
-	    ex->sends < SENDS_MAX);
+	    counted < MAX(ex->route->max_attempts, 1) && ex->sends < SENDS_MAX);
 }
 
 /* Why a request is not sent once more; NULL where it may be. */
--- a/src/keeper-lease.c
+++ b/src/keeper-lease.c
@@ -340,6 +340,6 @@
 		return (true);
 	if (!k->writing)
 		k->writing = k->store->ops->read(k->store, TOPIC_PLACEMENT,
-		    k->end, 0, on_checked, k);
+		    k->end, on_checked, k);
 	return (false);
 }
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -215,21 +215,14 @@
 	keeper_order_stage(k, h->id, m->name);
 }
 
-/*
- * Before the first request loads are quick, and there is no time for all of
- * them: the large replicas come first, then most of the small ones, then the
- * copies, then the rest.
- */
+/* Whether most of the small replicas stand. */
 static bool
-place_may_stage(const struct form_view *view)
+place_small_stand(const struct form_view *view)
 {
-	if (view->serving)
-		return (true);
-	for (guint i = 0;
-	     i < view->engine->models->len && i < FORM_MODELS_MAX; i++) {
-		double part = i == view->largest ? 1 : STAGE_AFTER;
-
-		if (view->held[i] + 0.5 < view->wanted[i] * part)
+	for (guint i = 0; i < view->engine->models->len && i < FORM_MODELS_MAX;
+	     i++) {
+		if (i != view->largest &&
+		    view->held[i] + 0.5 < view->wanted[i] * STAGE_AFTER)
 			return (false);
 	}
 	return (true);
@@ -254,6 +247,27 @@
 	return (true);
 }
 
+/*
+ * Before the first request loads are quick, and there is no time for all of
+ * them: the large replicas come first, then most of the small ones, and only
+ * after the copies the rest.
+ */
+static bool
+place_early(struct keeper *k, const char *service, struct form_view *view,
+    uint64_t now_ms)
+{
+	bool formed;
+
+	if (view->serving)
+		return (false);
+	view->only_largest = true;
+	formed = place_form(k, service, view, view->loads, now_ms);
+	view->only_largest = false;
+	if (formed || place_small_stand(view))
+		return (formed);
+	return (place_form(k, service, view, view->loads, now_ms));
+}
+
 /*
  * Forms one replica, or prepares one; false when nothing is left to do. What
  * needs no load goes first, then hosts and copies for the largest model,
@@ -267,7 +281,8 @@
 	const struct form_host *h;
 	struct replica *donor;
 
-	if (place_form(k, service, view, 0, now_ms))
+	if (place_form(k, service, view, 0, now_ms) ||
+	    place_early(k, service, view, now_ms))
 		return (true);
 	donor = form_donor(view);
 	if (donor != NULL) {
@@ -275,7 +290,9 @@
 		keeper_doomed(k, donor, now_ms);
 		return (true);
 	}
-	h = place_may_stage(view) ? form_stage(view, &model) : NULL;
+	h = view->serving || place_small_stand(view) ?
+	    form_stage(view, &model) :
+	    NULL;
 	if (h != NULL) {
 		place_stage(k, h, model, now_ms);
 		return (true);
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -18,6 +18,8 @@
 /* Silence to direct questions after which a member is dead, though its entry
  * still stands; its entry lapses only after three missed beats. */
 #define MEMBER_SILENT_MS 500
+/* How long the head of a replica that is dissolved gets nothing new. */
+#define AVOID_DOOMED_MS 2500
 /* A look this late means that this process stood still. */
 #define PAUSE_MS 1000
 
@@ -298,7 +300,7 @@
 		return;
 	head->warned_ms = now_ms;
 	head->rest_until_ms =
-	    MAX(head->rest_until_ms, now_ms + REPLICA_DONATE_MS);
+	    MAX(head->rest_until_ms, now_ms + AVOID_DOOMED_MS);
 	mesh_tell_now(k->mesh);
 }
 
--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -42,14 +42,13 @@
 	int64_t own = catalog != NULL ? catalog->version : -1;
 	uint64_t now = uv_now(mesh->loop);
 
-	if (peer->config_version <= own) {
-		/* Only a peer that is level shows that nothing is newer. */
-		if (peer->config_version == own && !mesh->fetching)
-			mesh->behind_ms = 0;
-		return;
-	}
-	if (mesh->behind_ms == 0)
+	mesh->newest = MAX(mesh->newest, peer->config_version);
+	if (mesh->newest <= own)
+		mesh->behind_ms = 0;
+	else if (mesh->behind_ms == 0)
 		mesh->behind_ms = now;
+	if (peer->config_version <= own)
+		return;
 	if (mesh->fetching ||
 	    (strcmp(peer->domain, mesh->domain) != 0 &&
 		now - mesh->behind_ms < NEAR_WAIT_MS))
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -11,6 +11,8 @@
 #define TELL_MS 100
 /* Daemons told in each round; beyond it, others by turns. */
 #define TELL_MOST 12
+/* Rounds in which the daemon that reads the store tells all. */
+#define READER_ROUNDS 3
 /* Silence after which a peer's work is no longer counted. */
 #define LOADS_OLD_MS 700
 /* Silence after which a peer counts as dead. */
@@ -62,8 +64,8 @@
 		ep->peer_inflight += load->inflight;
 		ep->peer_reading += load->reading;
 		if (load->heard_ms < now)
-			ep->peer_heard_ms = MAX(ep->peer_heard_ms,
-			    now - load->heard_ms);
+			ep->peer_heard_ms =
+			    MAX(ep->peer_heard_ms, now - load->heard_ms);
 		g_array_append_vals(peer->loads, load, 1);
 	}
 }
@@ -264,7 +266,8 @@
 {
 	const struct dir *dir = mesh->dir;
 	uint64_t now = uv_now(mesh->loop);
-	uint64_t age = dir_follow_age(&dir->config, now);
+	/* A proof by a peer's word is as good as an own one, and as old. */
+	uint64_t age = dir_config_age(dir, now);
 	struct endpoint *ep;
 
 	memset(news, 0, offsetof(struct mesh_news, loads));
@@ -293,8 +296,8 @@
 		news->loads[news->n_loads].key = ep->key;
 		news->loads[news->n_loads].inflight = ep->inflight;
 		news->loads[news->n_loads].reading = (uint32_t)ep->reading;
-		news->loads[news->n_loads].heard_ms = (uint32_t)MIN(now -
-			ep->heard_ms, UINT32_MAX);
+		news->loads[news->n_loads].heard_ms =
+		    (uint32_t)MIN(now - ep->heard_ms, UINT32_MAX);
 		news->n_loads++;
 	}
 }
@@ -321,6 +324,9 @@
 	if (!peer_lives(mesh, peer))
 		return (mesh->round % DEAD_ROUNDS == 0 ||
 		    uv_now(mesh->loop) - peer->met_ms < PEER_DEAD_MS);
+	/* What the reader knows is wanted by all. */
+	if (mesh->dir->config.reader && mesh->round % READER_ROUNDS == 0)
+		return (true);
 	return (living <= TELL_MOST || random_below(living) < TELL_MOST);
 }
 
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -73,7 +73,8 @@
  * @self: what this daemon says of itself
  * @round: rounds of telling so far
  * @fetching: a configuration is being fetched from a peer
- * @behind_ms: since when a peer has had a newer configuration; 0 for none
+ * @newest: newest version of the configuration that any peer had
+ * @behind_ms: since when that is newer than the own one; 0 while it is not
  * @avoided: told when a peer says that an endpoint is to be avoided
  * @avoided_arg: for @avoided
  */
@@ -91,6 +92,7 @@
 	struct mesh_self self;
 	uint64_t round;
 	bool fetching;
+	int64_t newest;
 	uint64_t behind_ms;
 	void (*avoided)(void *, struct endpoint *);
 	void *avoided_arg;
--- a/src/replica-form.c
+++ b/src/replica-form.c
@@ -106,6 +106,8 @@
 {
 	bool largest = try->index == view->largest;
 
+	if (view->only_largest && !largest)
+		return (false);
 	if (largest &&
 	    form_fabric_held(view, try->model, try->fabric) >=
 		form_fabric_cap(view, try->fabric))
--- a/src/replica-form.h
+++ b/src/replica-form.h
@@ -42,6 +42,7 @@
  * @cap: most replicas of that model in one fabric domain, for each 2 x its
  *	size hosts there; the rest are replicas that can donate hosts to it
  * @loads: loads from the weight store that may begin now
+ * @only_largest: form replicas of the largest model only
  * @serving: requests come; loads take their full time
  */
 struct form_view {
@@ -54,6 +55,7 @@
 	unsigned largest;
 	unsigned cap;
 	unsigned loads;
+	bool only_largest;
 	bool serving;
 };
 
--- a/src/replica.h
+++ b/src/replica.h
@@ -27,9 +27,9 @@
 /* Time that a leaving member's group may take to finish its work: the
  * platform keeps the member as long, with a margin. */
 #define REPLICA_FINISH_MS 8000
-/* Time that a replica may take whose hosts another needs: most answers are
- * whole by then. */
-#define REPLICA_DONATE_MS 2500
+/* Time that a replica may take whose hosts another needs. Its streams can go
+ * on elsewhere, and a large replica that is missing costs more. */
+#define REPLICA_DONATE_MS 700
 /* Between the warning that a head is closed and the order: the time that the
  * warning takes to the other daemons. */
 #define REPLICA_WARN_MS 150
--- a/src/store-ops.h
+++ b/src/store-ops.h
@@ -77,14 +77,15 @@
 /**
  * struct store_ops - calls to the store; each returns false if not begun.
  * @newest: the newest record of each key after a key (NULL: from the first)
- * @read: records from an offset on, waiting up to some ms for one
+ * @read: records from an offset on; never held back where there are none,
+ *	since what is proved dates from the asking
  * @append: add records, if the topic ends at a given offset
  */
 struct store_ops {
 	bool (*newest)(struct store *, enum store_topic, const char *,
 	    store_fn *, void *);
-	bool (*read)(struct store *, enum store_topic, uint64_t, unsigned,
-	    store_fn *, void *);
+	bool (*read)(struct store *, enum store_topic, uint64_t, store_fn *,
+	    void *);
 	bool (*append)(struct store *, enum store_topic, const GArray *,
 	    int64_t, store_fn *, void *);
 };
@@ -92,14 +93,14 @@
 /**
  * struct store - a store and its adapter's functions.
  * @ops: the functions
- * @timeout_ms: for one call, beyond the time that it may wait
- * @calls: made so far
+ * @timeout_ms: for one call
+ * @calls: made so far, by topic
  * @failures: of them without a good answer
  */
 struct store {
 	const struct store_ops *ops;
 	unsigned timeout_ms;
-	uint64_t calls;
+	uint64_t calls[TOPIC_COUNT];
 	uint64_t failures;
 };
 
