Spread a configuration by those that fetched it; read before its bound

Ruled out: lost news (all had heard the version). Change: one hearing in four leads to a fetch at first; own reads after 0.6 of the bound; ages are told by the time that it is, also within a long round of the loop, and proofs of keys are judged so.

--- a/src/dir.c
+++ b/src/dir.c
@@ -6,9 +6,6 @@
 
 /* Key of the configuration in its topic. */
 #define CONFIG_KEY "config"
-/* Reads of a reader that may go by without news from it: its proofs come by
- * way of other daemons and are some rounds of telling old. */
-#define CONFIG_FALLBACK 5
 
 static void
 dir_tell(struct dir *dir)
@@ -181,15 +178,16 @@
  * dir_start() - begin to follow the store.
  * @dir: the knowledge
  * @config_pause_ms: between two reads of the configuration
+ * @config_fallback_ms: without a peer's proof for so long, read oneself
  * @endpoints_pause_ms: between two reads of the endpoints' entries
  */
 void
 dir_start(struct dir *dir, unsigned config_pause_ms,
-    unsigned endpoints_pause_ms)
+    unsigned config_fallback_ms, unsigned endpoints_pause_ms)
 {
 	dir->config.pause_ms = config_pause_ms;
 	dir->endpoints.pause_ms = endpoints_pause_ms;
-	dir->config.fallback_ms = config_pause_ms * CONFIG_FALLBACK;
+	dir->config.fallback_ms = config_fallback_ms;
 	dir->endpoints.fallback_ms = endpoints_pause_ms * 3 / 2;
 	dir_follow_start(&dir->config);
 	dir_follow_start(&dir->endpoints);
--- a/src/dir.h
+++ b/src/dir.h
@@ -59,7 +59,7 @@
 
 void dir_init(struct dir *, uv_loop_t *, struct store *,
     const struct dir_decode *);
-void dir_start(struct dir *, unsigned, unsigned);
+void dir_start(struct dir *, unsigned, unsigned, unsigned);
 bool dir_feed_endpoints(struct dir *, uint64_t, uint64_t, const GArray *,
     uint64_t);
 void dir_stop(struct dir *);
--- a/src/edge.c
+++ b/src/edge.c
@@ -22,6 +22,9 @@
 /* The configuration is read this often within the bound on keys, so that a
  * proof that came by way of others is still young. */
 #define CONFIG_READS 10
+/* Part of the bound within which a configuration is in force after which a
+ * daemon that hears of no reader reads itself; the rest is for the reading. */
+#define CONFIG_FALLBACK 0.6
 /* Endpoints are read this often within the bound on leaving ones. */
 #define ENDPOINT_READS 4
 /* Silence of the placer after which another daemon reads the store. */
@@ -364,6 +367,7 @@
 		e->set.peer_address, error))
 		return (false);
 	dir_start(&e->dir, (unsigned)(e->set.key_proof_ms / CONFIG_READS),
+	    (unsigned)((double)e->set.apply_ms * CONFIG_FALLBACK),
 	    (unsigned)(e->set.drain_ms / ENDPOINT_READS));
 	edge_apply(e);
 	keeper_open(&e->keeper, e->loop);
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -235,6 +235,9 @@
 	    http_method_str((enum http_method)caller->parser.method);
 	struct wire_request req;
 
+	/* Proofs are judged by the time that it is, not by that at which this
+	 * round of the loop began: the process may have stood still since. */
+	uv_update_time(fwd->loop);
 	fwd->wire->read_request(&caller->head, &req);
 	ex->fwd = fwd;
 	ex->caller = caller;
--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -4,6 +4,7 @@
 #include "event-log.h"
 #include "mesh.h"
 #include "net-call.h"
+#include "random.h"
 
 #define STATUS_OK 200
 #define STATUS_NOT_FOUND 404
@@ -13,6 +14,11 @@
  * failure domains are priced, and the wait is short against the bound within
  * which a configuration must be in force. */
 #define NEAR_WAIT_MS 200
+/* At first, one hearing in so many leads to a fetch. */
+#define SPREAD_MS 400
+#define FETCH_ONE_IN 4
+/* After this the store is asked as well. */
+#define STORE_AFTER_MS 800
 
 static void
 on_fetched(void *arg, const struct net_answer *answer)
@@ -53,6 +59,13 @@
 	    (strcmp(peer->domain, mesh->domain) != 0 &&
 		now - mesh->behind_ms < NEAR_WAIT_MS))
 		return;
+	/* Not all at once from the one that has it first: those that fetched it
+	 * are asked by the others. */
+	if (now - mesh->behind_ms < SPREAD_MS &&
+	    random_below(FETCH_ONE_IN) != 0)
+		return;
+	if (now - mesh->behind_ms >= STORE_AFTER_MS)
+		dir_follow_hurry(&mesh->dir->config);
 	event_log(LOG_INFO, "config_fetch", "peer=%s version=%lld own=%lld",
 	    peer->name, (long long)peer->config_version, (long long)own);
 	mesh->fetching = net_call_start(&peer->pool, &req, FETCH_TIMEOUT_MS,
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -265,11 +265,16 @@
 news_fill(struct mesh *mesh, struct mesh_news *news)
 {
 	const struct dir *dir = mesh->dir;
-	uint64_t now = uv_now(mesh->loop);
+	uint64_t now;
 	/* A proof by a peer's word is as good as an own one, and as old. */
-	uint64_t age = dir_config_age(dir, now);
+	uint64_t age;
 	struct endpoint *ep;
 
+	/* An age must not be told as less than it is, also where this loop's
+	 * round takes long or the process stood still in it. */
+	uv_update_time(mesh->loop);
+	now = uv_now(mesh->loop);
+	age = dir_config_age(dir, now);
 	memset(news, 0, offsetof(struct mesh_news, loads));
 	g_strlcpy(news->name, mesh->name, sizeof news->name);
 	g_strlcpy(news->domain, mesh->domain, sizeof news->domain);
