--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -77,6 +77,7 @@
  * @peer_reading: other daemons' prompt tokens
  * @failures: failures in a row
  * @rest_until_ms: no work before then
+ * @unfit_until_ms: not to be placed before then; it did not answer
  * @warned_ms: when this daemon found it silent or closed it; others are told
  * @avoided_ms: when another daemon last warned of it
  * @heard_ms: loop time of its last byte in any exchange
@@ -102,6 +103,7 @@
 	double peer_reading;
 	unsigned failures;
 	uint64_t rest_until_ms;
+	uint64_t unfit_until_ms;
 	uint64_t warned_ms;
 	uint64_t avoided_ms;
 	uint64_t heard_ms;
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -80,7 +80,8 @@
 		host.staged = ep->report.staged;
 		host.staging = host_staging(k, ep, now_ms);
 		host.group = host_group(k, ep->report.id);
-		host.free = host.group == NULL && now_ms >= ep->rest_until_ms;
+		host.free = host.group == NULL &&
+		    now_ms >= ep->unfit_until_ms;
 		g_array_append_val(view->hosts, host);
 	}
 }
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -271,7 +271,7 @@
 
 		/* A dead host is no spare until its entry says otherwise. */
 		if (ep != NULL && r->members[i].life >= MEMBER_SILENT)
-			ep->rest_until_ms = now_ms + SUSPECT_MS;
+			ep->unfit_until_ms = now_ms + SUSPECT_MS;
 	}
 	g_hash_table_replace(k->ended, g_strdup(r->name),
 	    g_memdup2(&now_ms, sizeof now_ms));
--- a/src/replica-form.c
+++ b/src/replica-form.c
@@ -13,6 +13,8 @@
 
 /* A load takes about ten times as long as a join from the host's copy. */
 #define LOAD_WEIGHT 1.0
+/* Copies of the largest model kept beside its replicas in a fabric domain. */
+#define COPIES_KEPT 1
 
 /* A candidate: some free hosts of one fabric domain for one model. */
 struct form_try {
@@ -38,10 +40,31 @@
 	return (g_strcmp0(h->fabric, fabric) == 0);
 }
 
+/* Hosts beside the large replicas that hold or get the largest model. */
+static unsigned
+fabric_copies(const struct form_view *view, const struct model_profile *big,
+    const char *fabric)
+{
+	unsigned n = 0;
+
+	for (guint i = 0; i < view->hosts->len; i++) {
+		const struct form_host *h =
+		    &g_array_index(view->hosts, struct form_host, i);
+		bool serves = h->group != NULL && replica_wanted(h->group) &&
+		    strcmp(h->group->model, big->name) == 0;
+
+		if (host_in(h, fabric) && !serves)
+			n += form_host_has(h, big) ||
+			    g_strcmp0(h->staging, big->name) == 0;
+	}
+	return (n);
+}
+
 /*
  * Whether a free host may be taken for a model. While requests come, the
  * largest model gets its hosts by copies made beside other work, and a host
- * that holds its copy is kept for it where its fabric domain lacks a replica.
+ * that holds its copy is kept for it where its fabric domain lacks a replica,
+ * or where it is the last copy there.
  */
 static bool
 host_offered(const struct form_view *view, const struct form_host *h,
@@ -56,9 +79,11 @@
 		return (true);
 	if (try->model == big)
 		return (!view->serving);
-	return (!form_host_has(h, big) ||
-	    form_fabric_held(view, big, try->fabric) >=
-		form_fabric_cap(view, try->fabric));
+	if (!form_host_has(h, big))
+		return (true);
+	return (form_fabric_held(view, big, try->fabric) >=
+		form_fabric_cap(view, try->fabric) &&
+	    fabric_copies(view, big, try->fabric) > COPIES_KEPT);
 }
 
 /* Free hosts of a fabric domain, and how many need no load. */
@@ -255,26 +280,6 @@
 	return (NULL);
 }
 
-/* Hosts beside the large replicas that hold or get the largest model. */
-static unsigned
-fabric_copies(const struct form_view *view, const struct model_profile *big,
-    const char *fabric)
-{
-	unsigned n = 0;
-
-	for (guint i = 0; i < view->hosts->len; i++) {
-		const struct form_host *h =
-		    &g_array_index(view->hosts, struct form_host, i);
-		bool serves = h->group != NULL && replica_wanted(h->group) &&
-		    strcmp(h->group->model, big->name) == 0;
-
-		if (host_in(h, fabric) && !serves)
-			n += form_host_has(h, big) ||
-			    g_strcmp0(h->staging, big->name) == 0;
-	}
-	return (n);
-}
-
 /* A host of a fabric domain to copy the largest model to. */
 static const struct form_host *
 stage_pick(const struct form_view *view, const struct model_profile *big,
@@ -321,9 +326,12 @@
 		    g_array_index(view->hosts, struct form_host, i).fabric;
 		unsigned cap = form_fabric_cap(view, fabric);
 		unsigned held = form_fabric_held(view, big, fabric);
-		unsigned need = held >= cap ? 1 : big->size;
+		unsigned need = held >= cap ? COPIES_KEPT : big->size;
 		const struct form_host *h;
 
+		/* Before the first request its hosts are still appearing. */
+		if (held < cap && !view->serving)
+			continue;
 		if (cap == 0 || fabric_copies(view, big, fabric) >= need)
 			continue;
 		h = stage_pick(view, big, fabric);
