Make copies of small models on idle hosts; tell entries twice

Change: while requests come nothing joins by a load; idle hosts get copies first, one spare each; what was told is told once more; failed reads of daemons that do not read for others pause longer; at most two idle connections an endpoint and daemon; what may run once gets a connection of its own, after 5 ms in which a full endpoint resets it; a send that reached nobody is no repeat; a resumed stream counts as run.

--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -83,6 +83,8 @@
  * @heard_ms: loop time of its last byte in any exchange
  * @peer_heard_ms: the same, of other daemons' exchanges
  * @slowness: moving ratio of observed to expected event gaps
+ * @late_ms: moving excess of seen over expected first events
+ * @late_at_ms: loop time of its last change
  * @error_rate: moving share of answers that were server failures
  * @entry: in the fleet
  */
@@ -109,6 +111,8 @@
 	uint64_t heard_ms;
 	uint64_t peer_heard_ms;
 	double slowness;
+	double late_ms;
+	uint64_t late_at_ms;
 	double error_rate;
 	TAILQ_ENTRY(endpoint) entry;
 };
--- a/src/dir-follow.c
+++ b/src/dir-follow.c
@@ -8,6 +8,8 @@
 #define RETRY_FIRST_MS 50
 /* Longest pause: how late the store's return may be noticed. */
 #define RETRY_LONGEST_MS 400
+/* Daemons that do not read for others try again this many fallbacks later. */
+#define FAILED_FALLBACKS 2
 
 static void follow_ask(struct dir_follow *);
 static void follow_later(struct dir_follow *, unsigned);
@@ -73,7 +75,7 @@
 	pause = MIN(pause, RETRY_LONGEST_MS);
 	/* One daemon notices the store's return for the others. */
 	if (!f->reader && f->fallback_ms > 0)
-		pause = MAX(pause, f->fallback_ms);
+		pause = MAX(pause, f->fallback_ms * FAILED_FALLBACKS);
 	follow_later(f, pause);
 }
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -29,6 +29,7 @@
 #define ENDPOINT_READS 4
 /* Silence of the placer after which another daemon reads the store. */
 #define READER_LOST_MS 700
+#define READER_LOST_EACH_MS 10
 /* A balancer that asks each second and drops after two misses has moved on
  * by then. */
 #define LEAVE_ACCEPT_MS 3000
@@ -184,7 +185,9 @@
 edge_choose_reader(struct edge *e)
 {
 	bool reader = e->keeper.state == KEEPER_HOLDING ||
-	    (!mesh_placer_heard(&e->mesh, READER_LOST_MS) &&
+	    (!mesh_placer_heard(&e->mesh,
+		 READER_LOST_MS +
+		     READER_LOST_EACH_MS * mesh_living(&e->mesh)) &&
 		mesh_rank(&e->mesh) == 0);
 
 	dir_follow_set_reader(&e->dir.config, reader);
--- a/src/fwd-again.c
+++ b/src/fwd-again.c
@@ -36,7 +36,8 @@
 bool
 fwd_exchange_movable(const struct fwd_exchange *ex)
 {
-	unsigned counted = ex->runs - ex->moved - (ex->reading ? 1 : 0);
+	bool unrun = ex->reading && ex->first_us == 0;
+	unsigned counted = ex->runs - ex->moved - (unrun ? 1 : 0);
 
 	return (ex->caller != NULL && fwd_exchange_repeatable(ex) &&
 	    counted < MAX(ex->route->max_attempts, 1) && ex->sends < SENDS_MAX);
@@ -87,7 +88,8 @@
 	struct fwd *fwd = ex->fwd;
 	const char *obstacle = again_obstacle(ex);
 
-	if (obstacle == NULL &&
+	/* Only what may have arrived counts as a repeat. */
+	if (obstacle == NULL && ex->arrived &&
 	    !fwd_budget_take(fwd_budget_of(fwd, ex->service), &fwd->set.retry,
 		fwd->daemons, uv_now(fwd->loop)))
 		obstacle = "retry_budget";
--- a/src/fwd-answer.c
+++ b/src/fwd-answer.c
@@ -16,6 +16,9 @@
 #define ERROR_ALPHA 0.1
 /* Weight of the newest gap in the slowness of an endpoint. */
 #define SLOWNESS_ALPHA 0.03
+/* Weight of the newest first event in the lateness of an endpoint. */
+#define LATE_ALPHA 0.15
+#define LATE_MOST_MS 1500.0
 #define SLOWNESS_LEAST 0.5
 #define SLOWNESS_MOST 20.0
 /* Failures in a row after which an endpoint rests, and for how long. */
@@ -98,6 +101,21 @@
 	return (NET_TAKE);
 }
 
+/* Learns how much later than expected first events come. */
+static void
+answer_learn_first(struct fwd_exchange *ex)
+{
+	struct endpoint *ep = ex->endpoint;
+	uint64_t now = uv_now(ex->fwd->loop);
+	double seen = (double)(now - ex->sent_ms);
+	double learned = ep->late_ms;
+
+	/* The expectation at the sending held what was learned by then. */
+	learned += LATE_ALPHA * (seen - ex->expected_ms);
+	ep->late_ms = CLAMP(learned, 0, LATE_MOST_MS);
+	ep->late_at_ms = now;
+}
+
 /* The first event shows that the prompt was read. */
 static void
 answer_first_event(struct fwd_exchange *ex)
@@ -108,6 +126,7 @@
 		return;
 	ex->reading = false;
 	ep->reading = MAX(ep->reading - ex->prompt, 0);
+	answer_learn_first(ex);
 }
 
 /* Learns from the time since the last event how slow the endpoint is. */
@@ -152,6 +171,7 @@
 	while ((verdict = fwd_events_next(&ex->events, &length)) !=
 	    FWD_EVENT_NONE) {
 		if (verdict == FWD_EVENT_GAP) {
+			ex->arrived = true;
 			net_client_abandon(ex->client);
 			ex->client = NULL;
 			fwd_exchange_release(ex);
@@ -175,6 +195,7 @@
 	ex->heard_ms = now;
 	ex->endpoint->heard_ms = now;
 	if (!fwd_events_add(&ex->events, at, length)) {
+		ex->arrived = true;
 		net_client_abandon(ex->client);
 		ex->client = NULL;
 		fwd_exchange_release(ex);
@@ -250,11 +271,13 @@
 	}
 	if (ex->not_run) {
 		ex->runs--;
+		ex->arrived = true;
 		fwd_stats_count(&ex->fwd->stats, COUNT_NOT_RUN);
 		fwd_exchange_release(ex);
 		fwd_exchange_again(ex, "endpoint_refused");
 		return;
 	}
+	ex->arrived = true;
 	endpoint_judge(ep, bad || ex->status >= STATUS_SERVER_ERROR);
 	fwd_exchange_release(ex);
 	if (ex->streaming)
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -8,13 +8,16 @@
  * that daemons with the same late knowledge do not all choose the same. */
 #define CANDIDATES 3
 /* Work in another failure domain must gain this much to be chosen: bytes
- * between failure domains are priced and add to each event's way. */
-#define CROSS_DOMAIN_MS 12.0
+ * between failure domains are priced, and what is known of the work there is
+ * older, since far daemons are told less often. */
+#define CROSS_DOMAIN_MS 40.0
 /* A plain endpoint's queue is counted in requests; one in another failure
  * domain counts as this much of a request more. */
 #define CROSS_DOMAIN_LOAD 0.15
 /* An endpoint's share of failures weighs as much as this load. */
 #define ERROR_WEIGHT 2.0
+/* What was learned of an endpoint's lateness is forgotten over this. */
+#define LATE_FADE_MS 3000
 
 /* Requests at an endpoint, one's own and the other daemons'. */
 static double
@@ -48,6 +51,17 @@
 	return (step_ms(e, m, endpoint_running(ep)) * ep->slowness);
 }
 
+/* What first events lately came later than expected, fading with its age. */
+static double
+endpoint_late_ms(const struct endpoint *ep, uint64_t now_ms)
+{
+	uint64_t age = now_ms - ep->late_at_ms;
+
+	if (age >= LATE_FADE_MS)
+		return (0);
+	return (ep->late_ms * (double)(LATE_FADE_MS - age) / LATE_FADE_MS);
+}
+
 /**
  * fwd_expect_first() - expected time to the first event of a request.
  * @ep: the endpoint
@@ -72,7 +86,8 @@
 
 	if (e->read_per_ms > 0)
 		read = backlog / e->read_per_ms * want->model->pace;
-	return ((writers / 2 + read + passes * writers + steps) * ep->slowness);
+	return ((writers / 2 + read + passes * writers + steps) * ep->slowness +
+	    endpoint_late_ms(ep, want->now_ms));
 }
 
 static bool
@@ -151,21 +166,56 @@
 	return (found);
 }
 
-/* Moves some random candidates to the front. */
+/* Moves the endpoints of the own failure domain to the front. */
+static unsigned
+near_first(GPtrArray *found, const struct fwd_want *want)
+{
+	unsigned n = 0;
+
+	for (guint i = 0; i < found->len; i++) {
+		struct endpoint *ep = found->pdata[i];
+
+		if (g_strcmp0(ep->report.domain, want->domain) != 0)
+			continue;
+		found->pdata[i] = found->pdata[n];
+		found->pdata[n++] = ep;
+	}
+	return (n);
+}
+
+/* Moves random candidates of a part of the array to the start of that part. */
 static unsigned
-draw_candidates(GPtrArray *found, uint32_t draw)
+draw_candidates(GPtrArray *found, unsigned first, unsigned end, uint32_t *draw)
 {
-	unsigned n = MIN(found->len, CANDIDATES);
+	unsigned n = MIN(end - first, CANDIDATES);
 
-	for (unsigned i = 0; i < n; i++) {
-		unsigned k = i + draw % (found->len - i);
+	for (unsigned i = first; i < first + n; i++) {
+		unsigned k = i + *draw % (end - i);
 		void *swap = found->pdata[i];
 
 		found->pdata[i] = found->pdata[k];
 		found->pdata[k] = swap;
-		draw = draw / 7 + draw * 2654435761u;
+		*draw = *draw / 7 + *draw * 2654435761u;
+	}
+	return (first + n);
+}
+
+/* Compares some candidates with the best so far. */
+static void
+compare(const GPtrArray *found, unsigned first, unsigned end,
+    const struct fwd_want *want, struct fwd_choice *choice, double *best)
+{
+	for (unsigned i = first; i < end; i++) {
+		struct endpoint *ep = found->pdata[i];
+		double expected, cost = endpoint_cost(ep, want, &expected);
+
+		if (cost >= *best)
+			continue;
+		*best = cost;
+		choice->endpoint = ep;
+		choice->first_ms = expected;
+		choice->load = endpoint_running(ep) / endpoint_places(ep, want);
 	}
-	return (n);
 }
 
 /**
@@ -180,7 +230,8 @@
 {
 	g_autoptr(GPtrArray) found = NULL;
 	double best = INFINITY;
-	unsigned n;
+	uint32_t draw = want->draw;
+	unsigned near, end;
 
 	memset(choice, 0, sizeof *choice);
 	found = collect(fleet, want, choice, false);
@@ -189,16 +240,9 @@
 		g_ptr_array_free(found, TRUE);
 		found = collect(fleet, want, choice, true);
 	}
-	n = draw_candidates(found, want->draw);
-	for (unsigned i = 0; i < n; i++) {
-		struct endpoint *ep = found->pdata[i];
-		double first, cost = endpoint_cost(ep, want, &first);
-
-		if (cost >= best)
-			continue;
-		best = cost;
-		choice->endpoint = ep;
-		choice->first_ms = first;
-		choice->load = endpoint_running(ep) / endpoint_places(ep, want);
-	}
+	near = near_first(found, want);
+	end = draw_candidates(found, 0, near, &draw);
+	compare(found, 0, end, want, choice, &best);
+	end = draw_candidates(found, near, found->len, &draw);
+	compare(found, near, end, want, choice, &best);
 }
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -10,9 +10,11 @@
 #define STATUS_UNAVAILABLE 503
 #define STATUS_GATEWAY_TIMEOUT 504
 
-/* A connection that was idle longer may have been closed meanwhile, and a
- * request that may not run twice can't be sent again to find out. */
-#define IDLE_ONCE_MS 400
+/* What may run once gets a connection of its own: one that was idle may have
+ * been dropped unsaid, and a request sent on it may not be sent again to find
+ * out. The wait is for the reset of a peer that takes no more; the way to
+ * another failure domain and back takes a few milliseconds. */
+#define ONCE_HOLD_MS 5
 #define IDLE_MOST_MS 60000
 /* A host that does not take a connection in this time is not there; a lost
  * packet is sent again after a second, which is longer than most objectives. */
@@ -97,8 +99,8 @@
 exchange_send(struct fwd_exchange *ex, const struct fwd_choice *choice)
 {
 	struct fwd *fwd = ex->fwd;
-	uint64_t idle =
-	    fwd_exchange_repeatable(ex) ? IDLE_MOST_MS : IDLE_ONCE_MS;
+	bool once = !fwd_exchange_repeatable(ex);
+	uint64_t idle = once ? 0 : IDLE_MOST_MS;
 	g_autoptr(GString) text = NULL;
 
 	TAILQ_REMOVE(&fwd->waiting, ex, wait_entry);
@@ -115,6 +117,8 @@
 		fwd_exchange_again(ex, "no_connection");
 		return;
 	}
+	if (once)
+		net_client_hold(ex->client, ONCE_HOLD_MS);
 	ex->runs++;
 	fwd_stats_count(&fwd->stats, COUNT_SENT);
 	log_debug("request_sent",
@@ -307,14 +311,15 @@
  * @reached: the endpoint may have got it
  *
  * A stream begins to run with its first token, so one without an event has
- * most likely not run, though it may yet.
+ * most likely not run; one that goes on after an event runs at once.
  */
 void
 fwd_exchange_discount(struct fwd_exchange *ex, bool reached)
 {
+	ex->arrived = reached;
 	if (!reached)
 		ex->runs--;
-	else if (ex->reading)
+	else if (ex->reading && ex->first_us == 0)
 		ex->moved++;
 }
 
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -52,7 +52,7 @@
  * @sends: times it was sent
  * @runs: of these, the ones that may have run
  * @moved: of these, the ones that ended before a first event
- * @unreached: sends in a row that reached nobody
+ * @arrived: the last send may have reached its endpoint
  * @tried: endpoints that failed it
  * @n_tried: how many
  * @status: of the answer being read
@@ -99,7 +99,7 @@
 	unsigned sends;
 	unsigned runs;
 	unsigned moved;
-	unsigned unreached;
+	bool arrived;
 	struct endpoint *tried[FWD_TRIED_MAX];
 	unsigned n_tried;
 	unsigned status;
--- a/src/keeper-lease.c
+++ b/src/keeper-lease.c
@@ -10,6 +10,8 @@
 /* Silence of the placer after which another takes its lease. Some missed
  * datagrams are no reason; the fencing token covers a placer that wakes. */
 #define PLACER_LOST_MS 700
+/* More for each daemon that lives: with many, not all are told each round. */
+#define PLACER_LOST_EACH_MS 10
 /* Each daemon waits this much longer than the one before it. */
 #define RANK_STEP_MS 200
 /* At the very start, until the others have been heard. */
@@ -275,12 +277,14 @@
 static bool
 lease_due(struct keeper *k, uint64_t now_ms)
 {
-	uint64_t wait;
+	uint64_t wait, lost;
 
 	if (k->writing || k->mesh->self.leaving || !k->mesh->self.store_ok ||
 	    k->dir->catalog == NULL || !k->dir->endpoints.synced)
 		return (false);
-	if (mesh_placer_heard(k->mesh, PLACER_LOST_MS)) {
+	lost = PLACER_LOST_MS +
+	    (uint64_t)mesh_living(k->mesh) * PLACER_LOST_EACH_MS;
+	if (mesh_placer_heard(k->mesh, lost)) {
 		k->alone_ms = 0;
 		return (false);
 	}
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -80,8 +80,7 @@
 		host.staged = ep->report.staged;
 		host.staging = host_staging(k, ep, now_ms);
 		host.group = host_group(k, ep->report.id);
-		host.free = host.group == NULL &&
-		    now_ms >= ep->unfit_until_ms;
+		host.free = host.group == NULL && now_ms >= ep->unfit_until_ms;
 		g_array_append_val(view->hosts, host);
 	}
 }
@@ -139,32 +138,44 @@
 	return (n);
 }
 
+/* Members that join, most of them by loads while no requests come. */
+static unsigned
+joining_count(const struct keeper *k)
+{
+	const struct replica *r;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(r, &k->replicas, entry) {
+		for (unsigned i = 0; i < r->n && replica_wanted(r); i++)
+			n += !r->members[i].here ||
+			    r->members[i].state == GROUP_JOINING;
+	}
+	return (n);
+}
+
 /* Loads that may begin now. */
 static unsigned
 loads_free(struct keeper *k, const struct engine_profile *e, uint64_t now_ms)
 {
 	double most = e->loads_per_s * LOADS_WINDOW_MS / 1000 * LOADS_SHARE;
-	unsigned joining = staging_count(k, now_ms);
-	const struct replica *r;
+	unsigned staging = staging_count(k, now_ms);
 
 	while (k->loads->len > 0 &&
 	    now_ms - g_array_index(k->loads, uint64_t, 0) >= LOADS_WINDOW_MS)
 		g_array_remove_index(k->loads, 0);
 	if (e->loads_per_s <= 0)
 		return (LOADS_ANY);
-	/* More at once only slow each other down; before the first request,
-	 * twice as many keep the weight store busy between two looks. */
-	TAILQ_FOREACH(r, &k->replicas, entry) {
-		for (unsigned i = 0; i < r->n && replica_wanted(r); i++)
-			joining += !r->members[i].here ||
-			    r->members[i].state == GROUP_JOINING;
-	}
+	/* Before the first request loads are quick and not counted; twice as
+	 * many as load best keep the weight store busy between two looks. */
 	if (!mesh_serving(k->mesh))
-		/* Before the first request loads are quick and not counted. */
-		return (joining >= 2 * e->loads_at_once ? 0 : LOADS_ANY);
-	if (joining >= e->loads_at_once)
+		return (staging + joining_count(k) >= 2 * e->loads_at_once ?
+			0 :
+			LOADS_ANY);
+	/* More at once only slow each other down. */
+	if (staging >= e->loads_at_once || k->loads->len >= most)
 		return (0);
-	return (k->loads->len >= most ? 0 : (unsigned)(most - k->loads->len));
+	return (
+	    MIN(e->loads_at_once - staging, (unsigned)(most - k->loads->len)));
 }
 
 /* Makes a replica of a plan and has its record written. */
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -9,8 +9,10 @@
 /* How often a daemon tells: a load is this old at the others at most. Three
  * of these are well below the shortest objective. */
 #define TELL_MS 100
-/* Daemons told in each round; beyond it, others by turns. */
+/* Up to so many daemons, all are told in each round; beyond it, those of the
+ * own failure domain, and about so many others by turns. */
 #define TELL_MOST 12
+#define TELL_FAR 4
 /* Rounds in which the daemon that reads the store tells all. */
 #define READER_ROUNDS 3
 /* Silence after which a peer's work is no longer counted. */
@@ -332,7 +334,12 @@
 	/* What the reader knows is wanted by all. */
 	if (mesh->dir->config.reader && mesh->round % READER_ROUNDS == 0)
 		return (true);
-	return (living <= TELL_MOST || random_below(living) < TELL_MOST);
+	if (living <= TELL_MOST)
+		return (true);
+	/* Near daemons send to the same endpoints first. */
+	if (strcmp(peer->domain, mesh->domain) == 0)
+		return (true);
+	return (random_below(living) < TELL_FAR);
 }
 
 /* Forgets the work of the silent and, later, the silent themselves. */
@@ -397,12 +404,49 @@
 	}
 }
 
+/* Copies records to the end of an array. */
+static void
+entries_append(GArray *to, const GArray *records)
+{
+	for (guint i = 0; i < records->len; i++) {
+		struct store_record copy =
+		    g_array_index(records, struct store_record, i);
+
+		copy.key = g_strdup(copy.key);
+		copy.value = g_memdup2(copy.value, copy.length);
+		g_array_append_val(to, copy);
+	}
+}
+
+/* Sends records in as many datagrams as they need. */
+static void
+entries_tell(struct mesh *mesh, struct mesh_entries *entries, uint64_t end)
+{
+	const GArray *records = entries->records;
+	guint first = 0;
+
+	do {
+		guint n = MIN(records->len - first, ENTRIES_TOLD);
+		guint last = first + n;
+
+		entries->end = last < records->len ?
+		    g_array_index(records, struct store_record, last).offset :
+		    end;
+		entries_send(mesh, entries, first, n);
+		entries->from = entries->end;
+		first = last;
+	} while (first < records->len);
+}
+
 /**
  * mesh_tell_entries() - tell the others what was read and changed.
  * @mesh: the mesh
  * @from: read from this offset
  * @end: to this one
  * @records: what changed, of struct store_record
+ *
+ * What was told the last time is told again, if it fits, so that one lost
+ * datagram leaves no gap.
  */
 void
 mesh_tell_entries(struct mesh *mesh, uint64_t from, uint64_t end,
@@ -410,26 +454,33 @@
 {
 	const struct dir_follow *f = &mesh->dir->endpoints;
 	struct mesh_entries entries = { .from = from,
-		.returned_ms = UINT32_MAX,
-		.records = (GArray *)records };
-	guint first = 0;
+		.returned_ms = UINT32_MAX };
+	bool again = mesh->told != NULL && mesh->told_from < from &&
+	    mesh->told->len + records->len <= ENTRIES_TOLD;
+	g_autoptr(GArray) all =
+	    g_array_new(FALSE, TRUE, sizeof(struct store_record));
 
+	g_array_set_clear_func(all, store_record_clear);
 	g_strlcpy(entries.name, mesh->name, sizeof entries.name);
 	if (f->regained_ms != 0)
 		entries.returned_ms =
 		    (uint32_t)MIN(uv_now(mesh->loop) - f->regained_ms,
 			UINT32_MAX);
-	do {
-		guint n = MIN(records->len - first, ENTRIES_TOLD);
-		guint last = first + n;
-
-		entries.end = last < records->len ?
-		    g_array_index(records, struct store_record, last).offset :
-		    end;
-		entries_send(mesh, &entries, first, n);
-		entries.from = entries.end;
-		first = last;
-	} while (first < records->len);
+	if (again) {
+		entries_append(all, mesh->told);
+		entries.from = mesh->told_from;
+	}
+	entries_append(all, records);
+	entries.records = all;
+	entries_tell(mesh, &entries, end);
+	if (mesh->told == NULL) {
+		mesh->told =
+		    g_array_new(FALSE, TRUE, sizeof(struct store_record));
+		g_array_set_clear_func(mesh->told, store_record_clear);
+	}
+	g_array_set_size(mesh->told, 0);
+	entries_append(mesh->told, records);
+	mesh->told_from = from;
 }
 
 static void
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -72,6 +72,8 @@
  * @peers: the others
  * @self: what this daemon says of itself
  * @round: rounds of telling so far
+ * @told_from: the last datagrams of entries told of records from here
+ * @told: these records, told once more with the next
  * @fetching: a configuration is being fetched from a peer
  * @newest: newest version of the configuration that any peer had
  * @behind_ms: since when that is newer than the own one; 0 while it is not
@@ -91,6 +93,8 @@
 	struct mesh_peer_list peers;
 	struct mesh_self self;
 	uint64_t round;
+	uint64_t told_from;
+	GArray *told;
 	bool fetching;
 	int64_t newest;
 	uint64_t behind_ms;
--- a/src/net-client.c
+++ b/src/net-client.c
@@ -18,10 +18,31 @@
 	g_free(client);
 }
 
+static void
+on_hold_closed(uv_handle_t *handle)
+{
+	client_free(handle->data);
+}
+
 static void
 client_closed(struct net_stream *stream)
 {
-	client_free(stream->owner);
+	struct net_client *client = stream->owner;
+
+	if (client->hold_ms == 0)
+		client_free(client);
+	else
+		uv_close((uv_handle_t *)&client->hold, on_hold_closed);
+}
+
+/* Takes a connection out of the idle ones. */
+static void
+client_unidle(struct net_client *client)
+{
+	if (client->pool == NULL)
+		return;
+	TAILQ_REMOVE(&client->pool->idle, client, entry);
+	client->pool->n_idle--;
 }
 
 /* Takes the connection from its owner and ends it. */
@@ -60,6 +81,19 @@
 	    !client->stream.ending && !client->stream.closing);
 }
 
+/* Closes the oldest idle connections beyond the number that is kept. */
+static void
+pool_trim(struct net_pool *pool)
+{
+	while (pool->n_idle > NET_IDLE_MOST) {
+		struct net_client *oldest =
+		    TAILQ_LAST(&pool->idle, net_client_list);
+
+		client_unidle(oldest);
+		net_stream_close(&oldest->stream);
+	}
+}
+
 /* The answer is complete: pool or close, then tell the owner. */
 static void
 client_done(struct net_client *client)
@@ -73,6 +107,8 @@
 		net_stream_read(&client->stream, true);
 		client->idle_since = uv_now(client->pool->loop);
 		TAILQ_INSERT_HEAD(&client->pool->idle, client, entry);
+		client->pool->n_idle++;
+		pool_trim(client->pool);
 	} else {
 		net_stream_close(&client->stream);
 	}
@@ -168,8 +204,7 @@
 
 	if (client->ops == NULL) {
 		/* Bytes that nobody asked for. */
-		if (client->pool != NULL)
-			TAILQ_REMOVE(&client->pool->idle, client, entry);
+		client_unidle(client);
 		net_stream_close(stream);
 		return;
 	}
@@ -194,8 +229,7 @@
 	struct net_client *client = stream->owner;
 
 	if (client->ops == NULL) {
-		if (client->pool != NULL)
-			TAILQ_REMOVE(&client->pool->idle, client, entry);
+		client_unidle(client);
 		net_stream_close(stream);
 		return;
 	}
@@ -216,19 +250,39 @@
 		client_fail(client, NET_BROKEN);
 }
 
+/* Sends the request that waited for the connection. */
 static void
-client_connected(struct net_stream *stream)
+client_start(struct net_client *client)
 {
-	struct net_client *client = stream->owner;
-
 	client->connected = true;
 	if (client->pending == NULL)
 		return;
-	net_stream_write(stream, client->pending->str, client->pending->len);
+	net_stream_write(&client->stream, client->pending->str,
+	    client->pending->len);
 	g_string_free(client->pending, TRUE);
 	client->pending = NULL;
 }
 
+static void
+on_hold(uv_timer_t *timer)
+{
+	struct net_client *client = timer->data;
+
+	if (!client->stream.closing && !client->stream.ending)
+		client_start(client);
+}
+
+static void
+client_connected(struct net_stream *stream)
+{
+	struct net_client *client = stream->owner;
+
+	if (client->hold_ms > 0)
+		uv_timer_start(&client->hold, on_hold, client->hold_ms, 0);
+	else
+		client_start(client);
+}
+
 static void
 client_drained(struct net_stream *stream)
 {
@@ -268,7 +322,7 @@
 	struct net_client *client;
 
 	while ((client = TAILQ_FIRST(&pool->idle)) != NULL) {
-		TAILQ_REMOVE(&pool->idle, client, entry);
+		client_unidle(client);
 		net_stream_close(&client->stream);
 	}
 }
@@ -285,7 +339,7 @@
 
 	while ((client = TAILQ_LAST(&pool->idle, net_client_list)) != NULL &&
 	    now - client->idle_since >= client->idle_ms) {
-		TAILQ_REMOVE(&pool->idle, client, entry);
+		client_unidle(client);
 		net_stream_close(&client->stream);
 	}
 }
@@ -322,7 +376,7 @@
 	idle = uv_now(pool->loop) - client->idle_since;
 	if (idle >= client->idle_ms || idle > most_idle_ms)
 		return (NULL);
-	TAILQ_REMOVE(&pool->idle, client, entry);
+	client_unidle(client);
 	return (client);
 }
 
@@ -373,6 +427,24 @@
 	client->pending = g_string_new_len(bytes, (gssize)length);
 }
 
+/**
+ * net_client_hold() - wait between connection and request.
+ * @client: a connection that does not stand yet; others are left as they are
+ * @ms: how long
+ *
+ * A peer that takes no more connections resets a new one at once; a request
+ * that has not been sent by then certainly did not run.
+ */
+void
+net_client_hold(struct net_client *client, unsigned ms)
+{
+	if (client->connected || client->hold_ms > 0)
+		return;
+	client->hold_ms = ms;
+	uv_timer_init(client->pool->loop, &client->hold);
+	client->hold.data = client;
+}
+
 /**
  * net_client_pause() - stop or go on reading, for back-pressure.
  * @client: the connection
--- a/src/net-client.h
+++ b/src/net-client.h
@@ -12,6 +12,8 @@
 
 /* Idle life where the peer names none: shorter than any usual server's. */
 #define NET_IDLE_DEFAULT_MS 900
+/* Idle connections kept to one address; peers count those of all daemons. */
+#define NET_IDLE_MOST 2
 /* Kept back from the idle life that a peer names, for the way to it. */
 #define NET_IDLE_MARGIN_MS 300
 
@@ -59,6 +61,7 @@
  * @loop: the event loop
  * @addr: the address
  * @idle: connections that wait for use, the last used first
+ * @n_idle: length of @idle
  * @opened: connections made, for the metrics
  * @open: connections that stand
  */
@@ -66,6 +69,7 @@
 	uv_loop_t *loop;
 	struct sockaddr_in addr;
 	struct net_client_list idle;
+	unsigned n_idle;
 	uint64_t opened;
 	unsigned open;
 };
@@ -79,7 +83,9 @@
  * @ops: the owner's functions; NULL while idle
  * @owner: whose exchange it is
  * @pending: request bytes that wait for the connection
- * @connected: the connection stands
+ * @hold: waits a little between connection and request
+ * @hold_ms: how long; 0 for no wait
+ * @connected: the connection stands and the request may have been sent
  * @head_request: the answer has no body, whatever its head says
  * @skipping: the answer being read is another request's
  * @poisoned: not to be used again
@@ -97,6 +103,8 @@
 	const struct net_client_ops *ops;
 	void *owner;
 	GString *pending;
+	uv_timer_t hold;
+	unsigned hold_ms;
 	bool connected;
 	bool head_request;
 	bool skipping;
@@ -112,6 +120,7 @@
 struct net_client *net_pool_take(struct net_pool *, uint64_t,
     const struct net_client_ops *, void *);
 void net_client_send(struct net_client *, const char *, size_t, bool);
+void net_client_hold(struct net_client *, unsigned);
 void net_client_pause(struct net_client *, bool);
 void net_client_abandon(struct net_client *);
 void net_pool_expire(struct net_pool *);
--- a/src/replica-form.c
+++ b/src/replica-form.c
@@ -61,10 +61,10 @@
 }
 
 /*
- * Whether a free host may be taken for a model. While requests come, the
- * largest model gets its hosts by copies made beside other work, and a host
- * that holds its copy is kept for it where its fabric domain lacks a replica,
- * or where it is the last copy there.
+ * Whether a free host may be taken for a model. While requests come, hosts
+ * get their models by copies made before they join. A host that holds a copy
+ * of the largest is kept for it where its fabric domain lacks a replica, or
+ * where it is the last copy there.
  */
 static bool
 host_offered(const struct form_view *view, const struct form_host *h,
@@ -77,8 +77,10 @@
 		return (false);
 	if (form_host_has(h, try->model) || view->engine->models->len == 1)
 		return (true);
+	if (view->serving || h->staging != NULL)
+		return (false);
 	if (try->model == big)
-		return (!view->serving);
+		return (true);
 	if (!form_host_has(h, big))
 		return (true);
 	return (form_fabric_held(view, big, try->fabric) >=
@@ -302,25 +304,14 @@
 	return (best);
 }
 
-/**
- * form_stage() - a host that should get a copy of the largest model.
- * @view: what is there
- * @model: set to the model
- *
- * Each fabric domain keeps one copy beside its large replicas, and as many as
- * it needs to form one that is missing.
- *
- * Return: the host, or NULL.
- */
-const struct form_host *
-form_stage(const struct form_view *view, const struct model_profile **model)
+/* Copies of the largest model: one beside each replica, or all of a missing
+ * one. */
+static const struct form_host *
+stage_largest(const struct form_view *view)
 {
 	const struct model_profile *big =
 	    view->engine->models->pdata[view->largest];
 
-	*model = big;
-	if (view->loads == 0 || view->engine->models->len < 2)
-		return (NULL);
 	for (guint i = 0; i < view->hosts->len; i++) {
 		const char *fabric =
 		    g_array_index(view->hosts, struct form_host, i).fabric;
@@ -340,3 +331,89 @@
 	}
 	return (NULL);
 }
+
+/* Free hosts of a fabric domain: with a model, getting it, and without. */
+static const struct form_host *
+free_count(const struct form_view *view, const struct model_profile *m,
+    const char *fabric, unsigned *has, unsigned *other)
+{
+	const struct model_profile *big =
+	    view->engine->models->pdata[view->largest];
+	const struct form_host *pick = NULL;
+
+	*has = 0;
+	*other = 0;
+	for (guint i = 0; i < view->hosts->len; i++) {
+		const struct form_host *h =
+		    &g_array_index(view->hosts, struct form_host, i);
+
+		if (!h->free || !host_in(h, fabric))
+			continue;
+		if (form_host_has(h, m) ||
+		    g_strcmp0(h->staging, m->name) == 0) {
+			(*has)++;
+		} else if (h->staging == NULL && !form_host_has(h, big)) {
+			(*other)++;
+			pick = h;
+		}
+	}
+	return (pick);
+}
+
+/*
+ * Copies of a small model on idle hosts: as many as a replica lacks where one
+ * can be made, or one as a spare. A join with a load would bind the hosts
+ * that need none for as long.
+ */
+static const struct form_host *
+stage_small(const struct form_view *view, unsigned index)
+{
+	const struct model_profile *m = view->engine->models->pdata[index];
+
+	for (guint i = 0; i < view->hosts->len; i++) {
+		const struct form_host *at =
+		    &g_array_index(view->hosts, struct form_host, i);
+		const struct form_host *pick;
+		unsigned has, other;
+
+		if (!at->free)
+			continue;
+		pick = free_count(view, m, at->fabric, &has, &other);
+		if (pick == NULL || has >= m->size)
+			continue;
+		if (has + other >= m->size && model_short(view, index) > 0.25)
+			return (pick);
+		if (has < COPIES_KEPT &&
+		    form_fabric_held(view, m, at->fabric) > 0)
+			return (pick);
+	}
+	return (NULL);
+}
+
+/**
+ * form_stage() - a host that should get a copy of a model.
+ * @view: what is there
+ * @model: set to the model
+ *
+ * Return: the host, or NULL.
+ */
+const struct form_host *
+form_stage(const struct form_view *view, const struct model_profile **model)
+{
+	const GPtrArray *models = view->engine->models;
+	const struct form_host *h;
+
+	if (view->loads == 0 || models->len < 2)
+		return (NULL);
+	*model = models->pdata[view->largest];
+	h = stage_largest(view);
+	if (h != NULL || !view->serving)
+		return (h);
+	for (guint k = 0; k < models->len && k < FORM_MODELS_MAX; k++) {
+		*model = models->pdata[k];
+		h = k != view->largest ? stage_small(view, k) : NULL;
+		if (h != NULL)
+			return (h);
+	}
+	return (NULL);
+}
