Count every send that may have arrived as a run

Ruled out: resumed streams alone (counted before, still broken). Change: only sends that reached nobody are not counted.

--- a/src/fwd-again.c
+++ b/src/fwd-again.c
@@ -36,11 +36,9 @@
 bool
 fwd_exchange_movable(const struct fwd_exchange *ex)
 {
-	bool unrun = ex->reading && ex->first_us == 0;
-	unsigned counted = ex->runs - ex->moved - (unrun ? 1 : 0);
-
 	return (ex->caller != NULL && fwd_exchange_repeatable(ex) &&
-	    counted < MAX(ex->route->max_attempts, 1) && ex->sends < SENDS_MAX);
+	    ex->runs < MAX(ex->route->max_attempts, 1) &&
+	    ex->sends < SENDS_MAX);
 }
 
 /* Why a request is not sent once more; NULL where it may be. */
@@ -54,8 +52,7 @@
 		return ("caller_left");
 	if (ex->runs > 0 && !fwd_exchange_repeatable(ex))
 		return ("may_have_run");
-	if (ex->runs > ex->moved &&
-	    ex->runs - ex->moved >= MAX(ex->route->max_attempts, 1))
+	if (ex->runs >= MAX(ex->route->max_attempts, 1))
 		return ("attempts");
 	if (ex->sends >= SENDS_MAX)
 		return ("sends");
@@ -94,10 +91,10 @@
 		fwd->daemons, uv_now(fwd->loop)))
 		obstacle = "retry_budget";
 	event_log(LOG_INFO, "request_again",
-	    "id=%s reason=%s obstacle=%s sends=%u runs=%u moved=%u "
+	    "id=%s reason=%s obstacle=%s sends=%u runs=%u "
 	    "last_event=%lld",
 	    ex->id, reason, obstacle != NULL ? obstacle : "none", ex->sends,
-	    ex->runs, ex->moved, (long long)ex->events.last);
+	    ex->runs, (long long)ex->events.last);
 	if (obstacle != NULL) {
 		again_end(ex, reason);
 		return;
--- a/src/fwd-answer.c
+++ b/src/fwd-answer.c
@@ -253,8 +253,8 @@
 		return (false);
 	if (!status_is_success(ex->status) && ex->status < STATUS_SERVER_ERROR)
 		return (false);
-	return (fwd_exchange_repeatable(ex) &&
-	    ex->runs - ex->moved < ex->route->max_attempts);
+	return (
+	    fwd_exchange_repeatable(ex) && ex->runs < ex->route->max_attempts);
 }
 
 static void
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -14,15 +14,14 @@
 
 	event_log(level, event,
 	    "id=%s route=%s status=%u reason=%s service=%s model=%s "
-	    "endpoint=%s sends=%u runs=%u moved=%u age_ms=%llu first_ms=%llu "
+	    "endpoint=%s sends=%u runs=%u age_ms=%llu first_ms=%llu "
 	    "last_event=%lld version=%lld prompt=%.0f expected_ms=%.0f "
 	    "running=%u reading=%.0f",
 	    ex->id, ex->route != NULL ? ex->route->name : "-", status, reason,
 	    ex->service != NULL ? ex->service : "-",
 	    ex->model != NULL ? ex->model->name : "-",
 	    ex->n_tried > 0 ? ex->tried[ex->n_tried - 1]->report.id : "-",
-	    ex->sends, ex->runs, ex->moved,
-	    (unsigned long long)(now - ex->arrived_ms),
+	    ex->sends, ex->runs, (unsigned long long)(now - ex->arrived_ms),
 	    (unsigned long long)(ex->first_us > 0 ?
 		    (ex->first_us - ex->arrived_us) / 1000 :
 		    0),
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -310,8 +310,8 @@
  * @ex: the exchange, with its endpoint
  * @reached: the endpoint may have got it
  *
- * A stream begins to run with its first token, so one without an event has
- * most likely not run; one that goes on after an event runs at once.
+ * An endpoint that hangs may run it and never say so, so all that may have
+ * reached one counts.
  */
 void
 fwd_exchange_discount(struct fwd_exchange *ex, bool reached)
@@ -319,8 +319,6 @@
 	ex->arrived = reached;
 	if (!reached)
 		ex->runs--;
-	else if (ex->reading && ex->first_us == 0)
-		ex->moved++;
 }
 
 /**
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -51,7 +51,6 @@
  * @reading_at_send: prompt tokens that it had not read then
  * @sends: times it was sent
  * @runs: of these, the ones that may have run
- * @moved: of these, the ones that ended before a first event
  * @arrived: the last send may have reached its endpoint
  * @tried: endpoints that failed it
  * @n_tried: how many
@@ -98,7 +97,6 @@
 	double reading_at_send;
 	unsigned sends;
 	unsigned runs;
-	unsigned moved;
 	bool arrived;
 	struct endpoint *tried[FWD_TRIED_MAX];
 	unsigned n_tried;
