Let a fetched configuration bring its place in the store and its proof

Far peers, told by turns, flapped between alive and dead. Ruled out: a lost election (the reader was there 1.3 s after the loss). Change: news name the configuration's offset; own reads go on after it; the proof given with the version that was fetched counts; far peers live 6 s.

--- a/src/dir-follow.c
+++ b/src/dir-follow.c
@@ -293,6 +293,18 @@
 	return (true);
 }
 
+/**
+ * dir_follow_skip() - what is before an offset came by way of a peer.
+ * @f: the follower
+ * @next: offset from which to read on
+ */
+void
+dir_follow_skip(struct dir_follow *f, uint64_t next)
+{
+	if (f->synced && f->seen == NULL)
+		f->next = MAX(f->next, next);
+}
+
 /**
  * dir_follow_fed() - peers' news are complete as of a time.
  * @f: the follower
--- a/src/dir-follow.h
+++ b/src/dir-follow.h
@@ -70,6 +70,7 @@
 void dir_follow_stop(struct dir_follow *);
 void dir_follow_hurry(struct dir_follow *);
 bool dir_follow_feed(struct dir_follow *, uint64_t, uint64_t, const GArray *);
+void dir_follow_skip(struct dir_follow *, uint64_t);
 void dir_follow_fed(struct dir_follow *, uint64_t);
 void dir_follow_set_reader(struct dir_follow *, bool);
 uint64_t dir_follow_age(const struct dir_follow *, uint64_t);
--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -31,7 +31,13 @@
 		    answer->status);
 		return;
 	}
-	dir_take_config(mesh->dir, answer->body->data, answer->body->len, 0);
+	if (!dir_take_config(mesh->dir, answer->body->data, answer->body->len,
+		mesh->fetched_offset))
+		return;
+	dir_follow_skip(&mesh->dir->config, mesh->fetched_offset + 1);
+	/* What the peer proved then is of the version that it had then. */
+	if (mesh->dir->catalog->version == mesh->fetched_version)
+		mesh->dir->peer_proof_ms = mesh->fetched_proof_ms;
 }
 
 /**
@@ -68,6 +74,9 @@
 		dir_follow_hurry(&mesh->dir->config);
 	event_log(LOG_INFO, "config_fetch", "peer=%s version=%lld own=%lld",
 	    peer->name, (long long)peer->config_version, (long long)own);
+	mesh->fetched_version = peer->config_version;
+	mesh->fetched_offset = peer->config_offset;
+	mesh->fetched_proof_ms = peer->config_proof_ms;
 	mesh->fetching = net_call_start(&peer->pool, &req, FETCH_TIMEOUT_MS,
 			     on_fetched, mesh) != NULL;
 }
--- a/src/mesh-news.c
+++ b/src/mesh-news.c
@@ -5,7 +5,7 @@
 #include "mesh-news.h"
 
 /* First word of each datagram: "BLM" and the version of the format. */
-#define MESH_MAGIC 0x424c4d03u
+#define MESH_MAGIC 0x424c4d04u
 
 static bool_t
 xdr_flag(XDR *xdr, bool *flag)
@@ -74,6 +74,7 @@
 	    xdr_flag(xdr, &news->store_ok) && xdr_flag(xdr, &news->serving) &&
 	    xdr_int64_t(xdr, &news->term) &&
 	    xdr_int64_t(xdr, &news->config_version) &&
+	    xdr_uint64_t(xdr, &news->config_offset) &&
 	    xdr_uint32_t(xdr, &news->config_age_ms) && xdr_loads(xdr, news) &&
 	    xdr_avoid(xdr, news));
 }
--- a/src/mesh-news.h
+++ b/src/mesh-news.h
@@ -44,6 +44,7 @@
  * @serving: it has had requests from callers
  * @term: of the placer's lease that it knows of
  * @config_version: in force there; -1 for none
+ * @config_offset: its place in the store
  * @config_age_ms: how old its proof is that this is the newest
  * @loads: its work
  * @n_loads: how many
@@ -63,6 +64,7 @@
 	bool serving;
 	int64_t term;
 	int64_t config_version;
+	uint64_t config_offset;
 	uint32_t config_age_ms;
 	struct mesh_load loads[MESH_LOADS_MAX];
 	uint32_t n_loads;
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -19,6 +19,9 @@
 #define LOADS_OLD_MS 700
 /* Silence after which a peer counts as dead. */
 #define PEER_DEAD_MS 1500
+/* The same for far peers, which tell by turns: some of their turns. */
+#define FAR_DEAD_MS 6000
+#define FAR_LOADS_OLD_MS 2500
 /* How long a warning of an endpoint is repeated, and how long it counts. */
 #define AVOID_TOLD_MS 600
 #define AVOID_MS 1500
@@ -84,11 +87,21 @@
 	return (NULL);
 }
 
+/* Whether a peer is told, and tells, in every round. */
+static bool
+peer_near(const struct mesh *mesh, const struct mesh_peer *peer)
+{
+	return (mesh->n_peers <= TELL_MOST ||
+	    strcmp(peer->domain, mesh->domain) == 0);
+}
+
 static bool
 peer_lives(const struct mesh *mesh, const struct mesh_peer *peer)
 {
-	return (peer->heard_ms != 0 &&
-	    uv_now(mesh->loop) - peer->heard_ms < PEER_DEAD_MS);
+	uint64_t bound = peer_near(mesh, peer) ? PEER_DEAD_MS : FAR_DEAD_MS;
+
+	return (
+	    peer->heard_ms != 0 && uv_now(mesh->loop) - peer->heard_ms < bound);
 }
 
 /**
@@ -115,6 +128,7 @@
 		peer->met_ms = uv_now(mesh->loop);
 		net_pool_init(&peer->pool, mesh->loop, addr);
 		TAILQ_INSERT_TAIL(&mesh->peers, peer, entry);
+		mesh->n_peers++;
 		event_log(LOG_INFO, "peer_known", "peer=%s domain=%s", name,
 		    domain);
 	}
@@ -127,6 +141,7 @@
 {
 	peer_uncount(mesh, peer);
 	TAILQ_REMOVE(&mesh->peers, peer, entry);
+	mesh->n_peers--;
 	g_free(peer->name);
 	g_free(peer->domain);
 	g_array_free(peer->loads, TRUE);
@@ -134,24 +149,30 @@
 }
 
 /*
- * A peer's proof that a configuration is the newest: it answered a question
+ * A peer's proof that its configuration is the newest: it answered a question
  * that left here at @pong, so the proof is of @pong less its age there. The
  * time that the answer took can only make it younger than that.
  */
+static uint64_t
+news_proof_ms(const struct mesh_news *news)
+{
+	if (news->pong == 0 || news->config_age_ms == MESH_NO_PROOF ||
+	    news->config_age_ms >= news->pong)
+		return (0);
+	return (news->pong - news->config_age_ms);
+}
+
+/* Takes a peer's proof where it has the same configuration. */
 static void
-peer_take_proof(struct mesh *mesh, const struct mesh_news *news)
+peer_take_proof(struct mesh *mesh, const struct mesh_peer *peer)
 {
 	struct dir *dir = mesh->dir;
-	uint64_t proof;
 
-	if (dir->catalog == NULL || news->pong == 0 ||
-	    news->config_version != dir->catalog->version ||
-	    news->config_age_ms == MESH_NO_PROOF ||
-	    news->config_age_ms >= news->pong)
+	if (dir->catalog == NULL || peer->config_proof_ms == 0 ||
+	    peer->config_version != dir->catalog->version)
 		return;
-	proof = news->pong - news->config_age_ms;
-	dir->peer_proof_ms = MAX(dir->peer_proof_ms, proof);
-	dir_follow_fed(&dir->config, proof);
+	dir->peer_proof_ms = MAX(dir->peer_proof_ms, peer->config_proof_ms);
+	dir_follow_fed(&dir->config, peer->config_proof_ms);
 }
 
 /* Sends no new work to what a peer warns of. */
@@ -201,11 +222,13 @@
 	peer->serving = news->serving;
 	peer->term = news->term;
 	peer->config_version = news->config_version;
+	peer->config_offset = news->config_offset;
+	peer->config_proof_ms = news_proof_ms(news);
 	peer->heard_ms = uv_now(mesh->loop);
 	mesh->self.term = MAX(mesh->self.term, news->term);
 	peer_uncount(mesh, peer);
 	peer_count(mesh, peer, news);
-	peer_take_proof(mesh, news);
+	peer_take_proof(mesh, peer);
 	mesh_fetch_config(mesh, peer);
 	peer_take_avoid(mesh, peer, news);
 }
@@ -290,6 +313,7 @@
 	news->term = mesh->self.term;
 	news->config_version =
 	    dir->catalog != NULL ? dir->catalog->version : -1;
+	news->config_offset = dir->catalog != NULL ? dir->catalog->offset : 0;
 	news->config_age_ms =
 	    age < MESH_NO_PROOF ? (uint32_t)age : MESH_NO_PROOF;
 	news->n_loads = 0;
@@ -334,10 +358,8 @@
 	/* What the reader knows is wanted by all. */
 	if (mesh->dir->config.reader && mesh->round % READER_ROUNDS == 0)
 		return (true);
-	if (living <= TELL_MOST)
-		return (true);
 	/* Near daemons send to the same endpoints first. */
-	if (strcmp(peer->domain, mesh->domain) == 0)
+	if (peer_near(mesh, peer))
 		return (true);
 	return (random_below(living) < TELL_FAR);
 }
@@ -353,7 +375,8 @@
 		uint64_t since = MAX(peer->heard_ms, peer->met_ms);
 
 		next = TAILQ_NEXT(peer, entry);
-		if (now - since >= LOADS_OLD_MS)
+		if (now - since >=
+		    (peer_near(mesh, peer) ? LOADS_OLD_MS : FAR_LOADS_OLD_MS))
 			peer_uncount(mesh, peer);
 		net_pool_expire(&peer->pool);
 		if (now - since >= PEER_FORGET_MS && peer->pool.open == 0)
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -15,7 +15,9 @@
  * @ping: of its newest datagram
  * @heard_ms: loop time of that; 0 for never
  * @met_ms: when this daemon first knew of it
- * @news: its newest datagram, without loads
+ * @config_version: in force there
+ * @config_offset: its place in the store
+ * @config_proof_ms: loop time as of which it was the newest; 0 for unknown
  * @loads: of struct mesh_load, as they are counted in the fleet
  * @pool: connections to it
  * @entry: in the mesh
@@ -35,6 +37,8 @@
 	bool serving;
 	int64_t term;
 	int64_t config_version;
+	uint64_t config_offset;
+	uint64_t config_proof_ms;
 	GArray *loads;
 	struct net_pool pool;
 	TAILQ_ENTRY(mesh_peer) entry;
@@ -70,11 +74,15 @@
  * @udp: socket
  * @timer: when to tell
  * @peers: the others
+ * @n_peers: how many
  * @self: what this daemon says of itself
  * @round: rounds of telling so far
  * @told_from: the last datagrams of entries told of records from here
  * @told: these records, told once more with the next
  * @fetching: a configuration is being fetched from a peer
+ * @fetched_version: the one that it had when it was asked
+ * @fetched_offset: its place in the store
+ * @fetched_proof_ms: loop time as of which it was the newest; 0 for unknown
  * @newest: newest version of the configuration that any peer had
  * @behind_ms: since when that is newer than the own one; 0 while it is not
  * @avoided: told when a peer says that an endpoint is to be avoided
@@ -91,11 +99,15 @@
 	uv_udp_t udp;
 	uv_timer_t timer;
 	struct mesh_peer_list peers;
+	unsigned n_peers;
 	struct mesh_self self;
 	uint64_t round;
 	uint64_t told_from;
 	GArray *told;
 	bool fetching;
+	int64_t fetched_version;
+	uint64_t fetched_offset;
+	uint64_t fetched_proof_ms;
 	int64_t newest;
 	uint64_t behind_ms;
 	void (*avoided)(void *, struct endpoint *);
