--- a/src/bankliftctl.c
+++ b/src/bankliftctl.c
@@ -12,6 +12,7 @@
 	&cmd_apply_entry,
 	&cmd_compare_entry,
 	&cmd_delete_entry,
+	&cmd_explain_entry,
 	&cmd_get_entry,
 	&cmd_status_entry,
 	&cmd_wait_entry,
--- a/src/cmd.h
+++ b/src/cmd.h
@@ -60,6 +60,7 @@
 extern const struct cmd_entry cmd_apply_entry;
 extern const struct cmd_entry cmd_compare_entry;
 extern const struct cmd_entry cmd_delete_entry;
+extern const struct cmd_entry cmd_explain_entry;
 extern const struct cmd_entry cmd_get_entry;
 extern const struct cmd_entry cmd_status_entry;
 extern const struct cmd_entry cmd_wait_entry;
--- a/src/event-log.c
+++ b/src/event-log.c
@@ -9,6 +9,7 @@
 #include <stdio.h>
 #include <fcntl.h>
 #include <string.h>
+#include <time.h>
 #include <sys/uio.h>
 #include <unistd.h>
 
@@ -65,6 +66,16 @@
 	return (-1);
 }
 
+/* Time of day for those who read the lines; decisions use steady time. */
+static long long
+wall_ms(void)
+{
+	struct timespec ts;
+
+	clock_gettime(CLOCK_REALTIME, &ts);
+	return ((long long)ts.tv_sec * 1000 + ts.tv_nsec / 1000000);
+}
+
 /* Whether a line is within the bound on lines a second. */
 static bool
 buffer_admits(int level)
@@ -140,8 +151,9 @@
 	char line[2048];
 	int n, m;
 
-	n = snprintf(line, sizeof line, "<%d>%s[%d]: level=%s event=%s", level,
-	    log_program, (int)getpid(), level_names[level], event);
+	n = snprintf(line, sizeof line,
+	    "<%d>%s[%d]: level=%s at=%lld event=%s", level, log_program,
+	    (int)getpid(), level_names[level], wall_ms(), event);
 	if (fmt[0] != '\0') {
 		line[n++] = ' ';
 		m = vsnprintf(line + n, sizeof line - n - 1, fmt, ap);
--- a/tests/proc-edge-path.sh
+++ b/tests/proc-edge-path.sh
@@ -61,6 +61,25 @@
     "$(ask 1 /once/x -d a | status_last)"
 control noproof 0
 
+# The story of a request from the logs of both daemons.
+control cut 3
+control cuts 1
+ask 1 /write/x -d p -H 'Attempt-Id: told' >/dev/null
+control cut 0
+sleep 0.6
+explain() {
+	"$BUILD/bankliftctl" explain "$1" "$RUN/edge-1.out" "$RUN/edge-2.out"
+}
+id=$(sed -n 's/.*event=request_again id=\([^ ]*\) .*/\1/p' \
+    "$RUN/edge-1.out" | tail -n 1)
+check "explained: sent, sent again, answered" \
+    "request_sent request_again request_sent request_answered " \
+    "$(explain "$id" | sed -n 's/.*event=\(request_[a-z]*\) .*/\1/p' |
+    tr '\n' ' ')"
+check "why it was sent again" 1 \
+    "$(explain "$id" | grep -c 'reason=connection_lost')"
+check "an id that no log has" 4 "$(explain nobody 2>/dev/null; echo $?)"
+
 # Configurations come and go; versions never go back.
 put_config 3 's/"k1",//'
 check_true "a key taken away opens nothing" until_true 5 eval \
