Copy to serving hosts before the first request

Ruled out: slower repair (large replicas stand again after 3 s as before). Change: before the first request copies go to hosts that serve.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -350,7 +350,9 @@
 	event_log(result == ORDER_TAKEN ? LOG_INFO : LOG_NOTICE, "order_ended",
 	    "member=%s order=stage result=%s term=%lld", call->id,
 	    order_result_name(result), (long long)call->term);
-	if (result != ORDER_TAKEN && result != ORDER_UNKNOWN)
+	/* One that does not fit meets a copy that is being made already. */
+	if (result != ORDER_TAKEN && result != ORDER_UNKNOWN &&
+	    result != ORDER_UNFIT)
 		g_hash_table_remove(call->keeper->staging, call->id);
 	call_free(call);
 }
--- a/src/replica-form.c
+++ b/src/replica-form.c
@@ -282,12 +282,16 @@
 	return (NULL);
 }
 
-/* A host of a fabric domain to copy the largest model to. */
+/*
+ * A host of a fabric domain to copy the largest model to: an idle one while
+ * requests come; before that one that serves, since idle ones are about to
+ * form small replicas.
+ */
 static const struct form_host *
 stage_pick(const struct form_view *view, const struct model_profile *big,
     const char *fabric)
 {
-	const struct form_host *best = NULL;
+	const struct form_host *idle = NULL, *donor = NULL;
 
 	for (guint i = 0; i < view->hosts->len; i++) {
 		const struct form_host *h =
@@ -296,12 +300,14 @@
 		if (!host_in(h, fabric) || form_host_has(h, big) ||
 		    h->staging != NULL)
 			continue;
-		if (h->free)
-			return (h);
-		if (best == NULL && form_host_donates(h, big))
-			best = h;
+		if (h->free && idle == NULL)
+			idle = h;
+		else if (donor == NULL && form_host_donates(h, big))
+			donor = h;
 	}
-	return (best);
+	if (view->serving)
+		return (idle != NULL ? idle : donor);
+	return (donor != NULL ? donor : idle);
 }
 
 /* Copies of the largest model: one beside each replica, or all of a missing
