Read a published view's number before its lock is free

Cause: server_view_rebuild() logged view->next after releasing the view's lock, when another thread's rebuild may have freed it; two of five repeats of the landed suite failed in proc-config.sh, one shown to be this. Ruled out: the other users of the view (under RCU or the lock). Test first: test-rebuild, heap-use-after-free in its first rounds before the change, passes after it.

--- a/src/server.c
+++ b/src/server.c
@@ -84,6 +84,7 @@
 server_view_rebuild(struct server *server)
 {
 	struct view *view, *old;
+	uint64_t next;
 	unsigned daemons = members_sharing(&server->members, clock_now_ms());
 
 	g_mutex_lock(&server->view_lock);
@@ -96,10 +97,12 @@
 	synchronize_rcu();
 	if (old != NULL)
 		view_free(old);
-	if (view->next > 1 && atomic_load(&server->known_ms) == 0)
+	/* Once the lock is free, another thread may free this view. */
+	next = view->next;
+	if (next > 1 && atomic_load(&server->known_ms) == 0)
 		atomic_store(&server->known_ms, clock_now_ms());
 	g_mutex_unlock(&server->view_lock);
-	log_debug("view_published", "next=%" G_GUINT64_FORMAT, view->next);
+	log_debug("view_published", "next=%" G_GUINT64_FORMAT, next);
 }
 
 /**
