--- a/src/edge.c
+++ b/src/edge.c
@@ -76,8 +76,7 @@
 	    e->set.key_proof_ms / 2);
 	set->deny_proof_ms =
 	    (uint64_t)MAX(e->set.apply_ms, (int64_t)e->dir.config.fallback_ms);
-	set->stall_ms = (uint64_t)e->set.stall_ms;
-	e->keeper.stall_ms = set->stall_ms;
+	e->keeper.stall_ms = (uint64_t)e->set.stall_ms;
 	set->retry.ratio = e->set.retry_ratio;
 	set->retry.slack = (double)e->set.retry_slack;
 	set->retry.window_ms = (uint64_t)e->set.retry_window_s * 1000;
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -41,7 +41,6 @@
  * @arrived_us: for the histograms
  * @deadline_ms: loop time at which it must be over
  * @patience_ms: loop time until which it may wait for a first place
- * @retry_at_ms: not to be sent before
  * @state: how far it is
  * @endpoint: who has it, or NULL
  * @client: connection to the endpoint
@@ -87,7 +86,6 @@
 	uint64_t arrived_us;
 	uint64_t deadline_ms;
 	uint64_t patience_ms;
-	uint64_t retry_at_ms;
 	enum exchange_state state;
 	struct endpoint *endpoint;
 	struct net_client *client;
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -19,14 +19,12 @@
  *	been the newest this recently
  * @deny_proof_ms: a request is told that its route or key is unknown only
  *	while the configuration is this fresh; otherwise to come back
- * @stall_ms: an endpoint's own bound on a replica that stands still
  * @retry: bound on repeats over all daemons
  */
 struct fwd_setting {
 	const char *domain;
 	uint64_t key_proof_ms;
 	uint64_t deny_proof_ms;
-	uint64_t stall_ms;
 	struct fwd_budget_rule retry;
 };
 
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -53,7 +53,6 @@
  * @pools: connections to hosts whose entries lapsed, by address
  * @alone_ms: since when no placer has been heard; 0 while one is
  * @last_ms: loop time of the last look
- * @reading: replicas being read while taking the lease
  * @after: last key of the page before, while reading
  */
 struct keeper {
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -15,6 +15,11 @@
  * @ping: of its newest datagram
  * @heard_ms: loop time of that; 0 for never
  * @met_ms: when this daemon first knew of it
+ * @placer: it says that it holds the placer's lease
+ * @leaving: it is about to end
+ * @store_ok: the store answers it
+ * @serving: it has had requests from callers
+ * @term: of the placer's lease that it knows of
  * @config_version: in force there
  * @config_offset: its place in the store
  * @config_proof_ms: loop time as of which it was the newest; 0 for unknown
