One way off an endpoint, and one end for what is given up

Ruled out: taking 'reached' from the connection in all places; where part of an answer came it is known, so the callers of fwd_exchange_move() say it. Change: fwd_exchange_move() serves all three, fwd_exchange_give_up() both.

--- a/src/fwd-again.c
+++ b/src/fwd-again.c
@@ -5,7 +5,6 @@
 #include "fwd-exchange.h"
 
 #define STATUS_BAD_GATEWAY 502
-#define STATUS_UNAVAILABLE 503
 
 /* Sends of one request, whatever became of them. */
 #define SENDS_MAX 5
@@ -61,19 +60,6 @@
 	return (NULL);
 }
 
-/* Ends a request that is not sent once more. */
-static void
-again_end(struct fwd_exchange *ex, const char *reason)
-{
-	if (ex->first_us > 0)
-		fwd_exchange_break(ex, reason);
-	else if (ex->runs == 0)
-		fwd_exchange_refuse(ex, STATUS_UNAVAILABLE, reason,
-		    RETRY_REFUSED_MS);
-	else
-		fwd_exchange_fail(ex, STATUS_BAD_GATEWAY, reason);
-}
-
 /**
  * fwd_exchange_again() - send a request once more, or end it.
  * @ex: the exchange; its endpoint was released
@@ -96,7 +82,8 @@
 	    ex->id, reason, obstacle != NULL ? obstacle : "none", ex->sends,
 	    ex->runs, (long long)ex->events.last);
 	if (obstacle != NULL) {
-		again_end(ex, reason);
+		fwd_exchange_give_up(ex, STATUS_BAD_GATEWAY, reason,
+		    RETRY_REFUSED_MS);
 		return;
 	}
 	fwd_stats_count(&fwd->stats, COUNT_REPEATED);
--- a/src/fwd-answer.c
+++ b/src/fwd-answer.c
@@ -171,11 +171,7 @@
 	while ((verdict = fwd_events_next(&ex->events, &length)) !=
 	    FWD_EVENT_NONE) {
 		if (verdict == FWD_EVENT_GAP) {
-			ex->arrived = true;
-			net_client_abandon(ex->client);
-			ex->client = NULL;
-			fwd_exchange_release(ex);
-			fwd_exchange_again(ex, "event_missing");
+			fwd_exchange_move(ex, true, "event_missing");
 			return (false);
 		}
 		if (verdict == FWD_EVENT_PASS)
@@ -195,11 +191,7 @@
 	ex->heard_ms = now;
 	ex->endpoint->heard_ms = now;
 	if (!fwd_events_add(&ex->events, at, length)) {
-		ex->arrived = true;
-		net_client_abandon(ex->client);
-		ex->client = NULL;
-		fwd_exchange_release(ex);
-		fwd_exchange_again(ex, "event_too_large");
+		fwd_exchange_move(ex, true, "event_too_large");
 		return;
 	}
 	if (answer_pass_events(ex) && ex->caller != NULL)
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -5,6 +5,8 @@
 #include "event-log.h"
 #include "fwd-exchange.h"
 
+#define STATUS_UNAVAILABLE 503
+
 /* One line for the end of each request. */
 static void
 end_log(const struct fwd_exchange *ex, int level, const char *event,
@@ -136,6 +138,25 @@
 		fwd_caller_abort(caller);
 }
 
+/**
+ * fwd_exchange_give_up() - end a request that gets no whole answer any more.
+ * @ex: the exchange
+ * @status: of the answer where it may have run
+ * @reason: for the log
+ * @retry_ms: when to come back where it did not run
+ */
+void
+fwd_exchange_give_up(struct fwd_exchange *ex, unsigned status,
+    const char *reason, int64_t retry_ms)
+{
+	if (ex->first_us > 0)
+		fwd_exchange_break(ex, reason);
+	else if (ex->runs == 0)
+		fwd_exchange_refuse(ex, STATUS_UNAVAILABLE, reason, retry_ms);
+	else
+		fwd_exchange_fail(ex, status, reason);
+}
+
 /* Counts an answer that the caller has whole. */
 static void
 end_answered(struct fwd_exchange *ex)
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -168,7 +168,7 @@
 
 /* Gives up on a request that found no place in time. */
 static void
-exchange_give_up(struct fwd_exchange *ex, const struct fwd_choice *choice)
+exchange_no_place(struct fwd_exchange *ex, const struct fwd_choice *choice)
 {
 	int64_t retry = choice->usable == 0 ? RETRY_NONE_MS : RETRY_FULL_MS;
 
@@ -205,7 +205,7 @@
 		return;
 	}
 	if (ex->sends == 0 && now >= ex->patience_ms)
-		exchange_give_up(ex, &choice);
+		exchange_no_place(ex, &choice);
 }
 
 /* Puts a request among those that wait, the more urgent first. */
@@ -324,31 +324,19 @@
 /**
  * fwd_exchange_move() - take a request from an endpoint that lost it.
  * @ex: the exchange
+ * @reached: the endpoint may have got it
  * @reason: for the log
  */
 void
-fwd_exchange_move(struct fwd_exchange *ex, const char *reason)
+fwd_exchange_move(struct fwd_exchange *ex, bool reached, const char *reason)
 {
-	fwd_exchange_discount(ex, ex->client->connected);
+	fwd_exchange_discount(ex, reached);
 	net_client_abandon(ex->client);
 	ex->client = NULL;
 	fwd_exchange_release(ex);
 	fwd_exchange_again(ex, reason);
 }
 
-/* Ends a request whose time is up. */
-static void
-exchange_expire(struct fwd_exchange *ex)
-{
-	if (ex->first_us > 0)
-		fwd_exchange_break(ex, "time_up");
-	else if (ex->runs == 0)
-		fwd_exchange_refuse(ex, STATUS_UNAVAILABLE, "time_up",
-		    RETRY_FULL_MS);
-	else
-		fwd_exchange_fail(ex, STATUS_GATEWAY_TIMEOUT, "time_up");
-}
-
 /* How long an endpoint may say nothing before this request is moved. */
 static double
 exchange_silence_ms(const struct fwd_exchange *ex)
@@ -405,7 +393,7 @@
 			ex->fwd->suspect(ex->fwd->suspect_arg, ep);
 	}
 	if (fwd_exchange_movable(ex))
-		fwd_exchange_move(ex, "endpoint_silent");
+		fwd_exchange_move(ex, ex->client->connected, "endpoint_silent");
 }
 
 /**
@@ -417,7 +405,8 @@
 fwd_exchange_tick(struct fwd_exchange *ex, uint64_t now_ms)
 {
 	if (now_ms >= ex->deadline_ms) {
-		exchange_expire(ex);
+		fwd_exchange_give_up(ex, STATUS_GATEWAY_TIMEOUT, "time_up",
+		    RETRY_FULL_MS);
 		return;
 	}
 	if (ex->state == EXCHANGE_WAITING) {
@@ -430,7 +419,7 @@
 		if (now_ms - ex->sent_ms > CONNECT_MS &&
 		    now_ms >= ex->fwd->blind_until_ms) {
 			ex->endpoint->rest_until_ms = now_ms + REST_SILENT_MS;
-			fwd_exchange_move(ex, "no_connection_in_time");
+			fwd_exchange_move(ex, false, "no_connection_in_time");
 		}
 		return;
 	}
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -119,7 +119,7 @@
 void fwd_exchange_pause(struct fwd_exchange *, bool);
 void fwd_exchange_try(struct fwd_exchange *);
 void fwd_exchange_tick(struct fwd_exchange *, uint64_t);
-void fwd_exchange_move(struct fwd_exchange *, const char *);
+void fwd_exchange_move(struct fwd_exchange *, bool, const char *);
 void fwd_exchange_discount(struct fwd_exchange *, bool);
 
 /* fwd-admit.c: from a request's head to an exchange. */
@@ -131,6 +131,8 @@
     int64_t);
 void fwd_exchange_fail(struct fwd_exchange *, unsigned, const char *);
 void fwd_exchange_break(struct fwd_exchange *, const char *);
+void fwd_exchange_give_up(struct fwd_exchange *, unsigned, const char *,
+    int64_t);
 void fwd_exchange_deliver(struct fwd_exchange *);
 void fwd_exchange_finish(struct fwd_exchange *);
 void fwd_exchange_free(struct fwd_exchange *);
