What a daemon says of itself stands in one struct

Cause: reading the change again: five fields stood in mesh_news, mesh_peer and mesh_self, and were copied one by one at sending and receiving. Change: struct mesh_self is part of the other two; the datagram's bytes and their order are as before. The assertions of test-adapter are unchanged; it sets the fields by their new place. Behaviour is the same.

--- a/src/mesh-news.c
+++ b/src/mesh-news.c
@@ -24,6 +24,14 @@
 	return (xdr_string(xdr, &name, MESH_NAME_MAX - 1));
 }
 
+static bool_t
+xdr_self(XDR *xdr, struct mesh_self *self)
+{
+	return (xdr_flag(xdr, &self->placer) && xdr_flag(xdr, &self->leaving) &&
+	    xdr_flag(xdr, &self->store_ok) && xdr_flag(xdr, &self->serving) &&
+	    xdr_int64_t(xdr, &self->term));
+}
+
 static bool_t
 xdr_load(XDR *xdr, struct mesh_load *load)
 {
@@ -70,9 +78,7 @@
 	    xdr_uint64_t(xdr, &news->life) &&
 	    xdr_uint64_t(xdr, &news->sequence) &&
 	    xdr_uint64_t(xdr, &news->ping) && xdr_uint64_t(xdr, &news->pong) &&
-	    xdr_flag(xdr, &news->placer) && xdr_flag(xdr, &news->leaving) &&
-	    xdr_flag(xdr, &news->store_ok) && xdr_flag(xdr, &news->serving) &&
-	    xdr_int64_t(xdr, &news->term) &&
+	    xdr_self(xdr, &news->self) &&
 	    xdr_int64_t(xdr, &news->config_version) &&
 	    xdr_uint64_t(xdr, &news->config_offset) &&
 	    xdr_uint32_t(xdr, &news->config_age_ms) && xdr_loads(xdr, news) &&
--- a/src/mesh-news.h
+++ b/src/mesh-news.h
@@ -30,6 +30,22 @@
 	uint32_t heard_ms;
 };
 
+/**
+ * struct mesh_self - what a daemon says of itself.
+ * @placer: it holds the placer's lease
+ * @leaving: it is about to end
+ * @store_ok: the store answers it
+ * @serving: it has had requests from callers
+ * @term: of the placer's lease that it knows of
+ */
+struct mesh_self {
+	bool placer;
+	bool leaving;
+	bool store_ok;
+	bool serving;
+	int64_t term;
+};
+
 /**
  * struct mesh_news - one datagram.
  * @name: of the sender
@@ -38,11 +54,7 @@
  * @sequence: grows with each datagram
  * @ping: the sender's clock when it sent this
  * @pong: the newest @ping that it had from the receiver
- * @placer: it holds the placer's lease
- * @leaving: it is about to end
- * @store_ok: the store answers it
- * @serving: it has had requests from callers
- * @term: of the placer's lease that it knows of
+ * @self: what the sender says of itself
  * @config_version: in force there; -1 for none
  * @config_offset: its place in the store
  * @config_age_ms: how old its proof is that this is the newest
@@ -58,11 +70,7 @@
 	uint64_t sequence;
 	uint64_t ping;
 	uint64_t pong;
-	bool placer;
-	bool leaving;
-	bool store_ok;
-	bool serving;
-	int64_t term;
+	struct mesh_self self;
 	int64_t config_version;
 	uint64_t config_offset;
 	uint32_t config_age_ms;
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -206,26 +206,23 @@
 {
 	bool lived = peer_lives(mesh, peer);
 
-	if (!lived || peer->placer != news->placer ||
-	    peer->leaving != news->leaving)
+	if (!lived || peer->self.placer != news->self.placer ||
+	    peer->self.leaving != news->self.leaving)
 		event_log(LOG_INFO, "peer_changed",
 		    "peer=%s life=%llx placer=%d term=%lld leaving=%d "
 		    "store_ok=%d",
-		    peer->name, (unsigned long long)news->life, news->placer,
-		    (long long)news->term, news->leaving, news->store_ok);
+		    peer->name, (unsigned long long)news->life,
+		    news->self.placer, (long long)news->self.term,
+		    news->self.leaving, news->self.store_ok);
 	peer->life = news->life;
 	peer->sequence = news->sequence;
 	peer->ping = news->ping;
-	peer->placer = news->placer;
-	peer->leaving = news->leaving;
-	peer->store_ok = news->store_ok;
-	peer->serving = news->serving;
-	peer->term = news->term;
+	peer->self = news->self;
 	peer->config_version = news->config_version;
 	peer->config_offset = news->config_offset;
 	peer->config_proof_ms = news_proof_ms(news);
 	peer->heard_ms = uv_now(mesh->loop);
-	mesh->self.term = MAX(mesh->self.term, news->term);
+	mesh->self.term = MAX(mesh->self.term, news->self.term);
 	peer_uncount(mesh, peer);
 	peer_count(mesh, peer, news);
 	peer_take_proof(mesh, peer);
@@ -306,11 +303,7 @@
 	news->life = mesh->life;
 	news->sequence = ++mesh->sequence;
 	news->ping = now;
-	news->placer = mesh->self.placer;
-	news->leaving = mesh->self.leaving;
-	news->store_ok = mesh->self.store_ok;
-	news->serving = mesh->self.serving;
-	news->term = mesh->self.term;
+	news->self = mesh->self;
 	news->config_version =
 	    dir->catalog != NULL ? dir->catalog->version : -1;
 	news->config_offset = dir->catalog != NULL ? dir->catalog->offset : 0;
@@ -568,9 +561,9 @@
 	const struct mesh_peer *peer;
 
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (peer->placer && peer->store_ok && !peer->leaving &&
-		    peer->term >= mesh->self.term && peer->heard_ms != 0 &&
-		    now - peer->heard_ms < within_ms)
+		if (peer->self.placer && peer->self.store_ok &&
+		    !peer->self.leaving && peer->self.term >= mesh->self.term &&
+		    peer->heard_ms != 0 && now - peer->heard_ms < within_ms)
 			return (true);
 	}
 	return (false);
@@ -589,8 +582,8 @@
 	unsigned rank = 0;
 
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (peer_lives(mesh, peer) && peer->store_ok &&
-		    !peer->leaving && strcmp(peer->name, mesh->name) < 0)
+		if (peer_lives(mesh, peer) && peer->self.store_ok &&
+		    !peer->self.leaving && strcmp(peer->name, mesh->name) < 0)
 			rank++;
 	}
 	return (rank);
@@ -606,7 +599,7 @@
 	const struct mesh_peer *peer;
 
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (peer->serving)
+		if (peer->self.serving)
 			return (true);
 	}
 	return (mesh->self.serving);
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -15,11 +15,7 @@
  * @ping: of its newest datagram
  * @heard_ms: loop time of that; 0 for never
  * @met_ms: when this daemon first knew of it
- * @placer: it says that it holds the placer's lease
- * @leaving: it is about to end
- * @store_ok: the store answers it
- * @serving: it has had requests from callers
- * @term: of the placer's lease that it knows of
+ * @self: what it says of itself
  * @config_version: in force there
  * @config_offset: its place in the store
  * @config_proof_ms: loop time as of which it was the newest; 0 for unknown
@@ -36,11 +32,7 @@
 	uint64_t ping;
 	uint64_t heard_ms;
 	uint64_t met_ms;
-	bool placer;
-	bool leaving;
-	bool store_ok;
-	bool serving;
-	int64_t term;
+	struct mesh_self self;
 	int64_t config_version;
 	uint64_t config_offset;
 	uint64_t config_proof_ms;
@@ -51,22 +43,6 @@
 
 TAILQ_HEAD(mesh_peer_list, mesh_peer);
 
-/**
- * struct mesh_self - what this daemon says of itself.
- * @placer: it holds the placer's lease
- * @leaving: it is about to end
- * @store_ok: the store answers it
- * @serving: it has had requests from callers
- * @term: of the placer's lease that it knows of
- */
-struct mesh_self {
-	bool placer;
-	bool leaving;
-	bool store_ok;
-	bool serving;
-	int64_t term;
-};
-
 /**
  * struct mesh - all of them.
  * @loop: the event loop
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -189,8 +189,7 @@
 		.life = 5,
 		.sequence = 9,
 		.pong = 77,
-		.placer = true,
-		.term = 3,
+		.self = { .placer = true, .term = 3 },
 		.config_version = 12,
 		.config_age_ms = 40,
 		.n_loads = 2,
@@ -210,9 +209,9 @@
 	g_string_append_printf(out,
 	    "%s %s life=%d placer=%d term=%d version=%d loads=%u key=%u "
 	    "reading=%u avoid=%u\n",
-	    back.name, back.domain, (int)back.life, back.placer, (int)back.term,
-	    (int)back.config_version, back.n_loads, back.loads[1].key,
-	    back.loads[1].reading, back.avoid[0]);
+	    back.name, back.domain, (int)back.life, back.self.placer,
+	    (int)back.self.term, (int)back.config_version, back.n_loads,
+	    back.loads[1].key, back.loads[1].reading, back.avoid[0]);
 }
 
 static const struct script_command commands[] = {
