Take the names of HTTP statuses from http_parser

Change: its names are used; no value changes. bankliftd's host-list.c keeps its one name, since it doesn't use http_parser. Behaviour is the same.

--- a/soak/soak-caller.c
+++ b/soak/soak-caller.c
@@ -94,13 +94,15 @@
 
 	if (id != NULL && strcmp(id, c->id) != 0)
 		return ("bad-other");
-	if (c->status == 200 && c->kind == KIND_WRITE)
+	if (c->status == HTTP_STATUS_OK && c->kind == KIND_WRITE)
 		return (stream_whole(c->body->str) ? "ok" : "bad-stream");
-	if (c->status == 200)
+	if (c->status == HTTP_STATUS_OK)
 		return (strcmp(c->body->str, "whole answer") == 0 ? "ok" :
 								    "bad-body");
 	/* What may have run; when to come back isn't promised for these. */
-	if (c->status == 500 || c->status == 502 || c->status == 504)
+	if (c->status == HTTP_STATUS_INTERNAL_SERVER_ERROR ||
+	    c->status == HTTP_STATUS_BAD_GATEWAY ||
+	    c->status == HTTP_STATUS_GATEWAY_TIMEOUT)
 		return ("failed");
 	if (net_head_find(&c->head, "retry-after") == NULL)
 		return ("bad-no-time");
--- a/src/edge-status.c
+++ b/src/edge-status.c
@@ -3,9 +3,6 @@
 
 #include "edge.h"
 
-#define STATUS_OK 200
-#define STATUS_UNAVAILABLE 503
-
 /**
  * edge_is_ready() - whether callers should be sent here.
  * @e: the daemon
@@ -38,7 +35,7 @@
 	bool ready = edge_is_ready(e);
 
 	g_string_append(body, ready ? "ready\n" : "not ready\n");
-	return (ready ? STATUS_OK : STATUS_UNAVAILABLE);
+	return (ready ? HTTP_STATUS_OK : HTTP_STATUS_SERVICE_UNAVAILABLE);
 }
 
 static void
@@ -100,5 +97,5 @@
 	print_value(body, "store_failures_total", (double)e->store->failures);
 	if (getrusage(RUSAGE_SELF, &usage) == 0)
 		print_value(body, "resident_peak_kb", (double)usage.ru_maxrss);
-	return (STATUS_OK);
+	return (HTTP_STATUS_OK);
 }
--- a/src/fwd-admit.c
+++ b/src/fwd-admit.c
@@ -6,11 +6,6 @@
 #include "event-log.h"
 #include "fwd-exchange.h"
 
-#define STATUS_BAD_REQUEST 400
-#define STATUS_UNAUTHORIZED 401
-#define STATUS_NOT_FOUND 404
-#define STATUS_UNAVAILABLE 503
-
 /* When to come back to a daemon that lacks a fresh configuration. */
 #define RETRY_STALE_MS 300
 /* Part of the objective for which a request may wait for a first place; a
@@ -25,7 +20,8 @@
 {
 	event_log(LOG_NOTICE, "config_stale", "id=%s reason=%s age_ms=%lld",
 	    ex->id, reason, age > INT64_MAX ? -1LL : (long long)age);
-	fwd_exchange_refuse(ex, STATUS_UNAVAILABLE, reason, RETRY_STALE_MS);
+	fwd_exchange_refuse(ex, HTTP_STATUS_SERVICE_UNAVAILABLE, reason,
+	    RETRY_STALE_MS);
 	return (false);
 }
 
@@ -54,8 +50,8 @@
 	if (key != NULL)
 		ex->customer = g_hash_table_lookup(ex->catalog->keys, key);
 	if (ex->customer == NULL)
-		return (
-		    admit_deny(ex, STATUS_UNAUTHORIZED, "unknown_key", age));
+		return (admit_deny(ex, HTTP_STATUS_UNAUTHORIZED, "unknown_key",
+		    age));
 	if (age > ex->fwd->set.key_proof_ms)
 		return (admit_stale(ex, "key_unproved", age));
 	return (true);
@@ -73,8 +69,8 @@
 	    catalog_find_service(ex->catalog, ex->service) :
 	    NULL;
 	if (ex->service == NULL) {
-		fwd_exchange_refuse(ex, STATUS_UNAVAILABLE, "no_service",
-		    RETRY_STALE_MS);
+		fwd_exchange_refuse(ex, HTTP_STATUS_SERVICE_UNAVAILABLE,
+		    "no_service", RETRY_STALE_MS);
 		return (false);
 	}
 	ex->engine = service != NULL ? service->engine : NULL;
@@ -85,8 +81,8 @@
 		ex->model = engine_find_model(ex->engine, req->model);
 	if (ex->model != NULL)
 		return (true);
-	fwd_exchange_refuse(ex, STATUS_UNAVAILABLE, "unknown_model",
-	    RETRY_STALE_MS);
+	fwd_exchange_refuse(ex, HTTP_STATUS_SERVICE_UNAVAILABLE,
+	    "unknown_model", RETRY_STALE_MS);
 	return (false);
 }
 
@@ -150,12 +146,12 @@
 	if (ex->catalog == NULL)
 		return (admit_stale(ex, "no_configuration", age));
 	if (req->id == NULL || host == NULL) {
-		fwd_exchange_fail(ex, STATUS_BAD_REQUEST, "no_id_or_host");
+		fwd_exchange_fail(ex, HTTP_STATUS_BAD_REQUEST, "no_id_or_host");
 		return (false);
 	}
 	ex->route = catalog_find_route(ex->catalog, host, path);
 	if (ex->route == NULL)
-		return (admit_deny(ex, STATUS_NOT_FOUND, "no_route", age));
+		return (admit_deny(ex, HTTP_STATUS_NOT_FOUND, "no_route", age));
 	admit_times(ex, req);
 	if (!admit_customer(ex, req->key, age) || !admit_service(ex, req))
 		return (false);
--- a/src/fwd-again.c
+++ b/src/fwd-again.c
@@ -4,8 +4,6 @@
 #include "event-log.h"
 #include "fwd-exchange.h"
 
-#define STATUS_BAD_GATEWAY 502
-
 /* Sends of one request, whatever became of them. */
 #define SENDS_MAX 5
 /* Less time than this is not worth another send. */
@@ -82,7 +80,7 @@
 	    ex->id, reason, obstacle != NULL ? obstacle : "none", ex->sends,
 	    ex->runs, (long long)ex->events.last);
 	if (obstacle != NULL) {
-		fwd_exchange_give_up(ex, STATUS_BAD_GATEWAY, reason,
+		fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY, reason,
 		    RETRY_REFUSED_MS);
 		return;
 	}
--- a/src/fwd-answer.c
+++ b/src/fwd-answer.c
@@ -5,10 +5,6 @@
 #include "event-log.h"
 #include "fwd-exchange.h"
 
-#define STATUS_OK 200
-#define STATUS_MULTIPLE_CHOICES 300
-#define STATUS_SERVER_ERROR 500
-
 /* Answers up to this size are held back until they are whole, so that a cut
  * one can be asked for again; larger ones are passed on as they come. */
 #define HELD_ANSWER_BYTES 262144
@@ -32,7 +28,8 @@
 static bool
 status_is_success(unsigned status)
 {
-	return (status >= STATUS_OK && status < STATUS_MULTIPLE_CHOICES);
+	return (
+	    status >= HTTP_STATUS_OK && status < HTTP_STATUS_MULTIPLE_CHOICES);
 }
 
 /* Keeps the header lines of an answer for the caller. */
@@ -241,9 +238,10 @@
 static bool
 answer_worth_another(struct fwd_exchange *ex)
 {
-	if (ex->status < STATUS_SERVER_ERROR && ex->proof)
+	if (ex->status < HTTP_STATUS_INTERNAL_SERVER_ERROR && ex->proof)
 		return (false);
-	if (!status_is_success(ex->status) && ex->status < STATUS_SERVER_ERROR)
+	if (!status_is_success(ex->status) &&
+	    ex->status < HTTP_STATUS_INTERNAL_SERVER_ERROR)
 		return (false);
 	return (
 	    fwd_exchange_repeatable(ex) && ex->runs < ex->route->max_attempts);
@@ -270,7 +268,8 @@
 		return;
 	}
 	ex->arrived = true;
-	endpoint_judge(ep, bad || ex->status >= STATUS_SERVER_ERROR);
+	endpoint_judge(ep,
+	    bad || ex->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
 	fwd_exchange_release(ex);
 	if (ex->streaming)
 		answer_stream_done(ex);
--- a/src/fwd-caller.c
+++ b/src/fwd-caller.c
@@ -18,13 +18,6 @@
 /* How long a caller may take to read an answer that ends its connection. */
 #define LINGER_MS 1000
 
-#define STATUS_BAD_REQUEST 400
-#define STATUS_TIMEOUT 408
-#define STATUS_BODY_TOO_LARGE 413
-#define STATUS_HEAD_TOO_LARGE 431
-#define STATUS_NO_CONTENT 204
-#define STATUS_NOT_MODIFIED 304
-
 static const struct caller_limits limits_first = { HEADER_BYTES_FIRST,
 	BODY_BYTES_FIRST, HEADER_FIRST_MS, IDLE_FIRST_MS };
 
@@ -65,7 +58,8 @@
 {
 	if (c->head.too_large ||
 	    (int64_t)c->head.text->len > caller_limits_now(c)->header_bytes)
-		return (caller_bad(c, STATUS_HEAD_TOO_LARGE));
+		return (
+		    caller_bad(c, HTTP_STATUS_REQUEST_HEADER_FIELDS_TOO_LARGE));
 	return (0);
 }
 
@@ -89,7 +83,7 @@
 	/* The parser lets a space in a name pass; others read it as another
 	 * name. */
 	if (memchr(at, ' ', length) != NULL)
-		return (caller_bad(c, STATUS_BAD_REQUEST));
+		return (caller_bad(c, HTTP_STATUS_BAD_REQUEST));
 	net_head_add_name(&c->head, at, length);
 	return (caller_head_fits(c));
 }
@@ -115,7 +109,7 @@
 	c->head_only = parser->method == HTTP_HEAD;
 	if (parser->flags & F_CONTENTLENGTH &&
 	    parser->content_length > (uint64_t)caller_limits_now(c)->body_bytes)
-		return (caller_bad(c, STATUS_BODY_TOO_LARGE));
+		return (caller_bad(c, HTTP_STATUS_PAYLOAD_TOO_LARGE));
 	expect = net_head_find(&c->head, "expect");
 	if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
 		net_stream_write(&c->stream, continue_text,
@@ -129,7 +123,7 @@
 	struct fwd_caller *c = parser->data;
 
 	if ((int64_t)(c->body->len + length) > caller_limits_now(c)->body_bytes)
-		return (caller_bad(c, STATUS_BODY_TOO_LARGE));
+		return (caller_bad(c, HTTP_STATUS_PAYLOAD_TOO_LARGE));
 	g_byte_array_append(c->body, (const guint8 *)at, (guint)length);
 	return (0);
 }
@@ -160,7 +154,7 @@
 caller_refuse_input(struct fwd_caller *c)
 {
 	unsigned status =
-	    c->bad_status != 0 ? c->bad_status : STATUS_BAD_REQUEST;
+	    c->bad_status != 0 ? c->bad_status : HTTP_STATUS_BAD_REQUEST;
 
 	fwd_stats_count(&c->fwd->stats, COUNT_BAD_REQUESTS);
 	event_log(LOG_INFO, "request_unreadable", "status=%u reason=%s", status,
@@ -356,8 +350,8 @@
 fwd_caller_answer(struct fwd_caller *c, unsigned status, const char *headers,
     const void *body, size_t length)
 {
-	bool bodiless =
-	    status == STATUS_NO_CONTENT || status == STATUS_NOT_MODIFIED;
+	bool bodiless = status == HTTP_STATUS_NO_CONTENT ||
+	    status == HTTP_STATUS_NOT_MODIFIED;
 
 	caller_write_head(c, status, headers);
 	if (!bodiless)
@@ -490,7 +484,7 @@
 	}
 	if (c->began && waited > (uint64_t)limits->header_ms &&
 	    c->body->len == 0) {
-		c->bad_status = STATUS_TIMEOUT;
+		c->bad_status = HTTP_STATUS_REQUEST_TIMEOUT;
 		caller_refuse_input(c);
 	} else if (waited > (uint64_t)limits->idle_ms) {
 		net_stream_close(&c->stream);
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -5,8 +5,6 @@
 #include "event-log.h"
 #include "fwd-exchange.h"
 
-#define STATUS_UNAVAILABLE 503
-
 /* One line for the end of each request. */
 static void
 end_log(const struct fwd_exchange *ex, int level, const char *event,
@@ -152,7 +150,8 @@
 	if (ex->first_us > 0)
 		fwd_exchange_break(ex, reason);
 	else if (ex->runs == 0)
-		fwd_exchange_refuse(ex, STATUS_UNAVAILABLE, reason, retry_ms);
+		fwd_exchange_refuse(ex, HTTP_STATUS_SERVICE_UNAVAILABLE, reason,
+		    retry_ms);
 	else
 		fwd_exchange_fail(ex, status, reason);
 }
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -7,9 +7,6 @@
 #include "fwd-exchange.h"
 #include "random.h"
 
-#define STATUS_UNAVAILABLE 503
-#define STATUS_GATEWAY_TIMEOUT 504
-
 /* What may run once gets a connection of its own: one that was idle may have
  * been dropped unsaid, and a request sent on it may not be sent again to find
  * out. The wait is for the reset of a peer that takes no more; the way to
@@ -179,7 +176,7 @@
 	    "id=%s service=%s known=%u usable=%u load=%.2f expected_ms=%.0f",
 	    ex->id, ex->service, choice->known, choice->usable, choice->load,
 	    choice->first_ms);
-	fwd_exchange_refuse(ex, STATUS_UNAVAILABLE,
+	fwd_exchange_refuse(ex, HTTP_STATUS_SERVICE_UNAVAILABLE,
 	    choice->usable == 0 ? "no_endpoint" : "places_taken", retry);
 }
 
@@ -405,7 +402,7 @@
 fwd_exchange_tick(struct fwd_exchange *ex, uint64_t now_ms)
 {
 	if (now_ms >= ex->deadline_ms) {
-		fwd_exchange_give_up(ex, STATUS_GATEWAY_TIMEOUT, "time_up",
+		fwd_exchange_give_up(ex, HTTP_STATUS_GATEWAY_TIMEOUT, "time_up",
 		    RETRY_FULL_MS);
 		return;
 	}
--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -6,8 +6,6 @@
 #include "net-call.h"
 #include "random.h"
 
-#define STATUS_OK 200
-#define STATUS_NOT_FOUND 404
 #define CONFIG_PATH "/config"
 #define FETCH_TIMEOUT_MS 600
 /* A peer of the own failure domain is waited for this long: bytes between
@@ -26,7 +24,7 @@
 	struct mesh *mesh = arg;
 
 	mesh->fetching = false;
-	if (answer->status != STATUS_OK) {
+	if (answer->status != HTTP_STATUS_OK) {
 		event_log(LOG_INFO, "config_not_fetched", "status=%u",
 		    answer->status);
 		return;
@@ -96,8 +94,8 @@
 	const char *at;
 
 	if (strcmp(path, CONFIG_PATH) != 0 || bytes == NULL)
-		return (STATUS_NOT_FOUND);
+		return (HTTP_STATUS_NOT_FOUND);
 	at = g_bytes_get_data((GBytes *)bytes, &length);
 	g_string_append_len(body, at, (gssize)length);
-	return (STATUS_OK);
+	return (HTTP_STATUS_OK);
 }
--- a/src/net-client.c
+++ b/src/net-client.c
@@ -4,9 +4,6 @@
 
 #include "net-client.h"
 
-#define STATUS_CONTINUE 100
-#define STATUS_FINAL 200
-
 static void
 client_free(struct net_client *client)
 {
@@ -152,7 +149,7 @@
 	struct net_client *client = parser->data;
 
 	net_head_close_value(&client->head);
-	client->skipping = parser->status_code < STATUS_FINAL;
+	client->skipping = parser->status_code < HTTP_STATUS_OK;
 	if (client->skipping || client->ops == NULL)
 		return (0);
 	if (client->ops->head(client->owner, parser->status_code,
--- a/src/status-server.c
+++ b/src/status-server.c
@@ -4,7 +4,6 @@
 #include "status-server.h"
 
 #define BACKLOG 16
-#define STATUS_BAD_METHOD 405
 
 /* One connection. */
 struct status_client {
@@ -39,7 +38,7 @@
 	g_autoptr(GString) body = g_string_new(NULL);
 	g_autoptr(GString) out = g_string_new(NULL);
 	bool keep = http_should_keep_alive(parser);
-	unsigned status = STATUS_BAD_METHOD;
+	unsigned status = HTTP_STATUS_METHOD_NOT_ALLOWED;
 
 	if (parser->method == HTTP_GET || parser->method == HTTP_HEAD)
 		status = c->server->fn(c->server->arg,
