Let a request go back to an endpoint that failed it, where there is no other

A stream was cut at one of two endpoints and refused as not run by the other; an exchange never asked an endpoint twice, so it waited 2.8 s, with both serving others, until its time was up. Ruled out: the retry budget (not asked), rest of the endpoints (1 s at most). Change: fwd_choose() collects what failed the request as a last resort, 200 ms after it did; the bounds on runs and sends stand. Before: fleet-choice.txt fails (no endpoint at 200 ms); after: passes.

--- a/src/fwd-again.c
+++ b/src/fwd-again.c
@@ -69,6 +69,8 @@
 	struct fwd *fwd = ex->fwd;
 	const char *obstacle = again_obstacle(ex);
 
+	if (ex->n_tried > 0)
+		ex->tried[ex->n_tried - 1].failed_ms = uv_now(fwd->loop);
 	/* Only what may have arrived counts as a repeat. */
 	if (obstacle == NULL && ex->arrived &&
 	    !fwd_budget_take(fwd_budget_of(fwd, ex->service), &fwd->set.retry,
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -16,6 +16,9 @@
 #define CROSS_DOMAIN_LOAD 0.15
 /* An endpoint's share of failures weighs as much as this load. */
 #define ERROR_WEIGHT 2.0
+/* Where every endpoint has failed a request, one may have it again after this:
+ * about the time of a short answer, in which a full one gets a place. */
+#define TRIED_AGAIN_MS 200
 /* What was learned of an endpoint's lateness is forgotten over this. */
 #define LATE_FADE_MS 3000
 
@@ -90,11 +93,18 @@
 	    endpoint_late_ms(ep, want->now_ms));
 }
 
+/*
+ * Whether an endpoint has failed the request; with @again, only lately.
+ */
 static bool
-want_tried(const struct fwd_want *want, const struct endpoint *ep)
+want_tried(const struct fwd_want *want, const struct endpoint *ep, bool again)
 {
 	for (unsigned i = 0; i < want->n_tried; i++) {
-		if (want->tried[i] == ep)
+		const struct fwd_tried *tried = &want->tried[i];
+
+		if (tried->endpoint == ep &&
+		    (!again ||
+			want->now_ms - tried->failed_ms < TRIED_AGAIN_MS))
 			return (true);
 	}
 	return (false);
@@ -139,15 +149,22 @@
 	return (MAX(ep->report.slots, 1));
 }
 
+/* Endpoints that are asked only where there are no others. */
+enum last_resort {
+	RESORT_NONE,
+	RESORT_TRIED,
+	RESORT_RESTING,
+};
+
 /*
- * Collects the endpoints with a free place that have not failed it yet; with
- * @resting, also those that rest.
+ * Collects the endpoints with a free place that have not failed the request
+ * yet; as a last resort also those that did, or all that rest.
  */
-static GPtrArray *
+static void
 collect(const struct fleet *fleet, const struct fwd_want *want,
-    struct fwd_choice *choice, bool resting)
+    enum last_resort resort, GPtrArray *found, struct fwd_choice *choice)
 {
-	GPtrArray *found = g_ptr_array_new();
+	uint64_t now = resort == RESORT_RESTING ? UINT64_MAX : want->now_ms;
 	struct endpoint *ep;
 
 	choice->known = 0;
@@ -156,14 +173,13 @@
 		if (!endpoint_fits(ep, want) || ep->gone)
 			continue;
 		choice->known++;
-		if (!endpoint_usable(ep, resting ? UINT64_MAX : want->now_ms) ||
-		    want_tried(want, ep))
+		if (!endpoint_usable(ep, now) ||
+		    want_tried(want, ep, resort == RESORT_TRIED))
 			continue;
 		choice->usable++;
 		if (endpoint_running(ep) < endpoint_places(ep, want))
 			g_ptr_array_add(found, ep);
 	}
-	return (found);
 }
 
 /* Moves the endpoints of the own failure domain to the front. */
@@ -228,18 +244,18 @@
 fwd_choose(const struct fleet *fleet, const struct fwd_want *want,
     struct fwd_choice *choice)
 {
-	g_autoptr(GPtrArray) found = NULL;
+	g_autoptr(GPtrArray) found = g_ptr_array_new();
 	double best = INFINITY;
 	uint32_t draw = want->draw;
 	unsigned near, end;
 
 	memset(choice, 0, sizeof *choice);
-	found = collect(fleet, want, choice, false);
+	collect(fleet, want, RESORT_NONE, found, choice);
+	if (choice->usable == 0 && want->n_tried > 0)
+		collect(fleet, want, RESORT_TRIED, found, choice);
 	/* Where all rest, one that may fail is better than none. */
-	if (choice->usable == 0 && want->model == NULL) {
-		g_ptr_array_free(found, TRUE);
-		found = collect(fleet, want, choice, true);
-	}
+	if (choice->usable == 0 && want->model == NULL)
+		collect(fleet, want, RESORT_RESTING, found, choice);
 	near = near_first(found, want);
 	end = draw_candidates(found, 0, near, &draw);
 	compare(found, 0, end, want, choice, &best);
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -7,6 +7,16 @@
 /* Endpoints that one request remembers to have failed it. */
 #define FWD_TRIED_MAX 6
 
+/**
+ * struct fwd_tried - an endpoint that failed a request.
+ * @endpoint: the endpoint
+ * @failed_ms: loop time at which it did
+ */
+struct fwd_tried {
+	struct endpoint *endpoint;
+	uint64_t failed_ms;
+};
+
 /**
  * struct fwd_want - what a request needs.
  * @service: its service
@@ -25,7 +35,7 @@
 	const struct model_profile *model;
 	double prompt;
 	const char *domain;
-	const struct endpoint *tried[FWD_TRIED_MAX];
+	const struct fwd_tried *tried;
 	unsigned n_tried;
 	uint64_t now_ms;
 	uint32_t draw;
@@ -37,7 +47,7 @@
  * @first_ms: when its first event is expected; 0 for plain services
  * @load: part of its places that are taken
  * @known: endpoints of the kind, usable or not
- * @usable: those that are usable, full or not
+ * @usable: those that are usable, full or not, and may have the request
  */
 struct fwd_choice {
 	struct endpoint *endpoint;
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -20,7 +20,8 @@
 	    ex->id, ex->route != NULL ? ex->route->name : "-", status, reason,
 	    ex->service != NULL ? ex->service : "-",
 	    ex->model != NULL ? ex->model->name : "-",
-	    ex->n_tried > 0 ? ex->tried[ex->n_tried - 1]->report.id : "-",
+	    ex->n_tried > 0 ? ex->tried[ex->n_tried - 1].endpoint->report.id :
+			      "-",
 	    ex->sends, ex->runs, (unsigned long long)(now - ex->arrived_ms),
 	    (unsigned long long)(ex->first_us > 0 ?
 		    (ex->first_us - ex->arrived_us) / 1000 :
@@ -68,7 +69,7 @@
 	}
 	fwd_exchange_release(ex);
 	for (unsigned i = 0; i < ex->n_tried; i++)
-		ex->tried[i]->refs--;
+		ex->tried[i].endpoint->refs--;
 	TAILQ_REMOVE(&ex->fwd->exchanges, ex, entry);
 	ex->fwd->n_exchanges--;
 	catalog_unref(ex->catalog);
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -57,14 +57,14 @@
 	ex->expected_ms = choice->first_ms;
 }
 
-/* Remembers the endpoint so that it is not chosen again for this request. */
+/* Remembers the endpoint, so that others are chosen first if it fails. */
 static void
 exchange_note_tried(struct fwd_exchange *ex)
 {
 	if (ex->n_tried == FWD_TRIED_MAX)
 		return;
 	ex->endpoint->refs++;
-	ex->tried[ex->n_tried++] = ex->endpoint;
+	ex->tried[ex->n_tried++].endpoint = ex->endpoint;
 }
 
 /* The whole request for one endpoint. */
@@ -137,9 +137,8 @@
 	want->model = ex->model;
 	want->prompt = ex->prompt;
 	want->domain = ex->fwd->set.domain;
+	want->tried = ex->tried;
 	want->n_tried = ex->n_tried;
-	for (unsigned i = 0; i < ex->n_tried; i++)
-		want->tried[i] = ex->tried[i];
 	want->now_ms = uv_now(ex->fwd->loop);
 	want->draw = random_u32();
 }
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -51,7 +51,7 @@
  * @sends: times it was sent
  * @runs: of these, the ones that may have run
  * @arrived: the last send may have reached its endpoint
- * @tried: endpoints that failed it
+ * @tried: endpoints that had it; but for the one that has it, they failed it
  * @n_tried: how many
  * @status: of the answer being read
  * @headers: its header lines
@@ -96,7 +96,7 @@
 	unsigned sends;
 	unsigned runs;
 	bool arrived;
-	struct endpoint *tried[FWD_TRIED_MAX];
+	struct fwd_tried tried[FWD_TRIED_MAX];
 	unsigned n_tried;
 	unsigned status;
 	GString *headers;
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -118,18 +118,30 @@
 	return (strcmp((*x)->report.id, (*y)->report.id));
 }
 
-/* choose at=MS [model=1] [tried=ID]: over many draws, who is ever chosen */
+/*
+ * choose at=MS [model=1] [tried=ID,ID,...] [failed=MS]: over many draws, who
+ * is ever chosen
+ */
 static void
 exec_choose(const char *rest, GString *out)
 {
 	g_autoptr(GPtrArray) seen = g_ptr_array_new();
-	g_autofree char *tried = script_word(rest, "tried");
+	g_autofree char *word = script_word(rest, "tried");
+	g_auto(GStrv) ids = g_strsplit(word != NULL ? word : "", ",", -1);
+	struct fwd_tried tried[FWD_TRIED_MAX] = { 0 };
+	unsigned n_tried = 0;
 	struct fwd_choice choice = { 0 };
 
+	for (; ids[n_tried] != NULL && n_tried < FWD_TRIED_MAX; n_tried++) {
+		tried[n_tried].endpoint = fleet_find(&fleet, ids[n_tried]);
+		tried[n_tried].failed_ms = script_number(rest, "failed", 0);
+	}
 	for (uint32_t i = 0; i < 400; i++) {
 		struct fwd_want want = { .service = "s",
 			.domain = "a",
 			.prompt = 1000,
+			.tried = tried,
+			.n_tried = n_tried,
 			.draw = i * 2654435761u };
 
 		want.now_ms = script_number(rest, "at", 0);
@@ -137,8 +149,6 @@
 			want.engine = engine;
 			want.model = model;
 		}
-		if (tried != NULL)
-			want.tried[want.n_tried++] = fleet_find(&fleet, tried);
 		fwd_choose(&fleet, &want, &choice);
 		if (choice.endpoint != NULL &&
 		    !g_ptr_array_find(seen, choice.endpoint, NULL))
