Keep a group whose member was cut from the store

A lapsed endpoint that nobody holds is freed, and keeper.c took a member without an endpoint for one that reports no group; its direct answers said otherwise, but only their arrival was used. Ruled out: orders gone astray (no join in the log), silent hosts (all answered). Change: replica-member.c, pure: a member's group is its newest report, by entry or by its direct answer.

--- a/src/keeper.c
+++ b/src/keeper.c
@@ -15,9 +15,6 @@
 #define ASK_AGAIN_MS 300
 /* How long a suspicion keeps its replica under question. */
 #define SUSPECT_MS 3000
-/* Silence to direct questions after which a member is dead, though its entry
- * still stands; its entry lapses only after three missed beats. */
-#define MEMBER_SILENT_MS 500
 /* How long the head of a replica that is dissolved gets nothing new. */
 #define AVOID_DOOMED_MS 2500
 /* A look this late means that this process stood still. */
@@ -182,6 +179,8 @@
 
 	if (m != NULL) {
 		m->asking = false;
+		if (answer == ANSWER_REPORT)
+			replica_member_report(r, m, report, now);
 		if (answer == ANSWER_REPORT)
 			m->silent_ms = 0;
 		else if (m->silent_ms == 0)
@@ -213,33 +212,6 @@
 		call_free(call);
 }
 
-/* What the fleet knows of a member. */
-static void
-member_look(struct keeper *k, struct replica *r, struct replica_member *m,
-    uint64_t now_ms)
-{
-	const struct endpoint *ep = fleet_find(&k->dir->fleet, m->id);
-
-	if (m->absent || m->life == MEMBER_DEAD) {
-		m->life = MEMBER_DEAD;
-		return;
-	}
-	m->life = ep == NULL || ep->lapsed_ms != 0 || ep->gone ? MEMBER_LAPSED :
-	    ep->draining ? MEMBER_DRAINING :
-			   MEMBER_ALIVE;
-	if (m->silent_ms != 0 && now_ms - m->silent_ms >= MEMBER_SILENT_MS)
-		m->life = MEMBER_SILENT;
-	if (ep == NULL) {
-		m->here = false;
-		return;
-	}
-	m->here = g_strcmp0(ep->report.group, r->name) == 0 &&
-	    ep->report.epoch == r->epoch;
-	m->elsewhere =
-	    !m->here && ep->report.group != NULL && ep->report.epoch > r->epoch;
-	m->state = m->here ? ep->report.state : GROUP_NONE;
-}
-
 /* Asks members directly while a replica is suspect or its head unknown. */
 static void
 replica_ask(struct keeper *k, struct replica *r, uint64_t now_ms)
@@ -312,7 +284,8 @@
 	struct replica_step step;
 
 	for (unsigned i = 0; i < r->n; i++)
-		member_look(k, r, &r->members[i], now_ms);
+		replica_member_look(r, &r->members[i],
+		    fleet_find(&k->dir->fleet, r->members[i].id), now_ms);
 	replica_ask(k, r, now_ms);
 	for (unsigned turn = 0; turn < r->n; turn++) {
 		replica_next(r, now_ms, k->stall_ms, &step);
--- /dev/null
+++ b/src/replica-member.c
@@ -0,0 +1,60 @@
+/* What is known of one member of a replica. Pure. */
+#include "replica.h"
+
+/* Silence to direct questions after which a member is dead, though its entry
+ * still stands; its entry lapses only after three missed beats. */
+#define MEMBER_SILENT_MS 500
+
+/**
+ * replica_member_report() - take in what a member says of its group.
+ * @r: the replica
+ * @m: the member
+ * @report: its report
+ * @now_ms: loop time of the report
+ */
+void
+replica_member_report(const struct replica *r, struct replica_member *m,
+    const struct endpoint_report *report, uint64_t now_ms)
+{
+	m->told_ms = now_ms;
+	m->here =
+	    g_strcmp0(report->group, r->name) == 0 && report->epoch == r->epoch;
+	m->elsewhere =
+	    !m->here && report->group != NULL && report->epoch > r->epoch;
+	m->state = m->here ? report->state : GROUP_NONE;
+}
+
+/* Whether the entry of a member stands. */
+static bool
+entry_stands(const struct endpoint *ep)
+{
+	return (ep != NULL && ep->lapsed_ms == 0 && !ep->gone);
+}
+
+/**
+ * replica_member_look() - bring a member up to what is known of its host.
+ * @r: the replica
+ * @m: the member
+ * @ep: its endpoint; NULL once its entry is gone and nobody holds it
+ * @now_ms: loop time
+ *
+ * Without an entry, its group is what it last reported: one that was cut from
+ * the store is still a member.
+ */
+void
+replica_member_look(const struct replica *r, struct replica_member *m,
+    const struct endpoint *ep, uint64_t now_ms)
+{
+	if (m->absent || m->life == MEMBER_DEAD) {
+		m->life = MEMBER_DEAD;
+		return;
+	}
+	if (!entry_stands(ep))
+		m->life = MEMBER_LAPSED;
+	else
+		m->life = ep->draining ? MEMBER_DRAINING : MEMBER_ALIVE;
+	if (m->silent_ms != 0 && now_ms - m->silent_ms >= MEMBER_SILENT_MS)
+		m->life = MEMBER_SILENT;
+	if (ep != NULL && ep->seen_ms >= m->told_ms)
+		replica_member_report(r, m, &ep->report, ep->seen_ms);
+}
--- a/src/replica.h
+++ b/src/replica.h
@@ -62,6 +62,7 @@
  * @order: that order
  * @busy: an order is on its way
  * @left: it said that it is not, or no longer, in this group
+ * @told_ms: loop time of its newest report, by its entry or directly
  * @asked_ms: when it was last asked directly
  * @silent_ms: since when it has not answered; 0 while it does
  * @asking: a question is on its way
@@ -78,6 +79,7 @@
 	enum order_kind order;
 	bool busy;
 	bool left;
+	uint64_t told_ms;
 	uint64_t asked_ms;
 	uint64_t silent_ms;
 	bool asking;
@@ -164,4 +166,10 @@
 bool replica_wanted(const struct replica *);
 void replica_donate(struct replica *, uint64_t);
 
+/* replica-member.c: what is known of one member. */
+void replica_member_report(const struct replica *, struct replica_member *,
+    const struct endpoint_report *, uint64_t);
+void replica_member_look(const struct replica *, struct replica_member *,
+    const struct endpoint *, uint64_t);
+
 #endif
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -53,6 +53,42 @@
 	m->here = m->state != GROUP_NONE;
 }
 
+/* What a script says of a host's group; none without a word. */
+static void
+host_report(const char *rest, struct endpoint_report *report)
+{
+	report->group = script_word(rest, "group");
+	report->epoch = (int64_t)script_number(rest, "epoch", 1);
+	report->state = GROUP_READY;
+}
+
+/* entry h=N [group=G] [epoch=N] [lapsed=MS] at=MS; or at=MS none=1: what the
+ * fleet knows of a host; nothing once its entry is gone and nobody holds it */
+static void
+exec_entry(const char *rest, GString *out)
+{
+	guint64 at = script_number(rest, "at", 0);
+	struct endpoint ep = { .seen_ms = at,
+		.lapsed_ms = script_number(rest, "lapsed", 0) };
+	bool none = script_number(rest, "none", 0) != 0;
+
+	host_report(rest, &ep.report);
+	replica_member_look(r, member(rest), none ? NULL : &ep, at);
+	g_free(ep.report.group);
+}
+
+/* told h=N [group=G] [epoch=N] at=MS: it answered a question with its report */
+static void
+exec_told(const char *rest, GString *out)
+{
+	struct endpoint_report report = { 0 };
+
+	host_report(rest, &report);
+	replica_member_report(r, member(rest), &report,
+	    script_number(rest, "at", 0));
+	g_free(report.group);
+}
+
 /* life h=N is=WORD */
 static void
 exec_life(const char *rest, GString *out)
@@ -122,6 +158,8 @@
 static const struct script_command commands[] = {
 	{ "new", exec_new },
 	{ "report", exec_report },
+	{ "entry", exec_entry },
+	{ "told", exec_told },
 	{ "life", exec_life },
 	{ "elsewhere", exec_elsewhere },
 	{ "left", exec_left },
