Look at groups as soon as what was waited for came

Change: a look 10 ms after records were written, an order was answered or entries were read; reading the entries keeps its own pace, since calls cost.

--- a/src/edge.c
+++ b/src/edge.c
@@ -257,6 +257,7 @@
 
 	if (!TAILQ_EMPTY(&e->fwd.waiting))
 		fwd_kick(&e->fwd);
+	keeper_look_soon(&e->keeper);
 }
 
 static void
--- a/src/keeper-lease.c
+++ b/src/keeper-lease.c
@@ -114,6 +114,7 @@
 			k->end = answer->end;
 			k->verified_ms = answer->asked_ms;
 			mark_recorded(k, append->records);
+			keeper_look_soon(k);
 			break;
 		case STORE_REFUSED:
 			/* Nothing was done: keep them for the next try. */
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -7,6 +7,8 @@
 /* How often the placer looks while groups change, and otherwise. */
 #define LOOK_BUSY_MS 150
 #define LOOK_CALM_MS 300
+/* After a change, so that a burst of them is looked at once. */
+#define LOOK_SOON_MS 10
 /* An order that has no answer after this is given again. */
 #define ORDER_TIMEOUT_MS 800
 /* A host that does not answer a question in this time is silent. */
@@ -118,6 +120,7 @@
 			r->doomed = "join_fenced";
 	}
 	dir_follow_hurry(&call->keeper->dir->endpoints);
+	keeper_look_soon(call->keeper);
 	call_free(call);
 }
 
@@ -431,20 +434,38 @@
 	keeper_adopt(k, now);
 	keeper_place(k, now);
 	keeper_write(k);
-	if (keeper_busy(k))
-		dir_follow_hurry(&k->dir->endpoints);
 }
 
 static void
 on_timer(uv_timer_t *timer)
 {
 	struct keeper *k = timer->data;
+	bool busy;
 
 	keeper_look(k);
-	uv_timer_start(timer, on_timer,
-	    k->state == KEEPER_HOLDING && keeper_busy(k) ? LOOK_BUSY_MS :
-							   LOOK_CALM_MS,
-	    0);
+	busy = k->state == KEEPER_HOLDING && keeper_busy(k);
+	if (busy)
+		dir_follow_hurry(&k->dir->endpoints);
+	uv_timer_start(timer, on_timer, busy ? LOOK_BUSY_MS : LOOK_CALM_MS, 0);
+}
+
+static void
+on_soon(uv_timer_t *timer)
+{
+	keeper_look(timer->data);
+}
+
+/**
+ * keeper_look_soon() - look before the time, something changed.
+ * @k: the keeper
+ */
+void
+keeper_look_soon(struct keeper *k)
+{
+	if (k->state != KEEPER_HOLDING || !keeper_busy(k) ||
+	    uv_is_active((uv_handle_t *)&k->soon))
+		return;
+	uv_timer_start(&k->soon, on_soon, LOOK_SOON_MS, 0);
 }
 
 /**
@@ -488,6 +509,8 @@
 	TAILQ_INIT(&k->replicas);
 	uv_timer_init(loop, &k->timer);
 	k->timer.data = k;
+	uv_timer_init(loop, &k->soon);
+	k->soon.data = k;
 	uv_timer_start(&k->timer, on_timer, LOOK_BUSY_MS, 0);
 }
 
@@ -502,4 +525,5 @@
 		keeper_lose(k, "leaving");
 	k->state = KEEPER_IDLE;
 	uv_timer_stop(&k->timer);
+	uv_timer_stop(&k->soon);
 }
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -40,6 +40,7 @@
  * @name: of this daemon
  * @stall_ms: after which the platform breaks a group that stands still
  * @timer: the next look
+ * @soon: a look before that, after something that was waited for
  * @state: this daemon's part
  * @term: of the lease held or last seen; the fencing token of orders
  * @end: where the records end, as far as this daemon knows
@@ -69,6 +70,7 @@
 	const char *name;
 	uint64_t stall_ms;
 	uv_timer_t timer;
+	uv_timer_t soon;
 	enum keeper_state state;
 	int64_t term;
 	uint64_t end;
@@ -94,6 +96,7 @@
 void keeper_stop(struct keeper *);
 void keeper_suspect(struct keeper *, const struct endpoint *);
 void keeper_look(struct keeper *);
+void keeper_look_soon(struct keeper *);
 
 void keeper_doomed(struct keeper *, struct replica *, uint64_t);
 void keeper_order_stage(struct keeper *, const char *, const char *);
