Drop groups that nobody opened; ask a member that left an order unanswered

Ruled out: loads (all members had copies). Change: an unanswered order puts its member under question for 3 s; a doomed group whose head was never told to open is gone at once. Newer epochs keep its late joins out. A group taken over from another placer counts as told.

--- a/src/keeper-adopt.c
+++ b/src/keeper-adopt.c
@@ -48,6 +48,7 @@
 	}
 	r->made_ms = now_ms;
 	r->recorded = true;
+	r->open_asked = true;
 	r->adopted = true;
 	r->doomed = "no_record";
 	r->doomed_ms = now_ms;
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -111,6 +111,8 @@
 	    (long long)call->term);
 	if (m != NULL) {
 		m->busy = false;
+		if (result == ORDER_UNKNOWN)
+			m->suspect_ms = uv_now(call->keeper->loop);
 		member_learn(r, m, call->order, result);
 		if (result == ORDER_OTHER)
 			m->life = MEMBER_DEAD;
@@ -215,19 +217,29 @@
 		call_free(call);
 }
 
-/* Asks members directly while a replica is suspect or its head unknown. */
+/* Whether a suspicion still counts. */
+static bool
+suspect_at(uint64_t suspect_ms, uint64_t now_ms)
+{
+	return (suspect_ms != 0 && now_ms - suspect_ms < SUSPECT_MS);
+}
+
+/*
+ * Asks members directly while a replica is suspect, or a member has no entry
+ * or left an order unanswered.
+ */
 static void
 replica_ask(struct keeper *k, struct replica *r, uint64_t now_ms)
 {
-	bool suspect =
-	    r->suspect_ms != 0 && now_ms - r->suspect_ms < SUSPECT_MS;
+	bool suspect = suspect_at(r->suspect_ms, now_ms);
 
 	for (unsigned i = 0; i < r->n; i++) {
 		const struct replica_member *m = &r->members[i];
 		bool unlisted =
 		    m->life == MEMBER_LAPSED || m->life == MEMBER_SILENT;
 
-		if (m->life != MEMBER_DEAD && (suspect || unlisted))
+		if (m->life != MEMBER_DEAD &&
+		    (suspect || unlisted || suspect_at(m->suspect_ms, now_ms)))
 			member_ask(k, r, i);
 	}
 }
--- a/src/replica.c
+++ b/src/replica.c
@@ -187,8 +187,10 @@
 	if (r->members[0].state == GROUP_OPEN)
 		r->opened = true;
 	else if (member_due(&r->members[0], ORDER_OPEN, now_ms,
-		     REPLICA_ORDER_AGAIN_MS))
+		     REPLICA_ORDER_AGAIN_MS)) {
+		r->open_asked = true;
 		step_order(step, 0, ORDER_OPEN);
+	}
 }
 
 /*
@@ -233,7 +235,10 @@
 	bool gentle = now_ms - r->doomed_ms < r->finish_ms;
 	enum order_kind close = gentle ? ORDER_CLOSE : ORDER_CANCEL;
 
-	if (head->left || head->elsewhere || head->life == MEMBER_DEAD) {
+	/* One that nobody told to open can't serve: its hosts are free, and the
+	 * epochs of newer groups keep late joins of it out. */
+	if (!r->open_asked || head->left || head->elsewhere ||
+	    head->life == MEMBER_DEAD) {
 		step->act = REPLICA_GONE;
 		return;
 	}
--- a/src/replica.h
+++ b/src/replica.h
@@ -66,6 +66,7 @@
  * @busy: an order is on its way
  * @left: it said that it is not, or no longer, in this group
  * @told_ms: loop time of its newest report, by its entry or directly
+ * @suspect_ms: an order to it had no answer then; 0 for never
  * @asked_ms: when it was last asked directly
  * @silent_ms: since when it has not answered; 0 while it does
  * @asking: a question is on its way
@@ -83,6 +84,7 @@
 	bool busy;
 	bool left;
 	uint64_t told_ms;
+	uint64_t suspect_ms;
 	uint64_t asked_ms;
 	uint64_t silent_ms;
 	bool asking;
@@ -100,6 +102,7 @@
  * @doomed: why it is being dissolved; NULL while it is wanted
  * @doomed_ms: since when
  * @finish_ms: how long it may finish its work first; 0 to end at once
+ * @open_asked: its head may have been told to open
  * @opened: it was seen to serve
  * @head_closed: the head took the order to serve no more
  * @split_ms: since when a member has left a head that can't be reached
@@ -120,6 +123,7 @@
 	const char *doomed;
 	uint64_t doomed_ms;
 	uint64_t finish_ms;
+	bool open_asked;
 	bool opened;
 	bool head_closed;
 	uint64_t split_ms;
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -14,7 +14,7 @@
 	g_clear_pointer(&r, replica_free);
 }
 
-/* new hosts=N: a recorded replica of hosts h0, h1, ... */
+/* new hosts=N [asked=0]: a recorded replica of h0, h1, ...; not told to open */
 static void
 exec_new(const char *rest, GString *out)
 {
@@ -29,6 +29,7 @@
 		replica_add_member(r, id, &any);
 	}
 	r->recorded = script_number(rest, "recorded", 1) != 0;
+	r->open_asked = script_number(rest, "asked", 1) != 0;
 }
 
 static struct replica_member *
