One daemon asks a store that is away, not all

Change: mesh_first_reader(): the first of those that reach the store, or where none does, the first of all. Test: proc-edge-outage.sh, "one daemon asks the store for all": failed before (two readers), passes now.

--- a/src/edge.c
+++ b/src/edge.c
@@ -187,7 +187,7 @@
 	    (!mesh_placer_heard(&e->mesh,
 		 READER_LOST_MS +
 		     READER_LOST_EACH_MS * mesh_living(&e->mesh)) &&
-		mesh_rank(&e->mesh) == 0);
+		mesh_first_reader(&e->mesh));
 
 	dir_follow_set_reader(&e->dir.config, reader);
 	dir_follow_set_reader(&e->dir.endpoints, reader);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -589,6 +589,34 @@
 	return (rank);
 }
 
+/**
+ * mesh_first_reader() - whether this daemon should read the store for the
+ * others.
+ * @mesh: the mesh
+ *
+ * It is the first by name of those that reach the store; where none does, of
+ * all that live, so that one of them notices the store's return.
+ */
+bool
+mesh_first_reader(const struct mesh *mesh)
+{
+	const struct mesh_peer *peer;
+	bool reached = mesh->self.store_ok;
+
+	TAILQ_FOREACH(peer, &mesh->peers, entry)
+		reached =
+		    reached || (peer_lives(mesh, peer) && peer->self.store_ok);
+	if (reached && !mesh->self.store_ok)
+		return (false);
+	TAILQ_FOREACH(peer, &mesh->peers, entry) {
+		if (peer_lives(mesh, peer) && !peer->self.leaving &&
+		    peer->self.store_ok == reached &&
+		    strcmp(peer->name, mesh->name) < 0)
+			return (false);
+	}
+	return (true);
+}
+
 /**
  * mesh_serving() - whether any daemon has had requests from callers.
  * @mesh: the mesh
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -107,6 +107,7 @@
 unsigned mesh_living(const struct mesh *);
 bool mesh_placer_heard(const struct mesh *, uint64_t);
 unsigned mesh_rank(const struct mesh *);
+bool mesh_first_reader(const struct mesh *);
 bool mesh_serving(const struct mesh *);
 
 #endif
--- a/tests/proc-edge-outage.sh
+++ b/tests/proc-edge-outage.sh
@@ -19,6 +19,8 @@
 check_true "an unknown route is not denied" until_true 5 eval \
     '[ "$(ask 1 /no/x | status_last)" = 503 ]'
 check_true "not ready" eval '! edge_ready 1'
+check_true "one daemon asks the store for all" until_true 5 eval \
+    '[ "$(($(metric 1 reader) + $(metric 2 reader)))" = 1 ]'
 control down 0
 check_true "all is well again" until_true 10 eval \
     '[ "$(ask 1 /look/x | status_last)" = 200 ]'
