Split the files of peers and of the placer

What is known of other daemons is in mesh-peers.c, telling them of entries in mesh-relay.c, orders and questions to hosts in keeper-call.c; one constant became MESH_PEER_DEAD_MS. No change of behaviour.

--- /dev/null
+++ b/src/keeper-call.c
@@ -0,0 +1,295 @@
+/* Orders and questions to hosts, and what their answers tell. */
+#include <string.h>
+
+#include "event-log.h"
+#include "keeper.h"
+
+/* An order that has no answer after this is given again. */
+#define ORDER_TIMEOUT_MS 800
+/* A host that does not answer a question in this time is silent. */
+#define ASK_TIMEOUT_MS 250
+/* Between two questions to one host. */
+#define ASK_AGAIN_MS 300
+
+/* An order or question on its way to a member. */
+struct keeper_call {
+	struct keeper *keeper;
+	int64_t term;
+	char *group;
+	char *id;
+	enum order_kind order;
+	uint64_t sent_ms;
+};
+
+static struct replica *
+replica_find(struct keeper *k, const char *name)
+{
+	struct replica *r;
+
+	TAILQ_FOREACH(r, &k->replicas, entry) {
+		if (strcmp(r->name, name) == 0)
+			return (r);
+	}
+	return (NULL);
+}
+
+/* The member that a call went to, if it is still the placer's. */
+static struct replica_member *
+call_member(const struct keeper_call *call, struct replica **replica)
+{
+	struct keeper *k = call->keeper;
+	struct replica *r = NULL;
+
+	if (k->state == KEEPER_HOLDING && k->term == call->term)
+		r = replica_find(k, call->group);
+	*replica = r;
+	for (unsigned i = 0; r != NULL && i < r->n; i++) {
+		if (strcmp(r->members[i].id, call->id) == 0)
+			return (&r->members[i]);
+	}
+	return (NULL);
+}
+
+static void
+call_free(struct keeper_call *call)
+{
+	g_free(call->group);
+	g_free(call->id);
+	g_free(call);
+}
+
+static struct keeper_call *
+call_new(struct keeper *k, const struct replica *r, unsigned member)
+{
+	struct keeper_call *call = g_new0(struct keeper_call, 1);
+
+	call->keeper = k;
+	call->term = k->term;
+	call->group = g_strdup(r->name);
+	call->id = g_strdup(r->members[member].id);
+	call->sent_ms = uv_now(k->loop);
+	return (call);
+}
+
+/* What an answered order tells of the member. */
+static void
+member_learn(struct replica *r, struct replica_member *m, enum order_kind order,
+    enum order_result result)
+{
+	bool done = result == ORDER_TAKEN || result == ORDER_UNFIT;
+
+	if (done && order == ORDER_LEAVE)
+		m->left = true;
+	if (done && m == &r->members[0] &&
+	    (order == ORDER_CLOSE || order == ORDER_CANCEL))
+		r->head_closed = true;
+}
+
+static void
+on_ordered(void *arg, enum order_result result)
+{
+	struct keeper_call *call = arg;
+	struct replica *r;
+	struct replica_member *m = call_member(call, &r);
+
+	event_log(result == ORDER_TAKEN ? LOG_INFO : LOG_NOTICE, "order_ended",
+	    "group=%s member=%s order=%s result=%s ms=%llu term=%lld",
+	    call->group, call->id, order_kind_name(call->order),
+	    order_result_name(result),
+	    (unsigned long long)(uv_now(call->keeper->loop) - call->sent_ms),
+	    (long long)call->term);
+	if (m != NULL) {
+		m->busy = false;
+		if (result == ORDER_UNKNOWN)
+			m->suspect_ms = uv_now(call->keeper->loop);
+		member_learn(r, m, call->order, result);
+		if (result == ORDER_OTHER)
+			m->life = MEMBER_DEAD;
+		if (result == ORDER_FENCED && call->order != ORDER_JOIN)
+			keeper_lose(call->keeper, "fenced");
+		else if (result == ORDER_FENCED)
+			r->doomed = "join_fenced";
+	}
+	dir_follow_hurry(&call->keeper->dir->endpoints);
+	keeper_look_soon(call->keeper);
+	call_free(call);
+}
+
+/* Connections for calls to a host: its endpoint's, or ones for its address. */
+static struct net_pool *
+member_pool(struct keeper *k, const struct replica_member *m)
+{
+	struct endpoint *ep = fleet_find(&k->dir->fleet, m->id);
+	struct net_pool *pool;
+	gint64 key;
+
+	if (ep != NULL)
+		return (&ep->pool);
+	key = (gint64)m->address.sin_addr.s_addr << 16 | m->address.sin_port;
+	pool = g_hash_table_lookup(k->pools, &key);
+	if (pool == NULL) {
+		pool = g_new0(struct net_pool, 1);
+		net_pool_init(pool, k->loop, &m->address);
+		g_hash_table_insert(k->pools, g_memdup2(&key, sizeof key),
+		    pool);
+	}
+	return (pool);
+}
+
+/**
+ * keeper_order() - give an order to a member.
+ * @k: the keeper; its lease was checked just before
+ * @r: the replica
+ * @index: of the member
+ * @kind: which
+ */
+void
+keeper_order(struct keeper *k, struct replica *r, unsigned index,
+    enum order_kind kind)
+{
+	struct replica_member *m = &r->members[index];
+	g_autoptr(GPtrArray) ids = g_ptr_array_new();
+	struct keeper_call *call = call_new(k, r, index);
+	struct order order = { .kind = kind,
+		.fence = k->term,
+		.group = r->name,
+		.epoch = r->epoch,
+		.members = ids };
+
+	for (unsigned i = 0; i < r->n; i++)
+		g_ptr_array_add(ids, r->members[i].id);
+	if (kind == ORDER_JOIN)
+		order.model = r->model;
+	call->order = kind;
+	m->order = kind;
+	m->ordered_ms = uv_now(k->loop);
+	m->busy = k->orders->send(member_pool(k, m), m->id, &order,
+	    ORDER_TIMEOUT_MS, on_ordered, call);
+	if (!m->busy)
+		call_free(call);
+}
+
+static void
+on_reported(void *arg, enum order_answer answer, struct endpoint_report *report)
+{
+	struct keeper_call *call = arg;
+	struct replica *r;
+	struct replica_member *m = call_member(call, &r);
+	uint64_t now = uv_now(call->keeper->loop);
+
+	if (m != NULL) {
+		m->asking = false;
+		if (answer == ANSWER_REPORT)
+			replica_member_report(r, m, report, now);
+		if (answer == ANSWER_REPORT)
+			m->silent_ms = 0;
+		else if (m->silent_ms == 0)
+			m->silent_ms = call->sent_ms;
+		m->absent = answer == ANSWER_ABSENT;
+		if (answer != ANSWER_REPORT)
+			event_log(LOG_INFO, "member_silent",
+			    "group=%s member=%s absent=%d silent_ms=%llu",
+			    call->group, call->id, answer == ANSWER_ABSENT,
+			    (unsigned long long)(now - m->silent_ms));
+	}
+	call_free(call);
+}
+
+/**
+ * keeper_ask() - ask a member directly, unless it was asked just now.
+ * @k: the keeper
+ * @r: the replica
+ * @index: of the member
+ */
+void
+keeper_ask(struct keeper *k, struct replica *r, unsigned index)
+{
+	struct replica_member *m = &r->members[index];
+	uint64_t now = uv_now(k->loop);
+	struct keeper_call *call;
+
+	if (m->asking || (m->asked_ms != 0 && now - m->asked_ms < ASK_AGAIN_MS))
+		return;
+	call = call_new(k, r, index);
+	m->asked_ms = now;
+	m->asking = k->orders->ask(member_pool(k, m), m->id, ASK_TIMEOUT_MS,
+	    on_reported, call);
+	if (!m->asking)
+		call_free(call);
+}
+
+static void
+on_prepared(void *arg, enum order_result result)
+{
+	struct keeper_call *call = arg;
+
+	event_log(result == ORDER_TAKEN ? LOG_INFO : LOG_NOTICE, "order_ended",
+	    "member=%s order=%s result=%s term=%lld", call->id,
+	    call->order == ORDER_STAGE ? "stage" : "warm",
+	    order_result_name(result), (long long)call->term);
+	/* One that does not fit meets a copy that is being made already. */
+	if (call->order == ORDER_STAGE && result != ORDER_TAKEN &&
+	    result != ORDER_UNKNOWN && result != ORDER_UNFIT)
+		g_hash_table_remove(call->keeper->staging, call->id);
+	call_free(call);
+}
+
+/* Gives an order to a host that is in no replica. */
+static void
+host_order(struct keeper *k, const char *id, const struct order *order)
+{
+	struct endpoint *ep = fleet_find(&k->dir->fleet, id);
+	struct keeper_call *call = g_new0(struct keeper_call, 1);
+
+	call->keeper = k;
+	call->term = k->term;
+	call->id = g_strdup(id);
+	call->order = order->kind;
+	if (ep == NULL ||
+	    !k->orders->send(&ep->pool, id, order, ORDER_TIMEOUT_MS,
+		on_prepared, call))
+		call_free(call);
+}
+
+/**
+ * keeper_order_stage() - have a host copy a model beside its work.
+ * @k: the keeper
+ * @id: the host
+ * @model: the model
+ */
+void
+keeper_order_stage(struct keeper *k, const char *id, const char *model)
+{
+	const struct order order = { .kind = ORDER_STAGE,
+		.fence = k->term,
+		.model = model };
+
+	host_order(k, id, &order);
+}
+
+/**
+ * keeper_order_warm() - have an idle host take a model into memory.
+ * @k: the keeper
+ * @id: the host
+ * @model: the model
+ * @epoch: above those of all groups so far
+ *
+ * It joins a group of its own that is never opened, so it serves nothing and
+ * needs no record; the next join replaces it.
+ */
+void
+keeper_order_warm(struct keeper *k, const char *id, const char *model,
+    int64_t epoch)
+{
+	g_autofree char *group = g_strdup_printf("w%lld", (long long)epoch);
+	g_autoptr(GPtrArray) members = g_ptr_array_new();
+	const struct order order = { .kind = ORDER_JOIN,
+		.fence = k->term,
+		.group = group,
+		.epoch = epoch,
+		.model = model,
+		.members = members };
+
+	g_ptr_array_add(members, (gpointer)id);
+	host_order(k, id, &order);
+}
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -99,6 +99,10 @@
 void keeper_look_soon(struct keeper *);
 
 void keeper_doomed(struct keeper *, struct replica *, uint64_t);
+
+/* keeper-call.c: orders and questions to hosts. */
+void keeper_order(struct keeper *, struct replica *, unsigned, enum order_kind);
+void keeper_ask(struct keeper *, struct replica *, unsigned);
 void keeper_order_stage(struct keeper *, const char *, const char *);
 void keeper_order_warm(struct keeper *, const char *, const char *, int64_t);
 
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -1,4 +1,4 @@
-/* The other daemons: who lives, what they do, what they know. */
+/* The other daemons: what they say, and what they are told. */
 #include <string.h>
 
 #include "event-log.h"
@@ -9,24 +9,17 @@
 /* How often a daemon tells: a load is this old at the others at most. Three
  * of these are well below the shortest objective. */
 #define TELL_MS 100
-/* Up to so many daemons, all are told in each round; beyond it, those of the
- * own failure domain, and about so many others by turns. */
-#define TELL_MOST 12
+/* Beyond the daemons that are told in each round, about so many others. */
 #define TELL_FAR 4
 /* Rounds in which the daemon that reads the store tells all. */
 #define READER_ROUNDS 3
 /* Silence after which a peer's work is no longer counted. */
 #define LOADS_OLD_MS 700
-/* Silence after which a peer counts as dead. */
-#define PEER_DEAD_MS 1500
-/* The same for far peers, which tell by turns: some of their turns. */
-#define FAR_DEAD_MS 6000
+/* The same for far peers, which tell by turns. */
 #define FAR_LOADS_OLD_MS 2500
 /* How long a warning of an endpoint is repeated, and how long it counts. */
 #define AVOID_TOLD_MS 600
 #define AVOID_MS 1500
-/* Records in one datagram; at about 400 bytes each it stays below 5 KB. */
-#define ENTRIES_TOLD 12
 /* Dead peers are told this many times less often. */
 #define DEAD_ROUNDS 20
 /* Dead peers are forgotten after this; a newcomer tells of itself. */
@@ -87,23 +80,6 @@
 	return (NULL);
 }
 
-/* Whether a peer is told, and tells, in every round. */
-static bool
-peer_near(const struct mesh *mesh, const struct mesh_peer *peer)
-{
-	return (mesh->n_peers <= TELL_MOST ||
-	    strcmp(peer->domain, mesh->domain) == 0);
-}
-
-static bool
-peer_lives(const struct mesh *mesh, const struct mesh_peer *peer)
-{
-	uint64_t bound = peer_near(mesh, peer) ? PEER_DEAD_MS : FAR_DEAD_MS;
-
-	return (
-	    peer->heard_ms != 0 && uv_now(mesh->loop) - peer->heard_ms < bound);
-}
-
 /**
  * mesh_add() - learn of a daemon.
  * @mesh: the mesh
@@ -204,7 +180,7 @@
 peer_take(struct mesh *mesh, struct mesh_peer *peer,
     const struct mesh_news *news)
 {
-	bool lived = peer_lives(mesh, peer);
+	bool lived = mesh_peer_lives(mesh, peer);
 
 	if (!lived || peer->self.placer != news->self.placer ||
 	    peer->self.leaving != news->self.leaving)
@@ -345,14 +321,14 @@
 static bool
 peer_due(const struct mesh *mesh, const struct mesh_peer *peer, unsigned living)
 {
-	if (!peer_lives(mesh, peer))
+	if (!mesh_peer_lives(mesh, peer))
 		return (mesh->round % DEAD_ROUNDS == 0 ||
-		    uv_now(mesh->loop) - peer->met_ms < PEER_DEAD_MS);
+		    uv_now(mesh->loop) - peer->met_ms < MESH_PEER_DEAD_MS);
 	/* What the reader knows is wanted by all. */
 	if (mesh->dir->config.reader && mesh->round % READER_ROUNDS == 0)
 		return (true);
 	/* Near daemons send to the same endpoints first. */
-	if (peer_near(mesh, peer))
+	if (mesh_peer_near(mesh, peer))
 		return (true);
 	return (random_below(living) < TELL_FAR);
 }
@@ -368,8 +344,9 @@
 		uint64_t since = MAX(peer->heard_ms, peer->met_ms);
 
 		next = TAILQ_NEXT(peer, entry);
-		if (now - since >=
-		    (peer_near(mesh, peer) ? LOADS_OLD_MS : FAR_LOADS_OLD_MS))
+		if (now - since >= (mesh_peer_near(mesh, peer) ?
+					   LOADS_OLD_MS :
+					   FAR_LOADS_OLD_MS))
 			peer_uncount(mesh, peer);
 		net_pool_expire(&peer->pool);
 		if (now - since >= PEER_FORGET_MS && peer->pool.open == 0)
@@ -397,108 +374,6 @@
 	mesh_age(mesh);
 }
 
-/* Tells all living peers some of the records. */
-static void
-entries_send(struct mesh *mesh, const struct mesh_entries *entries, guint first,
-    guint n)
-{
-	static char out[MESH_BYTES];
-	struct mesh_peer *peer;
-	uv_buf_t buf;
-
-	buf = uv_buf_init(out,
-	    (unsigned)mesh_entries_encode(entries, first, n, out, sizeof out));
-	if (buf.len == 0) {
-		event_log(LOG_WARNING, "entries_not_told", "records=%u", n);
-		return;
-	}
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		/* A lost datagram shows as a gap; the peer reads for itself. */
-		if (peer_lives(mesh, peer))
-			(void)uv_udp_try_send(&mesh->udp, &buf, 1,
-			    (const struct sockaddr *)&peer->addr);
-	}
-}
-
-/* Copies records to the end of an array. */
-static void
-entries_append(GArray *to, const GArray *records)
-{
-	for (guint i = 0; i < records->len; i++) {
-		struct store_record copy =
-		    g_array_index(records, struct store_record, i);
-
-		copy.key = g_strdup(copy.key);
-		copy.value = g_memdup2(copy.value, copy.length);
-		g_array_append_val(to, copy);
-	}
-}
-
-/* Sends records in as many datagrams as they need. */
-static void
-entries_tell(struct mesh *mesh, struct mesh_entries *entries, uint64_t end)
-{
-	const GArray *records = entries->records;
-	guint first = 0;
-
-	do {
-		guint n = MIN(records->len - first, ENTRIES_TOLD);
-		guint last = first + n;
-
-		entries->end = last < records->len ?
-		    g_array_index(records, struct store_record, last).offset :
-		    end;
-		entries_send(mesh, entries, first, n);
-		entries->from = entries->end;
-		first = last;
-	} while (first < records->len);
-}
-
-/**
- * mesh_tell_entries() - tell the others what was read and changed.
- * @mesh: the mesh
- * @from: read from this offset
- * @end: to this one
- * @records: what changed, of struct store_record
- *
- * What was told the last time is told again, if it fits, so that one lost
- * datagram leaves no gap.
- */
-void
-mesh_tell_entries(struct mesh *mesh, uint64_t from, uint64_t end,
-    const GArray *records)
-{
-	const struct dir_follow *f = &mesh->dir->endpoints;
-	struct mesh_entries entries = { .from = from,
-		.returned_ms = UINT32_MAX };
-	bool again = mesh->told != NULL && mesh->told_from < from &&
-	    mesh->told->len + records->len <= ENTRIES_TOLD;
-	g_autoptr(GArray) all =
-	    g_array_new(FALSE, TRUE, sizeof(struct store_record));
-
-	g_array_set_clear_func(all, store_record_clear);
-	g_strlcpy(entries.name, mesh->name, sizeof entries.name);
-	if (f->regained_ms != 0)
-		entries.returned_ms =
-		    (uint32_t)MIN(uv_now(mesh->loop) - f->regained_ms,
-			UINT32_MAX);
-	if (again) {
-		entries_append(all, mesh->told);
-		entries.from = mesh->told_from;
-	}
-	entries_append(all, records);
-	entries.records = all;
-	entries_tell(mesh, &entries, end);
-	if (mesh->told == NULL) {
-		mesh->told =
-		    g_array_new(FALSE, TRUE, sizeof(struct store_record));
-		g_array_set_clear_func(mesh->told, store_record_clear);
-	}
-	g_array_set_size(mesh->told, 0);
-	entries_append(mesh->told, records);
-	mesh->told_from = from;
-}
-
 static void
 on_timer(uv_timer_t *timer)
 {
@@ -533,102 +408,3 @@
 		uv_timer_start(&mesh->timer, on_timer, TELL_MS, TELL_MS);
 	return (rc);
 }
-
-/**
- * mesh_living() - how many other daemons live.
- * @mesh: the mesh
- */
-unsigned
-mesh_living(const struct mesh *mesh)
-{
-	const struct mesh_peer *peer;
-	unsigned n = 0;
-
-	TAILQ_FOREACH(peer, &mesh->peers, entry)
-		n += peer_lives(mesh, peer);
-	return (n);
-}
-
-/**
- * mesh_placer_heard() - whether a daemon with the placer's lease was heard.
- * @mesh: the mesh
- * @within_ms: how lately
- */
-bool
-mesh_placer_heard(const struct mesh *mesh, uint64_t within_ms)
-{
-	uint64_t now = uv_now(mesh->loop);
-	const struct mesh_peer *peer;
-
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (peer->self.placer && peer->self.store_ok &&
-		    !peer->self.leaving && peer->self.term >= mesh->self.term &&
-		    peer->heard_ms != 0 && now - peer->heard_ms < within_ms)
-			return (true);
-	}
-	return (false);
-}
-
-/**
- * mesh_rank() - place of this daemon among those that could place.
- * @mesh: the mesh
- *
- * Return: how many living daemons that reach the store come before it.
- */
-unsigned
-mesh_rank(const struct mesh *mesh)
-{
-	const struct mesh_peer *peer;
-	unsigned rank = 0;
-
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (peer_lives(mesh, peer) && peer->self.store_ok &&
-		    !peer->self.leaving && strcmp(peer->name, mesh->name) < 0)
-			rank++;
-	}
-	return (rank);
-}
-
-/**
- * mesh_first_reader() - whether this daemon should read the store for the
- * others.
- * @mesh: the mesh
- *
- * It is the first by name of those that reach the store; where none does, of
- * all that live, so that one of them notices the store's return.
- */
-bool
-mesh_first_reader(const struct mesh *mesh)
-{
-	const struct mesh_peer *peer;
-	bool reached = mesh->self.store_ok;
-
-	TAILQ_FOREACH(peer, &mesh->peers, entry)
-		reached =
-		    reached || (peer_lives(mesh, peer) && peer->self.store_ok);
-	if (reached && !mesh->self.store_ok)
-		return (false);
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (peer_lives(mesh, peer) && !peer->self.leaving &&
-		    peer->self.store_ok == reached &&
-		    strcmp(peer->name, mesh->name) < 0)
-			return (false);
-	}
-	return (true);
-}
-
-/**
- * mesh_serving() - whether any daemon has had requests from callers.
- * @mesh: the mesh
- */
-bool
-mesh_serving(const struct mesh *mesh)
-{
-	const struct mesh_peer *peer;
-
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (peer->self.serving)
-			return (true);
-	}
-	return (mesh->self.serving);
-}
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -5,6 +5,9 @@
 #include "dir.h"
 #include "mesh-news.h"
 
+/* Silence after which a peer that tells in each round counts as dead. */
+#define MESH_PEER_DEAD_MS 1500
+
 /**
  * struct mesh_peer - another daemon.
  * @name: its name
@@ -99,11 +102,17 @@
 void mesh_add(struct mesh *, const char *, const char *,
     const struct sockaddr_in *);
 void mesh_tell_now(struct mesh *);
+
+/* mesh-relay.c: telling them which entries were read and changed. */
 void mesh_tell_entries(struct mesh *, uint64_t, uint64_t, const GArray *);
 
 /* mesh-config.c: fetching a newer configuration from a peer. */
 void mesh_fetch_config(struct mesh *, struct mesh_peer *);
 unsigned mesh_serve_config(void *, const char *, GString *);
+
+/* mesh-peers.c: what is known of them. */
+bool mesh_peer_near(const struct mesh *, const struct mesh_peer *);
+bool mesh_peer_lives(const struct mesh *, const struct mesh_peer *);
 unsigned mesh_living(const struct mesh *);
 bool mesh_placer_heard(const struct mesh *, uint64_t);
 unsigned mesh_rank(const struct mesh *);
