Keep on record that requests have come

Cause: found on reading. Whether loads are quick and uncounted was told by whether any living daemon had had a request. When all daemons start anew at once none has, so the first placer could begin loads without a bound under traffic, now that there is none before the first request; the platform counts at most so many a second. Ruled out: the term of the lease as the sign (two daemons may race for it at the start). Change: the placer appends the record "served" once; who takes the lease reads it. Test: proc-edge-path.sh, a placer that takes over knows it ("0 1"); without the record it is "0 0".

--- a/src/keeper-lease.c
+++ b/src/keeper-lease.c
@@ -6,6 +6,7 @@
 
 #define LEASE_KEY "lease"
 #define GROUP_PREFIX "group/"
+#define SERVED_KEY "served"
 
 /* Silence of the placer after which another takes its lease. Some missed
  * datagrams are no reason; the fencing token covers a placer that wakes. */
@@ -35,6 +36,7 @@
 		event_log(LOG_NOTICE, "placer_lost", "term=%lld reason=%s",
 		    (long long)k->term, reason);
 	k->state = KEEPER_IDLE;
+	k->served = false;
 	k->alone_ms = 0;
 	k->mesh->self.placer = false;
 	while ((r = TAILQ_FIRST(&k->replicas)) != NULL) {
@@ -74,6 +76,22 @@
 	record_add(k, GROUP_PREFIX, r->name, value, length);
 }
 
+/**
+ * keeper_record_served() - note for ever that requests have come.
+ * @k: the keeper
+ *
+ * Loads are quick and not counted before the first request only, and daemons
+ * that all start anew have seen none.
+ */
+void
+keeper_record_served(struct keeper *k)
+{
+	if (k->served)
+		return;
+	k->served = true;
+	record_add(k, "", SERVED_KEY, g_memdup2("1", 1), 1);
+}
+
 /* A replica whose record was written may be given orders. */
 static void
 mark_recorded(struct keeper *k, const GArray *records)
@@ -180,8 +198,8 @@
 	g_hash_table_remove_all(k->usage);
 	k->mesh->self.placer = true;
 	k->mesh->self.term = k->term;
-	event_log(LOG_NOTICE, "placer_taken", "term=%lld end=%llu",
-	    (long long)k->term, (unsigned long long)k->end);
+	event_log(LOG_NOTICE, "placer_taken", "term=%lld end=%llu served=%d",
+	    (long long)k->term, (unsigned long long)k->end, k->served);
 	mesh_tell_now(k->mesh);
 }
 
@@ -222,6 +240,8 @@
 			&holder));
 		return;
 	}
+	if (strcmp(record->key, SERVED_KEY) == 0)
+		k->served = true;
 	if (!g_str_has_prefix(record->key, GROUP_PREFIX))
 		return;
 	r = keeper_decode_replica(record->key + strlen(GROUP_PREFIX),
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -151,7 +151,7 @@
 		return (LOADS_ANY);
 	/* Before the first request loads are quick, don't slow each other down
 	 * (40 at once took as long as one) and are not counted. */
-	if (!mesh_serving(k->mesh))
+	if (!k->served)
 		return (LOADS_ANY);
 	/* More at once only slow each other down. */
 	if (staging >= e->loads_at_once || k->loads->len >= most)
@@ -318,7 +318,7 @@
 	form_view_finish(&view);
 	service_usage_count(place_usage(k, service->name), service->name, &view,
 	    &k->replicas, now_ms);
-	view.serving = mesh_serving(k->mesh);
+	view.serving = k->served;
 	view.settled = now_ms - k->grew_ms >= SETTLE_MS;
 	view.loads = loads_free(k, service->engine, now_ms);
 	more = place_step(k, service->name, &view, now_ms);
@@ -338,6 +338,8 @@
 	GHashTableIter iter;
 	gpointer value;
 
+	if (mesh_serving(k->mesh))
+		keeper_record_served(k);
 	if (hosts > k->hosts)
 		k->grew_ms = now_ms;
 	k->hosts = hosts;
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -48,6 +48,7 @@
  * @verified_ms: loop time as of which nobody else had the lease
  * @records: writes that wait, of struct store_record
  * @replicas: by their records
+ * @served: requests have come since the deployment began, by its record
  * @groups: made under this lease so far
  * @loads: loop times of the loads begun lately
  * @hosts: endpoints known at the last look
@@ -78,6 +79,7 @@
 	uint64_t verified_ms;
 	GArray *records;
 	struct replica_list replicas;
+	bool served;
 	unsigned groups;
 	GArray *loads;
 	unsigned hosts;
@@ -112,6 +114,7 @@
 bool keeper_verified(struct keeper *, uint64_t);
 void keeper_write(struct keeper *);
 void keeper_record_replica(struct keeper *, const struct replica *, bool);
+void keeper_record_served(struct keeper *);
 
 /* keeper-record.c: records of replicas and of the lease as bytes. */
 guint8 *keeper_encode_replica(const struct replica *, size_t *);
--- a/tests/proc-edge-path.sh
+++ b/tests/proc-edge-path.sh
@@ -110,6 +110,9 @@
     '[ "$(metric $other placer)" = 1 ]'
 check "with a higher term" 2 "$(metric $other placer_term)"
 sleep 1
+check "it knows from the store that requests have come" "0 1 " \
+    "$(cat "$RUN"/edge-$placer.out "$RUN"/edge-$other.out |
+    sed -n 's/.*event=placer_taken .*served=//p' | tr '\n' ' ')"
 check "no group was touched" "$opens" "$(journal | grep -c ' open 202')"
 check "streams go on there" "0 1 2 3 4 5 6 7 " \
     "$(ask $other /write/x -d p | event_ids)"
