One place for what a fabric domain spares and for the least shortage

Read as a newcomer: the condition stood in two files, and so did the constant. No change of behaviour; form and replica scripts pass.

--- a/src/replica-form.c
+++ b/src/replica-form.c
@@ -13,8 +13,6 @@
 
 /* A load takes about ten times as long as a join from the host's copy. */
 #define LOAD_WEIGHT 1.0
-/* Part of a replica that a model must be short of for one with loads. */
-#define SHORT_LEAST 0.25
 
 /* A candidate: some free hosts of one fabric domain for one model. */
 struct form_try {
@@ -44,13 +42,6 @@
 	    f->ready >= form_model(view, view->largest)->size);
 }
 
-/* Whether a fabric domain has more spares for its large replicas than kept. */
-static bool
-fabric_spares(const struct form_fabric *f)
-{
-	return (f->held >= f->cap && f->ready > FORM_SPARES_KEPT);
-}
-
 /*
  * Whether a free host that holds the largest model may serve a smaller one. It
  * may go back to what it served; it gives up the largest model only where
@@ -65,7 +56,7 @@
 	if (fabric_keeps(view, f))
 		return (false);
 	return (g_strcmp0(h->last, try->model->name) == 0 || !view->serving ||
-	    fabric_spares(f) ||
+	    form_fabric_spares(f) ||
 	    form_served(view, try->index) < form_served(view, view->largest));
 }
 
@@ -140,7 +131,7 @@
 	if (try->loads == 0)
 		return (true);
 	return (try->loads <= view->loads &&
-	    form_short(view, try->index) > SHORT_LEAST);
+	    form_short(view, try->index) > FORM_SHORT_LEAST);
 }
 
 /* Weighs one fabric domain for one model. */
--- a/src/replica-form.h
+++ b/src/replica-form.h
@@ -10,6 +10,10 @@
 /* Hosts with a copy of a model kept beside its replicas in a fabric domain. */
 #define FORM_SPARES_KEPT 1
 
+/* Part of a replica that a model must be short of for loads to be spent on it;
+ * what is wanted is seldom a whole number. */
+#define FORM_SHORT_LEAST 0.25
+
 /**
  * struct form_host - a host of the service.
  * @id: its id
@@ -122,6 +126,7 @@
 const struct model_profile *form_model(const struct form_view *, unsigned);
 const struct form_host *form_host_at(const struct form_view *, unsigned);
 const struct form_fabric *form_fabric_at(const struct form_view *, unsigned);
+bool form_fabric_spares(const struct form_fabric *);
 bool form_host_has(const struct form_host *, const struct model_profile *);
 bool form_host_donates(const struct form_host *, const struct model_profile *);
 unsigned form_fabric_held(const struct form_view *,
--- a/src/replica-stage.c
+++ b/src/replica-stage.c
@@ -4,9 +4,6 @@
 
 #include "replica-form.h"
 
-/* Part of a replica that a model must be short of for copies on idle hosts. */
-#define SHORT_LEAST 0.25
-
 /* Whether a host could be given a copy of a model. */
 static bool
 host_lacks(const struct form_host *h, const struct model_profile *m)
@@ -82,11 +79,10 @@
 host_spares(const struct form_view *view, const struct form_host *h)
 {
 	const struct model_profile *big = form_model(view, view->largest);
-	const struct form_fabric *f = form_fabric_at(view, h->at);
 
 	if (!form_host_has(h, big) || g_strcmp0(h->last, big->name) == 0)
 		return (true);
-	return (f->held >= f->cap && f->ready > FORM_SPARES_KEPT);
+	return (form_fabric_spares(form_fabric_at(view, h->at)));
 }
 
 /* Free hosts of a fabric domain: with a model or getting it, and without. */
@@ -126,7 +122,7 @@
 	const struct form_host *best = NULL;
 	unsigned most = 0;
 
-	if (form_short(view, index) <= SHORT_LEAST)
+	if (form_short(view, index) <= FORM_SHORT_LEAST)
 		return (NULL);
 	for (guint at = 0; at < view->fabrics->len; at++) {
 		const struct form_host *pick;
--- a/src/replica-view.c
+++ b/src/replica-view.c
@@ -41,6 +41,17 @@
 	return (&g_array_index(view->fabrics, struct form_fabric, index));
 }
 
+/**
+ * form_fabric_spares() - whether there are more spares for the largest model
+ * than are kept.
+ * @f: the fabric domain
+ */
+bool
+form_fabric_spares(const struct form_fabric *f)
+{
+	return (f->held >= f->cap && f->ready > FORM_SPARES_KEPT);
+}
+
 /**
  * form_host_has() - whether a host can join a model without a load.
  * @h: the host
