--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -173,8 +173,7 @@
 	r->made_ms = now_ms;
 	for (guint i = 0; i < plan->members->len; i++) {
 		guint at = g_array_index(plan->members, guint, i);
-		const struct form_host *h =
-		    &g_array_index(view->hosts, struct form_host, at);
+		const struct form_host *h = form_host_at(view, at);
 		const struct endpoint *ep = fleet_find(&k->dir->fleet, h->id);
 
 		replica_add_member(r, h->id, &ep->report.address);
@@ -185,9 +184,7 @@
 	    "group=%s epoch=%lld model=%s hosts=%u loads=%u head=%s fabric=%s",
 	    name, (long long)epoch, r->model, r->n, plan->loads,
 	    r->members[0].id,
-	    g_array_index(view->hosts, struct form_host,
-		g_array_index(plan->members, guint, 0))
-		.fabric);
+	    form_host_at(view, g_array_index(plan->members, guint, 0))->fabric);
 	TAILQ_INSERT_TAIL(&k->replicas, r, entry);
 	keeper_record_replica(k, r, false);
 }
--- a/src/keeper-usage.c
+++ b/src/keeper-usage.c
@@ -113,9 +113,7 @@
 	u->hosts = view->hosts->len;
 	u->free = 0;
 	for (guint i = 0; i < view->hosts->len; i++)
-		u->free +=
-		    g_array_index(view->hosts, struct form_host, i).group ==
-		    NULL;
+		u->free += form_host_at(view, i)->group == NULL;
 	TAILQ_FOREACH(r, replicas, entry) {
 		if (strcmp(r->service, service) == 0 && usage_add_replica(u, r))
 			serving += r->n;
