Let keys fail open where the deployment says so

Cause: the deployment's settings say whether known keys fail closed when the configuration can't be proved to be the newest; the template dropped that, so all deployments failed closed. Ruled out: the bound itself (5 s, as set); readers of the store (they ask in time). Change: a setting, keys-fail-closed (true by default), followed by admission and by readiness. A key that a known configuration took away stays shut in both cases, and an unknown key without proof is asked to come back. A boolean kind of setting. Test: proc-edge-outage.sh with a daemon that fails open; it can't start on the earlier code, which lacks the setting.

--- a/src/edge-setting.c
+++ b/src/edge-setting.c
@@ -28,6 +28,10 @@
 	    "emerg, alert, crit, err, warning, notice, info or debug" },
 	{ "key-proof-ms", SETTING_INT, AT(key_proof_ms), "5000", 500, 600000,
 	    "ms", "a key that was taken away opens nothing after this" },
+	{ "keys-fail-closed", SETTING_BOOL, AT(keys_fail_closed), "true", 0, 0,
+	    "true or false",
+	    "refuse known keys while the configuration can't be proved to be "
+	    "the newest within key-proof-ms" },
 	{ "apply-ms", SETTING_INT, AT(apply_ms), "2000", 100, 600000, "ms",
 	    "a configuration is in force within this" },
 	{ "drain-ms", SETTING_INT, AT(drain_ms), "2000", 100, 600000, "ms",
--- a/src/edge-setting.h
+++ b/src/edge-setting.h
@@ -19,6 +19,7 @@
 	char *store_address;
 	char *log_level;
 	int64_t key_proof_ms;
+	bool keys_fail_closed;
 	int64_t apply_ms;
 	int64_t drain_ms;
 	int64_t grace_s;
--- a/src/edge-status.c
+++ b/src/edge-status.c
@@ -7,8 +7,8 @@
  * edge_is_ready() - whether callers should be sent here.
  * @e: the daemon
  *
- * It needs a configuration, the endpoints, and, where callers have keys, a
- * proof that lets them be served.
+ * It needs a configuration, the endpoints, and, where callers have keys that
+ * fail closed, a proof that lets them be served.
  */
 bool
 edge_is_ready(struct edge *e)
@@ -19,6 +19,7 @@
 	    !e->dir.endpoints.synced)
 		return (false);
 	return (!e->dir.catalog->with_customers ||
+	    !e->fwd.set.keys_fail_closed ||
 	    dir_config_age(&e->dir, now) < e->fwd.set.key_proof_ms);
 }
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -74,6 +74,7 @@
 	set->domain = e->set.domain;
 	set->key_proof_ms = (uint64_t)MAX(e->set.key_proof_ms - KEY_MARGIN_MS,
 	    e->set.key_proof_ms / 2);
+	set->keys_fail_closed = e->set.keys_fail_closed;
 	set->deny_proof_ms =
 	    (uint64_t)MAX(e->set.apply_ms, (int64_t)e->dir.config.fallback_ms);
 	e->keeper.stall_ms = (uint64_t)e->set.stall_ms;
@@ -101,6 +102,7 @@
 	}
 	/* What the sockets and peers were made with stays until a restart. */
 	e->set.key_proof_ms = next.key_proof_ms;
+	e->set.keys_fail_closed = next.keys_fail_closed;
 	e->set.apply_ms = next.apply_ms;
 	e->set.drain_ms = next.drain_ms;
 	e->set.grace_s = next.grace_s;
--- a/src/fwd-admit.c
+++ b/src/fwd-admit.c
@@ -41,7 +41,11 @@
 	return (false);
 }
 
-/* Finds the customer by the key; the key's proof must be fresh. */
+/*
+ * Finds the customer by the key. Where keys fail closed, a known key counts
+ * only while the configuration was lately proved to be the newest. An unknown
+ * key is denied for good only with such a proof, in either case.
+ */
 static bool
 admit_customer(struct fwd_exchange *ex, const char *key, uint64_t age)
 {
@@ -52,7 +56,7 @@
 	if (ex->customer == NULL)
 		return (admit_deny(ex, HTTP_STATUS_UNAUTHORIZED, "unknown_key",
 		    age));
-	if (age > ex->fwd->set.key_proof_ms)
+	if (ex->fwd->set.keys_fail_closed && age > ex->fwd->set.key_proof_ms)
 		return (admit_stale(ex, "key_unproved", age));
 	return (true);
 }
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -17,6 +17,8 @@
  * @domain: failure domain of this daemon
  * @key_proof_ms: a key counts only while the configuration is known to have
  *	been the newest this recently
+ * @keys_fail_closed: refuse known keys without that proof; otherwise they
+ *	count as the newest configuration at hand has them
  * @deny_proof_ms: a request is told that its route or key is unknown only
  *	while the configuration is this fresh; otherwise to come back
  * @retry: bound on repeats over all daemons
@@ -24,6 +26,7 @@
 struct fwd_setting {
 	const char *domain;
 	uint64_t key_proof_ms;
+	bool keys_fail_closed;
 	uint64_t deny_proof_ms;
 	struct fwd_budget_rule retry;
 };
--- a/src/setting-table.c
+++ b/src/setting-table.c
@@ -92,6 +92,18 @@
 	return (true);
 }
 
+static bool
+setting_store_bool(const struct setting *s, void *set, const char *value,
+    GError **error)
+{
+	bool on = strcmp(value, "true") == 0;
+
+	if (!on && strcmp(value, "false") != 0)
+		return (setting_bad(s, error, "must be true or false"));
+	*(bool *)((char *)set + s->offset) = on;
+	return (true);
+}
+
 /* Checks one value and puts it into its place. */
 static bool
 setting_store(const struct setting *s, void *set, const char *value,
@@ -104,6 +116,8 @@
 		return (setting_store_int(s, set, value, error));
 	case SETTING_REAL:
 		return (setting_store_real(s, set, value, error));
+	case SETTING_BOOL:
+		return (setting_store_bool(s, set, value, error));
 	case SETTING_ADDRESS:
 		if (!setting_check_address(s, value, error))
 			return (false);
--- a/src/setting-table.h
+++ b/src/setting-table.h
@@ -17,6 +17,7 @@
 	SETTING_LEVEL,
 	SETTING_INT,
 	SETTING_REAL,
+	SETTING_BOOL,
 };
 
 /**
--- a/tests/proc-edge-outage.sh
+++ b/tests/proc-edge-outage.sh
@@ -4,11 +4,17 @@
 start_edge_platform 2 2
 start_edge 1
 start_edge 2
+start_edge 3 --keys-fail-closed false
 put_config 1
 check_true "ready" until_true 10 edge_ready 1
 check_true "a group stands" until_true 10 groups_open 1 1
+check_true "ready" until_true 10 edge_ready 3
 check "served" 200 "$(ask 1 /look/x | status_last)"
 
+put_config 2 's/"k1","k2"/"k1"/'
+check_true "a key that was taken away is denied" until_true 10 eval \
+    '[ "$(KEY=k2 ask 3 /look/x | status_last)" = 401 ]'
+
 # Keys need a proof that is younger than the bound on keys taken away.
 control down 1
 check_true "keys are refused once their proof is too old" until_true 10 eval \
@@ -20,7 +26,15 @@
     '[ "$(ask 1 /no/x | status_last)" = 503 ]'
 check_true "not ready" eval '! edge_ready 1'
 check_true "one daemon asks the store for all" until_true 5 eval \
-    '[ "$(($(metric 1 reader) + $(metric 2 reader)))" = 1 ]'
+    '[ "$(($(metric 1 reader) + $(metric 2 reader) + $(metric 3 reader)))" = 1 ]'
+# Where keys fail open, those of the newest configuration at hand go on.
+check "a known key is served where keys fail open" 200 \
+    "$(ask 3 /look/x | status_last)"
+check "a key that is not known is asked to come back" 503 \
+    "$(KEY=k3 ask 3 /look/x | status_last)"
+check "a key that was taken away stays shut" 503 \
+    "$(KEY=k2 ask 3 /look/x | status_last)"
+check_true "ready where keys fail open" edge_ready 3
 control down 0
 check_true "all is well again" until_true 10 eval \
     '[ "$(ask 1 /look/x | status_last)" = 200 ]'
