Say what each host does, and why it is in no replica

Change: a line host_use for each host, on change only: in a replica, unfit, warming, copying, without a copy, alone, or kept, with the model in memory and its copy.

--- /dev/null
+++ b/src/keeper-idle.c
@@ -0,0 +1,110 @@
+/* Why hosts are in no replica: one line of the log for each change. */
+#include <string.h>
+
+#include "event-log.h"
+#include "keeper-idle.h"
+
+/**
+ * idle_watch_init() - begin with nothing said.
+ * @watch: the watch
+ */
+void
+idle_watch_init(struct idle_watch *watch)
+{
+	watch->said =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+/**
+ * idle_watch_clear() - free what a watch holds.
+ * @watch: the watch
+ */
+void
+idle_watch_clear(struct idle_watch *watch)
+{
+	g_hash_table_destroy(watch->said);
+}
+
+/* Free hosts of a fabric domain that can join a model without a load. */
+static unsigned
+free_with(const struct form_view *view, unsigned at,
+    const struct model_profile *m)
+{
+	unsigned n = 0;
+
+	for (guint i = 0; i < view->hosts->len; i++) {
+		const struct form_host *h = form_host_at(view, i);
+
+		n += h->free && h->at == at && form_host_has(h, m);
+	}
+	return (n);
+}
+
+/* Whether a replica could form around a host without a load. */
+static bool
+host_has_company(const struct form_view *view, const struct form_host *h)
+{
+	const GPtrArray *models = view->engine->models;
+
+	for (guint i = 0; i < models->len; i++) {
+		const struct model_profile *m = models->pdata[i];
+
+		if (form_host_has(h, m) && free_with(view, h->at, m) >= m->size)
+			return (true);
+	}
+	return (false);
+}
+
+/**
+ * idle_reason() - why a host that is in no replica is in none.
+ * @view: what the placer sees
+ * @h: the host
+ *
+ * Return: one word.
+ */
+const char *
+idle_reason(const struct form_view *view, const struct form_host *h)
+{
+	if (!h->free)
+		return ("unfit");
+	if (h->warming)
+		return ("warming");
+	if (h->staging != NULL)
+		return ("copying");
+	if (h->last == NULL && h->staged->len == 0)
+		return ("no_copy");
+	return (host_has_company(view, h) ? "kept" : "alone");
+}
+
+/* Says why a host is idle, if that has changed. */
+static void
+watch_host(struct idle_watch *watch, const struct form_view *view,
+    const struct form_host *h)
+{
+	const char *reason = "in_replica";
+
+	if (h->group == NULL)
+		reason = idle_reason(view, h);
+	if (g_hash_table_lookup(watch->said, h->id) == reason)
+		return;
+	g_hash_table_replace(watch->said, g_strdup(h->id), (gpointer)reason);
+	event_log(LOG_INFO, "host_use",
+	    "host=%s fabric=%s use=%s model=%s memory=%s copy=%s copying=%s",
+	    h->id, h->fabric != NULL ? h->fabric : "-", reason,
+	    h->group != NULL ? h->group->model : "-",
+	    h->last != NULL ? h->last : "-",
+	    h->staged->len > 0 ? (char *)h->staged->pdata[0] : "-",
+	    h->staging != NULL ? h->staging : "-");
+}
+
+/**
+ * idle_watch_look() - say what hosts do that do something else than before.
+ * @watch: the watch
+ * @view: what the placer sees
+ */
+void
+idle_watch_look(struct idle_watch *watch, const struct form_view *view)
+{
+	for (guint i = 0; i < view->hosts->len; i++)
+		watch_host(watch, view, form_host_at(view, i));
+}
--- a/src/keeper-usage.c
+++ b/src/keeper-usage.c
@@ -13,7 +13,10 @@
 struct service_usage *
 service_usage_create(void)
 {
-	return (g_new0(struct service_usage, 1));
+	struct service_usage *u = g_new0(struct service_usage, 1);
+
+	idle_watch_init(&u->idle);
+	return (u);
 }
 
 /**
@@ -27,6 +30,7 @@
 
 	for (unsigned i = 0; i < u->n_models; i++)
 		g_free(u->names[i]);
+	idle_watch_clear(&u->idle);
 	g_free(u);
 }
 
@@ -125,6 +129,7 @@
 		m->down_ms += elapsed * MAX(m->wanted - m->open, 0);
 	}
 	usage_say(u, service, now_ms);
+	idle_watch_look(&u->idle, view);
 }
 
 /**
--- a/src/keeper-usage.h
+++ b/src/keeper-usage.h
@@ -2,7 +2,7 @@
 #ifndef BL_KEEPER_USAGE_H
 #define BL_KEEPER_USAGE_H
 
-#include "replica-form.h"
+#include "keeper-idle.h"
 
 /**
  * struct model_usage - one model of one service.
@@ -30,6 +30,7 @@
  * @names: of the models
  * @models: in the order of the profile
  * @n_models: how many
+ * @idle: what was said of hosts
  */
 struct service_usage {
 	uint64_t counted_ms;
@@ -40,6 +41,7 @@
 	char *names[FORM_MODELS_MAX];
 	struct model_usage models[FORM_MODELS_MAX];
 	unsigned n_models;
+	struct idle_watch idle;
 };
 
 struct service_usage *service_usage_create(void);
