Remember the model in memory of hosts that left their group

Cause: a host told to leave its group reports no model any more, so the placer took it for empty: it had it take the large model into memory, which lost the small one in its memory, or left it idle for want of a copy. Ruled out: members that are not told to leave; they go on reporting their model. Change: each endpoint's model of its last group since its start is kept beside its report.

--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -58,6 +58,7 @@
 	g_hash_table_remove(fleet->by_key, GUINT_TO_POINTER(ep->key));
 	TAILQ_REMOVE(&fleet->endpoints, ep, entry);
 	endpoint_report_clear(&ep->report);
+	g_free(ep->memory);
 	g_free(ep);
 }
 
@@ -110,6 +111,17 @@
 	    next->draining, (unsigned long long)offset);
 }
 
+/* An endpoint that leaves its group reports no model but still has it. */
+static void
+endpoint_note_memory(struct endpoint *ep)
+{
+	if (ep->report.model == NULL ||
+	    g_strcmp0(ep->memory, ep->report.model) == 0)
+		return;
+	g_free(ep->memory);
+	ep->memory = g_strdup(ep->report.model);
+}
+
 /* Gone by its own word, not by a lapse that may have been the store's fault. */
 static bool
 endpoint_ended(const struct endpoint *ep)
@@ -145,6 +157,7 @@
 	ep->report = *report;
 	memset(report, 0, sizeof *report);
 	g_hash_table_insert(fleet->by_id, ep->report.id, ep);
+	endpoint_note_memory(ep);
 	ep->offset = offset;
 	ep->seen_ms = now_ms;
 	ep->lapsed_ms = 0;
--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -75,6 +75,8 @@
  * @reading: own prompt tokens sent there without a first event yet
  * @peer_inflight: other daemons' requests there
  * @peer_reading: other daemons' prompt tokens
+ * @memory: model of its last group since its start, or NULL; it joins one of
+ *	that model in a fraction of a second, also after it has left
  * @failures: failures in a row
  * @rest_until_ms: no work before then
  * @unfit_until_ms: not to be placed before then; it did not answer
@@ -103,6 +105,7 @@
 	double reading;
 	unsigned peer_inflight;
 	double peer_reading;
+	char *memory;
 	unsigned failures;
 	uint64_t rest_until_ms;
 	uint64_t unfit_until_ms;
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -93,7 +93,7 @@
 		host.id = ep->report.id;
 		host.domain = ep->report.domain;
 		host.fabric = ep->report.fabric;
-		host.last = ep->report.model;
+		host.last = ep->memory;
 		host.staged = ep->report.staged;
 		host.staging = host_staging(k, ep, now_ms);
 		host.warming = host_warming(k, ep->report.id, now_ms);
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -94,6 +94,16 @@
 			"not");
 }
 
+/* memory ID: the model that an endpoint has in memory */
+static void
+exec_memory(const char *rest, GString *out)
+{
+	const struct endpoint *ep = fleet_find(&fleet, rest);
+
+	g_string_append_printf(out, "%s\n",
+	    ep->memory != NULL ? ep->memory : "none");
+}
+
 /* load ID own=N peers=N reading=N rest=MS errors=PERCENT slow=PERCENT */
 static void
 exec_load(const char *rest, GString *out)
@@ -169,6 +179,7 @@
 	{ "sweep", exec_sweep },
 	{ "elsewhere", exec_elsewhere },
 	{ "show", exec_show },
+	{ "memory", exec_memory },
 	{ "load", exec_load },
 	{ "choose", exec_choose },
 	{ NULL, NULL },
