Ask again for copies whose order had no answer; a file for copies

Cause: an order to copy a model whose answer was lost, or whose host was gone, held one of the six places for loads for one and a half load times. Change: an order without an answer is given again after 0.3 s until the host says that it makes the copy (or has it); copies on hosts that are gone hold no place. What is known of copies moves from keeper-place.c to keeper-stage.c. Test: stage-lost.txt, which drives the placer's code over a stand-in for the calls.

--- a/src/keeper-call.c
+++ b/src/keeper-call.c
@@ -227,15 +227,13 @@
 	    "member=%s order=%s result=%s term=%lld", call->id,
 	    call->order == ORDER_STAGE ? "stage" : "warm",
 	    order_result_name(result), (long long)call->term);
-	/* One that does not fit meets a copy that is being made already. */
-	if (call->order == ORDER_STAGE && result != ORDER_TAKEN &&
-	    result != ORDER_UNKNOWN && result != ORDER_UNFIT)
-		g_hash_table_remove(call->keeper->staging, call->id);
+	if (call->order == ORDER_STAGE)
+		keeper_stage_answered(call->keeper, call->id, result);
 	call_free(call);
 }
 
-/* Gives an order to a host that is in no replica. */
-static void
+/* Gives an order to a host by itself; false where none was sent. */
+static bool
 host_order(struct keeper *k, const char *id, const struct order *order)
 {
 	struct endpoint *ep = fleet_find(&k->dir->fleet, id);
@@ -245,10 +243,12 @@
 	call->term = k->term;
 	call->id = g_strdup(id);
 	call->order = order->kind;
-	if (ep == NULL ||
-	    !k->orders->send(&ep->pool, id, order, ORDER_TIMEOUT_MS,
-		on_prepared, call))
-		call_free(call);
+	if (ep != NULL &&
+	    k->orders->send(&ep->pool, id, order, ORDER_TIMEOUT_MS, on_prepared,
+		call))
+		return (true);
+	call_free(call);
+	return (false);
 }
 
 /**
@@ -256,15 +256,17 @@
  * @k: the keeper
  * @id: the host
  * @model: the model
+ *
+ * Return: false where nothing was sent.
  */
-void
+bool
 keeper_order_stage(struct keeper *k, const char *id, const char *model)
 {
 	const struct order order = { .kind = ORDER_STAGE,
 		.fence = k->term,
 		.model = model };
 
-	host_order(k, id, &order);
+	return (host_order(k, id, &order));
 }
 
 /**
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -7,14 +7,6 @@
 
 /* Epochs of one lease; a lease that makes more must be taken anew. */
 #define EPOCHS_A_TERM 100000
-/* Loads are counted over this span; the platform's bound is over as much. */
-#define LOADS_WINDOW_MS 5000
-/* Part of the bound on loads that is used. */
-#define LOADS_SHARE 0.8
-/* Without a bound in the engine's profile. */
-#define LOADS_ANY 1000
-/* A copy with others beside it takes longer than one alone. */
-#define STAGE_FACTOR 1.5
 /* A host that has not taken a model into memory after this is told again; well
  * above the time of a join from the host's own copy. */
 #define WARM_AGAIN_MS 5000
@@ -40,33 +32,6 @@
 	return (NULL);
 }
 
-/* Whether a host reports a copy of a model. */
-static bool
-report_staged(const struct endpoint_report *report, const char *model)
-{
-	for (guint i = 0; i < report->staged->len; i++) {
-		if (strcmp(report->staged->pdata[i], model) == 0)
-			return (true);
-	}
-	return (false);
-}
-
-/* The model that is being copied to a host, or NULL. */
-static const char *
-host_staging(struct keeper *k, const struct endpoint *ep, uint64_t now_ms)
-{
-	const struct keeper_stage *stage =
-	    g_hash_table_lookup(k->staging, ep->report.id);
-
-	if (stage == NULL)
-		return (NULL);
-	if (now_ms < stage->until_ms &&
-	    !report_staged(&ep->report, stage->model))
-		return (stage->model);
-	g_hash_table_remove(k->staging, ep->report.id);
-	return (NULL);
-}
-
 /* Whether a host is taking a model into memory. */
 static bool
 host_warming(const struct keeper *k, const char *id, uint64_t now_ms)
@@ -95,7 +60,7 @@
 		host.fabric = ep->report.fabric;
 		host.last = ep->memory;
 		host.staged = ep->report.staged;
-		host.staging = host_staging(k, ep, now_ms);
+		host.staging = keeper_staging(k, ep->report.id);
 		host.warming = host_warming(k, ep->report.id, now_ms);
 		host.group = host_group(k, ep->report.id, &m);
 		host.free = host.group == NULL && now_ms >= ep->unfit_until_ms;
@@ -123,43 +88,6 @@
 	}
 }
 
-/* Copies that are being made. */
-static unsigned
-staging_count(struct keeper *k, uint64_t now_ms)
-{
-	GHashTableIter iter;
-	gpointer value;
-	unsigned n = 0;
-
-	g_hash_table_iter_init(&iter, k->staging);
-	while (g_hash_table_iter_next(&iter, NULL, &value))
-		n += now_ms < ((struct keeper_stage *)value)->until_ms;
-	return (n);
-}
-
-/* Loads that may begin now. */
-static unsigned
-loads_free(struct keeper *k, const struct engine_profile *e, uint64_t now_ms)
-{
-	double most = e->loads_per_s * LOADS_WINDOW_MS / 1000 * LOADS_SHARE;
-	unsigned staging = staging_count(k, now_ms);
-
-	while (k->loads->len > 0 &&
-	    now_ms - g_array_index(k->loads, uint64_t, 0) >= LOADS_WINDOW_MS)
-		g_array_remove_index(k->loads, 0);
-	if (e->loads_per_s <= 0)
-		return (LOADS_ANY);
-	/* Before the first request loads are quick, don't slow each other down
-	 * (40 at once took as long as one) and are not counted. */
-	if (!k->served)
-		return (LOADS_ANY);
-	/* More at once only slow each other down. */
-	if (staging >= e->loads_at_once || k->loads->len >= most)
-		return (0);
-	return (
-	    MIN(e->loads_at_once - staging, (unsigned)(most - k->loads->len)));
-}
-
 /* Makes a replica of a plan and has its record written. */
 static void
 place_make(struct keeper *k, const char *service, const struct form_view *view,
@@ -189,23 +117,6 @@
 	keeper_record_replica(k, r, false);
 }
 
-/* Has a host copy a model beside its work. */
-static void
-place_stage(struct keeper *k, const struct form_host *h,
-    const struct model_profile *m, uint64_t now_ms)
-{
-	struct keeper_stage *stage = g_new0(struct keeper_stage, 1);
-
-	stage->model = g_strdup(m->name);
-	stage->until_ms = now_ms + (uint64_t)(STAGE_FACTOR * m->load_ms);
-	g_hash_table_replace(k->staging, g_strdup(h->id), stage);
-	g_array_append_val(k->loads, now_ms);
-	event_log(LOG_NOTICE, "copy_planned",
-	    "host=%s model=%s fabric=%s free=%d", h->id, m->name, h->fabric,
-	    h->free);
-	keeper_order_stage(k, h->id, m->name);
-}
-
 /* Forms a replica with up to some loads; false where there is none to form. */
 static bool
 place_form(struct keeper *k, const char *service, struct form_view *view,
@@ -234,7 +145,10 @@
 
 	if (h == NULL)
 		return (false);
-	place_stage(k, h, model, now_ms);
+	event_log(LOG_NOTICE, "copy_planned",
+	    "host=%s model=%s fabric=%s free=%d", h->id, model->name, h->fabric,
+	    h->free);
+	keeper_stage_begin(k, h->id, model, now_ms);
 	return (true);
 }
 
@@ -317,7 +231,7 @@
 	    &k->replicas, now_ms);
 	view.serving = k->served;
 	view.settled = now_ms - k->grew_ms >= SETTLE_MS;
-	view.loads = loads_free(k, service->engine, now_ms);
+	view.loads = keeper_loads_free(k, service->engine, now_ms);
 	more = place_step(k, service->name, &view, now_ms);
 	form_view_clear(&view);
 	return (more);
@@ -337,6 +251,7 @@
 
 	if (mesh_serving(k->mesh))
 		keeper_record_served(k);
+	keeper_stage_look(k, now_ms);
 	if (hosts > k->hosts)
 		k->grew_ms = now_ms;
 	k->hosts = hosts;
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -120,15 +120,6 @@
 		keeper_doomed(k, r, now_ms);
 }
 
-static void
-stage_free(void *data)
-{
-	struct keeper_stage *stage = data;
-
-	g_free(stage->model);
-	g_free(stage);
-}
-
 /* Whether any replica is changing. */
 static bool
 keeper_busy(const struct keeper *k)
@@ -231,8 +222,8 @@
 	k->records = g_array_new(FALSE, TRUE, sizeof(struct store_record));
 	g_array_set_clear_func(k->records, store_record_clear);
 	k->loads = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	k->staging =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, stage_free);
+	k->staging = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    keeper_stage_free);
 	k->warming =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	k->usage = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -24,10 +24,16 @@
  * struct keeper_stage - a copy of a model being made on a host.
  * @model: the model
  * @until_ms: when it should be there; counted as lost after that
+ * @asked_ms: when the host was last told
+ * @asking: an order is on its way
+ * @known: the host said that it makes the copy
  */
 struct keeper_stage {
 	char *model;
 	uint64_t until_ms;
+	uint64_t asked_ms;
+	bool asking;
+	bool known;
 };
 
 /**
@@ -105,7 +111,7 @@
 /* keeper-call.c: orders and questions to hosts. */
 void keeper_order(struct keeper *, struct replica *, unsigned, enum order_kind);
 void keeper_ask(struct keeper *, struct replica *, unsigned);
-void keeper_order_stage(struct keeper *, const char *, const char *);
+bool keeper_order_stage(struct keeper *, const char *, const char *);
 void keeper_order_warm(struct keeper *, const char *, const char *, int64_t);
 
 /* keeper-lease.c: taking, checking and losing the lease. */
@@ -125,6 +131,16 @@
 /* keeper-adopt.c: groups that serve without a record. */
 void keeper_adopt(struct keeper *, uint64_t);
 
+/* keeper-stage.c: copies that are being made, and loads that may begin. */
+void keeper_stage_free(void *);
+void keeper_stage_look(struct keeper *, uint64_t);
+void keeper_stage_begin(struct keeper *, const char *,
+    const struct model_profile *, uint64_t);
+void keeper_stage_answered(struct keeper *, const char *, enum order_result);
+const char *keeper_staging(const struct keeper *, const char *);
+unsigned keeper_loads_free(struct keeper *, const struct engine_profile *,
+    uint64_t);
+
 /* keeper-place.c: forming new replicas. */
 void keeper_place(struct keeper *, uint64_t);
 
--- /dev/null
+++ b/tests/test-stage.c
@@ -0,0 +1,183 @@
+/* Scripts over copies that are being made: orders, answers, loads. */
+#include <string.h>
+
+#include "keeper.h"
+#include "script.h"
+
+static uv_loop_t loop;
+static struct dir dir;
+static struct keeper keeper;
+static struct catalog *catalog;
+static struct engine_profile *engine;
+static uint64_t offset;
+static GString *sent;
+
+static GHashTable *pending;
+
+/* An order that the script has yet to answer. */
+struct fake_order {
+	order_fn *done;
+	void *arg;
+};
+
+/* Notes an order that the placer gives; the script answers it. */
+static bool
+fake_send(struct net_pool *pool, const char *id, const struct order *order,
+    unsigned timeout_ms, order_fn *done, void *arg)
+{
+	const struct fake_order fake = { done, arg };
+
+	g_string_append_printf(sent, "order %s %s\n", id, order->model);
+	g_hash_table_replace(pending, g_strdup(id),
+	    g_memdup2(&fake, sizeof fake));
+	return (true);
+}
+
+/* Answers the order that a host was given last. */
+static gboolean
+fake_answer(gpointer id, gpointer data, gpointer result)
+{
+	const struct fake_order *fake = data;
+
+	fake->done(fake->arg, (enum order_result)GPOINTER_TO_INT(result));
+	return (TRUE);
+}
+
+/* Orders that were not answered end with their answer lost. */
+static void
+pending_end(void)
+{
+	g_hash_table_foreach_remove(pending, fake_answer,
+	    GINT_TO_POINTER(ORDER_UNKNOWN));
+}
+
+static const struct order_ops fake_orders = { .send = fake_send };
+
+static void
+reset(void)
+{
+	if (pending == NULL)
+		pending = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+		    g_free);
+	pending_end();
+	if (dir.fleet.by_id != NULL)
+		fleet_clear(&dir.fleet);
+	fleet_init(&dir.fleet, &loop);
+	g_clear_pointer(&catalog, catalog_unref);
+	catalog = catalog_create();
+	engine = catalog_add_engine(catalog_add_service(catalog, "s"));
+	engine->loads_per_s = 4;
+	engine->loads_at_once = 2;
+	if (sent == NULL)
+		sent = g_string_new(NULL);
+	g_string_truncate(sent, 0);
+	if (keeper.staging != NULL) {
+		g_hash_table_destroy(keeper.staging);
+		g_array_free(keeper.loads, TRUE);
+	}
+	keeper.loop = &loop;
+	keeper.dir = &dir;
+	keeper.orders = &fake_orders;
+	keeper.served = true;
+	keeper.staging = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+	    keeper_stage_free);
+	keeper.loads = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	offset = 0;
+}
+
+/* Prints the orders given since. */
+static void
+show_sent(GString *out)
+{
+	g_string_append(out, sent->str);
+	g_string_truncate(sent, 0);
+}
+
+/* host ID [staged=M]: its entry was read */
+static void
+exec_host(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	struct endpoint_report report = { 0 };
+	char *staged = script_word(rest, "staged");
+
+	report.id = g_strdup(id);
+	report.service = g_strdup("s");
+	report.staged = g_ptr_array_new_with_free_func(g_free);
+	if (staged != NULL)
+		g_ptr_array_add(report.staged, staged);
+	fleet_update(&dir.fleet, &report, ++offset, 0);
+}
+
+/* lapse ID at=MS: its entry was removed */
+static void
+exec_lapse(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+
+	fleet_lapse(&dir.fleet, id, script_number(rest, "at", 0), false);
+}
+
+/* begin ID at=MS: it is to copy the model, in 1,000 ms */
+static void
+exec_begin(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	struct model_profile m = { .name = "m", .load_ms = 1000 };
+
+	keeper_stage_begin(&keeper, id, &m, script_number(rest, "at", 0));
+	show_sent(out);
+}
+
+/* answer ID RESULT: what the host said to the order */
+static void
+exec_answer(const char *rest, GString *out)
+{
+	g_auto(GStrv) w = g_strsplit(rest, " ", 2);
+
+	for (int r = ORDER_TAKEN; r <= ORDER_UNKNOWN; r++) {
+		if (strcmp(order_result_name((enum order_result)r), w[1]) == 0)
+			fake_answer(w[0], g_hash_table_lookup(pending, w[0]),
+			    GINT_TO_POINTER(r));
+	}
+	g_hash_table_remove(pending, w[0]);
+}
+
+/* look at=MS: orders that are given again, and loads that may begin */
+static void
+exec_look(const char *rest, GString *out)
+{
+	uint64_t now = script_number(rest, "at", 0);
+
+	keeper_stage_look(&keeper, now);
+	show_sent(out);
+	g_string_append_printf(out, "loads %u\n",
+	    keeper_loads_free(&keeper, engine, now));
+}
+
+static const struct script_command commands[] = {
+	{ "host", exec_host },
+	{ "lapse", exec_lapse },
+	{ "begin", exec_begin },
+	{ "answer", exec_answer },
+	{ "look", exec_look },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	int rc;
+
+	uv_loop_init(&loop);
+	rc = script_main("stage", commands, reset);
+	pending_end();
+	g_hash_table_destroy(pending);
+	fleet_clear(&dir.fleet);
+	catalog_unref(catalog);
+	g_hash_table_destroy(keeper.staging);
+	g_array_free(keeper.loads, TRUE);
+	g_string_free(sent, TRUE);
+	uv_loop_close(&loop);
+	return (rc);
+}
