Predict first events from what is left to read and a learned offset

Two terms were wrong. A prompt counted as unread until its first event, which comes 120 ms after it was read. And the excess of late first events was learned for each endpoint by each daemon alone, never below zero. Ruled out: the passes of the profile; with what is learned left out they are right for small replicas within 10 ms at any load, less a constant. Change: what an endpoint has yet to read is worked out from the time that has passed (fwd-backlog.c); the constant is learned for each model over all endpoints (fwd-expect.c, split from fwd-choose.c); the profile's time for pairs of tokens is used.

--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -3,6 +3,7 @@
 #define BL_DIR_FLEET_H
 
 #include "dir-catalog.h"
+#include "fwd-backlog.h"
 #include "net-client.h"
 
 /**
@@ -72,7 +73,7 @@
  * @refs: exchanges that hold it
  * @pool: connections
  * @inflight: own requests there
- * @reading: own prompt tokens sent there without a first event yet
+ * @backlog: own prompt tokens sent there and not read yet
  * @peer_inflight: other daemons' requests there
  * @peer_reading: other daemons' prompt tokens
  * @memory: model of its last group since its start, or NULL; it joins one of
@@ -85,8 +86,6 @@
  * @heard_ms: loop time of its last byte in any exchange
  * @peer_heard_ms: the same, of other daemons' exchanges
  * @slowness: moving ratio of observed to expected event gaps
- * @late_ms: moving excess of seen over expected first events
- * @late_at_ms: loop time of its last change
  * @error_rate: moving share of answers that were server failures
  * @entry: in the fleet
  */
@@ -102,7 +101,7 @@
 	int refs;
 	struct net_pool pool;
 	unsigned inflight;
-	double reading;
+	struct fwd_backlog backlog;
 	unsigned peer_inflight;
 	double peer_reading;
 	char *memory;
@@ -114,8 +113,6 @@
 	uint64_t heard_ms;
 	uint64_t peer_heard_ms;
 	double slowness;
-	double late_ms;
-	uint64_t late_at_ms;
 	double error_rate;
 	TAILQ_ENTRY(endpoint) entry;
 };
--- a/src/fwd-answer.c
+++ b/src/fwd-answer.c
@@ -12,9 +12,6 @@
 #define ERROR_ALPHA 0.1
 /* Weight of the newest gap in the slowness of an endpoint. */
 #define SLOWNESS_ALPHA 0.03
-/* Weight of the newest first event in the lateness of an endpoint. */
-#define LATE_ALPHA 0.15
-#define LATE_MOST_MS 1500.0
 #define SLOWNESS_LEAST 0.5
 #define SLOWNESS_MOST 20.0
 /* Failures in a row after which an endpoint rests, and for how long. */
@@ -98,32 +95,20 @@
 	return (NET_TAKE);
 }
 
-/* Learns how much later than expected first events come. */
-static void
-answer_learn_first(struct fwd_exchange *ex)
-{
-	struct endpoint *ep = ex->endpoint;
-	uint64_t now = uv_now(ex->fwd->loop);
-	double seen = (double)(now - ex->sent_ms);
-	double learned = ep->late_ms;
-
-	/* The expectation at the sending held what was learned by then. */
-	learned += LATE_ALPHA * (seen - ex->expected_ms);
-	ep->late_ms = CLAMP(learned, 0, LATE_MOST_MS);
-	ep->late_at_ms = now;
-}
-
-/* The first event shows that the prompt was read. */
+/* The first event shows that the prompt was read, and how late it comes. */
 static void
 answer_first_event(struct fwd_exchange *ex)
 {
-	struct endpoint *ep = ex->endpoint;
+	struct fwd_learned *learned;
+	uint64_t now = uv_now(ex->fwd->loop);
 
 	if (!ex->reading)
 		return;
 	ex->reading = false;
-	ep->reading = MAX(ep->reading - ex->prompt, 0);
-	answer_learn_first(ex);
+	fwd_backlog_read(&ex->endpoint->backlog, ex->mark, now);
+	learned = fwd_learned_of(ex->fwd, ex->model);
+	fwd_learn_first(learned,
+	    (double)(now - ex->sent_ms) - ex->expected_ms + ex->extra_ms);
 }
 
 /* Learns from the time since the last event how slow the endpoint is. */
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -19,80 +19,6 @@
 /* Where every endpoint has failed a request, one may have it again after this:
  * about the time of a short answer, in which a full one gets a place. */
 #define TRIED_AGAIN_MS 200
-/* What was learned of an endpoint's lateness is forgotten over this. */
-#define LATE_FADE_MS 3000
-
-/* Requests at an endpoint, one's own and the other daemons'. */
-static double
-endpoint_running(const struct endpoint *ep)
-{
-	return ((double)ep->inflight + ep->peer_inflight);
-}
-
-/* Time of one step with some requests that write. */
-static double
-step_ms(const struct engine_profile *e, const struct model_profile *m,
-    double running)
-{
-	double context = running * (e->usual_prompt + e->usual_answer / 2);
-
-	return ((e->step_ms + e->per_seq_ms * running +
-		    e->context_per_k_ms * context / 1000) *
-	    m->pace);
-}
-
-/**
- * fwd_expect_gap() - expected time between two tokens at an endpoint.
- * @ep: the endpoint
- * @e: its engine
- * @m: its model
- */
-double
-fwd_expect_gap(const struct endpoint *ep, const struct engine_profile *e,
-    const struct model_profile *m)
-{
-	return (step_ms(e, m, endpoint_running(ep)) * ep->slowness);
-}
-
-/* What first events lately came later than expected, fading with its age. */
-static double
-endpoint_late_ms(const struct endpoint *ep, uint64_t now_ms)
-{
-	uint64_t age = now_ms - ep->late_at_ms;
-
-	if (age >= LATE_FADE_MS)
-		return (0);
-	return (ep->late_ms * (double)(LATE_FADE_MS - age) / LATE_FADE_MS);
-}
-
-/**
- * fwd_expect_first() - expected time to the first event of a request.
- * @ep: the endpoint
- * @want: the request; its engine and model are known
- * @prompt: tokens of its prompt
- *
- * Passes alternate: a piece of the prompts that wait, then some steps for the
- * requests that write. A request waits for the pass that runs, for the
- * prompts before its own, and for its own first steps.
- */
-double
-fwd_expect_first(const struct endpoint *ep, const struct fwd_want *want,
-    double prompt)
-{
-	const struct engine_profile *e = want->engine;
-	double running = endpoint_running(ep);
-	double backlog = ep->reading + ep->peer_reading + prompt;
-	double steps = step_ms(e, want->model, running + 1) * e->stride;
-	double writers = running > 0 ? steps : 0;
-	double passes = e->chunk > 0 ? ceil(backlog / e->chunk) : 1;
-	double read = 0;
-
-	if (e->read_per_ms > 0)
-		read = backlog / e->read_per_ms * want->model->pace;
-	return ((writers / 2 + read + passes * writers + steps) * ep->slowness +
-	    endpoint_late_ms(ep, want->now_ms));
-}
-
 /*
  * Whether an endpoint has failed the request; with @again, only lately.
  */
@@ -123,20 +49,38 @@
 	    strcmp(ep->report.model, want->model->name) == 0);
 }
 
+/**
+ * fwd_want_work() - a request's work for an engine.
+ * @want: the request; its engine and model are known
+ * @prompt: tokens that count
+ * @work: filled in
+ */
+void
+fwd_want_work(const struct fwd_want *want, double prompt, struct fwd_work *work)
+{
+	work->engine = want->engine;
+	work->model = want->model;
+	work->prompt = prompt;
+	work->extra_ms = want->extra_ms;
+	work->now_ms = want->now_ms;
+}
+
 /* What an endpoint costs a request; lower is better. */
 static double
 endpoint_cost(const struct endpoint *ep, const struct fwd_want *want,
     double *first)
 {
 	bool across = g_strcmp0(ep->report.domain, want->domain) != 0;
+	struct fwd_work work;
 
 	*first = 0;
 	if (want->model != NULL) {
-		*first = fwd_expect_first(ep, want, want->prompt);
+		fwd_want_work(want, want->prompt, &work);
+		*first = fwd_expect_first(ep, &work);
 		return (*first * (1 + ERROR_WEIGHT * ep->error_rate) +
 		    (across ? CROSS_DOMAIN_MS : 0));
 	}
-	return (endpoint_running(ep) / MAX(ep->report.slots, 1) +
+	return (fwd_expect_running(ep) / MAX(ep->report.slots, 1) +
 	    ERROR_WEIGHT * ep->error_rate + (across ? CROSS_DOMAIN_LOAD : 0));
 }
 
@@ -177,7 +121,7 @@
 		    want_tried(want, ep, resort == RESORT_TRIED))
 			continue;
 		choice->usable++;
-		if (endpoint_running(ep) < endpoint_places(ep, want))
+		if (fwd_expect_running(ep) < endpoint_places(ep, want))
 			g_ptr_array_add(found, ep);
 	}
 }
@@ -230,7 +174,9 @@
 		*best = cost;
 		choice->endpoint = ep;
 		choice->first_ms = expected;
-		choice->load = endpoint_running(ep) / endpoint_places(ep, want);
+		choice->extra_ms = want->extra_ms;
+		choice->load =
+		    fwd_expect_running(ep) / endpoint_places(ep, want);
 	}
 }
 
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -2,7 +2,7 @@
 #ifndef BL_FWD_CHOOSE_H
 #define BL_FWD_CHOOSE_H
 
-#include "dir-fleet.h"
+#include "fwd-expect.h"
 
 /* Endpoints that one request remembers to have failed it. */
 #define FWD_TRIED_MAX 6
@@ -23,6 +23,7 @@
  * @engine: the service's engine profile, or NULL
  * @model: the model's profile, or NULL
  * @prompt: tokens of the prompt
+ * @extra_ms: learned of the model's first events
  * @domain: this daemon's failure domain
  * @tried: endpoints that failed it
  * @n_tried: how many
@@ -34,6 +35,7 @@
 	const struct engine_profile *engine;
 	const struct model_profile *model;
 	double prompt;
+	double extra_ms;
 	const char *domain;
 	const struct fwd_tried *tried;
 	unsigned n_tried;
@@ -45,6 +47,7 @@
  * struct fwd_choice - the endpoint chosen.
  * @endpoint: NULL where none has a free place
  * @first_ms: when its first event is expected; 0 for plain services
+ * @extra_ms: part of that which was learned of the model
  * @load: part of its places that are taken
  * @known: endpoints of the kind, usable or not
  * @usable: those that are usable, full or not, and may have the request
@@ -52,6 +55,7 @@
 struct fwd_choice {
 	struct endpoint *endpoint;
 	double first_ms;
+	double extra_ms;
 	double load;
 	unsigned known;
 	unsigned usable;
@@ -59,9 +63,6 @@
 
 void fwd_choose(const struct fleet *, const struct fwd_want *,
     struct fwd_choice *);
-double fwd_expect_first(const struct endpoint *, const struct fwd_want *,
-    double);
-double fwd_expect_gap(const struct endpoint *, const struct engine_profile *,
-    const struct model_profile *);
+void fwd_want_work(const struct fwd_want *, double, struct fwd_work *);
 
 #endif
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -45,7 +45,8 @@
 		return;
 	ep->inflight--;
 	if (ex->reading)
-		ep->reading = MAX(ep->reading - ex->prompt, 0);
+		fwd_backlog_drop(&ep->backlog, ex->prompt,
+		    uv_now(ex->fwd->loop));
 	ex->reading = false;
 	ep->refs--;
 	ex->endpoint = NULL;
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -40,6 +40,22 @@
 
 static void exchange_queue(struct fwd_exchange *);
 
+static void exchange_want(const struct fwd_exchange *, struct fwd_want *);
+
+/* Counts the prompt among those that the endpoint has yet to read. */
+static void
+exchange_note_prompt(struct fwd_exchange *ex)
+{
+	struct endpoint *ep = ex->endpoint;
+	struct fwd_want want;
+	struct fwd_work work;
+
+	exchange_want(ex, &want);
+	fwd_want_work(&want, ex->prompt, &work);
+	ex->mark = fwd_backlog_add(&ep->backlog, ex->prompt,
+	    fwd_expect_rate(ep, &work), want.now_ms);
+}
+
 /* Counts a place at an endpoint as taken. */
 static void
 exchange_hold(struct fwd_exchange *ex, const struct fwd_choice *choice)
@@ -48,13 +64,14 @@
 
 	ex->endpoint = ep;
 	ex->running_at_send = ep->inflight + ep->peer_inflight;
-	ex->reading_at_send = ep->reading + ep->peer_reading;
+	ex->reading_at_send = fwd_expect_backlog(ep, uv_now(ex->fwd->loop));
 	ep->refs++;
-	ep->inflight++;
 	ex->reading = ex->model != NULL;
 	if (ex->reading)
-		ep->reading += ex->prompt;
+		exchange_note_prompt(ex);
+	ep->inflight++;
 	ex->expected_ms = choice->first_ms;
+	ex->extra_ms = choice->extra_ms;
 }
 
 /* Remembers the endpoint, so that others are chosen first if it fails. */
@@ -136,6 +153,8 @@
 	want->engine = ex->model != NULL ? ex->engine : NULL;
 	want->model = ex->model;
 	want->prompt = ex->prompt;
+	if (ex->model != NULL)
+		want->extra_ms = fwd_learned_of(ex->fwd, ex->model)->extra_ms;
 	want->domain = ex->fwd->set.domain;
 	want->tried = ex->tried;
 	want->n_tried = ex->n_tried;
@@ -150,14 +169,15 @@
 {
 	uint64_t now = uv_now(ex->fwd->loop);
 	struct fwd_want want;
+	struct fwd_work work;
 	double first;
 
 	if (ex->model == NULL || ex->sends > 0 || choice->load < FULL_ENOUGH)
 		return (false);
 	exchange_want(ex, &want);
 	/* Judged for a prompt of usual size, so that large ones get through. */
-	first = fwd_expect_first(choice->endpoint, &want,
-	    MIN(ex->prompt, ex->engine->usual_prompt));
+	fwd_want_work(&want, MIN(ex->prompt, ex->engine->usual_prompt), &work);
+	first = fwd_expect_first(choice->endpoint, &work);
 	return ((double)(now - ex->arrived_ms) + first >
 	    (double)ex->route->objective_ms);
 }
@@ -382,7 +402,8 @@
 		    "slowness=%.2f id=%s",
 		    ep->report.id,
 		    (unsigned long long)(now - MAX(ex->heard_ms, ep->heard_ms)),
-		    ep->inflight, ep->reading, ep->slowness, ex->id);
+		    ep->inflight, fwd_expect_backlog(ep, now), ep->slowness,
+		    ex->id);
 		ep->rest_until_ms = now + REST_SILENT_MS;
 		ep->warned_ms = now;
 		if (ex->fwd->suspect != NULL)
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -46,8 +46,10 @@
  * @client: connection to the endpoint
  * @sent_ms: when the endpoint got it
  * @expected_ms: when its first event was expected, from then
+ * @extra_ms: part of that which was learned of the model
  * @running_at_send: requests that the endpoint had then
  * @reading_at_send: prompt tokens that it had not read then
+ * @mark: the place of this prompt among all sent there
  * @sends: times it was sent
  * @runs: of these, the ones that may have run
  * @arrived: the last send may have reached its endpoint
@@ -91,8 +93,10 @@
 	struct net_client *client;
 	uint64_t sent_ms;
 	double expected_ms;
+	double extra_ms;
 	unsigned running_at_send;
 	double reading_at_send;
+	double mark;
 	unsigned sends;
 	unsigned runs;
 	bool arrived;
--- /dev/null
+++ b/src/fwd-expect.c
@@ -0,0 +1,149 @@
+/* When an endpoint's next events are expected. Pure. */
+#include <math.h>
+
+#include "fwd-expect.h"
+
+/* Weight of the newest first event in what is learned of a model; hundreds
+ * come in a few seconds, so some late ones hardly show. */
+#define EXTRA_ALPHA 0.02
+/* The first of them count more, as long as there are few. */
+#define EXTRA_FIRST 10
+/* One that is this far off says something of its endpoint, not of the model:
+ * a dead or slow host. */
+#define EXTRA_MOST_MS 400.0
+/* Tokens of a million, for the profile's figure on pairs. */
+#define PAIRS_UNIT 1e6
+
+/**
+ * fwd_expect_running() - requests at an endpoint, one's own and the others'.
+ * @ep: the endpoint
+ */
+double
+fwd_expect_running(const struct endpoint *ep)
+{
+	return ((double)ep->inflight + ep->peer_inflight);
+}
+
+/**
+ * fwd_expect_backlog() - prompt tokens that an endpoint has yet to read.
+ * @ep: the endpoint
+ * @now_ms: loop time
+ */
+double
+fwd_expect_backlog(const struct endpoint *ep, uint64_t now_ms)
+{
+	return (fwd_backlog_tokens(&ep->backlog, now_ms) + ep->peer_reading);
+}
+
+/* Time of one step with some requests that write. */
+static double
+step_ms(const struct engine_profile *e, const struct model_profile *m,
+    double running)
+{
+	double context = running * (e->usual_prompt + e->usual_answer / 2);
+
+	return ((e->step_ms + e->per_seq_ms * running +
+		    e->context_per_k_ms * context / 1000) *
+	    m->pace);
+}
+
+/* Steps that a pass runs for the requests that write. */
+static double
+writers_ms(const struct endpoint *ep, const struct fwd_work *work)
+{
+	double running = fwd_expect_running(ep);
+
+	if (running < 1)
+		return (0);
+	return (
+	    step_ms(work->engine, work->model, running) * work->engine->stride);
+}
+
+/**
+ * fwd_expect_gap() - expected time between two tokens at an endpoint.
+ * @ep: the endpoint
+ * @e: its engine
+ * @m: its model
+ */
+double
+fwd_expect_gap(const struct endpoint *ep, const struct engine_profile *e,
+    const struct model_profile *m)
+{
+	return (step_ms(e, m, fwd_expect_running(ep)) * ep->slowness);
+}
+
+/**
+ * fwd_expect_rate() - prompt tokens that an endpoint reads for this daemon.
+ * @ep: the endpoint
+ * @work: the request that is sent next
+ *
+ * A pass reads a piece of the prompts that wait, then runs the steps of those
+ * that write. Other daemons' prompts are read in the same passes.
+ *
+ * Return: tokens in a millisecond; of a whole backlog at once where the profile
+ * says nothing of reading.
+ */
+double
+fwd_expect_rate(const struct endpoint *ep, const struct fwd_work *work)
+{
+	const struct engine_profile *e = work->engine;
+	double own = fwd_backlog_tokens(&ep->backlog, work->now_ms);
+	double all, piece, pass;
+
+	own += work->prompt;
+	all = own + ep->peer_reading;
+	if (e->read_per_ms <= 0 || all <= 0)
+		return (own);
+	piece = e->chunk > 0 ? MIN(all, e->chunk) : all;
+	pass =
+	    piece / e->read_per_ms * work->model->pace + writers_ms(ep, work);
+	return (piece / (pass * ep->slowness) * own / all);
+}
+
+/**
+ * fwd_expect_first() - expected time to the first event of a request.
+ * @ep: the endpoint
+ * @work: the request
+ *
+ * Passes alternate: a piece of the prompts that wait, then some steps for the
+ * requests that write. A request waits for the pass that runs, for the
+ * prompts before its own, and for its own first steps.
+ *
+ * Return: milliseconds from now.
+ */
+double
+fwd_expect_first(const struct endpoint *ep, const struct fwd_work *work)
+{
+	const struct engine_profile *e = work->engine;
+	double backlog = fwd_expect_backlog(ep, work->now_ms) + work->prompt;
+	double writers = writers_ms(ep, work);
+	double running = fwd_expect_running(ep);
+	double steps = step_ms(e, work->model, running + 1) * e->stride;
+	double passes = e->chunk > 0 ? ceil(backlog / e->chunk) : 1;
+	double pairs = work->prompt * work->prompt / 2 / PAIRS_UNIT;
+	double read = pairs * e->pairs_per_m_ms;
+
+	if (e->read_per_ms > 0)
+		read += backlog / e->read_per_ms;
+	return ((writers / 2 + read * work->model->pace + passes * writers +
+		    steps) *
+		ep->slowness +
+	    work->extra_ms);
+}
+
+/**
+ * fwd_learn_first() - a first event came.
+ * @learned: of its model
+ * @late_ms: after it was expected without what was learned
+ */
+void
+fwd_learn_first(struct fwd_learned *learned, double late_ms)
+{
+	double alpha = EXTRA_ALPHA;
+
+	learned->seen++;
+	if (learned->seen <= EXTRA_FIRST)
+		alpha = 1.0 / learned->seen;
+	late_ms = CLAMP(late_ms, 0, EXTRA_MOST_MS);
+	learned->extra_ms += alpha * (late_ms - learned->extra_ms);
+}
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -120,6 +120,24 @@
 	return (b);
 }
 
+/**
+ * fwd_learned_of() - what was learned of a model's first events.
+ * @fwd: the engine
+ * @m: the model
+ */
+struct fwd_learned *
+fwd_learned_of(struct fwd *fwd, const struct model_profile *m)
+{
+	struct fwd_learned *learned =
+	    g_hash_table_lookup(fwd->learned, m->name);
+
+	if (learned == NULL) {
+		learned = g_new0(struct fwd_learned, 1);
+		g_hash_table_insert(fwd->learned, g_strdup(m->name), learned);
+	}
+	return (learned);
+}
+
 /**
  * fwd_open() - start the engine.
  * @fwd: the engine; wire, dir and set are filled in
@@ -140,6 +158,8 @@
 	TAILQ_INIT(&fwd->waiting);
 	fwd->budgets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fwd->learned =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fwd_stats_init(&fwd->stats);
 	uv_timer_init(loop, &fwd->tick);
 	uv_timer_init(loop, &fwd->kick);
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -4,6 +4,7 @@
 
 #include "dir.h"
 #include "fwd-budget.h"
+#include "fwd-expect.h"
 #include "fwd-stats.h"
 #include "fwd-wire.h"
 
@@ -45,6 +46,7 @@
  * @waiting: those without an endpoint
  * @n_exchanges: length of @exchanges
  * @budgets: service name to struct fwd_budget
+ * @learned: model name to struct fwd_learned
  * @daemons: that share the retry budget
  * @leaving: the daemon ends; connections are closed after their answer
  * @closed: the listener is closed
@@ -67,6 +69,7 @@
 	struct fwd_exchange_list waiting;
 	unsigned n_exchanges;
 	GHashTable *budgets;
+	GHashTable *learned;
 	unsigned daemons;
 	bool leaving;
 	bool closed;
@@ -85,5 +88,6 @@
 void fwd_kick(struct fwd *);
 void fwd_wake(struct fwd *);
 struct fwd_budget *fwd_budget_of(struct fwd *, const char *);
+struct fwd_learned *fwd_learned_of(struct fwd *, const struct model_profile *);
 
 #endif
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -295,7 +295,8 @@
 			continue;
 		news->loads[news->n_loads].key = ep->key;
 		news->loads[news->n_loads].inflight = ep->inflight;
-		news->loads[news->n_loads].reading = (uint32_t)ep->reading;
+		news->loads[news->n_loads].reading =
+		    (uint32_t)fwd_backlog_tokens(&ep->backlog, now);
 		news->loads[news->n_loads].heard_ms =
 		    (uint32_t)MIN(now - ep->heard_ms, UINT32_MAX);
 		news->n_loads++;
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -113,7 +113,7 @@
 
 	ep->inflight = (unsigned)script_number(rest, "own", 0);
 	ep->peer_inflight = (unsigned)script_number(rest, "peers", 0);
-	ep->reading = (double)script_number(rest, "reading", 0);
+	ep->peer_reading = (double)script_number(rest, "reading", 0);
 	ep->rest_until_ms = script_number(rest, "rest", 0);
 	ep->error_rate = (double)script_number(rest, "errors", 0) / 100;
 	ep->slowness = (double)script_number(rest, "slow", 100) / 100;
