Count others' prompts by their mean; reading doesn't wait for steps

Cause: large replicas were still expected 60 to 150 ms too late. Other daemons' prompts counted in full until their next news; and each piece of a prompt was taken to wait for the steps of the requests that write. Requests of 5,000 tokens came 122 ms after those of 500 at any load, which is their reading alone. Change: a daemon's prompts count by the mean of what is left of them until it tells again; a first event waits for half a pass, for reading, and for its own steps. Test: fleet-expect.txt, the load of a large replica.

--- a/src/dir-catalog.h
+++ b/src/dir-catalog.h
@@ -45,7 +45,7 @@
  * @context_per_k_ms: more for each 1,000 tokens of context
  * @read_per_ms: prompt tokens read in a millisecond
  * @pairs_per_m_ms: time for a million pairs of tokens while reading
- * @chunk: most prompt tokens of a pass
+ * @chunk: most prompt tokens of a pass; first events did not show it
  * @stride: steps of a pass that has writers
  * @loads_per_s: most loads that may start in a second
  * @loads_at_once: loads beyond which each slows down
--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -73,6 +73,7 @@
  * @refs: exchanges that hold it
  * @pool: connections
  * @inflight: own requests there
+ * @read_rate: prompt tokens that it was last expected to read in a millisecond
  * @backlog: own prompt tokens sent there and not read yet
  * @peer_inflight: other daemons' requests there
  * @peer_reading: other daemons' prompt tokens
@@ -101,6 +102,7 @@
 	int refs;
 	struct net_pool pool;
 	unsigned inflight;
+	double read_rate;
 	struct fwd_backlog backlog;
 	unsigned peer_inflight;
 	double peer_reading;
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -49,11 +49,16 @@
 	struct endpoint *ep = ex->endpoint;
 	struct fwd_want want;
 	struct fwd_work work;
+	double own, all;
 
 	exchange_want(ex, &want);
 	fwd_want_work(&want, ex->prompt, &work);
+	ep->read_rate = fwd_expect_rate(ep, &work);
+	own = fwd_backlog_tokens(&ep->backlog, want.now_ms) + ex->prompt;
+	all = fwd_expect_backlog(ep, want.now_ms) + ex->prompt;
+	/* The other daemons' prompts are read in the same passes. */
 	ex->mark = fwd_backlog_add(&ep->backlog, ex->prompt,
-	    fwd_expect_rate(ep, &work), want.now_ms);
+	    all > 0 ? ep->read_rate * own / all : 0, want.now_ms);
 }
 
 /* Counts a place at an endpoint as taken. */
--- a/src/fwd-expect.c
+++ b/src/fwd-expect.c
@@ -1,6 +1,4 @@
 /* When an endpoint's next events are expected. Pure. */
-#include <math.h>
-
 #include "fwd-expect.h"
 
 /* Weight of the newest first event in what is learned of a model; hundreds
@@ -47,7 +45,7 @@
 	    m->pace);
 }
 
-/* Steps that a pass runs for the requests that write. */
+/* The steps of a pass for the requests that write. */
 static double
 writers_ms(const struct endpoint *ep, const struct fwd_work *work)
 {
@@ -73,31 +71,16 @@
 }
 
 /**
- * fwd_expect_rate() - prompt tokens that an endpoint reads for this daemon.
+ * fwd_expect_rate() - prompt tokens that an endpoint reads in a millisecond.
  * @ep: the endpoint
- * @work: the request that is sent next
- *
- * A pass reads a piece of the prompts that wait, then runs the steps of those
- * that write. Other daemons' prompts are read in the same passes.
+ * @work: a request for it
  *
- * Return: tokens in a millisecond; of a whole backlog at once where the profile
- * says nothing of reading.
+ * Return: 0 where the profile says nothing of reading.
  */
 double
 fwd_expect_rate(const struct endpoint *ep, const struct fwd_work *work)
 {
-	const struct engine_profile *e = work->engine;
-	double own = fwd_backlog_tokens(&ep->backlog, work->now_ms);
-	double all, piece, pass;
-
-	own += work->prompt;
-	all = own + ep->peer_reading;
-	if (e->read_per_ms <= 0 || all <= 0)
-		return (own);
-	piece = e->chunk > 0 ? MIN(all, e->chunk) : all;
-	pass =
-	    piece / e->read_per_ms * work->model->pace + writers_ms(ep, work);
-	return (piece / (pass * ep->slowness) * own / all);
+	return (work->engine->read_per_ms / work->model->pace / ep->slowness);
 }
 
 /**
@@ -105,9 +88,10 @@
  * @ep: the endpoint
  * @work: the request
  *
- * Passes alternate: a piece of the prompts that wait, then some steps for the
- * requests that write. A request waits for the pass that runs, for the
- * prompts before its own, and for its own first steps.
+ * A request waits for half of a pass of those that write, then for the prompts
+ * before its own and its own to be read, then for its own first steps. Steps
+ * between the pieces of a prompt do not show: prompts of three pieces came no
+ * later than their reading takes (MEASUREMENTS, first events).
  *
  * Return: milliseconds from now.
  */
@@ -115,19 +99,16 @@
 fwd_expect_first(const struct endpoint *ep, const struct fwd_work *work)
 {
 	const struct engine_profile *e = work->engine;
-	double backlog = fwd_expect_backlog(ep, work->now_ms) + work->prompt;
-	double writers = writers_ms(ep, work);
 	double running = fwd_expect_running(ep);
+	double backlog = fwd_expect_backlog(ep, work->now_ms) + work->prompt;
 	double steps = step_ms(e, work->model, running + 1) * e->stride;
-	double passes = e->chunk > 0 ? ceil(backlog / e->chunk) : 1;
 	double pairs = work->prompt * work->prompt / 2 / PAIRS_UNIT;
-	double read = pairs * e->pairs_per_m_ms;
+	double read = pairs * e->pairs_per_m_ms * work->model->pace;
+	double rate = fwd_expect_rate(ep, work);
 
-	if (e->read_per_ms > 0)
-		read += backlog / e->read_per_ms;
-	return ((writers / 2 + read * work->model->pace + passes * writers +
-		    steps) *
-		ep->slowness +
+	if (rate > 0)
+		read += backlog / rate;
+	return (read + (writers_ms(ep, work) / 2 + steps) * ep->slowness +
 	    work->extra_ms);
 }
 
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -9,6 +9,7 @@
 static struct catalog *catalog;
 static struct engine_profile *engine;
 static struct model_profile *model;
+static struct fwd_learned learned;
 static uint64_t offset;
 
 static void
@@ -24,13 +25,13 @@
 	engine->step_ms = 6;
 	engine->per_seq_ms = 0.25;
 	engine->read_per_ms = 46;
-	engine->chunk = 2048;
 	engine->stride = 5;
 	model = g_new0(struct model_profile, 1);
 	model->name = g_strdup("m");
 	model->size = 2;
 	model->pace = 1;
 	g_ptr_array_add(engine->models, model);
+	memset(&learned, 0, sizeof learned);
 	offset = 0;
 }
 
@@ -119,6 +120,75 @@
 	ep->slowness = (double)script_number(rest, "slow", 100) / 100;
 }
 
+/* The work of a prompt for the engine. */
+static struct fwd_work
+work_of(const char *rest)
+{
+	struct fwd_work work = { .engine = engine, .model = model };
+
+	work.prompt = (double)script_number(rest, "prompt", 1000);
+	work.extra_ms = learned.extra_ms;
+	work.now_ms = script_number(rest, "at", 0);
+	return (work);
+}
+
+/* sent ID prompt=N at=MS: a prompt was sent there; prints its mark */
+static void
+exec_sent(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	struct endpoint *ep = fleet_find(&fleet, id);
+	struct fwd_work work = work_of(rest);
+	double mark = fwd_backlog_add(&ep->backlog, work.prompt,
+	    fwd_expect_rate(ep, &work), work.now_ms);
+
+	g_string_append_printf(out, "mark %.0f\n", mark);
+}
+
+/* event ID mark=N at=MS: the first event of the prompt with that mark came */
+static void
+exec_event(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	struct endpoint *ep = fleet_find(&fleet, id);
+
+	fwd_backlog_read(&ep->backlog, (double)script_number(rest, "mark", 0),
+	    script_number(rest, "at", 0));
+}
+
+/* learn MS...: first events came so much later than the profile says */
+static void
+exec_learn(const char *rest, GString *out)
+{
+	g_auto(GStrv) words = g_strsplit(rest, " ", -1);
+
+	for (char **w = words; *w != NULL; w++)
+		fwd_learn_first(&learned, g_ascii_strtod(*w, NULL));
+	g_string_append_printf(out, "%.0f\n", learned.extra_ms);
+}
+
+/* expect ID prompt=N at=MS: what is left to read, and its first event */
+static void
+exec_expect(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	const struct endpoint *ep = fleet_find(&fleet, id);
+	struct fwd_work work = work_of(rest);
+
+	g_string_append_printf(out, "left %.0f first %.0f\n",
+	    fwd_expect_backlog(ep, work.now_ms), fwd_expect_first(ep, &work));
+}
+
+/* mean tokens=N rate=N span=MS: what is left of them, on average */
+static void
+exec_mean(const char *rest, GString *out)
+{
+	g_string_append_printf(out, "%.0f\n",
+	    fwd_backlog_mean((double)script_number(rest, "tokens", 0),
+		(double)script_number(rest, "rate", 0),
+		(double)script_number(rest, "span", 0)));
+}
+
 static int
 by_id(const void *a, const void *b)
 {
@@ -180,6 +250,11 @@
 	{ "elsewhere", exec_elsewhere },
 	{ "show", exec_show },
 	{ "memory", exec_memory },
+	{ "sent", exec_sent },
+	{ "event", exec_event },
+	{ "learn", exec_learn },
+	{ "expect", exec_expect },
+	{ "mean", exec_mean },
 	{ "load", exec_load },
 	{ "choose", exec_choose },
 	{ NULL, NULL },
