Wait while a place in time is expected; come back after a repair

Ruled out: longer waits; a place that comes after the objective makes the next answers late too. Change: a pure decision (fwd-admission.c): sent, waits, or refused at once. A place is expected from how long requests of the kind hold one (learned), how many there are and how many wait before it at all daemons. A refused client is told the time of a repair (join from the host's copy, and opening, of its model), spread by half, within the third of its time that clients heed. One that was refused before, which its shorter time shows, is not judged by an objective that has passed.

--- /dev/null
+++ b/src/fwd-admission.c
@@ -0,0 +1,81 @@
+/*
+ * Whether a request is sent, waits for a place or is refused. Pure.
+ *
+ * Answers loads above what the replicas can take: a burst, or replicas lost
+ * until they are formed again. A request waits for as long as a place that it
+ * can have in time is expected, and not longer: each one that is served late
+ * makes later ones late. One that was refused comes back when a replica that
+ * is being repaired should serve again.
+ */
+#include <math.h>
+
+#include "fwd-admission.h"
+
+/* Below this load an expected late answer is no reason to refuse: there are
+ * places, and expectations are least sure where little runs. */
+#define FULL_ENOUGH 0.6
+/* When to come back where the service has no models that a repair would load:
+ * about as long as an endpoint rests after failures. */
+#define RETRY_PLAIN_MS 400
+/* Part of the time to come back over which callers are spread, so that they
+ * don't return all at once. */
+#define RETRY_SPREAD 0.5
+/* Callers heed a time to come back up to this part of the time they have. */
+#define RETRY_HEEDED (1.0 / 3)
+
+/* Expected time until a place becomes free for the request. */
+static double
+place_ms(const struct admission *a)
+{
+	if (a->choice->taken <= 0)
+		return (INFINITY);
+	return (a->whole_ms / a->choice->taken * (a->ahead + 1));
+}
+
+/* Whether a request that has a place would be answered in time. */
+static bool
+in_time(const struct admission *a, double from_now_ms)
+{
+	return (a->waited_ms + from_now_ms <= a->objective_ms);
+}
+
+/**
+ * admission_decide() - decide about a request that has no endpoint.
+ * @a: the request
+ */
+enum admission_verdict
+admission_decide(const struct admission *a)
+{
+	const struct fwd_choice *choice = a->choice;
+	double place = place_ms(a);
+
+	if (choice->endpoint != NULL) {
+		if (a->sends > 0 || a->returned || a->want->model == NULL ||
+		    choice->load < FULL_ENOUGH || in_time(a, a->first_ms))
+			return (ADMIT_SEND);
+		return (ADMIT_REFUSE);
+	}
+	/* What was begun goes on as long as there is time. */
+	if (a->sends > 0)
+		return (ADMIT_WAIT);
+	if (choice->usable == 0)
+		return (ADMIT_REFUSE);
+	return (in_time(a, place + (a->returned ? 0 : a->first_ms)) ?
+		ADMIT_WAIT :
+		ADMIT_REFUSE);
+}
+
+/**
+ * admission_retry_ms() - when a refused request should come back.
+ * @a: the request
+ */
+int64_t
+admission_retry_ms(const struct admission *a)
+{
+	double retry = RETRY_PLAIN_MS;
+
+	if (a->want->model != NULL)
+		retry = a->want->model->warm_ms + a->want->engine->form_ms;
+	retry *= 1 + RETRY_SPREAD * a->draw / UINT32_MAX;
+	return ((int64_t)MIN(retry, MAX(a->left_ms, 0) * RETRY_HEEDED));
+}
--- /dev/null
+++ b/src/fwd-admission.h
@@ -0,0 +1,50 @@
+/* Whether a request is sent, waits for a place or is refused. Pure. */
+#ifndef BL_FWD_ADMISSION_H
+#define BL_FWD_ADMISSION_H
+
+#include "fwd-choose.h"
+
+/**
+ * enum admission_verdict - what becomes of a request now.
+ * @ADMIT_SEND: it goes to the endpoint chosen
+ * @ADMIT_WAIT: a place that it can have in time is expected
+ * @ADMIT_REFUSE: it can't be served in time; it is told when to come back
+ */
+enum admission_verdict {
+	ADMIT_SEND,
+	ADMIT_WAIT,
+	ADMIT_REFUSE,
+};
+
+/**
+ * struct admission - a request that has no endpoint, and what is known of it.
+ * @want: what it needs
+ * @choice: the endpoint found for it, if any
+ * @first_ms: when the first event of a request of usual size is expected there
+ * @objective_ms: when its answer has its full worth
+ * @waited_ms: since it arrived
+ * @left_ms: until its deadline
+ * @returned: it was refused before, so its objective has passed
+ * @sends: times it was sent
+ * @whole_ms: how long requests of its kind hold a place
+ * @ahead: requests that wait before it for the same places, at all daemons
+ * @draw: random number
+ */
+struct admission {
+	const struct fwd_want *want;
+	const struct fwd_choice *choice;
+	double first_ms;
+	double objective_ms;
+	double waited_ms;
+	double left_ms;
+	bool returned;
+	unsigned sends;
+	double whole_ms;
+	double ahead;
+	uint32_t draw;
+};
+
+enum admission_verdict admission_decide(const struct admission *);
+int64_t admission_retry_ms(const struct admission *);
+
+#endif
--- a/src/fwd-admit.c
+++ b/src/fwd-admit.c
@@ -8,9 +8,6 @@
 
 /* When to come back to a daemon that lacks a fresh configuration. */
 #define RETRY_STALE_MS 300
-/* Part of the objective for which a request may wait for a first place; a
- * refusal must come within a quarter, and the rest is the way there. */
-#define PATIENCE_SHARE 0.18
 /* How long a request without a deadline of its own may take at most. */
 #define DEADLINE_MOST_MS 600000
 
@@ -100,8 +97,8 @@
 		life = MIN(life, req->deadline_ms);
 	life = MIN(life, DEADLINE_MOST_MS);
 	ex->deadline_ms = ex->arrived_ms + (uint64_t)life;
-	ex->patience_ms = ex->arrived_ms +
-	    (uint64_t)((double)ex->route->objective_ms * PATIENCE_SHARE);
+	/* A client that has waited longer than the objective tries again. */
+	ex->returned = life + ex->route->objective_ms < ex->route->timeout_ms;
 }
 
 /* The request's first line and the headers that go on unchanged. */
--- a/src/fwd-answer.c
+++ b/src/fwd-answer.c
@@ -106,7 +106,7 @@
 		return;
 	ex->reading = false;
 	fwd_backlog_read(&ex->endpoint->backlog, ex->mark, now);
-	learned = fwd_learned_of(ex->fwd, ex->model);
+	learned = fwd_learned_of(ex->fwd, ex->model->name);
 	fwd_learn_first(learned,
 	    (double)(now - ex->sent_ms) - ex->expected_ms + ex->extra_ms);
 }
@@ -253,6 +253,8 @@
 		return;
 	}
 	ex->arrived = true;
+	fwd_learn_whole(fwd_exchange_learned(ex),
+	    (double)(uv_now(ex->fwd->loop) - ex->sent_ms));
 	endpoint_judge(ep,
 	    bad || ex->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
 	fwd_exchange_release(ex);
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -113,6 +113,8 @@
 
 	choice->known = 0;
 	choice->usable = 0;
+	choice->taken = 0;
+	choice->nearest = NULL;
 	TAILQ_FOREACH(ep, &fleet->endpoints, entry) {
 		if (!endpoint_fits(ep, want) || ep->gone)
 			continue;
@@ -121,6 +123,8 @@
 		    want_tried(want, ep, resort == RESORT_TRIED))
 			continue;
 		choice->usable++;
+		choice->taken += fwd_expect_running(ep);
+		choice->nearest = ep;
 		if (fwd_expect_running(ep) < endpoint_places(ep, want))
 			g_ptr_array_add(found, ep);
 	}
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -49,6 +49,8 @@
  * @first_ms: when its first event is expected; 0 for plain services
  * @extra_ms: part of that which was learned of the model
  * @load: part of its places that are taken
+ * @taken: requests at those that are usable
+ * @nearest: a usable endpoint of the kind, full or not, or NULL
  * @known: endpoints of the kind, usable or not
  * @usable: those that are usable, full or not, and may have the request
  */
@@ -57,6 +59,8 @@
 	double first_ms;
 	double extra_ms;
 	double load;
+	double taken;
+	const struct endpoint *nearest;
 	unsigned known;
 	unsigned usable;
 };
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -4,6 +4,7 @@
 
 #include "clock.h"
 #include "event-log.h"
+#include "fwd-admission.h"
 #include "fwd-exchange.h"
 #include "random.h"
 
@@ -16,8 +17,6 @@
 /* A host that does not take a connection in this time is not there; a lost
  * packet is sent again after a second, which is longer than most objectives. */
 #define CONNECT_MS 350
-/* Load above which a request that is expected too late is not sent. */
-#define FULL_ENOUGH 0.6
 /* Silence of a replica's streams is judged against its expected gap, with
  * this factor, and never below this bound. */
 #define SILENCE_FACTOR 5.0
@@ -33,10 +32,8 @@
 /* A plain endpoint that says nothing for this many objectives is left. */
 #define PLAIN_SILENCE_FACTOR 2.0
 #define PLAIN_SILENCE_LEAST_MS 700
-/* When to come back where no endpoint is known or usable. */
-#define RETRY_NONE_MS 400
-/* Least time to come back for a request that found all places taken. */
-#define RETRY_FULL_MS 100
+/* When to come back for a request whose time was up before it was sent. */
+#define RETRY_LATE_MS 100
 
 static void exchange_queue(struct fwd_exchange *);
 
@@ -159,7 +156,7 @@
 	want->model = ex->model;
 	want->prompt = ex->prompt;
 	if (ex->model != NULL)
-		want->extra_ms = fwd_learned_of(ex->fwd, ex->model)->extra_ms;
+		want->extra_ms = fwd_exchange_learned(ex)->extra_ms;
 	want->domain = ex->fwd->set.domain;
 	want->tried = ex->tried;
 	want->n_tried = ex->n_tried;
@@ -167,66 +164,106 @@
 	want->draw = random_u32();
 }
 
-/* Whether a first send now would come too late while places are short. */
-static bool
-exchange_too_late(const struct fwd_exchange *ex,
-    const struct fwd_choice *choice)
+/* Requests that wait before this one for the same places, at all daemons. */
+static double
+exchange_ahead(const struct fwd_exchange *ex)
 {
-	uint64_t now = uv_now(ex->fwd->loop);
-	struct fwd_want want;
+	const struct fwd_exchange *other;
+	unsigned ahead = 0;
+
+	TAILQ_FOREACH(other, &ex->fwd->waiting, wait_entry) {
+		if (other == ex)
+			break;
+		ahead += other->model == ex->model &&
+		    strcmp(other->service, ex->service) == 0;
+	}
+	return ((double)ahead * MAX(ex->fwd->daemons, 1));
+}
+
+/* What the decision on a request without an endpoint looks at. */
+static void
+exchange_admission(const struct fwd_exchange *ex, const struct fwd_want *want,
+    const struct fwd_choice *choice, struct admission *a)
+{
+	const struct endpoint *ep =
+	    choice->endpoint != NULL ? choice->endpoint : choice->nearest;
 	struct fwd_work work;
-	double first;
 
-	if (ex->model == NULL || ex->sends > 0 || choice->load < FULL_ENOUGH)
-		return (false);
-	exchange_want(ex, &want);
+	memset(a, 0, sizeof *a);
+	a->want = want;
+	a->choice = choice;
+	a->objective_ms = (double)ex->route->objective_ms;
+	a->waited_ms = (double)(want->now_ms - ex->arrived_ms);
+	a->left_ms =
+	    (double)(ex->deadline_ms - MIN(want->now_ms, ex->deadline_ms));
+	a->returned = ex->returned;
+	a->sends = ex->sends;
+	a->whole_ms = fwd_exchange_learned(ex)->whole_ms;
+	a->ahead = exchange_ahead(ex);
+	a->draw = random_u32();
+	if (ep == NULL)
+		return;
+	a->first_ms = a->whole_ms;
+	if (ex->model == NULL)
+		return;
 	/* Judged for a prompt of usual size, so that large ones get through. */
-	fwd_want_work(&want, MIN(ex->prompt, ex->engine->usual_prompt), &work);
-	first = fwd_expect_first(choice->endpoint, &work);
-	return ((double)(now - ex->arrived_ms) + first >
-	    (double)ex->route->objective_ms);
+	fwd_want_work(want, MIN(ex->prompt, ex->engine->usual_prompt), &work);
+	a->first_ms = fwd_expect_first(ep, &work);
 }
 
-/* Gives up on a request that found no place in time. */
+/* Refuses a request that can't be served in time. */
 static void
-exchange_no_place(struct fwd_exchange *ex, const struct fwd_choice *choice)
+exchange_no_place(struct fwd_exchange *ex, const struct admission *a)
 {
-	int64_t retry = choice->usable == 0 ? RETRY_NONE_MS : RETRY_FULL_MS;
+	const struct fwd_choice *choice = a->choice;
+	int64_t retry = admission_retry_ms(a);
 
-	if (choice->endpoint != NULL)
-		retry = MAX(retry,
-		    (int64_t)choice->first_ms - ex->route->objective_ms);
 	event_log(LOG_NOTICE, "no_place",
-	    "id=%s service=%s known=%u usable=%u load=%.2f expected_ms=%.0f",
+	    "id=%s service=%s known=%u usable=%u load=%.2f first_ms=%.0f "
+	    "whole_ms=%.0f ahead=%.0f returned=%d retry_ms=%lld",
 	    ex->id, ex->service, choice->known, choice->usable, choice->load,
-	    choice->first_ms);
+	    a->first_ms, a->whole_ms, a->ahead, a->returned, (long long)retry);
 	fwd_exchange_refuse(ex, HTTP_STATUS_SERVICE_UNAVAILABLE,
 	    choice->usable == 0 ? "no_endpoint" : "places_taken", retry);
 }
 
 /**
- * fwd_exchange_try() - send a request, or let it wait for a place.
+ * fwd_exchange_learned() - what answers of its kind showed.
+ * @ex: the exchange
+ */
+struct fwd_learned *
+fwd_exchange_learned(const struct fwd_exchange *ex)
+{
+	return (fwd_learned_of(ex->fwd,
+	    ex->model != NULL ? ex->model->name : ex->service));
+}
+
+/**
+ * fwd_exchange_try() - send a request, let it wait for a place, or refuse it.
  * @ex: the exchange
  */
 void
 fwd_exchange_try(struct fwd_exchange *ex)
 {
-	uint64_t now = uv_now(ex->fwd->loop);
 	struct fwd_choice choice;
+	struct admission a;
 	struct fwd_want want;
-	bool late;
 
 	if (ex->state != EXCHANGE_WAITING)
 		exchange_queue(ex);
 	exchange_want(ex, &want);
 	fwd_choose(&ex->fwd->dir->fleet, &want, &choice);
-	late = choice.endpoint != NULL && exchange_too_late(ex, &choice);
-	if (choice.endpoint != NULL && !late) {
+	exchange_admission(ex, &want, &choice, &a);
+	switch (admission_decide(&a)) {
+	case ADMIT_SEND:
 		exchange_send(ex, &choice);
-		return;
+		break;
+	case ADMIT_REFUSE:
+		exchange_no_place(ex, &a);
+		break;
+	case ADMIT_WAIT:
+		break;
 	}
-	if (ex->sends == 0 && now >= ex->patience_ms)
-		exchange_no_place(ex, &choice);
 }
 
 /* Puts a request among those that wait, the more urgent first. */
@@ -428,7 +465,7 @@
 {
 	if (now_ms >= ex->deadline_ms) {
 		fwd_exchange_give_up(ex, HTTP_STATUS_GATEWAY_TIMEOUT, "time_up",
-		    RETRY_FULL_MS);
+		    RETRY_LATE_MS);
 		return;
 	}
 	if (ex->state == EXCHANGE_WAITING) {
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -40,7 +40,7 @@
  * @arrived_ms: loop time
  * @arrived_us: for the histograms
  * @deadline_ms: loop time at which it must be over
- * @patience_ms: loop time until which it may wait for a first place
+ * @returned: it was refused before: less of its time is left than a new one has
  * @state: how far it is
  * @endpoint: who has it, or NULL
  * @client: connection to the endpoint
@@ -87,7 +87,7 @@
 	uint64_t arrived_ms;
 	uint64_t arrived_us;
 	uint64_t deadline_ms;
-	uint64_t patience_ms;
+	bool returned;
 	enum exchange_state state;
 	struct endpoint *endpoint;
 	struct net_client *client;
@@ -124,6 +124,7 @@
 void fwd_exchange_try(struct fwd_exchange *);
 void fwd_exchange_tick(struct fwd_exchange *, uint64_t);
 void fwd_exchange_move(struct fwd_exchange *, bool, const char *);
+struct fwd_learned *fwd_exchange_learned(const struct fwd_exchange *);
 void fwd_exchange_discount(struct fwd_exchange *, bool);
 
 /* fwd-admit.c: from a request's head to an exchange. */
--- a/src/fwd-expect.c
+++ b/src/fwd-expect.c
@@ -1,11 +1,11 @@
 /* When an endpoint's next events are expected. Pure. */
 #include "fwd-expect.h"
 
-/* Weight of the newest first event in what is learned of a model; hundreds
- * come in a few seconds, so some late ones hardly show. */
-#define EXTRA_ALPHA 0.02
+/* Weight of the newest answer in what is learned of a model; hundreds come in
+ * a few seconds, so some late ones hardly show. */
+#define LEARN_ALPHA 0.02
 /* The first of them count more, as long as there are few. */
-#define EXTRA_FIRST 10
+#define LEARN_FIRST 10
 /* One that is this far off says something of its endpoint, not of the model:
  * a dead or slow host. */
 #define EXTRA_MOST_MS 400.0
@@ -112,6 +112,13 @@
 	    work->extra_ms);
 }
 
+/* Weight of the newest of some answers. */
+static double
+learn_weight(unsigned seen)
+{
+	return (seen <= LEARN_FIRST ? 1.0 / seen : LEARN_ALPHA);
+}
+
 /**
  * fwd_learn_first() - a first event came.
  * @learned: of its model
@@ -120,11 +127,19 @@
 void
 fwd_learn_first(struct fwd_learned *learned, double late_ms)
 {
-	double alpha = EXTRA_ALPHA;
-
-	learned->seen++;
-	if (learned->seen <= EXTRA_FIRST)
-		alpha = 1.0 / learned->seen;
 	late_ms = CLAMP(late_ms, 0, EXTRA_MOST_MS);
-	learned->extra_ms += alpha * (late_ms - learned->extra_ms);
+	learned->extra_ms +=
+	    learn_weight(++learned->seen) * (late_ms - learned->extra_ms);
+}
+
+/**
+ * fwd_learn_whole() - a request ended that ran.
+ * @learned: of its model or service
+ * @whole_ms: since it was sent
+ */
+void
+fwd_learn_whole(struct fwd_learned *learned, double whole_ms)
+{
+	learned->whole_ms +=
+	    learn_weight(++learned->ended) * (whole_ms - learned->whole_ms);
 }
--- a/src/fwd-expect.h
+++ b/src/fwd-expect.h
@@ -5,17 +5,21 @@
 #include "dir-fleet.h"
 
 /**
- * struct fwd_learned - what first events showed beside the engine's profile.
+ * struct fwd_learned - what answers showed beside the engine's profile.
  * @extra_ms: how much later they come than the profile's passes account for:
  *	the engine's own start of an answer, and the way there and back
  * @seen: first events that it was learned from
+ * @whole_ms: how long a request holds its place
+ * @ended: requests that this was learned from
  *
- * One for each model, over all endpoints: an endpoint that is slower than
- * others has a slowness of its own.
+ * One for each model, and for each service without models, over all endpoints:
+ *an endpoint that is slower than others has a slowness of its own.
  */
 struct fwd_learned {
 	double extra_ms;
 	unsigned seen;
+	double whole_ms;
+	unsigned ended;
 };
 
 /**
@@ -41,5 +45,6 @@
 double fwd_expect_gap(const struct endpoint *, const struct engine_profile *,
     const struct model_profile *);
 void fwd_learn_first(struct fwd_learned *, double);
+void fwd_learn_whole(struct fwd_learned *, double);
 
 #endif
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -121,19 +121,18 @@
 }
 
 /**
- * fwd_learned_of() - what was learned of a model's first events.
+ * fwd_learned_of() - what answers of a model or service showed.
  * @fwd: the engine
- * @m: the model
+ * @name: of the model, or of a service without models
  */
 struct fwd_learned *
-fwd_learned_of(struct fwd *fwd, const struct model_profile *m)
+fwd_learned_of(struct fwd *fwd, const char *name)
 {
-	struct fwd_learned *learned =
-	    g_hash_table_lookup(fwd->learned, m->name);
+	struct fwd_learned *learned = g_hash_table_lookup(fwd->learned, name);
 
 	if (learned == NULL) {
 		learned = g_new0(struct fwd_learned, 1);
-		g_hash_table_insert(fwd->learned, g_strdup(m->name), learned);
+		g_hash_table_insert(fwd->learned, g_strdup(name), learned);
 	}
 	return (learned);
 }
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -46,7 +46,8 @@
  * @waiting: those without an endpoint
  * @n_exchanges: length of @exchanges
  * @budgets: service name to struct fwd_budget
- * @learned: model name to struct fwd_learned
+ * @learned: name of a model, or of a service without models, to struct
+ *	fwd_learned
  * @daemons: that share the retry budget
  * @leaving: the daemon ends; connections are closed after their answer
  * @closed: the listener is closed
@@ -88,6 +89,6 @@
 void fwd_kick(struct fwd *);
 void fwd_wake(struct fwd *);
 struct fwd_budget *fwd_budget_of(struct fwd *, const char *);
-struct fwd_learned *fwd_learned_of(struct fwd *, const struct model_profile *);
+struct fwd_learned *fwd_learned_of(struct fwd *, const char *);
 
 #endif
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -1,7 +1,7 @@
 /* Scripts over endpoints that come, go and lapse, and the choice of one. */
 #include <string.h>
 
-#include "fwd-choose.h"
+#include "fwd-admission.h"
 #include "script.h"
 
 static uv_loop_t loop;
@@ -30,6 +30,8 @@
 	model->name = g_strdup("m");
 	model->size = 2;
 	model->pace = 1;
+	model->warm_ms = 1200;
+	engine->form_ms = 300;
 	g_ptr_array_add(engine->models, model);
 	memset(&learned, 0, sizeof learned);
 	offset = 0;
@@ -243,6 +245,49 @@
 	g_string_append_c(out, '\n');
 }
 
+static const char *const verdicts[] = { "send", "wait", "refuse" };
+
+/*
+ * admit objective=MS [at=MS] [waited=MS] [left=MS] [sends=N] [returned=1]
+ * [whole=MS] [ahead=N] [plain=1]: what becomes of a request of 1,000 tokens
+ */
+static void
+exec_admit(const char *rest, GString *out)
+{
+	bool plain = script_number(rest, "plain", 0) != 0;
+	struct fwd_work work = work_of(rest);
+	struct fwd_want want = { .service = "s",
+		.engine = plain ? NULL : engine,
+		.model = plain ? NULL : model,
+		.prompt = work.prompt,
+		.domain = "a",
+		.now_ms = work.now_ms };
+	struct admission a = { .want = &want };
+	struct fwd_choice choice;
+	enum admission_verdict verdict;
+
+	want.extra_ms = learned.extra_ms;
+	fwd_choose(&fleet, &want, &choice);
+	a.choice = &choice;
+	a.objective_ms = (double)script_number(rest, "objective", 300);
+	a.waited_ms = (double)script_number(rest, "waited", 0);
+	a.left_ms = (double)script_number(rest, "left", 6000);
+	a.returned = script_number(rest, "returned", 0) != 0;
+	a.sends = (unsigned)script_number(rest, "sends", 0);
+	a.whole_ms = (double)script_number(rest, "whole", 800);
+	a.ahead = (double)script_number(rest, "ahead", 0);
+	a.draw = UINT32_MAX / 2;
+	if (choice.nearest != NULL)
+		a.first_ms = plain ? a.whole_ms :
+				     fwd_expect_first(choice.nearest, &work);
+	verdict = admission_decide(&a);
+	g_string_append(out, verdicts[verdict]);
+	if (verdict == ADMIT_REFUSE)
+		g_string_append_printf(out, " %lld",
+		    (long long)admission_retry_ms(&a));
+	g_string_append_c(out, '\n');
+}
+
 static const struct script_command commands[] = {
 	{ "entry", exec_entry },
 	{ "lapse", exec_lapse },
@@ -257,6 +302,7 @@
 	{ "mean", exec_mean },
 	{ "load", exec_load },
 	{ "choose", exec_choose },
+	{ "admit", exec_admit },
 	{ NULL, NULL },
 };
 
