Don't free boolean settings as text

Cause: setting_table_free() took every kind but numbers for text, so a daemon whose keys-fail-closed is true crashed when it read its settings again. Ruled out: the reload itself; kinds that existed before. Change: one question, setting_is_text(), without the boolean kind. Test: proc-edge-outage.sh sends SIGHUP; without the change the daemon dies there.

--- a/src/setting-table.c
+++ b/src/setting-table.c
@@ -259,6 +259,14 @@
 	return (ok);
 }
 
+/* Whether a setting is kept as text of its own. */
+static bool
+setting_is_text(enum setting_kind kind)
+{
+	return (kind != SETTING_INT && kind != SETTING_REAL &&
+	    kind != SETTING_BOOL);
+}
+
 /**
  * setting_table_free() - free what setting_table_parse() made.
  * @table: the settings
@@ -268,7 +276,7 @@
 setting_table_free(const struct setting *table, void *set)
 {
 	for (const struct setting *s = table; s->name != NULL; s++) {
-		if (s->kind != SETTING_INT && s->kind != SETTING_REAL)
+		if (setting_is_text(s->kind))
 			g_free(*(char **)((char *)set + s->offset));
 	}
 }
--- a/tests/proc-edge-outage.sh
+++ b/tests/proc-edge-outage.sh
@@ -11,6 +11,10 @@
 check_true "ready" until_true 10 edge_ready 3
 check "served" 200 "$(ask 1 /look/x | status_last)"
 
+# Settings are read again on a signal, the old ones freed.
+stop edge-1 HUP
+check_true "reloaded" until_true 3 grep -q event=reloaded "$RUN/edge-1.out"
+
 put_config 2 's/"k1","k2"/"k1"/'
 check_true "a key that was taken away is denied" until_true 10 eval \
     '[ "$(KEY=k2 ask 3 /look/x | status_last)" = 401 ]'
