Judge what is left to read by the prompts without a first event

Each daemon let its own prompts and those it was told of decay as if it were alone there, and told the decayed figures. Change: daemons tell the prompts that have no first event yet; of their sum, what the endpoint reads between a prompt's end and its first event is read; the rest, and at least what this daemon sent just now, is left.

--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -73,10 +73,10 @@
  * @refs: exchanges that hold it
  * @pool: connections
  * @inflight: own requests there
- * @read_rate: prompt tokens that it was last expected to read in a millisecond
+ * @pending: own prompt tokens sent there without a first event yet
  * @backlog: own prompt tokens sent there and not read yet
  * @peer_inflight: other daemons' requests there
- * @peer_reading: other daemons' prompt tokens
+ * @peer_pending: other daemons' prompt tokens without a first event yet
  * @memory: model of its last group since its start, or NULL; it joins one of
  *	that model in a fraction of a second, also after it has left
  * @failures: failures in a row
@@ -102,10 +102,10 @@
 	int refs;
 	struct net_pool pool;
 	unsigned inflight;
-	double read_rate;
+	double pending;
 	struct fwd_backlog backlog;
 	unsigned peer_inflight;
-	double peer_reading;
+	double peer_pending;
 	char *memory;
 	unsigned failures;
 	uint64_t rest_until_ms;
--- a/src/fwd-admission.c
+++ b/src/fwd-admission.c
@@ -77,5 +77,5 @@
 	if (a->want->model != NULL)
 		retry = a->want->model->warm_ms + a->want->engine->form_ms;
 	retry *= 1 + RETRY_SPREAD * a->draw / UINT32_MAX;
-	return ((int64_t)MIN(retry, MAX(a->left_ms, 0) * RETRY_HEEDED));
+	return (llround(MIN(retry, MAX(a->left_ms, 0) * RETRY_HEEDED)));
 }
--- a/src/fwd-answer.c
+++ b/src/fwd-answer.c
@@ -106,6 +106,7 @@
 		return;
 	ex->reading = false;
 	fwd_backlog_read(&ex->endpoint->backlog, ex->mark, now);
+	ex->endpoint->pending = MAX(ex->endpoint->pending - ex->prompt, 0);
 	learned = fwd_learned_of(ex->fwd, ex->model->name);
 	fwd_learn_first(learned,
 	    (double)(now - ex->sent_ms) - ex->expected_ms + ex->extra_ms);
--- a/src/fwd-backlog.c
+++ b/src/fwd-backlog.c
@@ -57,24 +57,6 @@
 	backlog_set(b, MIN(left, MAX(b->sent - mark, 0)), now_ms);
 }
 
-/**
- * fwd_backlog_mean() - what is left of some tokens, over the time to come.
- * @tokens: that are left now
- * @rate: tokens that are read in a millisecond; 0 where that is not known
- * @span_ms: the time
- *
- * Return: the mean.
- */
-double
-fwd_backlog_mean(double tokens, double rate, double span_ms)
-{
-	if (rate <= 0 || span_ms <= 0)
-		return (tokens);
-	if (tokens >= rate * span_ms)
-		return (tokens - rate * span_ms / 2);
-	return (tokens * tokens / (2 * rate * span_ms));
-}
-
 /**
  * fwd_backlog_drop() - a prompt was taken back before its first event.
  * @b: the backlog
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -44,9 +44,11 @@
 	if (ep == NULL)
 		return;
 	ep->inflight--;
-	if (ex->reading)
+	if (ex->reading) {
 		fwd_backlog_drop(&ep->backlog, ex->prompt,
 		    uv_now(ex->fwd->loop));
+		ep->pending = MAX(ep->pending - ex->prompt, 0);
+	}
 	ex->reading = false;
 	ep->refs--;
 	ex->endpoint = NULL;
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -46,16 +46,13 @@
 	struct endpoint *ep = ex->endpoint;
 	struct fwd_want want;
 	struct fwd_work work;
-	double own, all;
 
 	exchange_want(ex, &want);
 	fwd_want_work(&want, ex->prompt, &work);
-	ep->read_rate = fwd_expect_rate(ep, &work);
-	own = fwd_backlog_tokens(&ep->backlog, want.now_ms) + ex->prompt;
-	all = fwd_expect_backlog(ep, want.now_ms) + ex->prompt;
-	/* The other daemons' prompts are read in the same passes. */
+	ex->reading_at_send = fwd_expect_backlog(ep, &work);
 	ex->mark = fwd_backlog_add(&ep->backlog, ex->prompt,
-	    all > 0 ? ep->read_rate * own / all : 0, want.now_ms);
+	    fwd_expect_rate(ep, &work), want.now_ms);
+	ep->pending += ex->prompt;
 }
 
 /* Counts a place at an endpoint as taken. */
@@ -66,7 +63,6 @@
 
 	ex->endpoint = ep;
 	ex->running_at_send = ep->inflight + ep->peer_inflight;
-	ex->reading_at_send = fwd_expect_backlog(ep, uv_now(ex->fwd->loop));
 	ep->refs++;
 	ex->reading = ex->model != NULL;
 	if (ex->reading)
@@ -440,12 +436,11 @@
 	if (now >= ep->rest_until_ms) {
 		fwd_stats_count(&ex->fwd->stats, COUNT_SILENT_ENDPOINTS);
 		event_log(LOG_NOTICE, "endpoint_silent",
-		    "endpoint=%s silent_ms=%llu inflight=%u reading=%.0f "
+		    "endpoint=%s silent_ms=%llu inflight=%u pending=%.0f "
 		    "slowness=%.2f id=%s",
 		    ep->report.id,
 		    (unsigned long long)(now - MAX(ex->heard_ms, ep->heard_ms)),
-		    ep->inflight, fwd_expect_backlog(ep, now), ep->slowness,
-		    ex->id);
+		    ep->inflight, ep->pending, ep->slowness, ex->id);
 		ep->rest_until_ms = now + REST_SILENT_MS;
 		ep->warned_ms = now;
 		if (ex->fwd->suspect != NULL)
--- a/src/fwd-expect.c
+++ b/src/fwd-expect.c
@@ -22,17 +22,6 @@
 	return ((double)ep->inflight + ep->peer_inflight);
 }
 
-/**
- * fwd_expect_backlog() - prompt tokens that an endpoint has yet to read.
- * @ep: the endpoint
- * @now_ms: loop time
- */
-double
-fwd_expect_backlog(const struct endpoint *ep, uint64_t now_ms)
-{
-	return (fwd_backlog_tokens(&ep->backlog, now_ms) + ep->peer_reading);
-}
-
 /* Time of one step with some requests that write. */
 static double
 step_ms(const struct engine_profile *e, const struct model_profile *m,
@@ -83,6 +72,37 @@
 	return (work->engine->read_per_ms / work->model->pace / ep->slowness);
 }
 
+/* From when a prompt is read to its first event: half a pass, its own steps. */
+static double
+after_ms(const struct endpoint *ep, const struct fwd_work *work)
+{
+	const struct engine_profile *e = work->engine;
+	double running = fwd_expect_running(ep);
+	double steps = step_ms(e, work->model, running + 1) * e->stride;
+
+	return (
+	    (writers_ms(ep, work) / 2 + steps) * ep->slowness + work->extra_ms);
+}
+
+/**
+ * fwd_expect_backlog() - prompt tokens that an endpoint has yet to read.
+ * @ep: the endpoint
+ * @work: a request for it
+ *
+ * An endpoint that reads all the time has read, of the prompts without a first
+ * event, what it reads between a prompt's end and its first event. The rest is
+ * left; and at least what this daemon sent just now.
+ */
+double
+fwd_expect_backlog(const struct endpoint *ep, const struct fwd_work *work)
+{
+	double pending = ep->pending + ep->peer_pending;
+	double read = fwd_expect_rate(ep, work) * after_ms(ep, work);
+
+	return (MAX(fwd_backlog_tokens(&ep->backlog, work->now_ms),
+	    pending - read));
+}
+
 /**
  * fwd_expect_first() - expected time to the first event of a request.
  * @ep: the endpoint
@@ -99,17 +119,14 @@
 fwd_expect_first(const struct endpoint *ep, const struct fwd_work *work)
 {
 	const struct engine_profile *e = work->engine;
-	double running = fwd_expect_running(ep);
-	double backlog = fwd_expect_backlog(ep, work->now_ms) + work->prompt;
-	double steps = step_ms(e, work->model, running + 1) * e->stride;
+	double backlog = fwd_expect_backlog(ep, work) + work->prompt;
 	double pairs = work->prompt * work->prompt / 2 / PAIRS_UNIT;
 	double read = pairs * e->pairs_per_m_ms * work->model->pace;
 	double rate = fwd_expect_rate(ep, work);
 
 	if (rate > 0)
 		read += backlog / rate;
-	return (read + (writers_ms(ep, work) / 2 + steps) * ep->slowness +
-	    work->extra_ms);
+	return (read + after_ms(ep, work));
 }
 
 /* Weight of the newest of some answers. */
--- a/src/fwd-expect.h
+++ b/src/fwd-expect.h
@@ -39,7 +39,7 @@
 };
 
 double fwd_expect_running(const struct endpoint *);
-double fwd_expect_backlog(const struct endpoint *, uint64_t);
+double fwd_expect_backlog(const struct endpoint *, const struct fwd_work *);
 double fwd_expect_rate(const struct endpoint *, const struct fwd_work *);
 double fwd_expect_first(const struct endpoint *, const struct fwd_work *);
 double fwd_expect_gap(const struct endpoint *, const struct engine_profile *,
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -40,37 +40,31 @@
 		if (ep == NULL)
 			continue;
 		ep->peer_inflight -= MIN(ep->peer_inflight, load->inflight);
-		ep->peer_reading = MAX(ep->peer_reading - load->reading, 0);
+		ep->peer_pending = MAX(ep->peer_pending - load->reading, 0);
 	}
 	g_array_set_size(peer->loads, 0);
 }
 
-/*
- * Puts a peer's work into the fleet's sums; its news before came @span
- * milliseconds ago.
- */
+/* Puts a peer's work into the fleet's sums. */
 static void
 peer_count(struct mesh *mesh, struct mesh_peer *peer,
-    const struct mesh_news *news, double span)
+    const struct mesh_news *news)
 {
 	uint64_t now = uv_now(mesh->loop);
 
 	for (uint32_t i = 0; i < news->n_loads; i++) {
-		struct mesh_load load = news->loads[i];
+		const struct mesh_load *load = &news->loads[i];
 		struct endpoint *ep =
-		    fleet_find_key(&mesh->dir->fleet, load.key);
+		    fleet_find_key(&mesh->dir->fleet, load->key);
 
 		if (ep == NULL)
 			continue;
-		/* It is told again after about as long as the last time. */
-		load.reading = (uint32_t)fwd_backlog_mean(load.reading,
-		    ep->read_rate, span);
-		ep->peer_inflight += load.inflight;
-		ep->peer_reading += load.reading;
-		if (load.heard_ms < now)
+		ep->peer_inflight += load->inflight;
+		ep->peer_pending += load->reading;
+		if (load->heard_ms < now)
 			ep->peer_heard_ms =
-			    MAX(ep->peer_heard_ms, now - load.heard_ms);
-		g_array_append_vals(peer->loads, &load, 1);
+			    MAX(ep->peer_heard_ms, now - load->heard_ms);
+		g_array_append_vals(peer->loads, load, 1);
 	}
 }
 
@@ -187,8 +181,6 @@
     const struct mesh_news *news)
 {
 	bool lived = mesh_peer_lives(mesh, peer);
-	uint64_t now = uv_now(mesh->loop);
-	double span = (double)(now - MIN(peer->heard_ms, now));
 
 	if (!lived || peer->self.placer != news->self.placer ||
 	    peer->self.leaving != news->self.leaving)
@@ -205,10 +197,10 @@
 	peer->config_version = news->config_version;
 	peer->config_offset = news->config_offset;
 	peer->config_proof_ms = news_proof_ms(news);
-	peer->heard_ms = now;
+	peer->heard_ms = uv_now(mesh->loop);
 	mesh->self.term = MAX(mesh->self.term, news->self.term);
 	peer_uncount(mesh, peer);
-	peer_count(mesh, peer, news, span);
+	peer_count(mesh, peer, news);
 	peer_take_proof(mesh, peer);
 	mesh_fetch_config(mesh, peer);
 	peer_take_avoid(mesh, peer, news);
@@ -303,8 +295,7 @@
 			continue;
 		news->loads[news->n_loads].key = ep->key;
 		news->loads[news->n_loads].inflight = ep->inflight;
-		news->loads[news->n_loads].reading =
-		    (uint32_t)fwd_backlog_tokens(&ep->backlog, now);
+		news->loads[news->n_loads].reading = (uint32_t)ep->pending;
 		news->loads[news->n_loads].heard_ms =
 		    (uint32_t)MIN(now - ep->heard_ms, UINT32_MAX);
 		news->n_loads++;
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -107,7 +107,7 @@
 	    ep->memory != NULL ? ep->memory : "none");
 }
 
-/* load ID own=N peers=N reading=N rest=MS errors=PERCENT slow=PERCENT */
+/* load ID own=N peers=N pending=N rest=MS errors=PERCENT slow=PERCENT */
 static void
 exec_load(const char *rest, GString *out)
 {
@@ -116,7 +116,7 @@
 
 	ep->inflight = (unsigned)script_number(rest, "own", 0);
 	ep->peer_inflight = (unsigned)script_number(rest, "peers", 0);
-	ep->peer_reading = (double)script_number(rest, "reading", 0);
+	ep->peer_pending = (double)script_number(rest, "pending", 0);
 	ep->rest_until_ms = script_number(rest, "rest", 0);
 	ep->error_rate = (double)script_number(rest, "errors", 0) / 100;
 	ep->slowness = (double)script_number(rest, "slow", 100) / 100;
@@ -144,10 +144,11 @@
 	double mark = fwd_backlog_add(&ep->backlog, work.prompt,
 	    fwd_expect_rate(ep, &work), work.now_ms);
 
+	ep->pending += work.prompt;
 	g_string_append_printf(out, "mark %.0f\n", mark);
 }
 
-/* event ID mark=N at=MS: the first event of the prompt with that mark came */
+/* event ID mark=N prompt=N at=MS: the first event of a prompt came */
 static void
 exec_event(const char *rest, GString *out)
 {
@@ -156,6 +157,7 @@
 
 	fwd_backlog_read(&ep->backlog, (double)script_number(rest, "mark", 0),
 	    script_number(rest, "at", 0));
+	ep->pending -= (double)script_number(rest, "prompt", 0);
 }
 
 /* learn MS...: first events came so much later than the profile says */
@@ -178,17 +180,7 @@
 	struct fwd_work work = work_of(rest);
 
 	g_string_append_printf(out, "left %.0f first %.0f\n",
-	    fwd_expect_backlog(ep, work.now_ms), fwd_expect_first(ep, &work));
-}
-
-/* mean tokens=N rate=N span=MS: what is left of them, on average */
-static void
-exec_mean(const char *rest, GString *out)
-{
-	g_string_append_printf(out, "%.0f\n",
-	    fwd_backlog_mean((double)script_number(rest, "tokens", 0),
-		(double)script_number(rest, "rate", 0),
-		(double)script_number(rest, "span", 0)));
+	    fwd_expect_backlog(ep, &work), fwd_expect_first(ep, &work));
 }
 
 static int
@@ -263,6 +255,7 @@
 		.domain = "a",
 		.now_ms = work.now_ms };
 	struct admission a = { .want = &want };
+	const struct endpoint *at;
 	struct fwd_choice choice;
 	enum admission_verdict verdict;
 
@@ -277,9 +270,9 @@
 	a.whole_ms = (double)script_number(rest, "whole", 800);
 	a.ahead = (double)script_number(rest, "ahead", 0);
 	a.draw = UINT32_MAX / 2;
-	if (choice.nearest != NULL)
-		a.first_ms = plain ? a.whole_ms :
-				     fwd_expect_first(choice.nearest, &work);
+	at = choice.endpoint != NULL ? choice.endpoint : choice.nearest;
+	if (at != NULL)
+		a.first_ms = plain ? a.whole_ms : fwd_expect_first(at, &work);
 	verdict = admission_decide(&a);
 	g_string_append(out, verdicts[verdict]);
 	if (verdict == ADMIT_REFUSE)
@@ -299,7 +292,6 @@
 	{ "event", exec_event },
 	{ "learn", exec_learn },
 	{ "expect", exec_expect },
-	{ "mean", exec_mean },
 	{ "load", exec_load },
 	{ "choose", exec_choose },
 	{ "admit", exec_admit },
