bankliftctl account: requests by outcome and hosts by use, by time

Cause: what binds was found by scripts over the daemons' lines that operators don't have. Change: a command that adds the lines up by two seconds: whole answers, those that were moved, first events seen and expected, other ends by reason, what hosts do.

--- a/src/bankliftctl.c
+++ b/src/bankliftctl.c
@@ -9,6 +9,7 @@
 #define TIMEOUT_MS 10000
 
 static const struct cmd_entry *const cmd_table[] = {
+	&cmd_account_entry,
 	&cmd_apply_entry,
 	&cmd_compare_entry,
 	&cmd_delete_entry,
--- a/src/cmd.h
+++ b/src/cmd.h
@@ -57,6 +57,7 @@
 	enum cmd_exit (*exec)(const struct cmd_context *);
 };
 
+extern const struct cmd_entry cmd_account_entry;
 extern const struct cmd_entry cmd_apply_entry;
 extern const struct cmd_entry cmd_compare_entry;
 extern const struct cmd_entry cmd_delete_entry;
