Send repeats on new connections; drop idle ones of a silent endpoint

Cause: connections may fall silent for good, all of an endpoint together, while new ones work (the platform's news). A repeat of a request took another idle connection and met the same silence: 504 after the whole time. Each idle one that was left cost a further request 0.7 s. Ruled out: a shorter bound on silence; slow endpoints are as quiet. Change: whatever is sent again goes on a new connection; an endpoint judged silent has its idle connections closed. Test: proc-edge-path.sh, a switch of the stand-in that silences what is open; without the change the request ends with 504 and the next ones are not answered at once.

--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -112,7 +112,9 @@
 {
 	struct fwd *fwd = ex->fwd;
 	bool once = !fwd_exchange_repeatable(ex);
-	uint64_t idle = once ? 0 : IDLE_MOST_MS;
+	/* What is sent again goes on a new connection: those that were idle may
+	 * have fallen silent together. */
+	uint64_t idle = once || ex->sends > 0 ? 0 : IDLE_MOST_MS;
 	g_autoptr(GString) text = NULL;
 
 	TAILQ_REMOVE(&fwd->waiting, ex, wait_entry);
@@ -441,6 +443,8 @@
 		    ep->report.id,
 		    (unsigned long long)(now - MAX(ex->heard_ms, ep->heard_ms)),
 		    ep->inflight, ep->pending, ep->slowness, ex->id);
+		/* Its other connections may have fallen silent alike. */
+		net_pool_clear(&ep->pool);
 		ep->rest_until_ms = now + REST_SILENT_MS;
 		ep->warned_ms = now;
 		if (ex->fwd->suspect != NULL)
--- a/tests/proc-edge-path.sh
+++ b/tests/proc-edge-path.sh
@@ -61,6 +61,25 @@
     "$(ask 1 /once/x -d a | status_last)"
 control noproof 0
 
+# Connections that are open fall silent for good while new ones work. Each
+# endpoint has an idle one; the first request that meets one is sent again on a
+# new one, and nothing else is sent on those that are left.
+control slow 200
+for _ in 1 2 3 4; do
+	ask 1 /look/x >/dev/null &
+done
+sleep 1
+control slow 0
+control mute 1
+check "a request on a connection that fell silent" "whole answer 200" \
+    "$(ask 1 /look/x)"
+quick() {
+	timeout 0.5 curl -s -H 'Host: h' -H 'X-Api-Key: k1' \
+	    -H 'Attempt-Id: q' "$(edge_url 1)/look/x"
+}
+check "then at once" "whole answer whole answer whole answer " \
+    "$(for _ in 1 2 3; do quick; printf ' '; done)"
+
 # The story of a request from the logs of both daemons.
 control cut 3
 control cuts 1
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -15,7 +15,8 @@
  * answer comes with another request's answer before it), error (the next N
  * plain answers are 500), full (the next N are refused as not run),
  * unframed (plain answers have no length), reset (unframed ones are reset),
- * slow (ms before a plain answer), noproof.
+ * slow (ms before a plain answer), noproof, mute (connections that were taken
+ * while it was lower say nothing any more).
  */
 #include <jansson.h>
 #include <signal.h>
@@ -86,6 +87,7 @@
 	char *id;
 	int event;
 	int last;
+	int mute;
 };
 
 static uv_loop_t *loop;
@@ -527,7 +529,8 @@
 	const char *expect = net_head_find(&c->head, "expected-instance");
 	const char *id = net_head_find(&c->head, "attempt-id");
 
-	if (point_switch("dark", p))
+	/* A connection that is older than the switch is silent for good. */
+	if (point_switch("dark", p) || c->mute < get_switch("mute"))
 		return;
 	if (expect != NULL && strcmp(expect, p->id) != 0) {
 		conn_reply(c, 421, "", "", 0);
@@ -692,6 +695,7 @@
 	struct conn *c = g_new0(struct conn, 1);
 
 	c->point = listener->data;
+	c->mute = get_switch("mute");
 	c->body = g_byte_array_new();
 	c->handles = 2;
 	net_head_init(&c->head);
