Test: groups stand through connections that fall silent

A check that the head of a group, suspected by another daemon, is asked again on a new connection. It passes on the code as it is; closing a host's idle connections when a call times out was tried for it, made no difference that the test shows, and was left out.

--- a/tests/proc-edge-path.sh
+++ b/tests/proc-edge-path.sh
@@ -80,6 +80,23 @@
 check "then at once" "whole answer whole answer whole answer " \
     "$(for _ in 1 2 3; do quick; printf ' '; done)"
 
+# The placer's own connections to hosts fall silent alike: the head of a group
+# that another daemon suspects then is asked again on a new one, and the group
+# stands.
+placer=$([ "$(metric 1 placer)" = 1 ] && echo 1 || echo 2)
+for _ in 1 2 3 4 5 6 7 8; do
+	ask "$placer" /write/x -d p >/dev/null &
+	ask $((3 - placer)) /write/x -d p >/dev/null &
+done
+sleep 1
+doomed=$(cat "$RUN"/edge-[12].out | grep -c event=group_doomed)
+control mute 2
+check "a stream on a connection that fell silent" "0 1 2 3 4 5 6 7 " \
+    "$(ask $((3 - placer)) /write/x -d p | event_ids)"
+sleep 2
+check "no group is dissolved for it" "$doomed" \
+    "$(cat "$RUN"/edge-[12].out | grep -c event=group_doomed)"
+
 # The story of a request from the logs of both daemons.
 control cut 3
 control cuts 1
