Hosts kept for the large model serve a smaller one that is served worse

In a burst for the small model the hosts that could form a missing large replica were kept for it, though the large model had nine tenths of its share and the small one half of its own: 618 refused and 964 late of 5,323. Ruled out: the prediction of first events and the wait; they change nothing where all places are taken. Change: hosts are kept for the large model only while it is served no better than the model that would take them. Test: form-convert.txt, a burst for the small model; without the change the large replica forms.

--- a/src/replica-form.c
+++ b/src/replica-form.c
@@ -53,7 +53,8 @@
 {
 	const struct form_fabric *f = form_fabric_at(view, h->at);
 
-	if (fabric_keeps(view, f))
+	if (fabric_keeps(view, f) &&
+	    form_served(view, view->largest) <= form_served(view, try->index))
 		return (false);
 	return (g_strcmp0(h->last, try->model->name) == 0 || !view->serving ||
 	    form_fabric_spares(f) ||
