--- a/src/cmd-account.c
+++ b/src/cmd-account.c
@@ -220,18 +220,11 @@
 static enum cmd_exit
 account_exec(const struct cmd_context *ctx)
 {
-	static const char *const standard_input[] = { "-", NULL };
-	const char *const *files = ctx->args;
 	g_autoptr(GArray) lines =
 	    g_array_new(FALSE, FALSE, sizeof(struct log_line));
-	bool ok = true;
 
 	g_array_set_clear_func(lines, log_line_clear);
-	if (files[0] == NULL)
-		files = standard_input;
-	for (size_t i = 0; ok && files[i] != NULL; i++)
-		ok = log_lines_read(lines, files[i]);
-	if (!ok)
+	if (!log_files_read(lines, ctx->args))
 		return (CMD_FAILED);
 	if (lines->len == 0)
 		return (CMD_NOT_FOUND);
--- a/src/cmd-explain.c
+++ b/src/cmd-explain.c
@@ -92,18 +92,13 @@
 static enum cmd_exit
 explain_exec(const struct cmd_context *ctx)
 {
-	static const char *const standard_input[] = { "-", NULL };
-	const char *const *files = ctx->args + 1;
 	const char *id = ctx->args[0];
 	struct explain_span span = { 0 };
 	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct log_line));
-	bool ok = true;
+	bool ok;
 
 	g_array_set_clear_func(lines, log_line_clear);
-	if (files[0] == NULL)
-		files = standard_input;
-	for (size_t i = 0; ok && files[i] != NULL; i++)
-		ok = log_lines_read(lines, files[i]);
+	ok = log_files_read(lines, ctx->args + 1);
 	span.endpoints =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	span.sources = g_hash_table_new(g_direct_hash, g_direct_equal);
--- a/src/cmd-lines.c
+++ b/src/cmd-lines.c
@@ -63,15 +63,9 @@
 	return (x->at_ms < y->at_ms ? -1 : x->at_ms > y->at_ms);
 }
 
-/**
- * log_lines_read() - read all lines of a log that have a time.
- * @lines: of struct log_line; appended to
- * @path: of the log; "-" for standard input
- *
- * Return: false where it can't be read; that was said on standard error.
- */
-bool
-log_lines_read(GArray *lines, const char *path)
+/* Reads all lines of a log that have a time; false where it can't be read. */
+static bool
+file_read(GArray *lines, const char *path)
 {
 	FILE *f = strcmp(path, "-") == 0 ? stdin : fopen(path, "r");
 	char *text = NULL;
@@ -96,3 +90,22 @@
 		fclose(f);
 	return (true);
 }
+
+/**
+ * log_files_read() - read all lines of some logs that have a time.
+ * @lines: of struct log_line; appended to
+ * @files: paths, ended by NULL; "-", or none at all, is standard input
+ *
+ * Return: false where one can't be read; that was said on standard error.
+ */
+bool
+log_files_read(GArray *lines, const char *const *files)
+{
+	bool ok = true;
+
+	if (files[0] == NULL)
+		return (file_read(lines, "-"));
+	for (size_t i = 0; ok && files[i] != NULL; i++)
+		ok = file_read(lines, files[i]);
+	return (ok);
+}
--- a/src/cmd-lines.h
+++ b/src/cmd-lines.h
@@ -21,6 +21,6 @@
 char *log_line_value(const char *, const char *);
 bool log_line_has(const char *, const char *, const char *);
 int log_line_by_time(const void *, const void *);
-bool log_lines_read(GArray *, const char *);
+bool log_files_read(GArray *, const char *const *);
 
 #endif
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -1,5 +1,4 @@
 /* One request on its way to an endpoint and its answer on the way back. */
-#include <math.h>
 #include <string.h>
 
 #include "clock.h"
@@ -17,21 +16,6 @@
 /* A host that does not take a connection in this time is not there; a lost
  * packet is sent again after a second, which is longer than most objectives. */
 #define CONNECT_MS 350
-/* Silence of a replica's streams is judged against its expected gap, with
- * this factor, and never below this bound. */
-#define SILENCE_FACTOR 5.0
-#define SILENCE_LEAST_MS 300
-/* Silence before a first event, against the expected first event. */
-#define SILENCE_FIRST_FACTOR 3.0
-#define SILENCE_FIRST_LEAST_MS 500
-/* Another daemon's warning counts this long, and lowers the bounds. */
-#define WARNED_MS 1500
-#define WARNED_SHARE 0.6
-/* How long a silent endpoint rests: the platform reports it broken by then. */
-#define REST_SILENT_MS 5000
-/* A plain endpoint that says nothing for this many objectives is left. */
-#define PLAIN_SILENCE_FACTOR 2.0
-#define PLAIN_SILENCE_LEAST_MS 700
 /* When to come back for a request whose time was up before it was sent. */
 #define RETRY_LATE_MS 100
 
@@ -393,67 +377,6 @@
 	fwd_exchange_again(ex, reason);
 }
 
-/* How long an endpoint may say nothing before this request is moved. */
-static double
-exchange_silence_ms(const struct fwd_exchange *ex)
-{
-	double gap;
-
-	if (ex->model == NULL)
-		return (
-		    MAX(PLAIN_SILENCE_FACTOR * (double)ex->route->objective_ms,
-			PLAIN_SILENCE_LEAST_MS));
-	if (ex->reading)
-		return (MAX(SILENCE_FIRST_FACTOR * ex->expected_ms,
-		    SILENCE_FIRST_LEAST_MS));
-	gap = fwd_expect_gap(ex->endpoint, ex->engine, ex->model) *
-	    ex->engine->stride;
-	return (MAX(SILENCE_FACTOR * gap, SILENCE_LEAST_MS));
-}
-
-/* Whether the endpoint has said nothing to anyone for too long. */
-static bool
-exchange_is_silent(const struct fwd_exchange *ex, uint64_t now)
-{
-	uint64_t heard = MAX(ex->heard_ms, ex->endpoint->heard_ms);
-
-	/* A replica that answers others is busy, not lost. */
-	heard = MAX(heard, ex->endpoint->peer_heard_ms);
-	if (ex->paused || now < ex->fwd->blind_until_ms)
-		return (false);
-	/* A plain endpoint's other answers say nothing of this one. */
-	if (ex->model == NULL)
-		heard = ex->heard_ms;
-	return ((double)(now - MIN(heard, now)) > exchange_silence_ms(ex) *
-		(now - ex->endpoint->avoided_ms < WARNED_MS ? WARNED_SHARE :
-							      1));
-}
-
-/* The endpoint is silent: avoid it, and move what may be moved. */
-static void
-exchange_silent(struct fwd_exchange *ex, uint64_t now)
-{
-	struct endpoint *ep = ex->endpoint;
-
-	if (now >= ep->rest_until_ms) {
-		fwd_stats_count(&ex->fwd->stats, COUNT_SILENT_ENDPOINTS);
-		event_log(LOG_NOTICE, "endpoint_silent",
-		    "endpoint=%s silent_ms=%llu inflight=%u pending=%.0f "
-		    "slowness=%.2f id=%s",
-		    ep->report.id,
-		    (unsigned long long)(now - MAX(ex->heard_ms, ep->heard_ms)),
-		    ep->inflight, ep->pending, ep->slowness, ex->id);
-		/* Its other connections may have fallen silent alike. */
-		net_pool_clear(&ep->pool);
-		ep->rest_until_ms = now + REST_SILENT_MS;
-		ep->warned_ms = now;
-		if (ex->fwd->suspect != NULL)
-			ex->fwd->suspect(ex->fwd->suspect_arg, ep);
-	}
-	if (fwd_exchange_movable(ex))
-		fwd_exchange_move(ex, ex->client->connected, "endpoint_silent");
-}
-
 /**
  * fwd_exchange_tick() - look at the times of an exchange.
  * @ex: the exchange
@@ -481,6 +404,5 @@
 		}
 		return;
 	}
-	if (exchange_is_silent(ex, now_ms))
-		exchange_silent(ex, now_ms);
+	fwd_silence_look(ex, now_ms);
 }
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -146,6 +146,12 @@
 /* fwd-answer.c: what an endpoint's answer does to an exchange. */
 extern const struct net_client_ops fwd_answer_ops;
 
+/* How long a silent endpoint rests: the platform reports it broken by then. */
+#define REST_SILENT_MS 5000
+
+/* fwd-silence.c: endpoints that fall silent. */
+void fwd_silence_look(struct fwd_exchange *, uint64_t);
+
 /* fwd-again.c: whether and how a request is sent once more. */
 bool fwd_exchange_repeatable(const struct fwd_exchange *);
 bool fwd_exchange_movable(const struct fwd_exchange *);
