Refuse again what would come late where places are short

Change: back to refusing a new request at once where its first event is expected after its objective and three fifths of the places are taken.

--- a/src/fwd-admission.c
+++ b/src/fwd-admission.c
@@ -2,17 +2,18 @@
  * Whether a request is sent, waits for a place or is refused. Pure.
  *
  * Answers loads above what the replicas can take: a burst, or replicas lost
- * until they are formed again. A free place is given at once, also where the
- * answer is expected late: endpoints have few enough places for that to make
- * the next ones hardly later (OVERLOAD, ablation). Without one, a request waits
- * for as long as a place that it can have in time is expected, and not longer.
- * One that was refused comes back when a replica that is being repaired should
- * serve again.
+ * until they are formed again. A request waits for as long as a place that it
+ * can have in time is expected, and not longer: each one that is served late
+ * makes later ones late. One that was refused comes back when a replica that
+ * is being repaired should serve again.
  */
 #include <math.h>
 
 #include "fwd-admission.h"
 
+/* Below this load an expected late answer is no reason to refuse: there are
+ * places, and expectations are least sure where little runs. */
+#define FULL_ENOUGH 0.6
 /* When to come back where the service has no models that a repair would load:
  * about as long as an endpoint rests after failures. */
 #define RETRY_PLAIN_MS 400
@@ -48,8 +49,12 @@
 	const struct fwd_choice *choice = a->choice;
 	double place = place_ms(a);
 
-	if (choice->endpoint != NULL)
-		return (ADMIT_SEND);
+	if (choice->endpoint != NULL) {
+		if (a->sends > 0 || a->returned || a->want->model == NULL ||
+		    choice->load < FULL_ENOUGH || in_time(a, a->first_ms))
+			return (ADMIT_SEND);
+		return (ADMIT_REFUSE);
+	}
 	/* What was begun goes on as long as there is time. */
 	if (a->sends > 0)
 		return (ADMIT_WAIT);
