Take numbers of settings with a fraction or an exponent

Cause: the small twin of the large deployment did not start: "--retry-slack: must be 0 to 1000000 count". The deployment gives 36.6; numbers under bounds may have a fraction or an exponent, and only retry-ratio was read so. Ruled out: rounding in the template (it can't), a wider range. Change: seconds and counts of the deployment are kept as numbers, milliseconds are rounded from numbers; a bad one is named with its range. Two settings more, cpu-share and cores, which say how much room a daemon has.

--- a/src/edge-setting.h
+++ b/src/edge-setting.h
@@ -22,11 +22,13 @@
 	bool keys_fail_closed;
 	int64_t apply_ms;
 	int64_t drain_ms;
-	int64_t grace_s;
+	double grace_s;
 	int64_t stall_ms;
 	double retry_ratio;
-	int64_t retry_window_s;
-	int64_t retry_slack;
+	double retry_window_s;
+	double retry_slack;
+	double cpu_share;
+	double cores;
 	bool check;
 };
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -79,8 +79,8 @@
 	    (uint64_t)MAX(e->set.apply_ms, (int64_t)e->dir.config.fallback_ms);
 	e->keeper.stall_ms = (uint64_t)e->set.stall_ms;
 	set->retry.ratio = e->set.retry_ratio;
-	set->retry.slack = (double)e->set.retry_slack;
-	set->retry.window_ms = (uint64_t)e->set.retry_window_s * 1000;
+	set->retry.slack = e->set.retry_slack;
+	set->retry.window_ms = (uint64_t)(e->set.retry_window_s * 1000);
 }
 
 /**
@@ -132,7 +132,7 @@
 {
 	struct edge *e = timer->data;
 	uint64_t since = uv_now(e->loop) - e->leaving_ms;
-	uint64_t grace = (uint64_t)e->set.grace_s * 1000;
+	uint64_t grace = (uint64_t)(e->set.grace_s * 1000);
 
 	if (since >= LEAVE_ACCEPT_MS) {
 		fwd_stop_listening(&e->fwd);
--- a/src/setting-table.c
+++ b/src/setting-table.c
@@ -1,5 +1,6 @@
 /* Tables of settings: each gives flags, environment, a file and checks. */
 #include <popt.h>
+#include <math.h>
 #include <string.h>
 
 #include "error.h"
@@ -79,19 +80,49 @@
 	return (true);
 }
 
+/* A number as deployments write it: with a fraction or an exponent or not. */
 static bool
-setting_store_real(const struct setting *s, void *set, const char *value,
+setting_read_number(const struct setting *s, const char *value, double *n,
     GError **error)
 {
+	g_autofree char *why = NULL;
 	char *end;
-	double n = g_ascii_strtod(value, &end);
 
-	if (end == value || *end != '\0' || !(n >= 0) || n > (double)s->max)
-		return (setting_bad(s, error, "must be a number in its range"));
+	*n = g_ascii_strtod(value, &end);
+	if (end != value && *end == '\0' && *n >= (double)s->min &&
+	    *n <= (double)s->max)
+		return (true);
+	why = g_strdup_printf("must be %" G_GINT64_FORMAT
+			      " to %" G_GINT64_FORMAT " %s, fractions allowed",
+	    (gint64)s->min, (gint64)s->max, s->unit);
+	return (setting_bad(s, error, why));
+}
+
+static bool
+setting_store_real(const struct setting *s, void *set, const char *value,
+    GError **error)
+{
+	double n;
+
+	if (!setting_read_number(s, value, &n, error))
+		return (false);
 	memcpy((char *)set + s->offset, &n, sizeof n);
 	return (true);
 }
 
+/* Kept as whole milliseconds: finer than any timer here. */
+static bool
+setting_store_millis(const struct setting *s, void *set, const char *value,
+    GError **error)
+{
+	double n;
+
+	if (!setting_read_number(s, value, &n, error))
+		return (false);
+	*(int64_t *)((char *)set + s->offset) = llround(n);
+	return (true);
+}
+
 static bool
 setting_store_bool(const struct setting *s, void *set, const char *value,
     GError **error)
@@ -116,6 +147,8 @@
 		return (setting_store_int(s, set, value, error));
 	case SETTING_REAL:
 		return (setting_store_real(s, set, value, error));
+	case SETTING_MILLIS:
+		return (setting_store_millis(s, set, value, error));
 	case SETTING_BOOL:
 		return (setting_store_bool(s, set, value, error));
 	case SETTING_ADDRESS:
--- a/src/setting-table.h
+++ b/src/setting-table.h
@@ -10,6 +10,17 @@
 /* Group of a settings file that holds the settings. */
 #define SETTING_FILE_GROUP "banklift"
 
+/**
+ * enum setting_kind - how a value is checked and kept.
+ * @SETTING_STRING: any text
+ * @SETTING_NAME: name of a resource
+ * @SETTING_ADDRESS: IP number and port
+ * @SETTING_LEVEL: level of the log
+ * @SETTING_INT: whole number, kept as int64_t
+ * @SETTING_REAL: number, kept as double
+ * @SETTING_MILLIS: milliseconds, a fraction is rounded; kept as int64_t
+ * @SETTING_BOOL: true or false
+ */
 enum setting_kind {
 	SETTING_STRING,
 	SETTING_NAME,
@@ -17,6 +28,7 @@
 	SETTING_LEVEL,
 	SETTING_INT,
 	SETTING_REAL,
+	SETTING_MILLIS,
 	SETTING_BOOL,
 };
 
@@ -26,7 +38,7 @@
  * @kind: how the value is checked and kept
  * @offset: of the field in the program's struct
  * @fallback: value where none is given; NULL when required
- * @min: least value of a whole number
+ * @min: least value of any number
  * @max: largest value of any number
  * @unit: shown in help
  * @help: shown in help; secrets come from the environment or the file
--- /dev/null
+++ b/tests/proc-edge-settings.sh
@@ -0,0 +1,38 @@
+# Numbers of a settings file are taken as a deployment writes them: with a
+# fraction, with an exponent, or plain; others are refused by name.
+. tests/lib.sh
+
+TEMPLATE=deploy/banklift-edge.conf.in
+
+# settings VALUE: the template with that value for each number.
+settings() {
+	sed -e 's/{{ip}}/127.0.0.1/; s/{{internal_port_range.0}}/7340/' \
+	    -e 's/^\([a-z-]*-address\)={{.*}}/\1=127.0.0.1:7341/' \
+	    -e 's/^\(name\|domain\)={{.*}}/\1=a/' \
+	    -e 's/^\(keys-fail-closed\)={{.*}}/\1=true/' \
+	    -e "s/={{.*}}/=$1/" "$TEMPLATE" >"$RUN/settings"
+}
+
+# taken FLAG...: the exit status of a check of the settings.
+taken() {
+	"$BUILD/banklift-edge" --config "$RUN/settings" --check "$@" \
+	    >"$RUN/out" 2>&1
+	echo $?
+}
+
+for value in 600 600.25 6e2 6.0025E+2; do
+	settings "$value"
+	sed -i 's/^\(cpu-share\|cores\|retry-ratio\)=.*/\1=0.12/' "$RUN/settings"
+	check "every number written as $value" 0 "$(taken)"
+done
+settings 600
+check "numbers of the template" 10 \
+    "$(grep -c '=600$' "$RUN/settings")"
+sed -i 's/^\(cpu-share\|cores\|retry-ratio\)=.*/\1=0.12/' "$RUN/settings"
+for name in key-proof-ms grace-s retry-slack cpu-share; do
+	check "$name: not a number" 2 "$(taken "--$name" 1.5x)"
+	check "$name: named" 1 "$(grep -c -- "--$name: must be" "$RUN/out")"
+	check "$name: negative" 2 "$(taken "--$name" -0.5)"
+	check "$name: not finite" 2 "$(taken "--$name" nan)"
+done
+verdict
