Don't free milliseconds as text

Ruled out: none needed, the crash is in setting_table_free(). Change: the kinds that are text are listed by a switch without a default, so that the compiler names a new one. Both refusals of a number share their words.

--- a/src/setting-table.c
+++ b/src/setting-table.c
@@ -63,19 +63,25 @@
 	return (setting_bad(s, error, "must be an IP number and port"));
 }
 
+/* Refuses a number with the range that it should be in. */
+static bool
+setting_out_of_range(const struct setting *s, GError **error)
+{
+	g_autofree char *why = g_strdup_printf("must be %" G_GINT64_FORMAT
+					       " to %" G_GINT64_FORMAT " %s",
+	    (gint64)s->min, (gint64)s->max, s->unit);
+
+	return (setting_bad(s, error, why));
+}
+
 static bool
 setting_store_int(const struct setting *s, void *set, const char *value,
     GError **error)
 {
-	g_autofree char *why = NULL;
 	gint64 n;
 
-	if (!g_ascii_string_to_signed(value, 10, s->min, s->max, &n, NULL)) {
-		why = g_strdup_printf("must be %" G_GINT64_FORMAT
-				      " to %" G_GINT64_FORMAT " %s",
-		    (gint64)s->min, (gint64)s->max, s->unit);
-		return (setting_bad(s, error, why));
-	}
+	if (!g_ascii_string_to_signed(value, 10, s->min, s->max, &n, NULL))
+		return (setting_out_of_range(s, error));
 	*(int64_t *)((char *)set + s->offset) = n;
 	return (true);
 }
@@ -85,17 +91,13 @@
 setting_read_number(const struct setting *s, const char *value, double *n,
     GError **error)
 {
-	g_autofree char *why = NULL;
 	char *end;
 
 	*n = g_ascii_strtod(value, &end);
 	if (end != value && *end == '\0' && *n >= (double)s->min &&
 	    *n <= (double)s->max)
 		return (true);
-	why = g_strdup_printf("must be %" G_GINT64_FORMAT
-			      " to %" G_GINT64_FORMAT " %s, fractions allowed",
-	    (gint64)s->min, (gint64)s->max, s->unit);
-	return (setting_bad(s, error, why));
+	return (setting_out_of_range(s, error));
 }
 
 static bool
@@ -296,8 +298,19 @@
 static bool
 setting_is_text(enum setting_kind kind)
 {
-	return (kind != SETTING_INT && kind != SETTING_REAL &&
-	    kind != SETTING_BOOL);
+	switch (kind) {
+	case SETTING_STRING:
+	case SETTING_NAME:
+	case SETTING_ADDRESS:
+	case SETTING_LEVEL:
+		return (true);
+	case SETTING_INT:
+	case SETTING_REAL:
+	case SETTING_MILLIS:
+	case SETTING_BOOL:
+		return (false);
+	}
+	return (false);
 }
 
 /**
