--- a/src/banklift-bench.c
+++ b/src/banklift-bench.c
@@ -9,6 +9,7 @@
 	&bench_routing_entry,
 	&bench_choice_entry,
 	&bench_slopes_entry,
+	&bench_fleet_entry,
 	NULL,
 };
 
--- /dev/null
+++ b/src/bench-fleet.c
@@ -0,0 +1,60 @@
+/* Bench: what daemons know of each other, by the size of the fleet. */
+#include <stdio.h>
+#include <stdlib.h>
+#include <syslog.h>
+
+#include "bench.h"
+#include "event-log.h"
+#include "fleet-model.h"
+
+/* Until all agree, and the time over which datagrams are counted. */
+#define SETTLE_MS 3000
+#define COUNT_MS 5000
+/* Requests that each daemon has under way: three a second for 1.5 s. */
+#define WORK_EACH 5
+
+/* Prints one row of the table. */
+static void
+print_row(unsigned daemons, unsigned domains, unsigned endpoints)
+{
+	struct fleet_model *model =
+	    fleet_model_new(daemons, domains, endpoints, 1);
+	struct model_sight s;
+
+	fleet_model_run(model, SETTLE_MS);
+	fleet_model_work(model, WORK_EACH);
+	fleet_model_count(model);
+	fleet_model_run(model, COUNT_MS);
+	fleet_model_see(model, &s);
+	printf("%7u %7u %9u %6u %6u-%u %6.1f %8.1f %9.1f %9.0f %9.0f %6u\n",
+	    daemons, domains, endpoints, s.relays, s.living_least,
+	    s.living_most, s.sent_s, s.sent_most_s, s.heard_s, s.heard_bytes_s,
+	    s.sent_bytes_most_s, s.moves);
+	fleet_model_free(model);
+}
+
+/* bench fleet [DAEMONS DOMAINS ENDPOINTS]: datagrams and bytes a second. */
+static int
+exec_fleet(int argc, const char **argv)
+{
+	static const unsigned sizes[][3] = { { 7, 3, 8 }, { 30, 5, 20 },
+		{ 100, 5, 40 }, { 300, 5, 86 }, { 400, 11, 375 } };
+
+	event_log_open("banklift-bench", LOG_ERR);
+	printf("daemons domains endpoints relays living  sent/s  most/s "
+	       "  heard/s heard B/s  most B/s  moves\n");
+	if (argc == 3) {
+		print_row((unsigned)atoi(argv[0]), (unsigned)atoi(argv[1]),
+		    (unsigned)atoi(argv[2]));
+		return (0);
+	}
+	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++)
+		print_row(sizes[i][0], sizes[i][1], sizes[i][2]);
+	return (0);
+}
+
+const struct bench_entry bench_fleet_entry = {
+	.name = "fleet",
+	.help = "[daemons domains endpoints]: what daemons tell each other",
+	.exec = exec_fleet,
+};
--- a/src/bench.h
+++ b/src/bench.h
@@ -18,8 +18,6 @@
 extern const struct bench_entry bench_routing_entry;
 extern const struct bench_entry bench_slopes_entry;
 extern const struct bench_entry bench_choice_entry;
-extern const struct bench_entry bench_limits_entry;
-extern const struct bench_entry bench_retries_entry;
-extern const struct bench_entry bench_gossip_entry;
+extern const struct bench_entry bench_fleet_entry;
 
 #endif
--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -201,6 +201,35 @@
 	    !staged_same(old->staged, report->staged));
 }
 
+/* Whether requests may be sent to an endpoint that reports this, or lately. */
+static bool
+report_serves(const struct endpoint_report *report)
+{
+	/* Plain services have no fabric domain. */
+	return (report->fabric == NULL ||
+	    (report->group != NULL && report->rank == 0 &&
+		report->state >= GROUP_OPEN));
+}
+
+/**
+ * fleet_serving_differs() - whether a report changes where requests may go.
+ * @fleet: the fleet
+ * @report: the report
+ *
+ * Of the changes of a large fleet most are of hosts that form groups or copy
+ * models. Only the daemon that places has to know of these.
+ */
+bool
+fleet_serving_differs(const struct fleet *fleet,
+    const struct endpoint_report *report)
+{
+	const struct endpoint *ep = fleet_find(fleet, report->id);
+
+	return (fleet_differs(fleet, report) &&
+	    (report_serves(report) ||
+		(ep != NULL && report_serves(&ep->report))));
+}
+
 /**
  * fleet_lapse() - an endpoint's entry was removed.
  * @fleet: the fleet
--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -77,6 +77,8 @@
  * @backlog: own prompt tokens sent there and not read yet
  * @peer_inflight: other daemons' requests there
  * @peer_pending: other daemons' prompt tokens without a first event yet
+ * @cell_inflight: the part of @peer_inflight of daemons that report to this one
+ * @cell_pending: the same of @peer_pending
  * @memory: model of its last group since its start, or NULL; it joins one of
  *	that model in a fraction of a second, also after it has left
  * @failures: failures in a row
@@ -106,6 +108,8 @@
 	struct fwd_backlog backlog;
 	unsigned peer_inflight;
 	double peer_pending;
+	unsigned cell_inflight;
+	double cell_pending;
 	char *memory;
 	unsigned failures;
 	uint64_t rest_until_ms;
@@ -142,6 +146,8 @@
 struct endpoint *fleet_update(struct fleet *, struct endpoint_report *,
     uint64_t, uint64_t);
 bool fleet_differs(const struct fleet *, const struct endpoint_report *);
+bool fleet_serving_differs(const struct fleet *,
+    const struct endpoint_report *);
 void fleet_lapse(struct fleet *, const char *, uint64_t, bool);
 struct endpoint *fleet_find(const struct fleet *, const char *);
 struct endpoint *fleet_find_key(const struct fleet *, uint32_t);
--- a/src/dir-follow.c
+++ b/src/dir-follow.c
@@ -10,6 +10,9 @@
 #define RETRY_LONGEST_MS 400
 /* Daemons that do not read for others try again this many fallbacks later. */
 #define FAILED_FALLBACKS 2
+/* Between two reads that something waits for: with hundreds of hosts there is
+ * always something, and each read is a call. */
+#define HURRY_LEAST_MS 50
 
 static void follow_ask(struct dir_follow *);
 static void follow_later(struct dir_follow *, unsigned);
@@ -38,6 +41,12 @@
 		follow_ask(f);
 }
 
+static void
+on_hurry(uv_timer_t *timer)
+{
+	follow_ask(timer->data);
+}
+
 static void
 follow_later(struct dir_follow *f, unsigned ms)
 {
@@ -198,6 +207,10 @@
 	if (f->stopped || f->busy)
 		return;
 	uv_timer_stop(&f->timer);
+	f->asked_ms = uv_now(f->loop);
+	if (f->whole_due && f->seen == NULL)
+		follow_restart(f);
+	f->whole_due = false;
 	if (f->seen != NULL)
 		begun = f->store->ops->newest(f->store, f->topic, f->after,
 		    on_newest, f);
@@ -261,8 +274,16 @@
 void
 dir_follow_hurry(struct dir_follow *f)
 {
-	if (f->synced && !f->busy)
+	uint64_t due = f->asked_ms + HURRY_LEAST_MS, now = uv_now(f->loop);
+	bool sooner = !uv_is_active((uv_handle_t *)&f->timer) ||
+	    uv_timer_get_due_in(&f->timer) > due - MIN(now, due);
+
+	if (!f->synced || f->busy || f->stopped)
+		return;
+	if (now >= due)
 		follow_ask(f);
+	else if (sooner)
+		uv_timer_start(&f->timer, on_hurry, due - now, 0);
 }
 
 /**
@@ -329,8 +350,21 @@
 	f->reader = reader;
 	event_log(LOG_INFO, "reader_changed", "topic=%s reader=%d",
 	    store_topic_name(f->topic), reader);
-	if (reader)
-		dir_follow_hurry(f);
+	if (!reader)
+		return;
+	f->whole_due = f->partial;
+	dir_follow_hurry(f);
+}
+
+/**
+ * dir_follow_complete() - whether all that the topic holds is known here.
+ * @f: the follower
+ */
+bool
+dir_follow_complete(const struct dir_follow *f)
+{
+	return (f->synced && f->seen == NULL && f->failures == 0 &&
+	    !f->whole_due && (f->reader || !f->partial));
 }
 
 /**
--- a/src/dir-follow.h
+++ b/src/dir-follow.h
@@ -29,6 +29,9 @@
  * @fallback_ms: without news from peers for so long, read oneself; 0 where
  *	there are no news from peers
  * @reader: this daemon reads for the others
+ * @partial: peers' news leave out what only a reader needs
+ * @whole_due: what is known lacks what others left out; a snapshot is due
+ * @asked_ms: when the store was last asked
  * @fed_ms: loop time as of which peers' news were complete
  * @timer: the pause
  * @next: offset of the next record
@@ -50,6 +53,9 @@
 	unsigned pause_ms;
 	unsigned fallback_ms;
 	bool reader;
+	bool partial;
+	bool whole_due;
+	uint64_t asked_ms;
 	uint64_t fed_ms;
 	uv_timer_t timer;
 	uint64_t next;
@@ -73,6 +79,7 @@
 void dir_follow_skip(struct dir_follow *, uint64_t);
 void dir_follow_fed(struct dir_follow *, uint64_t);
 void dir_follow_set_reader(struct dir_follow *, bool);
+bool dir_follow_complete(const struct dir_follow *);
 uint64_t dir_follow_age(const struct dir_follow *, uint64_t);
 
 #endif
--- a/src/dir.c
+++ b/src/dir.c
@@ -114,7 +114,7 @@
 		    error->message);
 		return;
 	}
-	if (fleet_differs(&dir->fleet, &report))
+	if (fleet_serving_differs(&dir->fleet, &report))
 		relay_add(dir, record);
 	fleet_update(&dir->fleet, &report, record->offset, now);
 }
@@ -172,6 +172,7 @@
 	    dir);
 	dir_follow_init(&dir->endpoints, store, loop, TOPIC_ENDPOINTS,
 	    &endpoints_ops, dir);
+	dir->endpoints.partial = true;
 }
 
 /**
@@ -212,10 +213,8 @@
 	if (returned_ms < DIR_RETURN_MS && returned_ms < now)
 		dir->endpoints.regained_ms =
 		    MAX(dir->endpoints.regained_ms, now - returned_ms);
-	if (!dir_follow_feed(&dir->endpoints, from, end, records)) {
-		dir_follow_hurry(&dir->endpoints);
+	if (!dir_follow_feed(&dir->endpoints, from, end, records))
 		return (false);
-	}
 	dir_follow_fed(&dir->endpoints, now);
 	dir_sweep(dir, now);
 	if (records->len > 0)
--- a/src/edge-announce.c
+++ b/src/edge-announce.c
@@ -18,24 +18,34 @@
 	json_auto_t *root = NULL;
 	const char *ip, *domain;
 	struct sockaddr_in addr;
-	int port;
+	int port, capacity = 0;
 
 	if (record->value == NULL)
 		return;
 	root = json_loadb((const char *)record->value, record->length, 0, NULL);
 	if (root == NULL ||
-	    json_unpack(root, "{s:s,s:i,s:s}", "ip", &ip, "port", &port,
-		"domain", &domain) != 0 ||
+	    json_unpack(root, "{s:s,s:i,s:s,s?i}", "ip", &ip, "port", &port,
+		"domain", &domain, "capacity", &capacity) != 0 ||
 	    uv_ip4_addr(ip, port, &addr) != 0) {
 		event_log(LOG_WARNING, "record_ignored",
 		    "daemon=%s reason=format", record->key);
 		return;
 	}
-	mesh_add(&e->mesh, record->key, domain, &addr);
+	mesh_add(&e->mesh, record->key, domain, (uint32_t)MAX(capacity, 0),
+	    &addr);
+}
+
+static void
+daemons_whole(void *owner, GHashTable *seen)
+{
+	struct edge *e = owner;
+
+	mesh_known(&e->mesh);
 }
 
 static const struct dir_follow_ops daemons_ops = {
 	.record = daemons_record,
+	.whole = daemons_whole,
 };
 
 static void
@@ -82,8 +92,8 @@
 	char *text;
 
 	setting_split_address(e->set.peer_address, &ip, &port);
-	root = json_pack("{s:s,s:i,s:s}", "ip", ip, "port", (int)port, "domain",
-	    e->set.domain);
+	root = json_pack("{s:s,s:i,s:s,s:i}", "ip", ip, "port", (int)port,
+	    "domain", e->set.domain, "capacity", (int)e->mesh.capacity);
 	text = json_dumps(root, JSON_COMPACT);
 	g_array_set_clear_func(records, store_record_clear);
 	record.key = g_strdup(e->set.name);
--- a/src/edge.c
+++ b/src/edge.c
@@ -27,9 +27,6 @@
 #define CONFIG_FALLBACK 0.6
 /* Endpoints are read this often within the bound on leaving ones. */
 #define ENDPOINT_READS 4
-/* Silence of the placer after which another daemon reads the store. */
-#define READER_LOST_MS 700
-#define READER_LOST_EACH_MS 10
 /* A balancer that asks each second and drops after two misses has moved on
  * by then. */
 #define LEAVE_ACCEPT_MS 3000
@@ -37,6 +34,9 @@
 /* Kept back from the grace time. */
 #define LEAVE_MARGIN_MS 700
 
+/* Capacities of daemons are compared in thousandths of a core. */
+#define CAPACITY_UNIT 1000
+
 static const int signal_numbers[] = { SIGTERM, SIGINT, SIGHUP };
 
 static bool
@@ -185,14 +185,14 @@
 static void
 edge_choose_reader(struct edge *e)
 {
-	bool reader = e->keeper.state == KEEPER_HOLDING ||
-	    (!mesh_placer_heard(&e->mesh,
-		 READER_LOST_MS +
-		     READER_LOST_EACH_MS * mesh_living(&e->mesh)) &&
-		mesh_first_reader(&e->mesh));
+	bool places = e->keeper.state == KEEPER_HOLDING;
+	bool reader = places ||
+	    (!mesh_placer_heard(&e->mesh) && mesh_first_reader(&e->mesh));
 
 	dir_follow_set_reader(&e->dir.config, reader);
-	dir_follow_set_reader(&e->dir.endpoints, reader);
+	/* One that takes the lease reads all entries for itself first. */
+	dir_follow_set_reader(&e->dir.endpoints,
+	    reader || e->keeper.preparing || e->keeper.state != KEEPER_IDLE);
 }
 
 /* One line now and then with what was counted, for those with logs only. */
@@ -327,6 +327,8 @@
 	e->mesh.dir = &e->dir;
 	e->mesh.name = e->set.name;
 	e->mesh.domain = e->set.domain;
+	e->mesh.capacity =
+	    (uint32_t)(e->set.cpu_share * e->set.cores * CAPACITY_UNIT);
 	e->mesh.avoided = on_avoided;
 	e->mesh.avoided_arg = e;
 	e->dir.relayed = on_relayed;
--- a/src/keeper-call.c
+++ b/src/keeper-call.c
@@ -8,6 +8,9 @@
 #define ORDER_TIMEOUT_MS 800
 /* A host that does not answer a question in this time is silent. */
 #define ASK_TIMEOUT_MS 250
+/* Orders and questions on their way at once: a fleet of hundreds of hosts is
+ * told in some tens of round trips, and no turn of the loop gets long. */
+#define CALLS_MOST 64
 /* Between two questions to one host. */
 #define ASK_AGAIN_MS 300
 
@@ -53,17 +56,29 @@
 static void
 call_free(struct keeper_call *call)
 {
+	call->keeper->calls--;
 	g_free(call->group);
 	g_free(call->id);
 	g_free(call);
 }
 
+/**
+ * keeper_calls_free() - whether one more order or question may go out now.
+ * @k: the keeper
+ */
+bool
+keeper_calls_free(const struct keeper *k)
+{
+	return (k->calls < CALLS_MOST);
+}
+
 static struct keeper_call *
 call_new(struct keeper *k, const struct replica *r, unsigned member)
 {
 	struct keeper_call *call = g_new0(struct keeper_call, 1);
 
 	call->keeper = k;
+	k->calls++;
 	call->term = k->term;
 	call->group = g_strdup(r->name);
 	call->id = g_strdup(r->members[member].id);
@@ -208,7 +223,8 @@
 	uint64_t now = uv_now(k->loop);
 	struct keeper_call *call;
 
-	if (m->asking || (m->asked_ms != 0 && now - m->asked_ms < ASK_AGAIN_MS))
+	if (m->asking || !keeper_calls_free(k) ||
+	    (m->asked_ms != 0 && now - m->asked_ms < ASK_AGAIN_MS))
 		return;
 	call = call_new(k, r, index);
 	m->asked_ms = now;
@@ -240,6 +256,7 @@
 	struct keeper_call *call = g_new0(struct keeper_call, 1);
 
 	call->keeper = k;
+	k->calls++;
 	call->term = k->term;
 	call->id = g_strdup(id);
 	call->order = order->kind;
--- a/src/keeper-lease.c
+++ b/src/keeper-lease.c
@@ -8,15 +8,13 @@
 #define GROUP_PREFIX "group/"
 #define SERVED_KEY "served"
 
-/* Silence of the placer after which another takes its lease. Some missed
- * datagrams are no reason; the fencing token covers a placer that wakes. */
-#define PLACER_LOST_MS 700
-/* More for each daemon that lives: with many, not all are told each round. */
-#define PLACER_LOST_EACH_MS 10
 /* Each daemon waits this much longer than the one before it. */
 #define RANK_STEP_MS 200
-/* At the very start, until the others have been heard. */
+/* After the last placer was heard, and at the very start, until the others
+ * have been heard. */
 #define START_WAIT_MS 200
+/* After the records of the daemons were read, until relays are chosen. */
+#define KNOWN_WAIT_MS 600
 /* Orders go out only while the lease was checked this lately. */
 #define VERIFY_MS 1500
 
@@ -38,6 +36,7 @@
 	k->state = KEEPER_IDLE;
 	k->served = false;
 	k->alone_ms = 0;
+	k->preparing = false;
 	k->mesh->self.placer = false;
 	while ((r = TAILQ_FIRST(&k->replicas)) != NULL) {
 		TAILQ_REMOVE(&k->replicas, r, entry);
@@ -301,21 +300,27 @@
 static bool
 lease_due(struct keeper *k, uint64_t now_ms)
 {
-	uint64_t wait, lost;
+	const struct mesh *mesh = k->mesh;
+	uint64_t wait;
 
-	if (k->writing || k->mesh->self.leaving || !k->mesh->self.store_ok ||
-	    k->dir->catalog == NULL || !k->dir->endpoints.synced)
+	if (k->writing || mesh->self.leaving || !mesh->self.store_ok ||
+	    k->dir->catalog == NULL || mesh->known_ms == 0 ||
+	    now_ms - MIN(mesh->known_ms, now_ms) < KNOWN_WAIT_MS)
 		return (false);
-	lost = PLACER_LOST_MS +
-	    (uint64_t)mesh_living(k->mesh) * PLACER_LOST_EACH_MS;
-	if (mesh_placer_heard(k->mesh, lost)) {
+	if (mesh_placer_heard(mesh)) {
 		k->alone_ms = 0;
+		k->preparing = false;
 		return (false);
 	}
 	if (k->alone_ms == 0)
 		k->alone_ms = now_ms;
-	wait = START_WAIT_MS + (uint64_t)mesh_rank(k->mesh) * RANK_STEP_MS;
-	return (now_ms - k->alone_ms >= wait);
+	wait = START_WAIT_MS + (uint64_t)mesh_rank(mesh) * RANK_STEP_MS;
+	if (now_ms - k->alone_ms < wait)
+		return (false);
+	/* What others tell leaves out the hosts that serve nothing. */
+	k->preparing = true;
+	dir_follow_set_reader(&k->dir->endpoints, true);
+	return (dir_follow_complete(&k->dir->endpoints));
 }
 
 /**
--- a/src/keeper.c
+++ b/src/keeper.c
@@ -1,14 +1,19 @@
 /* The placer: one daemon at a time keeps the replicas of all services. */
 #include <string.h>
 
+#include "clock.h"
 #include "event-log.h"
 #include "keeper.h"
 
 /* How often the placer looks while groups change, and otherwise. */
 #define LOOK_BUSY_MS 150
 #define LOOK_CALM_MS 300
-/* After a change, so that a burst of them is looked at once. */
+/* After a change, so that a burst of them is looked at once; and at least so
+ * many times what a look takes, so that looking leaves room for the rest. */
 #define LOOK_SOON_MS 10
+#define LOOK_SOON_TIMES 4
+/* A look that takes longer is said: nothing else runs meanwhile. */
+#define LOOK_SLOW_US 50000
 /* How long a suspicion keeps its replica under question. */
 #define SUSPECT_MS 3000
 /* How long the head of a replica that is dissolved gets nothing new. */
@@ -107,7 +112,7 @@
 			replica_end(k, r, now_ms);
 			return;
 		}
-		if (step.act != REPLICA_ORDER)
+		if (step.act != REPLICA_ORDER || !keeper_calls_free(k))
 			break;
 		keeper_order(k, r, step.member, step.order);
 	}
@@ -120,7 +125,7 @@
 		keeper_doomed(k, r, now_ms);
 }
 
-/* Whether any replica is changing. */
+/* Whether any replica is changing, or should be. */
 static bool
 keeper_busy(const struct keeper *k)
 {
@@ -130,7 +135,27 @@
 		if (!r->opened || r->doomed != NULL || r->suspect_ms != 0)
 			return (true);
 	}
-	return (k->records->len > 0);
+	return (k->records->len > 0 || k->more);
+}
+
+/* Looks at all replicas and at what could be formed. */
+static void
+keeper_look_holding(struct keeper *k, uint64_t now_ms)
+{
+	uint64_t began = clock_now_us();
+	struct replica *r, *next;
+
+	for (r = TAILQ_FIRST(&k->replicas); r != NULL; r = next) {
+		next = TAILQ_NEXT(r, entry);
+		replica_look(k, r, now_ms);
+	}
+	keeper_adopt(k, now_ms);
+	keeper_place(k, now_ms);
+	keeper_write(k);
+	k->look_us = clock_now_us() - began;
+	if (k->look_us >= LOOK_SLOW_US)
+		event_log(LOG_NOTICE, "look_slow", "us=%llu calls=%u hosts=%u",
+		    (unsigned long long)k->look_us, k->calls, k->hosts);
 }
 
 /**
@@ -141,7 +166,6 @@
 keeper_look(struct keeper *k)
 {
 	uint64_t now = uv_now(k->loop);
-	struct replica *r, *next;
 
 	if (k->state == KEEPER_HOLDING && now - k->last_ms > PAUSE_MS)
 		k->verified_ms = 0;
@@ -153,13 +177,7 @@
 		return;
 	if (keeper_busy(k) && !keeper_verified(k, now))
 		return;
-	for (r = TAILQ_FIRST(&k->replicas); r != NULL; r = next) {
-		next = TAILQ_NEXT(r, entry);
-		replica_look(k, r, now);
-	}
-	keeper_adopt(k, now);
-	keeper_place(k, now);
-	keeper_write(k);
+	keeper_look_holding(k, now);
 }
 
 static void
@@ -191,7 +209,8 @@
 	if (k->state != KEEPER_HOLDING || !keeper_busy(k) ||
 	    uv_is_active((uv_handle_t *)&k->soon))
 		return;
-	uv_timer_start(&k->soon, on_soon, LOOK_SOON_MS, 0);
+	uv_timer_start(&k->soon, on_soon,
+	    MAX(LOOK_SOON_MS, k->look_us * LOOK_SOON_TIMES / 1000), 0);
 }
 
 /**
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -64,6 +64,10 @@
  * @usage: service name to struct service_usage, since the lease was taken
  * @ended: names of groups dissolved by this daemon to when
  * @pools: connections to hosts whose entries lapsed, by address
+ * @preparing: it is this daemon's turn to take the lease; it reads all entries
+ * @calls: orders and questions on their way
+ * @more: the last look left steps of placement for the next
+ * @look_us: time that the last look took
  * @alone_ms: since when no placer has been heard; 0 while one is
  * @last_ms: loop time of the last look
  * @after: last key of the page before, while reading
@@ -95,6 +99,10 @@
 	GHashTable *usage;
 	GHashTable *ended;
 	GHashTable *pools;
+	bool preparing;
+	unsigned calls;
+	bool more;
+	uint64_t look_us;
 	uint64_t alone_ms;
 	uint64_t last_ms;
 	char *after;
@@ -107,6 +115,7 @@
 void keeper_look_soon(struct keeper *);
 
 void keeper_doomed(struct keeper *, struct replica *, uint64_t);
+bool keeper_calls_free(const struct keeper *);
 
 /* keeper-call.c: orders and questions to hosts. */
 void keeper_order(struct keeper *, struct replica *, unsigned, enum order_kind);
--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -38,6 +38,26 @@
 		mesh->dir->peer_proof_ms = mesh->fetched_proof_ms;
 }
 
+/*
+ * Whom to ask: the peer that was heard, or one of those of which it said that
+ * they have as new a one, so that a relay does not serve its whole cell.
+ */
+static struct mesh_peer *
+config_source(const struct mesh *mesh, struct mesh_peer *peer)
+{
+	struct mesh_peer *other, *source = peer;
+	uint32_t n = 1;
+
+	if (peer != mesh->relay)
+		return (peer);
+	TAILQ_FOREACH(other, &mesh->peers, entry) {
+		if (other->newest && other->listed_ms == mesh->now_ms &&
+		    random_below(++n) == 0)
+			source = other;
+	}
+	return (source);
+}
+
 /**
  * mesh_fetch_config() - fetch a peer's configuration if it is newer.
  * @mesh: the mesh
@@ -50,7 +70,8 @@
 	const struct net_request req = { .method = "GET",
 		.target = CONFIG_PATH };
 	int64_t own = catalog != NULL ? catalog->version : -1;
-	uint64_t now = uv_now(mesh->loop);
+	struct mesh_peer *source;
+	uint64_t now = mesh->now_ms;
 
 	mesh->newest = MAX(mesh->newest, peer->config_version);
 	if (mesh->newest <= own)
@@ -70,12 +91,13 @@
 		return;
 	if (now - mesh->behind_ms >= STORE_AFTER_MS)
 		dir_follow_hurry(&mesh->dir->config);
-	event_log(LOG_INFO, "config_fetch", "peer=%s version=%lld own=%lld",
-	    peer->name, (long long)peer->config_version, (long long)own);
 	mesh->fetched_version = peer->config_version;
 	mesh->fetched_offset = peer->config_offset;
 	mesh->fetched_proof_ms = peer->config_proof_ms;
-	mesh->fetching = net_call_start(&peer->pool, &req, FETCH_TIMEOUT_MS,
+	source = config_source(mesh, peer);
+	event_log(LOG_INFO, "config_fetch", "peer=%s version=%lld own=%lld",
+	    source->name, (long long)peer->config_version, (long long)own);
+	mesh->fetching = net_call_start(&source->pool, &req, FETCH_TIMEOUT_MS,
 			     on_fetched, mesh) != NULL;
 }
 
--- a/src/mesh-entries.c
+++ b/src/mesh-entries.c
@@ -8,6 +8,62 @@
 /* First word of each datagram: "BLE" and the version of the format. */
 #define ENTRIES_MAGIC 0x424c4501u
 
+/* The same of a question for entries: "BLA". */
+#define ASK_MAGIC 0x424c4101u
+
+static bool_t
+xdr_ask(XDR *xdr, struct mesh_ask *ask)
+{
+	uint32_t magic = ASK_MAGIC;
+	char *name = ask->name;
+
+	return (xdr_uint32_t(xdr, &magic) && magic == ASK_MAGIC &&
+	    xdr_string(xdr, &name, MESH_NAME_MAX - 1) &&
+	    xdr_uint64_t(xdr, &ask->from));
+}
+
+/**
+ * mesh_ask_encode() - write a question for entries.
+ * @ask: the question
+ * @out: where to
+ * @size: room there
+ *
+ * Return: its length, or 0 where it does not fit.
+ */
+size_t
+mesh_ask_encode(const struct mesh_ask *ask, char *out, size_t size)
+{
+	size_t length = 0;
+	XDR xdr;
+
+	xdrmem_create(&xdr, out, (u_int)size, XDR_ENCODE);
+	if (xdr_ask(&xdr, (struct mesh_ask *)ask))
+		length = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	return (length);
+}
+
+/**
+ * mesh_ask_decode() - read a question for entries.
+ * @ask: filled in
+ * @in: the datagram
+ * @length: its length
+ *
+ * Return: false where it is another datagram.
+ */
+bool
+mesh_ask_decode(struct mesh_ask *ask, char *in, size_t length)
+{
+	bool ok;
+	XDR xdr;
+
+	memset(ask, 0, sizeof *ask);
+	xdrmem_create(&xdr, in, (u_int)length, XDR_DECODE);
+	ok = xdr_ask(&xdr, ask);
+	xdr_destroy(&xdr);
+	return (ok);
+}
+
 static bool_t
 xdr_head(XDR *xdr, struct mesh_entries *entries)
 {
--- a/src/mesh-entries.h
+++ b/src/mesh-entries.h
@@ -30,6 +30,18 @@
 	GArray *records;
 };
 
+/**
+ * struct mesh_ask - a question for entries that were missed.
+ * @name: of the sender
+ * @from: it lacks what changed from this offset on
+ */
+struct mesh_ask {
+	char name[MESH_NAME_MAX];
+	uint64_t from;
+};
+
+size_t mesh_ask_encode(const struct mesh_ask *, char *, size_t);
+bool mesh_ask_decode(struct mesh_ask *, char *, size_t);
 size_t mesh_entries_encode(const struct mesh_entries *, guint, guint, char *,
     size_t);
 bool mesh_entries_decode(struct mesh_entries *, char *, size_t);
--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -1,34 +1,101 @@
-/* Telling the other daemons which entries were read and changed. */
+/*
+ * Which entries were read and changed: told by the one that reads the store,
+ * told on by relays to their cells.
+ *
+ * Answers hundreds of daemons that each would read the store for themselves.
+ * A datagram that got lost is made good by its repeat with the next, then by
+ * asking a relay, and only then by a read of one's own.
+ */
 #include <string.h>
 
 #include "event-log.h"
-#include "mesh-entries.h"
 #include "mesh.h"
 
 /* Records in one datagram; at about 400 bytes each it stays below 5 KB. */
 #define ENTRIES_TOLD 12
+/* Entries that are missing may still be on their way for this long: they leave
+ * the reader just before others can say that they are there. */
+#define GAP_WAIT_MS 100
+/* Between two questions for them. */
+#define ASK_AGAIN_MS 150
+/* After this the store is read: some questions were lost or had no answer. */
+#define GAP_STORE_MS 700
+
+/* Whether a daemon outside the own cell is told of entries directly. */
+static bool
+far_due(const struct mesh *mesh, const struct mesh_peer *peer)
+{
+	if (mesh_flat(mesh))
+		return (mesh_peer_hinted(mesh, peer) ||
+		    mesh_peer_relays(mesh, peer));
+	return (mesh_peer_relays(mesh, peer));
+}
 
-/* Tells all living peers some of the records. */
+/* Sends a datagram to the own cell, to other relays, or to both. */
+static void
+feed_send(struct mesh *mesh, const struct mesh_peer *origin, const char *bytes,
+    size_t length, bool far)
+{
+	struct mesh_peer *peer;
+
+	TAILQ_FOREACH(peer, &mesh->peers, entry) {
+		bool near = mesh_peer_near(mesh, peer);
+
+		if (peer == origin)
+			continue;
+		if ((near &&
+			(mesh_peer_reports(mesh, peer) ||
+			    mesh_peer_relays(mesh, peer))) ||
+		    (far && !near && far_due(mesh, peer)))
+			mesh->send(mesh->send_arg, &peer->addr, bytes, length);
+	}
+}
+
+/* Keeps a datagram for those that miss it. */
+static void
+feed_keep(struct mesh *mesh, uint64_t from, uint64_t end, const char *bytes,
+    size_t length)
+{
+	struct mesh_kept *kept =
+	    &mesh->kept[mesh->n_kept++ % MESH_ENTRIES_KEPT];
+
+	g_clear_pointer(&kept->bytes, g_bytes_unref);
+	kept->from = from;
+	kept->end = end;
+	kept->bytes = g_bytes_new(bytes, length);
+}
+
+/**
+ * mesh_feed_clear() - free what is kept.
+ * @mesh: the mesh
+ */
+void
+mesh_feed_clear(struct mesh *mesh)
+{
+	for (unsigned i = 0; i < MESH_ENTRIES_KEPT; i++)
+		g_clear_pointer(&mesh->kept[i].bytes, g_bytes_unref);
+	if (mesh->told != NULL)
+		g_array_free(mesh->told, TRUE);
+	mesh->told = NULL;
+}
+
+/* Tells some of the records. */
 static void
 entries_send(struct mesh *mesh, const struct mesh_entries *entries, guint first,
     guint n)
 {
 	static char out[MESH_BYTES];
-	struct mesh_peer *peer;
-	uv_buf_t buf;
+	size_t length = mesh_entries_encode(entries, first, n, out, sizeof out);
 
-	buf = uv_buf_init(out,
-	    (unsigned)mesh_entries_encode(entries, first, n, out, sizeof out));
-	if (buf.len == 0) {
+	if (length == 0) {
 		event_log(LOG_WARNING, "entries_not_told", "records=%u", n);
 		return;
 	}
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		/* A lost datagram shows as a gap; the peer reads for itself. */
-		if (mesh_peer_lives(mesh, peer))
-			(void)uv_udp_try_send(&mesh->udp, &buf, 1,
-			    (const struct sockaddr *)&peer->addr);
-	}
+	feed_keep(mesh, entries->from, entries->end, out, length);
+	if (mesh->relay != NULL)
+		mesh->send(mesh->send_arg, &mesh->relay->addr, out, length);
+	else
+		feed_send(mesh, NULL, out, length, true);
 }
 
 /* Copies records to the end of an array. */
@@ -90,9 +157,9 @@
 	g_array_set_clear_func(all, store_record_clear);
 	g_strlcpy(entries.name, mesh->name, sizeof entries.name);
 	if (f->regained_ms != 0)
-		entries.returned_ms =
-		    (uint32_t)MIN(uv_now(mesh->loop) - f->regained_ms,
-			UINT32_MAX);
+		entries.returned_ms = (uint32_t)MIN(mesh->now_ms -
+			MIN(f->regained_ms, mesh->now_ms),
+		    UINT32_MAX);
 	if (again) {
 		entries_append(all, mesh->told);
 		entries.from = mesh->told_from;
@@ -109,3 +176,134 @@
 	entries_append(mesh->told, records);
 	mesh->told_from = from;
 }
+
+/* Asks a peer for what is missing here. */
+static void
+feed_ask(struct mesh *mesh, const struct mesh_peer *peer)
+{
+	struct mesh_ask ask = { .from = mesh->dir->endpoints.next };
+	char out[MESH_NAME_MAX * 2];
+	size_t length;
+
+	if (mesh->asked_ms != 0 && mesh->now_ms - mesh->asked_ms < ASK_AGAIN_MS)
+		return;
+	mesh->asked_ms = mesh->now_ms;
+	g_strlcpy(ask.name, mesh->name, sizeof ask.name);
+	length = mesh_ask_encode(&ask, out, sizeof out);
+	mesh->send(mesh->send_arg, &peer->addr, out, length);
+	event_log(LOG_INFO, "entries_missed",
+	    "peer=%s next=%llu told=%llu gap_ms=%llu", peer->name,
+	    (unsigned long long)ask.from, (unsigned long long)mesh->feed_end,
+	    (unsigned long long)(mesh->now_ms - mesh->gap_ms));
+}
+
+/* Sends again what a peer missed, as far as it is kept. */
+static void
+feed_answer(struct mesh *mesh, const struct mesh_ask *ask,
+    const struct sockaddr_in *to)
+{
+	unsigned n = MIN(mesh->n_kept, MESH_ENTRIES_KEPT);
+
+	for (unsigned i = mesh->n_kept - n; i < mesh->n_kept; i++) {
+		const struct mesh_kept *kept =
+		    &mesh->kept[i % MESH_ENTRIES_KEPT];
+		gsize length;
+		const char *bytes = g_bytes_get_data(kept->bytes, &length);
+
+		if (kept->end > ask->from)
+			mesh->send(mesh->send_arg, to, bytes, length);
+	}
+}
+
+/* A relay tells its cell, and the others what comes from its cell. */
+static void
+feed_forward(struct mesh *mesh, const struct mesh_entries *entries,
+    const char *bytes, size_t length)
+{
+	const struct mesh_peer *origin = mesh_find(mesh, entries->name);
+	bool own = origin != NULL && mesh_peer_near(mesh, origin);
+
+	if (mesh->relay != NULL || mesh_flat(mesh))
+		return;
+	feed_keep(mesh, entries->from, entries->end, bytes, length);
+	feed_send(mesh, origin, bytes, length, own);
+}
+
+/* Takes in what was read and changed, and tells it on. */
+static void
+feed_take(struct mesh *mesh, const struct mesh_entries *entries,
+    const char *bytes, size_t length)
+{
+	/* What was asked for, or comes by two ways, is told on once. */
+	bool fresh = entries->end > mesh->feed_end;
+
+	mesh->feed_end = MAX(mesh->feed_end, entries->end);
+	if (fresh)
+		feed_forward(mesh, entries, bytes, length);
+	else if (mesh->relay == NULL && !mesh_flat(mesh))
+		feed_keep(mesh, entries->from, entries->end, bytes, length);
+	if (!dir_feed_endpoints(mesh->dir, entries->from, entries->end,
+		entries->records, entries->returned_ms) &&
+	    mesh->gap_ms == 0)
+		mesh->gap_ms = mesh->now_ms;
+}
+
+/**
+ * mesh_take_entries() - take in a datagram about entries.
+ * @mesh: the mesh
+ * @in: the datagram
+ * @length: its length
+ * @from: where it came from
+ *
+ * Return: false where it is about something else.
+ */
+bool
+mesh_take_entries(struct mesh *mesh, char *in, size_t length,
+    const struct sockaddr_in *from)
+{
+	struct mesh_entries entries;
+	struct mesh_ask ask;
+	bool ok;
+
+	if (mesh_ask_decode(&ask, in, length)) {
+		feed_answer(mesh, &ask, from);
+		return (true);
+	}
+	ok = mesh_entries_decode(&entries, in, length);
+	if (ok && strcmp(entries.name, mesh->name) != 0)
+		feed_take(mesh, &entries, in, length);
+	g_array_free(entries.records, TRUE);
+	return (ok);
+}
+
+/**
+ * mesh_feed_look() - see whether entries are missing here.
+ * @mesh: the mesh
+ * @peer: a daemon that was heard
+ * @end: its entries are complete up to this offset
+ *
+ * Asks it for them, and reads the store where that does not help.
+ */
+void
+mesh_feed_look(struct mesh *mesh, const struct mesh_peer *peer, uint64_t end)
+{
+	struct dir_follow *f = &mesh->dir->endpoints;
+	uint64_t gap;
+
+	if (mesh_peer_relays(mesh, peer))
+		mesh->feed_end = MAX(mesh->feed_end, end);
+	if (f->reader || !f->synced || f->seen != NULL ||
+	    f->next >= mesh->feed_end) {
+		mesh->gap_ms = 0;
+		return;
+	}
+	if (mesh->gap_ms == 0)
+		mesh->gap_ms = mesh->now_ms;
+	gap = mesh->now_ms - mesh->gap_ms;
+	if (gap >= GAP_STORE_MS) {
+		dir_follow_hurry(f);
+		mesh->gap_ms = mesh->now_ms;
+	} else if (gap >= GAP_WAIT_MS && end > f->next) {
+		feed_ask(mesh, peer);
+	}
+}
--- a/src/mesh-news.c
+++ b/src/mesh-news.c
@@ -1,11 +1,19 @@
 /* What daemons tell each other in one datagram, encoded by XDR. */
+#include <glib.h>
 #include <rpc/rpc.h>
 #include <string.h>
 
 #include "mesh-news.h"
 
 /* First word of each datagram: "BLM" and the version of the format. */
-#define MESH_MAGIC 0x424c4d04u
+#define MESH_MAGIC 0x424c4d05u
+/* Places of a load's figures in the word that holds them. */
+#define READING_SHIFT 8
+#define INFLIGHT_SHIFT 22
+#define HEARD_MASK 0xffu
+#define READING_MASK 0x3fffu
+/* Place of a member's flag in the word that holds it. */
+#define NEWEST_FLAG 0x10000u
 
 static bool_t
 xdr_flag(XDR *xdr, bool *flag)
@@ -32,13 +40,57 @@
 	    xdr_int64_t(xdr, &self->term));
 }
 
+static bool_t
+xdr_placer(XDR *xdr, struct mesh_placer *placer)
+{
+	return (xdr_uint32_t(xdr, &placer->key) &&
+	    xdr_int64_t(xdr, &placer->term) &&
+	    xdr_uint32_t(xdr, &placer->age_ms) && xdr_flag(xdr, &placer->fit));
+}
+
+static bool_t
+xdr_relay(XDR *xdr, struct mesh_relay *relay)
+{
+	uint32_t port = relay->port;
+
+	if (!xdr_name(xdr, relay->name) || !xdr_uint32_t(xdr, &relay->ip) ||
+	    !xdr_uint32_t(xdr, &port) || port > UINT16_MAX)
+		return (FALSE);
+	relay->port = (uint16_t)port;
+	return (xdr_uint32_t(xdr, &relay->capacity));
+}
+
+/* A load's figures in one word: a datagram of many stays within a packet. */
+static uint32_t
+load_pack(const struct mesh_load *load)
+{
+	uint32_t heard = MIN(load->heard_ms, MESH_HEARD_MAX_MS);
+	uint32_t reading = MIN(load->reading, MESH_READING_MAX);
+	uint32_t inflight = MIN(load->inflight, MESH_INFLIGHT_MAX);
+
+	return (heard / MESH_HEARD_STEP_MS |
+	    reading / MESH_READING_STEP << READING_SHIFT |
+	    inflight << INFLIGHT_SHIFT);
+}
+
+static void
+load_unpack(struct mesh_load *load, uint32_t word)
+{
+	load->heard_ms = (word & HEARD_MASK) * MESH_HEARD_STEP_MS;
+	load->reading =
+	    (word >> READING_SHIFT & READING_MASK) * MESH_READING_STEP;
+	load->inflight = word >> INFLIGHT_SHIFT;
+}
+
 static bool_t
 xdr_load(XDR *xdr, struct mesh_load *load)
 {
-	return (xdr_uint32_t(xdr, &load->key) &&
-	    xdr_uint32_t(xdr, &load->inflight) &&
-	    xdr_uint32_t(xdr, &load->reading) &&
-	    xdr_uint32_t(xdr, &load->heard_ms));
+	uint32_t word = load_pack(load);
+
+	if (!xdr_uint32_t(xdr, &load->key) || !xdr_uint32_t(xdr, &word))
+		return (FALSE);
+	load_unpack(load, word);
+	return (TRUE);
 }
 
 static bool_t
@@ -48,8 +100,12 @@
 	    news->n_loads > MESH_LOADS_MAX)
 		return (FALSE);
 	for (uint32_t i = 0; i < news->n_loads; i++) {
-		if (!xdr_load(xdr, &news->loads[i]))
+		struct mesh_load copy = news->loads[i];
+
+		if (!xdr_load(xdr, &copy))
 			return (FALSE);
+		if (xdr->x_op == XDR_DECODE)
+			news->loads[i] = copy;
 	}
 	return (TRUE);
 }
@@ -61,12 +117,50 @@
 	    news->n_avoid > MESH_AVOID_MAX)
 		return (FALSE);
 	for (uint32_t i = 0; i < news->n_avoid; i++) {
-		if (!xdr_uint32_t(xdr, &news->avoid[i]))
+		if (!xdr_uint32_t(xdr, &news->avoid[i].key) ||
+		    !xdr_uint32_t(xdr, &news->avoid[i].age_ms))
 			return (FALSE);
 	}
 	return (TRUE);
 }
 
+static bool_t
+xdr_member(XDR *xdr, struct mesh_member *member)
+{
+	uint32_t word = member->sequence | (member->newest ? NEWEST_FLAG : 0);
+
+	if (!xdr_uint32_t(xdr, &member->key) || !xdr_uint32_t(xdr, &word))
+		return (FALSE);
+	member->sequence = (uint16_t)word;
+	member->newest = (word & NEWEST_FLAG) != 0;
+	return (TRUE);
+}
+
+static bool_t
+xdr_members(XDR *xdr, struct mesh_news *news)
+{
+	if (!xdr_uint32_t(xdr, &news->n_members) ||
+	    news->n_members > MESH_MEMBERS_MAX)
+		return (FALSE);
+	for (uint32_t i = 0; i < news->n_members; i++) {
+		if (!xdr_member(xdr, &news->members[i]))
+			return (FALSE);
+	}
+	return (TRUE);
+}
+
+static bool_t
+xdr_kind(XDR *xdr, enum mesh_kind *kind)
+{
+	uint32_t value = *kind;
+
+	if (!xdr_uint32_t(xdr, &value) || value < MESH_REPORT ||
+	    value > MESH_FLEET)
+		return (FALSE);
+	*kind = (enum mesh_kind)value;
+	return (TRUE);
+}
+
 /* Encodes or decodes, as the XDR stream says. */
 static bool_t
 xdr_news(XDR *xdr, struct mesh_news *news)
@@ -74,15 +168,29 @@
 	uint32_t magic = MESH_MAGIC;
 
 	return (xdr_uint32_t(xdr, &magic) && magic == MESH_MAGIC &&
-	    xdr_name(xdr, news->name) && xdr_name(xdr, news->domain) &&
+	    xdr_kind(xdr, &news->kind) && xdr_name(xdr, news->name) &&
+	    xdr_name(xdr, news->domain) && xdr_uint32_t(xdr, &news->capacity) &&
 	    xdr_uint64_t(xdr, &news->life) &&
 	    xdr_uint64_t(xdr, &news->sequence) &&
 	    xdr_uint64_t(xdr, &news->ping) && xdr_uint64_t(xdr, &news->pong) &&
-	    xdr_self(xdr, &news->self) &&
+	    xdr_self(xdr, &news->self) && xdr_placer(xdr, &news->placer) &&
+	    xdr_relay(xdr, &news->relay) &&
 	    xdr_int64_t(xdr, &news->config_version) &&
 	    xdr_uint64_t(xdr, &news->config_offset) &&
-	    xdr_uint32_t(xdr, &news->config_age_ms) && xdr_loads(xdr, news) &&
-	    xdr_avoid(xdr, news));
+	    xdr_uint32_t(xdr, &news->config_age_ms) &&
+	    xdr_uint64_t(xdr, &news->entries_end) &&
+	    xdr_uint32_t(xdr, &news->living) && xdr_loads(xdr, news) &&
+	    xdr_avoid(xdr, news) && xdr_members(xdr, news));
+}
+
+/**
+ * mesh_news_clear() - say nothing yet.
+ * @news: the datagram; what its counts make unread is left as it is
+ */
+void
+mesh_news_clear(struct mesh_news *news)
+{
+	memset(news, 0, offsetof(struct mesh_news, loads));
 }
 
 /**
@@ -111,6 +219,8 @@
  * @news: filled in
  * @in: the datagram
  * @length: its length
+ *
+ * Return: false where it is of another format, cut short or too long.
  */
 bool
 mesh_news_decode(struct mesh_news *news, char *in, size_t length)
@@ -118,9 +228,9 @@
 	bool ok;
 	XDR xdr;
 
-	memset(news, 0, offsetof(struct mesh_news, loads));
+	mesh_news_clear(news);
 	xdrmem_create(&xdr, in, (u_int)length, XDR_DECODE);
-	ok = xdr_news(&xdr, news);
+	ok = xdr_news(&xdr, news) && xdr_getpos(&xdr) == length;
 	xdr_destroy(&xdr);
 	return (ok && news->name[0] != '\0');
 }
--- a/src/mesh-news.h
+++ b/src/mesh-news.h
@@ -6,18 +6,40 @@
 #include <stddef.h>
 #include <stdint.h>
 
-/* Endpoints in one datagram; 600 of them fill 7 KB. */
-#define MESH_LOADS_MAX 600
+/* Endpoints in one datagram; so many fill 7 KB. */
+#define MESH_LOADS_MAX 900
 /* Endpoints to avoid in one datagram. */
 #define MESH_AVOID_MAX 64
+/* Members of one cell. */
+#define MESH_MEMBERS_MAX 256
 #define MESH_NAME_MAX 64
 /* Largest datagram. */
 #define MESH_BYTES 16384
-/* Age of a proof that there never was. */
-#define MESH_NO_PROOF UINT32_MAX
+/* Age of what never was. */
+#define MESH_NEVER UINT32_MAX
+/* Largest figures of a load that a datagram holds; larger ones are cut. */
+#define MESH_INFLIGHT_MAX 1023
+#define MESH_READING_STEP 16
+#define MESH_READING_MAX (16383 * MESH_READING_STEP)
+#define MESH_HEARD_STEP_MS 16
+#define MESH_HEARD_MAX_MS (255 * MESH_HEARD_STEP_MS)
 
 /**
- * struct mesh_load - one daemon's work at one endpoint.
+ * enum mesh_kind - whom a datagram speaks for.
+ * @MESH_REPORT: the sender alone; to its relay
+ * @MESH_POINTER: nobody; it names the sender's relay to one that did not know
+ * @MESH_CELL: the sender and the daemons that report to it; to other relays
+ * @MESH_FLEET: all daemons that the sender knows of; to those that report to it
+ */
+enum mesh_kind {
+	MESH_REPORT = 1,
+	MESH_POINTER,
+	MESH_CELL,
+	MESH_FLEET,
+};
+
+/**
+ * struct mesh_load - work at one endpoint.
  * @key: short name of the endpoint
  * @inflight: requests
  * @reading: prompt tokens without a first event yet
@@ -30,12 +52,34 @@
 	uint32_t heard_ms;
 };
 
+/**
+ * struct mesh_avoid - an endpoint that fell silent or is being closed.
+ * @key: short name of the endpoint
+ * @age_ms: since a daemon found so
+ */
+struct mesh_avoid {
+	uint32_t key;
+	uint32_t age_ms;
+};
+
+/**
+ * struct mesh_member - a daemon that reports to the sender.
+ * @key: short name of the daemon
+ * @sequence: low half of that of its newest report
+ * @newest: it has the newest configuration that the sender knows of
+ */
+struct mesh_member {
+	uint32_t key;
+	uint16_t sequence;
+	bool newest;
+};
+
 /**
  * struct mesh_self - what a daemon says of itself.
  * @placer: it holds the placer's lease
  * @leaving: it is about to end
  * @store_ok: the store answers it
- * @serving: it has had requests from callers
+ * @serving: it, or one that it speaks for, has had requests from callers
  * @term: of the placer's lease that it knows of
  */
 struct mesh_self {
@@ -46,41 +90,87 @@
 	int64_t term;
 };
 
+/**
+ * struct mesh_placer - the daemon that places, as the sender knows it.
+ * @key: short name of it
+ * @term: of its lease
+ * @age_ms: since it was heard; MESH_NEVER for never
+ * @fit: it reaches the store and is not leaving
+ */
+struct mesh_placer {
+	uint32_t key;
+	int64_t term;
+	uint32_t age_ms;
+	bool fit;
+};
+
+/**
+ * struct mesh_relay - the daemon that the sender reports to.
+ * @name: its name; empty where the sender is a relay itself
+ * @ip: its address, in network order
+ * @port: where it listens
+ * @capacity: of it
+ */
+struct mesh_relay {
+	char name[MESH_NAME_MAX];
+	uint32_t ip;
+	uint16_t port;
+	uint32_t capacity;
+};
+
 /**
  * struct mesh_news - one datagram.
+ * @kind: whom it speaks for
  * @name: of the sender
  * @domain: its failure domain
+ * @capacity: thousandths of a core that it has
  * @life: drawn at its start
  * @sequence: grows with each datagram
  * @ping: the sender's clock when it sent this
- * @pong: the newest @ping that it had from the receiver
+ * @pong: the newest @ping that it had from the receiver; 0 where it is sent
+ *	to many
  * @self: what the sender says of itself
+ * @placer: what it knows of the placer
+ * @relay: whom it reports to
  * @config_version: in force there; -1 for none
  * @config_offset: its place in the store
  * @config_age_ms: how old its proof is that this is the newest
- * @loads: its work
+ * @entries_end: its endpoints' entries are complete up to this offset
+ * @living: daemons that this speaks for
+ * @loads: their work
  * @n_loads: how many
- * @avoid: endpoints that fell silent there or are being closed
+ * @avoid: endpoints to avoid
  * @n_avoid: how many
+ * @members: that report to the sender; in MESH_FLEET only
+ * @n_members: how many
  */
 struct mesh_news {
+	enum mesh_kind kind;
 	char name[MESH_NAME_MAX];
 	char domain[MESH_NAME_MAX];
+	uint32_t capacity;
 	uint64_t life;
 	uint64_t sequence;
 	uint64_t ping;
 	uint64_t pong;
 	struct mesh_self self;
+	struct mesh_placer placer;
+	struct mesh_relay relay;
 	int64_t config_version;
 	uint64_t config_offset;
 	uint32_t config_age_ms;
-	struct mesh_load loads[MESH_LOADS_MAX];
+	uint64_t entries_end;
+	uint32_t living;
 	uint32_t n_loads;
-	uint32_t avoid[MESH_AVOID_MAX];
 	uint32_t n_avoid;
+	uint32_t n_members;
+	struct mesh_load loads[MESH_LOADS_MAX];
+	struct mesh_avoid avoid[MESH_AVOID_MAX];
+	struct mesh_member members[MESH_MEMBERS_MAX];
 };
 
 size_t mesh_news_encode(const struct mesh_news *, char *, size_t);
 bool mesh_news_decode(struct mesh_news *, char *, size_t);
+void mesh_news_clear(struct mesh_news *);
 
 #endif
--- a/src/mesh-peers.c
+++ b/src/mesh-peers.c
@@ -1,122 +1,259 @@
-/* What is known of the other daemons: who lives, who places, who reads. */
+/* The daemons that are known, and which of them live. */
 #include <string.h>
+#include <xxhash.h>
 
+#include "event-log.h"
 #include "mesh.h"
+#include "random.h"
 
-/* Up to so many daemons, all are told in each round; beyond it, those of the
- * own failure domain, and some others by turns. */
-#define TELL_MOST 12
-/* Silence after which a far peer counts as dead: some of its turns. */
-#define FAR_DEAD_MS 6000
+/* A word that a daemon lives, or its record, is a reason to report to it for
+ * this long: the silence of a relay, and some trials of others after it. */
+#define HINT_MS 4000
+/* Words of a relay that may get lost in a row, and part of a round more. */
+#define RELAY_LOST_GAPS 4.2
+/* Weight of the newest time between two words of a relay. */
+#define GAP_ALPHA 0.2
 
 /**
- * mesh_peer_near() - whether a peer is told, and tells, in every round.
+ * mesh_init() - know nobody yet.
+ * @mesh: the mesh; dir, name, domain, capacity, send and send_arg are filled in
+ * @now_ms: the time
+ * @life: of this run
+ */
+void
+mesh_init(struct mesh *mesh, uint64_t now_ms, uint64_t life)
+{
+	mesh->now_ms = now_ms;
+	mesh->opened_ms = now_ms;
+	mesh->life = life;
+	mesh->holder.gap_ms = 2 * MESH_ROUND_MS;
+	mesh->key = XXH32(mesh->name, strlen(mesh->name), 0);
+	mesh->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	mesh->by_key = g_hash_table_new(g_direct_hash, g_direct_equal);
+	TAILQ_INIT(&mesh->peers);
+	for (unsigned i = 0; i < MESH_REPORTS; i++)
+		mesh->reports[i].loads =
+		    g_array_new(FALSE, FALSE, sizeof(struct mesh_load));
+}
+
+/**
+ * mesh_clear() - forget all; the loop has ended.
+ * @mesh: the mesh
+ */
+void
+mesh_clear(struct mesh *mesh)
+{
+	struct mesh_peer *peer;
+
+	while ((peer = TAILQ_FIRST(&mesh->peers)) != NULL)
+		mesh_peer_free(mesh, peer);
+	g_hash_table_destroy(mesh->by_name);
+	g_hash_table_destroy(mesh->by_key);
+	for (unsigned i = 0; i < MESH_REPORTS; i++)
+		g_array_free(mesh->reports[i].loads, TRUE);
+	mesh_feed_clear(mesh);
+}
+
+/**
+ * mesh_known() - the records of all daemons have been read.
+ * @mesh: the mesh
+ */
+void
+mesh_known(struct mesh *mesh)
+{
+	if (mesh->known_ms == 0)
+		mesh->known_ms = mesh->now_ms > 0 ? mesh->now_ms : 1;
+}
+
+/**
+ * mesh_find() - a daemon by its name.
+ * @mesh: the mesh
+ * @name: the name
+ */
+struct mesh_peer *
+mesh_find(const struct mesh *mesh, const char *name)
+{
+	return (g_hash_table_lookup(mesh->by_name, name));
+}
+
+/**
+ * mesh_find_key() - a daemon by its short name.
+ * @mesh: the mesh
+ * @key: the short name
+ */
+struct mesh_peer *
+mesh_find_key(const struct mesh *mesh, uint32_t key)
+{
+	return (g_hash_table_lookup(mesh->by_key, GUINT_TO_POINTER(key)));
+}
+
+static struct mesh_peer *
+peer_create(struct mesh *mesh, const char *name, const char *domain,
+    const struct sockaddr_in *addr)
+{
+	struct mesh_peer *peer = g_new0(struct mesh_peer, 1);
+
+	peer->name = g_strdup(name);
+	peer->domain = g_strdup(domain);
+	peer->key = XXH32(name, strlen(name), 0);
+	peer->loads = g_array_new(FALSE, FALSE, sizeof(struct mesh_load));
+	peer->met_ms = mesh->now_ms;
+	peer->config_version = -1;
+	net_pool_init(&peer->pool, mesh->loop, addr);
+	TAILQ_INSERT_TAIL(&mesh->peers, peer, entry);
+	g_hash_table_insert(mesh->by_name, peer->name, peer);
+	g_hash_table_insert(mesh->by_key, GUINT_TO_POINTER(peer->key), peer);
+	mesh->n_peers++;
+	log_debug("peer_known", "peer=%s domain=%s", name, domain);
+	return (peer);
+}
+
+/**
+ * mesh_add() - learn of a daemon.
+ * @mesh: the mesh
+ * @name: its name
+ * @domain: its failure domain
+ * @capacity: thousandths of a core that it has
+ * @addr: where it listens
+ *
+ * Return: the daemon; NULL where it is this one.
+ */
+struct mesh_peer *
+mesh_add(struct mesh *mesh, const char *name, const char *domain,
+    uint32_t capacity, const struct sockaddr_in *addr)
+{
+	struct mesh_peer *peer = mesh_find(mesh, name);
+
+	if (strcmp(name, mesh->name) == 0)
+		return (NULL);
+	if (peer == NULL)
+		peer = peer_create(mesh, name, domain, addr);
+	peer->capacity = capacity;
+	peer->addr = *addr;
+	peer->pool.addr = *addr;
+	return (peer);
+}
+
+/**
+ * mesh_peer_free() - forget a daemon.
  * @mesh: the mesh
- * @peer: the peer
+ * @peer: the daemon; none of its connections is open
+ */
+void
+mesh_peer_free(struct mesh *mesh, struct mesh_peer *peer)
+{
+	mesh_uncount(mesh, peer);
+	if (mesh->relay == peer)
+		mesh->relay = NULL;
+	TAILQ_REMOVE(&mesh->peers, peer, entry);
+	g_hash_table_remove(mesh->by_name, peer->name);
+	g_hash_table_remove(mesh->by_key, GUINT_TO_POINTER(peer->key));
+	mesh->n_peers--;
+	g_free(peer->name);
+	g_free(peer->domain);
+	g_array_free(peer->loads, TRUE);
+	g_free(peer);
+}
+
+/* Whether something happened within a span; never where its time is 0. */
+static bool
+within(const struct mesh *mesh, uint64_t at_ms, uint64_t span_ms)
+{
+	return (
+	    at_ms != 0 && mesh->now_ms - MIN(at_ms, mesh->now_ms) < span_ms);
+}
+
+/**
+ * mesh_peer_near() - whether a daemon belongs to the own cell.
+ * @mesh: the mesh
+ * @peer: the daemon
  */
 bool
 mesh_peer_near(const struct mesh *mesh, const struct mesh_peer *peer)
 {
-	return (mesh->n_peers <= TELL_MOST ||
-	    strcmp(peer->domain, mesh->domain) == 0);
+	return (!mesh_flat(mesh) && strcmp(peer->domain, mesh->domain) == 0);
 }
 
 /**
- * mesh_peer_lives() - whether a peer was heard lately.
+ * mesh_peer_relays() - whether a daemon was lately heard as a relay.
  * @mesh: the mesh
- * @peer: the peer
+ * @peer: the daemon
  */
 bool
-mesh_peer_lives(const struct mesh *mesh, const struct mesh_peer *peer)
+mesh_peer_relays(const struct mesh *mesh, const struct mesh_peer *peer)
 {
 	uint64_t bound =
-	    mesh_peer_near(mesh, peer) ? MESH_PEER_DEAD_MS : FAR_DEAD_MS;
+	    mesh_peer_near(mesh, peer) ? MESH_RELAY_LOST_MS : MESH_PEER_DEAD_MS;
 
-	return (
-	    peer->heard_ms != 0 && uv_now(mesh->loop) - peer->heard_ms < bound);
+	return (within(mesh, peer->relayed_ms, bound) && !peer->self.leaving);
 }
 
 /**
- * mesh_living() - how many other daemons live.
+ * mesh_peer_relayed() - a daemon spoke as a relay just now.
  * @mesh: the mesh
+ * @peer: the daemon
  */
-unsigned
-mesh_living(const struct mesh *mesh)
+void
+mesh_peer_relayed(const struct mesh *mesh, struct mesh_peer *peer)
 {
-	const struct mesh_peer *peer;
-	unsigned n = 0;
+	double gap = (double)(mesh->now_ms - peer->relayed_ms);
 
-	TAILQ_FOREACH(peer, &mesh->peers, entry)
-		n += mesh_peer_lives(mesh, peer);
-	return (n);
+	if (mesh_peer_relays(mesh, peer))
+		peer->gap_ms += GAP_ALPHA * (gap - peer->gap_ms);
+	peer->relayed_ms = mesh->now_ms;
 }
 
 /**
- * mesh_placer_heard() - whether a daemon with the placer's lease was heard.
+ * mesh_peer_reports() - whether a daemon of the own cell reports to this one.
  * @mesh: the mesh
- * @within_ms: how lately
+ * @peer: the daemon
  */
 bool
-mesh_placer_heard(const struct mesh *mesh, uint64_t within_ms)
+mesh_peer_reports(const struct mesh *mesh, const struct mesh_peer *peer)
 {
-	uint64_t now = uv_now(mesh->loop);
-	const struct mesh_peer *peer;
-
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (peer->self.placer && peer->self.store_ok &&
-		    !peer->self.leaving && peer->self.term >= mesh->self.term &&
-		    peer->heard_ms != 0 && now - peer->heard_ms < within_ms)
-			return (true);
-	}
-	return (false);
+	return (mesh_peer_near(mesh, peer) &&
+	    within(mesh, peer->reported_ms, MESH_PEER_DEAD_MS));
 }
 
 /**
- * mesh_rank() - place of this daemon among those that could place.
+ * mesh_peer_hinted() - whether there is a word, of itself or of another, that
+ * a daemon lives.
  * @mesh: the mesh
+ * @peer: the daemon
  *
- * Return: how many living daemons that reach the store come before it.
+ * What it said as a relay does not count: that it still is one shows by itself.
  */
-unsigned
-mesh_rank(const struct mesh *mesh)
+bool
+mesh_peer_hinted(const struct mesh *mesh, const struct mesh_peer *peer)
 {
-	const struct mesh_peer *peer;
-	unsigned rank = 0;
+	uint64_t met = peer->heard_ms == 0 ? peer->met_ms : 0;
 
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (mesh_peer_lives(mesh, peer) && peer->self.store_ok &&
-		    !peer->self.leaving && strcmp(peer->name, mesh->name) < 0)
-			rank++;
-	}
-	return (rank);
+	return (within(mesh, met, HINT_MS) ||
+	    within(mesh, peer->listed_ms, HINT_MS) ||
+	    within(mesh, peer->pointed_ms, HINT_MS) ||
+	    within(mesh, peer->reported_ms, HINT_MS));
 }
 
 /**
- * mesh_first_reader() - whether this daemon should read the store for the
- * others.
+ * mesh_living() - how many other daemons live.
  * @mesh: the mesh
- *
- * It is the first by name of those that reach the store; where none does, of
- * all that live, so that one of them notices the store's return.
  */
-bool
-mesh_first_reader(const struct mesh *mesh)
+unsigned
+mesh_living(const struct mesh *mesh)
 {
 	const struct mesh_peer *peer;
-	bool reached = mesh->self.store_ok;
+	unsigned n = 0;
 
-	TAILQ_FOREACH(peer, &mesh->peers, entry)
-		reached = reached ||
-		    (mesh_peer_lives(mesh, peer) && peer->self.store_ok);
-	if (reached && !mesh->self.store_ok)
-		return (false);
+	if (mesh->relay != NULL && mesh_peer_relays(mesh, mesh->relay))
+		return (MAX(mesh->relay->living, 1) - 1);
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (mesh_peer_lives(mesh, peer) && !peer->self.leaving &&
-		    peer->self.store_ok == reached &&
-		    strcmp(peer->name, mesh->name) < 0)
-			return (false);
+		if (mesh_peer_reports(mesh, peer))
+			n++;
+		else if (!mesh_peer_near(mesh, peer) &&
+		    mesh_peer_relays(mesh, peer))
+			n += peer->living;
 	}
-	return (true);
+	return (n);
 }
 
 /**
--- /dev/null
+++ b/src/mesh-role.c
@@ -0,0 +1,264 @@
+/*
+ * Who relays, who reads the store for the others, who may place. Pure.
+ *
+ * Answers fleets of hundreds of daemons, where all that each knows of its work
+ * can't go to all others: the daemons of a failure domain form a cell and
+ * report to one of them, which tells them the sum of all cells. So a daemon
+ * sends and hears a few datagrams a second, whatever the number of daemons. In
+ * a small fleet every daemon is a cell of its own.
+ */
+#include <string.h>
+
+#include "mesh.h"
+
+/* Up to so many others, all tell each other directly: as many datagrams as a
+ * relay of a usual failure domain sends. */
+#define FLAT_MOST 12
+/* A daemon that should be its cell's relay takes over from one that serves well
+ * only after this: it has heard of the fleet by then. */
+#define SETTLE_MS 1000
+/* A daemon that was reported to should begin to relay within this: it may find
+ * the old relay lost a little later than others. */
+#define TRY_MS 450
+/* One that did not is reported to again after this. */
+#define TRY_AGAIN_MS 5000
+/* Bounds on the silence of the placer, and how it follows from the usual time
+ * between two words of it: three lost in a row, and the time of a round. */
+#define HOLDER_LOST_LEAST_MS 700
+#define HOLDER_LOST_MOST_MS 3000
+#define HOLDER_LOST_GAPS 4
+#define HOLDER_LOST_MORE_MS 300
+/* Weight of the newest time between two words of the placer. */
+#define HOLDER_GAP_ALPHA 0.125
+/* A daemon that is no relay waits for its turn behind all that are. */
+#define RANK_NO_RELAY 10
+
+/**
+ * mesh_flat() - whether every daemon is a cell of its own.
+ * @mesh: the mesh
+ */
+bool
+mesh_flat(const struct mesh *mesh)
+{
+	bool told = mesh->fleet_ms != 0 &&
+	    mesh->now_ms - mesh->fleet_ms < MESH_PEER_DEAD_MS;
+
+	/* A daemon that knows few may still be told by those that know more. */
+	return (mesh->size <= FLAT_MOST && !told);
+}
+
+/* The order of daemons for duties: those with more room, then by name. */
+static bool
+comes_before(uint32_t capacity, const char *name, uint32_t other_capacity,
+    const char *other_name)
+{
+	if (capacity != other_capacity)
+		return (capacity > other_capacity);
+	return (strcmp(name, other_name) < 0);
+}
+
+/**
+ * mesh_before() - whether this daemon comes before another for duties.
+ * @mesh: the mesh
+ * @peer: the other
+ */
+bool
+mesh_before(const struct mesh *mesh, const struct mesh_peer *peer)
+{
+	return (comes_before(mesh->capacity, mesh->name, peer->capacity,
+	    peer->name));
+}
+
+/**
+ * mesh_peer_before() - whether a daemon comes before another for duties.
+ * @a: the one
+ * @b: the other
+ */
+bool
+mesh_peer_before(const struct mesh_peer *a, const struct mesh_peer *b)
+{
+	return (comes_before(a->capacity, a->name, b->capacity, b->name));
+}
+
+/* Whether a daemon was reported to in vain. */
+static bool
+peer_failed(const struct mesh *mesh, const struct mesh_peer *peer)
+{
+	uint64_t since = mesh->now_ms - peer->tried_ms;
+
+	return (peer->tried_ms != 0 && since >= TRY_MS && since < TRY_AGAIN_MS);
+}
+
+/* The first daemon of the cell that relays; with @hinted, that might. */
+static struct mesh_peer *
+first_of_cell(const struct mesh *mesh, bool hinted)
+{
+	struct mesh_peer *peer, *first = NULL;
+
+	TAILQ_FOREACH(peer, &mesh->peers, entry) {
+		bool fits = hinted ? mesh_peer_hinted(mesh, peer) &&
+			!peer_failed(mesh, peer) && !peer->self.leaving :
+				     mesh_peer_relays(mesh, peer);
+
+		if (fits && mesh_peer_near(mesh, peer) &&
+		    (first == NULL || mesh_peer_before(peer, first)))
+			first = peer;
+	}
+	return (first);
+}
+
+/* Whether this daemon may take over from a relay that serves. */
+static bool
+self_settled(const struct mesh *mesh)
+{
+	const struct catalog *catalog = mesh->dir->catalog;
+
+	return (mesh->now_ms - mesh->opened_ms >= SETTLE_MS &&
+	    mesh->newest <= (catalog != NULL ? catalog->version : -1));
+}
+
+/**
+ * mesh_choose_relay() - the daemon that this one should report to.
+ * @mesh: the mesh; a trial of a daemon is noted
+ *
+ * Where one relays already, the first that does; where none does, the first
+ * that is said to live.
+ *
+ * Return: NULL where it should be a relay itself.
+ */
+struct mesh_peer *
+mesh_choose_relay(struct mesh *mesh)
+{
+	struct mesh_peer *first;
+	bool able = !mesh->self.leaving;
+
+	if (mesh_flat(mesh))
+		return (NULL);
+	first = first_of_cell(mesh, false);
+	if (first != NULL)
+		return (able && mesh_before(mesh, first) && self_settled(mesh) ?
+			NULL :
+			first);
+	first = first_of_cell(mesh, true);
+	if (first == NULL || (able && mesh_before(mesh, first)))
+		return (NULL);
+	if (first->tried_ms == 0 ||
+	    mesh->now_ms - first->tried_ms >= TRY_AGAIN_MS)
+		first->tried_ms = mesh->now_ms;
+	return (first);
+}
+
+/* Notes that the placer was heard at some time, by itself or by others. */
+static void
+holder_heard(struct mesh_holder *holder, const struct mesh_placer *placer,
+    uint64_t at_ms)
+{
+	if (placer->term < holder->term ||
+	    (placer->term == holder->term && at_ms <= holder->heard_ms))
+		return;
+	if (placer->term == holder->term && placer->key == holder->key)
+		holder->gap_ms += HOLDER_GAP_ALPHA *
+		    ((double)(at_ms - holder->heard_ms) - holder->gap_ms);
+	holder->key = placer->key;
+	holder->term = placer->term;
+	holder->heard_ms = at_ms;
+	holder->fit = placer->fit;
+}
+
+/**
+ * mesh_note_holder() - take in what a daemon knows of the placer.
+ * @mesh: the mesh
+ * @news: its datagram
+ */
+void
+mesh_note_holder(struct mesh *mesh, const struct mesh_news *news)
+{
+	struct mesh_holder *holder = &mesh->holder;
+	const struct mesh_peer *peer = mesh_find(mesh, news->name);
+
+	/* One that gave its lease up says so itself. */
+	if (peer != NULL && peer->key == holder->key && !news->self.placer)
+		holder->fit = false;
+	if (news->placer.age_ms == MESH_NEVER ||
+	    news->placer.age_ms >= mesh->now_ms ||
+	    news->placer.key == mesh->key)
+		return;
+	holder_heard(holder, &news->placer, mesh->now_ms - news->placer.age_ms);
+}
+
+/**
+ * mesh_placer_heard() - whether another daemon that holds the placer's lease,
+ * and can use it, was heard lately.
+ * @mesh: the mesh
+ */
+bool
+mesh_placer_heard(const struct mesh *mesh)
+{
+	const struct mesh_holder *holder = &mesh->holder;
+	double lost =
+	    CLAMP(HOLDER_LOST_MORE_MS + HOLDER_LOST_GAPS * holder->gap_ms,
+		HOLDER_LOST_LEAST_MS, HOLDER_LOST_MOST_MS);
+
+	return (holder->heard_ms != 0 && holder->fit &&
+	    holder->term >= mesh->self.term &&
+	    (double)(mesh->now_ms - MIN(holder->heard_ms, mesh->now_ms)) <
+		lost);
+}
+
+/* Whether a daemon relays and could read the store or place. */
+static bool
+peer_able(const struct mesh *mesh, const struct mesh_peer *peer)
+{
+	return (mesh_peer_relays(mesh, peer) && peer->self.store_ok);
+}
+
+/**
+ * mesh_rank() - place of this daemon among those that could place.
+ * @mesh: the mesh
+ *
+ * Return: how many come before it; relays that reach the store come first.
+ */
+unsigned
+mesh_rank(const struct mesh *mesh)
+{
+	const struct mesh_peer *peer;
+	unsigned before = 0, relays = 0;
+
+	TAILQ_FOREACH(peer, &mesh->peers, entry) {
+		bool able = peer_able(mesh, peer);
+
+		relays += able;
+		before += able && !mesh_before(mesh, peer);
+	}
+	return (mesh->relay == NULL ?
+		before :
+		relays + RANK_NO_RELAY + mesh->key % RANK_NO_RELAY);
+}
+
+/**
+ * mesh_first_reader() - whether this daemon should read the store for the
+ * others.
+ * @mesh: the mesh
+ *
+ * It is the first of the relays that reach the store; where none does, of all
+ * relays, so that one of them notices the store's return.
+ */
+bool
+mesh_first_reader(const struct mesh *mesh)
+{
+	const struct mesh_peer *peer;
+	bool reached = mesh->self.store_ok;
+
+	if (mesh->relay != NULL || mesh->known_ms == 0)
+		return (false);
+	TAILQ_FOREACH(peer, &mesh->peers, entry)
+		reached = reached || peer_able(mesh, peer);
+	if (reached && !mesh->self.store_ok)
+		return (false);
+	TAILQ_FOREACH(peer, &mesh->peers, entry) {
+		if (mesh_peer_relays(mesh, peer) &&
+		    peer->self.store_ok == reached && !mesh_before(mesh, peer))
+			return (false);
+	}
+	return (true);
+}
--- /dev/null
+++ b/src/mesh-take.c
@@ -0,0 +1,285 @@
+/* What a datagram of another daemon changes. */
+#include <string.h>
+
+#include "event-log.h"
+#include "mesh.h"
+
+/* How long a warning of an endpoint counts. */
+#define AVOID_MS 1500
+/* Words of a relay that may be missing before it counts as replaced. */
+#define OLD_RELAY_GAPS 2
+/* Until a daemon knows the fleet's size from its relays: some of their words.
+ */
+#define BEGIN_MS 5000
+/* A warning that comes back to the daemon that gave it is no other one. */
+#define AVOID_ECHO_MS 300
+
+/*
+ * A peer's proof that its configuration is the newest: it answered a question
+ * that left here at some time, so the proof is of that time less its age
+ * there. The time that the answer took can only make it younger than that.
+ */
+static uint64_t
+proof_ms(const struct mesh_news *news, uint64_t asked_ms)
+{
+	if (asked_ms == 0 || news->config_age_ms == MESH_NEVER ||
+	    news->config_age_ms >= asked_ms)
+		return (0);
+	return (asked_ms - news->config_age_ms);
+}
+
+/* Takes a peer's proof where it has the same configuration. */
+static void
+take_proof(struct mesh *mesh, const struct mesh_peer *peer)
+{
+	struct dir *dir = mesh->dir;
+
+	if (dir->catalog == NULL || peer->config_proof_ms == 0 ||
+	    peer->config_version != dir->catalog->version)
+		return;
+	dir->peer_proof_ms = MAX(dir->peer_proof_ms, peer->config_proof_ms);
+	dir_follow_fed(&dir->config, peer->config_proof_ms);
+}
+
+/* Sends no new work to what a peer warns of; true where that is new. */
+static bool
+take_avoid(struct mesh *mesh, const struct mesh_peer *peer,
+    const struct mesh_avoid *avoid)
+{
+	uint64_t now = mesh->now_ms, at = now - MIN(avoid->age_ms, now);
+	struct endpoint *ep = fleet_find_key(&mesh->dir->fleet, avoid->key);
+	bool first;
+
+	if (ep == NULL || at <= ep->avoided_ms ||
+	    (ep->warned_ms != 0 && at <= ep->warned_ms + AVOID_ECHO_MS))
+		return (false);
+	first = ep->avoided_ms == 0 || now - ep->avoided_ms >= AVOID_MS;
+	ep->avoided_ms = at;
+	ep->rest_until_ms = MAX(ep->rest_until_ms, at + AVOID_MS);
+	if (!first)
+		return (false);
+	event_log(LOG_INFO, "endpoint_avoided", "endpoint=%s peer=%s age_ms=%u",
+	    ep->report.id, peer->name, avoid->age_ms);
+	if (mesh->avoided != NULL)
+		mesh->avoided(mesh->avoided_arg, ep);
+	return (true);
+}
+
+/* Takes all warnings; a relay tells new ones on at once. */
+static void
+take_avoids(struct mesh *mesh, const struct mesh_peer *peer,
+    const struct mesh_news *news)
+{
+	bool fresh = false;
+
+	for (uint32_t i = 0; i < news->n_avoid; i++)
+		fresh |= take_avoid(mesh, peer, &news->avoid[i]);
+	if (fresh && mesh->relay == NULL && !mesh_flat(mesh))
+		mesh_tell(mesh);
+}
+
+/* Names the own relay to one that took this daemon for it. */
+static void
+point(struct mesh *mesh, struct mesh_peer *peer)
+{
+	if (mesh->relay != NULL && mesh->relay != peer)
+		mesh_tell_peer(mesh, peer, MESH_POINTER);
+}
+
+static void
+take_report(struct mesh *mesh, struct mesh_peer *peer,
+    const struct mesh_news *news)
+{
+	bool known = mesh_peer_reports(mesh, peer);
+
+	/* At first the others know more of the fleet's size. */
+	if (mesh->now_ms - mesh->opened_ms < BEGIN_MS &&
+	    strcmp(peer->domain, mesh->domain) == 0)
+		mesh->fleet_ms = mesh->now_ms;
+	peer->reported_ms = mesh->now_ms;
+	if (mesh->relay != NULL) {
+		point(mesh, peer);
+		return;
+	}
+	if (!known && mesh_peer_near(mesh, peer))
+		event_log(LOG_INFO, "peer_reports", "peer=%s life=%llx",
+		    peer->name, (unsigned long long)news->life);
+	mesh_count(mesh, peer, news, mesh_peer_near(mesh, peer));
+}
+
+/* The relay that a peer names becomes known, and worth a word. */
+static void
+take_pointer(struct mesh *mesh, const struct mesh_peer *peer,
+    const struct mesh_relay *relay)
+{
+	struct sockaddr_in addr = { .sin_family = AF_INET };
+	struct mesh_peer *named = mesh_find(mesh, relay->name);
+
+	if (relay->name[0] == '\0' || strcmp(relay->name, mesh->name) == 0)
+		return;
+	/* In the own cell a relay that is known shows by its own words, and its
+	 * silence counts for more than what others have not noticed yet. */
+	if (named != NULL && mesh_peer_near(mesh, named))
+		return;
+	addr.sin_addr.s_addr = relay->ip;
+	addr.sin_port = htons(relay->port);
+	named =
+	    mesh_add(mesh, relay->name, peer->domain, relay->capacity, &addr);
+	if (named != NULL)
+		named->pointed_ms = mesh->now_ms;
+}
+
+/* A cell whose new relay speaks is no longer spoken for by the old one, unless
+ * that goes on; its words would count twice. */
+static void
+drop_old_relays(struct mesh *mesh, const struct mesh_peer *peer)
+{
+	struct mesh_peer *other;
+
+	TAILQ_FOREACH(other, &mesh->peers, entry) {
+		double quiet = (double)(mesh->now_ms - other->relayed_ms);
+
+		if (other == peer || other->relayed_ms == 0 ||
+		    strcmp(other->domain, peer->domain) != 0 ||
+		    quiet <= OLD_RELAY_GAPS * other->gap_ms + MESH_ROUND_MS)
+			continue;
+		other->relayed_ms = 0;
+		mesh_uncount(mesh, other);
+	}
+}
+
+static void
+take_cell(struct mesh *mesh, struct mesh_peer *peer,
+    const struct mesh_news *news)
+{
+	mesh_peer_relayed(mesh, peer);
+	if (mesh->relay != NULL) {
+		point(mesh, peer);
+		return;
+	}
+	if (!mesh_flat(mesh))
+		drop_old_relays(mesh, peer);
+	mesh_count(mesh, peer, news, false);
+}
+
+/* Notes which daemons of the cell live, and which could give a configuration.
+ */
+static void
+take_members(struct mesh *mesh, const struct mesh_news *news)
+{
+	for (uint32_t i = 0; i < news->n_members; i++) {
+		struct mesh_peer *peer =
+		    mesh_find_key(mesh, news->members[i].key);
+
+		if (peer == NULL)
+			continue;
+		peer->listed_ms = mesh->now_ms;
+		peer->newest = news->members[i].newest;
+	}
+}
+
+static void
+take_fleet(struct mesh *mesh, struct mesh_peer *peer,
+    const struct mesh_news *news)
+{
+	const struct mesh_told *told = mesh_answered_report(mesh, news);
+
+	if (strcmp(peer->domain, mesh->domain) != 0)
+		return;
+	mesh->fleet_ms = mesh->now_ms;
+	mesh_peer_relayed(mesh, peer);
+	take_members(mesh, news);
+	if (told != NULL)
+		peer->config_proof_ms = proof_ms(news, told->sent_ms);
+	if (peer == mesh->relay)
+		mesh_count_fleet(mesh, peer, news);
+}
+
+/* A line for each change of what is believed of a daemon. */
+static void
+log_change(const struct mesh_peer *peer, const struct mesh_news *news)
+{
+	if (peer->life == news->life &&
+	    peer->self.placer == news->self.placer &&
+	    peer->self.leaving == news->self.leaving)
+		return;
+	event_log(LOG_INFO, "peer_changed",
+	    "peer=%s life=%llx placer=%d term=%lld leaving=%d store_ok=%d",
+	    peer->name, (unsigned long long)news->life, news->self.placer,
+	    (long long)news->self.term, news->self.leaving,
+	    news->self.store_ok);
+}
+
+/* Notes what a peer says of itself. */
+static void
+take_self(struct mesh *mesh, struct mesh_peer *peer,
+    const struct mesh_news *news)
+{
+	log_change(peer, news);
+	peer->life = news->life;
+	peer->sequence = news->sequence;
+	peer->ping = news->ping;
+	peer->self = news->self;
+	peer->living = news->living;
+	peer->config_version = news->config_version;
+	peer->config_offset = news->config_offset;
+	peer->config_proof_ms = proof_ms(news, news->pong);
+	peer->heard_ms = mesh->now_ms;
+	mesh->self.term = MAX(mesh->self.term, news->self.term);
+	mesh_note_holder(mesh, news);
+}
+
+/* What the kind of a datagram says. */
+static void
+take_kind(struct mesh *mesh, struct mesh_peer *peer,
+    const struct mesh_news *news)
+{
+	switch (news->kind) {
+	case MESH_REPORT:
+		take_report(mesh, peer, news);
+		break;
+	case MESH_POINTER:
+		take_pointer(mesh, peer, &news->relay);
+		break;
+	case MESH_CELL:
+		take_cell(mesh, peer, news);
+		break;
+	case MESH_FLEET:
+		take_fleet(mesh, peer, news);
+		break;
+	}
+}
+
+/**
+ * mesh_take() - take in a datagram.
+ * @mesh: the mesh
+ * @in: the datagram
+ * @length: its length
+ * @from: where it came from
+ */
+void
+mesh_take(struct mesh *mesh, char *in, size_t length,
+    const struct sockaddr_in *from)
+{
+	static struct mesh_news news;
+	struct mesh_peer *peer;
+
+	if (mesh_take_entries(mesh, in, length, from))
+		return;
+	if (!mesh_news_decode(&news, in, length)) {
+		event_log(LOG_WARNING, "peer_news_ignored",
+		    "bytes=%zu reason=format", length);
+		return;
+	}
+	peer = mesh_add(mesh, news.name, news.domain, news.capacity, from);
+	/* Datagrams may overtake each other, and may come twice. */
+	if (peer == NULL ||
+	    (peer->life == news.life && news.sequence <= peer->sequence))
+		return;
+	take_self(mesh, peer, &news);
+	take_kind(mesh, peer, &news);
+	take_proof(mesh, peer);
+	mesh_fetch_config(mesh, peer);
+	take_avoids(mesh, peer, &news);
+	mesh_feed_look(mesh, peer, news.entries_end);
+}
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -180,28 +180,43 @@
 		*c = ' ';
 }
 
-/* news cut=N: daemons' news survive coding; N bytes less are refused */
+/*
+ * news [cut=N] [more=N] [inflight=N] [reading=N] [heard=N]: daemons' news
+ * survive coding; N bytes less or more are refused
+ */
 static void
 exec_news(const char *rest, GString *out)
 {
-	struct mesh_news in = { .name = "d1",
+	static struct mesh_news in, back;
+	static char bytes[MESH_BYTES];
+	const struct mesh_news said = { .kind = MESH_FLEET,
+		.name = "d1",
 		.domain = "a",
+		.capacity = 500,
 		.life = 5,
 		.sequence = 9,
 		.pong = 77,
 		.self = { .placer = true, .term = 3 },
+		.placer = { 7, 3, 250, true },
+		.relay = { "d0", 1, 7340, 120 },
 		.config_version = 12,
 		.config_age_ms = 40,
+		.living = 295,
 		.n_loads = 2,
 		.n_avoid = 1,
-		.avoid = { 99 } };
-	struct mesh_news back;
-	char bytes[MESH_BYTES];
+		.n_members = 2 };
 	size_t length;
 
-	in.loads[1] = (struct mesh_load){ 4, 2, 1000, 30 };
+	in = said;
+	in.loads[1].key = 4;
+	in.loads[1].inflight = (uint32_t)script_number(rest, "inflight", 2);
+	in.loads[1].reading = (uint32_t)script_number(rest, "reading", 1000);
+	in.loads[1].heard_ms = (uint32_t)script_number(rest, "heard", 30);
+	in.avoid[0] = (struct mesh_avoid){ 99, 20 };
+	in.members[1] = (struct mesh_member){ 8, 65535, true };
 	length = mesh_news_encode(&in, bytes, sizeof bytes);
 	length -= script_number(rest, "cut", 0);
+	length += script_number(rest, "more", 0);
 	if (!mesh_news_decode(&back, bytes, length)) {
 		g_string_append(out, "refused\n");
 		return;
@@ -211,7 +226,16 @@
 	    "reading=%u avoid=%u\n",
 	    back.name, back.domain, (int)back.life, back.self.placer,
 	    (int)back.self.term, (int)back.config_version, back.n_loads,
-	    back.loads[1].key, back.loads[1].reading, back.avoid[0]);
+	    back.loads[1].key, back.loads[1].reading, back.avoid[0].key);
+	g_string_append_printf(out,
+	    "kind=%d capacity=%u living=%u inflight=%u heard=%u avoid_age=%u "
+	    "placer=%u/%d/%u/%d relay=%s:%u/%u members=%u last=%u/%u/%d\n",
+	    (int)back.kind, back.capacity, back.living, back.loads[1].inflight,
+	    back.loads[1].heard_ms, back.avoid[0].age_ms, back.placer.key,
+	    (int)back.placer.term, back.placer.age_ms, back.placer.fit,
+	    back.relay.name, back.relay.port, back.relay.capacity,
+	    back.n_members, back.members[1].key, back.members[1].sequence,
+	    back.members[1].newest);
 }
 
 static const struct script_command commands[] = {
--- /dev/null
+++ b/tests/test-mesh.c
@@ -0,0 +1,226 @@
+/* Scripts over what many daemons know of each other. */
+#include <string.h>
+#include <syslog.h>
+
+#include "event-log.h"
+#include "fleet-model.h"
+#include "script.h"
+
+static struct fleet_model *model;
+
+static void
+reset(void)
+{
+	g_clear_pointer(&model, fleet_model_free);
+}
+
+/* fleet N domains=N endpoints=N [seed=N] [loss=N]: lost in thousandths */
+static void
+exec_fleet(const char *rest, GString *out)
+{
+	reset();
+	model = fleet_model_new((unsigned)g_ascii_strtoull(rest, NULL, 10),
+	    (unsigned)script_number(rest, "domains", 1),
+	    (unsigned)script_number(rest, "endpoints", 1),
+	    script_number(rest, "seed", 1));
+	model->loss = (unsigned)script_number(rest, "loss", 0);
+}
+
+/* run MS: time passes */
+static void
+exec_run(const char *rest, GString *out)
+{
+	fleet_model_run(model, g_ascii_strtoull(rest, NULL, 10));
+}
+
+/* count: begin the counts anew */
+static void
+exec_count(const char *rest, GString *out)
+{
+	fleet_model_count(model);
+}
+
+/* work N: each daemon has N requests at endpoints drawn at random */
+static void
+exec_work(const char *rest, GString *out)
+{
+	fleet_model_work(model, (unsigned)g_ascii_strtoull(rest, NULL, 10));
+}
+
+/* loss N: lost datagrams from now on, in thousandths */
+static void
+exec_loss(const char *rest, GString *out)
+{
+	model->loss = (unsigned)g_ascii_strtoull(rest, NULL, 10);
+}
+
+/* kill NAME... or start NAME...: daemons end, or begin again */
+static void
+exec_kill(const char *rest, GString *out)
+{
+	g_auto(GStrv) names = g_strsplit(rest, " ", -1);
+
+	for (char **name = names; *name != NULL; name++)
+		fleet_model_stop(model, fleet_model_find(model, *name)->at);
+}
+
+static void
+exec_start(const char *rest, GString *out)
+{
+	g_auto(GStrv) names = g_strsplit(rest, " ", -1);
+
+	for (char **name = names; *name != NULL; name++)
+		fleet_model_start(model, fleet_model_find(model, *name)->at, 1);
+}
+
+/* domain N up=0|1: all daemons of a failure domain end or begin again */
+static void
+exec_domain(const char *rest, GString *out)
+{
+	unsigned domain = (unsigned)g_ascii_strtoull(rest, NULL, 10);
+
+	for (unsigned i = domain; i < model->n; i += model->n_domains) {
+		if (script_number(rest, "up", 0) != 0)
+			fleet_model_start(model, i, 1 + i % 100);
+		else
+			fleet_model_stop(model, i);
+	}
+}
+
+/* cut FROM TO on=0|1: the way from one failure domain to another */
+static void
+exec_cut(const char *rest, GString *out)
+{
+	g_auto(GStrv) words = g_strsplit(rest, " ", 3);
+
+	model->cut[g_ascii_strtoull(words[0], NULL, 10)]
+		  [g_ascii_strtoull(words[1], NULL, 10)] =
+	    script_number(rest, "on", 1) != 0;
+}
+
+/* place NAME on=0|1: a daemon takes or loses the placer's lease */
+static void
+exec_place(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+	struct mesh_self *self = &fleet_model_find(model, name)->mesh.self;
+
+	self->placer = script_number(rest, "on", 1) != 0;
+	self->term += self->placer;
+}
+
+/* warn NAME endpoint=ID: a daemon finds an endpoint silent and tells so */
+static void
+exec_warn(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *id = script_word(rest, "endpoint");
+	struct model_daemon *daemon = fleet_model_find(model, name);
+
+	fleet_find(&daemon->dir.fleet, id)->warned_ms = model->now_ms;
+	mesh_tell(&daemon->mesh);
+}
+
+/* warned ID: daemons that were told to avoid an endpoint, and how lately */
+static void
+exec_warned(const char *rest, GString *out)
+{
+	unsigned n = 0;
+	uint64_t newest = 0;
+
+	for (unsigned i = 0; i < model->n; i++) {
+		const struct endpoint *ep;
+
+		if (!model->daemons[i].up)
+			continue;
+		ep = fleet_find(&model->daemons[i].dir.fleet, rest);
+		n += ep->avoided_ms != 0;
+		newest = MAX(newest, ep->avoided_ms);
+	}
+	g_string_append_printf(out, "%u of %u, %" G_GUINT64_FORMAT " ms ago\n",
+	    n, model->n, model->now_ms - newest);
+}
+
+/* relays: the daemons that relay */
+static void
+exec_relays(const char *rest, GString *out)
+{
+	for (unsigned i = 0; i < model->n; i++) {
+		if (model->daemons[i].up &&
+		    model->daemons[i].mesh.relay == NULL)
+			g_string_append_printf(out, "%s ",
+			    model->daemons[i].mesh.name);
+	}
+	g_string_truncate(out, out->len - 1);
+	g_string_append_c(out, '\n');
+}
+
+/* see: how far the daemons' pictures differ from the truth */
+static void
+exec_see(const char *rest, GString *out)
+{
+	struct model_sight s;
+
+	fleet_model_see(model, &s);
+	g_string_append_printf(out,
+	    "up %u relays %u living %u to %u readers %u first %u placer known "
+	    "to %u\n",
+	    s.up, s.relays, s.living_least, s.living_most, s.readers, s.firsts,
+	    s.holder);
+}
+
+/* counts: requests off the truth, moves, and what was told a second */
+static void
+exec_counts(const char *rest, GString *out)
+{
+	struct model_sight s;
+
+	fleet_model_see(model, &s);
+	g_string_append_printf(out,
+	    "off %.2f most %u moves %u heard %.0f a second %.1f KB sent %.0f "
+	    "most %.0f\n",
+	    s.off_mean, s.off_most, s.moves, s.heard_s, s.heard_bytes_s / 1000,
+	    s.sent_s, s.sent_most_s);
+}
+
+/* proof: age of the oldest proof of the configuration, in steps of 500 ms */
+static void
+exec_proof(const char *rest, GString *out)
+{
+	struct model_sight s;
+
+	fleet_model_see(model, &s);
+	g_string_append_printf(out, "below %" G_GUINT64_FORMAT " ms\n",
+	    (s.age_most_ms / 500 + 1) * 500);
+}
+
+static const struct script_command commands[] = {
+	{ "fleet", exec_fleet },
+	{ "run", exec_run },
+	{ "count", exec_count },
+	{ "work", exec_work },
+	{ "loss", exec_loss },
+	{ "kill", exec_kill },
+	{ "start", exec_start },
+	{ "domain", exec_domain },
+	{ "cut", exec_cut },
+	{ "place", exec_place },
+	{ "warn", exec_warn },
+	{ "warned", exec_warned },
+	{ "relays", exec_relays },
+	{ "see", exec_see },
+	{ "counts", exec_counts },
+	{ "proof", exec_proof },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	int rc;
+
+	event_log_open("test-mesh", LOG_ERR);
+	rc = script_main("mesh", commands, reset);
+	reset();
+	return (rc);
+}
