Place in bounded steps over one view of the hosts

Cause: the placer built its view of all hosts anew for each copy and each replica, and looked for each host's replica by comparing it with all members: at 925 hosts about half a million comparisons a step, 1,000 steps in one turn of the loop. It stood still for 3.9 s in the lead time, was taken for lost, and its groups were dissolved. Ruled out: the formation rules themselves (the same replicas are formed, test-form). Test: test-form and test-stage unchanged and green.

--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -14,22 +14,43 @@
  * new one has for this long, small replicas may take what large ones leave. */
 #define SETTLE_MS 600
 
-/* The replica with a record that a host is a member of, or NULL. */
-static struct replica *
-host_group(const struct keeper *k, const char *id,
-    const struct replica_member **member)
+/* Steps of one look; the next look goes on. Formed one by one, with orders
+ * that go out between the looks, a fleet of hundreds of hosts holds nothing
+ * up: a look over 925 hosts took seconds without this bound. */
+#define STEPS_A_LOOK 24
+
+/**
+ * struct place_seat - the replica with a record that a host is a member of.
+ * @replica: the replica
+ * @member: the host in it
+ */
+struct place_seat {
+	struct replica *replica;
+	const struct replica_member *member;
+};
+
+/* All hosts that are members of replicas, by their id. */
+static GHashTable *
+place_seats(const struct keeper *k)
 {
+	GHashTable *seats =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	struct replica *r;
 
 	TAILQ_FOREACH(r, &k->replicas, entry) {
 		for (unsigned i = 0; i < r->n; i++) {
-			*member = &r->members[i];
-			if (strcmp(r->members[i].id, id) == 0)
-				return (r);
+			struct place_seat *seat;
+
+			/* The oldest has a host that is in two. */
+			if (g_hash_table_contains(seats, r->members[i].id))
+				continue;
+			seat = g_new(struct place_seat, 1);
+			seat->replica = r;
+			seat->member = &r->members[i];
+			g_hash_table_insert(seats, r->members[i].id, seat);
 		}
 	}
-	*member = NULL;
-	return (NULL);
+	return (seats);
 }
 
 /* Whether a host is taking a model into memory. */
@@ -46,11 +67,12 @@
 view_add_hosts(struct keeper *k, const char *service, struct form_view *view,
     uint64_t now_ms)
 {
+	g_autoptr(GHashTable) seats = place_seats(k);
 	struct endpoint *ep;
 
 	TAILQ_FOREACH(ep, &k->dir->fleet.endpoints, entry) {
 		struct form_host host = { 0 };
-		const struct replica_member *m;
+		const struct place_seat *seat;
 
 		if (strcmp(ep->report.service, service) != 0 || ep->gone ||
 		    ep->draining || ep->lapsed_ms != 0)
@@ -62,10 +84,12 @@
 		host.staged = ep->report.staged;
 		host.staging = keeper_staging(k, ep->report.id);
 		host.warming = host_warming(k, ep->report.id, now_ms);
-		host.group = host_group(k, ep->report.id, &m);
-		host.free = host.group == NULL && now_ms >= ep->unfit_until_ms;
-		host.soon = host.group != NULL && m->life < MEMBER_SILENT &&
-		    replica_ends_soon(host.group, now_ms, k->stall_ms);
+		seat = g_hash_table_lookup(seats, ep->report.id);
+		host.group = seat != NULL ? seat->replica : NULL;
+		host.free = seat == NULL && now_ms >= ep->unfit_until_ms;
+		host.soon = seat != NULL &&
+		    seat->member->life < MEMBER_SILENT &&
+		    replica_ends_soon(seat->replica, now_ms, k->stall_ms);
 		g_array_append_val(view->hosts, host);
 	}
 }
@@ -138,13 +162,14 @@
 
 /* Has a host get a copy of a model; false where none should. */
 static bool
-place_copy(struct keeper *k, const struct form_view *view, uint64_t now_ms)
+place_copy(struct keeper *k, struct form_view *view, uint64_t now_ms)
 {
 	const struct model_profile *model;
 	const struct form_host *h = form_stage(view, &model);
 
 	if (h == NULL)
 		return (false);
+	form_view_staging(view, h, model);
 	event_log(LOG_NOTICE, "copy_planned",
 	    "host=%s model=%s fabric=%s free=%d", h->id, model->name, h->fabric,
 	    h->free);
@@ -154,7 +179,7 @@
 
 /* Has an idle host take a model into memory; false where none should. */
 static bool
-place_warm(struct keeper *k, const struct form_view *view, uint64_t now_ms)
+place_warm(struct keeper *k, struct form_view *view, uint64_t now_ms)
 {
 	const struct model_profile *big = form_model(view, view->largest);
 	const struct form_host *h = form_warm(view);
@@ -162,6 +187,7 @@
 
 	if (h == NULL)
 		return (false);
+	form_view_warming(view, h);
 	event_log(LOG_INFO, "warming_planned", "host=%s model=%s fabric=%s",
 	    h->id, big->name, h->fabric);
 	g_hash_table_replace(k->warming, g_strdup(h->id),
@@ -184,22 +210,38 @@
 	return (true);
 }
 
+/**
+ * enum place_result - what a step did.
+ * @PLACE_NOTHING: nothing is left to do
+ * @PLACE_PREPARED: a host prepares for a model; the view was kept up
+ * @PLACE_CHANGED: a replica was made or dissolved; the view is old
+ */
+enum place_result {
+	PLACE_NOTHING,
+	PLACE_PREPARED,
+	PLACE_CHANGED,
+};
+
 /*
- * Forms one replica, or prepares one; false when nothing is left to do. What
- * needs no load goes first, then hosts and copies for the largest model,
- * then loads for others.
+ * Forms one replica, or prepares one. What needs no load goes first, then
+ * hosts and copies for the largest model, then loads for others.
  */
-static bool
+static enum place_result
 place_step(struct keeper *k, const char *service, struct form_view *view,
     uint64_t now_ms)
 {
-	if (!view->serving)
-		return (place_form(k, service, view, view->loads, now_ms) ||
-		    place_copy(k, view, now_ms) || place_warm(k, view, now_ms));
-	return (place_form(k, service, view, 0, now_ms) ||
-	    place_donate(k, view, now_ms) || place_copy(k, view, now_ms) ||
-	    place_form(k, service, view, view->loads, now_ms) ||
-	    place_warm(k, view, now_ms));
+	unsigned loads = view->serving ? 0 : view->loads;
+
+	if (place_form(k, service, view, loads, now_ms) ||
+	    (view->serving && place_donate(k, view, now_ms)))
+		return (PLACE_CHANGED);
+	if (!keeper_calls_free(k))
+		return (PLACE_NOTHING);
+	if (place_copy(k, view, now_ms))
+		return (PLACE_PREPARED);
+	if (view->serving && place_form(k, service, view, view->loads, now_ms))
+		return (PLACE_CHANGED);
+	return (place_warm(k, view, now_ms) ? PLACE_PREPARED : PLACE_NOTHING);
 }
 
 /* The counts of a service. */
@@ -215,26 +257,57 @@
 	return (u);
 }
 
-/* Takes the next step for one service; false when nothing is left to do. */
+/* Sees all hosts and replicas of a service. */
+static void
+place_view(struct keeper *k, const struct catalog_service *service,
+    struct form_view *view, uint64_t now_ms)
+{
+	form_view_init(view, service->engine);
+	view_add_hosts(k, service->name, view, now_ms);
+	view_add_replicas(k, service->name, view);
+	form_view_finish(view);
+	view->serving = k->served;
+	view->settled = now_ms - k->grew_ms >= SETTLE_MS;
+	view->loads = keeper_loads_free(k, service->engine, now_ms);
+}
+
+/* Takes steps for one service while the view holds; whether to go on. */
+static bool
+place_some(struct keeper *k, const char *service, struct form_view *view,
+    unsigned *steps, uint64_t now_ms)
+{
+	while (*steps > 0 && k->groups < EPOCHS_A_TERM - 1) {
+		enum place_result result = place_step(k, service, view, now_ms);
+
+		if (result == PLACE_NOTHING)
+			return (false);
+		(*steps)--;
+		if (result == PLACE_CHANGED)
+			return (true);
+	}
+	return (false);
+}
+
+/* Takes steps for one service; true where some are left for the next look. */
 static bool
 place_service(struct keeper *k, const struct catalog_service *service,
     uint64_t now_ms)
 {
-	struct form_view view;
-	bool more;
-
-	form_view_init(&view, service->engine);
-	view_add_hosts(k, service->name, &view, now_ms);
-	view_add_replicas(k, service->name, &view);
-	form_view_finish(&view);
-	service_usage_count(place_usage(k, service->name), service->name, &view,
-	    &k->replicas, now_ms);
-	view.serving = k->served;
-	view.settled = now_ms - k->grew_ms >= SETTLE_MS;
-	view.loads = keeper_loads_free(k, service->engine, now_ms);
-	more = place_step(k, service->name, &view, now_ms);
-	form_view_clear(&view);
-	return (more);
+	unsigned steps = STEPS_A_LOOK;
+	bool more, counted = false;
+
+	do {
+		struct form_view view;
+
+		place_view(k, service, &view, now_ms);
+		if (!counted)
+			service_usage_count(place_usage(k, service->name),
+			    service->name, &view, &k->replicas, now_ms);
+		counted = true;
+		more = place_some(k, service->name, &view, &steps, now_ms);
+		form_view_clear(&view);
+	} while (more);
+	return (steps == 0 || !keeper_calls_free(k));
 }
 
 /**
@@ -255,6 +328,7 @@
 	if (hosts > k->hosts)
 		k->grew_ms = now_ms;
 	k->hosts = hosts;
+	k->more = false;
 	g_hash_table_iter_init(&iter, k->dir->catalog->services);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct catalog_service *service = value;
@@ -262,8 +336,8 @@
 		if (service->engine == NULL ||
 		    service->engine->models->len == 0)
 			continue;
-		while (k->groups < EPOCHS_A_TERM - 1 &&
-		    place_service(k, service, now_ms))
-			;
+		k->more |= place_service(k, service, now_ms);
 	}
+	if (k->more)
+		keeper_look_soon(k);
 }
--- a/src/replica-form.c
+++ b/src/replica-form.c
@@ -89,8 +89,9 @@
 {
 	*free = 0;
 	*local = 0;
-	for (guint i = 0; i < view->hosts->len; i++) {
-		const struct form_host *h = form_host_at(view, i);
+	for (guint n = 0; n < form_fabric_at(view, try->at)->hosts; n++) {
+		const struct form_host *h =
+		    form_host_at(view, form_fabric_host(view, try->at, n));
 
 		if (!host_offered(view, h, try))
 			continue;
@@ -160,7 +161,9 @@
 	plan->loads = try->loads;
 	plan->members = g_array_new(FALSE, FALSE, sizeof(guint));
 	for (int rank = LOAD_LAST; rank <= LOAD_STORE; rank++) {
-		for (guint i = 0; i < view->hosts->len; i++) {
+		for (guint n = 0; n < form_fabric_at(view, try->at)->hosts;
+		     n++) {
+			guint i = form_fabric_host(view, try->at, n);
 			const struct form_host *h = form_host_at(view, i);
 
 			if (plan->members->len == try->model->size)
@@ -220,11 +223,12 @@
 {
 	const struct model_profile *big = form_model(view, view->largest);
 
-	for (guint i = 0; i < view->hosts->len; i++) {
-		const struct form_host *h = form_host_at(view, i);
+	for (guint n = 0; n < form_fabric_at(view, at)->hosts; n++) {
+		const struct form_host *h =
+		    form_host_at(view, form_fabric_host(view, at, n));
 
-		if (h->at == at && form_host_has(h, big) &&
-		    form_host_donates(h, big) && donor_spared(view, h->group))
+		if (form_host_has(h, big) && form_host_donates(h, big) &&
+		    donor_spared(view, h->group))
 			return (h->group);
 	}
 	return (NULL);
--- a/src/replica-form.h
+++ b/src/replica-form.h
@@ -47,6 +47,7 @@
  * @name: its name; NULL where hosts don't say
  * @domain: failure domain of its hosts
  * @hosts: that live
+ * @first: place of the first of them in the view's order
  * @held: wanted replicas of the largest model
  * @cap: most of them
  * @ready: hosts with a copy of that model that are free now or soon
@@ -57,6 +58,7 @@
 	const char *name;
 	const char *domain;
 	unsigned hosts;
+	unsigned first;
 	unsigned held;
 	unsigned cap;
 	unsigned ready;
@@ -68,6 +70,7 @@
  * struct form_view - what the decisions look at.
  * @engine: the service's engine profile
  * @hosts: of struct form_host; all that live
+ * @order: indexes of the hosts, those of a fabric domain together
  * @fabrics: of struct form_fabric
  * @held: wanted replicas of each model, in the order of the profile
  * @by_domain: "model failure-domain" to the number of replicas there
@@ -84,6 +87,7 @@
 struct form_view {
 	const struct engine_profile *engine;
 	GArray *hosts;
+	GArray *order;
 	GArray *fabrics;
 	unsigned held[FORM_MODELS_MAX];
 	GHashTable *by_domain;
@@ -126,6 +130,10 @@
 const struct model_profile *form_model(const struct form_view *, unsigned);
 const struct form_host *form_host_at(const struct form_view *, unsigned);
 const struct form_fabric *form_fabric_at(const struct form_view *, unsigned);
+unsigned form_fabric_host(const struct form_view *, unsigned, unsigned);
+void form_view_staging(struct form_view *, const struct form_host *,
+    const struct model_profile *);
+void form_view_warming(struct form_view *, const struct form_host *);
 bool form_fabric_spares(const struct form_fabric *);
 bool form_host_has(const struct form_host *, const struct model_profile *);
 bool form_host_donates(const struct form_host *, const struct model_profile *);
--- a/src/replica-stage.c
+++ b/src/replica-stage.c
@@ -19,10 +19,11 @@
 	const struct model_profile *big = form_model(view, view->largest);
 	const struct form_host *donor = NULL;
 
-	for (guint i = 0; i < view->hosts->len; i++) {
-		const struct form_host *h = form_host_at(view, i);
+	for (guint n = 0; n < form_fabric_at(view, at)->hosts; n++) {
+		const struct form_host *h =
+		    form_host_at(view, form_fabric_host(view, at, n));
 
-		if (h->at != at || !host_lacks(h, big))
+		if (!host_lacks(h, big))
 			continue;
 		if (h->free)
 			return (h);
@@ -94,10 +95,11 @@
 
 	*has = 0;
 	*other = 0;
-	for (guint i = 0; i < view->hosts->len; i++) {
-		const struct form_host *h = form_host_at(view, i);
+	for (guint n = 0; n < form_fabric_at(view, at)->hosts; n++) {
+		const struct form_host *h =
+		    form_host_at(view, form_fabric_host(view, at, n));
 
-		if (!h->free || h->at != at)
+		if (!h->free)
 			continue;
 		if (form_host_has(h, m) ||
 		    g_strcmp0(h->staging, m->name) == 0) {
--- a/src/replica-view.c
+++ b/src/replica-view.c
@@ -41,6 +41,55 @@
 	return (&g_array_index(view->fabrics, struct form_fabric, index));
 }
 
+/**
+ * form_fabric_host() - a host of a fabric domain.
+ * @view: what is there
+ * @at: index of the fabric domain
+ * @nth: which of its hosts
+ *
+ * Return: the host's index in the view.
+ */
+unsigned
+form_fabric_host(const struct form_view *view, unsigned at, unsigned nth)
+{
+	return (g_array_index(view->order, guint,
+	    form_fabric_at(view, at)->first + nth));
+}
+
+/**
+ * form_view_staging() - a host is being given a copy.
+ * @view: what is there; kept up
+ * @h: the host
+ * @m: the model
+ */
+void
+form_view_staging(struct form_view *view, const struct form_host *h,
+    const struct model_profile *m)
+{
+	struct form_host *host = &g_array_index(view->hosts, struct form_host,
+	    (guint)(h - form_host_at(view, 0)));
+	struct form_fabric *f =
+	    &g_array_index(view->fabrics, struct form_fabric, h->at);
+
+	host->staging = m->name;
+	if (m == form_model(view, view->largest) && !form_host_has(h, m))
+		f->coming++;
+	view->loads -= MIN(view->loads, 1);
+}
+
+/**
+ * form_view_warming() - a host is being told to take a model into memory.
+ * @view: what is there; kept up
+ * @h: the host
+ */
+void
+form_view_warming(struct form_view *view, const struct form_host *h)
+{
+	g_array_index(view->hosts, struct form_host,
+	    (guint)(h - form_host_at(view, 0)))
+	    .warming = true;
+}
+
 /**
  * form_fabric_spares() - whether there are more spares for the largest model
  * than are kept.
@@ -180,6 +229,7 @@
 	memset(view, 0, sizeof *view);
 	view->engine = engine;
 	view->hosts = g_array_new(FALSE, TRUE, sizeof(struct form_host));
+	view->order = g_array_new(FALSE, TRUE, sizeof(guint));
 	view->fabrics = g_array_new(FALSE, TRUE, sizeof(struct form_fabric));
 	view->by_domain =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -195,6 +245,7 @@
 form_view_clear(struct form_view *view)
 {
 	g_array_free(view->hosts, TRUE);
+	g_array_free(view->order, TRUE);
 	g_array_free(view->fabrics, TRUE);
 	g_hash_table_destroy(view->by_domain);
 	g_hash_table_destroy(view->by_fabric);
@@ -272,6 +323,29 @@
 	}
 }
 
+/* Puts the hosts of each fabric domain together, in the order they are in. */
+static void
+fabrics_order(struct form_view *view)
+{
+	unsigned first = 0;
+
+	for (guint at = 0; at < view->fabrics->len; at++) {
+		struct form_fabric *f =
+		    &g_array_index(view->fabrics, struct form_fabric, at);
+
+		f->first = first;
+		first += f->hosts;
+		f->hosts = 0;
+	}
+	g_array_set_size(view->order, first);
+	for (guint i = 0; i < view->hosts->len; i++) {
+		struct form_fabric *f = &g_array_index(view->fabrics,
+		    struct form_fabric, form_host_at(view, i)->at);
+
+		g_array_index(view->order, guint, f->first + f->hosts++) = i;
+	}
+}
+
 /* Replicas of the largest model that a fabric domain may hold. */
 static unsigned
 cap_of(const struct form_view *view, unsigned hosts, unsigned cap)
@@ -343,6 +417,7 @@
 	view->largest = largest_model(view->engine);
 	big = form_model(view, view->largest);
 	fabrics_count(view);
+	fabrics_order(view);
 	view_targets(view);
 	for (guint i = 0; i < view->fabrics->len; i++) {
 		struct form_fabric *f =
