Wait for a relay that is heard; tell on what was read from where it began

Ruled out: (2) a format fault, the same bytes went to a whole cell. Change: (1) 1.5 s without a relay, 4 s where one is heard; a relay that the store does not answer takes entries from another relay. (2) What was read is told on from where the read began, and completely where peers' news came meanwhile. A cell may have 512 members listed.

--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -202,9 +202,13 @@
 	    !staged_same(old->staged, report->staged));
 }
 
-/* Whether requests may be sent to an endpoint that reports this, or lately. */
-static bool
-report_serves(const struct endpoint_report *report)
+/**
+ * endpoint_report_serves() - whether requests may be sent to an endpoint that
+ * reports this, or could be until lately.
+ * @report: the report
+ */
+bool
+endpoint_report_serves(const struct endpoint_report *report)
 {
 	/* Plain services have no fabric domain. */
 	return (report->fabric == NULL ||
@@ -227,8 +231,8 @@
 	const struct endpoint *ep = fleet_find(fleet, report->id);
 
 	return (fleet_differs(fleet, report) &&
-	    (report_serves(report) ||
-		(ep != NULL && report_serves(&ep->report))));
+	    (endpoint_report_serves(report) ||
+		(ep != NULL && endpoint_report_serves(&ep->report))));
 }
 
 /**
@@ -241,7 +245,7 @@
 endpoint_keep(struct endpoint *ep, const void *bytes, size_t length)
 {
 	g_clear_pointer(&ep->entry_bytes, g_bytes_unref);
-	if (report_serves(&ep->report))
+	if (endpoint_report_serves(&ep->report))
 		ep->entry_bytes = g_bytes_new(bytes, length);
 }
 
--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -149,6 +149,7 @@
 struct endpoint *fleet_update(struct fleet *, struct endpoint_report *,
     uint64_t, uint64_t);
 bool fleet_differs(const struct fleet *, const struct endpoint_report *);
+bool endpoint_report_serves(const struct endpoint_report *);
 bool fleet_serving_differs(const struct fleet *,
     const struct endpoint_report *);
 void fleet_lapse(struct fleet *, const char *, uint64_t, bool);
--- a/src/dir-follow.c
+++ b/src/dir-follow.c
@@ -174,7 +174,6 @@
 on_read(void *arg, const struct store_answer *answer)
 {
 	struct dir_follow *f = arg;
-	uint64_t from;
 
 	f->busy = false;
 	if (f->stopped)
@@ -190,12 +189,13 @@
 		follow_failed(f, answer);
 		return;
 	}
-	from = f->next;
 	follow_take(f, answer->records);
 	f->next = MAX(f->next, answer->end);
 	follow_proved(f, answer);
+	/* Peers' news may have come meanwhile, so what was read begins before
+	 * what is known now. */
 	if (f->ops->fresh != NULL)
-		f->ops->fresh(f->owner, from, f->next);
+		f->ops->fresh(f->owner, f->asked_from, f->next);
 	follow_rest(f);
 }
 
@@ -213,6 +213,7 @@
 	if (f->whole_due && f->seen == NULL)
 		follow_restart(f);
 	f->whole_due = false;
+	f->asked_from = f->next;
 	if (f->seen != NULL)
 		begun = f->store->ops->newest(f->store, f->topic, f->after,
 		    on_newest, f);
@@ -424,6 +425,18 @@
 	    !f->whole_due && (f->reader || !f->partial));
 }
 
+/**
+ * dir_follow_overtaken() - whether peers' news came while the store answered.
+ * @f: the follower, in the call that gives a record
+ *
+ * What an answer holds may be known by then here, but not to all others.
+ */
+bool
+dir_follow_overtaken(const struct dir_follow *f)
+{
+	return (f->seen == NULL && f->next > f->asked_from);
+}
+
 /**
  * dir_follow_age() - age of what is known.
  * @f: the follower
--- a/src/dir-follow.h
+++ b/src/dir-follow.h
@@ -32,6 +32,7 @@
  * @partial: peers' news leave out what only a reader needs
  * @whole_due: what is known lacks what others left out; a snapshot is due
  * @asked_ms: when the store was last asked
+ * @asked_from: offset that the newest read began at
  * @fed_ms: loop time as of which peers' news were complete
  * @timer: the pause
  * @next: offset of the next record
@@ -57,6 +58,7 @@
 	bool partial;
 	bool whole_due;
 	uint64_t asked_ms;
+	uint64_t asked_from;
 	uint64_t fed_ms;
 	uv_timer_t timer;
 	uint64_t next;
@@ -86,6 +88,7 @@
 void dir_follow_fed(struct dir_follow *, uint64_t);
 void dir_follow_set_reader(struct dir_follow *, bool);
 bool dir_follow_complete(const struct dir_follow *);
+bool dir_follow_overtaken(const struct dir_follow *);
 uint64_t dir_follow_age(const struct dir_follow *, uint64_t);
 
 #endif
--- a/src/dir.c
+++ b/src/dir.c
@@ -114,7 +114,9 @@
 		    error->message);
 		return;
 	}
-	if (fleet_serving_differs(&dir->fleet, &report))
+	if (fleet_serving_differs(&dir->fleet, &report) ||
+	    (dir_follow_overtaken(&dir->endpoints) &&
+		endpoint_report_serves(&report)))
 		relay_add(dir, record);
 	endpoint_keep(fleet_update(&dir->fleet, &report, record->offset, now),
 	    record->value, record->length);
@@ -238,13 +240,13 @@
  * @records: of struct store_record
  * @now_ms: loop time
  *
- * Return: false where the own reading has begun already.
+ * Return: false where all was read here, or is being read.
  */
 bool
 dir_take_snapshot(struct dir *dir, uint64_t end, const GArray *records,
     uint64_t now_ms)
 {
-	if (!dir->endpoints.held || dir->endpoints.synced)
+	if (dir->endpoints.synced || dir->endpoints.busy)
 		return (false);
 	for (guint i = 0; i < records->len; i++)
 		endpoint_record(dir,
--- a/src/edge.c
+++ b/src/edge.c
@@ -29,9 +29,10 @@
 #define LED_FALLBACKS 3
 /* Endpoints are read this often within the bound on leaving ones. */
 #define ENDPOINT_READS 4
-/* At its start a daemon waits this long for what its relay knows before it
- * reads the store: some words of a relay that reads it itself. */
-#define HOLD_MS 500
+/* At its start a daemon waits this long for a relay before it reads the store,
+ * and this long for one that has nothing to tell yet: that reads it first. */
+#define HOLD_MS 1500
+#define HOLD_LED_MS 4000
 #define HOLD_LOOK_MS 20
 /* From the reading of the daemons' records until a relay was chosen: a round.
  */
@@ -247,7 +248,8 @@
 
 /*
  * Begins to read the store, where nobody else tells what it holds: at a relay,
- * or where none told it in time. A thousand calls less when 295 daemons start.
+ * or where none tells it in time. 295 daemons that each read all entries keep
+ * the store busy for 1.5 s, and make a thousand calls more.
  */
 static void
 on_hold(uv_timer_t *timer)
@@ -255,6 +257,7 @@
 	struct edge *e = timer->data;
 	const struct mesh *mesh = &e->mesh;
 	uint64_t since = uv_now(e->loop) - mesh->opened_ms;
+	bool led = mesh->relay != NULL && mesh_peer_relays(mesh, mesh->relay);
 	/* Where nobody else is known, others may be about to announce. */
 	bool own = mesh->known_ms != 0 && mesh->relay == NULL &&
 	    (mesh->n_peers > 0 || e->announced);
@@ -265,7 +268,7 @@
 		mesh_tell_now(&e->mesh);
 		return;
 	}
-	if (own || since >= HOLD_MS)
+	if (own || since >= (led ? HOLD_LED_MS : HOLD_MS))
 		dir_release(&e->dir);
 }
 
--- a/src/mesh-news.h
+++ b/src/mesh-news.h
@@ -11,7 +11,7 @@
 /* Endpoints to avoid in one datagram. */
 #define MESH_AVOID_MAX 64
 /* Members of one cell. */
-#define MESH_MEMBERS_MAX 256
+#define MESH_MEMBERS_MAX 512
 #define MESH_NAME_MAX 64
 /* Largest datagram. */
 #define MESH_BYTES 16384
--- a/src/mesh-serve.c
+++ b/src/mesh-serve.c
@@ -108,8 +108,23 @@
 	g_array_free(entries.records, TRUE);
 }
 
+/*
+ * Whether a daemon should be asked: the relay, by one that waits for it; any
+ * relay, by one that the store does not answer.
+ */
+static bool
+fetch_from(const struct mesh *mesh, const struct mesh_peer *peer)
+{
+	const struct dir_follow *f = &mesh->dir->endpoints;
+
+	if (f->synced || mesh->fetching_entries)
+		return (false);
+	return (f->held ? peer == mesh->relay :
+			  f->failures > 0 && mesh_peer_relays(mesh, peer));
+}
+
 /**
- * mesh_fetch_entries() - fetch all entries from the relay, at the start.
+ * mesh_fetch_entries() - fetch all entries from a relay, at the start.
  * @mesh: the mesh
  * @peer: a daemon that was heard
  * @end: its entries are complete up to this offset, or MESH_NO_ENTRIES
@@ -120,8 +135,7 @@
 	const struct net_request req = { .method = "GET",
 		.target = ENTRIES_PATH };
 
-	if (!mesh->dir->endpoints.held || mesh->fetching_entries ||
-	    peer != mesh->relay || end == MESH_NO_ENTRIES)
+	if (end == MESH_NO_ENTRIES || !fetch_from(mesh, peer))
 		return;
 	mesh->fetching_entries =
 	    net_call_start(&peer->pool, &req, FETCH_TIMEOUT_MS, on_entries,
