Tell plain services by the configuration, not by their fabric domain

Cause: entries of endpoints that serve are all that daemons are told of; an endpoint without a fabric domain counted as one of a plain service. Where plain endpoints report one, daemons fed by a relay knew none of them: a daemon that had just started refused their requests (503), and one that was draining went on getting them from fifteen of sixteen daemons. Ruled out: a lost word (the entries were never told on). Change: whether a service forms groups comes from its configuration, as for placement; without one every endpoint counts as serving.

--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -206,12 +206,12 @@
  * endpoint_report_serves() - whether requests may be sent to an endpoint that
  * reports this, or could be until lately.
  * @report: the report
+ * @grouped: its service forms groups
  */
 bool
-endpoint_report_serves(const struct endpoint_report *report)
+endpoint_report_serves(const struct endpoint_report *report, bool grouped)
 {
-	/* Plain services have no fabric domain. */
-	return (report->fabric == NULL ||
+	return (!grouped ||
 	    (report->group != NULL && report->rank == 0 &&
 		report->state >= GROUP_OPEN));
 }
@@ -220,32 +220,35 @@
  * fleet_serving_differs() - whether a report changes where requests may go.
  * @fleet: the fleet
  * @report: the report
+ * @grouped: its service forms groups
  *
  * Of the changes of a large fleet most are of hosts that form groups or copy
  * models. Only the daemon that places has to know of these.
  */
 bool
 fleet_serving_differs(const struct fleet *fleet,
-    const struct endpoint_report *report)
+    const struct endpoint_report *report, bool grouped)
 {
 	const struct endpoint *ep = fleet_find(fleet, report->id);
 
 	return (fleet_differs(fleet, report) &&
-	    (endpoint_report_serves(report) ||
-		(ep != NULL && endpoint_report_serves(&ep->report))));
+	    (endpoint_report_serves(report, grouped) ||
+		(ep != NULL && endpoint_report_serves(&ep->report, grouped))));
 }
 
 /**
  * endpoint_keep() - keep an endpoint's entry, if requests may be sent there.
  * @ep: the endpoint, just updated from it
+ * @grouped: its service forms groups
  * @bytes: the entry
  * @length: its length
  */
 void
-endpoint_keep(struct endpoint *ep, const void *bytes, size_t length)
+endpoint_keep(struct endpoint *ep, bool grouped, const void *bytes,
+    size_t length)
 {
 	g_clear_pointer(&ep->entry_bytes, g_bytes_unref);
-	if (endpoint_report_serves(&ep->report))
+	if (endpoint_report_serves(&ep->report, grouped))
 		ep->entry_bytes = g_bytes_new(bytes, length);
 }
 
--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -149,15 +149,15 @@
 struct endpoint *fleet_update(struct fleet *, struct endpoint_report *,
     uint64_t, uint64_t);
 bool fleet_differs(const struct fleet *, const struct endpoint_report *);
-bool endpoint_report_serves(const struct endpoint_report *);
-bool fleet_serving_differs(const struct fleet *,
-    const struct endpoint_report *);
+bool endpoint_report_serves(const struct endpoint_report *, bool);
+bool fleet_serving_differs(const struct fleet *, const struct endpoint_report *,
+    bool);
 void fleet_lapse(struct fleet *, const char *, uint64_t, bool);
 struct endpoint *fleet_find(const struct fleet *, const char *);
 struct endpoint *fleet_find_key(const struct fleet *, uint32_t);
 void fleet_gone(struct endpoint *);
 void fleet_sweep(struct fleet *, uint64_t, bool);
-void endpoint_keep(struct endpoint *, const void *, size_t);
+void endpoint_keep(struct endpoint *, bool, const void *, size_t);
 bool endpoint_usable(const struct endpoint *, uint64_t);
 
 #endif
--- a/src/dir.c
+++ b/src/dir.c
@@ -95,6 +95,21 @@
 	    (f->regained_ms != 0 && now - f->regained_ms < DIR_PILED_MS));
 }
 
+/*
+ * Whether requests of a service go to heads of groups only. As long as the
+ * configuration says nothing of it, every endpoint may get some.
+ */
+static bool
+service_grouped(const struct dir *dir, const char *name)
+{
+	const struct catalog_service *service = dir->catalog != NULL ?
+	    catalog_find_service(dir->catalog, name) :
+	    NULL;
+
+	return (service != NULL && service->engine != NULL &&
+	    service->engine->models->len > 0);
+}
+
 static void
 endpoint_record(void *owner, const struct store_record *record)
 {
@@ -102,6 +117,7 @@
 	uint64_t now = uv_now(dir->loop);
 	g_autoptr(GError) error = NULL;
 	struct endpoint_report report;
+	bool grouped;
 
 	if (record->value == NULL) {
 		fleet_lapse(&dir->fleet, record->key, now, dir_piled(dir));
@@ -114,12 +130,13 @@
 		    error->message);
 		return;
 	}
-	if (fleet_serving_differs(&dir->fleet, &report) ||
+	grouped = service_grouped(dir, report.service);
+	if (fleet_serving_differs(&dir->fleet, &report, grouped) ||
 	    (dir_follow_overtaken(&dir->endpoints) &&
-		endpoint_report_serves(&report)))
+		endpoint_report_serves(&report, grouped)))
 		relay_add(dir, record);
 	endpoint_keep(fleet_update(&dir->fleet, &report, record->offset, now),
-	    record->value, record->length);
+	    grouped, record->value, record->length);
 }
 
 /* Endpoints that a whole snapshot does not hold have lapsed. */
