--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -212,6 +212,90 @@
 	    (s.age_most_ms / 500 + 1) * 500, (s.fed_most_ms / 500 + 1) * 500);
 }
 
+/* One trouble of a storm, drawn at random. */
+static void
+storm_trouble(GRand *draw)
+{
+	unsigned at = (unsigned)g_rand_int_range(draw, 0, (int)model->n);
+	unsigned a = (unsigned)g_rand_int_range(draw, 0, (int)model->n_domains);
+	unsigned b = (unsigned)g_rand_int_range(draw, 0, (int)model->n_domains);
+
+	switch (g_rand_int_range(draw, 0, 4)) {
+	case 0:
+		fleet_model_stop(model, at);
+		break;
+	case 1:
+		if (!model->daemons[at].up)
+			fleet_model_start(model, at, 1);
+		break;
+	case 2:
+		model->cut[a][b] = a != b;
+		break;
+	case 3:
+		model->loss = (unsigned)g_rand_int_range(draw, 0, 200);
+		break;
+	}
+}
+
+/* Ends all troubles; every daemon runs. */
+static void
+storm_heal(void)
+{
+	memset(model->cut, 0, sizeof model->cut);
+	model->loss = 0;
+	for (unsigned i = 0; i < model->n; i++) {
+		if (!model->daemons[i].up)
+			fleet_model_start(model, i, 1 + i % 100);
+	}
+}
+
+/* Whether all daemons have the same picture. */
+static bool
+storm_agreed(void)
+{
+	struct model_sight s;
+
+	fleet_model_see(model, &s);
+	return (s.living_least == model->n && s.living_most == model->n &&
+	    s.readers == 1);
+}
+
+/*
+ * storm from=SEED to=SEED: fleets of 5 to 80 daemons with ten seconds of
+ * troubles; names the seeds after which they do not agree within eight seconds
+ */
+static void
+exec_storm(const char *rest, GString *out)
+{
+	guint64 to = script_number(rest, "to", 1);
+	unsigned failed = 0;
+
+	for (guint64 seed = script_number(rest, "from", 1); seed <= to;
+	     seed++) {
+		GRand *draw = g_rand_new_with_seed((guint32)seed);
+
+		reset();
+		model = fleet_model_new((unsigned)g_rand_int_range(draw, 5, 81),
+		    (unsigned)g_rand_int_range(draw, 1, 6), 4, seed);
+		fleet_model_run(model, 2000);
+		for (unsigned i = 0; i < 20; i++) {
+			storm_trouble(draw);
+			fleet_model_run(model, 500);
+		}
+		storm_heal();
+		fleet_model_run(model, 8000);
+		if (!storm_agreed()) {
+			g_string_append_printf(out,
+			    "seed %u of %u daemons: ", (unsigned)seed,
+			    model->n);
+			exec_see("", out);
+			failed++;
+		}
+		g_rand_free(draw);
+	}
+	g_string_append_printf(out, "%u failed\n", failed);
+}
+
 static const struct script_command commands[] = {
 	{ "fleet", exec_fleet },
 	{ "run", exec_run },
@@ -230,6 +314,7 @@
 	{ "see", exec_see },
 	{ "counts", exec_counts },
 	{ "proof", exec_proof },
+	{ "storm", exec_storm },
 	{ NULL, NULL },
 };
 
