--- a/src/dir-follow.c
+++ b/src/dir-follow.c
@@ -132,12 +132,17 @@
 static void
 follow_whole(struct dir_follow *f)
 {
+	bool known = f->synced;
+
 	if (f->ops->whole != NULL)
 		f->ops->whole(f->owner, f->seen);
 	g_hash_table_destroy(f->seen);
 	f->seen = NULL;
 	f->next = f->snapshot_end;
 	f->synced = true;
+	/* Others that are fed have not read this snapshot. */
+	if (known && f->ops->fresh != NULL)
+		f->ops->fresh(f->owner, MIN(f->asked_from, f->next), f->next);
 }
 
 static void
@@ -213,7 +218,9 @@
 	if (f->whole_due && f->seen == NULL)
 		follow_restart(f);
 	f->whole_due = false;
-	f->asked_from = f->next;
+	/* Pages of a snapshot begin where its first did. */
+	if (f->seen == NULL || f->after == NULL)
+		f->asked_from = f->next;
 	if (f->seen != NULL)
 		begun = f->store->ops->newest(f->store, f->topic, f->after,
 		    on_newest, f);
--- a/src/dir-follow.h
+++ b/src/dir-follow.h
@@ -10,7 +10,8 @@
  * struct dir_follow_ops - what the owner is told.
  * @record: a key's newest value, or its removal
  * @whole: a snapshot is complete; keys not in the set have gone
- * @fresh: records from an offset to another were read, and told, just now
+ * @fresh: records from an offset to another were read, and told, just now; for
+ *	a snapshot of one that knew the topic before, what is new since then
  */
 struct dir_follow_ops {
 	void (*record)(void *, const struct store_record *);
@@ -32,7 +33,8 @@
  * @partial: peers' news leave out what only a reader needs
  * @whole_due: what is known lacks what others left out; a snapshot is due
  * @asked_ms: when the store was last asked
- * @asked_from: offset that the newest read began at
+ * @asked_from: offset that the newest read began at; of a snapshot, up to which
+ *	the topic was known before it
  * @fed_ms: loop time as of which peers' news were complete
  * @timer: the pause
  * @next: offset of the next record
--- a/src/dir.c
+++ b/src/dir.c
@@ -147,9 +147,16 @@
 	struct endpoint *ep;
 
 	TAILQ_FOREACH(ep, &dir->fleet.endpoints, entry) {
-		if (!g_hash_table_contains(seen, ep->report.id))
-			fleet_lapse(&dir->fleet, ep->report.id,
-			    uv_now(dir->loop), dir_piled(dir));
+		/* When it went is not known; before the snapshot's end. */
+		const struct store_record record = { .key = ep->report.id,
+			.offset = MAX(dir->endpoints.snapshot_end, 1) - 1 };
+
+		if (ep->lapsed_ms != 0 ||
+		    g_hash_table_contains(seen, ep->report.id))
+			continue;
+		fleet_lapse(&dir->fleet, ep->report.id, uv_now(dir->loop),
+		    dir_piled(dir));
+		relay_add(dir, &record);
 	}
 }
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -34,9 +34,6 @@
 #define HOLD_MS 1500
 #define HOLD_LED_MS 4000
 #define HOLD_LOOK_MS 20
-/* From the reading of the daemons' records until a relay was chosen: a round.
- */
-#define HOLD_KNOWN_MS 120
 /* A balancer that asks each second and drops after two misses has moved on
  * by then. */
 #define LEAVE_ACCEPT_MS 3000
@@ -287,7 +284,8 @@
 		    (long long)MIN(dir_config_age(&e->dir, uv_now(e->loop)),
 			INT64_MAX));
 	e->was_ready = ready;
-	e->fwd.daemons = 1 + mesh_living(&e->mesh);
+	e->fwd.daemons = fwd_sharers_note(&e->sharers, 1 + e->mesh.size,
+	    e->fwd.set.retry.window_ms, uv_now(e->loop));
 	edge_choose_reader(e);
 	edge_choose_fallbacks(e);
 	e->mesh.self.serving = e->fwd.stats.counts[COUNT_REQUESTS] > 0;
--- a/src/edge.h
+++ b/src/edge.h
@@ -46,6 +46,7 @@
  * @file_changed_ns: when the settings file last changed
  * @announced: this daemon's address is in the store
  * @told_version: of the configuration, when the others were last told of one
+ * @sharers: daemons among which bounds over all of them are shared
  * @leaving_ms: loop time of SIGTERM; 0 before
  * @was_ready: as last logged
  */
@@ -71,6 +72,7 @@
 	uint64_t file_changed_ns;
 	bool announced;
 	int64_t told_version;
+	struct fwd_sharers sharers;
 	uint64_t leaving_ms;
 	bool was_ready;
 };
--- a/src/fwd-budget.c
+++ b/src/fwd-budget.c
@@ -1,4 +1,6 @@
 /* How many requests may be sent once more, over all daemons. Pure. */
+#include <glib.h>
+
 #include "fwd-budget.h"
 
 /* Brings the window up to now. */
@@ -60,3 +62,30 @@
 	b->repeats[at]++;
 	return (true);
 }
+
+/**
+ * fwd_sharers_note() - take in how many daemons are known to live.
+ * @s: the sharers
+ * @daemons: that live, this one included
+ * @span_ms: of the bound that they share
+ * @now_ms: steady time
+ *
+ * A daemon that is cut off, or has lost its relay, knows of few; the others
+ * still take their shares. So the most of the last one to two spans count.
+ *
+ * Return: daemons among which the bound is to be shared.
+ */
+unsigned
+fwd_sharers_note(struct fwd_sharers *s, unsigned daemons, uint64_t span_ms,
+    uint64_t now_ms)
+{
+	uint64_t span = now_ms / MAX(span_ms, 1);
+
+	if (span != s->span) {
+		s->most[1] = span == s->span + 1 ? s->most[0] : 0;
+		s->most[0] = 0;
+		s->span = span;
+	}
+	s->most[0] = MAX(s->most[0], daemons);
+	return (MAX(s->most[0], s->most[1]));
+}
--- a/src/fwd-budget.h
+++ b/src/fwd-budget.h
@@ -34,6 +34,17 @@
 	uint64_t slot;
 };
 
+/**
+ * struct fwd_sharers - how many daemons share a bound, on the safe side.
+ * @most: most that were seen in the current span of time and the one before
+ * @span: number of the current one since the start of the clock
+ */
+struct fwd_sharers {
+	unsigned most[2];
+	uint64_t span;
+};
+
+unsigned fwd_sharers_note(struct fwd_sharers *, unsigned, uint64_t, uint64_t);
 void fwd_budget_request(struct fwd_budget *, const struct fwd_budget_rule *,
     uint64_t);
 bool fwd_budget_take(struct fwd_budget *, const struct fwd_budget_rule *,
--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -115,6 +115,15 @@
 	}
 }
 
+/* Order of two records by their place in the store. */
+static int
+by_offset(const void *a, const void *b)
+{
+	const struct store_record *x = a, *y = b;
+
+	return (x->offset < y->offset ? -1 : x->offset > y->offset);
+}
+
 /* Sends records in as many datagrams as they need. */
 static void
 entries_tell(struct mesh *mesh, struct mesh_entries *entries, uint64_t end)
@@ -126,8 +135,11 @@
 		guint n = MIN(records->len - first, ENTRIES_TOLD);
 		guint last = first + n;
 
+		/* A snapshot may hold records that are newer than its end. */
 		entries->end = last < records->len ?
-		    g_array_index(records, struct store_record, last).offset :
+		    MIN(g_array_index(records, struct store_record, last)
+			    .offset,
+			end) :
 		    end;
 		entries_send(mesh, entries, first, n);
 		entries->from = entries->end;
@@ -168,6 +180,8 @@
 		entries.from = mesh->told_from;
 	}
 	entries_append(all, records);
+	/* Those of a snapshot are in the order of their keys. */
+	g_array_sort(all, by_offset);
 	entries.records = all;
 	entries_tell(mesh, &entries, end);
 	if (mesh->told == NULL) {
--- a/src/mesh-role.c
+++ b/src/mesh-role.c
@@ -91,18 +91,23 @@
 	return (peer->tried_ms != 0 && since >= TRY_MS && since < TRY_AGAIN_MS);
 }
 
-/* The first daemon of the cell that relays; with @hinted, that might. */
+/* Whether a daemon might relay if it were reported to. */
+static bool
+peer_might_relay(const struct mesh *mesh, const struct mesh_peer *peer)
+{
+	return (mesh_peer_hinted(mesh, peer) && !peer_failed(mesh, peer) &&
+	    !peer->self.leaving);
+}
+
+/* The first daemon of the own cell of which something holds. */
 static struct mesh_peer *
-first_of_cell(const struct mesh *mesh, bool hinted)
+first_of_cell(const struct mesh *mesh,
+    bool (*holds)(const struct mesh *, const struct mesh_peer *))
 {
 	struct mesh_peer *peer, *first = NULL;
 
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		bool fits = hinted ? mesh_peer_hinted(mesh, peer) &&
-			!peer_failed(mesh, peer) && !peer->self.leaving :
-				     mesh_peer_relays(mesh, peer);
-
-		if (fits && mesh_peer_near(mesh, peer) &&
+		if (mesh_peer_near(mesh, peer) && holds(mesh, peer) &&
 		    (first == NULL || mesh_peer_before(peer, first)))
 			first = peer;
 	}
@@ -136,12 +141,12 @@
 
 	if (mesh_flat(mesh))
 		return (NULL);
-	first = first_of_cell(mesh, false);
+	first = first_of_cell(mesh, mesh_peer_relays);
 	if (first != NULL)
 		return (able && mesh_before(mesh, first) && self_settled(mesh) ?
 			NULL :
 			first);
-	first = first_of_cell(mesh, true);
+	first = first_of_cell(mesh, peer_might_relay);
 	if (first == NULL || (able && mesh_before(mesh, first)))
 		return (NULL);
 	if (first->tried_ms == 0 ||
--- a/tests/test-budget.c
+++ b/tests/test-budget.c
@@ -3,12 +3,14 @@
 #include "script.h"
 
 static struct fwd_budget budget;
+static struct fwd_sharers sharers;
 static const struct fwd_budget_rule rule = { 0.2, 100, 10000 };
 
 static void
 reset(void)
 {
 	budget = (struct fwd_budget){ 0 };
+	sharers = (struct fwd_sharers){ 0 };
 }
 
 /* requests n=N at=MS */
@@ -36,9 +38,19 @@
 	g_string_append_printf(out, "granted %u\n", granted);
 }
 
+/* living n=N at=MS: daemons that are seen, and among how many the slack goes */
+static void
+exec_living(const char *rest, GString *out)
+{
+	g_string_append_printf(out, "shared by %u\n",
+	    fwd_sharers_note(&sharers, (unsigned)script_number(rest, "n", 1),
+		rule.window_ms, script_number(rest, "at", 0)));
+}
+
 static const struct script_command commands[] = {
 	{ "requests", exec_requests },
 	{ "repeats", exec_repeats },
+	{ "living", exec_living },
 	{ NULL, NULL },
 };
 
--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -169,7 +169,10 @@
 	return (records);
 }
 
-/* answer end=N [records=NAME:OFFSET,...] [refused=1]: the store answers */
+/*
+ * answer end=N [records=NAME:OFFSET,...] [more=1] [refused=1] [trimmed=1]: the
+ * store answers
+ */
 static void
 exec_answer(const char *rest, GString *out)
 {
@@ -179,8 +182,11 @@
 
 	answer.end = script_number(rest, "end", 0);
 	answer.asked_ms = 1;
+	answer.more = script_number(rest, "more", 0) != 0;
 	if (script_number(rest, "refused", 0) != 0)
 		answer.result = STORE_REFUSED;
+	if (script_number(rest, "trimmed", 0) != 0)
+		answer.result = STORE_TRIMMED;
 	waiting = NULL;
 	if (fn != NULL)
 		fn(waiting_arg, &answer);
