--- /dev/null
+++ b/tests/fake-platform.h
@@ -0,0 +1,77 @@
+/* What the parts of the stand-in for the users' platform share. */
+#ifndef TESTS_FAKE_PLATFORM_H
+#define TESTS_FAKE_PLATFORM_H
+
+#include <jansson.h>
+
+#include "net-head.h"
+#include "net-stream.h"
+
+/* Where the store and each endpoint listen. */
+#define FAKE_PORT 9000
+/* Events of a stream. */
+#define EVENTS 8
+
+enum topic {
+	TOPIC_OP,
+	TOPIC_SERVERS,
+	TOPIC_PLACEMENT,
+	TOPIC_DAEMONS,
+	TOPICS,
+};
+
+/* An engine or plain endpoint. */
+struct point {
+	char ip[32];
+	char id[32];
+	bool engine;
+	char *group;
+	int64_t epoch;
+	int64_t seen_epoch;
+	int rank;
+	char *model;
+	char *staged;
+	const char *state;
+	uint64_t ready_ms;
+	unsigned ran;
+};
+
+/* A connection to any of the addresses. */
+struct conn {
+	struct net_stream stream;
+	http_parser parser;
+	struct net_head head;
+	GByteArray *body;
+	struct point *point;
+	uv_timer_t timer;
+	int handles;
+	char *id;
+	int event;
+	int last;
+	int mute;
+};
+
+extern uv_loop_t *fake_loop;
+extern GPtrArray *fake_points;
+extern GHashTable *fake_switches;
+extern GString *fake_journal;
+
+/* standin-platform.c: switches and answers. */
+int get_switch(const char *);
+int point_switch(const char *, const struct point *);
+bool take_switch(const char *);
+void conn_reply(struct conn *, unsigned, const char *, const void *, size_t);
+void conn_json(struct conn *, unsigned, json_t *);
+
+/* fake-store.c: the store with keyed topics. */
+void store_init(void);
+void store_forget(const struct conn *);
+void waiters_look(void);
+void topic_add(enum topic, const char *, const void *, size_t);
+void store_request(struct conn *);
+
+/* fake-points.c: engines that form groups, and plain endpoints. */
+void point_beat(struct point *);
+void point_request(struct conn *);
+
+#endif
