Give daemons that start the entries of endpoints that serve, whatever was read first

A relay that reads entries before the configuration can't tell which endpoints serve, kept all, and gave all to each daemon of its cell: 1.5 MB each with 3,000 hosts. Ruled out: the store (a few calls), processor time (17.5 in 100 of the busiest). Change: what is given is chosen when it is asked for; a relay says that it has entries only once it has a configuration too.

--- a/src/dir.c
+++ b/src/dir.c
@@ -246,9 +246,12 @@
 
 	TAILQ_FOREACH(ep, &dir->fleet.endpoints, entry) {
 		struct store_record record = { .offset = ep->offset };
+		bool grouped = service_grouped(dir, ep->report.service);
 		gconstpointer value;
 
-		if (ep->entry_bytes == NULL || ep->gone || ep->lapsed_ms != 0)
+		/* It may have been read before the configuration. */
+		if (ep->entry_bytes == NULL || ep->gone || ep->lapsed_ms != 0 ||
+		    !endpoint_report_serves(&ep->report, grouped))
 			continue;
 		value = g_bytes_get_data(ep->entry_bytes, &record.length);
 		record.key = g_strdup(ep->report.id);
--- a/src/mesh-tell.c
+++ b/src/mesh-tell.c
@@ -138,8 +138,11 @@
 		news->config_offset = dir->catalog->offset;
 	}
 	news->config_age_ms = (uint32_t)MIN(age, MESH_NEVER);
-	news->entries_end =
-	    dir->endpoints.synced ? dir->endpoints.next : MESH_NO_ENTRIES;
+	/* Without a configuration all entries would be given, not those of
+	 * endpoints that serve: megabytes with thousands of hosts. */
+	news->entries_end = dir->endpoints.synced && dir->catalog != NULL ?
+	    dir->endpoints.next :
+	    MESH_NO_ENTRIES;
 }
 
 /* What this daemon says, but for what differs by receiver. */
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -1,6 +1,7 @@
 /* Scripts over endpoints that come, go and lapse, and the choice of one. */
 #include <string.h>
 
+#include "dir.h"
 #include "fwd-admission.h"
 #include "script.h"
 
@@ -134,6 +135,30 @@
 	return (work);
 }
 
+/*
+ * given [configured=1]: endpoints whose entries, all read before there was a
+ * configuration, are given to a daemon that starts
+ */
+static void
+exec_given(const char *rest, GString *out)
+{
+	struct dir dir = { .fleet = fleet };
+	g_autoptr(GArray) records =
+	    g_array_new(FALSE, TRUE, sizeof(struct store_record));
+	struct endpoint *ep;
+
+	g_array_set_clear_func(records, store_record_clear);
+	TAILQ_FOREACH(ep, &fleet.endpoints, entry)
+		endpoint_keep(ep, false, "x", 1);
+	if (script_number(rest, "configured", 0) != 0)
+		dir.catalog = catalog;
+	dir_give_snapshot(&dir, records);
+	for (guint i = 0; i < records->len; i++)
+		g_string_append_printf(out, "%s\n",
+		    g_array_index(records, struct store_record, i).key);
+	g_string_append_printf(out, "%u given\n", records->len);
+}
+
 /* sent ID prompt=N at=MS: a prompt was sent there; prints its mark */
 static void
 exec_sent(const char *rest, GString *out)
@@ -288,6 +313,7 @@
 	{ "elsewhere", exec_elsewhere },
 	{ "show", exec_show },
 	{ "memory", exec_memory },
+	{ "given", exec_given },
 	{ "sent", exec_sent },
 	{ "event", exec_event },
 	{ "learn", exec_learn },
