Drop a bound on a relay's silence that nothing used

No behaviour changes. Tests: test-mesh, test-follow, test-fleet, test-budget, proc-edge-fleet.sh, proc-edge-path.sh, proc-edge-outage.sh under the sanitizers; lint clean.

--- a/src/mesh-peers.c
+++ b/src/mesh-peers.c
@@ -4,13 +4,10 @@
 
 #include "event-log.h"
 #include "mesh.h"
-#include "random.h"
 
 /* A word that a daemon lives, or its record, is a reason to report to it for
  * this long: the silence of a relay, and some trials of others after it. */
 #define HINT_MS 4000
-/* Words of a relay that may get lost in a row, and part of a round more. */
-#define RELAY_LOST_GAPS 4.2
 /* Weight of the newest time between two words of a relay. */
 #define GAP_ALPHA 0.2
 
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -9,10 +9,9 @@
 /* How often a daemon with work reports it; a load is this old at its relay at
  * most. Three of these are well below the shortest objective. */
 #define MESH_ROUND_MS 100
-/* Silence of a relay after which another takes its place: at least this, four
- * of its words, and more where they come less often. With three, one datagram
- * lost in forty moved two daemons of 295 from their relays in a minute; with
- * four, none. */
+/* Silence of a relay after which another takes its place: four of its words.
+ * With three, one datagram lost in forty moved two daemons of 295 from their
+ * relays in a minute; with four, none. */
 #define MESH_RELAY_LOST_MS 900
 /* Silence after which a daemon counts as dead; three of its rounds without
  * work, and a lost datagram. */
