Let the age of the news decide who reads the store

Cause: a daemon that heard its relay read the store for itself only after three times the usual wait (5.4 s for configurations, 3.4 s for entries), whatever the relay could tell. Ruled out: the reader's own notice (store_lost within 0.26 s of the cut); the way of a configuration once read (0.3 to 0.7 s). Change: others' news spare a read while they are young enough, whoever tells them. Of n daemons one or two read after 0.6 of the bound, the rest after up to 0.8, so that the first has told the others before they begin. What such a daemon read is told on as a reader's is; a newer configuration is told to the relay at once, and a relay fetches it without the wait that spreads its cell.

--- a/src/dir-follow.c
+++ b/src/dir-follow.c
@@ -8,8 +8,10 @@
 #define RETRY_FIRST_MS 50
 /* Longest pause: how late the store's return may be noticed. */
 #define RETRY_LONGEST_MS 400
-/* Daemons that do not read for others try again this many fallbacks later. */
+/* Daemons that do not read for others try again this many fallbacks later, and
+ * those that follow a relay, of which there are hundreds, so many. */
 #define FAILED_FALLBACKS 2
+#define FAILED_FALLBACKS_LED 6
 /* Between two reads that something waits for: with hundreds of hosts there is
  * always something, and each read is a call. */
 #define HURRY_LEAST_MS 50
@@ -86,7 +88,9 @@
 	pause = MIN(pause, RETRY_LONGEST_MS);
 	/* One daemon notices the store's return for the others. */
 	if (!f->reader && f->fallback_ms > 0)
-		pause = MAX(pause, f->fallback_ms * FAILED_FALLBACKS);
+		pause = MAX(pause,
+		    f->fallback_ms *
+			(f->led ? FAILED_FALLBACKS_LED : FAILED_FALLBACKS));
 	follow_later(f, pause);
 }
 
@@ -204,6 +208,14 @@
 	follow_rest(f);
 }
 
+/* Whether nobody has told of the topic for as long as others' news count. */
+static bool
+follow_untold(const struct dir_follow *f)
+{
+	return (f->fallback_ms > 0 && f->fed_ms != 0 &&
+	    uv_now(f->loop) >= f->fed_ms + f->fallback_ms);
+}
+
 /* Asks for the next page or the next records. */
 static void
 follow_ask(struct dir_follow *f)
@@ -215,6 +227,7 @@
 		return;
 	uv_timer_stop(&f->timer);
 	f->asked_ms = uv_now(f->loop);
+	f->tells = f->reader || follow_untold(f);
 	if (f->whole_due && f->seen == NULL)
 		follow_restart(f);
 	f->whole_due = false;
--- a/src/dir-follow.h
+++ b/src/dir-follow.h
@@ -29,7 +29,10 @@
  * @pause_ms: between two reads
  * @fallback_ms: without news from peers for so long, read oneself; 0 where
  *	there are no news from peers
+ * @led: others ask a store that is away again
  * @reader: this daemon reads for the others
+ * @tells: what the newest read brings is new to others: this daemon is the
+ *	reader, or heard of none in time
  * @partial: peers' news leave out what only a reader needs
  * @whole_due: what is known lacks what others left out; a snapshot is due
  * @asked_ms: when the store was last asked
@@ -56,7 +59,9 @@
 	void *owner;
 	unsigned pause_ms;
 	unsigned fallback_ms;
+	bool led;
 	bool reader;
+	bool tells;
 	bool partial;
 	bool whole_due;
 	uint64_t asked_ms;
--- a/src/dir.c
+++ b/src/dir.c
@@ -77,7 +77,7 @@
 {
 	struct store_record copy = *record;
 
-	if (!dir->endpoints.reader)
+	if (!dir->endpoints.tells)
 		return;
 	copy.key = g_strdup(record->key);
 	copy.value = g_memdup2(record->value, record->length);
@@ -167,7 +167,7 @@
 
 	dir_sweep(dir, uv_now(dir->loop));
 	dir_tell(dir);
-	if (dir->endpoints.reader && dir->relayed != NULL)
+	if (dir->endpoints.tells && dir->relayed != NULL)
 		dir->relayed(dir->relayed_arg, from, end, dir->relay);
 	g_array_set_size(dir->relay, 0);
 }
@@ -206,23 +206,34 @@
  * dir_start() - set how the store is followed; nothing is read yet.
  * @dir: the knowledge
  * @config_pause_ms: between two reads of the configuration
- * @config_fallback_ms: without a peer's proof for so long, read oneself
  * @endpoints_pause_ms: between two reads of the endpoints' entries
  */
 void
 dir_start(struct dir *dir, unsigned config_pause_ms,
-    unsigned config_fallback_ms, unsigned endpoints_pause_ms)
+    unsigned endpoints_pause_ms)
 {
 	dir->config.pause_ms = config_pause_ms;
 	dir->endpoints.pause_ms = endpoints_pause_ms;
-	dir->config_fallback_ms = config_fallback_ms;
-	dir->endpoints_fallback_ms = endpoints_pause_ms * 3 / 2;
-	dir->config.fallback_ms = dir->config_fallback_ms;
-	dir->endpoints.fallback_ms = dir->endpoints_fallback_ms;
 	dir_follow_hold(&dir->config);
 	dir_follow_hold(&dir->endpoints);
 }
 
+/**
+ * dir_rely() - set how long peers' news spare own reads.
+ * @dir: the knowledge
+ * @config_ms: age of a peer's proof of the configuration, in milliseconds
+ * @endpoints_ms: age of peers' news of the endpoints' entries
+ * @led: another daemon asks a store that is away again
+ */
+void
+dir_rely(struct dir *dir, unsigned config_ms, unsigned endpoints_ms, bool led)
+{
+	dir->config.fallback_ms = config_ms;
+	dir->config.led = led;
+	dir->endpoints.fallback_ms = endpoints_ms;
+	dir->endpoints.led = led;
+}
+
 /**
  * dir_release() - read the store oneself, if that has not begun.
  * @dir: the knowledge
--- a/src/dir.h
+++ b/src/dir.h
@@ -34,8 +34,6 @@
  * @fleet: the endpoints
  * @config: follows the configuration
  * @endpoints: follows the endpoints' entries
- * @config_fallback_ms: without a peer's proof for so long, read oneself
- * @endpoints_fallback_ms: the same of endpoints' entries
  * @peer_proof_ms: a peer's proof that @catalog is the newest, loop time
  * @relay: records that changed something, of struct store_record
  * @relayed: told what was read and changed, for the peers
@@ -51,8 +49,6 @@
 	struct fleet fleet;
 	struct dir_follow config;
 	struct dir_follow endpoints;
-	unsigned config_fallback_ms;
-	unsigned endpoints_fallback_ms;
 	uint64_t peer_proof_ms;
 	GArray *relay;
 	void (*relayed)(void *, uint64_t, uint64_t, const GArray *);
@@ -63,7 +59,8 @@
 
 void dir_init(struct dir *, uv_loop_t *, struct store *,
     const struct dir_decode *);
-void dir_start(struct dir *, unsigned, unsigned, unsigned);
+void dir_start(struct dir *, unsigned, unsigned);
+void dir_rely(struct dir *, unsigned, unsigned, bool);
 bool dir_feed_endpoints(struct dir *, uint64_t, uint64_t, const GArray *,
     uint64_t, uint64_t);
 bool dir_take_snapshot(struct dir *, uint64_t, const GArray *, uint64_t);
--- a/src/edge.c
+++ b/src/edge.c
@@ -22,13 +22,17 @@
 /* The configuration is read this often within the bound on keys, so that a
  * proof that came by way of others is still young. */
 #define CONFIG_READS 10
-/* Part of the bound within which a configuration is in force after which a
- * daemon that hears of no reader reads itself; the rest is for the reading. */
-#define CONFIG_FALLBACK 0.6
-/* A daemon that hears its relay waits so many times longer. */
-#define LED_FALLBACKS 3
+/* Parts of the bound within which a configuration is in force after which the
+ * first daemon that hears of none reads itself, and the last; the rest is for
+ * the reading, and for telling the others of it. A word of a daemon that has
+ * nothing to report is up to 1.1 s old. */
+#define CONFIG_LEAST 0.6
+#define CONFIG_MOST 0.8
 /* Endpoints are read this often within the bound on leaving ones. */
 #define ENDPOINT_READS 4
+/* The same parts of that bound. */
+#define ENDPOINT_LEAST 0.375
+#define ENDPOINT_MOST 0.6
 /* At its start a daemon waits this long for a relay before it reads the store,
  * and this long for one that has nothing to tell yet: that reads it first. */
 #define HOLD_MS 1500
@@ -82,8 +86,7 @@
 	set->key_proof_ms = (uint64_t)MAX(e->set.key_proof_ms - KEY_MARGIN_MS,
 	    e->set.key_proof_ms / 2);
 	set->keys_fail_closed = e->set.keys_fail_closed;
-	set->deny_proof_ms =
-	    (uint64_t)MAX(e->set.apply_ms, (int64_t)e->dir.config_fallback_ms);
+	set->deny_proof_ms = (uint64_t)e->set.apply_ms;
 	e->keeper.stall_ms = (uint64_t)e->set.stall_ms;
 	set->retry.ratio = e->set.retry_ratio;
 	set->retry.slack = e->set.retry_slack;
@@ -202,19 +205,26 @@
 	    reader || e->keeper.preparing || e->keeper.state != KEEPER_IDLE);
 }
 
-/*
- * A daemon whose relay is heard reads later for itself: the relay does so
- * first, and where the store is away hundreds of questions bring nothing.
- */
+/* A part of a bound of the settings, in milliseconds. */
+static unsigned
+part_ms(int64_t bound_ms, double part)
+{
+	return ((unsigned)((double)bound_ms * part));
+}
+
+/* Sets how old others' news may get before this daemon reads for itself. */
 static void
-edge_choose_fallbacks(struct edge *e)
+edge_choose_patience(struct edge *e)
 {
 	const struct mesh *mesh = &e->mesh;
-	bool led = mesh->relay != NULL && mesh_peer_relays(mesh, mesh->relay);
-	unsigned times = led ? LED_FALLBACKS : 1;
-
-	e->dir.config.fallback_ms = e->dir.config_fallback_ms * times;
-	e->dir.endpoints.fallback_ms = e->dir.endpoints_fallback_ms * times;
+	const struct edge_settings *set = &e->set;
+
+	dir_rely(&e->dir,
+	    mesh_patience_ms(mesh, part_ms(set->apply_ms, CONFIG_LEAST),
+		part_ms(set->apply_ms, CONFIG_MOST)),
+	    mesh_patience_ms(mesh, part_ms(set->drain_ms, ENDPOINT_LEAST),
+		part_ms(set->drain_ms, ENDPOINT_MOST)),
+	    mesh->relay != NULL && mesh_peer_relays(mesh, mesh->relay));
 }
 
 /* One line now and then with what was counted, for those with logs only. */
@@ -287,7 +297,7 @@
 	e->fwd.daemons = fwd_sharers_note(&e->sharers, 1 + e->mesh.size,
 	    e->fwd.set.retry.window_ms, uv_now(e->loop));
 	edge_choose_reader(e);
-	edge_choose_fallbacks(e);
+	edge_choose_patience(e);
 	e->mesh.self.serving = e->fwd.stats.counts[COUNT_REQUESTS] > 0;
 	dir_sweep(&e->dir, uv_now(e->loop));
 	event_log_flush();
@@ -309,8 +319,8 @@
 	int64_t version = e->dir.catalog != NULL ? e->dir.catalog->version : -1;
 
 	/* A new configuration is worth a word before the next round. */
-	if (version != e->told_version && e->mesh.relay == NULL &&
-	    e->mesh.loop != NULL)
+	if (version != e->told_version && e->mesh.loop != NULL &&
+	    (e->mesh.relay == NULL || e->mesh.relay->config_version < version))
 		mesh_tell_now(&e->mesh);
 	e->told_version = version;
 	if (!TAILQ_EMPTY(&e->fwd.waiting))
@@ -444,8 +454,8 @@
 		e->set.peer_address, error))
 		return (false);
 	dir_start(&e->dir, (unsigned)(e->set.key_proof_ms / CONFIG_READS),
-	    (unsigned)((double)e->set.apply_ms * CONFIG_FALLBACK),
 	    (unsigned)(e->set.drain_ms / ENDPOINT_READS));
+	edge_choose_patience(e);
 	edge_apply(e);
 	keeper_open(&e->keeper, e->loop);
 	edge_find_daemons(e);
--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -14,6 +14,12 @@
 #define PROOF_MS 500
 /* The daemon that reads the entries tells of them this often. */
 #define FEED_MS 1000
+/* Ages of others' news after which the first daemon and the last one read the
+ * store for themselves: bounds of 4 s on configurations and on entries. */
+#define PROOF_LEAST_MS 2400
+#define PROOF_MOST_MS 3200
+#define FEED_LEAST_MS 1500
+#define FEED_MOST_MS 2400
 /* Records of hosts: an entry is written only when more than its beat changed,
  * so in a calm fleet there are none. */
 #define RECORDS_S 0
@@ -313,6 +319,37 @@
 	mesh_tell_entries(&daemon->mesh, from, f->next, none);
 }
 
+/* Whether a daemon asks the store, of what others told it of at some time. */
+static bool
+daemon_asks(struct model_daemon *daemon, uint64_t fed_ms, unsigned least,
+    unsigned most)
+{
+	unsigned patience = mesh_patience_ms(&daemon->mesh, least, most);
+	bool untold = fed_ms != 0 && daemon->model->now_ms - fed_ms >= patience;
+
+	daemon->alone += untold;
+	return (untold || mesh_first_reader(&daemon->mesh));
+}
+
+/* Reads the store, if it answers, at the daemon's own moments. */
+static void
+daemon_read_store(struct model_daemon *daemon)
+{
+	uint64_t now = daemon->model->now_ms;
+	struct dir *dir = &daemon->dir;
+
+	if (now % PROOF_MS == daemon->at % PROOF_MS &&
+	    daemon_asks(daemon, dir->config.fed_ms, PROOF_LEAST_MS,
+		PROOF_MOST_MS) &&
+	    daemon->mesh.self.store_ok)
+		dir->config.proof_ms = now;
+	if (now % FEED_MS == daemon->at % FEED_MS &&
+	    daemon_asks(daemon, dir->endpoints.fed_ms, FEED_LEAST_MS,
+		FEED_MOST_MS) &&
+	    daemon->mesh.self.store_ok)
+		daemon_feed(daemon);
+}
+
 /* What a daemon does by its own clock. */
 static void
 daemon_turn(struct model_daemon *daemon)
@@ -327,12 +364,7 @@
 	daemon->mesh.now_ms = now;
 	if (daemon->reads_ms != 0 && now >= daemon->reads_ms)
 		daemon_read(daemon);
-	if (now % PROOF_MS == daemon->at % PROOF_MS &&
-	    mesh_first_reader(&daemon->mesh))
-		daemon->dir.config.proof_ms = now;
-	if (now % FEED_MS == daemon->at % FEED_MS &&
-	    mesh_first_reader(&daemon->mesh))
-		daemon_feed(daemon);
+	daemon_read_store(daemon);
 	if (now % MESH_ROUND_MS != daemon->starts_ms % MESH_ROUND_MS)
 		return;
 	mesh_round(&daemon->mesh);
@@ -371,6 +403,7 @@
 		daemon->heard = daemon->heard_bytes = 0;
 		daemon->moves = 0;
 		daemon->reads = 0;
+		daemon->alone = 0;
 	}
 }
 
@@ -417,6 +450,7 @@
 {
 	sight->moves += daemon->moves;
 	sight->reads += daemon->reads;
+	sight->alone += daemon->alone;
 	sight->sent_s += (double)daemon->sent / seconds;
 	sight->heard_s += (double)daemon->heard / seconds;
 	sight->heard_bytes_s += (double)daemon->heard_bytes / seconds;
--- a/src/fleet-model.h
+++ b/src/fleet-model.h
@@ -23,6 +23,7 @@
  * @heard_bytes: bytes of them
  * @moves: changes of its relay
  * @reads: that it had to make of the entries for itself
+ * @alone: questions to the store because nobody told it of what is there
  * @relay: as of its last round
  */
 struct model_daemon {
@@ -40,6 +41,7 @@
 	uint64_t heard_bytes;
 	unsigned moves;
 	unsigned reads;
+	unsigned alone;
 	const struct mesh_peer *relay;
 };
 
@@ -82,6 +84,7 @@
  * @off_most: the largest
  * @moves: changes of a relay since the counts began
  * @reads: of entries that daemons made for themselves since then
+ * @alone: questions to the store for want of others' news, since then
  * @age_most_ms: oldest proof of the configuration
  * @fed_most_ms: longest since a daemon was told of entries
  * @sent_s: datagrams a second that a daemon sends, mean
@@ -102,6 +105,7 @@
 	unsigned off_most;
 	unsigned moves;
 	unsigned reads;
+	unsigned alone;
 	uint64_t age_most_ms;
 	uint64_t fed_most_ms;
 	double sent_s;
--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -62,13 +62,15 @@
 
 /*
  * Whether a newer configuration is to be fetched now; a daemon that has none
- * can't serve, and doesn't wait.
+ * can't serve, and a relay is what a whole cell waits for.
  */
 static bool
 fetch_due(const struct mesh *mesh, const struct mesh_peer *peer)
 {
 	uint64_t behind = mesh->now_ms - mesh->behind_ms;
 
+	if (mesh->relay == NULL && !mesh_flat(mesh))
+		return (true);
 	if (strcmp(peer->domain, mesh->domain) != 0 && behind < NEAR_WAIT_MS)
 		return (false);
 	/* Not all at once from the one that has it first: those that fetched it
--- a/src/mesh-role.c
+++ b/src/mesh-role.c
@@ -7,6 +7,7 @@
  * sends and hears a few datagrams a second, whatever the number of daemons. In
  * a small fleet every daemon is a cell of its own.
  */
+#include <math.h>
 #include <string.h>
 
 #include "mesh.h"
@@ -282,3 +283,38 @@
 	}
 	return (true);
 }
+
+/*
+ * Part of a span that this daemon waits for others to do something that one of
+ * them is enough for. Of n daemons one or two wait for nothing and twice as
+ * many for each further 1 / log2(n): the first that succeeds has told the rest
+ * before most have begun, and where the first can't, others can.
+ */
+static double
+mesh_wait_share(const struct mesh *mesh)
+{
+	double others = MAX(mesh->size, 1) + 1.0;
+	double draw = (mesh->key + 1.0) / (UINT32_MAX + 1.0);
+
+	return (MAX(0.0, 1.0 + log2(draw) / log2(others)));
+}
+
+/**
+ * mesh_patience_ms() - how old others' word of the store may get before this
+ * daemon reads the store for itself.
+ * @mesh: the mesh
+ * @least: above the usual age, in milliseconds
+ * @most: what a rule leaves, less the time to read
+ *
+ * It goes by the age of the word alone. That a relay or a reader is heard says
+ * nothing: it may have lost the store, as may all relays at once, while the
+ * daemons that follow them could read it.
+ */
+unsigned
+mesh_patience_ms(const struct mesh *mesh, unsigned least, unsigned most)
+{
+	if (mesh->relay == NULL)
+		return (least);
+	return (least +
+	    (unsigned)(mesh_wait_share(mesh) * (most - MIN(least, most))));
+}
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -269,6 +269,7 @@
 bool mesh_lease_outdone(const struct mesh *);
 unsigned mesh_rank(const struct mesh *);
 bool mesh_first_reader(const struct mesh *);
+unsigned mesh_patience_ms(const struct mesh *, unsigned, unsigned);
 
 /* mesh-loads.c: the others' work, counted at the endpoints. */
 void mesh_uncount(struct mesh *, struct mesh_peer *);
--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -209,6 +209,20 @@
 	say(out);
 }
 
+/* told AGE: peers' news were complete so many milliseconds ago */
+static void
+exec_told(const char *rest, GString *out)
+{
+	follow.fed_ms = uv_now(&loop) - g_ascii_strtoull(rest, NULL, 10);
+}
+
+/* tells: whether what is read now is told to others */
+static void
+exec_tells(const char *rest, GString *out)
+{
+	g_string_append(out, follow.tells ? "yes\n" : "no\n");
+}
+
 static void
 exec_complete(const char *rest, GString *out)
 {
@@ -224,6 +238,8 @@
 	{ "read", exec_read },
 	{ "answer", exec_answer },
 	{ "feed", exec_feed },
+	{ "told", exec_told },
+	{ "tells", exec_tells },
 	{ "complete", exec_complete },
 	{ NULL, NULL },
 };
@@ -235,6 +251,8 @@
 
 	event_log_open("test-follow", LOG_ERR);
 	uv_loop_init(&loop);
+	/* Ages are told of a clock that has run for a while. */
+	loop.time = 60000;
 	told = g_string_new(NULL);
 	rc = script_main("follow", commands, reset);
 	close_follow();
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -212,6 +212,16 @@
 	    (s.age_most_ms / 500 + 1) * 500, (s.fed_most_ms / 500 + 1) * 500);
 }
 
+/* alone: questions to the store that daemons asked for want of others' news */
+static void
+exec_alone(const char *rest, GString *out)
+{
+	struct model_sight s;
+
+	fleet_model_see(model, &s);
+	g_string_append_printf(out, "%u\n", s.alone);
+}
+
 /* One trouble of a storm, drawn at random. */
 static void
 storm_trouble(GRand *draw)
@@ -314,6 +324,7 @@
 	{ "see", exec_see },
 	{ "counts", exec_counts },
 	{ "proof", exec_proof },
+	{ "alone", exec_alone },
 	{ "storm", exec_storm },
 	{ NULL, NULL },
 };
