Tell a host's incarnations apart by the time of its start; refuse odd entries

Cause: a host may start again under the id it had. Ruled out: telling a start by a lower count of orders alone, since a late write of the same incarnation has one too; it tells only against a report that did say its start. Change: an incarnation is id and start. Each reason is logged once an endpoint and counted. The stand-in writes all fields.

--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -5,6 +5,10 @@
 #include "dir-fleet.h"
 #include "event-log.h"
 
+/* An entry that can't be read for as long as one lapses after silence: three
+ * beats of the endpoint would have replaced it. */
+#define BARRED_MOST_MS 3600
+
 static const char *const state_names[] = { "none", "joining", "ready", "open",
 	"closing", "broken" };
 
@@ -55,7 +59,8 @@
 {
 	if (g_hash_table_lookup(fleet->by_id, ep->report.id) == ep)
 		g_hash_table_remove(fleet->by_id, ep->report.id);
-	g_hash_table_remove(fleet->by_key, GUINT_TO_POINTER(ep->key));
+	if (fleet_find_key(fleet, ep->key) == ep)
+		g_hash_table_remove(fleet->by_key, GUINT_TO_POINTER(ep->key));
 	TAILQ_REMOVE(&fleet->endpoints, ep, entry);
 	endpoint_report_clear(&ep->report);
 	g_clear_pointer(&ep->entry_bytes, g_bytes_unref);
@@ -130,6 +135,53 @@
 	return (ep->gone && ep->lapsed_ms == 0);
 }
 
+/**
+ * endpoint_incarnation() - whose report this is.
+ * @known: the newest report that was taken in
+ * @next: one that was written later
+ *
+ * The times of their starts tell, which are compared with each other only, so
+ * no clock but the host's matters. Where one of them does not say, orders that
+ * are counted anew tell of a start. Where neither does, it is older software,
+ * which has another id after each start: a lower count is a late write.
+ */
+enum incarnation
+endpoint_incarnation(const struct endpoint_report *known,
+    const struct endpoint_report *next)
+{
+	if (known->born_ms != 0 && next->born_ms != 0) {
+		if (known->born_ms == next->born_ms)
+			return (INCARNATION_SAME);
+		return (known->born_ms < next->born_ms ? INCARNATION_NEWER :
+							 INCARNATION_OLDER);
+	}
+	if (known->born_ms == next->born_ms)
+		return (INCARNATION_SAME);
+	return (next->sequence < known->sequence ? INCARNATION_NEWER :
+						   INCARNATION_SAME);
+}
+
+/*
+ * An incarnation has ended and another has its id. All that was learned of it
+ * goes with it; exchanges that hold it find it gone.
+ */
+static void
+endpoint_end(struct fleet *fleet, struct endpoint *ep,
+    const struct endpoint_report *next, uint64_t now_ms)
+{
+	event_log(LOG_NOTICE, "endpoint_reborn",
+	    "endpoint=%s born_ms=%lld was=%lld sequence=%lld was_sequence=%lld "
+	    "seen_ms_ago=%llu",
+	    next->id, (long long)next->born_ms, (long long)ep->report.born_ms,
+	    (long long)next->sequence, (long long)ep->report.sequence,
+	    (unsigned long long)(now_ms - ep->seen_ms));
+	g_hash_table_remove(fleet->by_id, ep->report.id);
+	g_hash_table_remove(fleet->by_key, GUINT_TO_POINTER(ep->key));
+	fleet_gone(ep);
+	if (ep->lapsed_ms == 0)
+		ep->lapsed_ms = MAX(now_ms, 1);
+}
+
 /**
  * fleet_update() - take in a report.
  * @fleet: the fleet
@@ -144,13 +196,22 @@
     uint64_t offset, uint64_t now_ms)
 {
 	struct endpoint *ep = fleet_find(fleet, report->id);
+	enum incarnation whose = ep != NULL ?
+	    endpoint_incarnation(&ep->report, report) :
+	    INCARNATION_NEWER;
 
-	if (ep != NULL && (offset < ep->offset || endpoint_ended(ep))) {
+	if (ep != NULL &&
+	    (offset < ep->offset || whose == INCARNATION_OLDER ||
+		(whose == INCARNATION_SAME && endpoint_ended(ep)))) {
 		endpoint_report_clear(report);
 		return (ep);
 	}
-	if (ep == NULL)
+	if (ep != NULL && whose == INCARNATION_NEWER)
+		endpoint_end(fleet, ep, report, now_ms);
+	if (whose == INCARNATION_NEWER)
 		ep = endpoint_create(fleet, report);
+	if (report->born_ms == 0)
+		report->born_ms = ep->report.born_ms;
 	endpoint_log_change(ep, report, offset);
 	if (ep->report.id != NULL)
 		g_hash_table_remove(fleet->by_id, ep->report.id);
@@ -162,6 +223,7 @@
 	ep->offset = offset;
 	ep->seen_ms = now_ms;
 	ep->lapsed_ms = 0;
+	ep->barred_ms = 0;
 	ep->gone = false;
 	/* Leaving is for good within an incarnation. */
 	ep->draining = ep->draining || ep->report.draining;
@@ -191,7 +253,9 @@
 	const struct endpoint *ep = fleet_find(fleet, report->id);
 	const struct endpoint_report *old;
 
-	if (ep == NULL || ep->lapsed_ms != 0 || ep->gone)
+	if (ep == NULL || ep->lapsed_ms != 0 || ep->gone ||
+	    ep->barred_ms != 0 ||
+	    endpoint_incarnation(&ep->report, report) != INCARNATION_SAME)
 		return (true);
 	old = &ep->report;
 	return (old->draining != report->draining ||
@@ -252,6 +316,24 @@
 		ep->entry_bytes = g_bytes_new(bytes, length);
 }
 
+/**
+ * fleet_bar() - an endpoint's entry can't be read: nothing new goes there.
+ * @fleet: the fleet
+ * @id: the endpoint
+ * @now_ms: loop time
+ *
+ * It may be another program's doing, so the endpoint's group stands until its
+ * next beats should have replaced the entry.
+ */
+void
+fleet_bar(struct fleet *fleet, const char *id, uint64_t now_ms)
+{
+	struct endpoint *ep = fleet_find(fleet, id);
+
+	if (ep != NULL && ep->barred_ms == 0)
+		ep->barred_ms = MAX(now_ms, 1);
+}
+
 /**
  * fleet_lapse() - an endpoint's entry was removed.
  * @fleet: the fleet
@@ -325,6 +407,9 @@
 		struct endpoint *next = TAILQ_NEXT(ep, entry);
 
 		net_pool_expire(&ep->pool);
+		if (ep->barred_ms != 0 &&
+		    now_ms - ep->barred_ms >= BARRED_MOST_MS)
+			fleet_lapse(fleet, ep->report.id, now_ms, false);
 		if (!ep->gone && ep->lapsed_ms != 0 &&
 		    (take || !ep->may_return))
 			fleet_gone(ep);
@@ -343,5 +428,6 @@
 bool
 endpoint_usable(const struct endpoint *ep, uint64_t now_ms)
 {
-	return (!ep->gone && !ep->draining && now_ms >= ep->rest_until_ms);
+	return (!ep->gone && !ep->draining && ep->barred_ms == 0 &&
+	    now_ms >= ep->rest_until_ms);
 }
--- a/src/dir.c
+++ b/src/dir.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "dir.h"
+#include "error.h"
 #include "event-log.h"
 
 /* Key of the configuration in its topic. */
@@ -110,6 +111,54 @@
 	    service->engine->models->len > 0);
 }
 
+/*
+ * Decodes an entry. A start that lies ahead of the time of day by more than
+ * clocks may differ is no time of a start, and would outdo all true ones.
+ */
+static bool
+endpoint_decode(const struct dir *dir, const struct store_record *record,
+    struct endpoint_report *report, GError **error)
+{
+	int64_t latest =
+	    g_get_real_time() / G_TIME_SPAN_MILLISECOND + DIR_BORN_AHEAD_MS;
+
+	if (!dir->decode->endpoint(record->key, record->value, record->length,
+		report, error))
+		return (false);
+	if (report->born_ms <= latest)
+		return (true);
+	error_set(error, ERROR_BAD_FIELD, "entry %s: born ahead of time",
+	    record->key);
+	endpoint_report_clear(report);
+	return (false);
+}
+
+/*
+ * An entry that can't be used names no endpoint to use; what is known of the
+ * others holds. Said once for each reason and endpoint.
+ */
+static void
+entry_refused(struct dir *dir, const struct store_record *record,
+    const GError *error)
+{
+	const struct endpoint *ep = fleet_find(&dir->fleet, record->key);
+	const char *said = g_hash_table_lookup(dir->refused, record->key);
+
+	dir->n_refused++;
+	if (ep != NULL && ep->barred_ms == 0)
+		relay_add(dir, record);
+	fleet_bar(&dir->fleet, record->key, uv_now(dir->loop));
+	if (g_strcmp0(said, error->message) == 0)
+		return;
+	if (g_hash_table_size(dir->refused) >= DIR_REFUSED_MOST)
+		g_hash_table_remove_all(dir->refused);
+	g_hash_table_replace(dir->refused, g_strdup(record->key),
+	    g_strdup(error->message));
+	event_log(LOG_WARNING, "endpoint_refused",
+	    "endpoint=%s offset=%llu known=%d reason=%s", record->key,
+	    (unsigned long long)record->offset, ep != NULL, error->message);
+}
+
 static void
 endpoint_record(void *owner, const struct store_record *record)
 {
@@ -124,10 +173,8 @@
 		relay_add(dir, record);
 		return;
 	}
-	if (!dir->decode->endpoint(record->key, record->value, record->length,
-		&report, &error)) {
-		event_log(LOG_WARNING, "endpoint_ignored", "reason=%s",
-		    error->message);
+	if (!endpoint_decode(dir, record, &report, &error)) {
+		entry_refused(dir, record, error);
 		return;
 	}
 	grouped = service_grouped(dir, report.service);
@@ -193,6 +240,8 @@
 	dir->loop = loop;
 	dir->decode = decode;
 	fleet_init(&dir->fleet, loop);
+	dir->refused =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	dir->relay = g_array_new(FALSE, TRUE, sizeof(struct store_record));
 	g_array_set_clear_func(dir->relay, store_record_clear);
 	dir_follow_init(&dir->config, store, loop, TOPIC_CONFIG, &config_ops,
--- a/src/dir.h
+++ b/src/dir.h
@@ -13,6 +13,11 @@
 #define DIR_PILED_MS 250
 /* Peers' news count as an answer of the store for this long. */
 #define DIR_FED_MS 1500
+/* How far an endpoint's clock may be ahead of this daemon's: no clock that is
+ * kept at all is a day off. */
+#define DIR_BORN_AHEAD_MS 86400000
+/* Endpoints whose refused entries are remembered, so that each is said once. */
+#define DIR_REFUSED_MOST 1024
 
 /**
  * struct dir_decode - the adapter's decoders of records.
@@ -32,6 +37,8 @@
  * @catalog: the configuration in force; NULL before the first
  * @config_bytes: it, as it stands in the store
  * @fleet: the endpoints
+ * @refused: id of an endpoint to why its entry was refused last
+ * @n_refused: entries that were refused
  * @config: follows the configuration
  * @endpoints: follows the endpoints' entries
  * @peer_proof_ms: a peer's proof that @catalog is the newest, loop time
@@ -47,6 +54,8 @@
 	struct catalog *catalog;
 	GBytes *config_bytes;
 	struct fleet fleet;
+	GHashTable *refused;
+	uint64_t n_refused;
 	struct dir_follow config;
 	struct dir_follow endpoints;
 	uint64_t peer_proof_ms;
--- a/src/edge-status.c
+++ b/src/edge-status.c
@@ -104,6 +104,7 @@
 	    e->dir.catalog != NULL ? (double)e->dir.catalog->version : -1);
 	print_value(body, "config_age_ms",
 	    (double)dir_config_age(&e->dir, now));
+	print_value(body, "entries_refused_total", (double)e->dir.n_refused);
 	print_value(body, "endpoints_age_ms",
 	    (double)dir_follow_age(&e->dir.endpoints, now));
 	for (int t = 0; t < TOPIC_COUNT; t++)
--- a/tests/fake-points.c
+++ b/tests/fake-points.c
@@ -42,6 +42,8 @@
 	    json_string(p->engine ? "lm" : "board"));
 	json_object_set_new(root, "address", json_string(address));
 	json_object_set_new(root, "zone", json_string("a"));
+	json_object_set_new(root, "version", json_string("v1"));
+	json_object_set_new(root, "cold_remaining_ms", json_integer(0));
 	json_object_set_new(root, "slots", json_integer(p->engine ? 8 : 4));
 	json_object_set_new(root, "state",
 	    json_string(point_switch("drain", p) ? "draining" : "ready"));
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -99,11 +99,14 @@
 	}
 	g_string_append_printf(out,
 	    "%s domain=%s fabric=%s slots=%u draining=%d staged=%u model=%s "
-	    "group=%s epoch=%lld rank=%d %s\n",
+	    "group=%s epoch=%lld rank=%d %s",
 	    r.service, r.domain, r.fabric != NULL ? r.fabric : "-", r.slots,
 	    r.draining, r.staged->len, r.model != NULL ? r.model : "-",
 	    r.group != NULL ? r.group : "-", (long long)r.epoch, r.rank,
 	    group_state_name(r.state));
+	if (r.born_ms != 0)
+		g_string_append_printf(out, " born=%lld", (long long)r.born_ms);
+	g_string_append_c(out, '\n');
 	endpoint_report_clear(&r);
 }
 
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -38,7 +38,10 @@
 	offset = 0;
 }
 
-/* entry ID at=MS [state=draining] [domain=D] [head=1]: a report was read */
+/*
+ * entry ID at=MS [state=draining] [domain=D] [head=1] [born=MS] [sequence=N]:
+ * a report was read
+ */
 static void
 exec_entry(const char *rest, GString *out)
 {
@@ -50,6 +53,8 @@
 	report.service = g_strdup("s");
 	report.domain = script_word(rest, "domain");
 	report.slots = 4;
+	report.born_ms = (int64_t)script_number(rest, "born", 0);
+	report.sequence = (int64_t)script_number(rest, "sequence", 0);
 	report.draining = g_strcmp0(state, "draining") == 0;
 	report.staged = g_ptr_array_new_with_free_func(g_free);
 	if (script_number(rest, "head", 0) != 0) {
@@ -70,6 +75,33 @@
 	    script_number(rest, "away", 0) != 0);
 }
 
+/* bar ID at=MS: an entry that can't be read was found in its place */
+static void
+exec_bar(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+
+	fleet_bar(&fleet, id, script_number(rest, "at", 0));
+}
+
+/* hold ID or drop N: an exchange begins at an endpoint; one ends at the Nth */
+static void
+exec_hold(const char *rest, GString *out)
+{
+	fleet_find(&fleet, rest)->refs++;
+}
+
+static void
+exec_drop(const char *rest, GString *out)
+{
+	guint64 n = g_ascii_strtoull(rest, NULL, 10);
+	struct endpoint *ep = TAILQ_FIRST(&fleet.endpoints);
+
+	while (n-- > 1)
+		ep = TAILQ_NEXT(ep, entry);
+	ep->refs--;
+}
+
 /* sweep at=MS [take=0]: 0 while lapsed entries may still come back */
 static void
 exec_sweep(const char *rest, GString *out)
@@ -309,6 +341,9 @@
 static const struct script_command commands[] = {
 	{ "entry", exec_entry },
 	{ "lapse", exec_lapse },
+	{ "bar", exec_bar },
+	{ "hold", exec_hold },
+	{ "drop", exec_drop },
 	{ "sweep", exec_sweep },
 	{ "elsewhere", exec_elsewhere },
 	{ "show", exec_show },
--- a/tests/test-fuzz.c
+++ b/tests/test-fuzz.c
@@ -15,6 +15,7 @@
 #include "route.h"
 #include "setting.h"
 #include "state.h"
+#include "platform.h"
 
 #define ROUNDS 20000
 #define SEED 7
@@ -139,6 +140,37 @@
 	state_free(state);
 }
 
+/* Decodes damaged entries: those that are taken can be used as they are. */
+static void
+test_entries(void)
+{
+	static const char sample[] =
+	    "{\"service\":\"s\",\"address\":\"10.1.2.3:80\",\"zone\":\"z\","
+	    "\"version\":\"v1\",\"slots\":26,\"state\":\"ready\","
+	    "\"cold_remaining_ms\":0,\"sequence\":4,\"born\":17811081520,"
+	    "\"models\":[{\"name\":\"m\"}],\"staged\":[\"m\"],"
+	    "\"group\":{\"name\":\"g\",\"epoch\":1,\"rank\":0,"
+	    "\"state\":\"open\"}}";
+
+	rng = SEED;
+	for (int i = 0; i < ROUNDS; i++) {
+		GString *text = damage(sample);
+		g_autoptr(GError) error = NULL;
+		struct endpoint_report r;
+
+		if (platform_endpoint_decode("e1", text->str, text->len, &r,
+			&error)) {
+			CU_ASSERT(r.service[0] != '\0' && r.domain[0] != '\0');
+			CU_ASSERT(r.sequence >= 0 && r.born_ms >= 0);
+			CU_ASSERT(r.group == NULL || r.state != GROUP_NONE);
+		} else {
+			CU_ASSERT(error != NULL && r.id == NULL);
+		}
+		endpoint_report_clear(&r);
+		g_string_free(text, TRUE);
+	}
+}
+
 /* Decodes damaged messages of other daemons. */
 static void
 test_messages(void)
@@ -181,6 +213,7 @@
 	CU_initialize_registry();
 	suite = CU_add_suite("fuzz", NULL, NULL);
 	CU_add_test(suite, "texts", test_texts);
+	CU_add_test(suite, "entries", test_entries);
 	CU_add_test(suite, "messages", test_messages);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
