Let the replicas of each model follow the requests that are seen

Cause: replicas were formed by the configured shares, half and half. On the shifted deployment 86 in 100 of the prompts are for the small model: its 12 replicas were full (38 to 47 of 48 places), the 6 of the large one had 9 in the median. Of 27 hosts of a fabric domain 3 are left over whatever is formed. Change: the requests of each model are averaged over 5 s. Where half of the configured share and half of the seen one want fewer replicas of the largest model, by 0.75 of one, one at a time is given up, if the rest stay at most 0.4 busy; the bound is kept in the store for the next placer. Where the shares fit, nothing changes.

--- a/src/keeper-lease.c
+++ b/src/keeper-lease.c
@@ -7,6 +7,7 @@
 #define LEASE_KEY "lease"
 #define GROUP_PREFIX "group/"
 #define SERVED_KEY "served"
+#define BOUND_PREFIX "bound/"
 
 /* Each daemon waits this much longer than the one before it. */
 #define RANK_STEP_MS 200
@@ -91,6 +92,33 @@
 	record_add(k, "", SERVED_KEY, g_memdup2("1", 1), 1);
 }
 
+/**
+ * keeper_record_bound() - note how many replicas of its largest model a service
+ * may have, for the daemon that places next.
+ * @k: the keeper
+ * @service: the service
+ * @most: so many; 0 for no bound
+ */
+void
+keeper_record_bound(struct keeper *k, const char *service, unsigned most)
+{
+	char *text = g_strdup_printf("%u", most);
+
+	record_add(k, BOUND_PREFIX, service, (guint8 *)text, strlen(text));
+}
+
+/* Takes in the bound of a service. */
+static void
+lease_take_bound(struct keeper *k, const struct store_record *record)
+{
+	g_autofree char *text =
+	    g_strndup((const char *)record->value, record->length);
+	const char *service = record->key + strlen(BOUND_PREFIX);
+
+	keeper_usage(k, service)->demand.most =
+	    (unsigned)g_ascii_strtoull(text, NULL, 10);
+}
+
 /* A replica whose record was written may be given orders. */
 static void
 mark_recorded(struct keeper *k, const GArray *records)
@@ -194,7 +222,6 @@
 	k->verified_ms = answer->asked_ms;
 	k->state = KEEPER_HOLDING;
 	k->groups = 0;
-	g_hash_table_remove_all(k->usage);
 	k->mesh->self.placer = true;
 	k->mesh->self.term = k->term;
 	k->mesh->held_term = k->term;
@@ -242,6 +269,8 @@
 	}
 	if (strcmp(record->key, SERVED_KEY) == 0)
 		k->served = true;
+	if (g_str_has_prefix(record->key, BOUND_PREFIX))
+		lease_take_bound(k, record);
 	if (!g_str_has_prefix(record->key, GROUP_PREFIX))
 		return;
 	r = keeper_decode_replica(record->key + strlen(GROUP_PREFIX),
@@ -338,6 +367,7 @@
 	    (unsigned long long)(now_ms - k->alone_ms), mesh_rank(k->mesh));
 	keeper_lose(k, "begin");
 	g_clear_pointer(&k->after, g_free);
+	g_hash_table_remove_all(k->usage);
 	k->state = KEEPER_READING;
 	lease_read(k);
 }
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "event-log.h"
+#include "fwd-expect.h"
 #include "keeper.h"
 #include "replica-form.h"
 
@@ -211,6 +212,19 @@
 	return (true);
 }
 
+/* Dissolves a replica of the largest model that is one too many. */
+static bool
+place_surplus(struct keeper *k, const struct form_view *view, uint64_t now_ms)
+{
+	struct replica *r = form_surplus(view);
+
+	if (r == NULL)
+		return (false);
+	replica_give_up(r, now_ms);
+	keeper_doomed(k, r, now_ms);
+	return (true);
+}
+
 /**
  * enum place_result - what a step did.
  * @PLACE_NOTHING: nothing is left to do
@@ -234,7 +248,9 @@
 	unsigned loads = view->serving ? 0 : view->loads;
 
 	if (place_form(k, service, view, loads, now_ms) ||
-	    (view->serving && place_donate(k, view, now_ms)))
+	    (view->serving &&
+		(place_donate(k, view, now_ms) ||
+		    place_surplus(k, view, now_ms))))
 		return (PLACE_CHANGED);
 	if (!keeper_calls_free(k))
 		return (PLACE_NOTHING);
@@ -245,9 +261,13 @@
 	return (place_warm(k, view, now_ms) ? PLACE_PREPARED : PLACE_NOTHING);
 }
 
-/* The counts of a service. */
-static struct service_usage *
-place_usage(struct keeper *k, const char *service)
+/**
+ * keeper_usage() - the counts of a service.
+ * @k: the keeper
+ * @service: its name
+ */
+struct service_usage *
+keeper_usage(struct keeper *k, const char *service)
 {
 	struct service_usage *u = g_hash_table_lookup(k->usage, service);
 
@@ -258,6 +278,47 @@
 	return (u);
 }
 
+/* Counts the requests of each model that run now, at all heads. */
+static void
+demand_count(const struct keeper *k, const char *service,
+    const struct form_view *view, double *running)
+{
+	const struct replica *r;
+
+	TAILQ_FOREACH(r, &k->replicas, entry) {
+		const struct endpoint *head =
+		    fleet_find(&k->dir->fleet, r->members[0].id);
+
+		if (head != NULL && r->opened &&
+		    strcmp(r->service, service) == 0)
+			running[form_model_index(view, r->model)] +=
+			    fwd_expect_running(head);
+	}
+}
+
+/* Lets the shares of the models follow the requests that are seen. */
+static void
+view_set_work(struct keeper *k, const char *service, struct form_view *view,
+    uint64_t now_ms)
+{
+	struct form_demand *d = &keeper_usage(k, service)->demand;
+	double running[FORM_MODELS_MAX] = { 0 };
+	unsigned most = d->most;
+
+	if (!k->served)
+		return;
+	demand_count(k, service, view, running);
+	form_demand_note(d, view, running, now_ms);
+	form_demand_apply(d, view, now_ms);
+	if (d->most == most)
+		return;
+	keeper_record_bound(k, service, d->most);
+	event_log(LOG_NOTICE, "share_moved",
+	    "service=%s model=%s most=%u was=%u share=%.2f busy=%.1f", service,
+	    form_model(view, view->largest)->name, d->most, most,
+	    view->work[view->largest], d->busy[view->largest]);
+}
+
 /* Sees all hosts and replicas of a service. */
 static void
 place_view(struct keeper *k, const struct catalog_service *service,
@@ -266,6 +327,8 @@
 	form_view_init(view, service->engine);
 	view_add_hosts(k, service->name, view, now_ms);
 	view_add_replicas(k, service->name, view);
+	form_view_count(view);
+	view_set_work(k, service->name, view, now_ms);
 	form_view_finish(view);
 	view->serving = k->served;
 	view->settled = now_ms - k->grew_ms >= SETTLE_MS;
@@ -302,7 +365,7 @@
 
 		place_view(k, service, &view, now_ms);
 		if (!counted)
-			service_usage_count(place_usage(k, service->name),
+			service_usage_count(keeper_usage(k, service->name),
 			    service->name, &view, &k->replicas, now_ms);
 		counted = true;
 		more = place_some(k, service->name, &view, &steps, now_ms);
--- a/src/keeper-usage.h
+++ b/src/keeper-usage.h
@@ -3,6 +3,7 @@
 #define BL_KEEPER_USAGE_H
 
 #include "keeper-idle.h"
+#include "replica-demand.h"
 
 /**
  * struct model_usage - one model of one service.
@@ -31,6 +32,7 @@
  * @models: in the order of the profile
  * @n_models: how many
  * @idle: what was said of hosts
+ * @demand: how the work is split between the models
  */
 struct service_usage {
 	uint64_t counted_ms;
@@ -42,6 +44,7 @@
 	struct model_usage models[FORM_MODELS_MAX];
 	unsigned n_models;
 	struct idle_watch idle;
+	struct form_demand demand;
 };
 
 struct service_usage *service_usage_create(void);
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -132,6 +132,7 @@
 void keeper_write(struct keeper *);
 void keeper_record_replica(struct keeper *, const struct replica *, bool);
 void keeper_record_served(struct keeper *);
+void keeper_record_bound(struct keeper *, const char *, unsigned);
 
 /* keeper-record.c: records of replicas and of the lease as bytes. */
 guint8 *keeper_encode_replica(const struct replica *, size_t *);
@@ -154,5 +155,6 @@
 
 /* keeper-place.c: forming new replicas. */
 void keeper_place(struct keeper *, uint64_t);
+struct service_usage *keeper_usage(struct keeper *, const char *);
 
 #endif
--- a/src/replica-form.c
+++ b/src/replica-form.c
@@ -259,3 +259,35 @@
 	}
 	return (NULL);
 }
+
+/**
+ * form_surplus() - a replica of the largest model to dissolve, since its hosts
+ * serve more requests as replicas of others.
+ * @view: what is there
+ *
+ * Return: NULL where none should be.
+ */
+struct replica *
+form_surplus(const struct form_view *view)
+{
+	const struct model_profile *big = form_model(view, view->largest);
+
+	if (view->most == 0 || view->held[view->largest] <= view->most)
+		return (NULL);
+	for (guint at = 0; at < view->fabrics->len; at++) {
+		const struct form_fabric *f = form_fabric_at(view, at);
+
+		if (f->held <= f->cap)
+			continue;
+		for (guint n = 0; n < f->hosts; n++) {
+			const struct form_host *h =
+			    form_host_at(view, form_fabric_host(view, at, n));
+
+			if (h->group != NULL && replica_wanted(h->group) &&
+			    h->group->opened &&
+			    strcmp(h->group->model, big->name) == 0)
+				return (h->group);
+		}
+	}
+	return (NULL);
+}
--- a/src/replica-form.h
+++ b/src/replica-form.h
@@ -75,6 +75,8 @@
  * @held: wanted replicas of each model, in the order of the profile
  * @by_domain: "model failure-domain" to the number of replicas there
  * @by_fabric: "model fabric-domain" to the number of replicas there
+ * @work: share of the work of each model
+ * @most: replicas of the largest model that may stand; 0 for no bound
  * @wanted: replicas of each model that the hosts should form
  * @shares: replicas of each model by its share of the work alone
  * @largest: index of the model with the largest replicas
@@ -92,6 +94,8 @@
 	unsigned held[FORM_MODELS_MAX];
 	GHashTable *by_domain;
 	GHashTable *by_fabric;
+	double work[FORM_MODELS_MAX];
+	unsigned most;
 	double wanted[FORM_MODELS_MAX];
 	double shares[FORM_MODELS_MAX];
 	unsigned largest;
@@ -115,6 +119,7 @@
 
 bool form_next(const struct form_view *, struct form_plan *);
 struct replica *form_donor(const struct form_view *);
+struct replica *form_surplus(const struct form_view *);
 
 /* replica-stage.c: which hosts get copies of which models. */
 const struct form_host *form_stage(const struct form_view *,
@@ -126,6 +131,8 @@
 void form_view_clear(struct form_view *);
 void form_view_add_replica(struct form_view *, const struct replica *,
     const char *, const char *);
+void form_view_count(struct form_view *);
+double form_view_full(struct form_view *);
 void form_view_finish(struct form_view *);
 const struct model_profile *form_model(const struct form_view *, unsigned);
 const struct form_host *form_host_at(const struct form_view *, unsigned);
--- a/src/replica-view.c
+++ b/src/replica-view.c
@@ -218,6 +218,21 @@
 	return (i);
 }
 
+static unsigned
+largest_model(const struct engine_profile *engine)
+{
+	unsigned best = 0;
+
+	for (guint i = 1; i < engine->models->len; i++) {
+		const struct model_profile *a = engine->models->pdata[i];
+		const struct model_profile *b = engine->models->pdata[best];
+
+		if (a->size > b->size)
+			best = i;
+	}
+	return (best);
+}
+
 /**
  * form_view_init() - a view without hosts.
  * @view: the view
@@ -228,6 +243,9 @@
 {
 	memset(view, 0, sizeof *view);
 	view->engine = engine;
+	view->largest = largest_model(engine);
+	for (guint i = 0; i < engine->models->len && i < FORM_MODELS_MAX; i++)
+		view->work[i] = form_model(view, i)->share;
 	view->hosts = g_array_new(FALSE, TRUE, sizeof(struct form_host));
 	view->order = g_array_new(FALSE, TRUE, sizeof(guint));
 	view->fabrics = g_array_new(FALSE, TRUE, sizeof(struct form_fabric));
@@ -271,21 +289,6 @@
 	count_add(view->by_fabric, r->model, fabric);
 }
 
-static unsigned
-largest_model(const struct engine_profile *engine)
-{
-	unsigned best = 0;
-
-	for (guint i = 1; i < engine->models->len; i++) {
-		const struct model_profile *a = engine->models->pdata[i];
-		const struct model_profile *b = engine->models->pdata[best];
-
-		if (a->size > b->size)
-			best = i;
-	}
-	return (best);
-}
-
 /* The view's fabric domain of a host; a new one where it is the first. */
 static unsigned
 fabric_of(struct form_view *view, const struct form_host *h)
@@ -369,55 +372,152 @@
 	return (sum);
 }
 
-/*
- * How many replicas of each model the hosts should form: shares of the hosts,
- * except that the largest model leaves hosts of smaller replicas in each
- * fabric domain. These serve, and donate hosts when the large replica beside
- * them loses one, which is far quicker than a load.
+/**
+ * form_view_full() - replicas of the largest model by its configured share.
+ * @view: its hosts were counted; sets how many a fabric domain may hold
+ *
+ * It leaves hosts of smaller replicas in each fabric domain. These serve, and
+ * donate hosts when the large replica beside them loses one, which is far
+ * quicker than a load.
  */
-static void
-view_targets(struct form_view *view)
+double
+form_view_full(struct form_view *view)
 {
 	const GPtrArray *models = view->engine->models;
-	unsigned n = MIN(models->len, FORM_MODELS_MAX);
 	const struct model_profile *big = form_model(view, view->largest);
-	double hosts = view->hosts->len, rest, shares = 0, want;
-
-	for (unsigned i = 0; i < n; i++) {
-		const struct model_profile *m = form_model(view, i);
+	double want = big->share * view->hosts->len / big->size;
 
-		view->shares[i] = m->share * hosts / m->size;
-		shares += i == view->largest ? 0 : m->share;
-	}
-	want = view->shares[view->largest];
 	view->cap = 1;
 	while (view->cap < CAP_MOST &&
 	    (models->len == 1 || cap_sum(view, view->cap) < SHARE_LEAST * want))
 		view->cap++;
-	want = MIN(want, cap_sum(view, view->cap));
+	return (MIN(want, cap_sum(view, view->cap)));
+}
+
+/* How many replicas of each model the hosts should form. */
+static void
+view_targets(struct form_view *view)
+{
+	unsigned n = MIN(view->engine->models->len, FORM_MODELS_MAX);
+	const struct model_profile *big = form_model(view, view->largest);
+	double hosts = view->hosts->len, rest, shares = 0;
+	double want = form_view_full(view);
+
+	if (view->most > 0)
+		want = MIN(want, view->most);
 	rest = hosts - want * big->size;
+	for (unsigned i = 0; i < n; i++)
+		shares += i == view->largest ? 0 : view->work[i];
 	for (unsigned i = 0; i < n; i++) {
-		const struct model_profile *m = form_model(view, i);
+		unsigned size = form_model(view, i)->size;
 
+		view->shares[i] = view->work[i] * hosts / size;
 		view->wanted[i] =
-		    shares > 0 ? rest * m->share / shares / m->size : 0;
+		    shares > 0 ? rest * view->work[i] / shares / size : 0;
 	}
 	view->wanted[view->largest] = want;
 }
 
+/* Replicas of the largest model that the fabric domains of a failure domain
+ * were given so far. */
+static unsigned
+domain_given(const struct form_view *view, const unsigned *given,
+    const char *domain)
+{
+	unsigned sum = 0;
+
+	for (guint i = 0; i < view->fabrics->len; i++) {
+		if (g_strcmp0(form_fabric_at(view, i)->domain, domain) == 0)
+			sum += given[i];
+	}
+	return (sum);
+}
+
+/* How soon a fabric domain could hold one more than it was given. */
+static unsigned
+fabric_readiness(const struct form_view *view, const struct form_fabric *f,
+    unsigned given)
+{
+	unsigned size = form_model(view, view->largest)->size;
+
+	if (f->held > given)
+		return (3);
+	if (f->ready >= size)
+		return (2);
+	return (f->ready + f->donors + f->coming >= size);
+}
+
+/* Whether one fabric domain comes before another for the next replica: where
+ * one stands or could soon, then in the failure domain that was given fewest.
+ */
+static bool
+fabric_before(const struct form_view *view, const unsigned *given, unsigned a,
+    unsigned b)
+{
+	const struct form_fabric *x = form_fabric_at(view, a);
+	const struct form_fabric *y = form_fabric_at(view, b);
+	unsigned x_ready = fabric_readiness(view, x, given[a]);
+	unsigned y_ready = fabric_readiness(view, y, given[b]);
+
+	if (x_ready != y_ready)
+		return (x_ready > y_ready);
+	return (domain_given(view, given, x->domain) <
+	    domain_given(view, given, y->domain));
+}
+
+/* Whether a fabric domain could be given one more. A replica that stands does,
+ * also where hosts have gone since. */
+static bool
+fabric_takes(const struct form_fabric *f, unsigned given)
+{
+	return (given < MAX(f->cap, f->held));
+}
+
+/* Shares the bound on replicas of the largest model among fabric domains. */
+static void
+fabrics_limit(struct form_view *view)
+{
+	unsigned n = view->fabrics->len;
+	g_autofree unsigned *given = g_new0(unsigned, n);
+
+	for (unsigned k = 0; k < view->most; k++) {
+		unsigned best = n;
+
+		for (unsigned i = 0; i < n; i++) {
+			if (fabric_takes(form_fabric_at(view, i), given[i]) &&
+			    (best == n || fabric_before(view, given, i, best)))
+				best = i;
+		}
+		if (best == n)
+			return;
+		given[best]++;
+	}
+	for (unsigned i = 0; i < n; i++)
+		g_array_index(view->fabrics, struct form_fabric, i).cap =
+		    given[i];
+}
+
 /**
- * form_view_finish() - derive targets and counts.
+ * form_view_count() - count the hosts of each fabric domain.
  * @view: hosts and replicas were added
  */
 void
+form_view_count(struct form_view *view)
+{
+	fabrics_count(view);
+	fabrics_order(view);
+}
+
+/**
+ * form_view_finish() - derive targets.
+ * @view: its hosts were counted
+ */
+void
 form_view_finish(struct form_view *view)
 {
 	const struct model_profile *big;
 
-	view->largest = largest_model(view->engine);
 	big = form_model(view, view->largest);
-	fabrics_count(view);
-	fabrics_order(view);
 	view_targets(view);
 	for (guint i = 0; i < view->fabrics->len; i++) {
 		struct form_fabric *f =
@@ -426,4 +526,6 @@
 		f->held = form_fabric_held(view, big, f->name);
 		f->cap = cap_of(view, f->hosts, view->cap);
 	}
+	if (view->most > 0)
+		fabrics_limit(view);
 }
--- a/src/replica.c
+++ b/src/replica.c
@@ -71,6 +71,19 @@
 	r->donates = true;
 }
 
+/**
+ * replica_give_up() - dissolve a replica that others serve more with.
+ * @r: the replica
+ * @now_ms: loop time
+ */
+void
+replica_give_up(struct replica *r, uint64_t now_ms)
+{
+	replica_donate(r, now_ms);
+	r->doomed = "surplus";
+	r->finish_ms = REPLICA_SURPLUS_MS;
+}
+
 /**
  * replica_wanted() - whether a replica serves or is to serve.
  * @r: the replica
--- a/src/replica.h
+++ b/src/replica.h
@@ -30,6 +30,8 @@
 /* Time that a replica may take whose hosts another needs. Its streams can go
  * on elsewhere, and a large replica that is missing costs more. */
 #define REPLICA_DONATE_MS 700
+/* Time that a replica may take that is not missed: its streams end first. */
+#define REPLICA_SURPLUS_MS 3000
 /* A replica that is dissolved within this ends soon: about as long as another
  * takes to donate hosts in its place. */
 #define REPLICA_SOON_MS 1000
@@ -172,6 +174,7 @@
 void replica_next(struct replica *, uint64_t, uint64_t, struct replica_step *);
 bool replica_wanted(const struct replica *);
 void replica_donate(struct replica *, uint64_t);
+void replica_give_up(struct replica *, uint64_t);
 bool replica_ends_soon(const struct replica *, uint64_t, uint64_t);
 
 /* replica-member.c: what is known of one member. */
--- a/tests/test-form.c
+++ b/tests/test-form.c
@@ -1,7 +1,7 @@
 /* Scripts over which hosts form which replicas. */
 #include <string.h>
 
-#include "replica-form.h"
+#include "replica-demand.h"
 #include "script.h"
 
 #define HOSTS_MAX 64
@@ -13,6 +13,7 @@
 static struct replica *replicas[HOSTS_MAX];
 static unsigned n_replicas;
 static guint64 loads, serving, settled;
+static struct form_demand demand;
 
 static void
 reset(void)
@@ -32,6 +33,7 @@
 	loads = 100;
 	serving = 0;
 	settled = 1;
+	memset(&demand, 0, sizeof demand);
 	g_clear_pointer(&catalog, catalog_unref);
 	catalog = catalog_create();
 	engine = catalog_add_engine(catalog_add_service(catalog, "s"));
@@ -92,6 +94,8 @@
 			form_view_add_replica(view, r, hosts[i].domain,
 			    hosts[i].fabric);
 	}
+	form_view_count(view);
+	view->most = demand.most;
 	form_view_finish(view);
 	view->loads = (unsigned)loads;
 	view->serving = serving != 0;
@@ -236,6 +240,63 @@
 	view_free(&view);
 }
 
+/* surplus: the replica to dissolve since others serve more with its hosts */
+static void
+exec_surplus(const char *rest, GString *out)
+{
+	struct form_view view;
+	const struct replica *r;
+
+	view_make(&view);
+	r = form_surplus(&view);
+	g_string_append_printf(out, "%s\n",
+	    r != NULL ? r->members[0].id : "none");
+	view_free(&view);
+}
+
+/* end hN: the replica of which this is the head is dissolved */
+static void
+exec_end(const char *rest, GString *out)
+{
+	struct replica *r = hosts[g_ascii_strtoull(rest + 1, NULL, 10)].group;
+
+	r->doomed = "end";
+	for (unsigned i = 0; i < n_hosts; i++) {
+		if (hosts[i].group != r)
+			continue;
+		hosts[i].group = NULL;
+		hosts[i].free = true;
+		host_set_last(&hosts[i], r->model);
+	}
+}
+
+/*
+ * seen big=N small=N from=MS to=MS: requests of the first two models that run
+ * meanwhile; says how the bound on the largest model moves
+ */
+static void
+exec_seen(const char *rest, GString *out)
+{
+	double running[FORM_MODELS_MAX] = { 0 };
+
+	engine->slots = 48;
+	running[0] = (double)script_number(rest, "big", 0);
+	running[1] = (double)script_number(rest, "small", 0);
+	for (guint64 at = script_number(rest, "from", 0);
+	     at <= script_number(rest, "to", 0); at += 250) {
+		unsigned most = demand.most;
+		struct form_view view;
+
+		view_make(&view);
+		form_demand_note(&demand, &view, running, at);
+		form_demand_apply(&demand, &view, at);
+		view_free(&view);
+		if (demand.most != most)
+			g_string_append_printf(out, "at %u most %u\n",
+			    (unsigned)at, demand.most);
+	}
+}
+
 /* stage: the host to copy the largest model to */
 static void
 exec_stage(const char *rest, GString *out)
@@ -263,6 +324,9 @@
 	{ "set", exec_set },
 	{ "form", exec_form },
 	{ "donor", exec_donor },
+	{ "surplus", exec_surplus },
+	{ "end", exec_end },
+	{ "seen", exec_seen },
 	{ "stage", exec_stage },
 	{ "memory", exec_memory },
 	{ "warm", exec_warm },
