--- a/src/keeper-lease.c
+++ b/src/keeper-lease.c
@@ -256,15 +256,14 @@
 static void
 lease_take_record(struct keeper *k, const struct store_record *record)
 {
-	g_autofree char *holder = NULL;
 	struct replica *r;
+	int64_t term;
 
 	if (record->value == NULL)
 		return;
 	if (strcmp(record->key, LEASE_KEY) == 0) {
-		k->term = MAX(k->term,
-		    keeper_decode_lease(record->value, record->length,
-			&holder));
+		term = keeper_decode_lease(record->value, record->length);
+		k->term = MAX(k->term, term);
 		return;
 	}
 	if (strcmp(record->key, SERVED_KEY) == 0)
--- a/src/keeper-record.c
+++ b/src/keeper-record.c
@@ -105,27 +105,21 @@
 }
 
 /**
- * keeper_decode_lease() - the term and holder of a lease's record.
+ * keeper_decode_lease() - the term of a lease's record.
  * @bytes: the record's value
  * @length: its length
- * @holder: set to the holder's name, to be freed; NULL where unreadable
  *
  * Return: the term; 0 where the record can't be read.
  */
 int64_t
-keeper_decode_lease(const void *bytes, size_t length, char **holder)
+keeper_decode_lease(const void *bytes, size_t length)
 {
 	json_auto_t *root = json_loadb(bytes, length, 0, NULL);
-	const char *name;
 	json_int_t term;
 
-	*holder = NULL;
-	if (root == NULL ||
-	    json_unpack(root, "{s:s,s:I}", "holder", &name, "term", &term) !=
-		0) {
+	if (root == NULL || json_unpack(root, "{s:I}", "term", &term) != 0) {
 		event_log(LOG_ERR, "record_ignored", "lease=1 reason=format");
 		return (0);
 	}
-	*holder = g_strdup(name);
 	return (term);
 }
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -138,7 +138,7 @@
 guint8 *keeper_encode_replica(const struct replica *, size_t *);
 struct replica *keeper_decode_replica(const char *, const void *, size_t);
 guint8 *keeper_encode_lease(const char *, int64_t, size_t *);
-int64_t keeper_decode_lease(const void *, size_t, char **);
+int64_t keeper_decode_lease(const void *, size_t);
 
 /* keeper-adopt.c: groups that serve without a record. */
 void keeper_adopt(struct keeper *, uint64_t);
