--- a/src/edge.c
+++ b/src/edge.c
@@ -257,18 +257,12 @@
 	    (unsigned long long)e->store->failures);
 }
 
-/*
- * Whether callers come to a daemon that can't serve them yet: after all were
- * killed at once, waiting for a relay took a second, reading takes 0.1 s. The
- * configuration alone is read in fleets of any size.
- */
+/* Whether callers come to this daemon, which may know the others by now. */
 static bool
-hold_is_over(struct edge *e)
+callers_come(const struct edge *e)
 {
-	if (e->fwd.stats.counts[COUNT_REQUESTS] == 0 || e->mesh.known_ms == 0)
-		return (false);
-	dir_follow_release(&e->dir.config);
-	return (e->mesh.n_peers < HOLD_DAEMONS_MOST);
+	return (
+	    e->fwd.stats.counts[COUNT_REQUESTS] > 0 && e->mesh.known_ms != 0);
 }
 
 /*
@@ -293,7 +287,13 @@
 		mesh_tell_now(&e->mesh);
 		return;
 	}
-	if (own || hold_is_over(e) || since >= (led ? HOLD_LED_MS : HOLD_MS))
+	/* After all were killed at once, waiting for a relay took a second, and
+	 * reading takes 0.1 s. */
+	if (callers_come(e)) {
+		dir_follow_release(&e->dir.config);
+		own = own || mesh->n_peers < HOLD_DAEMONS_MOST;
+	}
+	if (own || since >= (led ? HOLD_LED_MS : HOLD_MS))
 		dir_release(&e->dir);
 }
 
--- a/src/replica-form.h
+++ b/src/replica-form.h
@@ -50,6 +50,7 @@
  * @first: place of the first of them in the view's order
  * @held: wanted replicas of the largest model
  * @cap: most of them
+ * @given: of a bound on all, those that were given to it so far
  * @ready: hosts with a copy of that model that are free now or soon
  * @donors: hosts with such a copy in smaller replicas that serve
  * @coming: hosts that are getting such a copy
@@ -61,6 +62,7 @@
 	unsigned first;
 	unsigned held;
 	unsigned cap;
+	unsigned given;
 	unsigned ready;
 	unsigned donors;
 	unsigned coming;
--- a/src/replica-view.c
+++ b/src/replica-view.c
@@ -418,29 +418,28 @@
 	view->wanted[view->largest] = want;
 }
 
-/* Replicas of the largest model that the fabric domains of a failure domain
- * were given so far. */
+/* Replicas of the largest model that a failure domain was given so far. */
 static unsigned
-domain_given(const struct form_view *view, const unsigned *given,
-    const char *domain)
+domain_given(const struct form_view *view, const char *domain)
 {
 	unsigned sum = 0;
 
 	for (guint i = 0; i < view->fabrics->len; i++) {
-		if (g_strcmp0(form_fabric_at(view, i)->domain, domain) == 0)
-			sum += given[i];
+		const struct form_fabric *f = form_fabric_at(view, i);
+
+		if (g_strcmp0(f->domain, domain) == 0)
+			sum += f->given;
 	}
 	return (sum);
 }
 
 /* How soon a fabric domain could hold one more than it was given. */
 static unsigned
-fabric_readiness(const struct form_view *view, const struct form_fabric *f,
-    unsigned given)
+fabric_readiness(const struct form_view *view, const struct form_fabric *f)
 {
 	unsigned size = form_model(view, view->largest)->size;
 
-	if (f->held > given)
+	if (f->held > f->given)
 		return (3);
 	if (f->ready >= size)
 		return (2);
@@ -451,50 +450,50 @@
  * one stands or could soon, then in the failure domain that was given fewest.
  */
 static bool
-fabric_before(const struct form_view *view, const unsigned *given, unsigned a,
-    unsigned b)
+fabric_before(const struct form_view *view, const struct form_fabric *a,
+    const struct form_fabric *b)
 {
-	const struct form_fabric *x = form_fabric_at(view, a);
-	const struct form_fabric *y = form_fabric_at(view, b);
-	unsigned x_ready = fabric_readiness(view, x, given[a]);
-	unsigned y_ready = fabric_readiness(view, y, given[b]);
+	unsigned a_ready = fabric_readiness(view, a);
+	unsigned b_ready = fabric_readiness(view, b);
 
-	if (x_ready != y_ready)
-		return (x_ready > y_ready);
-	return (domain_given(view, given, x->domain) <
-	    domain_given(view, given, y->domain));
+	if (a_ready != b_ready)
+		return (a_ready > b_ready);
+	return (domain_given(view, a->domain) < domain_given(view, b->domain));
 }
 
-/* Whether a fabric domain could be given one more. A replica that stands does,
- * also where hosts have gone since. */
-static bool
-fabric_takes(const struct form_fabric *f, unsigned given)
+/* The fabric domain that is given the next replica; NULL where none fits. One
+ * that stands counts also where hosts have gone since. */
+static struct form_fabric *
+fabric_next(const struct form_view *view)
 {
-	return (given < MAX(f->cap, f->held));
+	struct form_fabric *best = NULL;
+
+	for (guint i = 0; i < view->fabrics->len; i++) {
+		struct form_fabric *f =
+		    &g_array_index(view->fabrics, struct form_fabric, i);
+
+		if (f->given < MAX(f->cap, f->held) &&
+		    (best == NULL || fabric_before(view, f, best)))
+			best = f;
+	}
+	return (best);
 }
 
 /* Shares the bound on replicas of the largest model among fabric domains. */
 static void
 fabrics_limit(struct form_view *view)
 {
-	unsigned n = view->fabrics->len;
-	g_autofree unsigned *given = g_new0(unsigned, n);
+	struct form_fabric *f;
 
 	for (unsigned k = 0; k < view->most; k++) {
-		unsigned best = n;
-
-		for (unsigned i = 0; i < n; i++) {
-			if (fabric_takes(form_fabric_at(view, i), given[i]) &&
-			    (best == n || fabric_before(view, given, i, best)))
-				best = i;
-		}
-		if (best == n)
-			return;
-		given[best]++;
+		f = fabric_next(view);
+		if (f != NULL)
+			f->given++;
+	}
+	for (guint i = 0; i < view->fabrics->len; i++) {
+		f = &g_array_index(view->fabrics, struct form_fabric, i);
+		f->cap = f->given;
 	}
-	for (unsigned i = 0; i < n; i++)
-		g_array_index(view->fabrics, struct form_fabric, i).cap =
-		    given[i];
 }
 
 /**
