Call the start of a host and an unreadable entry by their usual names

Change: started_ms, endpoint_restarted, fleet_unreadable(); an unreadable entry keeps its place in the store, and is not given on.

--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -7,7 +7,7 @@
 
 /* An entry that can't be read for as long as one lapses after silence: three
  * beats of the endpoint would have replaced it. */
-#define BARRED_MOST_MS 3600
+#define UNREADABLE_MOST_MS 3600
 
 static const char *const state_names[] = { "none", "joining", "ready", "open",
 	"closing", "broken" };
@@ -149,13 +149,14 @@
 endpoint_incarnation(const struct endpoint_report *known,
     const struct endpoint_report *next)
 {
-	if (known->born_ms != 0 && next->born_ms != 0) {
-		if (known->born_ms == next->born_ms)
+	if (known->started_ms != 0 && next->started_ms != 0) {
+		if (known->started_ms == next->started_ms)
 			return (INCARNATION_SAME);
-		return (known->born_ms < next->born_ms ? INCARNATION_NEWER :
-							 INCARNATION_OLDER);
+		return (known->started_ms < next->started_ms ?
+			INCARNATION_NEWER :
+			INCARNATION_OLDER);
 	}
-	if (known->born_ms == next->born_ms)
+	if (known->started_ms == next->started_ms)
 		return (INCARNATION_SAME);
 	return (next->sequence < known->sequence ? INCARNATION_NEWER :
 						   INCARNATION_SAME);
@@ -169,11 +170,12 @@
 endpoint_end(struct fleet *fleet, struct endpoint *ep,
     const struct endpoint_report *next, uint64_t now_ms)
 {
-	event_log(LOG_NOTICE, "endpoint_reborn",
-	    "endpoint=%s born_ms=%lld was=%lld sequence=%lld was_sequence=%lld "
+	event_log(LOG_NOTICE, "endpoint_restarted",
+	    "endpoint=%s started_ms=%lld was=%lld sequence=%lld was_sequence=%lld "
 	    "seen_ms_ago=%llu",
-	    next->id, (long long)next->born_ms, (long long)ep->report.born_ms,
-	    (long long)next->sequence, (long long)ep->report.sequence,
+	    next->id, (long long)next->started_ms,
+	    (long long)ep->report.started_ms, (long long)next->sequence,
+	    (long long)ep->report.sequence,
 	    (unsigned long long)(now_ms - ep->seen_ms));
 	g_hash_table_remove(fleet->by_id, ep->report.id);
 	g_hash_table_remove(fleet->by_key, GUINT_TO_POINTER(ep->key));
@@ -210,8 +212,8 @@
 		endpoint_end(fleet, ep, report, now_ms);
 	if (whose == INCARNATION_NEWER)
 		ep = endpoint_create(fleet, report);
-	if (report->born_ms == 0)
-		report->born_ms = ep->report.born_ms;
+	if (report->started_ms == 0)
+		report->started_ms = ep->report.started_ms;
 	endpoint_log_change(ep, report, offset);
 	if (ep->report.id != NULL)
 		g_hash_table_remove(fleet->by_id, ep->report.id);
@@ -223,7 +225,7 @@
 	ep->offset = offset;
 	ep->seen_ms = now_ms;
 	ep->lapsed_ms = 0;
-	ep->barred_ms = 0;
+	ep->unreadable_ms = 0;
 	ep->gone = false;
 	/* Leaving is for good within an incarnation. */
 	ep->draining = ep->draining || ep->report.draining;
@@ -254,7 +256,7 @@
 	const struct endpoint_report *old;
 
 	if (ep == NULL || ep->lapsed_ms != 0 || ep->gone ||
-	    ep->barred_ms != 0 ||
+	    ep->unreadable_ms != 0 ||
 	    endpoint_incarnation(&ep->report, report) != INCARNATION_SAME)
 		return (true);
 	old = &ep->report;
@@ -317,21 +319,27 @@
 }
 
 /**
- * fleet_bar() - an endpoint's entry can't be read: nothing new goes there.
+ * fleet_unreadable() - an endpoint's entry can't be read: nothing new goes
+ * there.
  * @fleet: the fleet
  * @id: the endpoint
+ * @offset: the entry's place in the store; older ones do not make good for it
  * @now_ms: loop time
  *
  * It may be another program's doing, so the endpoint's group stands until its
  * next beats should have replaced the entry.
  */
 void
-fleet_bar(struct fleet *fleet, const char *id, uint64_t now_ms)
+fleet_unreadable(struct fleet *fleet, const char *id, uint64_t offset,
+    uint64_t now_ms)
 {
 	struct endpoint *ep = fleet_find(fleet, id);
 
-	if (ep != NULL && ep->barred_ms == 0)
-		ep->barred_ms = MAX(now_ms, 1);
+	if (ep == NULL || offset < ep->offset)
+		return;
+	ep->offset = offset;
+	if (ep->unreadable_ms == 0)
+		ep->unreadable_ms = MAX(now_ms, 1);
 }
 
 /**
@@ -407,8 +415,8 @@
 		struct endpoint *next = TAILQ_NEXT(ep, entry);
 
 		net_pool_expire(&ep->pool);
-		if (ep->barred_ms != 0 &&
-		    now_ms - ep->barred_ms >= BARRED_MOST_MS)
+		if (ep->unreadable_ms != 0 &&
+		    now_ms - ep->unreadable_ms >= UNREADABLE_MOST_MS)
 			fleet_lapse(fleet, ep->report.id, now_ms, false);
 		if (!ep->gone && ep->lapsed_ms != 0 &&
 		    (take || !ep->may_return))
@@ -428,6 +436,6 @@
 bool
 endpoint_usable(const struct endpoint *ep, uint64_t now_ms)
 {
-	return (!ep->gone && !ep->draining && ep->barred_ms == 0 &&
+	return (!ep->gone && !ep->draining && ep->unreadable_ms == 0 &&
 	    now_ms >= ep->rest_until_ms);
 }
--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -40,7 +40,7 @@
  * @rank: its place in the group; 0 is the head
  * @state: of the group
  * @sequence: orders accepted since its start
- * @born_ms: time of day of its start, in ms; 0 where it does not say
+ * @started_ms: time of day of its start, in ms; 0 where it does not say
  * @pace: above 1 when slow; 0 when not known
  */
 struct endpoint_report {
@@ -58,7 +58,7 @@
 	int rank;
 	enum group_state state;
 	int64_t sequence;
-	int64_t born_ms;
+	int64_t started_ms;
 	double pace;
 };
 
@@ -84,7 +84,7 @@
  * @may_return: it lapsed while the store was away
  * @gone: no more work goes there
  * @draining: it said so once, by any source
- * @barred_ms: since when its entry can't be read; 0 while it can
+ * @unreadable_ms: since when its entry can't be read; 0 while it can
  * @refs: exchanges that hold it
  * @pool: connections
  * @inflight: own requests there
@@ -118,7 +118,7 @@
 	bool may_return;
 	bool gone;
 	bool draining;
-	uint64_t barred_ms;
+	uint64_t unreadable_ms;
 	int refs;
 	struct net_pool pool;
 	unsigned inflight;
@@ -170,7 +170,7 @@
     bool);
 enum incarnation endpoint_incarnation(const struct endpoint_report *,
     const struct endpoint_report *);
-void fleet_bar(struct fleet *, const char *, uint64_t);
+void fleet_unreadable(struct fleet *, const char *, uint64_t, uint64_t);
 void fleet_lapse(struct fleet *, const char *, uint64_t, bool);
 struct endpoint *fleet_find(const struct fleet *, const char *);
 struct endpoint *fleet_find_key(const struct fleet *, uint32_t);
--- a/src/dir.c
+++ b/src/dir.c
@@ -121,14 +121,14 @@
     struct endpoint_report *report, GError **error)
 {
 	int64_t latest =
-	    g_get_real_time() / G_TIME_SPAN_MILLISECOND + DIR_BORN_AHEAD_MS;
+	    g_get_real_time() / G_TIME_SPAN_MILLISECOND + DIR_START_AHEAD_MS;
 
 	if (!dir->decode->endpoint(record->key, record->value, record->length,
 		report, error))
 		return (false);
-	if (report->born_ms <= latest)
+	if (report->started_ms <= latest)
 		return (true);
-	error_set(error, ERROR_BAD_FIELD, "entry %s: born ahead of time",
+	error_set(error, ERROR_BAD_FIELD, "entry %s: started ahead of time",
 	    record->key);
 	endpoint_report_clear(report);
 	return (false);
@@ -146,9 +146,10 @@
 	const char *said = g_hash_table_lookup(dir->refused, record->key);
 
 	dir->n_refused++;
-	if (ep != NULL && ep->barred_ms == 0)
+	if (ep != NULL && ep->unreadable_ms == 0)
 		relay_add(dir, record);
-	fleet_bar(&dir->fleet, record->key, uv_now(dir->loop));
+	fleet_unreadable(&dir->fleet, record->key, record->offset,
+	    uv_now(dir->loop));
 	if (g_strcmp0(said, error->message) == 0)
 		return;
 	if (g_hash_table_size(dir->refused) >= DIR_REFUSED_MOST)
@@ -312,6 +313,7 @@
 
 		/* It may have been read before the configuration. */
 		if (ep->entry_bytes == NULL || ep->gone || ep->lapsed_ms != 0 ||
+		    ep->unreadable_ms != 0 ||
 		    !endpoint_report_serves(&ep->report, grouped))
 			continue;
 		value = g_bytes_get_data(ep->entry_bytes, &record.length);
--- a/src/dir.h
+++ b/src/dir.h
@@ -15,7 +15,7 @@
 #define DIR_FED_MS 1500
 /* How far an endpoint's clock may be ahead of this daemon's: no clock that is
  * kept at all is a day off. */
-#define DIR_BORN_AHEAD_MS 86400000
+#define DIR_START_AHEAD_MS 86400000
 /* Endpoints whose refused entries are remembered, so that each is said once. */
 #define DIR_REFUSED_MOST 1024
 
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -87,7 +87,7 @@
 		host.warming = host_warming(k, ep->report.id, now_ms);
 		seat = g_hash_table_lookup(seats, ep->report.id);
 		host.group = seat != NULL ? seat->replica : NULL;
-		host.free = seat == NULL && ep->barred_ms == 0 &&
+		host.free = seat == NULL && ep->unreadable_ms == 0 &&
 		    now_ms >= ep->unfit_until_ms;
 		host.soon = seat != NULL &&
 		    seat->member->life < MEMBER_SILENT &&
--- a/src/keeper-stage.c
+++ b/src/keeper-stage.c
@@ -45,7 +45,7 @@
     uint64_t now_ms)
 {
 	if (ep == NULL || ep->gone || ep->draining || ep->lapsed_ms != 0 ||
-	    ep->report.born_ms != stage->born_ms)
+	    ep->report.started_ms != stage->started_ms)
 		return (false);
 	return (now_ms < stage->until_ms &&
 	    !report_staged(&ep->report, stage->model));
@@ -100,7 +100,7 @@
 	const struct endpoint *ep = fleet_find(&k->dir->fleet, host);
 	struct keeper_stage *stage = g_new0(struct keeper_stage, 1);
 
-	stage->born_ms = ep != NULL ? ep->report.born_ms : 0;
+	stage->started_ms = ep != NULL ? ep->report.started_ms : 0;
 	stage->model = g_strdup(m->name);
 	stage->until_ms = now_ms + (uint64_t)(STAGE_FACTOR * m->load_ms);
 	stage->asked_ms = now_ms;
--- a/src/keeper.h
+++ b/src/keeper.h
@@ -23,7 +23,7 @@
 /**
  * struct keeper_stage - a copy of a model being made on a host.
  * @model: the model
- * @born_ms: of the host's incarnation that makes it
+ * @started_ms: of the host's incarnation that makes it
  * @until_ms: when it should be there; counted as lost after that
  * @asked_ms: when the host was last told
  * @asking: an order is on its way
@@ -31,7 +31,7 @@
  */
 struct keeper_stage {
 	char *model;
-	int64_t born_ms;
+	int64_t started_ms;
 	uint64_t until_ms;
 	uint64_t asked_ms;
 	bool asking;
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -104,8 +104,9 @@
 	    r.draining, r.staged->len, r.model != NULL ? r.model : "-",
 	    r.group != NULL ? r.group : "-", (long long)r.epoch, r.rank,
 	    group_state_name(r.state));
-	if (r.born_ms != 0)
-		g_string_append_printf(out, " born=%lld", (long long)r.born_ms);
+	if (r.started_ms != 0)
+		g_string_append_printf(out, " started=%lld",
+		    (long long)r.started_ms);
 	g_string_append_c(out, '\n');
 	endpoint_report_clear(&r);
 }
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -39,8 +39,8 @@
 }
 
 /*
- * entry ID at=MS [state=draining] [domain=D] [head=1] [born=MS] [sequence=N]:
- * a report was read
+ * entry ID at=MS [state=draining] [domain=D] [head=1] [started=MS]
+ * [sequence=N]: a report was read
  */
 static void
 exec_entry(const char *rest, GString *out)
@@ -53,7 +53,7 @@
 	report.service = g_strdup("s");
 	report.domain = script_word(rest, "domain");
 	report.slots = 4;
-	report.born_ms = (int64_t)script_number(rest, "born", 0);
+	report.started_ms = (int64_t)script_number(rest, "started", 0);
 	report.sequence = (int64_t)script_number(rest, "sequence", 0);
 	report.draining = g_strcmp0(state, "draining") == 0;
 	report.staged = g_ptr_array_new_with_free_func(g_free);
@@ -75,13 +75,13 @@
 	    script_number(rest, "away", 0) != 0);
 }
 
-/* bar ID at=MS: an entry that can't be read was found in its place */
+/* unreadable ID at=MS: an entry that can't be read was found in its place */
 static void
-exec_bar(const char *rest, GString *out)
+exec_unreadable(const char *rest, GString *out)
 {
 	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
 
-	fleet_bar(&fleet, id, script_number(rest, "at", 0));
+	fleet_unreadable(&fleet, id, ++offset, script_number(rest, "at", 0));
 }
 
 /* hold ID or drop N: an exchange begins at an endpoint; one ends at the Nth */
@@ -341,7 +341,7 @@
 static const struct script_command commands[] = {
 	{ "entry", exec_entry },
 	{ "lapse", exec_lapse },
-	{ "bar", exec_bar },
+	{ "unreadable", exec_unreadable },
 	{ "hold", exec_hold },
 	{ "drop", exec_drop },
 	{ "sweep", exec_sweep },
--- a/tests/test-fuzz.c
+++ b/tests/test-fuzz.c
@@ -161,7 +161,7 @@
 		if (platform_endpoint_decode("e1", text->str, text->len, &r,
 			&error)) {
 			CU_ASSERT(r.service[0] != '\0' && r.domain[0] != '\0');
-			CU_ASSERT(r.sequence >= 0 && r.born_ms >= 0);
+			CU_ASSERT(r.sequence >= 0 && r.started_ms >= 0);
 			CU_ASSERT(r.group == NULL || r.state != GROUP_NONE);
 		} else {
 			CU_ASSERT(error != NULL && r.id == NULL);
