Ask once whether the own relay is heard; count requests once a look

Ruled out: a change of behaviour: at the same time a count weighs nothing in its mean, and equal times of start were the same incarnation on either branch. Conclusion: no behaviour changed.

--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -149,15 +149,12 @@
 endpoint_incarnation(const struct endpoint_report *known,
     const struct endpoint_report *next)
 {
-	if (known->started_ms != 0 && next->started_ms != 0) {
-		if (known->started_ms == next->started_ms)
-			return (INCARNATION_SAME);
+	if (known->started_ms == next->started_ms)
+		return (INCARNATION_SAME);
+	if (known->started_ms != 0 && next->started_ms != 0)
 		return (known->started_ms < next->started_ms ?
 			INCARNATION_NEWER :
 			INCARNATION_OLDER);
-	}
-	if (known->started_ms == next->started_ms)
-		return (INCARNATION_SAME);
 	return (next->sequence < known->sequence ? INCARNATION_NEWER :
 						   INCARNATION_SAME);
 }
--- a/src/edge.c
+++ b/src/edge.c
@@ -228,7 +228,7 @@
 		part_ms(set->apply_ms, CONFIG_MOST)),
 	    mesh_patience_ms(mesh, part_ms(set->drain_ms, ENDPOINT_LEAST),
 		part_ms(set->drain_ms, ENDPOINT_MOST)),
-	    mesh->relay != NULL && mesh_peer_relays(mesh, mesh->relay));
+	    mesh_led(mesh));
 }
 
 /* One line now and then with what was counted, for those with logs only. */
@@ -276,7 +276,6 @@
 	struct edge *e = timer->data;
 	const struct mesh *mesh = &e->mesh;
 	uint64_t since = uv_now(e->loop) - mesh->opened_ms;
-	bool led = mesh->relay != NULL && mesh_peer_relays(mesh, mesh->relay);
 	/* Where nobody else is known, others may be about to announce. */
 	bool own = mesh->known_ms != 0 && mesh->relay == NULL &&
 	    (mesh->n_peers > 0 || e->announced);
@@ -293,7 +292,7 @@
 		dir_follow_release(&e->dir.config);
 		own = own || mesh->n_peers < HOLD_DAEMONS_MOST;
 	}
-	if (own || since >= (led ? HOLD_LED_MS : HOLD_MS))
+	if (own || since >= (mesh_led(mesh) ? HOLD_LED_MS : HOLD_MS))
 		dir_release(&e->dir);
 }
 
--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -307,8 +307,11 @@
 
 	if (!k->served)
 		return;
-	demand_count(k, service, view, running);
-	form_demand_note(d, view, running, now_ms);
+	/* A look makes many views, and counts the requests once. */
+	if (d->noted_ms != now_ms) {
+		demand_count(k, service, view, running);
+		form_demand_note(d, view, running, now_ms);
+	}
 	form_demand_apply(d, view, now_ms);
 	if (d->most == most)
 		return;
--- a/src/mesh-peers.c
+++ b/src/mesh-peers.c
@@ -231,6 +231,16 @@
 	    within(mesh, peer->reported_ms, HINT_MS));
 }
 
+/**
+ * mesh_led() - whether this daemon hears the relay that it reports to.
+ * @mesh: the mesh
+ */
+bool
+mesh_led(const struct mesh *mesh)
+{
+	return (mesh->relay != NULL && mesh_peer_relays(mesh, mesh->relay));
+}
+
 /**
  * mesh_living() - how many other daemons live.
  * @mesh: the mesh
@@ -241,7 +251,7 @@
 	const struct mesh_peer *peer;
 	unsigned n = 0;
 
-	if (mesh->relay != NULL && mesh_peer_relays(mesh, mesh->relay))
+	if (mesh_led(mesh))
 		return (MAX(mesh->relay->living, 1) - 1);
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
 		if (mesh_peer_reports(mesh, peer))
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -256,6 +256,7 @@
 void mesh_peer_relayed(const struct mesh *, struct mesh_peer *);
 bool mesh_peer_reports(const struct mesh *, const struct mesh_peer *);
 bool mesh_peer_hinted(const struct mesh *, const struct mesh_peer *);
+bool mesh_led(const struct mesh *);
 unsigned mesh_living(const struct mesh *);
 bool mesh_serving(const struct mesh *);
 
