Log and count what endpoints say of themselves when they turn a request away

Cause of this change: the logs named no endpoint that refused, nor what it said, so a rest that nobody hears can't be told from one that is heard and passed over.

Change: the adapter decodes the leaving header and the rest that a 503 asks for; a line for each request that was not run with what the choice knew at its sending, one for each rest that is asked, one and a counter for each send within a rest. Nothing is decided by it yet; the choice doesn't look at it. test-adapter has the formats, bad ones too.

--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -3,6 +3,7 @@
 #define BL_DIR_FLEET_H
 
 #include "dir-catalog.h"
+#include "dir-rest.h"
 #include "fwd-backlog.h"
 #include "net-client.h"
 
@@ -97,7 +98,8 @@
  * @memory: model of its last group since its start, or NULL; it joins one of
  *	that model in a fraction of a second, also after it has left
  * @failures: failures in a row
- * @rest_until_ms: no work before then
+ * @rest: the rest that it asked this daemon for
+ * @rest_until_ms: no work before then; a guess of this daemon or another
  * @unfit_until_ms: not to be placed before then; it did not answer
  * @out_epoch: it serves in no group up to this epoch, and can't come back into
  *	one, whatever its entry still says
@@ -132,6 +134,7 @@
 	double cell_pending;
 	char *memory;
 	unsigned failures;
+	struct endpoint_rest rest;
 	uint64_t rest_until_ms;
 	uint64_t unfit_until_ms;
 	int64_t out_epoch;
--- /dev/null
+++ b/src/dir-rest.h
@@ -0,0 +1,19 @@
+/* The rest that an endpoint asks this daemon for. Pure. */
+#ifndef BL_DIR_REST_H
+#define BL_DIR_REST_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * struct endpoint_rest - what one incarnation of an endpoint asked for.
+ * @until_ms: loop time at which its rest ends; 0 where it asked for none
+ */
+struct endpoint_rest {
+	uint64_t until_ms;
+};
+
+uint64_t endpoint_rest_ask(struct endpoint_rest *, double, uint64_t);
+bool endpoint_rest_holds(const struct endpoint_rest *, uint64_t);
+
+#endif
--- a/src/fwd-answer.c
+++ b/src/fwd-answer.c
@@ -85,6 +85,7 @@
 	ex->status = status;
 	ex->proof = answer.proof;
 	ex->not_run = answer.not_run;
+	fwd_heard(ex, &answer);
 	if (answer.wrong_endpoint)
 		fleet_gone(ex->endpoint);
 	if (answer.not_run && answer.at_fault != NULL)
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -47,6 +47,8 @@
 
 	ex->endpoint = ep;
 	ex->running_at_send = ep->inflight + ep->peer_inflight;
+	ex->usable_at_send = choice->usable;
+	ex->known_at_send = choice->known;
 	ep->refs++;
 	ex->reading = ex->model != NULL;
 	if (ex->reading)
@@ -108,6 +110,7 @@
 	ex->sends++;
 	ex->sent_ms = uv_now(fwd->loop);
 	ex->heard_ms = ex->sent_ms;
+	fwd_heard_send(ex);
 	ex->client =
 	    net_pool_take(&ex->endpoint->pool, idle, &fwd_answer_ops, ex);
 	if (ex->client == NULL) {
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -48,6 +48,8 @@
  * @expected_ms: when its first event was expected, from then
  * @extra_ms: part of that which was learned of the model
  * @running_at_send: requests that the endpoint had then
+ * @usable_at_send: endpoints that could have had it then
+ * @known_at_send: endpoints of the kind that it needs
  * @reading_at_send: prompt tokens that it had not read then
  * @mark: the place of this prompt among all sent there
  * @sends: times it was sent
@@ -95,6 +97,8 @@
 	double expected_ms;
 	double extra_ms;
 	unsigned running_at_send;
+	unsigned usable_at_send;
+	unsigned known_at_send;
 	double reading_at_send;
 	double mark;
 	unsigned sends;
@@ -146,6 +150,10 @@
 /* fwd-answer.c: what an endpoint's answer does to an exchange. */
 extern const struct net_client_ops fwd_answer_ops;
 
+/* fwd-heard.c: what an endpoint says of itself. */
+void fwd_heard(struct fwd_exchange *, const struct wire_answer *);
+void fwd_heard_send(struct fwd_exchange *);
+
 /* How long a silent endpoint rests: the platform reports it broken by then. */
 #define REST_SILENT_MS 5000
 
--- /dev/null
+++ b/src/fwd-heard.c
@@ -0,0 +1,71 @@
+/* What an endpoint says of itself in an answer: that it rests or leaves. */
+#include <math.h>
+
+#include "event-log.h"
+#include "fwd-exchange.h"
+
+/* The endpoint wants nothing from this daemon for a while. */
+static void
+heard_rest(struct fwd_exchange *ex, const struct wire_answer *answer)
+{
+	struct endpoint *ep = ex->endpoint;
+	uint64_t ms;
+
+	/* The rest runs from now; the loop's time is from before this round. */
+	uv_update_time(ex->fwd->loop);
+	ms = endpoint_rest_ask(&ep->rest, answer->rest_ms,
+	    uv_now(ex->fwd->loop));
+	fwd_stats_count(&ex->fwd->stats, COUNT_RESTS);
+	event_log(LOG_NOTICE, "endpoint_asks_rest",
+	    "endpoint=%s started_ms=%lld asked=\"%.40s\" read=%s ms=%llu "
+	    "left_ms=%llu inflight=%u id=%s",
+	    ep->report.id, (long long)ep->report.started_ms, answer->rest,
+	    isnan(answer->rest_ms) ? "no" : "yes", (unsigned long long)ms,
+	    (unsigned long long)(ep->rest.until_ms - uv_now(ex->fwd->loop)),
+	    ep->inflight, ex->id);
+}
+
+/**
+ * fwd_heard() - take in what an endpoint says of itself.
+ * @ex: the exchange that it answers
+ * @answer: the head of its answer; another incarnation's says nothing of it
+ */
+void
+fwd_heard(struct fwd_exchange *ex, const struct wire_answer *answer)
+{
+	if (answer->not_run)
+		event_log(LOG_INFO, "request_not_run",
+		    "id=%s endpoint=%s status=%u rest=\"%.40s\" leaving=%d "
+		    "expected_ms=%.0f running=%u usable=%u known=%u sends=%u "
+		    "age_ms=%llu",
+		    ex->id, ex->endpoint->report.id, ex->status,
+		    answer->rest != NULL ? answer->rest : "-", answer->leaving,
+		    ex->expected_ms, ex->running_at_send, ex->usable_at_send,
+		    ex->known_at_send, ex->sends,
+		    (unsigned long long)(uv_now(ex->fwd->loop) - ex->sent_ms));
+	if (answer->wrong_endpoint)
+		return;
+	if (answer->rest != NULL)
+		heard_rest(ex, answer);
+}
+
+/**
+ * fwd_heard_send() - a request goes to an endpoint.
+ * @ex: the exchange, with its endpoint
+ */
+void
+fwd_heard_send(struct fwd_exchange *ex)
+{
+	const struct endpoint *ep = ex->endpoint;
+	uint64_t now = uv_now(ex->fwd->loop);
+
+	if (!endpoint_rest_holds(&ep->rest, now))
+		return;
+	fwd_stats_count(&ex->fwd->stats, COUNT_SENT_IN_REST);
+	event_log(LOG_WARNING, "sent_in_rest",
+	    "id=%s endpoint=%s left_ms=%llu sends=%u usable=%u known=%u "
+	    "expected_ms=%.0f",
+	    ex->id, ep->report.id,
+	    (unsigned long long)(ep->rest.until_ms - now), ex->sends,
+	    ex->usable_at_send, ex->known_at_send, ex->expected_ms);
+}
--- a/src/fwd-wire.h
+++ b/src/fwd-wire.h
@@ -49,6 +49,9 @@
  * @not_run: the endpoint says that it did not run the request
  * @wrong_endpoint: another incarnation than the one meant has the address
  * @at_fault: the endpoint that the work depended on, or NULL
+ * @leaving: the endpoint says that it leaves
+ * @rest: the rest that it asks for as it stands in the head, or NULL
+ * @rest_ms: the same as a duration; NAN where it is none
  */
 struct wire_answer {
 	const char *id;
@@ -56,6 +59,9 @@
 	bool not_run;
 	bool wrong_endpoint;
 	const char *at_fault;
+	bool leaving;
+	const char *rest;
+	double rest_ms;
 };
 
 /**
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -1,5 +1,6 @@
 /* Contract tests of the adapter's formats: what the platform sends. */
 #include <jansson.h>
+#include <math.h>
 #include <string.h>
 
 #include "mesh-news.h"
@@ -166,10 +167,17 @@
 	head_fill(&head, at + 1);
 	platform_wire.read_answer(status, &head, &answer);
 	g_string_append_printf(out,
-	    "id=%s proof=%d not_run=%d wrong_endpoint=%d at_fault=%s\n",
+	    "id=%s proof=%d not_run=%d wrong_endpoint=%d at_fault=%s",
 	    answer.id != NULL ? answer.id : "-", answer.proof, answer.not_run,
 	    answer.wrong_endpoint,
 	    answer.at_fault != NULL ? answer.at_fault : "-");
+	if (answer.leaving)
+		g_string_append(out, " leaving=1");
+	if (answer.rest != NULL && isnan(answer.rest_ms))
+		g_string_append_printf(out, " rest=?(%s)", answer.rest);
+	else if (answer.rest != NULL)
+		g_string_append_printf(out, " rest=%.0f ms", answer.rest_ms);
+	g_string_append_c(out, '\n');
 	net_head_clear(&head);
 }
 
