Requests sent into a rest that endpoints asked for: a test that fails, with a judge

Symptom: an endpoint that turns requests away and asks for rest, or says that it leaves, goes on getting requests.

The stand-in for the platform can ask for rest and say that it leaves, and judges what it gets all the same, by caller: more than two requests from half a second after its answer to the end of the rest, any request a second after it said that it leaves. Before, no test could see the fault.

--- a/tests/fake-platform.h
+++ b/tests/fake-platform.h
@@ -81,4 +81,10 @@
 void group_order(struct conn *);
 void group_beat(struct point *);
 
+/* fake-rest.c: endpoints that rest or leave, and what they get all the same. */
+void rest_judge(const struct conn *);
+bool rest_refuse(struct conn *);
+const char *rest_leaving(const struct conn *);
+void rest_excuse(const char *);
+
 #endif
--- a/tests/fake-points.c
+++ b/tests/fake-points.c
@@ -86,9 +86,9 @@
 	const char *last = net_head_find(&c->head, "last-event-id");
 	g_autofree char *head = g_strdup_printf(
 	    "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\n"
-	    "Content-Type: text/event-stream\r\n"
+	    "%sContent-Type: text/event-stream\r\n"
 	    "Transfer-Encoding: chunked\r\n\r\n",
-	    c->id, c->point->id);
+	    c->id, c->point->id, rest_leaving(c));
 
 	c->streams = true;
 	c->event = last != NULL ? atoi(last) + 1 : 0;
@@ -99,11 +99,11 @@
 static void
 point_answer(struct conn *c)
 {
-	g_autofree char *headers =
-	    g_strdup_printf("Attempt-Id: %s\r\n%s%s%sKeep-Alive: timeout=5\r\n",
-		c->id, get_switch("noproof") ? "" : "Server-Signature: ",
-		get_switch("noproof") ? "" : c->point->id,
-		get_switch("noproof") ? "" : "\r\n");
+	g_autofree char *headers = g_strdup_printf(
+	    "Attempt-Id: %s\r\n%s%s%s%sKeep-Alive: timeout=5\r\n", c->id,
+	    get_switch("noproof") ? "" : "Server-Signature: ",
+	    get_switch("noproof") ? "" : c->point->id,
+	    get_switch("noproof") ? "" : "\r\n", rest_leaving(c));
 	static const char text[] = "whole answer";
 
 	if (take_switch("stray"))
@@ -161,6 +161,9 @@
 	}
 	g_free(c->id);
 	c->id = g_strdup(id != NULL ? id : "-");
+	rest_judge(c);
+	if (rest_refuse(c))
+		return;
 	if ((p->engine && strcmp(p->state, "open") != 0) ||
 	    take_switch("full")) {
 		conn_reply(c, 503, "Not-Executed: 1\r\n", "", 0);
