Nothing is sent to an endpoint within a rest that it asked for

What callers saw: with half of the replicas turning requests away, six of ten requests to models were refused, though the other replicas had places.

Cause: the rest that an endpoint asks for was not read, and an answer that was not run changed nothing that the choice looks at. The endpoint that refuses has no work and is expected to answer first, so request after request chose it. Ruled out: a rest that is known and passed over by repeats or waiting requests (99 of 99 sends to a replica were first choices with both replicas usable); full replicas elsewhere (6 of 26 places).

Change: the rest is kept with the incarnation that asked for it, apart from the rests that we guess, so that no last resort cuts it short; a longer one extends it. All paths choose by it: first sends, repeats, moved and resumed streams, requests that wait. What waits for a connection to such an endpoint is moved. Durations are bounded by a setting; ones that can't be read are short, with a log line that shows them.

Why it holds: there is one choice for all sends, and the rest is judged there, by the same clock as the sends.

--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -412,6 +412,10 @@
 		struct endpoint *next = TAILQ_NEXT(ep, entry);
 
 		net_pool_expire(&ep->pool);
+		if (endpoint_rest_ended(&ep->rest, now_ms))
+			event_log(LOG_INFO, "endpoint_rest_over",
+			    "endpoint=%s inflight=%u", ep->report.id,
+			    ep->inflight);
 		if (ep->unreadable_ms != 0 &&
 		    now_ms - ep->unreadable_ms >= UNREADABLE_MOST_MS)
 			fleet_lapse(fleet, ep->report.id, now_ms, false);
@@ -425,6 +429,20 @@
 	}
 }
 
+/**
+ * endpoint_open() - whether an endpoint takes new work by its own word.
+ * @ep: the endpoint
+ * @now_ms: loop time
+ *
+ * Where it does not, nothing is sent, also as a last resort.
+ */
+bool
+endpoint_open(const struct endpoint *ep, uint64_t now_ms)
+{
+	return (!ep->gone && !ep->draining && ep->unreadable_ms == 0 &&
+	    !endpoint_rest_holds(&ep->rest, now_ms));
+}
+
 /**
  * endpoint_usable() - whether new work may go to an endpoint.
  * @ep: the endpoint
@@ -433,6 +451,5 @@
 bool
 endpoint_usable(const struct endpoint *ep, uint64_t now_ms)
 {
-	return (!ep->gone && !ep->draining && ep->unreadable_ms == 0 &&
-	    now_ms >= ep->rest_until_ms);
+	return (endpoint_open(ep, now_ms) && now_ms >= ep->rest_until_ms);
 }
--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -183,6 +183,7 @@
 void fleet_gone(struct endpoint *);
 void fleet_sweep(struct fleet *, uint64_t, bool);
 void endpoint_keep(struct endpoint *, bool, const void *, size_t);
+bool endpoint_open(const struct endpoint *, uint64_t);
 bool endpoint_usable(const struct endpoint *, uint64_t);
 
 #endif
--- a/src/dir-rest.c
+++ b/src/dir-rest.c
@@ -1,34 +1,48 @@
-/* The rest that an endpoint asks this daemon for. Pure. */
+/*
+ * The rest that an endpoint asks this daemon for. Pure.
+ *
+ * It is the endpoint's word, not a guess: nothing is sent there before it is
+ * over, also where no other endpoint is left.
+ */
 #include <math.h>
 
 #include "dir-rest.h"
 
-/* Of an endpoint that asks for rest and gives no duration that can be read:
- * about what endpoints were seen to ask for. */
+/* Of an endpoint that asks for rest and gives no duration that can be read: a
+ * third of what endpoints were seen to ask for, so that one that can't be
+ * understood is not lost for long. */
 #define REST_UNREADABLE_MS 1000
-/* No endpoint is left alone for longer on its word. */
-#define REST_MOST_MS 300000
+
+/**
+ * endpoint_rest_read() - the duration of a rest that was asked for.
+ * @asked_ms: what was read, in ms; NAN where that was no duration
+ * @most_ms: an endpoint is left alone for no longer on its word
+ *
+ * Return: ms.
+ */
+uint64_t
+endpoint_rest_read(double asked_ms, uint64_t most_ms)
+{
+	if (isnan(asked_ms))
+		return (REST_UNREADABLE_MS);
+	return ((uint64_t)fmin(fmax(ceil(asked_ms), 0), (double)most_ms));
+}
 
 /**
  * endpoint_rest_ask() - an endpoint asks for rest.
  * @rest: what it asked for before
- * @ms: how long, from now on; NAN where that can't be read
+ * @ms: how long, from now on
  * @now_ms: loop time
  *
  * A shorter rest does not end a longer one that it asked for before.
- *
- * Return: the duration that it gets, in ms.
  */
-uint64_t
-endpoint_rest_ask(struct endpoint_rest *rest, double ms, uint64_t now_ms)
+void
+endpoint_rest_ask(struct endpoint_rest *rest, uint64_t ms, uint64_t now_ms)
 {
-	uint64_t granted = REST_UNREADABLE_MS;
-
-	if (!isnan(ms))
-		granted = (uint64_t)fmin(fmax(ceil(ms), 0), REST_MOST_MS);
-	if (now_ms + granted > rest->until_ms)
-		rest->until_ms = now_ms + granted;
-	return (granted);
+	if (now_ms + ms <= rest->until_ms || ms == 0)
+		return;
+	rest->until_ms = now_ms + ms;
+	rest->announced = true;
 }
 
 /**
@@ -41,3 +55,18 @@
 {
 	return (now_ms < rest->until_ms);
 }
+
+/**
+ * endpoint_rest_ended() - whether a rest has ended since this was last asked.
+ * @rest: what it asked for
+ * @now_ms: loop time
+ */
+bool
+endpoint_rest_ended(struct endpoint_rest *rest, uint64_t now_ms)
+{
+	bool ended = rest->announced && !endpoint_rest_holds(rest, now_ms);
+
+	if (ended)
+		rest->announced = false;
+	return (ended);
+}
--- a/src/dir-rest.h
+++ b/src/dir-rest.h
@@ -8,12 +8,16 @@
 /**
  * struct endpoint_rest - what one incarnation of an endpoint asked for.
  * @until_ms: loop time at which its rest ends; 0 where it asked for none
+ * @announced: the end of this rest is yet to be logged
  */
 struct endpoint_rest {
 	uint64_t until_ms;
+	bool announced;
 };
 
-uint64_t endpoint_rest_ask(struct endpoint_rest *, double, uint64_t);
+uint64_t endpoint_rest_read(double, uint64_t);
+void endpoint_rest_ask(struct endpoint_rest *, uint64_t, uint64_t);
 bool endpoint_rest_holds(const struct endpoint_rest *, uint64_t);
+bool endpoint_rest_ended(struct endpoint_rest *, uint64_t);
 
 #endif
--- a/src/edge-setting.h
+++ b/src/edge-setting.h
@@ -23,6 +23,7 @@
 	int64_t apply_ms;
 	int64_t drain_ms;
 	double grace_s;
+	int64_t rest_most_ms;
 	int64_t stall_ms;
 	double retry_ratio;
 	double retry_window_s;
--- a/src/edge.c
+++ b/src/edge.c
@@ -90,6 +90,7 @@
 	set->key_proof_ms = (uint64_t)MAX(e->set.key_proof_ms - KEY_MARGIN_MS,
 	    e->set.key_proof_ms / 2);
 	set->keys_fail_closed = e->set.keys_fail_closed;
+	set->rest_most_ms = (uint64_t)e->set.rest_most_ms;
 	set->deny_proof_ms = (uint64_t)e->set.apply_ms;
 	e->keeper.stall_ms = (uint64_t)e->set.stall_ms;
 	set->retry.ratio = e->set.retry_ratio;
@@ -120,6 +121,7 @@
 	e->set.apply_ms = next.apply_ms;
 	e->set.drain_ms = next.drain_ms;
 	e->set.grace_s = next.grace_s;
+	e->set.rest_most_ms = next.rest_most_ms;
 	e->set.stall_ms = next.stall_ms;
 	e->set.retry_ratio = next.retry_ratio;
 	e->set.retry_window_s = next.retry_window_s;
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -100,15 +100,25 @@
 	RESORT_RESTING,
 };
 
+/* A rest that we guessed may be cut short; one that was asked for may not. */
+static bool
+resort_takes(const struct endpoint *ep, uint64_t now_ms,
+    enum last_resort resort)
+{
+	if (resort == RESORT_RESTING)
+		return (endpoint_open(ep, now_ms));
+	return (endpoint_usable(ep, now_ms));
+}
+
 /*
  * Collects the endpoints with a free place that have not failed the request
- * yet; as a last resort also those that did, or all that rest.
+ * yet; as a last resort also those that did, or all that are taken to need
+ * rest without having asked for it.
  */
 static void
 collect(const struct fleet *fleet, const struct fwd_want *want,
     enum last_resort resort, GPtrArray *found, struct fwd_choice *choice)
 {
-	uint64_t now = resort == RESORT_RESTING ? UINT64_MAX : want->now_ms;
 	struct endpoint *ep;
 
 	choice->known = 0;
@@ -119,7 +129,7 @@
 		if (!endpoint_fits(ep, want) || ep->gone)
 			continue;
 		choice->known++;
-		if (!endpoint_usable(ep, now) ||
+		if (!resort_takes(ep, want->now_ms, resort) ||
 		    want_tried(want, ep, resort == RESORT_TRIED))
 			continue;
 		choice->usable++;
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -380,6 +380,22 @@
 	fwd_exchange_again(ex, reason);
 }
 
+/* Looks at a request whose endpoint has no connection for it yet. */
+static void
+exchange_connecting(struct fwd_exchange *ex, uint64_t now_ms)
+{
+	/* It asked another request for rest, or said there that it leaves. */
+	if (!endpoint_open(ex->endpoint, now_ms)) {
+		fwd_exchange_move(ex, false, "endpoint_closed");
+		return;
+	}
+	if (now_ms - ex->sent_ms <= CONNECT_MS ||
+	    now_ms < ex->fwd->blind_until_ms)
+		return;
+	ex->endpoint->rest_until_ms = now_ms + REST_SILENT_MS;
+	fwd_exchange_move(ex, false, "no_connection_in_time");
+}
+
 /**
  * fwd_exchange_tick() - look at the times of an exchange.
  * @ex: the exchange
@@ -399,13 +415,8 @@
 	}
 	if (ex->client == NULL)
 		return;
-	if (!ex->client->connected) {
-		if (now_ms - ex->sent_ms > CONNECT_MS &&
-		    now_ms >= ex->fwd->blind_until_ms) {
-			ex->endpoint->rest_until_ms = now_ms + REST_SILENT_MS;
-			fwd_exchange_move(ex, false, "no_connection_in_time");
-		}
-		return;
-	}
-	fwd_silence_look(ex, now_ms);
+	if (ex->client->connected)
+		fwd_silence_look(ex, now_ms);
+	else
+		exchange_connecting(ex, now_ms);
 }
--- a/src/fwd-heard.c
+++ b/src/fwd-heard.c
@@ -9,19 +9,20 @@
 heard_rest(struct fwd_exchange *ex, const struct wire_answer *answer)
 {
 	struct endpoint *ep = ex->endpoint;
-	uint64_t ms;
+	uint64_t ms =
+	    endpoint_rest_read(answer->rest_ms, ex->fwd->set.rest_most_ms);
 
 	/* The rest runs from now; the loop's time is from before this round. */
 	uv_update_time(ex->fwd->loop);
-	ms = endpoint_rest_ask(&ep->rest, answer->rest_ms,
-	    uv_now(ex->fwd->loop));
+	endpoint_rest_ask(&ep->rest, ms, uv_now(ex->fwd->loop));
 	fwd_stats_count(&ex->fwd->stats, COUNT_RESTS);
 	event_log(LOG_NOTICE, "endpoint_asks_rest",
 	    "endpoint=%s started_ms=%lld asked=\"%.40s\" read=%s ms=%llu "
 	    "left_ms=%llu inflight=%u id=%s",
 	    ep->report.id, (long long)ep->report.started_ms, answer->rest,
 	    isnan(answer->rest_ms) ? "no" : "yes", (unsigned long long)ms,
-	    (unsigned long long)(ep->rest.until_ms - uv_now(ex->fwd->loop)),
+	    (unsigned long long)(MAX(ep->rest.until_ms, uv_now(ex->fwd->loop)) -
+		uv_now(ex->fwd->loop)),
 	    ep->inflight, ex->id);
 }
 
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -22,6 +22,7 @@
  *	count as the newest configuration at hand has them
  * @deny_proof_ms: a request is told that its route or key is unknown only
  *	while the configuration is this fresh; otherwise to come back
+ * @rest_most_ms: an endpoint that asks for rest is left alone for no longer
  * @retry: bound on repeats over all daemons
  */
 struct fwd_setting {
@@ -29,6 +30,7 @@
 	uint64_t key_proof_ms;
 	bool keys_fail_closed;
 	uint64_t deny_proof_ms;
+	uint64_t rest_most_ms;
 	struct fwd_budget_rule retry;
 };
 
--- a/tests/proc-edge-rest.sh
+++ b/tests/proc-edge-rest.sh
@@ -2,7 +2,14 @@
 # from the daemon that asked. It went on sending to them: nine of 18 replicas got
 # 9 to 19 requests a second for nine seconds and ran none, while the others, with
 # six of 26 places taken, got half of what they had served before, and six of ten
-# callers of the models were refused.
+# callers of the models were refused. The answer's word on rest was not read, and
+# an answer that was not run left no trace: the endpoint that refused had no work,
+# so it was expected to answer first, and request after request chose it:
+#
+#   request_not_run endpoint=e4 status=503 rest="3.000" running=0 usable=2 known=2
+#   sent_in_rest endpoint=e4 left_ms=2956 sends=1 usable=2 known=2 expected_ms=12
+#
+# All 99 sends into the rest of a replica were the first choice of a new request.
 . tests/lib-edge.sh
 
 E=127.$NET.1
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -155,6 +155,21 @@
 	ep->slowness = (double)script_number(rest, "slow", 100) / 100;
 }
 
+/* rest ID asked=MS at=MS: an endpoint asks this daemon for rest */
+static void
+exec_rest(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *asked = script_word(rest, "asked");
+	struct endpoint *ep = fleet_find(&fleet, id);
+	uint64_t ms = endpoint_rest_read(g_ascii_strtod(asked, NULL),
+	    script_number(rest, "most", 300000));
+
+	endpoint_rest_ask(&ep->rest, ms, script_number(rest, "at", 0));
+	g_string_append_printf(out, "until %llu\n",
+	    (unsigned long long)ep->rest.until_ms);
+}
+
 /* The work of a prompt for the engine. */
 static struct fwd_work
 work_of(const char *rest)
@@ -354,6 +369,7 @@
 	{ "learn", exec_learn },
 	{ "expect", exec_expect },
 	{ "load", exec_load },
+	{ "rest", exec_rest },
 	{ "choose", exec_choose },
 	{ "admit", exec_admit },
 	{ NULL, NULL },
