Wait until the group was opened again before the placer is ended

proc-edge-path.sh failed once: a group was opened after the change of the placer. Traced by its kept logs: the host made dark was the head of its group (which host is head is drawn). Its returning entry said that it serves for 50 ms, until the placer had closed it; the test took that for the group being back and ended the placer in between. The check is stricter now: a third group must have been opened.

--- a/tests/proc-edge-path.sh
+++ b/tests/proc-edge-path.sh
@@ -134,7 +134,10 @@
 check_true "one group less" until_true 15 groups_open 1 1
 check "streams go on" "0 1 2 3 4 5 6 7 " "$(ask 1 /write/x -d p | event_ids)"
 control "dark-127.$NET.1.2" 0
-check_true "it is back" until_true 25 groups_open 1 2
+# The entry of a head that was away says that it serves until it is closed: the
+# group is back when one was opened again.
+check_true "it is back" until_true 25 eval \
+    '[ "$(journal | grep -c " open 202")" -ge 3 ] && groups_open 1 2'
 
 # The placer dies; another takes over and keeps the groups.
 placer=1
