What an endpoint said of itself outlives its entry in the store

What callers saw: nothing yet; found by reading for the same cause elsewhere.

Cause: an endpoint whose entry lapses is freed after a quarter of a second, with its rest and its leaving. Where only its way to the store was cut, the same incarnation is back with its next entry and would be sent requests within the rest, or after it said that it leaves.

Change: an endpoint that rests, or that left within the last 120 s, is kept (gone, unused) until that is over, unless another incarnation has taken its id.

--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -9,6 +9,10 @@
  * beats of the endpoint would have replaced it. */
 #define UNREADABLE_MOST_MS 3600
 
+/* A leaving endpoint whose entry is gone is known to leave for so long: it has
+ * ended by then, and 500 of them a day hold no more than a few at a time. */
+#define LEAVING_KEPT_MS 120000
+
 static const char *const state_names[] = { "none", "joining", "ready", "open",
 	"closing", "broken" };
 
@@ -397,6 +401,20 @@
 	    ep->report.id, ep->inflight);
 }
 
+/*
+ * Whether what an endpoint said of itself must outlive its entry: that may come
+ * back while the incarnation lives on, which still wants rest or is leaving.
+ */
+static bool
+fleet_remembers(const struct fleet *fleet, const struct endpoint *ep,
+    uint64_t now_ms)
+{
+	if (fleet_find(fleet, ep->report.id) != ep)
+		return (false);
+	return (endpoint_rest_holds(&ep->rest, now_ms) ||
+	    (ep->draining && now_ms - ep->lapsed_ms < LEAVING_KEPT_MS));
+}
+
 /**
  * fleet_sweep() - take lapsed endpoints for gone, free those nobody holds.
  * @fleet: the fleet
@@ -423,7 +441,7 @@
 		    (take || !ep->may_return))
 			fleet_gone(ep);
 		if (ep->gone && ep->lapsed_ms != 0 && ep->refs == 0 &&
-		    ep->pool.open == 0)
+		    ep->pool.open == 0 && !fleet_remembers(fleet, ep, now_ms))
 			endpoint_free(fleet, ep);
 		ep = next;
 	}
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -170,6 +170,15 @@
 	    (unsigned long long)ep->rest.until_ms);
 }
 
+/* leave ID: an endpoint says in an answer that it leaves */
+static void
+exec_leave(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+
+	fleet_find(&fleet, id)->draining = true;
+}
+
 /* The work of a prompt for the engine. */
 static struct fwd_work
 work_of(const char *rest)
@@ -370,6 +379,7 @@
 	{ "expect", exec_expect },
 	{ "load", exec_load },
 	{ "rest", exec_rest },
+	{ "leave", exec_leave },
 	{ "choose", exec_choose },
 	{ "admit", exec_admit },
 	{ NULL, NULL },
