After its rest an endpoint gets one request first, then twice as many with each answer

Cause: when a rest ends, all that waits or arrives meets an endpoint without work, which looks best to each of them. Nothing but its places bounded what went there before the first answer showed whether it takes requests again.

Change: one request without an answer per daemon after a rest; each answer that is no refusal doubles that, and beyond four the bound is lifted. What the endpoint had before the rest goes on and doesn't count. The state is a few pure functions beside the rest.

--- a/src/dir-rest.c
+++ b/src/dir-rest.c
@@ -13,6 +13,13 @@
  * understood is not lost for long. */
 #define REST_UNREADABLE_MS 1000
 
+/* Requests that go to an endpoint after its rest before one was answered. All
+ * daemons that it asked come back, each with so many. */
+#define PROBES_FIRST 1
+/* With so many answers on their way an endpoint is back: a daemon's share of
+ * its places is smaller. */
+#define PROBES_ENOUGH 4
+
 /**
  * endpoint_rest_read() - the duration of a rest that was asked for.
  * @asked_ms: what was read, in ms; NAN where that was no duration
@@ -43,6 +50,7 @@
 		return;
 	rest->until_ms = now_ms + ms;
 	rest->announced = true;
+	rest->probes_most = PROBES_FIRST;
 }
 
 /**
@@ -70,3 +78,45 @@
 		rest->announced = false;
 	return (ended);
 }
+
+/**
+ * endpoint_rest_has_room() - whether one more request may go there after a
+ * rest.
+ * @rest: what it asked for
+ */
+bool
+endpoint_rest_has_room(const struct endpoint_rest *rest)
+{
+	return (rest->probes_most == 0 || rest->probes < rest->probes_most);
+}
+
+/**
+ * endpoint_rest_probe() - a request goes to the endpoint.
+ * @rest: what it asked for
+ *
+ * Return: whether endpoint_rest_probed() is to be told of its answer.
+ */
+bool
+endpoint_rest_probe(struct endpoint_rest *rest)
+{
+	if (rest->probes_most == 0)
+		return (false);
+	rest->probes++;
+	return (true);
+}
+
+/**
+ * endpoint_rest_probed() - a request that went there under the bound is over.
+ * @rest: what it asked for
+ * @taken: the endpoint answered and did not turn it away
+ */
+void
+endpoint_rest_probed(struct endpoint_rest *rest, bool taken)
+{
+	rest->probes--;
+	if (!taken || rest->probes_most == 0)
+		return;
+	rest->probes_most *= 2;
+	if (rest->probes_most > PROBES_ENOUGH)
+		rest->probes_most = 0;
+}
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -135,7 +135,8 @@
 		choice->usable++;
 		choice->taken += fwd_expect_running(ep);
 		choice->nearest = ep;
-		if (fwd_expect_running(ep) < endpoint_places(ep, want))
+		if (fwd_expect_running(ep) < endpoint_places(ep, want) &&
+		    endpoint_rest_has_room(&ep->rest))
 			g_ptr_array_add(found, ep);
 	}
 }
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -44,6 +44,9 @@
 	if (ep == NULL)
 		return;
 	ep->inflight--;
+	if (ex->probe)
+		endpoint_rest_probed(&ep->rest, false);
+	ex->probe = false;
 	if (ex->reading) {
 		fwd_backlog_drop(&ep->backlog, ex->prompt,
 		    uv_now(ex->fwd->loop));
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -50,6 +50,7 @@
 	ex->usable_at_send = choice->usable;
 	ex->known_at_send = choice->known;
 	ep->refs++;
+	ex->probe = endpoint_rest_probe(&ep->rest);
 	ex->reading = ex->model != NULL;
 	if (ex->reading)
 		exchange_note_prompt(ex);
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -68,6 +68,7 @@
  * @first_us: when its first byte was given on; 0 before
  * @heard_ms: loop time of the last byte from the endpoint
  * @reading: counted in the endpoint's prompt tokens
+ * @probe: it shows whether the endpoint takes requests again after a rest
  * @paused: the endpoint's connection is paused for a slow caller
  * @entry: in the engine's list
  * @wait_entry: in the list of those that wait
@@ -117,6 +118,7 @@
 	uint64_t first_us;
 	uint64_t heard_ms;
 	bool reading;
+	bool probe;
 	bool paused;
 	TAILQ_ENTRY(fwd_exchange) entry;
 	TAILQ_ENTRY(fwd_exchange) wait_entry;
--- a/src/fwd-heard.c
+++ b/src/fwd-heard.c
@@ -65,6 +65,10 @@
 		    (unsigned long long)(uv_now(ex->fwd->loop) - ex->sent_ms));
 	if (answer->wrong_endpoint)
 		return;
+	if (ex->probe && !answer->not_run) {
+		endpoint_rest_probed(&ex->endpoint->rest, true);
+		ex->probe = false;
+	}
 	if (answer->leaving)
 		heard_leaving(ex);
 	if (answer->rest != NULL)
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -170,6 +170,26 @@
 	    (unsigned long long)ep->rest.until_ms);
 }
 
+/* probe ID: a request goes to an endpoint that rested */
+static void
+exec_probe(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	bool probe = endpoint_rest_probe(&fleet_find(&fleet, id)->rest);
+
+	g_string_append(out, probe ? "probe\n" : "no probe\n");
+}
+
+/* probed ID taken=0|1: and is over */
+static void
+exec_probed(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+
+	endpoint_rest_probed(&fleet_find(&fleet, id)->rest,
+	    script_number(rest, "taken", 0) != 0);
+}
+
 /* leave ID: an endpoint says in an answer that it leaves */
 static void
 exec_leave(const char *rest, GString *out)
@@ -380,6 +400,8 @@
 	{ "load", exec_load },
 	{ "rest", exec_rest },
 	{ "leave", exec_leave },
+	{ "probe", exec_probe },
+	{ "probed", exec_probed },
 	{ "choose", exec_choose },
 	{ "admit", exec_admit },
 	{ NULL, NULL },
