Where all endpoints rest or leave a request is refused at once

What callers saw: a request that an endpoint had turned away waited until its time was up where nothing else was usable, or was told to come back after 0.4 to 2 s, whatever the endpoints had asked for.

Cause: the decision to wait or refuse didn't know until when nothing would be usable.

Change: where all that could take a request rest or leave by their own word, it is refused at once, unless a rest ends in time for it; one waits for that, since one probe goes out. Refused callers are told the end of the first rest, spread over half of it or 0.2 s. The reason is endpoints_rest or endpoints_leave.

--- a/src/fwd-admission.c
+++ b/src/fwd-admission.c
@@ -39,6 +39,36 @@
 	return (a->waited_ms + from_now_ms <= a->objective_ms);
 }
 
+/* Time until the first rest of an endpoint of the kind ends. */
+static double
+opens_ms(const struct admission *a)
+{
+	const struct endpoint *ep = a->choice->opens;
+
+	if (ep == NULL)
+		return (INFINITY);
+	return ((double)(ep->rest.until_ms -
+	    MIN(a->want->now_ms, ep->rest.until_ms)));
+}
+
+/*
+ * What becomes of a request whose endpoints all rest or leave. After a rest one
+ * request goes to the endpoint first, so no more than one waits for its end.
+ */
+static enum admission_verdict
+decide_closed(const struct admission *a)
+{
+	double opens = opens_ms(a);
+	bool waits;
+
+	if (a->begun)
+		waits = a->choice->opens == NULL || opens < a->left_ms;
+	else
+		waits = a->ahead < 1 &&
+		    in_time(a, opens + (a->returned ? 0 : a->first_ms));
+	return (waits ? ADMIT_WAIT : ADMIT_REFUSE);
+}
+
 /**
  * admission_decide() - decide about a request that has no endpoint.
  * @a: the request
@@ -55,6 +85,8 @@
 			return (ADMIT_SEND);
 		return (ADMIT_REFUSE);
 	}
+	if (fwd_choice_all_closed(choice))
+		return (decide_closed(a));
 	/* What was begun goes on as long as there is time. */
 	if (a->sends > 0)
 		return (ADMIT_WAIT);
@@ -72,10 +104,15 @@
 int64_t
 admission_retry_ms(const struct admission *a)
 {
+	double spread = RETRY_SPREAD * a->draw / UINT32_MAX;
 	double retry = RETRY_PLAIN_MS;
 
 	if (a->want->model != NULL)
 		retry = a->want->model->warm_ms + a->want->engine->form_ms;
-	retry *= 1 + RETRY_SPREAD * a->draw / UINT32_MAX;
+	retry *= 1 + spread;
+	/* Before the first rest is over a caller would be refused again. */
+	if (fwd_choice_all_closed(a->choice) && a->choice->opens != NULL)
+		retry =
+		    opens_ms(a) + spread * fmax(opens_ms(a), RETRY_PLAIN_MS);
 	return (llround(MIN(retry, MAX(a->left_ms, 0) * RETRY_HEEDED)));
 }
--- a/src/fwd-admission.h
+++ b/src/fwd-admission.h
@@ -26,6 +26,7 @@
  * @left_ms: until its deadline
  * @returned: it was refused before, so its objective has passed
  * @sends: times it was sent
+ * @begun: it may have run, or part of its answer was given
  * @whole_ms: how long requests of its kind hold a place
  * @ahead: requests that wait before it for the same places, at all daemons
  * @draw: random number
@@ -39,6 +40,7 @@
 	double left_ms;
 	bool returned;
 	unsigned sends;
+	bool begun;
 	double whole_ms;
 	double ahead;
 	uint32_t draw;
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -110,6 +110,23 @@
 	return (endpoint_usable(ep, now_ms));
 }
 
+/* Notes an endpoint that takes nothing by its own word, and for how long. */
+static void
+choice_note_closed(struct fwd_choice *choice, const struct endpoint *ep,
+    uint64_t now_ms)
+{
+	bool rests = endpoint_rest_holds(&ep->rest, now_ms);
+
+	if (!rests && !ep->draining)
+		return;
+	choice->closed++;
+	if (ep->draining)
+		return;
+	if (choice->opens == NULL ||
+	    ep->rest.until_ms < choice->opens->rest.until_ms)
+		choice->opens = ep;
+}
+
 /*
  * Collects the endpoints with a free place that have not failed the request
  * yet; as a last resort also those that did, or all that are taken to need
@@ -125,10 +142,13 @@
 	choice->usable = 0;
 	choice->taken = 0;
 	choice->nearest = NULL;
+	choice->opens = NULL;
+	choice->closed = 0;
 	TAILQ_FOREACH(ep, &fleet->endpoints, entry) {
 		if (!endpoint_fits(ep, want) || ep->gone)
 			continue;
 		choice->known++;
+		choice_note_closed(choice, ep, want->now_ms);
 		if (!resort_takes(ep, want->now_ms, resort) ||
 		    want_tried(want, ep, resort == RESORT_TRIED))
 			continue;
@@ -195,6 +215,17 @@
 	}
 }
 
+/**
+ * fwd_choice_all_closed() - whether all endpoints of the kind rest or leave by
+ * their own word.
+ * @choice: the choice
+ */
+bool
+fwd_choice_all_closed(const struct fwd_choice *choice)
+{
+	return (choice->closed > 0 && choice->closed == choice->known);
+}
+
 /**
  * fwd_choose() - choose the endpoint of a request.
  * @fleet: the endpoints
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -51,6 +51,8 @@
  * @load: part of its places that are taken
  * @taken: requests at those that are usable
  * @nearest: a usable endpoint of the kind, full or not, or NULL
+ * @opens: of those that asked for rest, the one whose rest ends first, or NULL
+ * @closed: endpoints of the kind that rest or leave by their own word
  * @known: endpoints of the kind, usable or not
  * @usable: those that are usable, full or not, and may have the request
  */
@@ -61,10 +63,13 @@
 	double load;
 	double taken;
 	const struct endpoint *nearest;
+	const struct endpoint *opens;
+	unsigned closed;
 	unsigned known;
 	unsigned usable;
 };
 
+bool fwd_choice_all_closed(const struct fwd_choice *);
 void fwd_choose(const struct fleet *, const struct fwd_want *,
     struct fwd_choice *);
 void fwd_want_work(const struct fwd_want *, double, struct fwd_work *);
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -175,6 +175,9 @@
 	    choice->endpoint != NULL ? choice->endpoint : choice->nearest;
 	struct fwd_work work;
 
+	if (ep == NULL)
+		ep = choice->opens;
+
 	memset(a, 0, sizeof *a);
 	a->want = want;
 	a->choice = choice;
@@ -184,6 +187,7 @@
 	    (double)(ex->deadline_ms - MIN(want->now_ms, ex->deadline_ms));
 	a->returned = ex->returned;
 	a->sends = ex->sends;
+	a->begun = ex->runs > 0 || ex->first_us > 0;
 	a->whole_ms = fwd_exchange_learned(ex)->whole_ms;
 	a->ahead = exchange_ahead(ex);
 	a->draw = random_u32();
@@ -197,6 +201,16 @@
 	a->first_ms = fwd_expect_first(ep, &work);
 }
 
+/* Why a request gets no place. */
+static const char *
+no_place_reason(const struct fwd_choice *choice)
+{
+	if (fwd_choice_all_closed(choice))
+		return (choice->opens != NULL ? "endpoints_rest" :
+						"endpoints_leave");
+	return (choice->usable == 0 ? "no_endpoint" : "places_taken");
+}
+
 /* Refuses a request that can't be served in time. */
 static void
 exchange_no_place(struct fwd_exchange *ex, const struct admission *a)
@@ -205,12 +219,15 @@
 	int64_t retry = admission_retry_ms(a);
 
 	event_log(LOG_NOTICE, "no_place",
-	    "id=%s service=%s known=%u usable=%u load=%.2f first_ms=%.0f "
-	    "whole_ms=%.0f ahead=%.0f returned=%d retry_ms=%lld",
-	    ex->id, ex->service, choice->known, choice->usable, choice->load,
-	    a->first_ms, a->whole_ms, a->ahead, a->returned, (long long)retry);
-	fwd_exchange_refuse(ex, HTTP_STATUS_SERVICE_UNAVAILABLE,
-	    choice->usable == 0 ? "no_endpoint" : "places_taken", retry);
+	    "id=%s service=%s known=%u usable=%u closed=%u opens=%s "
+	    "load=%.2f first_ms=%.0f whole_ms=%.0f ahead=%.0f returned=%d "
+	    "retry_ms=%lld",
+	    ex->id, ex->service, choice->known, choice->usable, choice->closed,
+	    choice->opens != NULL ? choice->opens->report.id : "-",
+	    choice->load, a->first_ms, a->whole_ms, a->ahead, a->returned,
+	    (long long)retry);
+	fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY,
+	    no_place_reason(choice), retry);
 }
 
 /**
@@ -239,6 +256,10 @@
 		exchange_queue(ex);
 	exchange_want(ex, &want);
 	fwd_choose(&ex->fwd->dir->fleet, &want, &choice);
+	if (choice.closed > 0 && !ex->held_back) {
+		ex->held_back = true;
+		fwd_stats_count(&ex->fwd->stats, COUNT_HELD_BACK);
+	}
 	exchange_admission(ex, &want, &choice, &a);
 	switch (admission_decide(&a)) {
 	case ADMIT_SEND:
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -69,6 +69,7 @@
  * @heard_ms: loop time of the last byte from the endpoint
  * @reading: counted in the endpoint's prompt tokens
  * @probe: it shows whether the endpoint takes requests again after a rest
+ * @held_back: counted as held back from an endpoint that rests or leaves
  * @paused: the endpoint's connection is paused for a slow caller
  * @entry: in the engine's list
  * @wait_entry: in the list of those that wait
@@ -119,6 +120,7 @@
 	uint64_t heard_ms;
 	bool reading;
 	bool probe;
+	bool held_back;
 	bool paused;
 	TAILQ_ENTRY(fwd_exchange) entry;
 	TAILQ_ENTRY(fwd_exchange) wait_entry;
--- a/src/fwd-stats.c
+++ b/src/fwd-stats.c
@@ -15,6 +15,7 @@
 	[COUNT_NOT_RUN] = "not_run",
 	[COUNT_RESTS] = "rests_asked",
 	[COUNT_LEAVING] = "endpoints_leaving",
+	[COUNT_HELD_BACK] = "held_back",
 	[COUNT_SENT_IN_REST] = "sent_in_rest",
 	[COUNT_STRAY_ANSWERS] = "stray_answers",
 	[COUNT_SILENT_ENDPOINTS] = "silent_endpoints",
--- a/tests/proc-edge-rest.sh
+++ b/tests/proc-edge-rest.sh
@@ -60,6 +60,11 @@
 done
 ask_for 3 /look/x
 check "all are refused" 75 "$(answered 503)"
+refused_for_rest() {
+	grep -c 'request_refused.* reason=endpoints_rest' "$RUN/edge-1.out"
+}
+
+check_true "for this reason" until_true 2 eval '[ "$(refused_for_rest)" = 75 ]'
 check "none is sent into the rest of a plain endpoint" 0 "$(in_rest)"
 for b in 1 2 3; do
 	control "rest-$B.$b" 0
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -342,7 +342,8 @@
 
 /*
  * admit objective=MS [at=MS] [waited=MS] [left=MS] [sends=N] [returned=1]
- * [whole=MS] [ahead=N] [plain=1]: what becomes of a request of 1,000 tokens
+ * [begun=1] [whole=MS] [ahead=N] [plain=1]: what becomes of a request of 1,000
+ * tokens
  */
 static void
 exec_admit(const char *rest, GString *out)
@@ -368,10 +369,13 @@
 	a.left_ms = (double)script_number(rest, "left", 6000);
 	a.returned = script_number(rest, "returned", 0) != 0;
 	a.sends = (unsigned)script_number(rest, "sends", 0);
+	a.begun = script_number(rest, "begun", 0) != 0;
 	a.whole_ms = (double)script_number(rest, "whole", 800);
 	a.ahead = (double)script_number(rest, "ahead", 0);
 	a.draw = UINT32_MAX / 2;
 	at = choice.endpoint != NULL ? choice.endpoint : choice.nearest;
+	if (at == NULL)
+		at = choice.opens;
 	if (at != NULL)
 		a.first_ms = plain ? a.whole_ms : fwd_expect_first(at, &work);
 	verdict = admission_decide(&a);
