An endpoint that refuses without asking for rest no longer draws the next requests

What callers saw: where half of the replicas refused everything, with 503 or 429 and no word on rest, 867 of 5,195 requests were not served, though the others had places.

Cause: the same as with rests that are asked for, in another place: an answer that was not run changed nothing that the choice looks at, and the endpoint that refuses has no work, so it is expected to answer first. Ruled out: full replicas (6 of 26 places taken).

Change: after a refusal others are preferred for 0.1 s, doubled with each in a row up to 3.2 s; then the endpoint is doubted, as after a rest, until it takes requests: while others have places one request in ten may go there, one at a time first.

--- a/src/dir-rest.c
+++ b/src/dir-rest.c
@@ -20,6 +20,12 @@
  * its places is smaller. */
 #define PROBES_ENOUGH 4
 
+/* Where an endpoint turns a request away and doesn't say for how long, others
+ * are preferred for so long: a full one gets a place in that time. Doubled with
+ * each refusal in a row, up to about what endpoints ask for. */
+#define REFUSED_FIRST_MS 100
+#define REFUSED_DOUBLINGS 5
+
 /**
  * endpoint_rest_read() - the duration of a rest that was asked for.
  * @asked_ms: what was read, in ms; NAN where that was no duration
@@ -120,3 +126,41 @@
 	if (rest->probes_most > PROBES_ENOUGH)
 		rest->probes_most = 0;
 }
+
+/**
+ * endpoint_rest_doubted() - whether it is not known that the endpoint takes
+ * requests again, after a rest or a refusal.
+ * @rest: what it asked for
+ */
+bool
+endpoint_rest_doubted(const struct endpoint_rest *rest)
+{
+	return (rest->probes_most != 0);
+}
+
+/**
+ * endpoint_rest_refused() - it turned a request away and asked for no rest.
+ * @rest: what it asked for
+ *
+ * Return: for how long others are to be preferred, in ms.
+ */
+uint64_t
+endpoint_rest_refused(struct endpoint_rest *rest)
+{
+	unsigned doublings = rest->refusals;
+
+	if (rest->refusals < REFUSED_DOUBLINGS)
+		rest->refusals++;
+	rest->probes_most = PROBES_FIRST;
+	return ((uint64_t)REFUSED_FIRST_MS << doublings);
+}
+
+/**
+ * endpoint_rest_taken() - it answered a request that it did not turn away.
+ * @rest: what it asked for
+ */
+void
+endpoint_rest_taken(struct endpoint_rest *rest)
+{
+	rest->refusals = 0;
+}
--- a/src/dir-rest.h
+++ b/src/dir-rest.h
@@ -12,12 +12,14 @@
  * @probes_most: requests without an answer that it may have after the rest; 0
  *	for no bound
  * @probes: requests that it has under that bound, without an answer
+ * @refusals: requests in a row that it turned away without asking for rest
  */
 struct endpoint_rest {
 	uint64_t until_ms;
 	bool announced;
 	unsigned probes_most;
 	unsigned probes;
+	unsigned refusals;
 };
 
 uint64_t endpoint_rest_read(double, uint64_t);
@@ -25,7 +27,10 @@
 bool endpoint_rest_holds(const struct endpoint_rest *, uint64_t);
 bool endpoint_rest_ended(struct endpoint_rest *, uint64_t);
 bool endpoint_rest_has_room(const struct endpoint_rest *);
+bool endpoint_rest_doubted(const struct endpoint_rest *);
 bool endpoint_rest_probe(struct endpoint_rest *);
 void endpoint_rest_probed(struct endpoint_rest *, bool);
+uint64_t endpoint_rest_refused(struct endpoint_rest *);
+void endpoint_rest_taken(struct endpoint_rest *);
 
 #endif
--- a/src/fwd-admission.c
+++ b/src/fwd-admission.c
@@ -11,9 +11,6 @@
 
 #include "fwd-admission.h"
 
-/* Below this load an expected late answer is no reason to refuse: there are
- * places, and expectations are least sure where little runs. */
-#define FULL_ENOUGH 0.6
 /* When to come back where the service has no models that a repair would load:
  * about as long as an endpoint rests after failures. */
 #define RETRY_PLAIN_MS 400
@@ -80,8 +77,10 @@
 	double place = place_ms(a);
 
 	if (choice->endpoint != NULL) {
+		/* With free places a late answer is no reason to refuse, and
+		 * expectations are least sure where little runs. */
 		if (a->sends > 0 || a->returned || a->want->model == NULL ||
-		    choice->load < FULL_ENOUGH || in_time(a, a->first_ms))
+		    choice->load < FWD_FULL_ENOUGH || in_time(a, a->first_ms))
 			return (ADMIT_SEND);
 		return (ADMIT_REFUSE);
 	}
--- a/src/fwd-answer.c
+++ b/src/fwd-answer.c
@@ -53,18 +53,6 @@
 	ep->failures = failed ? ep->failures + 1 : 0;
 }
 
-/* Lets an endpoint rest. */
-static void
-endpoint_rest(struct fwd_exchange *ex, uint64_t ms, const char *reason)
-{
-	struct endpoint *ep = ex->endpoint;
-
-	ep->rest_until_ms = MAX(ep->rest_until_ms, uv_now(ex->fwd->loop) + ms);
-	event_log(LOG_INFO, "endpoint_rests",
-	    "endpoint=%s ms=%llu reason=%s failures=%u id=%s", ep->report.id,
-	    (unsigned long long)ms, reason, ep->failures, ex->id);
-}
-
 static enum net_verdict
 answer_head(void *owner, unsigned status, const struct net_head *head)
 {
@@ -89,7 +77,7 @@
 	if (answer.wrong_endpoint)
 		fleet_gone(ex->endpoint);
 	if (answer.not_run && answer.at_fault != NULL)
-		endpoint_rest(ex, REST_BROKEN_MS, "member_lost");
+		fwd_endpoint_rest(ex, REST_BROKEN_MS, "member_lost");
 	ex->streaming = ex->route->repeat == REPEAT_STREAM &&
 	    status_is_success(status) && ex->proof;
 	answer_keep_headers(ex, head);
@@ -286,9 +274,9 @@
 	endpoint_judge(ep, true);
 	fwd_exchange_discount(ex, why != NET_UNREACHED);
 	if (why == NET_UNREACHED) {
-		endpoint_rest(ex, REST_UNREACHED_MS, "unreached");
+		fwd_endpoint_rest(ex, REST_UNREACHED_MS, "unreached");
 	} else if (ep->failures >= FAILURES_TO_REST) {
-		endpoint_rest(ex, REST_MS, "failures");
+		fwd_endpoint_rest(ex, REST_MS, "failures");
 	}
 	fwd_exchange_release(ex);
 	fwd_exchange_again(ex,
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -19,6 +19,18 @@
 /* Where every endpoint has failed a request, one may have it again after this:
  * about the time of a short answer, in which a full one gets a place. */
 #define TRIED_AGAIN_MS 200
+/* Of the requests that other endpoints could have, one in so many may go to one
+ * that has not shown yet that it takes requests again: those that are refused
+ * are repeated, and repeats are usually bounded at two in ten. */
+#define PROBE_ONE_IN 10
+
+/* Endpoints with a free place, and those of them that rested or refused and
+ * have not shown yet that they take requests again. */
+struct found {
+	GPtrArray *sure;
+	GPtrArray *doubted;
+};
+
 /*
  * Whether an endpoint has failed the request; with @again, only lately.
  */
@@ -134,7 +146,8 @@
  */
 static void
 collect(const struct fleet *fleet, const struct fwd_want *want,
-    enum last_resort resort, GPtrArray *found, struct fwd_choice *choice)
+    enum last_resort resort, const struct found *found,
+    struct fwd_choice *choice)
 {
 	struct endpoint *ep;
 
@@ -157,7 +170,10 @@
 		choice->nearest = ep;
 		if (fwd_expect_running(ep) < endpoint_places(ep, want) &&
 		    endpoint_rest_has_room(&ep->rest))
-			g_ptr_array_add(found, ep);
+			g_ptr_array_add(endpoint_rest_doubted(&ep->rest) ?
+				found->doubted :
+				found->sure,
+			    ep);
 	}
 }
 
@@ -226,6 +242,27 @@
 	return (choice->closed > 0 && choice->closed == choice->known);
 }
 
+/* Compares random candidates, near and far, with the best so far. */
+static void
+choose_among(GPtrArray *found, const struct fwd_want *want,
+    struct fwd_choice *choice, uint32_t *draw, double *best)
+{
+	unsigned near = near_first(found, want);
+	unsigned end = draw_candidates(found, 0, near, draw);
+
+	compare(found, 0, end, want, choice, best);
+	end = draw_candidates(found, near, found->len, draw);
+	compare(found, near, end, want, choice, best);
+}
+
+/* Whether a request may go to an endpoint that may turn it away. */
+static bool
+may_probe(const struct fwd_want *want, const struct fwd_choice *choice)
+{
+	return (choice->endpoint == NULL || choice->load >= FWD_FULL_ENOUGH ||
+	    want->draw % PROBE_ONE_IN == 0);
+}
+
 /**
  * fwd_choose() - choose the endpoint of a request.
  * @fleet: the endpoints
@@ -236,21 +273,20 @@
 fwd_choose(const struct fleet *fleet, const struct fwd_want *want,
     struct fwd_choice *choice)
 {
-	g_autoptr(GPtrArray) found = g_ptr_array_new();
+	g_autoptr(GPtrArray) sure = g_ptr_array_new();
+	g_autoptr(GPtrArray) doubted = g_ptr_array_new();
+	const struct found found = { sure, doubted };
 	double best = INFINITY;
 	uint32_t draw = want->draw;
-	unsigned near, end;
 
 	memset(choice, 0, sizeof *choice);
-	collect(fleet, want, RESORT_NONE, found, choice);
+	collect(fleet, want, RESORT_NONE, &found, choice);
 	if (choice->usable == 0 && want->n_tried > 0)
-		collect(fleet, want, RESORT_TRIED, found, choice);
+		collect(fleet, want, RESORT_TRIED, &found, choice);
 	/* Where all rest, one that may fail is better than none. */
 	if (choice->usable == 0 && want->model == NULL)
-		collect(fleet, want, RESORT_RESTING, found, choice);
-	near = near_first(found, want);
-	end = draw_candidates(found, 0, near, &draw);
-	compare(found, 0, end, want, choice, &best);
-	end = draw_candidates(found, near, found->len, &draw);
-	compare(found, near, end, want, choice, &best);
+		collect(fleet, want, RESORT_RESTING, &found, choice);
+	choose_among(sure, want, choice, &draw, &best);
+	if (may_probe(want, choice))
+		choose_among(doubted, want, choice, &draw, &best);
 }
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -4,6 +4,8 @@
 
 #include "fwd-expect.h"
 
+/* From this part of its places on an endpoint counts as busy. */
+#define FWD_FULL_ENOUGH 0.6
 /* Endpoints that one request remembers to have failed it. */
 #define FWD_TRIED_MAX 6
 
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -157,6 +157,7 @@
 /* fwd-heard.c: what an endpoint says of itself. */
 void fwd_heard(struct fwd_exchange *, const struct wire_answer *);
 void fwd_heard_send(struct fwd_exchange *);
+void fwd_endpoint_rest(struct fwd_exchange *, uint64_t, const char *);
 
 /* How long a silent endpoint rests: the platform reports it broken by then. */
 #define REST_SILENT_MS 5000
--- a/src/fwd-heard.c
+++ b/src/fwd-heard.c
@@ -4,6 +4,23 @@
 #include "event-log.h"
 #include "fwd-exchange.h"
 
+/**
+ * fwd_endpoint_rest() - prefer other endpoints for a while.
+ * @ex: the exchange, with its endpoint
+ * @ms: how long; the endpoint did not ask for it
+ * @reason: for the log
+ */
+void
+fwd_endpoint_rest(struct fwd_exchange *ex, uint64_t ms, const char *reason)
+{
+	struct endpoint *ep = ex->endpoint;
+
+	ep->rest_until_ms = MAX(ep->rest_until_ms, uv_now(ex->fwd->loop) + ms);
+	event_log(LOG_INFO, "endpoint_rests",
+	    "endpoint=%s ms=%llu reason=%s failures=%u id=%s", ep->report.id,
+	    (unsigned long long)ms, reason, ep->failures, ex->id);
+}
+
 /* The endpoint wants nothing from this daemon for a while. */
 static void
 heard_rest(struct fwd_exchange *ex, const struct wire_answer *answer)
@@ -45,6 +62,30 @@
 	    ep->inflight, ex->id);
 }
 
+/* The endpoint took a request, which may have been to find that out. */
+static void
+heard_taken(struct fwd_exchange *ex)
+{
+	struct endpoint_rest *rest = &ex->endpoint->rest;
+
+	endpoint_rest_taken(rest);
+	if (ex->probe)
+		endpoint_rest_probed(rest, true);
+	ex->probe = false;
+}
+
+/*
+ * An endpoint that turns requests away has no work, so it looks best to all
+ * that come next: it drew two requests of three from replicas with places.
+ */
+static void
+heard_refusal(struct fwd_exchange *ex, const struct wire_answer *answer)
+{
+	if (answer->at_fault == NULL && answer->rest == NULL)
+		fwd_endpoint_rest(ex,
+		    endpoint_rest_refused(&ex->endpoint->rest), "refused");
+}
+
 /**
  * fwd_heard() - take in what an endpoint says of itself.
  * @ex: the exchange that it answers
@@ -65,10 +106,10 @@
 		    (unsigned long long)(uv_now(ex->fwd->loop) - ex->sent_ms));
 	if (answer->wrong_endpoint)
 		return;
-	if (ex->probe && !answer->not_run) {
-		endpoint_rest_probed(&ex->endpoint->rest, true);
-		ex->probe = false;
-	}
+	if (answer->not_run)
+		heard_refusal(ex, answer);
+	else
+		heard_taken(ex);
 	if (answer->leaving)
 		heard_leaving(ex);
 	if (answer->rest != NULL)
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -170,6 +170,25 @@
 	    (unsigned long long)ep->rest.until_ms);
 }
 
+/* refused ID at=MS: an endpoint turns a request away and asks for no rest */
+static void
+exec_refused(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	struct endpoint *ep = fleet_find(&fleet, id);
+	uint64_t ms = endpoint_rest_refused(&ep->rest);
+
+	ep->rest_until_ms = script_number(rest, "at", 0) + ms;
+	g_string_append_printf(out, "rests %llu\n", (unsigned long long)ms);
+}
+
+/* taken ID: it answers one that it did not turn away */
+static void
+exec_taken(const char *rest, GString *out)
+{
+	endpoint_rest_taken(&fleet_find(&fleet, rest)->rest);
+}
+
 /* probe ID: a request goes to an endpoint that rested */
 static void
 exec_probe(const char *rest, GString *out)
@@ -293,6 +312,29 @@
 	return (strcmp((*x)->report.id, (*y)->report.id));
 }
 
+/* Draws for which a request is chosen for, to see who is ever chosen. */
+#define DRAWS 400
+
+/* What a request wants at a time; the tried endpoints are the caller's. */
+static struct fwd_want
+want_of(const char *rest, const struct fwd_tried *tried, unsigned n_tried,
+    uint32_t i)
+{
+	struct fwd_want want = { .service = "s",
+		.domain = "a",
+		.prompt = 1000,
+		.tried = tried,
+		.n_tried = n_tried,
+		.draw = i * 2654435761u };
+
+	want.now_ms = script_number(rest, "at", 0);
+	if (script_number(rest, "model", 0) != 0) {
+		want.engine = engine;
+		want.model = model;
+	}
+	return (want);
+}
+
 /*
  * choose at=MS [model=1] [tried=ID,ID,...] [failed=MS]: over many draws, who
  * is ever chosen
@@ -311,19 +353,9 @@
 		tried[n_tried].endpoint = fleet_find(&fleet, ids[n_tried]);
 		tried[n_tried].failed_ms = script_number(rest, "failed", 0);
 	}
-	for (uint32_t i = 0; i < 400; i++) {
-		struct fwd_want want = { .service = "s",
-			.domain = "a",
-			.prompt = 1000,
-			.tried = tried,
-			.n_tried = n_tried,
-			.draw = i * 2654435761u };
-
-		want.now_ms = script_number(rest, "at", 0);
-		if (script_number(rest, "model", 0) != 0) {
-			want.engine = engine;
-			want.model = model;
-		}
+	for (uint32_t i = 0; i < DRAWS; i++) {
+		struct fwd_want want = want_of(rest, tried, n_tried, i);
+
 		fwd_choose(&fleet, &want, &choice);
 		if (choice.endpoint != NULL &&
 		    !g_ptr_array_find(seen, choice.endpoint, NULL))
@@ -338,6 +370,23 @@
 	g_string_append_c(out, '\n');
 }
 
+/* count ID at=MS [model=1]: of many draws, how many choose an endpoint */
+static void
+exec_count(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	struct fwd_choice choice;
+	unsigned n = 0;
+
+	for (uint32_t i = 0; i < DRAWS; i++) {
+		struct fwd_want want = want_of(rest, NULL, 0, i);
+
+		fwd_choose(&fleet, &want, &choice);
+		n += choice.endpoint == fleet_find(&fleet, id);
+	}
+	g_string_append_printf(out, "%u of %u\n", n, DRAWS);
+}
+
 static const char *const verdicts[] = { "send", "wait", "refuse" };
 
 /*
@@ -405,6 +454,9 @@
 	{ "rest", exec_rest },
 	{ "leave", exec_leave },
 	{ "probe", exec_probe },
+	{ "refused", exec_refused },
+	{ "taken", exec_taken },
+	{ "count", exec_count },
 	{ "probed", exec_probed },
 	{ "choose", exec_choose },
 	{ "admit", exec_admit },
