--- a/soak/soak-caller.c
+++ b/soak/soak-caller.c
@@ -206,7 +206,7 @@
 	c->connected = false;
 	http_parser_init(&c->parser, HTTP_RESPONSE);
 	uv_ip4_addr(c->ip, PORT, &addr);
-	if (net_stream_connect(&c->stream, (struct sockaddr *)&addr) != 0)
+	if (net_stream_connect(&c->stream, &addr, NULL) != 0)
 		net_stream_close(&c->stream);
 }
 
--- a/soak/soak-proxy.c
+++ b/soak/soak-proxy.c
@@ -171,8 +171,7 @@
 	g_ptr_array_add(links, l);
 	if (status != 0 ||
 	    net_stream_accept(&l->client.stream, listener) != 0 || refuse ||
-	    net_stream_connect(&l->target.stream,
-		(struct sockaddr *)&target_addr) != 0)
+	    net_stream_connect(&l->target.stream, &target_addr, NULL) != 0)
 		link_close(l, false);
 }
 
--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -98,6 +98,7 @@
 	ep->key = XXH32(report->id, strlen(report->id), 0);
 	g_hash_table_insert(fleet->by_key, GUINT_TO_POINTER(ep->key), ep);
 	net_pool_init(&ep->pool, fleet->loop, &report->address);
+	ep->pool.source = fleet->source;
 	TAILQ_INSERT_TAIL(&fleet->endpoints, ep, entry);
 	return (ep);
 }
--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -153,12 +153,14 @@
 /**
  * struct fleet - all endpoints.
  * @loop: the event loop
+ * @source: own address of connections to endpoints; any where it is 0
  * @by_id: id to struct endpoint
  * @by_key: short name to struct endpoint
  * @endpoints: all, also those that are gone but still held
  */
 struct fleet {
 	uv_loop_t *loop;
+	struct sockaddr_in source;
 	GHashTable *by_id;
 	GHashTable *by_key;
 	struct endpoint_list endpoints;
--- a/src/edge-setting.c
+++ b/src/edge-setting.c
@@ -24,6 +24,9 @@
 	    0, 0, "ip:port", "where other daemons send their news, UDP" },
 	{ "store-address", SETTING_ADDRESS, AT(store_address), "127.0.0.1:8090",
 	    0, 0, "ip:port", "the platform's store" },
+	{ "source-ip", SETTING_IP, AT(source_ip), "0.0.0.0", 0, 0, "ip",
+	    "own address of connections to endpoints, which may tell daemons "
+	    "apart by it; 0.0.0.0: the system's choice" },
 	{ "log-level", SETTING_LEVEL, AT(log_level), "info", 0, 0, "level",
 	    "emerg, alert, crit, err, warning, notice, info or debug" },
 	{ "key-proof-ms", SETTING_MILLIS, AT(key_proof_ms), "5000", 500, 600000,
--- a/src/edge-setting.h
+++ b/src/edge-setting.h
@@ -17,6 +17,7 @@
 	char *metrics_address;
 	char *peer_address;
 	char *store_address;
+	char *source_ip;
 	char *log_level;
 	int64_t key_proof_ms;
 	bool keys_fail_closed;
--- a/src/edge.c
+++ b/src/edge.c
@@ -456,6 +456,7 @@
 	address_of(e->set.peer_address, &peer);
 	e->store = e->platform->store_open(e->loop, &store, STORE_TIMEOUT_MS);
 	dir_init(&e->dir, e->loop, e->store, e->platform->decode);
+	uv_ip4_addr(e->set.source_ip, 0, &e->dir.fleet.source);
 	edge_join_parts(e);
 	edge_start_timers(e);
 	if (!opened(fwd_open(&e->fwd, e->loop, &caller), "--caller-address",
--- a/src/keeper-call.c
+++ b/src/keeper-call.c
@@ -200,6 +200,7 @@
 	if (pool == NULL) {
 		pool = g_new0(struct net_pool, 1);
 		net_pool_init(pool, k->loop, &m->address);
+		pool->source = k->dir->fleet.source;
 		g_hash_table_insert(k->pools, g_memdup2(&key, sizeof key),
 		    pool);
 	}
--- a/src/net-client.c
+++ b/src/net-client.c
@@ -353,8 +353,8 @@
 	client->pool = pool;
 	pool->open++;
 	pool->opened++;
-	if (net_stream_connect(&client->stream,
-		(const struct sockaddr *)&pool->addr) != 0) {
+	if (net_stream_connect(&client->stream, &pool->addr, &pool->source) !=
+	    0) {
 		net_stream_close(&client->stream);
 		return (NULL);
 	}
--- a/src/net-client.h
+++ b/src/net-client.h
@@ -60,6 +60,7 @@
  * struct net_pool - the connections to one address.
  * @loop: the event loop
  * @addr: the address
+ * @source: own address of its connections; any where it is 0
  * @idle: connections that wait for use, the last used first
  * @n_idle: length of @idle
  * @opened: connections made, for the metrics
@@ -68,6 +69,7 @@
 struct net_pool {
 	uv_loop_t *loop;
 	struct sockaddr_in addr;
+	struct sockaddr_in source;
 	struct net_client_list idle;
 	unsigned n_idle;
 	uint64_t opened;
--- a/src/net-stream.c
+++ b/src/net-stream.c
@@ -149,16 +149,23 @@
  * net_stream_connect() - begin to connect.
  * @stream: the connection
  * @to: where to
+ * @from: own address; NULL or 0.0.0.0 for any
  *
  * Return: 0, or a libuv error.
  */
 int
-net_stream_connect(struct net_stream *stream, const struct sockaddr *to)
+net_stream_connect(struct net_stream *stream, const struct sockaddr_in *to,
+    const struct sockaddr_in *from)
 {
-	int rc;
+	int rc = 0;
 
 	stream->connect.data = stream;
-	rc = uv_tcp_connect(&stream->connect, &stream->tcp, to, on_connected);
+	if (from != NULL && from->sin_addr.s_addr != INADDR_ANY)
+		rc =
+		    uv_tcp_bind(&stream->tcp, (const struct sockaddr *)from, 0);
+	if (rc == 0)
+		rc = uv_tcp_connect(&stream->connect, &stream->tcp,
+		    (const struct sockaddr *)to, on_connected);
 	if (rc == 0)
 		stream_options(stream);
 	return (rc);
--- a/src/net-stream.h
+++ b/src/net-stream.h
@@ -51,7 +51,8 @@
 
 void net_stream_init(struct net_stream *, uv_loop_t *,
     const struct net_stream_ops *, void *);
-int net_stream_connect(struct net_stream *, const struct sockaddr *);
+int net_stream_connect(struct net_stream *, const struct sockaddr_in *,
+    const struct sockaddr_in *);
 int net_stream_accept(struct net_stream *, uv_stream_t *);
 void net_stream_read(struct net_stream *, bool);
 void net_stream_write(struct net_stream *, const char *, size_t);
--- a/src/setting-table.c
+++ b/src/setting-table.c
@@ -157,6 +157,10 @@
 		if (!setting_check_address(s, value, error))
 			return (false);
 		break;
+	case SETTING_IP:
+		if (!g_hostname_is_ip_address(value))
+			return (setting_bad(s, error, "must be an IP number"));
+		break;
 	case SETTING_NAME:
 		if (!resource_check_name(value, NULL))
 			return (setting_bad(s, error,
@@ -302,6 +306,7 @@
 	case SETTING_STRING:
 	case SETTING_NAME:
 	case SETTING_ADDRESS:
+	case SETTING_IP:
 	case SETTING_LEVEL:
 		return (true);
 	case SETTING_INT:
--- a/src/setting-table.h
+++ b/src/setting-table.h
@@ -15,6 +15,7 @@
  * @SETTING_STRING: any text
  * @SETTING_NAME: name of a resource
  * @SETTING_ADDRESS: IP number and port
+ * @SETTING_IP: IP number
  * @SETTING_LEVEL: level of the log
  * @SETTING_INT: whole number, kept as int64_t
  * @SETTING_REAL: number, kept as double
@@ -25,6 +26,7 @@
 	SETTING_STRING,
 	SETTING_NAME,
 	SETTING_ADDRESS,
+	SETTING_IP,
 	SETTING_LEVEL,
 	SETTING_INT,
 	SETTING_REAL,
--- a/tests/lib-edge.sh
+++ b/tests/lib-edge.sh
@@ -19,7 +19,8 @@
 	start "edge-$n" "$BUILD/banklift-edge" --name "edge-$n" --domain a \
 	    --caller-address "$ip:8080" --ready-address "$ip:8083" \
 	    --metrics-address "$ip:9464" --peer-address "$ip:8084" \
-	    --store-address "${STORE_AT:-127.$NET.0.1:9000}" --key-proof-ms 2000 \
+	    --store-address "${STORE_AT:-127.$NET.0.1:9000}" \
+	    --source-ip "$ip" --key-proof-ms 2000 \
 	    --log-level debug "$@"
 }
 
