bankliftd leaves endpoints alone that ask for rest

What callers saw: calls that were turned away by endpoints which had asked for rest, and the time that took.

Cause: the same class in the older daemon: Retry-After of an endpoint's answer was not read. A failed call makes others preferred for 0.25 s, doubled, and where all are out they are asked anyway.

Change: a rest that a 503 or 429 asks for closes the target until it is over, for first calls, retries and last resorts alike; what peers and probes say doesn't open it. One parser and one bounded reading for both daemons. Health checks go on: they ask after the host, not for work.

--- a/src/call.c
+++ b/src/call.c
@@ -6,6 +6,9 @@
 #include "clock.h"
 
 #define POLL_MAX_MS 1000
+/* Statuses with which an endpoint turns a request away. */
+#define HTTP_TOO_MANY 429
+#define HTTP_UNAVAILABLE 503
 /* An answer larger than this is not buffered; the call fails. */
 #define BODY_MAX_BYTES (32u * 1024 * 1024)
 
@@ -280,6 +283,18 @@
 	return (g_hash_table_lookup(call->headers, name));
 }
 
+/**
+ * call_rest() - the rest that the endpoint asks for, in seconds, or NULL.
+ * @call: the call
+ */
+const char *
+call_rest(const struct call *call)
+{
+	if (call->status != HTTP_UNAVAILABLE && call->status != HTTP_TOO_MANY)
+		return (NULL);
+	return (call_header(call, "retry-after"));
+}
+
 /**
  * call_each_header() - go through the headers of the answer.
  * @call: the call
--- a/src/call.h
+++ b/src/call.h
@@ -31,6 +31,7 @@
 bool call_ended(const struct call *);
 enum call_phase call_phase(const struct call *);
 int call_status(const struct call *);
+const char *call_rest(const struct call *);
 const char *call_header(const struct call *, const char *);
 void call_each_header(const struct call *,
     void (*)(const char *, const char *, void *), void *);
--- a/src/completion.c
+++ b/src/completion.c
@@ -222,6 +222,8 @@
 
 	log_debug("call_end", "target=%s phase=%d status=%d action=%d",
 	    c->target->name, (int)end.phase, end.status, (int)v.action);
+	if (call_rest(c->call) != NULL)
+		target_ask_rest(c->target, call_rest(c->call), clock_now_ms());
 	call_close(c);
 	target_failed(c->target, clock_now_ms());
 	if (v.outcome == OUTCOME_UNKNOWN)
--- a/src/dir-rest.c
+++ b/src/dir-rest.c
@@ -4,6 +4,7 @@
  * It is the endpoint's word, not a guess: nothing is sent there before it is
  * over, also where no other endpoint is left.
  */
+#include <glib.h>
 #include <math.h>
 
 #include "dir-rest.h"
@@ -26,6 +27,21 @@
 #define REFUSED_FIRST_MS 100
 #define REFUSED_DOUBLINGS 5
 
+/**
+ * endpoint_rest_parse() - a rest as it stands in an answer.
+ * @seconds: a number of seconds, with or without a fraction
+ *
+ * Return: ms; NAN where the text is no number.
+ */
+double
+endpoint_rest_parse(const char *seconds)
+{
+	char *end;
+	double n = g_ascii_strtod(seconds, &end);
+
+	return (end != seconds && *end == '\0' ? n * 1000 : NAN);
+}
+
 /**
  * endpoint_rest_read() - the duration of a rest that was asked for.
  * @asked_ms: what was read, in ms; NAN where that was no duration
--- a/src/route-set.c
+++ b/src/route-set.c
@@ -158,7 +158,9 @@
 	for (guint i = 0; i < set->targets->len && n < TARGETS_MAX; i++) {
 		struct target *target = set->targets->pdata[i];
 
-		if (!target_valid(target, now))
+		/* A rest that was asked for holds where all others are out,
+		 * too: 35 calls went into the rests of two endpoints. */
+		if (!target_valid(target, now) || target_closed(target, now))
 			continue;
 		if (target_tier(set, target, now) != tier)
 			continue;
--- a/src/target.h
+++ b/src/target.h
@@ -30,6 +30,7 @@
  * @latency_samples: how many samples it has
  * @failures: calls that failed since the last that did not
  * @rest_until_ms: others are preferred before this time
+ * @closed_until_ms: no request before this time; the endpoint asked for rest
  */
 struct target {
 	atomic_uint references;
@@ -49,6 +50,7 @@
 	atomic_uint latency_samples;
 	atomic_uint failures;
 	_Atomic uint64_t rest_until_ms;
+	_Atomic uint64_t closed_until_ms;
 };
 
 struct target *target_create(const char *, const char *, const char *, uint64_t,
@@ -62,6 +64,8 @@
 void target_latency(struct target *, uint64_t, uint64_t);
 void target_failed(struct target *, uint64_t);
 bool target_resting(struct target *, uint64_t);
+bool target_closed(struct target *, uint64_t);
+void target_ask_rest(struct target *, const char *, uint64_t);
 void target_candidate(struct target *, uint64_t, uint64_t,
     struct route_candidate *);
 
--- a/tests/fault.c
+++ b/tests/fault.c
@@ -65,6 +65,21 @@
 	return (U_CALLBACK_COMPLETE);
 }
 
+/* Turns a request away and asks for rest. */
+int
+fault_rest(struct _u_response *res)
+{
+	int64_t ms = fault_get("rest_ms");
+	g_autofree char *seconds =
+	    g_strdup_printf("%d.%03d", (int)(ms / 1000), (int)(ms % 1000));
+
+	journal_add("rest");
+	u_map_put(res->map_header, "Not-Started", "1");
+	u_map_put(res->map_header, "Retry-After", seconds);
+	standin_reply(res, 503, json_object());
+	return (U_CALLBACK_COMPLETE);
+}
+
 static int
 fault_put(const struct _u_request *in, struct _u_response *res, void *arg)
 {
--- a/tests/fault.h
+++ b/tests/fault.h
@@ -10,6 +10,7 @@
 bool fault_take(const char *);
 void fault_sleep(const char *);
 int fault_cut(struct _u_response *);
+int fault_rest(struct _u_response *);
 int standin_main(int, char **, void (*)(struct _u_instance *));
 void standin_add(struct _u_instance *, const char *, const char *,
     int (*)(const struct _u_request *, struct _u_response *, void *));
--- /dev/null
+++ b/tests/proc-rest.sh
@@ -0,0 +1,47 @@
+# Endpoints that turned requests away and said for how long they wanted nothing more
+# got requests all the same. A failed call made the daemon prefer others for a quarter
+# of a second, doubled each time, whatever the endpoint had asked for; and where all
+# endpoints were out, it asked them anyway. Counted were the requests that endpoints
+# turned away: 3 while the others served 50 calls, 17 and 18 of 40 calls where all
+# three had asked for 4 s of rest.
+. tests/lib.sh
+
+start_platform
+start_services 1 3
+put_hosts
+start_daemon 1 1
+until_true 10 curl -s "$(caller_url 1 1)/health"
+until_true 10 apply_resources '{}'
+until_true 10 service_ok 1 1
+three_serve() {
+	[ "$(serving 1 1)" = 3 ]
+}
+until_true 10 three_serve
+
+rests() { # SERVICE: requests that it turned away
+	curl -s "$(service_url 1 "$1")/journal" | grep -c '^rest$'
+}
+
+calls() { # COUNT: prints how many were served
+	ok=0
+	for _ in $(seq 1 "$1"); do
+		[ "$(call 1 1 /s/board/x | status_of)" = 200 ] && ok=$((ok + 1))
+		sleep 0.02
+	done
+	echo "$ok"
+}
+
+fault "$(service_url 1 1)" '{"rest_ms":4000}'
+check "the others serve all" 50 "$(calls 50)"
+check "one that asked for rest is left alone" 1 "$(rests 1)"
+
+fault "$(service_url 1 2)" '{"rest_ms":4000}'
+fault "$(service_url 1 3)" '{"rest_ms":4000}'
+check "where all rest none is served" 0 "$(calls 40)"
+check "and none is asked as the last resort" "1 1" "$(rests 2) $(rests 3)"
+for s in 1 2 3; do
+	fault "$(service_url 1 $s)" '{"rest_ms":0}'
+done
+check_true "after the rests all serve again" until_true 8 eval \
+    '[ "$(calls 10)" = 10 ]'
+verdict
--- a/tests/standin-service.c
+++ b/tests/standin-service.c
@@ -3,7 +3,8 @@
  * method and the body, and keeps a journal of the request ids that it ran.
  * Faults: leaving, cut_before (counted; cut without running), cut_after
  * (counted; run, then cut without an answer), status (answered after running),
- * not_started (counted; 503 that says so), slow_ms (after running).
+ * not_started (counted; 503 that says so), rest_ms (the same, and asks for so
+ * much rest; the journal has a line "rest" for each), slow_ms (after running).
  */
 #include <glib.h>
 #include <jansson.h>
@@ -29,6 +30,8 @@
 
 	if (fault_take("cut_before"))
 		return (fault_cut(res));
+	if (fault_get("rest_ms") > 0)
+		return (fault_rest(res));
 	if (fault_take("not_started")) {
 		u_map_put(res->map_header, "Not-Started", "1");
 		standin_reply(res, 503, json_object());
