--- a/src/cmd-explain.c
+++ b/src/cmd-explain.c
@@ -9,12 +9,18 @@
 /* Lines of the request's endpoints are shown from this long before its first
  * line to this long after its last. */
 #define AROUND_MS 2000
+/* What an endpoint said of itself holds on, so it is shown from this long
+ * before. */
+#define SAID_BEFORE_MS 60000
 
 /* Events that tell why an endpoint was or was not used. */
 static const char *const endpoint_events[] = { "endpoint_silent",
-	"endpoint_rests", "endpoint_asks_rest", "endpoint_leaves",
-	"endpoint_rest_over", "endpoint_gone", "endpoint_lapsed",
-	"endpoint_avoided", "endpoint_changed" };
+	"endpoint_rests", "endpoint_rest_over", "endpoint_gone",
+	"endpoint_lapsed", "endpoint_avoided", "endpoint_changed" };
+
+/* Events of an endpoint that says what it wants. */
+static const char *const said_events[] = { "endpoint_asks_rest",
+	"endpoint_leaves" };
 
 /* Events of a daemon that touch all of its requests. */
 static const char *const daemon_events[] = { "config_in_force", "store_lost",
@@ -59,10 +65,13 @@
     const struct explain_span *span)
 {
 	g_autofree char *endpoint = log_line_value(line->text, "endpoint");
+	bool said;
 
 	if (log_line_has(line->text, "id", id))
 		return (true);
-	if (line->at_ms < span->first_ms - AROUND_MS ||
+	said = event_among(line->text, said_events, G_N_ELEMENTS(said_events));
+	if (line->at_ms <
+		span->first_ms - (said ? SAID_BEFORE_MS : AROUND_MS) ||
 	    line->at_ms > span->last_ms + AROUND_MS ||
 	    !g_hash_table_contains(span->sources, line->source))
 		return (false);
@@ -70,8 +79,9 @@
 		return (true);
 	return (endpoint != NULL &&
 	    g_hash_table_contains(span->endpoints, endpoint) &&
-	    event_among(line->text, endpoint_events,
-		G_N_ELEMENTS(endpoint_events)));
+	    (said ||
+		event_among(line->text, endpoint_events,
+		    G_N_ELEMENTS(endpoint_events))));
 }
 
 /* Prints the story, with times from the request's first line. */
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -255,14 +255,6 @@
 	compare(found, near, end, want, choice, best);
 }
 
-/* Whether a request may go to an endpoint that may turn it away. */
-static bool
-may_probe(const struct fwd_want *want, const struct fwd_choice *choice)
-{
-	return (choice->endpoint == NULL || choice->load >= FWD_FULL_ENOUGH ||
-	    want->draw % PROBE_ONE_IN == 0);
-}
-
 /**
  * fwd_choose() - choose the endpoint of a request.
  * @fleet: the endpoints
@@ -286,7 +278,13 @@
 	/* Where all rest, one that may fail is better than none. */
 	if (choice->usable == 0 && want->model == NULL)
 		collect(fleet, want, RESORT_RESTING, &found, choice);
+	/* Chosen by cost, one with as little to do as the others would never
+	 * be asked again. */
+	if (want->draw % PROBE_ONE_IN == 0)
+		choose_among(doubted, want, choice, &draw, &best);
+	if (choice->endpoint != NULL)
+		return;
 	choose_among(sure, want, choice, &draw, &best);
-	if (may_probe(want, choice))
+	if (choice->endpoint == NULL || choice->load >= FWD_FULL_ENOUGH)
 		choose_among(doubted, want, choice, &draw, &best);
 }
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -219,7 +219,7 @@
 	int64_t retry = admission_retry_ms(a);
 
 	event_log(LOG_NOTICE, "no_place",
-	    "id=%s service=%s known=%u usable=%u closed=%u opens=%s "
+	    "id=%s service=%s known=%u usable=%u closed=%u endpoint=%s "
 	    "load=%.2f first_ms=%.0f whole_ms=%.0f ahead=%.0f returned=%d "
 	    "retry_ms=%lld",
 	    ex->id, ex->service, choice->known, choice->usable, choice->closed,
--- a/tests/proc-edge-rest.sh
+++ b/tests/proc-edge-rest.sh
@@ -65,6 +65,13 @@
 }
 
 check_true "for this reason" until_true 2 eval '[ "$(refused_for_rest)" = 75 ]'
+refused=$(sed -n 's/.*request_refused id=\([^ ]*\) .*=endpoints_rest .*/\1/p' \
+    "$RUN/edge-1.out" | tail -n 1)
+explained() {
+	"$BUILD/bankliftctl" explain "$refused" "$RUN/edge-1.out"
+}
+check_true "explained: the rest that caused it" eval \
+    'explained | grep -q "event=endpoint_asks_rest"'
 check "none is sent into the rest of a plain endpoint" 0 "$(in_rest)"
 for b in 1 2 3; do
 	control "rest-$B.$b" 0
@@ -72,6 +79,51 @@
 check_true "they are used again" until_true 8 eval \
     '[ "$(ask 1 /look/x | status_last)" = 200 ]'
 
+# A rest outlasts a reload, a lapse of the entry and a store that says nothing. The
+# endpoint would serve, so that a request in its rest shows in its journal.
+runs_of() { # ENDPOINT
+	journal | grep -c "^$1 ran"
+}
+
+told_rest() { # ENDPOINT
+	[ "$(ask 1 /look/x | status_last)" = 200 ] &&
+	    grep -q "endpoint_asks_rest endpoint=$1 .*ms=6000" "$RUN/edge-1.out"
+}
+
+control "rest-$B.1" 6000
+check_true "one asks for a long rest" until_true 8 told_rest b1
+control "rest-$B.1" 0
+before=$(runs_of b1)
+stop edge-1 HUP
+control "lapse-$B.1" 1
+ask_for 1 /look/x
+control "lapse-$B.1" 0
+control silent 1
+ask_for 1 /look/x
+control silent 0
+ask_for 1 /look/x
+check "the others serve" 25 "$(answered 200)"
+check "it is left alone all the while" "$before" "$(runs_of b1)"
+check_true "the reload was seen" grep -q event=reloaded "$RUN/edge-1.out"
+check_true "after its rest it serves again" until_true 8 eval \
+    'ask 1 /look/x >"$ASKED"; [ "$(runs_of b1)" -gt "$before" ]'
+
+# A stream that is cut goes on where it can, but not at a replica that rests.
+other=$(journal | sed -n 's/ open 202$//p' | sed -n 2p)
+control "rest-$E.${head#e}" 0
+check_true "both replicas serve" until_true 8 eval \
+    'ask 1 /write/x >"$ASKED"; journal | tail -n 1 | grep -q "^$head ran"'
+control "rest-$E.${other#e}" 3000
+check_true "one asks for rest" until_true 8 eval \
+    'ask 1 /write/x >"$ASKED"
+    grep -q "endpoint_asks_rest endpoint=$other" "$RUN/edge-1.out"'
+control cut 3
+control cuts 1
+check "a cut stream is whole, from the other" "0 1 2 3 4 5 6 7 " \
+    "$(ask 1 /write/x | event_ids)"
+control "rest-$E.${other#e}" 0
+check "none is sent into its rest" 0 "$(in_rest)"
+
 # Endpoints that leave say so in their answers, and nowhere else yet. The header was
 # not read: both that left got requests until their entries changed, 18 in the two
 # seconds from one second after they had said so.
