--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -3,7 +3,6 @@
 
 #include "clock.h"
 #include "event-log.h"
-#include "fwd-admission.h"
 #include "fwd-exchange.h"
 #include "random.h"
 
@@ -19,10 +18,6 @@
 /* When to come back for a request whose time was up before it was sent. */
 #define RETRY_LATE_MS 100
 
-static void exchange_queue(struct fwd_exchange *);
-
-static void exchange_want(const struct fwd_exchange *, struct fwd_want *);
-
 /* Counts the prompt among those that the endpoint has yet to read. */
 static void
 exchange_note_prompt(struct fwd_exchange *ex)
@@ -31,7 +26,7 @@
 	struct fwd_want want;
 	struct fwd_work work;
 
-	exchange_want(ex, &want);
+	fwd_exchange_want(ex, &want);
 	fwd_want_work(&want, ex->prompt, &work);
 	ex->reading_at_send = fwd_expect_backlog(ep, &work);
 	ex->mark = fwd_backlog_add(&ep->backlog, ex->prompt,
@@ -93,9 +88,13 @@
 	return (text);
 }
 
-/* Sends the request to the endpoint chosen. */
-static void
-exchange_send(struct fwd_exchange *ex, const struct fwd_choice *choice)
+/**
+ * fwd_exchange_send() - send a request that waits to an endpoint.
+ * @ex: the exchange
+ * @choice: the endpoint chosen
+ */
+void
+fwd_exchange_send(struct fwd_exchange *ex, const struct fwd_choice *choice)
 {
 	struct fwd *fwd = ex->fwd;
 	bool once = !fwd_exchange_repeatable(ex);
@@ -132,9 +131,13 @@
 	net_client_send(ex->client, text->str, text->len, ex->head_only);
 }
 
-/* What the request needs, for the choice. */
-static void
-exchange_want(const struct fwd_exchange *ex, struct fwd_want *want)
+/**
+ * fwd_exchange_want() - what a request needs, for the choice.
+ * @ex: the exchange
+ * @want: filled in
+ */
+void
+fwd_exchange_want(const struct fwd_exchange *ex, struct fwd_want *want)
 {
 	memset(want, 0, sizeof *want);
 	want->service = ex->service;
@@ -150,86 +153,6 @@
 	want->draw = random_u32();
 }
 
-/* Requests that wait before this one for the same places, at all daemons. */
-static double
-exchange_ahead(const struct fwd_exchange *ex)
-{
-	const struct fwd_exchange *other;
-	unsigned ahead = 0;
-
-	TAILQ_FOREACH(other, &ex->fwd->waiting, wait_entry) {
-		if (other == ex)
-			break;
-		ahead += other->model == ex->model &&
-		    strcmp(other->service, ex->service) == 0;
-	}
-	return ((double)ahead * MAX(ex->fwd->daemons, 1));
-}
-
-/* What the decision on a request without an endpoint looks at. */
-static void
-exchange_admission(const struct fwd_exchange *ex, const struct fwd_want *want,
-    const struct fwd_choice *choice, struct admission *a)
-{
-	const struct endpoint *ep =
-	    choice->endpoint != NULL ? choice->endpoint : choice->nearest;
-	struct fwd_work work;
-
-	if (ep == NULL)
-		ep = choice->opens;
-
-	memset(a, 0, sizeof *a);
-	a->want = want;
-	a->choice = choice;
-	a->objective_ms = (double)ex->route->objective_ms;
-	a->waited_ms = (double)(want->now_ms - ex->arrived_ms);
-	a->left_ms =
-	    (double)(ex->deadline_ms - MIN(want->now_ms, ex->deadline_ms));
-	a->returned = ex->returned;
-	a->sends = ex->sends;
-	a->begun = ex->runs > 0 || ex->first_us > 0;
-	a->whole_ms = fwd_exchange_learned(ex)->whole_ms;
-	a->ahead = exchange_ahead(ex);
-	a->draw = random_u32();
-	if (ep == NULL)
-		return;
-	a->first_ms = a->whole_ms;
-	if (ex->model == NULL)
-		return;
-	/* Judged for a prompt of usual size, so that large ones get through. */
-	fwd_want_work(want, MIN(ex->prompt, ex->engine->usual_prompt), &work);
-	a->first_ms = fwd_expect_first(ep, &work);
-}
-
-/* Why a request gets no place. */
-static const char *
-no_place_reason(const struct fwd_choice *choice)
-{
-	if (fwd_choice_all_closed(choice))
-		return (choice->opens != NULL ? "endpoints_rest" :
-						"endpoints_leave");
-	return (choice->usable == 0 ? "no_endpoint" : "places_taken");
-}
-
-/* Refuses a request that can't be served in time. */
-static void
-exchange_no_place(struct fwd_exchange *ex, const struct admission *a)
-{
-	const struct fwd_choice *choice = a->choice;
-	int64_t retry = admission_retry_ms(a);
-
-	event_log(LOG_NOTICE, "no_place",
-	    "id=%s service=%s known=%u usable=%u closed=%u endpoint=%s "
-	    "load=%.2f first_ms=%.0f whole_ms=%.0f ahead=%.0f returned=%d "
-	    "retry_ms=%lld",
-	    ex->id, ex->service, choice->known, choice->usable, choice->closed,
-	    choice->opens != NULL ? choice->opens->report.id : "-",
-	    choice->load, a->first_ms, a->whole_ms, a->ahead, a->returned,
-	    (long long)retry);
-	fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY,
-	    no_place_reason(choice), retry);
-}
-
 /**
  * fwd_exchange_learned() - what answers of its kind showed.
  * @ex: the exchange
@@ -241,56 +164,6 @@
 	    ex->model != NULL ? ex->model->name : ex->service));
 }
 
-/**
- * fwd_exchange_try() - send a request, let it wait for a place, or refuse it.
- * @ex: the exchange
- */
-void
-fwd_exchange_try(struct fwd_exchange *ex)
-{
-	struct fwd_choice choice;
-	struct admission a;
-	struct fwd_want want;
-
-	if (ex->state != EXCHANGE_WAITING)
-		exchange_queue(ex);
-	exchange_want(ex, &want);
-	fwd_choose(&ex->fwd->dir->fleet, &want, &choice);
-	if (choice.closed > 0 && !ex->held_back) {
-		ex->held_back = true;
-		fwd_stats_count(&ex->fwd->stats, COUNT_HELD_BACK);
-	}
-	exchange_admission(ex, &want, &choice, &a);
-	switch (admission_decide(&a)) {
-	case ADMIT_SEND:
-		exchange_send(ex, &choice);
-		break;
-	case ADMIT_REFUSE:
-		exchange_no_place(ex, &a);
-		break;
-	case ADMIT_WAIT:
-		break;
-	}
-}
-
-/* Puts a request among those that wait, the more urgent first. */
-static void
-exchange_queue(struct fwd_exchange *ex)
-{
-	struct fwd_exchange *at;
-	int priority = ex->route->priority;
-
-	ex->state = EXCHANGE_WAITING;
-	TAILQ_FOREACH(at, &ex->fwd->waiting, wait_entry) {
-		if (at->route->priority > priority)
-			break;
-	}
-	if (at != NULL)
-		TAILQ_INSERT_BEFORE(at, ex, wait_entry);
-	else
-		TAILQ_INSERT_TAIL(&ex->fwd->waiting, ex, wait_entry);
-}
-
 /**
  * fwd_exchange_start() - begin the request that a caller sent.
  * @fwd: the engine
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -129,7 +129,8 @@
 void fwd_exchange_start(struct fwd *, struct fwd_caller *);
 void fwd_exchange_caller_left(struct fwd_exchange *);
 void fwd_exchange_pause(struct fwd_exchange *, bool);
-void fwd_exchange_try(struct fwd_exchange *);
+void fwd_exchange_want(const struct fwd_exchange *, struct fwd_want *);
+void fwd_exchange_send(struct fwd_exchange *, const struct fwd_choice *);
 void fwd_exchange_tick(struct fwd_exchange *, uint64_t);
 void fwd_exchange_move(struct fwd_exchange *, bool, const char *);
 struct fwd_learned *fwd_exchange_learned(const struct fwd_exchange *);
@@ -139,6 +140,9 @@
 bool fwd_admit(struct fwd_exchange *, const struct wire_request *,
     const char *);
 
+/* fwd-try.c: a request is sent, waits or is refused. */
+void fwd_exchange_try(struct fwd_exchange *);
+
 /* fwd-end.c: the ends of an exchange. */
 void fwd_exchange_refuse(struct fwd_exchange *, unsigned, const char *,
     int64_t);
