A repeat goes where requests are taken; a rest of no length is a refusal

By reading: one request in ten may go to a doubted endpoint, also one that had been turned away just before, which costs it another repeat; first sends only now.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -279,8 +279,8 @@
 	if (choice->usable == 0 && want->model == NULL)
 		collect(fleet, want, RESORT_RESTING, &found, choice);
 	/* Chosen by cost, one with as little to do as the others would never
-	 * be asked again. */
-	if (want->draw % PROBE_ONE_IN == 0)
+	 * be asked again. A repeat goes where requests are taken. */
+	if (want->n_tried == 0 && want->draw % PROBE_ONE_IN == 0)
 		choose_among(doubted, want, choice, &draw, &best);
 	if (choice->endpoint != NULL)
 		return;
--- a/src/fwd-heard.c
+++ b/src/fwd-heard.c
@@ -23,11 +23,10 @@
 
 /* The endpoint wants nothing from this daemon for a while. */
 static void
-heard_rest(struct fwd_exchange *ex, const struct wire_answer *answer)
+heard_rest(struct fwd_exchange *ex, const struct wire_answer *answer,
+    uint64_t ms)
 {
 	struct endpoint *ep = ex->endpoint;
-	uint64_t ms =
-	    endpoint_rest_read(answer->rest_ms, ex->fwd->set.rest_most_ms);
 
 	/* The rest runs from now; the loop's time is from before this round. */
 	uv_update_time(ex->fwd->loop);
@@ -79,11 +78,10 @@
  * that come next: it drew two requests of three from replicas with places.
  */
 static void
-heard_refusal(struct fwd_exchange *ex, const struct wire_answer *answer)
+heard_refusal(struct fwd_exchange *ex)
 {
-	if (answer->at_fault == NULL && answer->rest == NULL)
-		fwd_endpoint_rest(ex,
-		    endpoint_rest_refused(&ex->endpoint->rest), "refused");
+	fwd_endpoint_rest(ex, endpoint_rest_refused(&ex->endpoint->rest),
+	    "refused");
 }
 
 /**
@@ -94,6 +92,8 @@
 void
 fwd_heard(struct fwd_exchange *ex, const struct wire_answer *answer)
 {
+	uint64_t rest_ms = 0;
+
 	if (answer->not_run)
 		event_log(LOG_INFO, "request_not_run",
 		    "id=%s endpoint=%s status=%u rest=\"%.40s\" leaving=%d "
@@ -106,14 +106,17 @@
 		    (unsigned long long)(uv_now(ex->fwd->loop) - ex->sent_ms));
 	if (answer->wrong_endpoint)
 		return;
-	if (answer->not_run)
-		heard_refusal(ex, answer);
-	else
-		heard_taken(ex);
 	if (answer->leaving)
 		heard_leaving(ex);
 	if (answer->rest != NULL)
-		heard_rest(ex, answer);
+		rest_ms = endpoint_rest_read(answer->rest_ms,
+		    ex->fwd->set.rest_most_ms);
+	if (answer->rest != NULL)
+		heard_rest(ex, answer, rest_ms);
+	if (!answer->not_run)
+		heard_taken(ex);
+	else if (rest_ms == 0 && answer->at_fault == NULL)
+		heard_refusal(ex);
 }
 
 /**
