One start of three plain endpoints for the tests that need it; wrap a comment

proc-rest.sh had written the start of proc-retries.sh again: both call start_three_services in lib.sh now. The checks are the same. The comment on the switches of the stand-in had lost its margin to the formatter. No code of the product.

--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -260,3 +260,19 @@
 serving() { # DOMAIN DAEMON: count of targets that this daemon would use
 	ctl "$1" "$2" -j status | grep -c '"serving": true'
 }
+
+three_serve() {
+	[ "$(serving 1 1)" = 3 ]
+}
+
+# One daemon before three plain endpoints, all of which serve.
+start_three_services() {
+	start_platform
+	start_services 1 3
+	put_hosts
+	start_daemon 1 1
+	until_true 10 curl -s "$(caller_url 1 1)/health"
+	until_true 10 apply_resources '{}'
+	until_true 10 service_ok 1 1
+	until_true 10 three_serve
+}
--- a/tests/proc-rest.sh
+++ b/tests/proc-rest.sh
@@ -6,17 +6,7 @@
 # three had asked for 4 s of rest.
 . tests/lib.sh
 
-start_platform
-start_services 1 3
-put_hosts
-start_daemon 1 1
-until_true 10 curl -s "$(caller_url 1 1)/health"
-until_true 10 apply_resources '{}'
-until_true 10 service_ok 1 1
-three_serve() {
-	[ "$(serving 1 1)" = 3 ]
-}
-until_true 10 three_serve
+start_three_services
 
 rests() { # SERVICE: requests that it turned away
 	curl -s "$(service_url 1 "$1")/journal" | grep -c '^rest$'
--- a/tests/proc-retries.sh
+++ b/tests/proc-retries.sh
@@ -2,17 +2,7 @@
 # endpoints over calls from callers, from the daemon's own counters.
 . tests/lib.sh
 
-start_platform
-start_services 1 3
-put_hosts
-start_daemon 1 1
-until_true 10 curl -s "$(caller_url 1 1)/health"
-until_true 10 apply_resources '{}'
-until_true 10 service_ok 1 1
-three_serve() {
-	[ "$(serving 1 1)" = 3 ]
-}
-until_true 10 three_serve
+start_three_services
 
 metric() { # NAME
 	curl -s -H "Authorization: Bearer $BANKLIFT_OPERATOR_TOKEN" \
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -19,15 +19,15 @@
  * while it was lower say nothing any more), late-ORDER-IP (the next N orders of
  * a kind to an engine have no answer and are carried out late-ms later; ORDER
  * any: of all kinds), rest-IP (ms: the endpoint turns all requests away and
- *asks for so much rest), leaving-IP (it says in its answers that it leaves),
+ * asks for so much rest), leaving-IP (it says in its answers that it leaves),
  * excuse-IP (a caller's address: what it was told is forgotten).
  *
  * The journal has a line "two ENGINE NEW OLD" for each join of an engine whose
  * group, which it has not left, has a head that serves or stands still; a line
  * "in-rest ENDPOINT CALLER COUNT ID" for each request beyond two that comes
- *from a caller between half a second after that was asked for rest and its end;
- *and "after-leaving ENDPOINT CALLER COUNT ID" for each that comes a second
- *after its caller was told that the endpoint leaves.
+ * from a caller between half a second after that was asked for rest and the
+ * end of it; and "after-leaving ENDPOINT CALLER COUNT ID" for each that comes a
+ * second after its caller was told that the endpoint leaves.
  */
 #include <jansson.h>
 #include <signal.h>
