Log and count the limits on requests a second that endpoints name

Cause of this change: an endpoint may name in its answers the requests a second that it takes from all daemons together. No line said so, nor what a daemon knew of it when it sent, so a limit that isn't heard can't be told from one that each daemon keeps alone.

Change: the adapter decodes the header; what endpoints say of themselves is read by one table of headers and taken in by one table of words, so the next word is a row in each. A number said twice or unreadable is logged and read within bounds. One function reads decimal headers where two did. Nothing is decided by a limit yet.

test-adapter has the formats. A refusal within an earlier rest that still holds no longer counts as one without a word on rest; the two only differ where requests crossed.

--- a/src/dir-fleet.h
+++ b/src/dir-fleet.h
@@ -3,6 +3,7 @@
 #define BL_DIR_FLEET_H
 
 #include "dir-catalog.h"
+#include "dir-limit.h"
 #include "dir-rest.h"
 #include "fwd-backlog.h"
 #include "net-client.h"
@@ -99,6 +100,7 @@
  *	that model in a fraction of a second, also after it has left
  * @failures: failures in a row
  * @rest: the rest that it asked this daemon for
+ * @limit: the requests a second that it takes from all daemons together
  * @rest_until_ms: no work before then; a guess of this daemon or another
  * @unfit_until_ms: not to be placed before then; it did not answer
  * @out_epoch: it serves in no group up to this epoch, and can't come back into
@@ -135,6 +137,7 @@
 	char *memory;
 	unsigned failures;
 	struct endpoint_rest rest;
+	struct endpoint_limit limit;
 	uint64_t rest_until_ms;
 	uint64_t unfit_until_ms;
 	int64_t out_epoch;
--- a/src/dir-rest.c
+++ b/src/dir-rest.c
@@ -27,21 +27,6 @@
 #define REFUSED_FIRST_MS 100
 #define REFUSED_DOUBLINGS 5
 
-/**
- * endpoint_rest_parse() - a rest as it stands in an answer.
- * @seconds: a number of seconds, with or without a fraction
- *
- * Return: ms; NAN where the text is no number.
- */
-double
-endpoint_rest_parse(const char *seconds)
-{
-	char *end;
-	double n = g_ascii_strtod(seconds, &end);
-
-	return (end != seconds && *end == '\0' ? n * 1000 : NAN);
-}
-
 /**
  * endpoint_rest_read() - the duration of a rest that was asked for.
  * @asked_ms: what was read, in ms; NAN where that was no duration
--- a/src/dir-rest.h
+++ b/src/dir-rest.h
@@ -22,7 +22,6 @@
 	unsigned refusals;
 };
 
-double endpoint_rest_parse(const char *);
 uint64_t endpoint_rest_read(double, uint64_t);
 void endpoint_rest_ask(struct endpoint_rest *, uint64_t, uint64_t);
 bool endpoint_rest_holds(const struct endpoint_rest *, uint64_t);
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -101,6 +101,7 @@
 	/* What is sent again goes on a new connection: those that were idle may
 	 * have fallen silent together. */
 	uint64_t idle = once || ex->sends > 0 ? 0 : IDLE_MOST_MS;
+	const struct endpoint_limit *limit = &choice->endpoint->limit;
 	g_autoptr(GString) text = NULL;
 
 	TAILQ_REMOVE(&fwd->waiting, ex, wait_entry);
@@ -124,9 +125,12 @@
 	fwd_stats_count(&fwd->stats, COUNT_SENT);
 	log_debug("request_sent",
 	    "id=%s endpoint=%s sends=%u expected_ms=%.0f load=%.2f known=%u "
-	    "usable=%u",
+	    "usable=%u limit=%.3f limit_age_ms=%llu",
 	    ex->id, ex->endpoint->report.id, ex->sends, choice->first_ms,
-	    choice->load, choice->known, choice->usable);
+	    choice->load, choice->known, choice->usable,
+	    limit->holds ? limit->per_s : -1,
+	    (unsigned long long)(limit->holds ? ex->sent_ms - limit->said_ms :
+						0));
 	text = exchange_text(ex);
 	net_client_send(ex->client, text->str, text->len, ex->head_only);
 }
--- a/src/fwd-heard.c
+++ b/src/fwd-heard.c
@@ -1,4 +1,7 @@
-/* What an endpoint says of itself in an answer: that it rests or leaves. */
+/*
+ * What an endpoint says of itself in an answer: that it rests or leaves, or how
+ * many requests a second it takes. Each word is a row of the table below.
+ */
 #include <math.h>
 
 #include "event-log.h"
@@ -23,20 +26,19 @@
 
 /* The endpoint wants nothing from this daemon for a while. */
 static void
-heard_rest(struct fwd_exchange *ex, const struct wire_answer *answer,
-    uint64_t ms)
+heard_rest(struct fwd_exchange *ex, const struct said *said)
 {
 	struct endpoint *ep = ex->endpoint;
+	uint64_t ms =
+	    endpoint_rest_read(said->number, ex->fwd->set.rest_most_ms);
 
-	/* The rest runs from now; the loop's time is from before this round. */
-	uv_update_time(ex->fwd->loop);
 	endpoint_rest_ask(&ep->rest, ms, uv_now(ex->fwd->loop));
 	fwd_stats_count(&ex->fwd->stats, COUNT_RESTS);
 	event_log(LOG_NOTICE, "endpoint_asks_rest",
 	    "endpoint=%s started_ms=%lld asked=\"%.40s\" read=%s ms=%llu "
 	    "left_ms=%llu inflight=%u id=%s",
-	    ep->report.id, (long long)ep->report.started_ms, answer->rest,
-	    isnan(answer->rest_ms) ? "no" : "yes", (unsigned long long)ms,
+	    ep->report.id, (long long)ep->report.started_ms, said->text,
+	    isnan(said->number) ? "no" : "yes", (unsigned long long)ms,
 	    (unsigned long long)(MAX(ep->rest.until_ms, uv_now(ex->fwd->loop)) -
 		uv_now(ex->fwd->loop)),
 	    ep->inflight, ex->id);
@@ -44,11 +46,11 @@
 
 /* The endpoint ends what it has; for good within its incarnation. */
 static void
-heard_leaving(struct fwd_exchange *ex)
+heard_leaving(struct fwd_exchange *ex, const struct said *said)
 {
 	struct endpoint *ep = ex->endpoint;
 
-	if (ep->draining)
+	if (said->number != 1 || ep->draining)
 		return;
 	/* Its entry in the store may say so later, or not at all where the
 	 * store is away. */
@@ -61,6 +63,57 @@
 	    ep->inflight, ex->id);
 }
 
+/* One line for each change of what an endpoint takes. */
+static void
+limit_log(const struct fwd_exchange *ex, const char *event, const char *asked)
+{
+	const struct endpoint *ep = ex->endpoint;
+
+	event_log(LOG_NOTICE, event,
+	    "endpoint=%s started_ms=%lld asked=\"%.40s\" per_s=%.3f "
+	    "inflight=%u id=%s",
+	    ep->report.id, (long long)ep->report.started_ms, asked,
+	    ep->limit.per_s, ep->inflight, ex->id);
+}
+
+/* The endpoint takes so many requests a second from all daemons together. */
+static void
+heard_limit(struct fwd_exchange *ex, const struct said *said)
+{
+	struct endpoint_limit *limit = &ex->endpoint->limit;
+	double per_s = endpoint_limit_read(said->number, limit);
+
+	if (!endpoint_limit_name(limit, per_s, uv_now(ex->fwd->loop)))
+		return;
+	fwd_stats_count(&ex->fwd->stats, COUNT_LIMITS);
+	limit_log(ex, "endpoint_names_limit", said->text);
+}
+
+/* The endpoint names no limit, or none any more. */
+static void
+heard_no_limit(struct fwd_exchange *ex)
+{
+	struct endpoint_limit *limit = &ex->endpoint->limit;
+
+	if (endpoint_limit_outlived(limit, ex->sent_ms) &&
+	    endpoint_limit_lift(limit, uv_now(ex->fwd->loop)))
+		limit_log(ex, "endpoint_lifts_limit", "");
+}
+
+/**
+ * struct heard_word - a word that an endpoint may say of itself.
+ * @said: takes it in
+ * @unsaid: an answer came without it; NULL where that means nothing
+ */
+static const struct heard_word {
+	void (*said)(struct fwd_exchange *, const struct said *);
+	void (*unsaid)(struct fwd_exchange *);
+} heard_words[SAID_WORDS] = {
+	[SAID_REST] = { heard_rest, NULL },
+	[SAID_LEAVING] = { heard_leaving, NULL },
+	[SAID_LIMIT] = { heard_limit, heard_no_limit },
+};
+
 /* The endpoint took a request, which may have been to find that out. */
 static void
 heard_taken(struct fwd_exchange *ex)
@@ -92,30 +145,34 @@
 void
 fwd_heard(struct fwd_exchange *ex, const struct wire_answer *answer)
 {
-	uint64_t rest_ms = 0;
+	const struct said *rest = &answer->said[SAID_REST];
+	const struct endpoint *ep = ex->endpoint;
 
+	/* What it says holds from now; the loop's time is from before this
+	 * round. */
+	uv_update_time(ex->fwd->loop);
 	if (answer->not_run)
 		event_log(LOG_INFO, "request_not_run",
-		    "id=%s endpoint=%s status=%u rest=\"%.40s\" leaving=%d "
+		    "id=%s endpoint=%s status=%u rest=\"%.40s\" "
 		    "expected_ms=%.0f running=%u usable=%u known=%u sends=%u "
 		    "age_ms=%llu",
-		    ex->id, ex->endpoint->report.id, ex->status,
-		    answer->rest != NULL ? answer->rest : "-", answer->leaving,
-		    ex->expected_ms, ex->running_at_send, ex->usable_at_send,
-		    ex->known_at_send, ex->sends,
+		    ex->id, ep->report.id, ex->status,
+		    rest->text != NULL ? rest->text : "-", ex->expected_ms,
+		    ex->running_at_send, ex->usable_at_send, ex->known_at_send,
+		    ex->sends,
 		    (unsigned long long)(uv_now(ex->fwd->loop) - ex->sent_ms));
 	if (answer->wrong_endpoint)
 		return;
-	if (answer->leaving)
-		heard_leaving(ex);
-	if (answer->rest != NULL)
-		rest_ms = endpoint_rest_read(answer->rest_ms,
-		    ex->fwd->set.rest_most_ms);
-	if (answer->rest != NULL)
-		heard_rest(ex, answer, rest_ms);
+	for (enum said_word word = 0; word < SAID_WORDS; word++) {
+		if (answer->said[word].text != NULL)
+			heard_words[word].said(ex, &answer->said[word]);
+		else if (heard_words[word].unsaid != NULL)
+			heard_words[word].unsaid(ex);
+	}
 	if (!answer->not_run)
 		heard_taken(ex);
-	else if (rest_ms == 0 && answer->at_fault == NULL)
+	else if (answer->at_fault == NULL &&
+	    !endpoint_rest_holds(&ep->rest, uv_now(ex->fwd->loop)))
 		heard_refusal(ex);
 }
 
@@ -129,6 +186,8 @@
 	const struct endpoint *ep = ex->endpoint;
 	uint64_t now = uv_now(ex->fwd->loop);
 
+	if (ep->limit.holds)
+		fwd_stats_count(&ex->fwd->stats, COUNT_SENT_LIMITED);
 	if (!endpoint_rest_holds(&ep->rest, now))
 		return;
 	fwd_stats_count(&ex->fwd->stats, COUNT_SENT_IN_REST);
--- a/src/fwd-wire.h
+++ b/src/fwd-wire.h
@@ -42,6 +42,29 @@
 	int priority;
 };
 
+/**
+ * enum said_word - what an endpoint may say of itself in any answer.
+ * @SAID_REST: it wants nothing from this daemon for so many ms
+ * @SAID_LEAVING: 1 where it ends what it has and takes nothing new
+ * @SAID_LIMIT: the requests a second that it takes from all daemons together
+ */
+enum said_word {
+	SAID_REST,
+	SAID_LEAVING,
+	SAID_LIMIT,
+	SAID_WORDS,
+};
+
+/**
+ * struct said - one word of an endpoint.
+ * @text: as it stands in the head; NULL where it doesn't
+ * @number: the same as a number in the word's unit; NAN where it is none
+ */
+struct said {
+	const char *text;
+	double number;
+};
+
 /**
  * struct wire_answer - what an answer's head says, decoded.
  * @id: of the attempt that it answers, or NULL
@@ -49,9 +72,7 @@
  * @not_run: the endpoint says that it did not run the request
  * @wrong_endpoint: another incarnation than the one meant has the address
  * @at_fault: the endpoint that the work depended on, or NULL
- * @leaving: the endpoint says that it leaves
- * @rest: the rest that it asks for as it stands in the head, or NULL
- * @rest_ms: the same as a duration; NAN where it is none
+ * @said: what the endpoint says of itself, by enum said_word
  */
 struct wire_answer {
 	const char *id;
@@ -59,9 +80,7 @@
 	bool not_run;
 	bool wrong_endpoint;
 	const char *at_fault;
-	bool leaving;
-	const char *rest;
-	double rest_ms;
+	struct said said[SAID_WORDS];
 };
 
 /**
--- a/src/net-head.c
+++ b/src/net-head.c
@@ -1,4 +1,5 @@
 /* The head of an HTTP message: first line and headers, kept in one buffer. */
+#include <math.h>
 #include <string.h>
 #include <strings.h>
 
@@ -161,6 +162,36 @@
 	return (NULL);
 }
 
+/**
+ * net_head_count() - headers of a name.
+ * @head: the head
+ * @name: the name, in any case
+ */
+unsigned
+net_head_count(const struct net_head *head, const char *name)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < head->n_fields; i++)
+		n += strcasecmp(net_head_name(head, i), name) == 0;
+	return (n);
+}
+
+/**
+ * net_head_decimal() - a value that is a decimal number and nothing else.
+ * @value: the value
+ *
+ * Return: NAN where it is no such number.
+ */
+double
+net_head_decimal(const char *value)
+{
+	char *end;
+	double n = g_ascii_strtod(value, &end);
+
+	return (end != value && *end == '\0' ? n : NAN);
+}
+
 /* Whether a comma-separated list holds a token, in any case. */
 static bool
 list_holds(const char *list, const char *token)
--- a/src/net-head.h
+++ b/src/net-head.h
@@ -49,6 +49,8 @@
 const char *net_head_name(const struct net_head *, unsigned);
 const char *net_head_value(const struct net_head *, unsigned);
 const char *net_head_find(const struct net_head *, const char *);
+unsigned net_head_count(const struct net_head *, const char *);
+double net_head_decimal(const char *);
 bool net_head_hop_by_hop(const struct net_head *, unsigned);
 
 #endif
--- a/src/target.c
+++ b/src/target.c
@@ -3,8 +3,10 @@
 
 #include "dir-rest.h"
 #include "event-log.h"
+#include "net-head.h"
 #include "target.h"
 
+#define MS_PER_S 1000
 /* Weight of a new latency in the moving mean is 1 / 2^LATENCY_SHIFT. */
 #define LATENCY_SHIFT 3
 /* A straggler is never weighed more than this against the median. */
@@ -140,8 +142,8 @@
 void
 target_ask_rest(struct target *target, const char *seconds, uint64_t now)
 {
-	uint64_t ms =
-	    endpoint_rest_read(endpoint_rest_parse(seconds), CLOSED_MAX_MS);
+	uint64_t ms = endpoint_rest_read(net_head_decimal(seconds) * MS_PER_S,
+	    CLOSED_MAX_MS);
 	uint64_t until = atomic_load(&target->closed_until_ms);
 
 	while (until < now + ms &&
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -155,6 +155,20 @@
 	net_head_clear(&head);
 }
 
+/* Prints a word of an endpoint, if it was said. */
+static void
+said_print(const struct said *said, const char *name, const char *unit,
+    GString *out)
+{
+	if (said->text == NULL)
+		return;
+	if (isnan(said->number))
+		g_string_append_printf(out, " %s=?(%s)", name, said->text);
+	else
+		g_string_append_printf(out, " %s=%g%s", name, said->number,
+		    unit);
+}
+
 /* answer STATUS HEADERS */
 static void
 exec_answer(const char *rest, GString *out)
@@ -171,12 +185,10 @@
 	    answer.id != NULL ? answer.id : "-", answer.proof, answer.not_run,
 	    answer.wrong_endpoint,
 	    answer.at_fault != NULL ? answer.at_fault : "-");
-	if (answer.leaving)
+	if (answer.said[SAID_LEAVING].number == 1)
 		g_string_append(out, " leaving=1");
-	if (answer.rest != NULL && isnan(answer.rest_ms))
-		g_string_append_printf(out, " rest=?(%s)", answer.rest);
-	else if (answer.rest != NULL)
-		g_string_append_printf(out, " rest=%.0f ms", answer.rest_ms);
+	said_print(&answer.said[SAID_REST], "rest", " ms", out);
+	said_print(&answer.said[SAID_LIMIT], "limit", "/s", out);
 	g_string_append_c(out, '\n');
 	net_head_clear(&head);
 }
