Endpoints that name a limit for all daemons: a test that fails, with a judge

Symptom: endpoints that say how many requests a second they take from all daemons together get about as many as before.

The stand-in for the platform can name limits and judges the sum over all callers that it told half a second before: from three seconds on, in no 4 s more than one and a half times the limit and 5. Before, no test could see the fault.

On the code as it is, nine daemons: 86 requests beyond 1.3 and 1.8 a second of two plain endpoints, 152 beyond 1.3 of a replica, though others were free. By the lines that were missing, each daemon sent one request before it knew of a limit; of 61 to one endpoint 52 went with limit=1.300 in hand (limit_age_ms 289 to 873), 5 to 11 a second all the while: the limit is read by nothing, rather than kept by each daemon or known too late.

--- a/tests/fake-platform.h
+++ b/tests/fake-platform.h
@@ -76,15 +76,22 @@
 /* fake-points.c: engines that form groups, and plain endpoints. */
 void point_beat(struct point *);
 void point_request(struct conn *);
+char *point_says(const struct conn *);
 
 /* fake-group.c: engines' groups, and the rules that joins must keep. */
 void group_order(struct conn *);
 void group_beat(struct point *);
 
 /* fake-rest.c: endpoints that rest or leave, and what they get all the same. */
+uint32_t conn_caller(const struct conn *);
 void rest_judge(const struct conn *);
 bool rest_refuse(struct conn *);
 const char *rest_leaving(const struct conn *);
 void rest_excuse(const char *);
 
+/* fake-limit.c: endpoints that name limits, and what they get all the same. */
+void limit_judge(const struct conn *);
+char *limit_header(const struct conn *);
+void limit_excuse(const char *);
+
 #endif
--- a/tests/fake-points.c
+++ b/tests/fake-points.c
@@ -80,15 +80,25 @@
 	net_stream_write(&c->stream, "0\r\n\r\n", 5);
 }
 
+/* Headers by which an endpoint speaks of itself, in all of its answers. */
+char *
+point_says(const struct conn *c)
+{
+	g_autofree char *limit = limit_header(c);
+
+	return (g_strconcat(rest_leaving(c), limit, NULL));
+}
+
 static void
 point_stream(struct conn *c)
 {
 	const char *last = net_head_find(&c->head, "last-event-id");
+	g_autofree char *said = point_says(c);
 	g_autofree char *head = g_strdup_printf(
 	    "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Signature: %s\r\n"
 	    "%sContent-Type: text/event-stream\r\n"
 	    "Transfer-Encoding: chunked\r\n\r\n",
-	    c->id, c->point->id, rest_leaving(c));
+	    c->id, c->point->id, said);
 
 	c->streams = true;
 	c->event = last != NULL ? atoi(last) + 1 : 0;
@@ -99,11 +109,12 @@
 static void
 point_answer(struct conn *c)
 {
+	g_autofree char *said = point_says(c);
 	g_autofree char *headers = g_strdup_printf(
 	    "Attempt-Id: %s\r\n%s%s%s%sKeep-Alive: timeout=5\r\n", c->id,
 	    get_switch("noproof") ? "" : "Server-Signature: ",
 	    get_switch("noproof") ? "" : c->point->id,
-	    get_switch("noproof") ? "" : "\r\n", rest_leaving(c));
+	    get_switch("noproof") ? "" : "\r\n", said);
 	static const char text[] = "whole answer";
 
 	if (take_switch("stray"))
@@ -162,11 +173,16 @@
 	g_free(c->id);
 	c->id = g_strdup(id != NULL ? id : "-");
 	rest_judge(c);
+	limit_judge(c);
 	if (rest_refuse(c))
 		return;
 	if ((p->engine && strcmp(p->state, "open") != 0) ||
 	    take_switch("full")) {
-		conn_reply(c, 503, "Not-Executed: 1\r\n", "", 0);
+		g_autofree char *said = point_says(c);
+		g_autofree char *headers =
+		    g_strconcat("Not-Executed: 1\r\n", said, NULL);
+
+		conn_reply(c, 503, headers, "", 0);
 		return;
 	}
 	p->ran++;
--- a/tests/fake-rest.c
+++ b/tests/fake-rest.c
@@ -36,7 +36,7 @@
 }
 
 /* The address that a connection comes from. */
-static uint32_t
+uint32_t
 conn_caller(const struct conn *c)
 {
 	struct sockaddr_in addr = { 0 };
@@ -100,13 +100,14 @@
 rest_refuse(struct conn *c)
 {
 	int ms = point_switch("rest", c->point);
-	g_autofree char *headers = NULL;
+	g_autofree char *headers = NULL, *said = NULL;
 
 	if (ms == 0)
 		return (false);
+	said = point_says(c);
 	headers =
 	    g_strdup_printf("Not-Executed: 1\r\n%sRetry-After: %d.%03d\r\n",
-		rest_leaving(c), ms / 1000, ms % 1000);
+		said, ms / 1000, ms % 1000);
 	told_add(c, false, REST_CROSSING_MS, (uint64_t)ms);
 	conn_reply(c, 503, headers, "", 0);
 	return (true);
--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -167,8 +167,10 @@
 
 	g_hash_table_replace(fake_switches, g_strdup(w[0]),
 	    GINT_TO_POINTER(atoi(w[1])));
-	if (g_str_has_prefix(w[0], "excuse-"))
+	if (g_str_has_prefix(w[0], "excuse-")) {
 		rest_excuse(w[0] + strlen("excuse-"));
+		limit_excuse(w[0] + strlen("excuse-"));
+	}
 	conn_reply(c, 200, "", "", 0);
 }
 
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -20,14 +20,18 @@
  * a kind to an engine have no answer and are carried out late-ms later; ORDER
  * any: of all kinds), rest-IP (ms: the endpoint turns all requests away and
  * asks for so much rest), leaving-IP (it says in its answers that it leaves),
- * excuse-IP (a caller's address: what it was told is forgotten).
+ * limit-IP (it names in its answers so many thousandths of a request a second
+ * as what it takes from all callers; below 0: what is no number), excuse-IP (a
+ * caller's address: what it was told is forgotten).
  *
  * The journal has a line "two ENGINE NEW OLD" for each join of an engine whose
  * group, which it has not left, has a head that serves or stands still; a line
  * "in-rest ENDPOINT CALLER COUNT ID" for each request beyond two that comes
  * from a caller between half a second after that was asked for rest and the
  * end of it; and "after-leaving ENDPOINT CALLER COUNT ID" for each that comes a
- * second after its caller was told that the endpoint leaves.
+ * second after its caller was told that the endpoint leaves; "over-limit
+ * ENDPOINT COUNT of ALLOWED ID" for each from a caller that was told of a limit,
+ * where more than one and a half times the limit and 5 come in 4 s.
  */
 #include <jansson.h>
 #include <signal.h>
