Daemons share the limit that an endpoint names for all of them

What callers and endpoints saw: an endpoint that said how many requests a second it takes from all daemons got about as many as before (86 and 152 requests beyond one and a half times that and five in 4 s, nine daemons), though others had places free.

The word was read by nothing, and no path had a bound on requests a second at an endpoint, let alone over all daemons. Ruled out: that each daemon kept the limit for itself (the rate of each was the same before and after it knew: 52 of 61 sends with the limit in hand) and that it came late (289 to 873 ms old at those sends).

Change: an endpoint's limit is known by its answers and told to the other daemons with its age, and is over by an answer to a request that was sent after it was heard. Few daemons have a share, twice the limit and three, taken from the failure domains in turn by hash; each share gives turns, one saved up at most, so in 4 s the sum is six times the limit and three at most. A part of the fleet takes its part of the limit; a share is taken over after 2 s. All sends need a turn: first ones, repeats, moved and resumed streams, waiting requests, connections being made; it comes back where nothing was sent. Where only limits keep a request from its endpoints it waits for a turn that comes in time, or is refused at once and told when the fleet has a turn. Waiting requests are looked at in the order of their priority. A limit of next to nothing is asked each 5 s.

--- a/src/cmd-explain.c
+++ b/src/cmd-explain.c
@@ -20,7 +20,8 @@
 
 /* Events of an endpoint that says what it wants. */
 static const char *const said_events[] = { "endpoint_asks_rest",
-	"endpoint_leaves", "endpoint_names_limit", "endpoint_lifts_limit" };
+	"endpoint_leaves", "endpoint_names_limit", "endpoint_lifts_limit",
+	"endpoint_limit_told" };
 
 /* Events of a daemon that touch all of its requests. */
 static const char *const daemon_events[] = { "config_in_force", "store_lost",
--- a/src/dir-fleet.c
+++ b/src/dir-fleet.c
@@ -9,8 +9,9 @@
  * beats of the endpoint would have replaced it. */
 #define UNREADABLE_MOST_MS 3600
 
-/* A leaving endpoint whose entry is gone is known to leave for so long: it has
- * ended by then, and 500 of them a day hold no more than a few at a time. */
+/* A leaving or limited endpoint whose entry is gone is remembered for so long:
+ * it has ended by then, and 500 of them a day hold no more than a few at a
+ * time. */
 #define LEAVING_KEPT_MS 120000
 
 static const char *const state_names[] = { "none", "joining", "ready", "open",
@@ -404,7 +405,8 @@
 
 /*
  * Whether what an endpoint said of itself must outlive its entry: that may come
- * back while the incarnation lives on, which still wants rest or is leaving.
+ * back while the incarnation lives on, which still wants rest, is leaving or
+ * has a limit.
  */
 static bool
 fleet_remembers(const struct fleet *fleet, const struct endpoint *ep,
@@ -413,7 +415,8 @@
 	if (fleet_find(fleet, ep->report.id) != ep)
 		return (false);
 	return (endpoint_rest_holds(&ep->rest, now_ms) ||
-	    (ep->draining && now_ms - ep->lapsed_ms < LEAVING_KEPT_MS));
+	    ((ep->draining || ep->limit.holds) &&
+		now_ms - ep->lapsed_ms < LEAVING_KEPT_MS));
 }
 
 /**
--- a/src/dir-limit.c
+++ b/src/dir-limit.c
@@ -1,5 +1,8 @@
 /*
  * The requests a second that an endpoint takes from all daemons together. Pure.
+ *
+ * Each daemon has a share of it, which gives turns: one turn sends one request.
+ * Nothing passes it, also where no other endpoint is left.
  */
 #include <glib.h>
 #include <math.h>
@@ -10,6 +13,16 @@
 #define LIMIT_UNREADABLE_PER_S 1.0
 /* More than any endpoint serves; keeps what is computed with it finite. */
 #define LIMIT_MOST_PER_S 1e6
+/* An endpoint that takes less, or nothing, still gets a request in five
+ * seconds: only its answers can say that the limit is over. */
+#define LIMIT_ASKED_PER_S 0.2
+/* Another daemon's word may look newer than it is by its way here. */
+#define LIMIT_ECHO_MS 500
+/* Turns that a daemon saves up; the sum over all daemons may come at once. */
+#define LIMIT_TURNS_MOST 1.0
+/* A turn that is due but for rounding. */
+#define LIMIT_TURN_DUST 1e-6
+#define MS_PER_S 1000.0
 
 /**
  * endpoint_limit_read() - the limit that an endpoint names.
@@ -41,6 +54,10 @@
 
 	if (at_ms < limit->said_ms)
 		return (false);
+	if (!limit->holds) {
+		limit->share_per_s = 0;
+		limit->since_ms = at_ms;
+	}
 	limit->said_ms = at_ms;
 	limit->holds = true;
 	limit->per_s = per_s;
@@ -78,3 +95,142 @@
 {
 	return (limit->holds && sent_ms > limit->said_ms);
 }
+
+/**
+ * endpoint_limit_told() - another daemon tells of a limit, or of its end.
+ * @limit: what is known
+ * @per_s: the limit; INFINITY for none
+ * @at_ms: loop time as of which the other knows it
+ * @now_ms: loop time
+ *
+ * Return: whether this is news.
+ */
+bool
+endpoint_limit_told(struct endpoint_limit *limit, double per_s, uint64_t at_ms,
+    uint64_t now_ms)
+{
+	/* An old word must not bring back a limit that is over, and words that
+	 * go round must not make each other newer. */
+	bool same = limit->holds && limit->per_s == per_s;
+	uint64_t since = !limit->holds || same ? LIMIT_ECHO_MS : 0;
+	bool news;
+
+	if (limit->said_ms != 0 && at_ms <= limit->said_ms + since)
+		return (false);
+	news = isinf(per_s) ? endpoint_limit_lift(limit, at_ms) :
+			      endpoint_limit_name(limit, per_s, at_ms);
+	if (news)
+		limit->changed_ms = now_ms;
+	return (news);
+}
+
+/**
+ * endpoint_limit_rate() - what all daemons together send.
+ * @limit: a limit
+ *
+ * Return: requests a second.
+ */
+double
+endpoint_limit_rate(const struct endpoint_limit *limit)
+{
+	return (fmax(limit->per_s, LIMIT_ASKED_PER_S));
+}
+
+/* Turns that a daemon has at a time. */
+static double
+limit_turns(const struct endpoint_limit *limit, uint64_t now_ms)
+{
+	double ms =
+	    (double)(MAX(now_ms, limit->counted_ms) - limit->counted_ms);
+
+	return (fmin(limit->turns + limit->share_per_s * ms / MS_PER_S,
+	    LIMIT_TURNS_MOST));
+}
+
+/* Brings the turns up to a time. */
+static void
+limit_count(struct endpoint_limit *limit, uint64_t now_ms)
+{
+	limit->turns = limit_turns(limit, now_ms);
+	limit->counted_ms = MAX(limit->counted_ms, now_ms);
+}
+
+/**
+ * endpoint_limit_begin() - this daemon gets a share where it had none.
+ * @limit: the limit
+ * @turns: what it begins with
+ * @from_ms: loop time from which on turns grow
+ */
+void
+endpoint_limit_begin(struct endpoint_limit *limit, double turns,
+    uint64_t from_ms)
+{
+	limit->turns = turns;
+	limit->counted_ms = from_ms;
+}
+
+/**
+ * endpoint_limit_share() - set this daemon's share.
+ * @limit: the limit
+ * @per_s: requests a second; 0 for none
+ * @now_ms: loop time
+ */
+void
+endpoint_limit_share(struct endpoint_limit *limit, double per_s,
+    uint64_t now_ms)
+{
+	limit_count(limit, now_ms);
+	limit->share_per_s = per_s;
+}
+
+/**
+ * endpoint_limit_turn_ms() - time until this daemon may send a request.
+ * @limit: the limit, or none
+ * @ahead: requests that take their turns before
+ * @now_ms: loop time
+ *
+ * Return: ms; 0 for now, INFINITY where it has no share.
+ */
+double
+endpoint_limit_turn_ms(const struct endpoint_limit *limit, unsigned ahead,
+    uint64_t now_ms)
+{
+	double lacks;
+
+	if (!limit->holds)
+		return (0);
+	if (limit->share_per_s <= 0)
+		return (INFINITY);
+	lacks = ahead + 1 - limit_turns(limit, now_ms);
+	if (lacks <= LIMIT_TURN_DUST)
+		return (0);
+	return (lacks / limit->share_per_s * MS_PER_S +
+	    (double)(MAX(limit->counted_ms, now_ms) - now_ms));
+}
+
+/**
+ * endpoint_limit_take() - a request is sent there.
+ * @limit: the limit, or none
+ * @now_ms: loop time
+ *
+ * Return: false where this daemon had no turn for it.
+ */
+bool
+endpoint_limit_take(struct endpoint_limit *limit, uint64_t now_ms)
+{
+	bool due = endpoint_limit_turn_ms(limit, 0, now_ms) <= 0;
+
+	limit_count(limit, now_ms);
+	limit->turns--;
+	return (due);
+}
+
+/**
+ * endpoint_limit_give_back() - nothing of a request that took a turn was sent.
+ * @limit: the limit
+ */
+void
+endpoint_limit_give_back(struct endpoint_limit *limit)
+{
+	limit->turns = fmin(limit->turns + 1, LIMIT_TURNS_MOST);
+}
--- a/src/edge.c
+++ b/src/edge.c
@@ -356,6 +356,14 @@
 	mesh_tell_now(&e->mesh);
 }
 
+static void
+on_limited(void *arg, struct endpoint *ep)
+{
+	struct edge *e = arg;
+
+	mesh_limit_now(&e->mesh, ep);
+}
+
 static void
 on_avoided(void *arg, struct endpoint *ep)
 {
@@ -421,6 +429,8 @@
 	e->fwd.dir = &e->dir;
 	e->fwd.suspect = on_suspect;
 	e->fwd.suspect_arg = e;
+	e->fwd.limited = on_limited;
+	e->fwd.limited_arg = e;
 	e->mesh.dir = &e->dir;
 	e->mesh.name = e->set.name;
 	e->mesh.domain = e->set.domain;
--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -38,9 +38,15 @@
 
 static uv_loop_t model_loop;
 
-/* A small generator, so that a seed tells the whole run. */
-static uint32_t
-model_draw(struct fleet_model *model, uint32_t below)
+/**
+ * fleet_model_draw() - a random number of the model's own.
+ * @model: the model
+ * @below: it is less than this
+ *
+ * A small generator, so that a seed tells the whole run.
+ */
+uint32_t
+fleet_model_draw(struct fleet_model *model, uint32_t below)
 {
 	model->seed = model->seed * 6364136223846793005u + 1442695040888963407u;
 	return ((uint32_t)(model->seed >> 33) % below);
@@ -132,11 +138,11 @@
 	mesh->self.store_ok = true;
 	daemon->dir.endpoints.synced = true;
 	daemon->dir.endpoints.next = model->now_ms * RECORDS_S / 1000;
-	mesh_init(mesh, model->now_ms, model_draw(model, UINT32_MAX) + 1);
+	mesh_init(mesh, model->now_ms, fleet_model_draw(model, UINT32_MAX) + 1);
 	daemon->up = true;
 	daemon->relay = NULL;
-	daemon->reads_ms =
-	    model->now_ms + READ_LEAST_MS + model_draw(model, READ_SPREAD_MS);
+	daemon->reads_ms = model->now_ms + READ_LEAST_MS +
+	    fleet_model_draw(model, READ_SPREAD_MS);
 }
 
 static void
@@ -198,7 +204,7 @@
 		model->daemons[i].at = i;
 		model->daemons[i].domain = i % model->n_domains;
 		model->daemons[i].starts_ms =
-		    BEGIN_MS + 1 + model_draw(model, START_SPREAD_MS);
+		    BEGIN_MS + 1 + fleet_model_draw(model, START_SPREAD_MS);
 	}
 	return (model);
 }
@@ -272,7 +278,7 @@
 			ep->inflight = 0;
 		for (unsigned k = 0; k < each; k++) {
 			g_autofree char *id = g_strdup_printf("e%u",
-			    model_draw(model, model->n_endpoints));
+			    fleet_model_draw(model, model->n_endpoints));
 
 			fleet_find(&daemon->dir.fleet, id)->inflight++;
 		}
@@ -291,7 +297,8 @@
 		struct sockaddr_in from = model_address(d->from);
 		struct model_daemon *to;
 
-		if (d->to >= model->n || model_draw(model, 1000) < model->loss)
+		if (d->to >= model->n ||
+		    fleet_model_draw(model, 1000) < model->loss)
 			continue;
 		to = &model->daemons[d->to];
 		if (!to->up ||
--- a/src/fleet-model.h
+++ b/src/fleet-model.h
@@ -121,6 +121,7 @@
 void fleet_model_start(struct fleet_model *, unsigned, uint64_t);
 void fleet_model_stop(struct fleet_model *, unsigned);
 void fleet_model_work(struct fleet_model *, unsigned);
+uint32_t fleet_model_draw(struct fleet_model *, uint32_t);
 void fleet_model_count(struct fleet_model *);
 void fleet_model_see(const struct fleet_model *, struct model_sight *);
 struct model_daemon *fleet_model_find(const struct fleet_model *, const char *);
--- a/src/fwd-admission.c
+++ b/src/fwd-admission.c
@@ -19,6 +19,7 @@
 #define RETRY_SPREAD 0.5
 /* Callers heed a time to come back up to this part of the time they have. */
 #define RETRY_HEEDED (1.0 / 3)
+#define MS_PER_S 1000
 
 /* Expected time until a place becomes free for the request. */
 static double
@@ -66,6 +67,13 @@
 	return (waits ? ADMIT_WAIT : ADMIT_REFUSE);
 }
 
+/* Whether only limits keep the endpoints of the kind from the request. */
+static bool
+only_limited(const struct fwd_choice *choice)
+{
+	return (choice->usable == 0 && choice->limited > 0);
+}
+
 /**
  * admission_decide() - decide about a request that has no endpoint.
  * @a: the request
@@ -74,7 +82,7 @@
 admission_decide(const struct admission *a)
 {
 	const struct fwd_choice *choice = a->choice;
-	double place = place_ms(a);
+	double place = fmin(place_ms(a), choice->turn_ms);
 
 	if (choice->endpoint != NULL) {
 		/* With free places a late answer is no reason to refuse, and
@@ -88,8 +96,10 @@
 		return (decide_closed(a));
 	/* What was begun goes on as long as there is time. */
 	if (a->sends > 0)
-		return (ADMIT_WAIT);
-	if (choice->usable == 0)
+		return (only_limited(choice) && place >= a->left_ms ?
+			ADMIT_REFUSE :
+			ADMIT_WAIT);
+	if (choice->usable == 0 && choice->limited == 0)
 		return (ADMIT_REFUSE);
 	return (in_time(a, place + (a->returned ? 0 : a->first_ms)) ?
 		ADMIT_WAIT :
@@ -109,6 +119,10 @@
 	if (a->want->model != NULL)
 		retry = a->want->model->warm_ms + a->want->engine->form_ms;
 	retry *= 1 + spread;
+	/* All daemons together have a turn so often. */
+	if (only_limited(a->choice))
+		retry = (1 + spread) *
+		    fmax(MS_PER_S / a->choice->limits_per_s, RETRY_PLAIN_MS);
 	/* Before the first rest is over a caller would be refused again. */
 	if (fwd_choice_all_closed(a->choice) && a->choice->opens != NULL)
 		retry =
--- a/src/fwd-admission.h
+++ b/src/fwd-admission.h
@@ -28,7 +28,8 @@
  * @sends: times it was sent
  * @begun: it may have run, or part of its answer was given
  * @whole_ms: how long requests of its kind hold a place
- * @ahead: requests that wait before it for the same places, at all daemons
+ * @ahead: requests that wait before it for the same places, at all daemons;
+ *	turns at limits are this daemon's own, and go by @want
  * @draw: random number
  */
 struct admission {
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -24,10 +24,12 @@
  * are repeated, and repeats are usually bounded at two in ten. */
 #define PROBE_ONE_IN 10
 
-/* Endpoints with a free place, and those of them that rested or refused and
- * have not shown yet that they take requests again. */
+/* Endpoints with a free place; those of them whose limits give this daemon a
+ * turn, which only few daemons have; and those that rested or refused and have
+ * not shown yet that they take requests again. */
 struct found {
 	GPtrArray *sure;
+	GPtrArray *turns;
 	GPtrArray *doubted;
 };
 
@@ -139,6 +141,37 @@
 		choice->opens = ep;
 }
 
+/* Whether this daemon may send the request; if not, notes when it may. */
+static bool
+choice_note_turn(struct fwd_choice *choice, const struct endpoint *ep,
+    const struct fwd_want *want)
+{
+	double ms =
+	    endpoint_limit_turn_ms(&ep->limit, want->ahead, want->now_ms);
+
+	if (ms <= 0)
+		return (true);
+	choice->limited++;
+	choice->limits_per_s += endpoint_limit_rate(&ep->limit);
+	if (choice->turn == NULL || ms < choice->turn_ms) {
+		choice->turn = ep;
+		choice->turn_ms = ms;
+	}
+	return (false);
+}
+
+/* Puts an endpoint with a free place among those of its sort. */
+static void
+found_add(const struct found *found, struct endpoint *ep)
+{
+	if (endpoint_rest_doubted(&ep->rest))
+		g_ptr_array_add(found->doubted, ep);
+	else if (ep->limit.holds)
+		g_ptr_array_add(found->turns, ep);
+	else
+		g_ptr_array_add(found->sure, ep);
+}
+
 /*
  * Collects the endpoints with a free place that have not failed the request
  * yet; as a last resort also those that did, or all that are taken to need
@@ -157,23 +190,25 @@
 	choice->nearest = NULL;
 	choice->opens = NULL;
 	choice->closed = 0;
+	choice->limited = 0;
+	choice->turn = NULL;
+	choice->turn_ms = INFINITY;
+	choice->limits_per_s = 0;
 	TAILQ_FOREACH(ep, &fleet->endpoints, entry) {
 		if (!endpoint_fits(ep, want) || ep->gone)
 			continue;
 		choice->known++;
 		choice_note_closed(choice, ep, want->now_ms);
 		if (!resort_takes(ep, want->now_ms, resort) ||
-		    want_tried(want, ep, resort == RESORT_TRIED))
+		    want_tried(want, ep, resort == RESORT_TRIED) ||
+		    !choice_note_turn(choice, ep, want))
 			continue;
 		choice->usable++;
 		choice->taken += fwd_expect_running(ep);
 		choice->nearest = ep;
 		if (fwd_expect_running(ep) < endpoint_places(ep, want) &&
 		    endpoint_rest_has_room(&ep->rest))
-			g_ptr_array_add(endpoint_rest_doubted(&ep->rest) ?
-				found->doubted :
-				found->sure,
-			    ep);
+			found_add(found, ep);
 	}
 }
 
@@ -266,8 +301,9 @@
     struct fwd_choice *choice)
 {
 	g_autoptr(GPtrArray) sure = g_ptr_array_new();
+	g_autoptr(GPtrArray) turns = g_ptr_array_new();
 	g_autoptr(GPtrArray) doubted = g_ptr_array_new();
-	const struct found found = { sure, doubted };
+	const struct found found = { sure, turns, doubted };
 	double best = INFINITY;
 	uint32_t draw = want->draw;
 
@@ -284,6 +320,9 @@
 		choose_among(doubted, want, choice, &draw, &best);
 	if (choice->endpoint != NULL)
 		return;
+	/* First, so that of equals one that has a limit is asked: only its
+	 * answers say that the limit is over. */
+	compare(turns, 0, turns->len, want, choice, &best);
 	choose_among(sure, want, choice, &draw, &best);
 	if (choice->endpoint == NULL || choice->load >= FWD_FULL_ENOUGH)
 		choose_among(doubted, want, choice, &draw, &best);
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -29,6 +29,7 @@
  * @domain: this daemon's failure domain
  * @tried: endpoints that failed it
  * @n_tried: how many
+ * @ahead: requests of its kind that wait before it at this daemon
  * @now_ms: loop time
  * @draw: random numbers for the choice
  */
@@ -41,6 +42,7 @@
 	const char *domain;
 	const struct fwd_tried *tried;
 	unsigned n_tried;
+	unsigned ahead;
 	uint64_t now_ms;
 	uint32_t draw;
 };
@@ -57,6 +59,10 @@
  * @closed: endpoints of the kind that rest or leave by their own word
  * @known: endpoints of the kind, usable or not
  * @usable: those that are usable, full or not, and may have the request
+ * @limited: others that are, but for this daemon's turn at their limits
+ * @turn: of these, the one with the next turn, or NULL
+ * @turn_ms: time until that; INFINITY where this daemon has no share of any
+ * @limits_per_s: requests a second that these take from all daemons together
  */
 struct fwd_choice {
 	struct endpoint *endpoint;
@@ -69,6 +75,10 @@
 	unsigned closed;
 	unsigned known;
 	unsigned usable;
+	unsigned limited;
+	const struct endpoint *turn;
+	double turn_ms;
+	double limits_per_s;
 };
 
 bool fwd_choice_all_closed(const struct fwd_choice *);
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -47,6 +47,7 @@
 	if (ex->probe)
 		endpoint_rest_probed(&ep->rest, false);
 	ex->probe = false;
+	ex->turn = false;
 	if (ex->reading) {
 		fwd_backlog_drop(&ep->backlog, ex->prompt,
 		    uv_now(ex->fwd->loop));
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -46,6 +46,8 @@
 	ex->known_at_send = choice->known;
 	ep->refs++;
 	ex->probe = endpoint_rest_probe(&ep->rest);
+	ex->turn = ep->limit.holds &&
+	    endpoint_limit_take(&ep->limit, uv_now(ex->fwd->loop));
 	ex->reading = ex->model != NULL;
 	if (ex->reading)
 		exchange_note_prompt(ex);
@@ -115,6 +117,8 @@
 	ex->client =
 	    net_pool_take(&ex->endpoint->pool, idle, &fwd_answer_ops, ex);
 	if (ex->client == NULL) {
+		if (ex->turn)
+			endpoint_limit_give_back(&ex->endpoint->limit);
 		fwd_exchange_release(ex);
 		fwd_exchange_again(ex, "no_connection");
 		return;
@@ -259,8 +263,11 @@
 fwd_exchange_discount(struct fwd_exchange *ex, bool reached)
 {
 	ex->arrived = reached;
-	if (!reached)
-		ex->runs--;
+	if (reached)
+		return;
+	ex->runs--;
+	if (ex->turn)
+		endpoint_limit_give_back(&ex->endpoint->limit);
 }
 
 /**
@@ -279,6 +286,18 @@
 	fwd_exchange_again(ex, reason);
 }
 
+/* Whether an endpoint that named a limit since may have the request. */
+static bool
+exchange_has_turn(struct fwd_exchange *ex, uint64_t now_ms)
+{
+	struct endpoint_limit *limit = &ex->endpoint->limit;
+
+	if (ex->turn || endpoint_limit_turn_ms(limit, 0, now_ms) > 0)
+		return (ex->turn);
+	ex->turn = limit->holds && endpoint_limit_take(limit, now_ms);
+	return (true);
+}
+
 /* Looks at a request whose endpoint has no connection for it yet. */
 static void
 exchange_connecting(struct fwd_exchange *ex, uint64_t now_ms)
@@ -288,6 +307,10 @@
 		fwd_exchange_move(ex, false, "endpoint_closed");
 		return;
 	}
+	if (!exchange_has_turn(ex, now_ms)) {
+		fwd_exchange_move(ex, false, "endpoint_limited");
+		return;
+	}
 	if (now_ms - ex->sent_ms <= CONNECT_MS ||
 	    now_ms < ex->fwd->blind_until_ms)
 		return;
@@ -308,11 +331,7 @@
 		    RETRY_LATE_MS);
 		return;
 	}
-	if (ex->state == EXCHANGE_WAITING) {
-		fwd_exchange_try(ex);
-		return;
-	}
-	if (ex->client == NULL)
+	if (ex->state == EXCHANGE_WAITING || ex->client == NULL)
 		return;
 	if (ex->client->connected)
 		fwd_silence_look(ex, now_ms);
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -69,6 +69,8 @@
  * @heard_ms: loop time of the last byte from the endpoint
  * @reading: counted in the endpoint's prompt tokens
  * @probe: it shows whether the endpoint takes requests again after a rest
+ * @turn: it took a turn of its endpoint's limit
+ * @limit_held_back: counted as held back for want of such a turn
  * @held_back: counted as held back from an endpoint that rests or leaves
  * @paused: the endpoint's connection is paused for a slow caller
  * @entry: in the engine's list
@@ -120,6 +122,8 @@
 	uint64_t heard_ms;
 	bool reading;
 	bool probe;
+	bool turn;
+	bool limit_held_back;
 	bool held_back;
 	bool paused;
 	TAILQ_ENTRY(fwd_exchange) entry;
--- a/src/fwd-heard.c
+++ b/src/fwd-heard.c
@@ -63,17 +63,19 @@
 	    ep->inflight, ex->id);
 }
 
-/* One line for each change of what an endpoint takes. */
+/* What an endpoint takes has changed: a line, and a word to the others. */
 static void
-limit_log(const struct fwd_exchange *ex, const char *event, const char *asked)
+limit_changed(struct fwd_exchange *ex, const char *event, const char *asked)
 {
-	const struct endpoint *ep = ex->endpoint;
+	struct endpoint *ep = ex->endpoint;
 
 	event_log(LOG_NOTICE, event,
 	    "endpoint=%s started_ms=%lld asked=\"%.40s\" per_s=%.3f "
 	    "inflight=%u id=%s",
 	    ep->report.id, (long long)ep->report.started_ms, asked,
 	    ep->limit.per_s, ep->inflight, ex->id);
+	if (ex->fwd->limited != NULL)
+		ex->fwd->limited(ex->fwd->limited_arg, ep);
 }
 
 /* The endpoint takes so many requests a second from all daemons together. */
@@ -82,11 +84,16 @@
 {
 	struct endpoint_limit *limit = &ex->endpoint->limit;
 	double per_s = endpoint_limit_read(said->number, limit);
+	bool unread = isnan(said->number);
+	bool news = unread && !limit->unread;
 
-	if (!endpoint_limit_name(limit, per_s, uv_now(ex->fwd->loop)))
+	limit->unread = unread;
+	limit->heard_ms = uv_now(ex->fwd->loop);
+	news |= endpoint_limit_name(limit, per_s, limit->heard_ms);
+	if (!news)
 		return;
 	fwd_stats_count(&ex->fwd->stats, COUNT_LIMITS);
-	limit_log(ex, "endpoint_names_limit", said->text);
+	limit_changed(ex, "endpoint_names_limit", said->text);
 }
 
 /* The endpoint names no limit, or none any more. */
@@ -95,9 +102,11 @@
 {
 	struct endpoint_limit *limit = &ex->endpoint->limit;
 
-	if (endpoint_limit_outlived(limit, ex->sent_ms) &&
-	    endpoint_limit_lift(limit, uv_now(ex->fwd->loop)))
-		limit_log(ex, "endpoint_lifts_limit", "");
+	if (!endpoint_limit_outlived(limit, ex->sent_ms))
+		return;
+	limit->heard_ms = uv_now(ex->fwd->loop);
+	if (endpoint_limit_lift(limit, limit->heard_ms))
+		limit_changed(ex, "endpoint_lifts_limit", "");
 }
 
 /**
@@ -176,6 +185,26 @@
 		heard_refusal(ex);
 }
 
+/* A request goes to an endpoint that named a limit. */
+static void
+heard_send_limited(struct fwd_exchange *ex)
+{
+	const struct endpoint *ep = ex->endpoint;
+	const struct endpoint_limit *limit = &ep->limit;
+
+	if (!limit->holds)
+		return;
+	fwd_stats_count(&ex->fwd->stats, COUNT_SENT_LIMITED);
+	if (ex->turn)
+		return;
+	fwd_stats_count(&ex->fwd->stats, COUNT_SENT_OVER_SHARE);
+	event_log(LOG_WARNING, "sent_over_share",
+	    "id=%s endpoint=%s per_s=%.3f share_per_s=%.3f turns=%.2f sends=%u "
+	    "usable=%u known=%u",
+	    ex->id, ep->report.id, limit->per_s, limit->share_per_s,
+	    limit->turns, ex->sends, ex->usable_at_send, ex->known_at_send);
+}
+
 /**
  * fwd_heard_send() - a request goes to an endpoint.
  * @ex: the exchange, with its endpoint
@@ -186,8 +215,7 @@
 	const struct endpoint *ep = ex->endpoint;
 	uint64_t now = uv_now(ex->fwd->loop);
 
-	if (ep->limit.holds)
-		fwd_stats_count(&ex->fwd->stats, COUNT_SENT_LIMITED);
+	heard_send_limited(ex);
 	if (!endpoint_rest_holds(&ep->rest, now))
 		return;
 	fwd_stats_count(&ex->fwd->stats, COUNT_SENT_IN_REST);
--- a/src/fwd-try.c
+++ b/src/fwd-try.c
@@ -1,4 +1,5 @@
 /* Sends a request, lets it wait for a place, or refuses it. */
+#include <math.h>
 #include <string.h>
 
 #include "event-log.h"
@@ -6,8 +7,8 @@
 #include "fwd-exchange.h"
 #include "random.h"
 
-/* Requests that wait before this one for the same places, at all daemons. */
-static double
+/* Requests that wait before this one for the same places here. */
+static unsigned
 exchange_ahead(const struct fwd_exchange *ex)
 {
 	const struct fwd_exchange *other;
@@ -19,7 +20,7 @@
 		ahead += other->model == ex->model &&
 		    strcmp(other->service, ex->service) == 0;
 	}
-	return ((double)ahead * MAX(ex->fwd->daemons, 1));
+	return (ahead);
 }
 
 /* What the decision on a request without an endpoint looks at. */
@@ -32,8 +33,7 @@
 	struct fwd_work work;
 
 	if (ep == NULL)
-		ep = choice->opens;
-
+		ep = choice->turn != NULL ? choice->turn : choice->opens;
 	memset(a, 0, sizeof *a);
 	a->want = want;
 	a->choice = choice;
@@ -45,7 +45,7 @@
 	a->sends = ex->sends;
 	a->begun = ex->runs > 0 || ex->first_us > 0;
 	a->whole_ms = fwd_exchange_learned(ex)->whole_ms;
-	a->ahead = exchange_ahead(ex);
+	a->ahead = (double)want->ahead * MAX(ex->fwd->daemons, 1);
 	a->draw = random_u32();
 	if (ep == NULL)
 		return;
@@ -64,7 +64,9 @@
 	if (fwd_choice_all_closed(choice))
 		return (choice->opens != NULL ? "endpoints_rest" :
 						"endpoints_leave");
-	return (choice->usable == 0 ? "no_endpoint" : "places_taken");
+	if (choice->usable > 0)
+		return ("places_taken");
+	return (choice->limited > 0 ? "endpoints_limited" : "no_endpoint");
 }
 
 /* Refuses a request that can't be served in time. */
@@ -72,14 +74,18 @@
 exchange_no_place(struct fwd_exchange *ex, const struct admission *a)
 {
 	const struct fwd_choice *choice = a->choice;
+	const struct endpoint *ep =
+	    choice->turn != NULL ? choice->turn : choice->opens;
 	int64_t retry = admission_retry_ms(a);
 
 	event_log(LOG_NOTICE, "no_place",
-	    "id=%s service=%s known=%u usable=%u closed=%u endpoint=%s "
+	    "id=%s service=%s known=%u usable=%u closed=%u limited=%u "
+	    "turn_ms=%.0f limits_per_s=%.2f endpoint=%s "
 	    "load=%.2f first_ms=%.0f whole_ms=%.0f ahead=%.0f returned=%d "
 	    "retry_ms=%lld",
 	    ex->id, ex->service, choice->known, choice->usable, choice->closed,
-	    choice->opens != NULL ? choice->opens->report.id : "-",
+	    choice->limited, isinf(choice->turn_ms) ? -1 : choice->turn_ms,
+	    choice->limits_per_s, ep != NULL ? ep->report.id : "-",
 	    choice->load, a->first_ms, a->whole_ms, a->ahead, a->returned,
 	    (long long)retry);
 	fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY,
@@ -118,11 +124,16 @@
 	if (ex->state != EXCHANGE_WAITING)
 		exchange_queue(ex);
 	fwd_exchange_want(ex, &want);
+	want.ahead = exchange_ahead(ex);
 	fwd_choose(&ex->fwd->dir->fleet, &want, &choice);
 	if (choice.closed > 0 && !ex->held_back) {
 		ex->held_back = true;
 		fwd_stats_count(&ex->fwd->stats, COUNT_HELD_BACK);
 	}
+	if (choice.limited > 0 && !ex->limit_held_back) {
+		ex->limit_held_back = true;
+		fwd_stats_count(&ex->fwd->stats, COUNT_LIMIT_HELD_BACK);
+	}
 	exchange_admission(ex, &want, &choice, &a);
 	switch (admission_decide(&a)) {
 	case ADMIT_SEND:
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -46,6 +46,20 @@
 	}
 }
 
+/* Those that wait, the more urgent first. */
+static void
+try_waiting(struct fwd *fwd)
+{
+	struct fwd_exchange *ex = TAILQ_FIRST(&fwd->waiting);
+
+	while (ex != NULL) {
+		struct fwd_exchange *next = TAILQ_NEXT(ex, wait_entry);
+
+		fwd_exchange_try(ex);
+		ex = next;
+	}
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
@@ -60,6 +74,7 @@
 	}
 	fwd->last_tick_ms = now;
 	tick_exchanges(fwd, now);
+	try_waiting(fwd);
 	tick_callers(fwd, now);
 	uv_timer_start(timer, on_tick,
 	    fwd->n_exchanges > 0 ? TICK_BUSY_MS : TICK_IDLE_MS, 0);
@@ -70,14 +85,8 @@
 on_kick(uv_timer_t *timer)
 {
 	struct fwd *fwd = timer->data;
-	struct fwd_exchange *ex = TAILQ_FIRST(&fwd->waiting);
 
-	while (ex != NULL) {
-		struct fwd_exchange *next = TAILQ_NEXT(ex, wait_entry);
-
-		fwd_exchange_try(ex);
-		ex = next;
-	}
+	try_waiting(fwd);
 	tick_callers(fwd, uv_now(fwd->loop));
 }
 
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -57,6 +57,8 @@
  * @blind_until_ms: silence is not judged before, after a pause of our own
  * @suspect: told when all streams of an endpoint fell silent
  * @suspect_arg: for @suspect
+ * @limited: told when an endpoint names, changes or lifts a limit
+ * @limited_arg: for @limited
  * @stats: counters and histograms
  */
 struct fwd {
@@ -80,6 +82,8 @@
 	uint64_t blind_until_ms;
 	void (*suspect)(void *, struct endpoint *);
 	void *suspect_arg;
+	void (*limited)(void *, struct endpoint *);
+	void *limited_arg;
 	struct fwd_stats stats;
 };
 
--- a/src/mesh-news.c
+++ b/src/mesh-news.c
@@ -6,7 +6,7 @@
 #include "mesh-news.h"
 
 /* First word of each datagram: "BLM" and the version of the format. */
-#define MESH_MAGIC 0x424c4d05u
+#define MESH_MAGIC 0x424c4d06u
 /* Places of a load's figures in the word that holds them. */
 #define READING_SHIFT 8
 #define INFLIGHT_SHIFT 22
@@ -124,6 +124,29 @@
 	return (TRUE);
 }
 
+static bool_t
+xdr_limit(XDR *xdr, struct mesh_limit *limit)
+{
+	return (xdr_uint32_t(xdr, &limit->key) &&
+	    xdr_uint32_t(xdr, &limit->milli) &&
+	    xdr_uint32_t(xdr, &limit->age_ms) &&
+	    xdr_uint32_t(xdr, &limit->users) &&
+	    xdr_uint32_t(xdr, &limit->each_micro));
+}
+
+static bool_t
+xdr_limits(XDR *xdr, struct mesh_news *news)
+{
+	if (!xdr_uint32_t(xdr, &news->n_limits) ||
+	    news->n_limits > MESH_LIMITS_MAX)
+		return (FALSE);
+	for (uint32_t i = 0; i < news->n_limits; i++) {
+		if (!xdr_limit(xdr, &news->limits[i]))
+			return (FALSE);
+	}
+	return (TRUE);
+}
+
 static bool_t
 xdr_member(XDR *xdr, struct mesh_member *member)
 {
@@ -180,7 +203,8 @@
 	    xdr_uint32_t(xdr, &news->config_age_ms) &&
 	    xdr_uint64_t(xdr, &news->entries_end) &&
 	    xdr_uint32_t(xdr, &news->living) && xdr_loads(xdr, news) &&
-	    xdr_avoid(xdr, news) && xdr_members(xdr, news));
+	    xdr_avoid(xdr, news) && xdr_limits(xdr, news) &&
+	    xdr_members(xdr, news));
 }
 
 /**
--- a/src/mesh-news.h
+++ b/src/mesh-news.h
@@ -10,6 +10,10 @@
 #define MESH_LOADS_MAX 900
 /* Endpoints to avoid in one datagram. */
 #define MESH_AVOID_MAX 64
+/* Limits of endpoints in one datagram; more are told of in turn. */
+#define MESH_LIMITS_MAX 128
+/* In place of a limit: the endpoint names none any more. */
+#define MESH_NO_LIMIT UINT32_MAX
 /* Members of one cell. */
 #define MESH_MEMBERS_MAX 512
 #define MESH_NAME_MAX 64
@@ -40,6 +44,8 @@
 	MESH_FLEET,
 };
 
+#define MESH_KINDS (MESH_FLEET + 1)
+
 /**
  * struct mesh_load - work at one endpoint.
  * @key: short name of the endpoint
@@ -64,6 +70,23 @@
 	uint32_t age_ms;
 };
 
+/**
+ * struct mesh_limit - the limit that an endpoint names.
+ * @key: short name of the endpoint
+ * @milli: thousandths of a request a second, from all daemons together;
+ *	MESH_NO_LIMIT where it names none any more
+ * @age_ms: since an answer said so
+ * @users: daemons of the sender's cell that may use the endpoint
+ * @each_micro: millionths of a request a second that each of these may send
+ */
+struct mesh_limit {
+	uint32_t key;
+	uint32_t milli;
+	uint32_t age_ms;
+	uint32_t users;
+	uint32_t each_micro;
+};
+
 /**
  * struct mesh_member - a daemon that reports to the sender.
  * @key: short name of the daemon
@@ -144,6 +167,8 @@
  * @n_loads: how many
  * @avoid: endpoints to avoid
  * @n_avoid: how many
+ * @limits: that endpoints name
+ * @n_limits: how many
  * @members: that report to the sender; in MESH_FLEET only
  * @n_members: how many
  */
@@ -166,9 +191,11 @@
 	uint32_t living;
 	uint32_t n_loads;
 	uint32_t n_avoid;
+	uint32_t n_limits;
 	uint32_t n_members;
 	struct mesh_load loads[MESH_LOADS_MAX];
 	struct mesh_avoid avoid[MESH_AVOID_MAX];
+	struct mesh_limit limits[MESH_LIMITS_MAX];
 	struct mesh_member members[MESH_MEMBERS_MAX];
 };
 
--- a/src/mesh-take.c
+++ b/src/mesh-take.c
@@ -185,6 +185,20 @@
 	}
 }
 
+/* Notes who else belongs to the own cell. */
+static void
+take_mates(struct mesh *mesh, const struct mesh_peer *relay,
+    const struct mesh_news *news)
+{
+	mesh->n_mates = 0;
+	mesh->mates[mesh->n_mates++] = relay->key;
+	for (uint32_t i = 0;
+	     i < news->n_members && mesh->n_mates < MESH_MEMBERS_MAX; i++) {
+		if (news->members[i].key != mesh->key)
+			mesh->mates[mesh->n_mates++] = news->members[i].key;
+	}
+}
+
 static void
 take_fleet(struct mesh *mesh, struct mesh_peer *peer,
     const struct mesh_news *news)
@@ -198,8 +212,10 @@
 	take_members(mesh, news);
 	if (told != NULL)
 		peer->config_proof_ms = proof_ms(news, told->sent_ms);
-	if (peer == mesh->relay)
-		mesh_count_fleet(mesh, peer, news);
+	if (peer != mesh->relay)
+		return;
+	take_mates(mesh, peer, news);
+	mesh_count_fleet(mesh, peer, news);
 }
 
 /* A line for each change of what is believed of a daemon. */
@@ -223,6 +239,8 @@
     const struct mesh_news *news)
 {
 	log_change(peer, news);
+	if (peer->life != news->life)
+		mesh->newcomer_ms = mesh->now_ms;
 	peer->life = news->life;
 	peer->sequence = news->sequence;
 	peer->ping = news->ping;
@@ -288,6 +306,7 @@
 	take_proof(mesh, peer);
 	mesh_fetch_config(mesh, peer);
 	take_avoids(mesh, peer, &news);
+	mesh_take_limits(mesh, peer, &news);
 	mesh_fetch_entries(mesh, peer, news.entries_end);
 	mesh_feed_look(mesh, peer, news.entries_end);
 }
--- a/src/mesh-tell.c
+++ b/src/mesh-tell.c
@@ -168,6 +168,7 @@
 		return;
 	mesh_fill_loads(mesh, news);
 	fill_avoid(mesh, news);
+	mesh_fill_limits(mesh, news);
 	if (kind == MESH_FLEET)
 		fill_members(mesh, news);
 }
@@ -451,6 +452,7 @@
 	mesh_age(mesh);
 	mesh->size = fleet_size(mesh);
 	relay_update(mesh);
+	mesh_share_limits(mesh);
 	if (mesh->relay != NULL) {
 		if (mesh->round % IDLE_ROUNDS == 0 || self_busy(mesh))
 			mesh_tell(mesh);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -66,6 +66,19 @@
 	mesh_tell(mesh);
 }
 
+/**
+ * mesh_limit_now() - an endpoint told this daemon something new of its limit.
+ * @mesh: the mesh
+ * @ep: the endpoint
+ */
+void
+mesh_limit_now(struct mesh *mesh, struct endpoint *ep)
+{
+	mesh_time(mesh);
+	mesh_limit_heard(mesh, ep);
+	mesh_tell(mesh);
+}
+
 /**
  * mesh_begin() - the records of all daemons have been read: find the relay.
  * @mesh: the mesh
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -3,6 +3,7 @@
 #define BL_MESH_H
 
 #include "dir.h"
+#include "fwd-budget.h"
 #include "mesh-entries.h"
 #include "mesh-news.h"
 
@@ -177,6 +178,16 @@
  * @fetched_proof_ms: time as of which it was the newest; 0 for unknown
  * @newest: newest version of the configuration that any peer had
  * @behind_ms: since when that is newer than the own one; 0 while it is not
+ * @mates: short names of the others of the own cell, as its relay told them
+ * @n_mates: how many
+ * @lived: the most daemons that lived lately
+ * @lived_least: the fewest since @lived_since_ms
+ * @lived_since_ms: when that began to be counted
+ * @newcomer_ms: when a daemon was first heard that starts or had not been
+ *	heard; 0 for never
+ * @limits_told_ms: when some limits were last told of again, by kind of
+ *	datagram; 0 for never
+ * @limits_next: how many come before those that are next, by kind
  * @missed: told when entries are missing that no peer could give
  * @missed_arg: for @missed
  * @avoided: told when a peer says that an endpoint is to be avoided
@@ -231,6 +242,14 @@
 	uint64_t fetched_proof_ms;
 	int64_t newest;
 	uint64_t behind_ms;
+	uint32_t mates[MESH_MEMBERS_MAX];
+	unsigned n_mates;
+	struct fwd_sharers lived;
+	unsigned lived_least;
+	uint64_t lived_since_ms;
+	uint64_t newcomer_ms;
+	uint64_t limits_told_ms[MESH_KINDS];
+	unsigned limits_next[MESH_KINDS];
 	void (*missed)(void *);
 	void *missed_arg;
 	void (*avoided)(void *, struct endpoint *);
@@ -240,6 +259,7 @@
 /* mesh.c: the socket and the timer. */
 int mesh_open(struct mesh *, uv_loop_t *, const struct sockaddr_in *);
 void mesh_tell_now(struct mesh *);
+void mesh_limit_now(struct mesh *, struct endpoint *);
 void mesh_begin(struct mesh *);
 
 /* mesh-peers.c: the daemons that are known. */
@@ -283,6 +303,13 @@
 const struct mesh_told *mesh_answered_report(const struct mesh *,
     const struct mesh_news *);
 
+/* mesh-limits.c: limits that endpoints name, and who has what share. */
+void mesh_share_limits(struct mesh *);
+void mesh_limit_heard(struct mesh *, struct endpoint *);
+void mesh_fill_limits(struct mesh *, struct mesh_news *);
+void mesh_take_limits(struct mesh *, const struct mesh_peer *,
+    const struct mesh_news *);
+
 /* mesh-tell.c: who is told what, and when. */
 void mesh_round(struct mesh *);
 void mesh_tell(struct mesh *);
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -30,8 +30,8 @@
  * from a caller between half a second after that was asked for rest and the
  * end of it; and "after-leaving ENDPOINT CALLER COUNT ID" for each that comes a
  * second after its caller was told that the endpoint leaves; "over-limit
- * ENDPOINT COUNT of ALLOWED ID" for each from a caller that was told of a limit,
- * where more than one and a half times the limit and 5 come in 4 s.
+ * ENDPOINT COUNT of ALLOWED ID" for each from a caller that was told of a
+ *limit, where more than one and a half times the limit and 5 come in 4 s.
  */
 #include <jansson.h>
 #include <signal.h>
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -1,4 +1,5 @@
 /* Scripts over endpoints that come, go and lapse, and the choice of one. */
+#include <math.h>
 #include <string.h>
 
 #include "dir.h"
@@ -170,6 +171,83 @@
 	    (unsigned long long)ep->rest.until_ms);
 }
 
+/*
+ * limit ID names=PER_S at=MS [share=MILLI]: an endpoint names a limit; and this
+ * daemon's share, in thousandths of a request a second
+ */
+static void
+exec_limit(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *names = script_word(rest, "names");
+	struct endpoint_limit *limit = &fleet_find(&fleet, id)->limit;
+	uint64_t now = script_number(rest, "at", 0);
+	double per_s = endpoint_limit_read(g_ascii_strtod(names, NULL), limit);
+	bool news = endpoint_limit_name(limit, per_s, now);
+	uint64_t share = script_number(rest, "share", 0);
+
+	if (share > 0 && limit->share_per_s == 0)
+		endpoint_limit_begin(limit, 0, now);
+	endpoint_limit_share(limit, (double)share / 1000, now);
+	g_string_append_printf(out, "%s, %g a second\n",
+	    news ? "news" : "no news", limit->per_s);
+}
+
+/* unlimited ID sent=MS at=MS: an answer to a request names no limit */
+static void
+exec_unlimited(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	struct endpoint_limit *limit = &fleet_find(&fleet, id)->limit;
+
+	if (endpoint_limit_outlived(limit, script_number(rest, "sent", 0)))
+		endpoint_limit_lift(limit, script_number(rest, "at", 0));
+	g_string_append(out, limit->holds ? "holds\n" : "none\n");
+}
+
+/* told ID names=PER_S since=MS at=MS: another daemon tells of a limit, or none
+ */
+static void
+exec_told(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *names = script_word(rest, "names");
+	struct endpoint_limit *limit = &fleet_find(&fleet, id)->limit;
+	double per_s =
+	    strcmp(names, "none") == 0 ? INFINITY : g_ascii_strtod(names, NULL);
+	bool news = endpoint_limit_told(limit, per_s,
+	    script_number(rest, "since", 0), script_number(rest, "at", 0));
+
+	g_string_append_printf(out, "%s, ", news ? "news" : "no news");
+	if (limit->holds)
+		g_string_append_printf(out, "%g a second\n", limit->per_s);
+	else
+		g_string_append(out, "none\n");
+}
+
+/* turn ID at=MS [ahead=N] [take=1]: time until a turn; which is taken */
+static void
+exec_turn(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	struct endpoint_limit *limit = &fleet_find(&fleet, id)->limit;
+	uint64_t now = script_number(rest, "at", 0);
+
+	g_string_append_printf(out, "%.0f ms\n",
+	    endpoint_limit_turn_ms(limit,
+		(unsigned)script_number(rest, "ahead", 0), now));
+	if (script_number(rest, "take", 0) != 0 &&
+	    !endpoint_limit_take(limit, now))
+		g_string_append(out, "over the share\n");
+}
+
+/* back ID: nothing of a request that took a turn was sent */
+static void
+exec_back(const char *rest, GString *out)
+{
+	endpoint_limit_give_back(&fleet_find(&fleet, rest)->limit);
+}
+
 /* refused ID at=MS: an endpoint turns a request away and asks for no rest */
 static void
 exec_refused(const char *rest, GString *out)
@@ -411,6 +489,7 @@
 	enum admission_verdict verdict;
 
 	want.extra_ms = learned.extra_ms;
+	want.ahead = (unsigned)script_number(rest, "ahead", 0);
 	fwd_choose(&fleet, &want, &choice);
 	a.choice = &choice;
 	a.objective_ms = (double)script_number(rest, "objective", 300);
@@ -424,7 +503,7 @@
 	a.draw = UINT32_MAX / 2;
 	at = choice.endpoint != NULL ? choice.endpoint : choice.nearest;
 	if (at == NULL)
-		at = choice.opens;
+		at = choice.turn != NULL ? choice.turn : choice.opens;
 	if (at != NULL)
 		a.first_ms = plain ? a.whole_ms : fwd_expect_first(at, &work);
 	verdict = admission_decide(&a);
@@ -454,6 +533,11 @@
 	{ "rest", exec_rest },
 	{ "leave", exec_leave },
 	{ "probe", exec_probe },
+	{ "limit", exec_limit },
+	{ "unlimited", exec_unlimited },
+	{ "told", exec_told },
+	{ "turn", exec_turn },
+	{ "back", exec_back },
 	{ "refused", exec_refused },
 	{ "taken", exec_taken },
 	{ "count", exec_count },
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -1,16 +1,19 @@
 /* Scripts over what many daemons know of each other. */
+#include <math.h>
 #include <string.h>
 #include <syslog.h>
 
 #include "event-log.h"
-#include "fleet-model.h"
+#include "limit-model.h"
 #include "script.h"
 
 static struct fleet_model *model;
+static struct limit_model *limit;
 
 static void
 reset(void)
 {
+	g_clear_pointer(&limit, limit_model_free);
 	g_clear_pointer(&model, fleet_model_free);
 }
 
@@ -30,7 +33,50 @@
 static void
 exec_run(const char *rest, GString *out)
 {
-	fleet_model_run(model, g_ascii_strtoull(rest, NULL, 10));
+	guint64 ms = g_ascii_strtoull(rest, NULL, 10);
+
+	if (limit != NULL)
+		limit_model_run(limit, ms);
+	else
+		fleet_model_run(model, ms);
+}
+
+/*
+ * demand N [busy=N]: from now on each Nth daemon has N thousandths of a request
+ * a second for an endpoint
+ */
+static void
+exec_demand(const char *rest, GString *out)
+{
+	g_clear_pointer(&limit, limit_model_free);
+	limit = limit_model_new(model, &limit_way_users,
+	    g_ascii_strtod(rest, NULL) / 1000,
+	    (unsigned)script_number(rest, "busy", 1));
+}
+
+/* limit N: the endpoint names N thousandths of a request a second; or none */
+static void
+exec_limit(const char *rest, GString *out)
+{
+	limit_model_name(limit,
+	    strcmp(rest, "none") == 0 ? -1 : g_ascii_strtod(rest, NULL) / 1000);
+}
+
+/*
+ * limited: daemons that know of the limit, the sum of their shares, requests
+ * over it, and the part that was used since it counts, in tenths
+ */
+static void
+exec_limited(const char *rest, GString *out)
+{
+	double used = limit_model_used(limit);
+
+	g_string_append_printf(out, "known to %u", limit_model_knowing(limit));
+	if (limit->per_s >= 0)
+		g_string_append_printf(out, " share %.2f over %u used %.1f",
+		    limit_model_share(limit), limit->over,
+		    MAX(floor(used * 10) / 10, 0));
+	g_string_append_c(out, '\n');
 }
 
 /* count: begin the counts anew */
@@ -353,6 +399,9 @@
 	{ "fleet", exec_fleet },
 	{ "run", exec_run },
 	{ "count", exec_count },
+	{ "demand", exec_demand },
+	{ "limit", exec_limit },
+	{ "limited", exec_limited },
 	{ "work", exec_work },
 	{ "loss", exec_loss },
 	{ "kill", exec_kill },
