The placer takes limited replicas for as asked for as the others of their model

Cause: the work of a model is what runs at its replicas, and one that takes few requests a second runs few whatever is asked for, so its model looked less asked for and its hosts went to the other one.

Change: limited replicas count as the mean of the others of their model; where all have limits, what was seen before stands.

--- a/src/keeper-place.c
+++ b/src/keeper-place.c
@@ -330,7 +330,7 @@
 /* Counts the requests of each model that run now, at all heads. */
 static void
 demand_count(const struct keeper *k, const char *service,
-    const struct form_view *view, double *running)
+    const struct form_view *view, struct form_seen *seen)
 {
 	const struct replica *r;
 
@@ -338,10 +338,18 @@
 		const struct endpoint *head =
 		    fleet_find(&k->dir->fleet, r->members[0].id);
 
-		if (head != NULL && r->opened &&
-		    strcmp(r->service, service) == 0)
-			running[form_model_index(view, r->model)] +=
-			    fwd_expect_running(head);
+		struct form_seen *of;
+
+		if (head == NULL || !r->opened ||
+		    strcmp(r->service, service) != 0)
+			continue;
+		of = &seen[form_model_index(view, r->model)];
+		if (head->limit.holds) {
+			of->limited++;
+			continue;
+		}
+		of->unlimited++;
+		of->running += fwd_expect_running(head);
 	}
 }
 
@@ -351,15 +359,15 @@
     uint64_t now_ms)
 {
 	struct form_demand *d = &keeper_usage(k, service)->demand;
-	double running[FORM_MODELS_MAX] = { 0 };
+	struct form_seen seen[FORM_MODELS_MAX] = { 0 };
 	unsigned most = d->most;
 
 	if (!k->served)
 		return;
 	/* A look makes many views, and counts the requests once. */
 	if (d->noted_ms != now_ms) {
-		demand_count(k, service, view, running);
-		form_demand_note(d, view, running, now_ms);
+		demand_count(k, service, view, seen);
+		form_demand_note(d, view, seen, now_ms);
 	}
 	form_demand_apply(d, view, now_ms);
 	if (d->most == most)
--- a/src/replica-demand.c
+++ b/src/replica-demand.c
@@ -29,19 +29,35 @@
 /* There is no bound within this much of what the configured share gives. */
 #define DEMAND_FULL 0.25
 
+/* Requests that would run at a model's replicas, in hosts that they fill; what
+ * was seen before where all have limits, since those hide what is asked for. */
+static double
+demand_hosts(const struct form_demand *d, const struct form_view *view,
+    unsigned model, const struct form_seen *seen)
+{
+	double slots = MAX(view->engine->slots, 1);
+	double running = seen->running;
+
+	if (seen->limited > 0 && seen->unlimited == 0)
+		return (d->busy[model]);
+	if (seen->limited > 0)
+		running *= 1 + (double)seen->limited / seen->unlimited;
+	return (running / slots * form_model(view, model)->size);
+}
+
 /**
  * form_demand_note() - note the requests that run now.
  * @d: the demand
  * @view: the service's models
- * @running: requests of each model
+ * @seen: of each model
  * @now_ms: loop time
  */
 void
 form_demand_note(struct form_demand *d, const struct form_view *view,
-    const double *running, uint64_t now_ms)
+    const struct form_seen *seen, uint64_t now_ms)
 {
 	unsigned n = MIN(view->engine->models->len, FORM_MODELS_MAX);
-	double slots = MAX(view->engine->slots, 1), weight = 1.0;
+	double weight = 1.0;
 
 	if (d->noted_ms == 0)
 		d->begun_ms = now_ms;
@@ -50,7 +66,7 @@
 		    -expm1(-(double)(now_ms - d->noted_ms) / DEMAND_MEAN_MS);
 	d->noted_ms = MAX(now_ms, 1);
 	for (unsigned i = 0; i < n; i++) {
-		double hosts = running[i] / slots * form_model(view, i)->size;
+		double hosts = demand_hosts(d, view, i, &seen[i]);
 
 		d->busy[i] += weight * (hosts - d->busy[i]);
 	}
--- a/src/replica-demand.h
+++ b/src/replica-demand.h
@@ -21,8 +21,20 @@
 	uint64_t moved_ms;
 };
 
+/**
+ * struct form_seen - what runs at one model's replicas.
+ * @running: requests at those without a limit
+ * @unlimited: how many these are
+ * @limited: replicas that take fewer requests a second than they could serve
+ */
+struct form_seen {
+	double running;
+	unsigned unlimited;
+	unsigned limited;
+};
+
 void form_demand_note(struct form_demand *, const struct form_view *,
-    const double *, uint64_t);
+    const struct form_seen *, uint64_t);
 void form_demand_apply(struct form_demand *, struct form_view *, uint64_t);
 
 #endif
--- a/tests/test-form.c
+++ b/tests/test-form.c
@@ -271,24 +271,28 @@
 }
 
 /*
- * seen big=N small=N from=MS to=MS: requests of the first two models that run
- * meanwhile; says how the bound on the largest model moves
+ * seen big=N small=N from=MS to=MS [unlimited=N limited=N]: requests of the
+ * first two models that run meanwhile, those of the first at so many of its
+ * replicas that have no limit, and so many that have one; says how the bound on
+ * the largest model moves
  */
 static void
 exec_seen(const char *rest, GString *out)
 {
-	double running[FORM_MODELS_MAX] = { 0 };
+	struct form_seen seen[FORM_MODELS_MAX] = { 0 };
 
 	engine->slots = 48;
-	running[0] = (double)script_number(rest, "big", 0);
-	running[1] = (double)script_number(rest, "small", 0);
+	seen[0].running = (double)script_number(rest, "big", 0);
+	seen[0].unlimited = (unsigned)script_number(rest, "unlimited", 1);
+	seen[0].limited = (unsigned)script_number(rest, "limited", 0);
+	seen[1].running = (double)script_number(rest, "small", 0);
 	for (guint64 at = script_number(rest, "from", 0);
 	     at <= script_number(rest, "to", 0); at += 250) {
 		unsigned most = demand.most;
 		struct form_view view;
 
 		view_make(&view);
-		form_demand_note(&demand, &view, running, at);
+		form_demand_note(&demand, &view, seen, at);
 		form_demand_apply(&demand, &view, at);
 		view_free(&view);
 		if (demand.most != most)
