bankliftd keeps the limit that an endpoint names for all daemons

Change: Banklift-Limit of an answer is taken in beside Retry-After, in one function; each daemon that shares has an equal part, by the rate limiter that customers' limits have. An answer without it to a request that was sent later ends it.

--- a/src/call.c
+++ b/src/call.c
@@ -295,6 +295,26 @@
 	return (call_header(call, "retry-after"));
 }
 
+/**
+ * call_limit() - the requests a second that the endpoint takes, or NULL.
+ * @call: the call
+ */
+const char *
+call_limit(const struct call *call)
+{
+	return (call_header(call, "banklift-limit"));
+}
+
+/**
+ * call_started_ms() - when the call began, in monotonic milliseconds.
+ * @call: the call
+ */
+uint64_t
+call_started_ms(const struct call *call)
+{
+	return (call->started_us / 1000);
+}
+
 /**
  * call_each_header() - go through the headers of the answer.
  * @call: the call
--- a/src/call.h
+++ b/src/call.h
@@ -32,6 +32,8 @@
 enum call_phase call_phase(const struct call *);
 int call_status(const struct call *);
 const char *call_rest(const struct call *);
+const char *call_limit(const struct call *);
+uint64_t call_started_ms(const struct call *);
 const char *call_header(const struct call *, const char *);
 void call_each_header(const struct call *,
     void (*)(const char *, const char *, void *), void *);
--- a/src/caller-service.c
+++ b/src/caller-service.c
@@ -151,8 +151,7 @@
 		    clock_now_ms());
 	else
 		target_failed(target, clock_now_ms());
-	if (call_rest(call) != NULL)
-		target_ask_rest(target, call_rest(call), clock_now_ms());
+	target_heard(target, call);
 	return (call);
 }
 
--- a/src/completion.c
+++ b/src/completion.c
@@ -222,8 +222,7 @@
 
 	log_debug("call_end", "target=%s phase=%d status=%d action=%d",
 	    c->target->name, (int)end.phase, end.status, (int)v.action);
-	if (call_rest(c->call) != NULL)
-		target_ask_rest(c->target, call_rest(c->call), clock_now_ms());
+	target_heard(c->target, c->call);
 	call_close(c);
 	target_failed(c->target, clock_now_ms());
 	if (v.outcome == OUTCOME_UNKNOWN)
@@ -266,6 +265,7 @@
 finish(struct completion *c)
 {
 	target_latency(c->target, call_first_byte_us(c->call), clock_now_ms());
+	target_heard(c->target, c->call);
 	call_close(c);
 	request_end(c->req, OUTCOME_WHOLE, 200, NULL);
 	return (COMPLETION_END);
--- a/src/route-set.c
+++ b/src/route-set.c
@@ -147,6 +147,8 @@
 	return (local ? TIER_LOCAL : TIER_REMOTE);
 }
 
+#define US_PER_MS 1000
+
 /* Gathers the targets of a tier; those that were tried are passed by. */
 static size_t
 gather(struct route_set *set, const GPtrArray *tried, enum tier tier,
@@ -160,7 +162,8 @@
 
 		/* A rest that was asked for holds where all others are out,
 		 * too: 35 calls went into the rests of two endpoints. */
-		if (!target_valid(target, now) || target_closed(target, now))
+		if (!target_valid(target, now) || target_closed(target, now) ||
+		    !target_has_turn(target, now * US_PER_MS))
 			continue;
 		if (target_tier(set, target, now) != tier)
 			continue;
@@ -197,11 +200,19 @@
 	*policy = split_draw(set, req->random);
 	req->daemons = set->daemons;
 	req->sequence = atomic_fetch_add(&set->sequence, 1);
-	for (int tier = 0; n == 0 && tier < TIERS; tier++)
-		n = gather(set, tried, (enum tier)tier, now, c, from);
-	if (n == 0)
-		return (NULL);
-	return (target_ref(from[(*policy)->choose(req, c, n)]));
+	for (;;) {
+		struct target *target;
+
+		n = 0;
+		for (int tier = 0; n == 0 && tier < TIERS; tier++)
+			n = gather(set, tried, (enum tier)tier, now, c, from);
+		if (n == 0)
+			return (NULL);
+		target = from[(*policy)->choose(req, c, n)];
+		/* Another thread may have taken the turn meanwhile. */
+		if (target_take_turn(target, now * US_PER_MS))
+			return (target_ref(target));
+	}
 }
 
 /**
--- a/src/target.c
+++ b/src/target.c
@@ -1,12 +1,8 @@
 /* A target: what one request can be sent to; see target.h. */
 #include <glib.h>
 
-#include "dir-rest.h"
-#include "event-log.h"
-#include "net-head.h"
 #include "target.h"
 
-#define MS_PER_S 1000
 /* Weight of a new latency in the moving mean is 1 / 2^LATENCY_SHIFT. */
 #define LATENCY_SHIFT 3
 /* A straggler is never weighed more than this against the median. */
@@ -20,8 +16,6 @@
 /* How long others are preferred after failures. */
 #define REST_MIN_MS 250
 #define REST_MAX_MS 8000
-/* A target that asks for rest is left alone for no longer. */
-#define CLOSED_MAX_MS 300000
 /* Without new samples the excess over the median is halved in this time. */
 #define SLOW_HALF_MS 2000
 
@@ -131,30 +125,6 @@
 	return (now < atomic_load(&target->closed_until_ms));
 }
 
-/**
- * target_ask_rest() - the target turned a request away and wants rest.
- * @target: the target
- * @seconds: how long, as its answer says
- * @now: monotonic milliseconds
- *
- * A shorter rest does not end a longer one.
- */
-void
-target_ask_rest(struct target *target, const char *seconds, uint64_t now)
-{
-	uint64_t ms = endpoint_rest_read(net_head_decimal(seconds) * MS_PER_S,
-	    CLOSED_MAX_MS);
-	uint64_t until = atomic_load(&target->closed_until_ms);
-
-	while (until < now + ms &&
-	    !atomic_compare_exchange_weak(&target->closed_until_ms, &until,
-		now + ms))
-		;
-	event_log(LOG_NOTICE, "target_asks_rest",
-	    "target=%s asked=\"%.40s\" ms=%llu", target->name, seconds,
-	    (unsigned long long)ms);
-}
-
 /**
  * target_retire() - send nothing more: its group ended or it is leaving.
  * @target: the target
--- a/src/target.h
+++ b/src/target.h
@@ -9,8 +9,11 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "limit.h"
 #include "route.h"
 
+struct call;
+
 /**
  * struct target - one target; request threads read it without locks.
  * @references: freed when it drops to 0
@@ -31,6 +34,11 @@
  * @failures: calls that failed since the last that did not
  * @rest_until_ms: others are preferred before this time
  * @closed_until_ms: no request before this time; the endpoint asked for rest
+ * @limited: it names the requests a second that it takes from all daemons
+ * @limit_milli: thousandths of these
+ * @limit_said_ms: when that, or that it names none, was last heard
+ * @limit: this daemon's share of them
+ * @daemons: that share them
  */
 struct target {
 	atomic_uint references;
@@ -51,6 +59,11 @@
 	atomic_uint failures;
 	_Atomic uint64_t rest_until_ms;
 	_Atomic uint64_t closed_until_ms;
+	atomic_bool limited;
+	_Atomic uint64_t limit_milli;
+	_Atomic uint64_t limit_said_ms;
+	struct limit limit;
+	atomic_uint daemons;
 };
 
 struct target *target_create(const char *, const char *, const char *, uint64_t,
@@ -65,8 +78,12 @@
 void target_failed(struct target *, uint64_t);
 bool target_resting(struct target *, uint64_t);
 bool target_closed(struct target *, uint64_t);
-void target_ask_rest(struct target *, const char *, uint64_t);
 void target_candidate(struct target *, uint64_t, uint64_t,
     struct route_candidate *);
 
+/* target-heard.c: what it says of itself. */
+void target_heard(struct target *, const struct call *);
+bool target_take_turn(struct target *, uint64_t);
+bool target_has_turn(struct target *, uint64_t);
+
 #endif
--- a/src/view.c
+++ b/src/view.c
@@ -61,6 +61,7 @@
 		    target_create(name, host->url, host->domain, key, epoch);
 		g_hash_table_insert(b->tables->targets, &target->key, target);
 	}
+	atomic_store(&target->daemons, b->daemons);
 	g_hash_table_add(b->used, &target->key);
 	return (target);
 }
--- a/tests/standin-service.c
+++ b/tests/standin-service.c
@@ -4,7 +4,8 @@
  * Faults: leaving, cut_before (counted; cut without running), cut_after
  * (counted; run, then cut without an answer), status (answered after running),
  * not_started (counted; 503 that says so), rest_ms (the same, and asks for so
- * much rest; the journal has a line "rest" for each), slow_ms (after running).
+ * much rest; the journal has a line "rest" for each), slow_ms (after running),
+ * limit (thousandths of the requests a second that it names as its limit).
  */
 #include <glib.h>
 #include <jansson.h>
@@ -26,7 +27,8 @@
 serve(const struct _u_request *in, struct _u_response *res, void *arg)
 {
 	const char *id = u_map_get_case(in->map_header, "Banklift-Request-Id");
-	int64_t status = fault_get("status");
+	int64_t status = fault_get("status"), limit = fault_get("limit");
+	g_autofree char *per_s = g_strdup_printf("%.3f", (double)limit / 1000);
 
 	if (fault_take("cut_before"))
 		return (fault_cut(res));
@@ -41,6 +43,8 @@
 	fault_sleep("slow_ms");
 	if (fault_take("cut_after"))
 		return (fault_cut(res));
+	if (limit > 0)
+		u_map_put(res->map_header, "Banklift-Limit", per_s);
 	u_map_put(res->map_header, "X-Url", in->http_url);
 	if (u_map_get_case(in->map_header, "X-Venue") != NULL)
 		u_map_put(res->map_header, "X-Venue",
