--- a/src/bench-limits.c
+++ b/src/bench-limits.c
@@ -2,7 +2,9 @@
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 #include <syslog.h>
+#include <time.h>
 
 #include "bench.h"
 #include "event-log.h"
@@ -17,6 +19,9 @@
  * large fleet, or so many that all together have a multiple of the limit. */
 #define DEMAND_USUAL 2.0
 #define DEMAND_TIMES 4.0
+/* What limits cost is counted for so long, with endpoints that name this. */
+#define COST_S 5
+#define COST_LIMIT 5.0
 
 static const struct limit_way *const ways[] = { &limit_way_equal,
 	&limit_way_demand, &limit_way_owner, &limit_way_users };
@@ -50,6 +55,63 @@
 	fflush(stdout);
 }
 
+/* Names limits of some endpoints, each to the daemon that has it this second.
+ */
+static void
+name_some(struct fleet_model *fleet, unsigned limited, unsigned second)
+{
+	for (unsigned i = 0; i < limited; i++) {
+		struct model_daemon *d =
+		    &fleet->daemons[(i + second) % fleet->n];
+		g_autofree char *id = g_strdup_printf("e%u", i);
+		struct endpoint *ep = fleet_find(&d->dir.fleet, id);
+
+		ep->limit.heard_ms = fleet->now_ms;
+		if (endpoint_limit_name(&ep->limit, COST_LIMIT, fleet->now_ms))
+			mesh_limit_heard(&d->mesh, ep);
+	}
+}
+
+/* Prints what limits cost where so many endpoints name one. */
+static void
+print_cost(unsigned daemons, unsigned domains, unsigned endpoints,
+    unsigned limited)
+{
+	struct fleet_model *fleet =
+	    fleet_model_new(daemons, domains, endpoints, 1);
+	struct model_sight sight;
+	clock_t began;
+
+	fleet_model_run(fleet, SETTLE_MS);
+	name_some(fleet, limited, 0);
+	fleet_model_run(fleet, SETTLE_MS);
+	fleet_model_count(fleet);
+	began = clock();
+	for (unsigned s = 0; s < COST_S; s++) {
+		name_some(fleet, limited, s);
+		fleet_model_run(fleet, 1000);
+	}
+	fleet_model_see(fleet, &sight);
+	printf("%7u %9u %7u %9.0f %9.0f %9.3f\n", daemons, endpoints, limited,
+	    sight.heard_bytes_s, sight.sent_bytes_most_s,
+	    1000.0 * (double)(clock() - began) / CLOCKS_PER_SEC /
+		(daemons * COST_S));
+	fleet_model_free(fleet);
+}
+
+/* bench limits cost: bytes and processor time of telling of limits */
+static void
+print_costs(void)
+{
+	static const unsigned limited[] = { 0, 1, 16, 128, 375 };
+
+	printf("daemons endpoints limited heard B/s  most B/s  ms/s of all\n");
+	for (size_t i = 0; i < G_N_ELEMENTS(limited); i++)
+		print_cost(400, 11, 375, limited[i]);
+	for (size_t i = 0; i < 3; i++)
+		print_cost(9, 3, 18, MIN(limited[i], 18));
+}
+
 /* bench limits [DAEMONS]: requests over the allowance, part that is used */
 static int
 exec_limits(int argc, const char **argv)
@@ -58,6 +120,10 @@
 	static const double limits[] = { 0.5, 1.3, 5, 20 };
 
 	event_log_open("banklift-bench", LOG_ERR);
+	if (argc == 1 && strcmp(argv[0], "cost") == 0) {
+		print_costs();
+		return (0);
+	}
 	printf(
 	    "daemons busy limit, and of each way requests over, part used\n");
 	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
@@ -72,6 +138,6 @@
 
 const struct bench_entry bench_limits_entry = {
 	.name = "limits",
-	.help = "[daemons]: ways to share an endpoint's limit",
+	.help = "[daemons | cost]: ways to share an endpoint's limit",
 	.exec = exec_limits,
 };
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -228,6 +228,7 @@
 		.living = 295,
 		.n_loads = 2,
 		.n_avoid = 1,
+		.n_limits = 1,
 		.n_members = 2 };
 	size_t length;
 
@@ -237,6 +238,7 @@
 	in.loads[1].reading = (uint32_t)script_number(rest, "reading", 1000);
 	in.loads[1].heard_ms = (uint32_t)script_number(rest, "heard", 30);
 	in.avoid[0] = (struct mesh_avoid){ 99, 20 };
+	in.limits[0] = (struct mesh_limit){ 98, 1300, 250, 3, 433333 };
 	in.members[1] = (struct mesh_member){ 8, 65535, true };
 	length = mesh_news_encode(&in, bytes, sizeof bytes);
 	length -= script_number(rest, "cut", 0);
@@ -253,13 +255,16 @@
 	    back.loads[1].key, back.loads[1].reading, back.avoid[0].key);
 	g_string_append_printf(out,
 	    "kind=%d capacity=%u living=%u inflight=%u heard=%u avoid_age=%u "
-	    "placer=%u/%d/%u/%d relay=%s:%u/%u members=%u last=%u/%u/%d\n",
+	    "placer=%u/%d/%u/%d relay=%s:%u/%u members=%u last=%u/%u/%d "
+	    "limit=%u/%u/%u/%u/%u\n",
 	    (int)back.kind, back.capacity, back.living, back.loads[1].inflight,
 	    back.loads[1].heard_ms, back.avoid[0].age_ms, back.placer.key,
 	    (int)back.placer.term, back.placer.age_ms, back.placer.fit,
 	    back.relay.name, back.relay.port, back.relay.capacity,
 	    back.n_members, back.members[1].key, back.members[1].sequence,
-	    back.members[1].newest);
+	    back.members[1].newest, back.limits[0].key, back.limits[0].milli,
+	    back.limits[0].age_ms, back.limits[0].users,
+	    back.limits[0].each_micro);
 }
 
 static const struct script_command commands[] = {
