Limits are told as they are kept; the most daemons that lived count for longer

A limit with more than three decimals was told to the others cut to three, and each word of it was another limit than the one that was heard, so the two replaced each other again and again. A part of the fleet that was cut off for longer than two minutes would have taken the whole limit: the most daemons of the last five to ten minutes count in place of one to two. The clock is read for answers only that say something of the endpoint.

--- a/src/dir-limit.c
+++ b/src/dir-limit.c
@@ -23,6 +23,7 @@
 /* A turn that is due but for rounding. */
 #define LIMIT_TURN_DUST 1e-6
 #define MS_PER_S 1000.0
+#define MILLI 1000.0
 
 /**
  * endpoint_limit_read() - the limit that an endpoint names.
@@ -36,7 +37,8 @@
 {
 	if (isnan(per_s))
 		return (limit->holds ? limit->per_s : LIMIT_UNREADABLE_PER_S);
-	return (CLAMP(per_s, 0, LIMIT_MOST_PER_S));
+	/* As daemons tell each other, so that all have the same number. */
+	return (round(CLAMP(per_s, 0, LIMIT_MOST_PER_S) * MILLI) / MILLI);
 }
 
 /**
--- a/src/fwd-heard.c
+++ b/src/fwd-heard.c
@@ -24,6 +24,15 @@
 	    (unsigned long long)ms, reason, ep->failures, ex->id);
 }
 
+/* What an endpoint says holds from now; the loop's time is from before this
+ * round. */
+static uint64_t
+heard_now(const struct fwd_exchange *ex)
+{
+	uv_update_time(ex->fwd->loop);
+	return (uv_now(ex->fwd->loop));
+}
+
 /* The endpoint wants nothing from this daemon for a while. */
 static void
 heard_rest(struct fwd_exchange *ex, const struct said *said)
@@ -32,7 +41,7 @@
 	uint64_t ms =
 	    endpoint_rest_read(said->number, ex->fwd->set.rest_most_ms);
 
-	endpoint_rest_ask(&ep->rest, ms, uv_now(ex->fwd->loop));
+	endpoint_rest_ask(&ep->rest, ms, heard_now(ex));
 	fwd_stats_count(&ex->fwd->stats, COUNT_RESTS);
 	event_log(LOG_NOTICE, "endpoint_asks_rest",
 	    "endpoint=%s started_ms=%lld asked=\"%.40s\" read=%s ms=%llu "
@@ -88,7 +97,7 @@
 	bool news = unread && !limit->unread;
 
 	limit->unread = unread;
-	limit->heard_ms = uv_now(ex->fwd->loop);
+	limit->heard_ms = heard_now(ex);
 	news |= endpoint_limit_name(limit, per_s, limit->heard_ms);
 	if (!news)
 		return;
@@ -104,7 +113,7 @@
 
 	if (!endpoint_limit_outlived(limit, ex->sent_ms))
 		return;
-	limit->heard_ms = uv_now(ex->fwd->loop);
+	limit->heard_ms = heard_now(ex);
 	if (endpoint_limit_lift(limit, limit->heard_ms))
 		limit_changed(ex, "endpoint_lifts_limit", "");
 }
@@ -157,9 +166,6 @@
 	const struct said *rest = &answer->said[SAID_REST];
 	const struct endpoint *ep = ex->endpoint;
 
-	/* What it says holds from now; the loop's time is from before this
-	 * round. */
-	uv_update_time(ex->fwd->loop);
 	if (answer->not_run)
 		event_log(LOG_INFO, "request_not_run",
 		    "id=%s endpoint=%s status=%u rest=\"%.40s\" "
--- a/src/mesh-limits.c
+++ b/src/mesh-limits.c
@@ -21,10 +21,10 @@
  * limit and this; endpoints bear six times the limit and five. */
 #define USERS_PER_RATE 2.0
 #define USERS_LEAST 3.0
-/* Span in which the most daemons that lived count: a cut of some minutes is
- * seldom, and shares of daemons that are gone for good are unused for so long
- * at most twice. */
-#define LIVED_SPAN_MS 60000
+/* Span in which the most daemons that lived count, and the one before: longer
+ * than usual cuts. Shares of daemons that are gone for good are unused for so
+ * long. */
+#define LIVED_SPAN_MS 300000
 /* A number of daemons that is told for so long is one that lived. */
 #define STEADY_MS 3000
 /* A daemon that starts knows its relay within this, or is one, and by the end
