--- a/src/mesh.h
+++ b/src/mesh.h
@@ -303,9 +303,11 @@
 const struct mesh_told *mesh_answered_report(const struct mesh *,
     const struct mesh_news *);
 
-/* mesh-limits.c: limits that endpoints name, and who has what share. */
+/* mesh-shares.c: who has what share of the limits that endpoints name. */
 void mesh_share_limits(struct mesh *);
 void mesh_limit_heard(struct mesh *, struct endpoint *);
+
+/* mesh-limits.c: who is told of these limits. */
 void mesh_fill_limits(struct mesh *, struct mesh_news *);
 void mesh_take_limits(struct mesh *, const struct mesh_peer *,
     const struct mesh_news *);
--- a/tests/lib-edge.sh
+++ b/tests/lib-edge.sh
@@ -95,3 +95,29 @@
 groups_open() { # DAEMON-NUMBER COUNT
 	[ "$(metric "$1" groups_open)" = "$2" ]
 }
+
+# ask_paced SECONDS DAEMONS PATH [curl argument...]: 25 requests a second, in turn by
+# the first daemons; their status codes go to $ASKED.
+ASKED=$RUN/asked
+ask_paced() {
+	: >"$ASKED"
+	left=$(($1 * 25))
+	daemons=$2
+	path=$3
+	shift 3
+	while [ "$left" -gt 0 ]; do
+		left=$((left - 1))
+		ask $((left % daemons + 1)) "$path" "$@" 2>/dev/null |
+		    status_last >>"$ASKED" &
+		asking="${asking:-} $!"
+		sleep 0.035
+	done
+	# Only the askers: the daemons go on.
+	# shellcheck disable=SC2086
+	wait $asking
+	asking=
+}
+
+answered() { # STATUS: how many of the last were
+	grep -c "^$1$" "$ASKED"
+}
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -276,3 +276,12 @@
 	until_true 10 service_ok 1 1
 	until_true 10 three_serve
 }
+
+calls() { # COUNT: of a service, one after the other; prints how many were served
+	ok=0
+	for _ in $(seq 1 "$1"); do
+		[ "$(call 1 1 /s/board/x | status_of)" = 200 ] && ok=$((ok + 1))
+		sleep 0.02
+	done
+	echo "$ok"
+}
--- a/tests/proc-edge-limit.sh
+++ b/tests/proc-edge-limit.sh
@@ -15,30 +15,11 @@
 
 B=127.$NET.2
 COUNT=9
-ASKED=$RUN/asked
 
-# ask_all SECONDS PATH [curl argument...]: 25 requests a second, in turn by all
-# daemons; their status codes go to $ASKED.
-ask_all() {
-	: >"$ASKED"
-	left=$(($1 * 25))
-	path=$2
-	shift 2
-	while [ "$left" -gt 0 ]; do
-		left=$((left - 1))
-		ask $((left % COUNT + 1)) "$path" "$@" 2>/dev/null |
-		    status_last >>"$ASKED" &
-		asking="${asking:-} $!"
-		sleep 0.03
-	done
-	# Only the askers: the daemons go on.
-	# shellcheck disable=SC2086
-	wait $asking
-	asking=
-}
-
-answered() { # STATUS: how many of the last were
-	grep -c "^$1$" "$ASKED"
+ask_all() { # SECONDS PATH [curl argument...]: of all daemons
+	seconds=$1
+	shift
+	ask_paced "$seconds" $COUNT "$@"
 }
 
 over_limit() { # [ENDPOINT]
--- a/tests/proc-edge-rest.sh
+++ b/tests/proc-edge-rest.sh
@@ -14,29 +14,11 @@
 
 E=127.$NET.1
 B=127.$NET.2
-ASKED=$RUN/asked
 
-# ask_for SECONDS PATH [curl argument...]: 25 requests a second; their status
-# codes go to $ASKED.
-ask_for() {
-	: >"$ASKED"
-	left=$(($1 * 25))
-	path=$2
-	shift 2
-	while [ "$left" -gt 0 ]; do
-		left=$((left - 1))
-		ask 1 "$path" "$@" 2>/dev/null | status_last >>"$ASKED" &
-		asking="${asking:-} $!"
-		sleep 0.04
-	done
-	# Only the askers: the daemons go on.
-	# shellcheck disable=SC2086
-	wait $asking
-	asking=
-}
-
-answered() { # STATUS: how many of the last were
-	grep -c "^$1$" "$ASKED"
+ask_for() { # SECONDS PATH [curl argument...]: of the one daemon
+	seconds=$1
+	shift
+	ask_paced "$seconds" 1 "$@"
 }
 
 in_rest() {
--- a/tests/proc-rate.sh
+++ b/tests/proc-rate.sh
@@ -10,15 +10,6 @@
 	curl -s "$(service_url 1 "$1")/journal" | grep -vc '^rest$'
 }
 
-calls() { # COUNT: prints how many were served
-	ok=0
-	for _ in $(seq 1 "$1"); do
-		[ "$(call 1 1 /s/board/x | status_of)" = 200 ] && ok=$((ok + 1))
-		sleep 0.02
-	done
-	echo "$ok"
-}
-
 fault "$(service_url 1 1)" '{"limit":2000}'
 before=$(ran 1)
 began=$(now_ms)
--- a/tests/proc-rest.sh
+++ b/tests/proc-rest.sh
@@ -12,15 +12,6 @@
 	curl -s "$(service_url 1 "$1")/journal" | grep -c '^rest$'
 }
 
-calls() { # COUNT: prints how many were served
-	ok=0
-	for _ in $(seq 1 "$1"); do
-		[ "$(call 1 1 /s/board/x | status_of)" = 200 ] && ok=$((ok + 1))
-		sleep 0.02
-	done
-	echo "$ok"
-}
-
 fault "$(service_url 1 1)" '{"rest_ms":4000}'
 check "the others serve all" 50 "$(calls 50)"
 check "one that asked for rest is left alone" 1 "$(rests 1)"
