--- a/src/mesh-shares.c
+++ b/src/mesh-shares.c
@@ -56,16 +56,16 @@
  * @n_cells: how many
  * @living: daemons in all
  * @part: of those that lived lately
- * @mates: short names of the others of the own cell
- * @n_mates: how many
+ * @others: short names of the others of the own cell
+ * @n_others: how many
  */
 struct limit_view {
 	struct limit_cell cells[CELLS_MAX];
 	unsigned n_cells;
 	unsigned living;
 	double part;
-	uint32_t mates[MESH_MEMBERS_MAX];
-	unsigned n_mates;
+	uint32_t others[MESH_MEMBERS_MAX];
+	unsigned n_others;
 };
 
 /* A number for a pair of short names; the least comes first. */
@@ -98,23 +98,23 @@
 
 /* The others of the own cell, as its relay knows them or tells them. */
 static void
-view_fill_mates(const struct mesh *mesh, struct limit_view *view)
+view_fill_others(const struct mesh *mesh, struct limit_view *view)
 {
 	const struct mesh_peer *peer;
 
-	view->n_mates = 0;
+	view->n_others = 0;
 	if (mesh->relay != NULL) {
-		view->n_mates = mesh->n_mates;
-		memcpy(view->mates, mesh->mates,
-		    mesh->n_mates * sizeof mesh->mates[0]);
+		view->n_others = mesh->n_cell_keys;
+		memcpy(view->others, mesh->cell_keys,
+		    mesh->n_cell_keys * sizeof mesh->cell_keys[0]);
 		return;
 	}
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
 		if (strcmp(peer->domain, mesh->domain) == 0 &&
 		    (mesh_peer_relays(mesh, peer) ||
 			mesh_peer_reports(mesh, peer)) &&
-		    view->n_mates < MESH_MEMBERS_MAX)
-			view->mates[view->n_mates++] = peer->key;
+		    view->n_others < MESH_MEMBERS_MAX)
+			view->others[view->n_others++] = peer->key;
 	}
 }
 
@@ -152,7 +152,7 @@
 {
 	const struct mesh_peer *peer;
 
-	view_fill_mates(mesh, view);
+	view_fill_others(mesh, view);
 	view->n_cells = view->living = 0;
 	view_add(view, mesh->domain, 1);
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
@@ -227,14 +227,14 @@
 
 /* Others of the own cell that come before this daemon for an endpoint. */
 static unsigned
-mates_before(const struct mesh *mesh, const struct limit_view *view,
+others_before(const struct mesh *mesh, const struct limit_view *view,
     uint32_t key)
 {
 	uint32_t own = pair_place(mesh->key, key);
 	unsigned before = 0;
 
-	for (unsigned i = 0; i < view->n_mates; i++)
-		before += pair_place(view->mates[i], key) < own;
+	for (unsigned i = 0; i < view->n_others; i++)
+		before += pair_place(view->others[i], key) < own;
 	return (before);
 }
 
@@ -256,7 +256,7 @@
 	if (mesh->relay == NULL && mesh->now_ms - mesh->opened_ms >= SETTLE_MS)
 		limit_decide(view, ep, mesh->now_ms);
 	if (mesh->known_ms != 0 || mesh->now_ms - mesh->opened_ms >= BEGIN_MS)
-		share = mates_before(mesh, view, ep->key) < limit->cell_users ?
+		share = others_before(mesh, view, ep->key) < limit->cell_users ?
 		    limit->cell_each_per_s :
 		    0;
 	/* A part of a turn by their names, so that not all send at once. */
--- a/src/mesh-take.c
+++ b/src/mesh-take.c
@@ -187,15 +187,16 @@
 
 /* Notes who else belongs to the own cell. */
 static void
-take_mates(struct mesh *mesh, const struct mesh_peer *relay,
+take_cell_keys(struct mesh *mesh, const struct mesh_peer *relay,
     const struct mesh_news *news)
 {
-	mesh->n_mates = 0;
-	mesh->mates[mesh->n_mates++] = relay->key;
+	mesh->n_cell_keys = 0;
+	mesh->cell_keys[mesh->n_cell_keys++] = relay->key;
 	for (uint32_t i = 0;
-	     i < news->n_members && mesh->n_mates < MESH_MEMBERS_MAX; i++) {
+	     i < news->n_members && mesh->n_cell_keys < MESH_MEMBERS_MAX; i++) {
 		if (news->members[i].key != mesh->key)
-			mesh->mates[mesh->n_mates++] = news->members[i].key;
+			mesh->cell_keys[mesh->n_cell_keys++] =
+			    news->members[i].key;
 	}
 }
 
@@ -214,7 +215,7 @@
 		peer->config_proof_ms = proof_ms(news, told->sent_ms);
 	if (peer != mesh->relay)
 		return;
-	take_mates(mesh, peer, news);
+	take_cell_keys(mesh, peer, news);
 	mesh_count_fleet(mesh, peer, news);
 }
 
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -178,8 +178,8 @@
  * @fetched_proof_ms: time as of which it was the newest; 0 for unknown
  * @newest: newest version of the configuration that any peer had
  * @behind_ms: since when that is newer than the own one; 0 while it is not
- * @mates: short names of the others of the own cell, as its relay told them
- * @n_mates: how many
+ * @cell_keys: short names of the others of the own cell, as its relay told them
+ * @n_cell_keys: how many
  * @lived: the most daemons that lived lately
  * @lived_least: the fewest since @lived_since_ms
  * @lived_since_ms: when that began to be counted
@@ -242,8 +242,8 @@
 	uint64_t fetched_proof_ms;
 	int64_t newest;
 	uint64_t behind_ms;
-	uint32_t mates[MESH_MEMBERS_MAX];
-	unsigned n_mates;
+	uint32_t cell_keys[MESH_MEMBERS_MAX];
+	unsigned n_cell_keys;
 	struct fwd_sharers lived;
 	unsigned lived_least;
 	uint64_t lived_since_ms;
