Send nothing to failure domains that the operator evacuates

The daemons now keep the set of evacuated failure domains with the store offset as of which it holds, read it with the configuration, tell it to each other in each datagram (a relay at once) and take the newer set. Requests that wait, are sent again or are resumed go elsewhere; the placer forms nothing there, and replicas there stand but don't count. The four flags that a daemon reports of itself share a word, so datagrams keep their size.

Ruled out: telling it with the configuration over HTTP (it has a version of its own, and a daemon would learn it a fetch later); dissolving the replicas there (they serve at once when the failure domain is taken back).

The stand-in learns failure domains, evacuations, cold endpoints and large responses.

--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	$(wildcard src/*.c))
 STANDIN = $(patsubst tests/%.c,%,$(wildcard tests/standin-*.c))
 UNIT = $(patsubst tests/%.c,%,$(wildcard tests/test-*.c))
-PROGRAMS = bankliftd banklift-edge bankliftctl banklift-bench load-streams edge-suspended $(STANDIN) $(UNIT) soak-proxy soak-client
+PROGRAMS = bankliftd banklift-edge bankliftctl banklift-bench load-streams load-unread edge-suspended $(STANDIN) $(UNIT) soak-proxy soak-client
 
 LIB_OBJ = $(LIB_SRC:%.c=$(BUILD)/%.o) $(PLATFORM_SRC:%.c=$(BUILD)/%.o) $(RPC_SRC:%.c=$(BUILD)/%.o)
 
@@ -54,14 +54,15 @@
 	@$(CC) -o $@ $^ $(LIBS)
 $(BUILD)/soak-%: $(BUILD)/soak/soak-%.o $(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ $(LIBS)
-$(BUILD)/load-streams: $(BUILD)/tests/load-streams.o $(BUILD)/libbanklift.a
+$(BUILD)/load-%: $(BUILD)/tests/load-%.o $(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ $(LIBS)
 $(BUILD)/standin-%: $(BUILD)/tests/standin-%.o $(BUILD)/tests/fault.o \
 	$(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ $(LIBS)
 $(BUILD)/standin-platform: $(BUILD)/tests/fake-store.o $(BUILD)/tests/fake-endpoints.o \
 	$(BUILD)/tests/fake-group.o $(BUILD)/tests/fake-backoff.o \
-	$(BUILD)/tests/fake-limit.o $(BUILD)/tests/fake-crash.o
+	$(BUILD)/tests/fake-limit.o $(BUILD)/tests/fake-crash.o \
+	$(BUILD)/tests/fake-zone.o $(BUILD)/tests/fake-cold.o
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/tests/script.o \
 	$(BUILD)/tests/fake-log.o \
 	$(BUILD)/libbanklift.a
--- a/src/edge-status.c
+++ b/src/edge-status.c
@@ -111,6 +111,7 @@
 	print_value(body, "config_version",
 	    e->registry.catalog != NULL ? (double)e->registry.catalog->version :
 					  -1);
+	print_value(body, "domains_evacuated", e->registry.evacuations.n);
 	print_value(body, "config_age_ms",
 	    (double)registry_config_age(&e->registry, now));
 	print_value(body, "entries_refused_total",
--- a/src/edge.c
+++ b/src/edge.c
@@ -363,6 +363,28 @@
 	}
 }
 
+/* Whether the configuration is new since the last change of the registry, and
+ * not from this daemon's relay: the others are then sent it at once. */
+static bool
+edge_config_is_news(const struct edge *e, int64_t version)
+{
+	const struct mesh_peer *relay = e->mesh.relay;
+
+	return (version != e->notified_version &&
+	    (relay == NULL || relay->config_version < version));
+}
+
+/* The same for the evacuated failure domains. */
+static bool
+edge_evacuations_are_news(const struct edge *e)
+{
+	const struct mesh_peer *relay = e->mesh.relay;
+	uint64_t as_of = e->registry.evacuations.as_of;
+
+	return (as_of != e->notified_evacuations &&
+	    (relay == NULL || relay->evacuations_as_of < as_of));
+}
+
 static void
 on_registry_changed(void *arg)
 {
@@ -370,12 +392,11 @@
 	int64_t version =
 	    e->registry.catalog != NULL ? e->registry.catalog->version : -1;
 
-	/* The other daemons are sent a new configuration at once, not with the
-	 * next round, unless this daemon's relay has it already. */
-	if (version != e->notified_version && e->mesh.loop != NULL &&
-	    (e->mesh.relay == NULL || e->mesh.relay->config_version < version))
+	if (e->mesh.loop != NULL &&
+	    (edge_config_is_news(e, version) || edge_evacuations_are_news(e)))
 		mesh_send_now(&e->mesh);
 	e->notified_version = version;
+	e->notified_evacuations = e->registry.evacuations.as_of;
 	if (!TAILQ_EMPTY(&e->fwd.queue))
 		fwd_schedule_dispatch(&e->fwd);
 	placer_schedule_pass(&e->placer);
--- a/src/edge.h
+++ b/src/edge.h
@@ -47,6 +47,7 @@
  * @announced: this daemon's address is in the store
  * @notified_version: version of the configuration as of the last change of the
  *	registry; other daemons are sent a different one at once
+ * @notified_evacuations: store offset of the evacuations as of that change
  * @daemon_peak: number of daemons that share the bounds on all of them
  * @draining_since_ms: loop time at which draining began; 0 before
  * @was_ready: readiness as last logged
@@ -73,6 +74,7 @@
 	uint64_t file_changed_ns;
 	bool announced;
 	int64_t notified_version;
+	uint64_t notified_evacuations;
 	struct fwd_daemon_peak daemon_peak;
 	uint64_t draining_since_ms;
 	bool was_ready;
--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -111,6 +111,8 @@
 
 	report.id = g_strdup_printf("e%u", index);
 	report.service = g_strdup("s");
+	report.domain =
+	    g_strdup_printf("z%u", index % daemon->model->n_domains);
 	report.staged = g_ptr_array_new_with_free_func(g_free);
 	fleet_update(&daemon->registry.fleet, &report, 1, 0);
 }
--- a/src/mesh-message.c
+++ b/src/mesh-message.c
@@ -6,7 +6,7 @@
 #include "mesh-message.h"
 
 /* First word of each datagram: "BLM" and the version of the format. */
-#define MESH_MAGIC 0x424c4d07u
+#define MESH_MAGIC 0x424c4d08u
 /* Bit positions of a load's values in the word that holds them. */
 #define PENDING_SHIFT 8
 #define INFLIGHT_SHIFT 22
@@ -15,6 +15,11 @@
 /* Bit position of the kind in the word that holds it and an age in ms. */
 #define KIND_SHIFT 30
 #define AGE_MASK 0x3fffffffu
+/* Bits of what a daemon reports about itself. */
+#define SELF_PLACER 0x1u
+#define SELF_DRAINING 0x2u
+#define SELF_STORE_OK 0x4u
+#define SELF_SERVED 0x8u
 /* Bit of the flag in the word that holds it and a member's sequence number. */
 #define CONFIG_CURRENT_FLAG 0x10000u
 
@@ -38,9 +43,18 @@
 static bool_t
 xdr_self(XDR *xdr, struct mesh_self *self)
 {
-	return (xdr_flag(xdr, &self->placer) &&
-	    xdr_flag(xdr, &self->draining) && xdr_flag(xdr, &self->store_ok) &&
-	    xdr_flag(xdr, &self->served) && xdr_int64_t(xdr, &self->term));
+	uint32_t word = (self->placer ? SELF_PLACER : 0) |
+	    (self->draining ? SELF_DRAINING : 0) |
+	    (self->store_ok ? SELF_STORE_OK : 0) |
+	    (self->served ? SELF_SERVED : 0);
+
+	if (!xdr_uint32_t(xdr, &word))
+		return (FALSE);
+	self->placer = (word & SELF_PLACER) != 0;
+	self->draining = (word & SELF_DRAINING) != 0;
+	self->store_ok = (word & SELF_STORE_OK) != 0;
+	self->served = (word & SELF_SERVED) != 0;
+	return (xdr_int64_t(xdr, &self->term));
 }
 
 static bool_t
@@ -213,6 +227,21 @@
 	return (TRUE);
 }
 
+static bool_t
+xdr_evacuations(XDR *xdr, struct evacuations *e)
+{
+	if (!xdr_uint64_t(xdr, &e->as_of) || !xdr_uint32_t(xdr, &e->n) ||
+	    e->n > EVACUATED_MAX)
+		return (FALSE);
+	for (uint32_t i = 0; i < e->n; i++) {
+		char *domain = e->domains[i];
+
+		if (!xdr_string(xdr, &domain, EVACUATED_NAME_MAX - 1))
+			return (FALSE);
+	}
+	return (TRUE);
+}
+
 static bool_t
 xdr_kind(XDR *xdr, enum mesh_kind *kind)
 {
@@ -245,7 +274,8 @@
 	    xdr_uint64_t(xdr, &msg->entries_end) &&
 	    xdr_uint32_t(xdr, &msg->n_alive) && xdr_loads(xdr, msg) &&
 	    xdr_avoid(xdr, msg) && xdr_limits(xdr, msg) &&
-	    xdr_poisons(xdr, msg) && xdr_members(xdr, msg));
+	    xdr_poisons(xdr, msg) && xdr_members(xdr, msg) &&
+	    xdr_evacuations(xdr, &msg->evacuations));
 }
 
 /**
--- a/src/mesh-message.h
+++ b/src/mesh-message.h
@@ -6,6 +6,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
+#include "registry-evacuation.h"
+
 /* Loads in one datagram; this many fill 7 KB. */
 #define MESH_LOADS_MAX 900
 /* Avoided endpoints in one datagram. */
@@ -216,6 +218,7 @@
  * @limits: limits that endpoints name
  * @poison: crashes under suspected requests
  * @members: daemons that report to the sender; in MESH_FLEET_SUMMARY only
+ * @evacuations: the evacuated failure domains
  */
 struct mesh_message {
 	enum mesh_kind kind;
@@ -244,6 +247,7 @@
 	struct mesh_limit limits[MESH_LIMITS_MAX];
 	struct mesh_poison poison[MESH_POISON_MAX];
 	struct mesh_member members[MESH_MEMBERS_MAX];
+	struct evacuations evacuations;
 };
 
 size_t mesh_message_encode(const struct mesh_message *, char *, size_t);
--- a/src/mesh-receive.c
+++ b/src/mesh-receive.c
@@ -88,6 +88,18 @@
 		mesh_send(mesh);
 }
 
+/* Puts a peer's evacuations in force if they are newer; a relay forwards them
+ * at once. */
+static void
+apply_evacuations(struct mesh *mesh, struct mesh_peer *peer,
+    const struct mesh_message *msg)
+{
+	peer->evacuations_as_of = msg->evacuations.as_of;
+	if (registry_apply_evacuations(mesh->registry, &msg->evacuations) &&
+	    mesh->relay == NULL && !mesh_flat(mesh))
+		mesh_send(mesh);
+}
+
 /* Names this daemon's relay to a peer that took this daemon for a relay. */
 static void
 redirect(struct mesh *mesh, struct mesh_peer *peer)
@@ -318,6 +330,7 @@
 		return;
 	record_self(mesh, peer, &msg);
 	apply_kind(mesh, peer, &msg);
+	apply_evacuations(mesh, peer, &msg);
 	apply_proof(mesh, peer);
 	mesh_fetch_config(mesh, peer);
 	apply_avoids(mesh, peer, &msg);
--- a/src/mesh-send.c
+++ b/src/mesh-send.c
@@ -176,6 +176,7 @@
 	fill_placer(mesh, &msg->placer);
 	fill_relay(mesh, &msg->relay);
 	fill_config(mesh, msg);
+	evacuations_copy(&msg->evacuations, &mesh->registry->evacuations);
 	msg->n_alive = count_reported(mesh, kind);
 	if (kind == MESH_REDIRECT)
 		return;
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -52,6 +52,8 @@
  * @config_offset: store offset of that configuration
  * @config_proof_ms: time as of which that configuration was the newest; 0 for
  *	unknown
+ * @evacuations_as_of: store offset as of which it knows the evacuated failure
+ *	domains
  * @loads: loads that it reported, as added to the endpoints' sums, of struct
  *	mesh_load
  * @loads_ms: when they were added
@@ -82,6 +84,7 @@
 	int64_t config_version;
 	uint64_t config_offset;
 	uint64_t config_proof_ms;
+	uint64_t evacuations_as_of;
 	GArray *loads;
 	uint64_t loads_ms;
 	bool loads_in_cell;
--- a/src/placer-form.c
+++ b/src/placer-form.c
@@ -112,7 +112,8 @@
 	return (until != NULL && now_ms < *until);
 }
 
-/* Adds the live hosts of a service to the view. */
+/* Adds the live hosts of a service to the view, but for those in evacuated
+ * failure domains: no replica is formed there. */
 static void
 view_add_hosts(struct placer *p, const char *service, struct planner_view *view,
     uint64_t now_ms)
@@ -126,7 +127,7 @@
 		const struct host_membership *membership;
 
 		if (strcmp(ep->report.service, service) != 0 || ep->gone ||
-		    ep->draining || ep->lapsed_ms != 0)
+		    ep->draining || ep->lapsed_ms != 0 || ep->evacuated)
 			continue;
 		host.id = ep->report.id;
 		host.domain = ep->report.domain;
@@ -146,7 +147,9 @@
 	}
 }
 
-/* Adds the replicas of a service that are not being dissolved to the view. */
+/* Adds the replicas of a service that are not being dissolved to the view.
+ * Those in evacuated failure domains stand but serve nothing, so they don't
+ * count. */
 static void
 view_add_replicas(const struct placer *p, const char *service,
     struct planner_view *view)
@@ -157,7 +160,8 @@
 		const struct endpoint *head =
 		    fleet_find(&p->registry->fleet, r->members[0].id);
 
-		if (replica_active(r) && strcmp(r->service, service) == 0)
+		if (replica_active(r) && strcmp(r->service, service) == 0 &&
+		    (head == NULL || !head->evacuated))
 			planner_view_add_replica(view, r,
 			    head != NULL ? head->report.domain : NULL,
 			    head != NULL ? head->report.fabric : NULL);
@@ -359,7 +363,8 @@
 /* Counts the requests of each model that run now, over all heads. */
 static void
 demand_sample_service(const struct placer *p, const char *service,
-    const struct planner_view *view, struct demand_sample *samples)
+    const struct planner_view *view, struct demand_sample *samples,
+    uint64_t now_ms)
 {
 	const struct replica *r;
 
@@ -369,7 +374,7 @@
 
 		struct demand_sample *sample;
 
-		if (head == NULL || !r->opened ||
+		if (head == NULL || head->evacuated || !r->opened ||
 		    strcmp(r->service, service) != 0)
 			continue;
 		sample = &samples[planner_model_index(view, r->model)];
@@ -398,7 +403,7 @@
 		return;
 	/* A pass builds many views but counts the requests once. */
 	if (d->updated_ms != now_ms) {
-		demand_sample_service(p, service, view, samples);
+		demand_sample_service(p, service, view, samples, now_ms);
 		planner_demand_update(d, view, samples, now_ms);
 	}
 	planner_demand_apply(d, view, now_ms);
--- a/src/registry-fleet.c
+++ b/src/registry-fleet.c
@@ -469,18 +469,19 @@
 }
 
 /**
- * endpoint_accepts() - whether an endpoint has not itself declined new
- * requests.
+ * endpoint_accepts() - whether neither an endpoint nor the operator has
+ * declined new requests to it.
  * @ep: the endpoint
  * @now_ms: loop time
  *
- * If it has, by draining, backoff or its end, nothing is sent to it, not even
- * as a last resort.
+ * If one has, by draining, backoff, its end or an evacuation, nothing is sent
+ * to it, not even as a last resort.
  */
 bool
 endpoint_accepts(const struct endpoint *ep, uint64_t now_ms)
 {
-	return (!ep->gone && !ep->draining && ep->unreadable_ms == 0 &&
+	return (!ep->gone && !ep->draining && !ep->evacuated &&
+	    ep->unreadable_ms == 0 &&
 	    !endpoint_backoff_active(&ep->backoff, now_ms));
 }
 
--- a/src/registry-fleet.h
+++ b/src/registry-fleet.h
@@ -88,6 +88,7 @@
  * @gone: no more requests are sent to it
  * @draining: it has reported that it is draining, in its entry, to a query or
  *	in a response
+ * @evacuated: the operator has evacuated its failure domain
  * @unreadable_ms: since when its entry can't be read; 0 while it can
  * @refs: exchanges that reference it
  * @pool: connections to it
@@ -131,6 +132,7 @@
 	bool may_return;
 	bool gone;
 	bool draining;
+	bool evacuated;
 	uint64_t unreadable_ms;
 	int refs;
 	struct net_pool pool;
--- a/src/registry.c
+++ b/src/registry.c
@@ -19,6 +19,21 @@
 		registry->changed(registry->changed_arg);
 }
 
+/*
+ * Whether a service's requests are sent to heads of groups only. While the
+ * configuration does not have the service, any endpoint may be sent some.
+ */
+static bool
+service_grouped(const struct registry *registry, const char *name)
+{
+	const struct catalog_service *service = registry->catalog != NULL ?
+	    catalog_find_service(registry->catalog, name) :
+	    NULL;
+
+	return (service != NULL && service->engine != NULL &&
+	    service->engine->models->len > 0);
+}
+
 /**
  * registry_apply_config() - put a configuration in force if it is newer.
  * @registry: the registry
@@ -66,18 +81,136 @@
 	return (true);
 }
 
+/* Notes at each endpoint whether its failure domain is evacuated. */
+static void
+endpoints_mark_evacuated(struct registry *registry)
+{
+	struct endpoint *ep;
+
+	TAILQ_FOREACH(ep, &registry->fleet.endpoints, entry)
+		ep->evacuated =
+		    evacuations_has(&registry->evacuations, ep->report.domain);
+}
+
+/* Number of endpoints in a failure domain. */
+static unsigned
+endpoints_in_domain(const struct registry *registry, const char *domain)
+{
+	const struct endpoint *ep;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(ep, &registry->fleet.endpoints, entry)
+		n += !ep->gone && g_strcmp0(ep->report.domain, domain) == 0;
+	return (n);
+}
+
+/* Logs the failure domains that one set has and the other lacks. */
+static void
+evacuations_log(const struct registry *registry, const struct evacuations *in,
+    const struct evacuations *out, const char *event)
+{
+	for (uint32_t i = 0; i < in->n; i++) {
+		const char *domain = in->domains[i];
+
+		if (!evacuations_has(out, domain))
+			event_log(LOG_NOTICE, event,
+			    "domain=%s endpoints=%u as_of=%llu", domain,
+			    endpoints_in_domain(registry, domain),
+			    (unsigned long long)registry->evacuations.as_of);
+	}
+}
+
+/**
+ * registry_apply_evacuations() - put a set of evacuated failure domains in
+ * force if it is newer.
+ * @registry: the registry
+ * @next: the set, as read from the store here or by a peer
+ *
+ * Return: whether it is in force now.
+ */
+bool
+registry_apply_evacuations(struct registry *registry,
+    const struct evacuations *next)
+{
+	struct evacuations old;
+
+	if (next->as_of <= registry->evacuations.as_of)
+		return (false);
+	evacuations_copy(&old, &registry->evacuations);
+	evacuations_copy(&registry->evacuations, next);
+	endpoints_mark_evacuated(registry);
+	evacuations_log(registry, next, &old, "domain_evacuated");
+	evacuations_log(registry, &old, next, "domain_taken_back");
+	notify_changed(registry);
+	return (true);
+}
+
+/* Adds a failure domain to a set; logs it if it can't be. */
+static void
+evacuate(struct evacuations *next, const char *domain)
+{
+	enum evacuation_result result = evacuations_add(next, domain);
+
+	if (result != EVACUATION_ADDED)
+		event_log(LOG_WARNING, "evacuation_refused",
+		    "domain=%.80s reason=%s", domain,
+		    evacuation_result_name(result));
+}
+
+/* Applies a record that evacuates a failure domain or takes it back. */
+static void
+evacuation_record(struct registry *registry, const struct store_record *record,
+    const char *domain)
+{
+	struct evacuations next;
+
+	/* The records of a snapshot come in the order of their keys. */
+	if (registry->config.snapshot_keys != NULL)
+		return;
+	evacuations_copy(&next, &registry->evacuations);
+	next.as_of = record->offset + 1;
+	if (record->value != NULL)
+		evacuate(&next, domain);
+	else
+		evacuations_remove(&next, domain);
+	registry_apply_evacuations(registry, &next);
+}
+
 static void
 config_record(void *owner, const struct store_record *record)
 {
 	struct registry *registry = owner;
+	const char *domain = registry->decode->evacuated_domain(record->key);
 
-	if (strcmp(record->key, CONFIG_KEY) == 0 && record->value != NULL)
+	if (domain != NULL)
+		evacuation_record(registry, record, domain);
+	else if (strcmp(record->key, CONFIG_KEY) == 0 && record->value != NULL)
 		registry_apply_config(registry, record->value, record->length,
 		    record->offset);
 }
 
+/* Applies the evacuations of a complete snapshot. */
+static void
+config_snapshot_done(void *owner, GHashTable *keys)
+{
+	struct registry *registry = owner;
+	struct evacuations next = { .as_of = registry->config.snapshot_end };
+	GHashTableIter iter;
+	gpointer key;
+
+	g_hash_table_iter_init(&iter, keys);
+	while (g_hash_table_iter_next(&iter, &key, NULL)) {
+		const char *domain = registry->decode->evacuated_domain(key);
+
+		if (domain != NULL)
+			evacuate(&next, domain);
+	}
+	registry_apply_evacuations(registry, &next);
+}
+
 static const struct topic_follower_ops config_ops = {
 	.record = config_record,
+	.snapshot_done = config_snapshot_done,
 };
 
 /* Queues a record that changed something, for the peers. */
@@ -105,21 +238,6 @@
 		now - f->regained_ms < REGISTRY_CATCH_UP_MS));
 }
 
-/*
- * Whether a service's requests are sent to heads of groups only. While the
- * configuration does not have the service, any endpoint may be sent some.
- */
-static bool
-service_grouped(const struct registry *registry, const char *name)
-{
-	const struct catalog_service *service = registry->catalog != NULL ?
-	    catalog_find_service(registry->catalog, name) :
-	    NULL;
-
-	return (service != NULL && service->engine != NULL &&
-	    service->engine->models->len > 0);
-}
-
 /*
  * Decodes an entry. One whose start time lies in the future by more than clocks
  * may differ is refused, as its start would count as later than all true ones.
@@ -180,6 +298,7 @@
 	uint64_t now = clock_loop_ms(registry->loop);
 	g_autoptr(GError) error = NULL;
 	struct endpoint_report report;
+	struct endpoint *ep;
 	bool grouped;
 
 	if (record->value == NULL) {
@@ -197,9 +316,10 @@
 	    (topic_follower_overtaken(&registry->endpoints) &&
 		endpoint_report_serves(&report, grouped)))
 		relay_add(registry, record);
-	endpoint_set_entry(fleet_update(&registry->fleet, &report,
-			       record->offset, now),
-	    grouped, record->value, record->length);
+	ep = fleet_update(&registry->fleet, &report, record->offset, now);
+	ep->evacuated =
+	    evacuations_has(&registry->evacuations, ep->report.domain);
+	endpoint_set_entry(ep, grouped, record->value, record->length);
 }
 
 /* Marks endpoints that a complete snapshot does not have as lapsed. */
--- a/src/registry.h
+++ b/src/registry.h
@@ -6,6 +6,7 @@
 #define BL_REGISTRY_H
 
 #include "registry-catalog.h"
+#include "registry-evacuation.h"
 #include "registry-fleet.h"
 #include "registry-follower.h"
 #include "registry-poison.h"
@@ -30,11 +31,14 @@
  * @config: decodes the configuration; NULL and an error if it is invalid
  * @endpoint: decodes an endpoint's entry, given its id; false and an error if
  *	it is invalid
+ * @evacuated_domain: failure domain that a record of the configuration's topic
+ *	evacuates, given its key; NULL for other records
  */
 struct registry_decoders {
 	struct catalog *(*config)(const void *, size_t, GError **);
 	bool (*endpoint)(const char *, const void *, size_t,
 	    struct endpoint_report *, GError **);
+	const char *(*evacuated_domain)(const char *);
 };
 
 /**
@@ -43,6 +47,7 @@
  * @decode: the adapter's decoders
  * @catalog: the configuration in force; NULL before the first
  * @config_bytes: @catalog as encoded in the store
+ * @evacuations: the failure domains that are evacuated
  * @fleet: the endpoints
  * @poison: requests suspected of crashing endpoints
  * @refusal_reasons: endpoint id to the reason for which its entry was last
@@ -63,6 +68,7 @@
 	const struct registry_decoders *decode;
 	struct catalog *catalog;
 	GBytes *config_bytes;
+	struct evacuations evacuations;
 	struct fleet fleet;
 	struct poison poison;
 	GHashTable *refusal_reasons;
@@ -91,5 +97,6 @@
 void registry_sweep(struct registry *, uint64_t);
 uint64_t registry_config_age(const struct registry *, uint64_t);
 bool registry_apply_config(struct registry *, const void *, size_t, uint64_t);
+bool registry_apply_evacuations(struct registry *, const struct evacuations *);
 
 #endif
--- a/tests/fake-crash.c
+++ b/tests/fake-crash.c
@@ -115,7 +115,8 @@
 	}
 }
 
-static void
+/* Ends an endpoint's incarnation. */
+void
 fake_endpoint_crash(struct fake_endpoint *ep, enum crash_mode mode)
 {
 	ep->crash_mode = mode;
--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -36,14 +36,16 @@
 {
 	json_t *root = fake_endpoint_report(ep);
 	g_autofree char *address = g_strdup_printf("%s:%d", ep->ip, FAKE_PORT);
+	g_autofree char *zone = zone_name(ep);
 	char *text;
 
 	json_object_set_new(root, "service",
 	    json_string(ep->engine ? "lm" : "board"));
 	json_object_set_new(root, "address", json_string(address));
-	json_object_set_new(root, "zone", json_string("a"));
+	json_object_set_new(root, "zone", json_string(zone));
 	json_object_set_new(root, "version", json_string("v1"));
-	json_object_set_new(root, "cold_remaining_ms", json_integer(0));
+	json_object_set_new(root, "cold_remaining_ms",
+	    json_integer(cold_left_ms(ep)));
 	json_object_set_new(root, "slots", json_integer(ep->engine ? 8 : 4));
 	json_object_set_new(root, "state",
 	    json_string(
@@ -120,6 +122,7 @@
 	    get_switch("noproof") ? "" : c->endpoint->id,
 	    get_switch("noproof") ? "" : "\r\n", own_headers);
 	static const char text[] = "whole answer";
+	int large = get_switch("large");
 
 	if (consume_switch("stray"))
 		conn_reply(c, 200,
@@ -137,6 +140,10 @@
 			net_stream_reset(&c->stream);
 		else
 			net_stream_shutdown(&c->stream);
+	} else if (large > 0) {
+		g_autofree char *body = g_malloc0((gsize)large);
+
+		conn_reply(c, 200, headers, body, (size_t)large);
 	} else {
 		conn_reply(c, 200, headers, text, sizeof text - 1);
 	}
@@ -180,7 +187,12 @@
 	c->id = g_strdup(id != NULL ? id : "-");
 	backoff_check(c);
 	limit_check(c);
+	zone_check(c);
 	crash_check(c);
+	if (cold_check(c)) {
+		fake_endpoint_crash(ep, CRASH_RESET);
+		return;
+	}
 	if (backoff_refuse(c))
 		return;
 	if ((ep->engine && strcmp(ep->state, "open") != 0) ||
--- a/tests/fake-platform.h
+++ b/tests/fake-platform.h
@@ -121,7 +121,17 @@
 void limit_forget_daemon(const char *);
 void limit_forget_endpoint(const struct fake_endpoint *);
 
+/* fake-zone.c: failure domains of endpoints, and their evacuation. */
+char *zone_name(const struct fake_endpoint *);
+void zone_evacuate(struct conn *, const char *);
+void zone_check(const struct conn *);
+
+/* fake-cold.c: endpoints that tolerate few requests for some time. */
+int cold_left_ms(const struct fake_endpoint *);
+bool cold_check(const struct conn *);
+
 /* fake-crash.c: crashes of endpoints that run a marked request. */
+void fake_endpoint_crash(struct fake_endpoint *, enum crash_mode);
 void crash_check(const struct conn *);
 bool crash_schedule(struct conn *);
 void crash_tick(struct fake_endpoint *);
--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -197,6 +197,12 @@
 		waiters_check();
 		return;
 	}
+	if (g_str_has_prefix(target, "/evacuate/")) {
+		zone_evacuate(c, target + 1);
+		conn_reply(c, 200, "", "", 0);
+		waiters_check();
+		return;
+	}
 	if (get_switch("silent"))
 		return;
 	if (get_switch("down")) {
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -7,7 +7,9 @@
  *
  * The store listens at 127.NET.0.1:9000, engine N at 127.NET.1.N:9000, plain
  * endpoint N at 127.NET.2.N:9000. PUT /control at the store's address, with
- * "NAME NUMBER", sets a switch; GET /journal returns the journal.
+ * "NAME NUMBER", sets a switch; PUT /evacuate/DOMAIN evacuates a failure
+ * domain, or takes it back if the body is empty; GET /journal returns the
+ * journal.
  *
  * Switches (IP is the address of an endpoint, unless noted):
  *	down		the store refuses all calls
@@ -23,6 +25,7 @@
  *	unframed	plain responses have no length
  *	reset		connections of unframed responses are reset
  *	slow		ms before a plain response
+ *	large		bytes of a plain response
  *	noproof		responses lack the header Server-Signature
  *	mute		connections accepted while it was lower stay unanswered
  *	late-ORDER-IP	the next N orders of this kind (any: of all kinds) to
@@ -34,6 +37,9 @@
  *	limit-IP	the endpoint names this limit in its responses, in
  *			1/1000 requests/s over all daemons; below 0: no number
  *	excuse-IP	IP of a daemon: what it was told is forgotten
+ *	zone-IP		the endpoint is in failure domain a, b, ... by number
+ *	cold-IP		the endpoint is cold for so many ms
+ *	cold-rate	requests/s that a cold endpoint tolerates
  *	harmless	no request crashes its endpoint
  *	back		ms until a crashed endpoint restarts; 0: 2500
  *
@@ -55,6 +61,11 @@
  *	over-limit ENDPOINT COUNT of ALLOWED ID
  *		a request from a daemon that knew of the limit, where more than
  *		1.5 times the limit and 5 came in 4 s
+ *	in-evacuated ENDPOINT DAEMON ID
+ *		a request 2 s or more after its failure domain was evacuated
+ *	over-cold ENDPOINT COUNT ID
+ *		a request, 2 s or more after the endpoint became cold, where
+ *		more than 1.5 times the rate and 5 came in a second; it crashes
  *	over-crash FINGERPRINT COUNT CRASHES ID
  *		a request more than 3 s after it had crashed its third
  *		endpoint; three are allowed
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -254,6 +254,46 @@
 	    n, model->n, model->now_ms - newest);
 }
 
+/* evacuate NAME domain=D as_of=N [on=0|1]: a daemon reads from the store that a
+ * failure domain is evacuated or taken back */
+static void
+exec_evacuate(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *domain = script_word(rest, "domain");
+	struct model_daemon *daemon = fleet_model_find(model, name);
+	struct evacuations next;
+
+	evacuations_copy(&next, &daemon->registry.evacuations);
+	next.as_of = script_number(rest, "as_of", 0);
+	if (script_number(rest, "on", 1) != 0)
+		evacuations_add(&next, domain);
+	else
+		evacuations_remove(&next, domain);
+	registry_apply_evacuations(&daemon->registry, &next);
+	mesh_send(&daemon->mesh);
+}
+
+/* evacuated DOMAIN: number of daemons that send nothing to its endpoints */
+static void
+exec_evacuated(const char *rest, GString *out)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < model->n; i++) {
+		const struct model_daemon *daemon = &model->daemons[i];
+		const struct endpoint *ep;
+		bool sends = false;
+
+		TAILQ_FOREACH(ep, &daemon->registry.fleet.endpoints, entry)
+			sends = sends ||
+			    (strcmp(ep->report.domain, rest) == 0 &&
+				endpoint_usable(ep, model->now_ms));
+		n += daemon->up && !sends;
+	}
+	g_string_append_printf(out, "%u of %u\n", n, model->n);
+}
+
 /* relays: the daemons that are relays */
 static void
 exec_relays(const char *rest, GString *out)
@@ -473,6 +513,8 @@
 	{ "store", exec_store },
 	{ "warn", exec_warn },
 	{ "warned", exec_warned },
+	{ "evacuate", exec_evacuate },
+	{ "evacuated", exec_evacuated },
 	{ "relays", exec_relays },
 	{ "views", exec_views },
 	{ "traffic", exec_traffic },
