Send a cold endpoint no more than it tolerates from all daemons together

Cause: an entry's word that its endpoint is cold, and the service's rate for cold endpoints, were used by no decision, so all daemons together could crash it. That rate is now a limit like the one that an endpoint names: the lower of both holds, few daemons share it, and it ends by itself. Of a cold endpoint fewer daemons are users, since it bounds each second (1.5 times its rate and five), not four. Daemons learn of it by the entry, which is told on when the endpoint becomes cold or warm. The timeouts for silence are doubled meanwhile, so that it isn't taken for lost.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -166,7 +166,8 @@
 	if (ms <= 0)
 		return (true);
 	choice->limited++;
-	choice->limits_per_s += endpoint_limit_rate(&ep->limit);
+	choice->limits_per_s +=
+	    endpoint_limit_rate(&ep->limit, criteria->now_ms);
 	if (choice->next_permit == NULL || ms < choice->permit_ms) {
 		choice->next_permit = ep;
 		choice->permit_ms = ms;
@@ -176,11 +177,12 @@
 
 /* Adds an endpoint with a free slot to the array that it belongs to. */
 static void
-eligible_add(const struct eligible *eligible, struct endpoint *ep)
+eligible_add(const struct eligible *eligible, struct endpoint *ep,
+    uint64_t now_ms)
 {
 	if (endpoint_backoff_probing(&ep->backoff))
 		g_ptr_array_add(eligible->probing, ep);
-	else if (ep->limit.active)
+	else if (endpoint_limit_active(&ep->limit, now_ms))
 		g_ptr_array_add(eligible->permitted, ep);
 	else
 		g_ptr_array_add(eligible->unrestricted, ep);
@@ -221,7 +223,7 @@
 		choice->any_usable = ep;
 		if (fwd_expect_running(ep) < endpoint_slots(ep, criteria) &&
 		    endpoint_backoff_admits(&ep->backoff))
-			eligible_add(eligible, ep);
+			eligible_add(eligible, ep, criteria->now_ms);
 	}
 }
 
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -41,6 +41,7 @@
 exchange_take_slot(struct fwd_exchange *ex, const struct fwd_choice *choice)
 {
 	struct endpoint *ep = choice->endpoint;
+	uint64_t now = clock_loop_ms(ex->fwd->loop);
 
 	ex->endpoint = ep;
 	ex->running_at_send = ep->inflight + ep->peer_inflight;
@@ -48,9 +49,8 @@
 	ex->known_at_send = choice->known;
 	ep->refs++;
 	ex->probe = endpoint_backoff_begin_probe(&ep->backoff);
-	ex->has_permit = ep->limit.active &&
-	    endpoint_limit_take_permit(&ep->limit,
-		clock_loop_ms(ex->fwd->loop));
+	ex->has_permit = endpoint_limit_active(&ep->limit, now) &&
+	    endpoint_limit_take_permit(&ep->limit, now);
 	ex->in_backlog = ex->model != NULL;
 	if (ex->in_backlog)
 		exchange_add_backlog(ex);
@@ -138,9 +138,9 @@
 	    "usable=%u limit=%.3f limit_age_ms=%llu",
 	    ex->id, ex->endpoint->report.id, ex->sends, choice->first_ms,
 	    choice->load, choice->known, choice->usable,
-	    limit->active ? limit->per_s : -1,
-	    (unsigned long long)(limit->active ? ex->sent_ms - limit->as_of_ms :
-						 0));
+	    limit->named ? limit->per_s : -1,
+	    (unsigned long long)(limit->named ? ex->sent_ms - limit->as_of_ms :
+						0));
 	text = exchange_build_request(ex);
 	net_conn_send(ex->upstream, text->str, text->len, ex->head_only);
 }
@@ -305,8 +305,8 @@
 
 	if (ex->has_permit || endpoint_limit_wait_ms(limit, 0, now_ms) > 0)
 		return (ex->has_permit);
-	ex->has_permit =
-	    limit->active && endpoint_limit_take_permit(limit, now_ms);
+	ex->has_permit = endpoint_limit_active(limit, now_ms) &&
+	    endpoint_limit_take_permit(limit, now_ms);
 	return (true);
 }
 
--- a/src/fwd-feedback.c
+++ b/src/fwd-feedback.c
@@ -210,7 +210,7 @@
 	const struct endpoint *ep = ex->endpoint;
 	const struct endpoint_limit *limit = &ep->limit;
 
-	if (!limit->active)
+	if (!endpoint_limit_active(limit, ex->sent_ms))
 		return;
 	fwd_stats_count(&ex->fwd->stats, COUNT_SENT_LIMITED);
 	if (ex->has_permit)
--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -14,6 +14,9 @@
  * are multiplied by this. */
 #define WARNED_MS 1500
 #define WARNED_FACTOR 0.6
+/* For a cold endpoint, which is slow after its start, the timeouts are
+ * multiplied by this. */
+#define COLD_FACTOR 2.0
 /* Timeout of an endpoint without a model: this multiple of the route's latency
  * objective, and at least this. */
 #define PLAIN_SILENCE_FACTOR 2.0
@@ -42,6 +45,7 @@
 exchange_is_silent(const struct fwd_exchange *ex, uint64_t now)
 {
 	uint64_t heard = MAX(ex->heard_ms, ex->endpoint->heard_ms);
+	double factor = 1;
 
 	/* A replica that sends events to other daemons is busy, not lost. */
 	heard = MAX(heard, ex->endpoint->peer_heard_ms);
@@ -51,9 +55,12 @@
 	 * this one. */
 	if (ex->model == NULL)
 		heard = ex->heard_ms;
-	return ((double)(now - MIN(heard, now)) > exchange_silence_timeout(ex) *
-		(now - ex->endpoint->avoided_ms < WARNED_MS ? WARNED_FACTOR :
-							      1));
+	if (now - ex->endpoint->avoided_ms < WARNED_MS)
+		factor = WARNED_FACTOR;
+	if (endpoint_limit_cold(&ex->endpoint->limit, now))
+		factor *= COLD_FACTOR;
+	return ((double)(now - MIN(heard, now)) >
+	    exchange_silence_timeout(ex) * factor);
 }
 
 /* Starts a cooldown of a silent endpoint, warns others and moves the request if
--- a/src/limit-model.c
+++ b/src/limit-model.c
@@ -167,7 +167,7 @@
 
 	for (unsigned i = 0; i < m->fleet->n; i++)
 		n += m->fleet->daemons[i].up &&
-		    model_endpoint(m, i)->limit.active;
+		    model_endpoint(m, i)->limit.named;
 	return (n);
 }
 
@@ -196,7 +196,7 @@
 
 	if (endpoint_limit_wait_ms(limit, 0, m->fleet->now_ms) > 0)
 		return (false);
-	return (!limit->active ||
+	return (!limit->named ||
 	    endpoint_limit_take_permit(limit, m->fleet->now_ms));
 }
 
--- a/src/mesh-limits.c
+++ b/src/mesh-limits.c
@@ -33,7 +33,11 @@
 	if (kind == MESH_REPORT)
 		return (limit->heard_ms != 0 &&
 		    now - limit->heard_ms < DIRECT_REPORT_MS);
-	return (limit->active ||
+	/* That an endpoint is cold is in its entry; its cell needs the shares.
+	 */
+	if (kind == MESH_FLEET_SUMMARY && endpoint_limit_cold(limit, now))
+		return (true);
+	return (limit->named ||
 	    (limit->as_of_ms != 0 && now - limit->as_of_ms < REMOVAL_SEND_MS));
 }
 
@@ -46,7 +50,7 @@
 	struct mesh_limit *item = &msg->limits[msg->n_limits++];
 
 	item->id_hash = ep->id_hash;
-	item->milli_per_s = limit->active ?
+	item->milli_per_s = limit->named ?
 	    (uint32_t)lround(limit->per_s * MILLI) :
 	    MESH_NO_LIMIT;
 	item->age_ms =
--- a/src/mesh-shares.c
+++ b/src/mesh-shares.c
@@ -16,12 +16,6 @@
 
 #include "mesh.h"
 
-/* Users of an endpoint: this many per request per second of its limit, and
- * USERS_BASE more. Each may send one request at once, so the sum over 4 s is at
- * most six times the limit and USERS_BASE; endpoints tolerate six times the
- * limit and five. */
-#define USERS_PER_RATE 2.0
-#define USERS_BASE 3.0
 /* The peak of live daemons covers the current window of this length and the one
  * before: longer than typical partitions. The shares of daemons that are gone
  * for good stay unused for as long. */
@@ -221,9 +215,9 @@
 limit_decide(struct limit_view *view, struct endpoint *ep, uint64_t now_ms)
 {
 	struct endpoint_limit *limit = &ep->limit;
-	double rate = endpoint_limit_rate(limit);
+	double rate = endpoint_limit_rate(limit, now_ms);
 	double max_users =
-	    floor((USERS_PER_RATE * rate + USERS_BASE) * view->alive_ratio);
+	    floor(endpoint_limit_max_users(limit, now_ms) * view->alive_ratio);
 	unsigned users = cells_share(view, ep->id_hash,
 	    (unsigned)CLAMP(max_users, 1, (double)view->n_alive));
 	double each = rate * view->alive_ratio / users;
@@ -298,7 +292,7 @@
 
 	view_fill(mesh, &view);
 	TAILQ_FOREACH(ep, &mesh->registry->fleet.endpoints, entry) {
-		if (ep->limit.active)
+		if (endpoint_limit_active(&ep->limit, mesh->now_ms))
 			limit_update_share(mesh, &view, ep);
 	}
 }
--- a/src/placer-form.c
+++ b/src/placer-form.c
@@ -378,7 +378,7 @@
 		    strcmp(r->service, service) != 0)
 			continue;
 		sample = &samples[planner_model_index(view, r->model)];
-		if (head->limit.active) {
+		if (endpoint_limit_active(&head->limit, now_ms)) {
 			sample->limited++;
 			continue;
 		}
--- a/src/registry-catalog.h
+++ b/src/registry-catalog.h
@@ -81,6 +81,8 @@
  * @name: the service's name
  * @health_path: path of the health check
  * @max_connections: most connections that an endpoint takes from all clients
+ * @cold_per_s: requests per second that an endpoint tolerates while it is cold,
+ *	from all daemons together; 0 for any number
  * @engine: profile of the engines; NULL for a plain service, which runs no
  *	models
  */
@@ -88,6 +90,7 @@
 	char *name;
 	char *health_path;
 	unsigned max_connections;
+	double cold_per_s;
 	struct engine_profile *engine;
 };
 
--- a/src/registry-fleet.c
+++ b/src/registry-fleet.c
@@ -254,6 +254,15 @@
 	return (true);
 }
 
+/* Whether an endpoint has become cold again, or is no longer cold. */
+static bool
+cold_differs(const struct endpoint_report *old,
+    const struct endpoint_report *report)
+{
+	return ((old->cold_ms > 0) != (report->cold_ms > 0) ||
+	    report->cold_ms > old->cold_ms);
+}
+
 /**
  * fleet_report_differs() - whether a report is more than a heartbeat: the
  * endpoint is new or back, or something has changed.
@@ -273,8 +282,10 @@
 		return (true);
 	old = &ep->report;
 	return (old->draining != report->draining ||
-	    old->state != report->state || old->epoch != report->epoch ||
-	    old->rank != report->rank || old->slots != report->slots ||
+	    cold_differs(old, report) || old->state != report->state ||
+	    old->epoch != report->epoch || old->rank != report->rank ||
+	    old->slots != report->slots ||
+	    g_strcmp0(old->domain, report->domain) != 0 ||
 	    g_strcmp0(old->group, report->group) != 0 ||
 	    g_strcmp0(old->model, report->model) != 0 ||
 	    !staged_same(old->staged, report->staged));
@@ -431,7 +442,7 @@
 	if (fleet_find(fleet, ep->report.id) != ep)
 		return (false);
 	return (endpoint_backoff_active(&ep->backoff, now_ms) ||
-	    ((ep->draining || ep->limit.active) &&
+	    ((ep->draining || ep->limit.named) &&
 		now_ms - ep->lapsed_ms < LAPSED_KEPT_MS));
 }
 
--- a/src/registry-fleet.h
+++ b/src/registry-fleet.h
@@ -35,6 +35,7 @@
  * @fabric: its fabric domain
  * @slots: concurrent requests that it takes
  * @draining: it is draining: it completes what it has and accepts nothing new
+ * @cold_ms: how much longer it tolerates few requests after its start, in ms
  * @staged: names of the models that its host has a local copy of
  * @model: name of the model that it serves, or NULL
  * @group: name of its group, or NULL
@@ -53,6 +54,7 @@
 	char *fabric;
 	unsigned slots;
 	bool draining;
+	uint64_t cold_ms;
 	GPtrArray *staged;
 	char *model;
 	char *group;
--- a/src/registry-limit.c
+++ b/src/registry-limit.c
@@ -1,5 +1,6 @@
 /*
- * Rate limit that an endpoint names for all daemons together. Does no I/O.
+ * Rate limit of an endpoint for all daemons together, which it names or has
+ * while it is cold. Does no I/O.
  *
  * Each daemon has a share of the rate, which fills a token bucket of permits;
  * each request takes one. The limit also holds when no other endpoint is left.
@@ -19,6 +20,16 @@
 #define LIMIT_MIN_PER_S 0.2
 /* A peer's limit may look newer than it is by the transmission delay. */
 #define LIMIT_ECHO_MS 500
+/* Users of an endpoint: this many per request per second of its limit, and
+ * USERS_BASE more. Each may send one request at once, so the sum over 4 s is at
+ * most six times the limit and USERS_BASE; endpoints tolerate six times the
+ * limit and five. */
+#define USERS_PER_RATE 2.0
+#define USERS_BASE 3.0
+/* The same for a cold endpoint, which tolerates 1.5 times its rate and five in
+ * any second. */
+#define COLD_USERS_PER_RATE 0.5
+#define COLD_USERS_BASE 5.0
 /* Permits that a daemon can save up. The sum over all daemons may be spent at
  * once. */
 #define PERMITS_MAX 1.0
@@ -38,7 +49,7 @@
 endpoint_limit_normalize(double per_s, const struct endpoint_limit *limit)
 {
 	if (isnan(per_s))
-		return (limit->active ? limit->per_s : LIMIT_UNREADABLE_PER_S);
+		return (limit->named ? limit->per_s : LIMIT_UNREADABLE_PER_S);
 	/* Daemons exchange limits in thousandths; round, so that all have the
 	 * same number. */
 	return (round(CLAMP(per_s, 0, LIMIT_MAX_PER_S) * MILLI) / MILLI);
@@ -56,16 +67,16 @@
 bool
 endpoint_limit_set(struct endpoint_limit *limit, double per_s, uint64_t at_ms)
 {
-	bool changed = !limit->active || limit->per_s != per_s;
+	bool changed = !limit->named || limit->per_s != per_s;
 
 	if (at_ms < limit->as_of_ms)
 		return (false);
-	if (!limit->active) {
+	if (!endpoint_limit_active(limit, at_ms)) {
 		limit->share_per_s = 0;
 		limit->since_ms = at_ms;
 	}
 	limit->as_of_ms = at_ms;
-	limit->active = true;
+	limit->named = true;
 	limit->per_s = per_s;
 	return (changed);
 }
@@ -80,9 +91,9 @@
 bool
 endpoint_limit_clear(struct endpoint_limit *limit, uint64_t at_ms)
 {
-	if (!limit->active || at_ms < limit->as_of_ms)
+	if (!limit->named || at_ms < limit->as_of_ms)
 		return (false);
-	limit->active = false;
+	limit->named = false;
 	limit->as_of_ms = at_ms;
 	return (true);
 }
@@ -99,7 +110,7 @@
 bool
 endpoint_limit_superseded(const struct endpoint_limit *limit, uint64_t sent_ms)
 {
-	return (limit->active && sent_ms > limit->as_of_ms);
+	return (limit->named && sent_ms > limit->as_of_ms);
 }
 
 /**
@@ -117,8 +128,8 @@
 {
 	/* An old message must not restore a limit that has ended, and messages
 	 * that circulate must not make each other newer. */
-	bool same = limit->active && limit->per_s == per_s;
-	uint64_t margin = !limit->active || same ? LIMIT_ECHO_MS : 0;
+	bool same = limit->named && limit->per_s == per_s;
+	uint64_t margin = !limit->named || same ? LIMIT_ECHO_MS : 0;
 	bool changed;
 
 	if (limit->as_of_ms != 0 && at_ms <= limit->as_of_ms + margin)
@@ -131,15 +142,88 @@
 }
 
 /**
- * endpoint_limit_rate() - rate at which all daemons together send requests.
+ * endpoint_limit_cold() - whether an endpoint tolerates few requests because it
+ * is cold.
  * @limit: the limit
+ * @now_ms: loop time
+ */
+bool
+endpoint_limit_cold(const struct endpoint_limit *limit, uint64_t now_ms)
+{
+	return (limit->cold_per_s > 0 && now_ms < limit->cold_until_ms);
+}
+
+/**
+ * endpoint_limit_active() - whether there is a limit.
+ * @limit: the limit
+ * @now_ms: loop time
+ */
+bool
+endpoint_limit_active(const struct endpoint_limit *limit, uint64_t now_ms)
+{
+	return (limit->named || endpoint_limit_cold(limit, now_ms));
+}
+
+/**
+ * endpoint_limit_set_cold() - note until when an endpoint is cold.
+ * @limit: the limit
+ * @per_s: requests a second that it tolerates until then; 0 for any number
+ * @until_ms: loop time at which that ends; in the past where it is not cold
+ * @now_ms: loop time
+ *
+ * Return: whether it has become cold.
+ */
+bool
+endpoint_limit_set_cold(struct endpoint_limit *limit, double per_s,
+    uint64_t until_ms, uint64_t now_ms)
+{
+	bool was_active = endpoint_limit_active(limit, now_ms);
+	bool was_cold = endpoint_limit_cold(limit, now_ms);
+
+	limit->cold_per_s = per_s;
+	limit->cold_until_ms = until_ms;
+	if (was_cold || !endpoint_limit_cold(limit, now_ms))
+		return (false);
+	if (!was_active) {
+		limit->share_per_s = 0;
+		limit->since_ms = now_ms;
+	}
+	return (true);
+}
+
+/**
+ * endpoint_limit_rate() - rate at which all daemons together send requests.
+ * @limit: the limit, which is active
+ * @now_ms: loop time
  *
  * Return: requests a second.
  */
 double
-endpoint_limit_rate(const struct endpoint_limit *limit)
+endpoint_limit_rate(const struct endpoint_limit *limit, uint64_t now_ms)
 {
-	return (fmax(limit->per_s, LIMIT_MIN_PER_S));
+	double rate = limit->named ? limit->per_s : INFINITY;
+
+	if (endpoint_limit_cold(limit, now_ms))
+		rate = fmin(rate, limit->cold_per_s);
+	return (fmax(rate, LIMIT_MIN_PER_S));
+}
+
+/**
+ * endpoint_limit_max_users() - number of daemons that may share the limit.
+ * @limit: the limit, which is active
+ * @now_ms: loop time
+ *
+ * Each of them may send one request at once, besides its share of the rate.
+ */
+double
+endpoint_limit_max_users(const struct endpoint_limit *limit, uint64_t now_ms)
+{
+	double rate = endpoint_limit_rate(limit, now_ms);
+	double max = USERS_PER_RATE * rate + USERS_BASE;
+
+	if (endpoint_limit_cold(limit, now_ms))
+		max = fmin(max, COLD_USERS_PER_RATE * rate + COLD_USERS_BASE);
+	return (floor(max));
 }
 
 /* Permits that this daemon has at a time. */
@@ -204,7 +288,7 @@
 {
 	double missing;
 
-	if (!limit->active)
+	if (!endpoint_limit_active(limit, now_ms))
 		return (0);
 	if (limit->share_per_s <= 0)
 		return (INFINITY);
--- a/src/registry-limit.h
+++ b/src/registry-limit.h
@@ -1,6 +1,6 @@
 /*
- * Rate limit that an endpoint names for all daemons together, and this daemon's
- * share of it. Does no I/O.
+ * Rate limit of an endpoint for all daemons together, which it names or has
+ * while it is cold, and this daemon's share of it. Does no I/O.
  */
 #ifndef BL_REGISTRY_LIMIT_H
 #define BL_REGISTRY_LIMIT_H
@@ -10,10 +10,13 @@
 
 /**
  * struct endpoint_limit - rate limit of one incarnation of an endpoint.
- * @active: the endpoint names a limit
+ * @named: the endpoint names a limit
  * @unreadable: its newest response names a limit that can't be read
- * @per_s: requests a second, from all daemons together
- * @since_ms: loop time as of which it names a limit
+ * @per_s: that limit, in requests a second from all daemons together
+ * @cold_per_s: requests a second that it tolerates while it is cold; 0 for any
+ *	number
+ * @cold_until_ms: loop time until which it is cold; 0 for never
+ * @since_ms: loop time as of which there is a limit
  * @as_of_ms: loop time as of which the limit, or that there is none, is known;
  *	0 for never
  * @heard_ms: loop time of the newest response to this daemon that named a limit
@@ -28,9 +31,11 @@
  *	on
  */
 struct endpoint_limit {
-	bool active;
+	bool named;
 	bool unreadable;
 	double per_s;
+	double cold_per_s;
+	uint64_t cold_until_ms;
 	uint64_t since_ms;
 	uint64_t as_of_ms;
 	uint64_t heard_ms;
@@ -47,7 +52,12 @@
 bool endpoint_limit_clear(struct endpoint_limit *, uint64_t);
 bool endpoint_limit_superseded(const struct endpoint_limit *, uint64_t);
 bool endpoint_limit_merge(struct endpoint_limit *, double, uint64_t, uint64_t);
-double endpoint_limit_rate(const struct endpoint_limit *);
+bool endpoint_limit_cold(const struct endpoint_limit *, uint64_t);
+bool endpoint_limit_active(const struct endpoint_limit *, uint64_t);
+bool endpoint_limit_set_cold(struct endpoint_limit *, double, uint64_t,
+    uint64_t);
+double endpoint_limit_rate(const struct endpoint_limit *, uint64_t);
+double endpoint_limit_max_users(const struct endpoint_limit *, uint64_t);
 void endpoint_limit_init_permits(struct endpoint_limit *, double, uint64_t);
 void endpoint_limit_set_share(struct endpoint_limit *, double, uint64_t);
 double endpoint_limit_wait_ms(const struct endpoint_limit *, unsigned,
--- a/src/registry.c
+++ b/src/registry.c
@@ -9,6 +9,9 @@
 #include "error.h"
 #include "event-log.h"
 
+/* Longest time that an endpoint's word that it is cold is believed; another
+ * entry of it comes within seconds. */
+#define COLD_MAX_MS 60000
 /* Key of the configuration in its topic. */
 #define CONFIG_KEY "config"
 
@@ -34,6 +37,46 @@
 	    service->engine->models->len > 0);
 }
 
+/* Requests a second that an endpoint tolerates while it is cold; 0 where it is
+ * sent none. */
+static double
+endpoint_cold_per_s(const struct registry *registry, const struct endpoint *ep)
+{
+	const struct catalog_service *service = registry->catalog != NULL ?
+	    catalog_find_service(registry->catalog, ep->report.service) :
+	    NULL;
+
+	if (service == NULL ||
+	    !endpoint_report_serves(&ep->report,
+		service_grouped(registry, ep->report.service)))
+		return (0);
+	return (service->cold_per_s);
+}
+
+/* Sets until when an endpoint is cold, and logs it if it has become so. */
+static void
+endpoint_set_cold(const struct registry *registry, struct endpoint *ep,
+    uint64_t until_ms, uint64_t now_ms)
+{
+	double per_s = endpoint_cold_per_s(registry, ep);
+
+	if (endpoint_limit_set_cold(&ep->limit, per_s, until_ms, now_ms))
+		event_log(LOG_INFO, "endpoint_cold",
+		    "endpoint=%s per_s=%.3f cold_ms=%llu", ep->report.id, per_s,
+		    (unsigned long long)(until_ms - now_ms));
+}
+
+/* Updates which endpoints are cold after a change of the configuration. */
+static void
+endpoints_update_cold(struct registry *registry)
+{
+	uint64_t now = clock_loop_ms(registry->loop);
+	struct endpoint *ep;
+
+	TAILQ_FOREACH(ep, &registry->fleet.endpoints, entry)
+		endpoint_set_cold(registry, ep, ep->limit.cold_until_ms, now);
+}
+
 /**
  * registry_apply_config() - put a configuration in force if it is newer.
  * @registry: the registry
@@ -73,6 +116,7 @@
 	registry->catalog = next;
 	g_clear_pointer(&registry->config_bytes, g_bytes_unref);
 	registry->config_bytes = g_bytes_new(value, length);
+	endpoints_update_cold(registry);
 	/* The proof of freshness of the previous version remains valid, as this
 	 * one has all changes made until then. When each version reset it,
 	 * there was none while changes came every 80 ms, and keys were refused.
@@ -319,6 +363,8 @@
 	ep = fleet_update(&registry->fleet, &report, record->offset, now);
 	ep->evacuated =
 	    evacuations_has(&registry->evacuations, ep->report.domain);
+	endpoint_set_cold(registry, ep,
+	    now + MIN(ep->report.cold_ms, COLD_MAX_MS), now);
 	endpoint_set_entry(ep, grouped, record->value, record->length);
 }
 
--- a/src/target-feedback.c
+++ b/src/target-feedback.c
@@ -41,7 +41,7 @@
 target_get_limit(struct target *target, struct endpoint_limit *known)
 {
 	*known = (struct endpoint_limit){
-		.active = atomic_load(&target->limit_active),
+		.named = atomic_load(&target->limit_active),
 		.per_s =
 		    (double)atomic_load(&target->limit_milli_per_s) / MILLI,
 		.as_of_ms = atomic_load(&target->limit_as_of_ms),
@@ -70,16 +70,16 @@
 	else
 		changed = endpoint_limit_superseded(&known, sent_ms) &&
 		    endpoint_limit_clear(&known, now);
-	atomic_store(&target->limit_active, known.active);
+	atomic_store(&target->limit_active, known.named);
 	atomic_store(&target->limit_milli_per_s,
 	    (uint64_t)(known.per_s * MILLI));
 	atomic_store(&target->limit_as_of_ms, known.as_of_ms);
 	limit_set(&target->limit,
-	    known.active ? endpoint_limit_rate(&known) : 0, 1, 0,
+	    known.named ? endpoint_limit_rate(&known, now) : 0, 1, 0,
 	    MAX(atomic_load(&target->daemons), 1));
 	if (changed)
 		event_log(LOG_NOTICE,
-		    known.active ? "target_names_limit" : "target_lifts_limit",
+		    known.named ? "target_names_limit" : "target_lifts_limit",
 		    "target=%s asked=\"%.40s\" per_s=%.3f daemons=%u",
 		    target->name, per_s != NULL ? per_s : "", known.per_s,
 		    atomic_load(&target->daemons));
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -204,7 +204,7 @@
 
 	if (endpoint_limit_superseded(limit, script_number(rest, "sent", 0)))
 		endpoint_limit_clear(limit, script_number(rest, "at", 0));
-	g_string_append(out, limit->active ? "active\n" : "none\n");
+	g_string_append(out, limit->named ? "active\n" : "none\n");
 }
 
 /* merge ID names=PER_S since=MS at=MS: a peer reports a limit, or none */
@@ -220,7 +220,7 @@
 	    script_number(rest, "since", 0), script_number(rest, "at", 0));
 
 	g_string_append_printf(out, "%s, ", changed ? "changed" : "unchanged");
-	if (limit->active)
+	if (limit->named)
 		g_string_append_printf(out, "%g a second\n", limit->per_s);
 	else
 		g_string_append(out, "none\n");
