Bound what is held for all clients that read or send slowly

Cause: output was bounded for each client (256 KB and one read), bodies for each request, nothing for all of them, so memory grew with the number of slow clients. A quarter of the memory may now be held, for bodies in progress, buffered responses and unread output. From half of that on a client gets 16 KB before its endpoint is paused, and beyond it a new request is refused at once with when to retry. The setting memory-mb gives the memory; the metrics show held_bytes and held_max_bytes.

--- a/src/edge-setting.c
+++ b/src/edge-setting.c
@@ -62,6 +62,8 @@
 	    "share of a core that this daemon has" },
 	{ "cores", SETTING_REAL, AT(cores), "1", 0, 1000, "number",
 	    "speed of that core, relative to a usual one" },
+	{ "memory-mb", SETTING_REAL, AT(memory_mb), "160", 1, 1048576, "MB",
+	    "memory that this daemon has" },
 	{ NULL, 0, 0, NULL, 0, 0, NULL, NULL },
 };
 
--- a/src/edge-setting.h
+++ b/src/edge-setting.h
@@ -36,6 +36,7 @@
 	char *refused_works;
 	double cpu_share;
 	double cores;
+	double memory_mb;
 	bool check;
 };
 
--- a/src/edge-status.c
+++ b/src/edge-status.c
@@ -104,6 +104,8 @@
 	print_fleet(e, body);
 	print_placement(e, body);
 	print_value(body, "exchanges", e->fwd.n_exchanges);
+	print_value(body, "held_bytes", (double)e->fwd.held_bytes);
+	print_value(body, "held_max_bytes", (double)e->fwd.set.held_max_bytes);
 	print_value(body, "peers", mesh_count_alive(&e->mesh));
 	print_value(body, "placer", e->placer.state == PLACER_HOLDING);
 	print_value(body, "reader", e->registry.endpoints.reader);
--- a/src/edge.c
+++ b/src/edge.c
@@ -54,6 +54,11 @@
 /* Part of the grace time that is left for closing connections and exiting. */
 #define DRAIN_MARGIN_MS 700
 
+#define BYTES_PER_MB (1024.0 * 1024)
+/* Part of the memory that may be held for clients. A body is copied once while
+ * it is sent, and the kernel holds output too. */
+#define HELD_SHARE 0.25
+
 /* Capacities of daemons are given in thousandths of a core. */
 #define CAPACITY_PER_CORE 1000
 
@@ -101,6 +106,8 @@
 	e->placer.stall_ms = (uint64_t)e->set.stall_ms;
 	set->released_fingerprints = e->set.released_works;
 	set->refused_fingerprints = e->set.refused_works;
+	set->held_max_bytes =
+	    (size_t)(e->set.memory_mb * BYTES_PER_MB * HELD_SHARE);
 	set->retry.ratio = e->set.retry_ratio;
 	set->retry.slack = e->set.retry_slack;
 	set->retry.window_ms = (uint64_t)(e->set.retry_window_s * 1000);
--- a/src/fwd-conn.c
+++ b/src/fwd-conn.c
@@ -8,8 +8,9 @@
 
 /* Pipelined bytes from which on reading from the client is paused. */
 #define PIPELINED_MAX_BYTES 65536
-/* Output queued for a slow client from which on its endpoint is paused. */
-#define OUT_PAUSE_BYTES 262144
+/* Time to retry for a request that there is no room for: slow clients are given
+ * seconds. */
+#define RETRY_ROOM_MS 1000
 /* Limits and timeouts until the first configuration is known. */
 #define HEADER_BYTES_DEFAULT 16384
 #define BODY_BYTES_DEFAULT (4 << 20)
@@ -42,13 +43,28 @@
 	return (-1);
 }
 
+/* Drops the body of a request that was not passed on. */
+static void
+conn_drop_body(struct fwd_conn *c)
+{
+	c->fwd->held_bytes -= c->body->len;
+	g_byte_array_set_size(c->body, 0);
+}
+
+/* Whether there is room for a request, or for more of its body. */
+static bool
+conn_has_room(const struct fwd_conn *c, uint64_t length)
+{
+	return (c->fwd->held_bytes + length <= c->fwd->set.held_max_bytes);
+}
+
 static int
 on_begin(http_parser *parser)
 {
 	struct fwd_conn *c = parser->data;
 
 	net_head_reset(&c->head);
-	g_byte_array_set_size(c->body, 0);
+	conn_drop_body(c);
 	c->started = true;
 	c->since_ms = clock_loop_ms(c->fwd->loop);
 	return (0);
@@ -104,13 +120,16 @@
 on_head(http_parser *parser)
 {
 	struct fwd_conn *c = parser->data;
+	bool sized = (parser->flags & F_CONTENTLENGTH) != 0;
 	const char *expect;
 
 	net_head_close_value(&c->head);
 	c->head_only = parser->method == HTTP_HEAD;
-	if (parser->flags & F_CONTENTLENGTH &&
+	if (sized &&
 	    parser->content_length > (uint64_t)conn_limits(c)->max_body_bytes)
 		return (conn_reject(c, HTTP_STATUS_PAYLOAD_TOO_LARGE));
+	if (!conn_has_room(c, sized ? parser->content_length : 0))
+		return (conn_reject(c, HTTP_STATUS_SERVICE_UNAVAILABLE));
 	expect = net_head_find(&c->head, "expect");
 	if (expect != NULL && strcasecmp(expect, "100-continue") == 0)
 		net_stream_write(&c->stream, continue_text,
@@ -125,7 +144,10 @@
 
 	if ((int64_t)(c->body->len + length) > conn_limits(c)->max_body_bytes)
 		return (conn_reject(c, HTTP_STATUS_PAYLOAD_TOO_LARGE));
+	if (!conn_has_room(c, length))
+		return (conn_reject(c, HTTP_STATUS_SERVICE_UNAVAILABLE));
 	g_byte_array_append(c->body, (const guint8 *)at, (guint)length);
+	c->fwd->held_bytes += length;
 	return (0);
 }
 
@@ -161,7 +183,8 @@
 	event_log(LOG_INFO, "request_unreadable", "status=%u reason=%s", status,
 	    http_errno_name(HTTP_PARSER_ERRNO(&c->parser)));
 	c->keep_alive = false;
-	fwd_conn_respond(c, status, NULL, NULL, 0);
+	fwd_conn_refuse(c, status, NULL,
+	    status == HTTP_STATUS_SERVICE_UNAVAILABLE ? RETRY_ROOM_MS : -1);
 }
 
 /* Parses bytes until a request is complete. Returns how many were used. */
@@ -264,6 +287,7 @@
 
 	TAILQ_REMOVE(&c->fwd->conns, c, entry);
 	net_head_clear(&c->head);
+	conn_drop_body(c);
 	g_byte_array_free(c->body, TRUE);
 	g_string_free(c->pipelined, TRUE);
 	g_string_free(c->out, TRUE);
@@ -304,6 +328,7 @@
 	TAILQ_INSERT_TAIL(&fwd->conns, c, entry);
 	fwd_stats_count(&fwd->stats, COUNT_CONNECTIONS);
 	net_stream_init(&c->stream, fwd->loop, &conn_ops, c);
+	c->stream.queued_sum = &fwd->held_bytes;
 	if (net_stream_accept(&c->stream, listener) != 0)
 		net_stream_close(&c->stream);
 }
@@ -433,7 +458,7 @@
 		return;
 	net_stream_write(&c->stream, c->out->str, c->out->len);
 	g_string_truncate(c->out, 0);
-	if (c->exchange != NULL && c->stream.queued > OUT_PAUSE_BYTES)
+	if (c->exchange != NULL && c->stream.queued > fwd_hold_limit(c->fwd))
 		fwd_exchange_pause(c->exchange, true);
 }
 
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -60,6 +60,17 @@
 		fwd_schedule_dispatch(ex->fwd);
 }
 
+/**
+ * fwd_exchange_drop_response() - drop the buffered part of a response.
+ * @ex: the exchange
+ */
+void
+fwd_exchange_drop_response(struct fwd_exchange *ex)
+{
+	ex->fwd->held_bytes -= ex->response_body->len;
+	g_byte_array_set_size(ex->response_body, 0);
+}
+
 /**
  * fwd_exchange_free() - free an exchange.
  * @ex: the exchange; nothing more is sent to its client on its behalf
@@ -83,6 +94,7 @@
 	catalog_unref(ex->catalog);
 	g_free(ex->id);
 	g_string_free(ex->request, TRUE);
+	ex->fwd->held_bytes -= ex->body->len + ex->response_body->len;
 	g_byte_array_unref(ex->body);
 	g_string_free(ex->headers, TRUE);
 	g_byte_array_unref(ex->response_body);
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -172,6 +172,7 @@
 void fwd_exchange_finish(struct fwd_exchange *);
 void fwd_exchange_free(struct fwd_exchange *);
 void fwd_exchange_release(struct fwd_exchange *);
+void fwd_exchange_drop_response(struct fwd_exchange *);
 
 /* fwd-response.c: response of an endpoint. */
 extern const struct net_conn_ops fwd_response_ops;
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -5,9 +5,6 @@
 #include "event-log.h"
 #include "fwd-exchange.h"
 
-/* Responses up to this size are buffered until they are complete, so that a
- * truncated one can be retried; larger ones are passed on as they arrive. */
-#define BUFFERED_RESPONSE_BYTES 262144
 /* Weight of the newest response in an endpoint's error rate. */
 #define ERROR_ALPHA 0.1
 /* Weight of the newest gap in an endpoint's slowness, and bounds of that. */
@@ -193,8 +190,9 @@
 		ex->endpoint->heard_ms = ex->heard_ms;
 	g_byte_array_append(ex->response_body, (const guint8 *)at,
 	    (guint)length);
+	ex->fwd->held_bytes += length;
 	if (!ex->passthrough &&
-	    (ex->response_body->len <= BUFFERED_RESPONSE_BYTES || ex->not_run ||
+	    (ex->response_body->len <= fwd_hold_limit(ex->fwd) || ex->not_run ||
 		!ex->has_signature))
 		return;
 	if (!ex->passthrough) {
@@ -205,7 +203,7 @@
 	}
 	fwd_conn_write(ex->conn, ex->response_body->data,
 	    ex->response_body->len);
-	g_byte_array_set_size(ex->response_body, 0);
+	fwd_exchange_drop_response(ex);
 	fwd_conn_flush(ex->conn);
 }
 
--- a/src/fwd-retry.c
+++ b/src/fwd-retry.c
@@ -96,7 +96,7 @@
 	fwd_stats_count(&fwd->stats, COUNT_RETRIED);
 	if (ex->first_us > 0)
 		fwd_stats_count(&fwd->stats, COUNT_RESUMED);
-	g_byte_array_set_size(ex->response_body, 0);
+	fwd_exchange_drop_response(ex);
 	fwd_events_restart(&ex->events);
 	fwd_exchange_dispatch(ex);
 }
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -10,6 +10,10 @@
  * depends on it. */
 #define TICK_BUSY_MS 25
 #define TICK_IDLE_MS 250
+/* Bytes of a response that are held for one client; and while more than half of
+ * the bytes that may be held for all clients are. */
+#define HOLD_BYTES 262144
+#define HOLD_LOW_BYTES 16384
 /* A tick this late means that this process was stopped. */
 #define PAUSE_MS 200
 /* Time after a pause in which the data that has queued up is read before any
@@ -116,6 +120,21 @@
 		uv_timer_start(&fwd->dispatch_timer, on_dispatch, 0, 0);
 }
 
+/**
+ * fwd_hold_limit() - bytes of a response that are held for one client.
+ * @fwd: the proxy
+ *
+ * Up to this size a response is buffered until it is complete, so that a
+ * truncated one can be retried. From this size of unread output on, reading
+ * from the endpoint is paused.
+ */
+size_t
+fwd_hold_limit(const struct fwd *fwd)
+{
+	return (fwd->held_bytes > fwd->set.held_max_bytes / 2 ? HOLD_LOW_BYTES :
+								HOLD_BYTES);
+}
+
 /**
  * fwd_budget_get() - find or create the retry budget of a service.
  * @fwd: the proxy
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -26,6 +26,7 @@
  *	told to retry
  * @backoff_max_ms: upper bound on the backoff that an endpoint may ask for
  * @retry: bound on retries over all daemons
+ * @held_max_bytes: upper bound on the bytes that are held for all clients
  * @released_fingerprints: requests that are never quarantined: fingerprints as
  *	they stand in log lines, separated by commas
  * @refused_fingerprints: requests that the operator has refused, in the same
@@ -38,6 +39,7 @@
 	uint64_t deny_proof_ms;
 	uint64_t backoff_max_ms;
 	struct fwd_budget_rule retry;
+	size_t held_max_bytes;
 	const char *released_fingerprints;
 	const char *refused_fingerprints;
 };
@@ -59,6 +61,8 @@
  * @budgets: service name to struct fwd_budget
  * @estimates: name of a model or of a plain service to struct fwd_estimate
  * @daemons: number of daemons that share the retry budget
+ * @held_bytes: bytes held for clients: bodies of requests in progress, buffered
+ *	responses, and output that clients have not read
  * @draining: the daemon is shutting down; connections are closed after their
  *	response
  * @listener_closed: the listener is closed
@@ -86,6 +90,7 @@
 	GHashTable *budgets;
 	GHashTable *estimates;
 	unsigned daemons;
+	size_t held_bytes;
 	bool draining;
 	bool listener_closed;
 	uint64_t last_tick_ms;
@@ -105,6 +110,7 @@
 void fwd_schedule_dispatch(struct fwd *);
 void fwd_tick_soon(struct fwd *);
 void fwd_poison_sweep(struct fwd *);
+size_t fwd_hold_limit(const struct fwd *);
 struct fwd_budget *fwd_budget_get(struct fwd *, const char *);
 struct fwd_estimate *fwd_estimate_get(struct fwd *, const char *);
 
--- a/src/net-stream.c
+++ b/src/net-stream.c
@@ -98,13 +98,31 @@
 	stream->ops->connected(stream);
 }
 
+/* Counts bytes that begin to wait to be written. */
+static void
+stream_add_queued(struct net_stream *stream, size_t length)
+{
+	stream->queued += length;
+	if (stream->queued_sum != NULL)
+		*stream->queued_sum += length;
+}
+
+/* Counts bytes that wait no longer. */
+static void
+stream_remove_queued(struct net_stream *stream, size_t length)
+{
+	stream->queued -= length;
+	if (stream->queued_sum != NULL)
+		*stream->queued_sum -= length;
+}
+
 static void
 on_written(uv_write_t *req, int status)
 {
 	struct net_write *w = (struct net_write *)req;
 	struct net_stream *stream = w->stream;
 
-	stream->queued -= w->length;
+	stream_remove_queued(stream, w->length);
 	g_free(w);
 	if (stream->closing)
 		return;
@@ -246,7 +264,7 @@
 		stream_notify_end(stream, false);
 		return;
 	}
-	stream->queued += length;
+	stream_add_queued(stream, length);
 }
 
 static void
--- a/src/net-stream.h
+++ b/src/net-stream.h
@@ -33,6 +33,7 @@
  * @ops: the owner's callbacks
  * @owner: for use by the callbacks
  * @queued: bytes that wait to be written
+ * @queued_sum: sum of such bytes over several connections, or NULL
  * @reading: reading is enabled
  * @closing: no callback is called any more but closed()
  * @ended: ended() was called
@@ -46,6 +47,7 @@
 	const struct net_stream_ops *ops;
 	void *owner;
 	size_t queued;
+	size_t *queued_sum;
 	bool reading;
 	bool closing;
 	bool ended;
