Keep few daemons' addresses in the store, and tell the rest among the daemons

A daemon that forwards needs a relay, not the fleet. Its address is in the store while fewer than 16 are, or fewer than three of its failure domain, or it is a relay; relays remove those of daemons that are gone. The others are told by the relay: its eight preferred members and the other relays, so that a member can replace it at once. A daemon without a relay reports each round; one that is asked names its relay only while it hears it; two relays of one failure domain that don't know each other learn of it by their members; a new relay looks for the others at once, and drops the sums of its own former relay when theirs arrive. At the first start of a deployment (setting first-start) daemons read one after the other, the large ones first.

Ruled out: a long poll for the first address (each address wakes all who wait); a partition a failure domain (the square stays); reading again at each loss of a relay.

--- a/src/edge-announce.c
+++ b/src/edge-announce.c
@@ -2,15 +2,26 @@
 #include <jansson.h>
 #include <string.h>
 
+#include "clock.h"
 #include "edge.h"
 #include "event-log.h"
 
-/* Interval between two reads of the daemons' records. A new daemon sends
+/* Interval between two reads of the addresses by a relay. A new daemon sends
  * datagrams to the others, so this matters only if those are lost. */
-#define DAEMONS_INTERVAL_MS 60000
+#define RELAY_READ_MS 60000
+/* The same for other daemons, which know their relay and its successors. */
+#define MEMBER_READ_MS 3600000
 /* Pause after a failed append. */
 #define ANNOUNCE_RETRY_MS 500
 
+/* Returns whether an address is the one that this daemon listens on. */
+static bool
+address_is_own(const struct edge *e, const struct sockaddr_in *addr)
+{
+	return (addr->sin_addr.s_addr == e->mesh.addr.sin_addr.s_addr &&
+	    addr->sin_port == e->mesh.addr.sin_port);
+}
+
 static void
 daemons_record(void *owner, const struct store_record *record)
 {
@@ -20,8 +31,12 @@
 	struct sockaddr_in addr;
 	int port, capacity = 0;
 
-	if (edge_quarantine_apply(e, record) || record->value == NULL)
+	if (edge_quarantine_apply(e, record))
 		return;
+	if (record->value == NULL) {
+		mesh_directory_remove(&e->mesh.directory, record->key);
+		return;
+	}
 	root = json_loadb((const char *)record->value, record->length, 0, NULL);
 	if (root == NULL ||
 	    json_unpack(root, "{s:s,s:i,s:s,s?i}", "ip", &ip, "port", &port,
@@ -31,6 +46,9 @@
 		    "daemon=%s reason=format", record->key);
 		return;
 	}
+	if (strcmp(record->key, e->set.name) == 0 && !address_is_own(e, &addr))
+		return;
+	mesh_directory_set(&e->mesh.directory, record->key, domain);
 	mesh_add(&e->mesh, record->key, domain, (uint32_t)MAX(capacity, 0),
 	    &addr);
 }
@@ -40,7 +58,10 @@
 {
 	struct edge *e = owner;
 
+	mesh_directory_keep(&e->mesh.directory, seen);
 	mesh_on_records_read(&e->mesh);
+	edge_announce(e);
+	edge_remove_addresses(e);
 }
 
 static const struct topic_follower_ops daemons_ops = {
@@ -48,65 +69,53 @@
 	.snapshot_done = daemons_snapshot_done,
 };
 
-static void
-on_announce_retry(uv_timer_t *timer)
-{
-	edge_announce(timer->data);
-}
-
 static void
 on_announced(void *arg, const struct store_response *response)
 {
 	struct edge *e = arg;
-	const struct mesh *mesh = &e->mesh;
 
-	if (e->draining_since_ms != 0)
-		return;
+	e->announcing = false;
 	if (response->result != STORE_OK && response->result != STORE_UNKNOWN) {
-		uv_timer_start(&e->drain_timer, on_announce_retry,
-		    ANNOUNCE_RETRY_MS, 0);
+		e->announce_again_ms =
+		    clock_loop_ms(e->loop) + ANNOUNCE_RETRY_MS;
 		return;
 	}
 	e->announced = true;
-	event_log(LOG_INFO, "announced", "result=%s end=%llu",
+	mesh_directory_set(&e->mesh.directory, e->set.name, e->set.domain);
+	event_log(LOG_INFO, "announced", "result=%s end=%llu known=%u",
 	    store_result_name(response->result),
-	    (unsigned long long)response->end);
+	    (unsigned long long)response->end,
+	    mesh_directory_count(&e->mesh.directory, NULL));
 	/* If two daemons start together, at least the one that writes later
-	 * reads the other's record. A daemon that hears a relay learns of
+	 * reads the other's address. A daemon that hears a relay learns of
 	 * the others from it and need not read again. */
-	if (!mesh_relay_alive(mesh))
+	if (!mesh_relay_alive(&e->mesh))
 		topic_follower_resync(&e->daemons);
 }
 
-/**
- * edge_find_daemons() - start to read the other daemons' addresses.
- * @e: the daemon
- *
- * The reading does not wait until this daemon's address is written: when
- * hundreds of daemons restart together, their writes, one after the other, take
- * half a second.
- */
-void
-edge_find_daemons(struct edge *e)
+static void
+on_read_timer(uv_timer_t *timer)
 {
-	topic_follower_init(&e->daemons, e->store, e->loop, TOPIC_DAEMONS,
-	    &daemons_ops, e);
-	e->daemons.interval_ms = DAEMONS_INTERVAL_MS;
+	struct edge *e = timer->data;
+
 	topic_follower_start(&e->daemons);
 }
 
-/**
- * edge_announce() - write this daemon's address to the store.
- * @e: the daemon
- *
- * It is tried again until it succeeds or its outcome is unknown.
- */
-void
-edge_announce(struct edge *e)
+/* Returns an array for records to append. */
+static GArray *
+records_new(void)
 {
-	g_autoptr(GArray) records =
-	    g_array_new(FALSE, TRUE, sizeof(struct store_record));
-	struct store_record record = { 0 };
+	GArray *records = g_array_new(FALSE, TRUE, sizeof(struct store_record));
+
+	g_array_set_clear_func(records, store_record_clear);
+	return (records);
+}
+
+/* Adds this daemon's address to the records to append. */
+static void
+records_add_self(const struct edge *e, GArray *records)
+{
+	struct store_record record = { .key = g_strdup(e->set.name) };
 	g_autofree char *ip = NULL;
 	json_auto_t *root = NULL;
 	uint16_t port = 0;
@@ -116,14 +125,90 @@
 	root = json_pack("{s:s,s:i,s:s,s:i}", "ip", ip, "port", (int)port,
 	    "domain", e->set.domain, "capacity", (int)e->mesh.capacity);
 	text = json_dumps(root, JSON_COMPACT);
-	g_array_set_clear_func(records, store_record_clear);
-	record.key = g_strdup(e->set.name);
 	record.length = strlen(text);
 	record.value = g_memdup2(text, record.length);
 	free(text);
 	g_array_append_val(records, record);
-	if (!e->store->ops->append(e->store, TOPIC_DAEMONS, records, -1,
-		on_announced, e))
-		uv_timer_start(&e->drain_timer, on_announce_retry,
-		    ANNOUNCE_RETRY_MS, 0);
+}
+
+static void
+on_removed(void *arg, const struct store_response *response)
+{
+	event_log(LOG_INFO, "addresses_removed", "result=%s",
+	    store_result_name(response->result));
+}
+
+/**
+ * edge_find_daemons() - start to read the other daemons' addresses.
+ * @e: the daemon
+ */
+void
+edge_find_daemons(struct edge *e)
+{
+	topic_follower_init(&e->daemons, e->store, e->loop, TOPIC_DAEMONS,
+	    &daemons_ops, e);
+	e->daemons.interval_ms = MEMBER_READ_MS;
+	uv_timer_init(e->loop, &e->read_timer);
+	e->read_timer.data = e;
+	uv_timer_start(&e->read_timer, on_read_timer,
+	    e->set.first_start ? mesh_directory_delay_ms(&e->mesh) : 0, 0);
+}
+
+/**
+ * edge_read_addresses() - read the addresses again, as this daemon has become a
+ * relay and needs those of the others.
+ * @arg: the struct edge
+ */
+void
+edge_read_addresses(void *arg)
+{
+	struct edge *e = arg;
+
+	e->daemons.interval_ms = RELAY_READ_MS;
+	topic_follower_resync(&e->daemons);
+}
+
+/**
+ * edge_announce() - write this daemon's address to the store if it should be
+ * there and is not.
+ * @e: the daemon
+ */
+void
+edge_announce(struct edge *e)
+{
+	g_autoptr(GArray) records = NULL;
+
+	if (e->announcing || !mesh_directory_lacks_self(&e->mesh) ||
+	    clock_loop_ms(e->loop) < e->announce_again_ms)
+		return;
+	records = records_new();
+	records_add_self(e, records);
+	e->announcing = e->store->ops->append(e->store, TOPIC_DAEMONS, records,
+	    -1, on_announced, e);
+	if (!e->announcing)
+		e->announce_again_ms =
+		    clock_loop_ms(e->loop) + ANNOUNCE_RETRY_MS;
+}
+
+/**
+ * edge_remove_addresses() - remove the addresses of daemons that are gone.
+ * @e: the daemon
+ */
+void
+edge_remove_addresses(struct edge *e)
+{
+	g_autoptr(GPtrArray) names = g_ptr_array_new();
+	g_autoptr(GArray) records = records_new();
+
+	mesh_directory_prune(&e->mesh, names);
+	for (guint i = 0; i < names->len; i++) {
+		struct store_record record = { .key =
+						   g_strdup(names->pdata[i]) };
+
+		g_array_append_val(records, record);
+		mesh_directory_remove(&e->mesh.directory, record.key);
+	}
+	if (records->len > 0)
+		(void)e->store->ops->append(e->store, TOPIC_DAEMONS, records,
+		    -1, on_removed, e);
 }
--- a/src/edge-setting.c
+++ b/src/edge-setting.c
@@ -64,6 +64,10 @@
 	    "speed of that core, relative to a usual one" },
 	{ "memory-mb", SETTING_REAL, AT(memory_mb), "160", 1, 1048576, "MB",
 	    "memory that this daemon has" },
+	{ "first-start", SETTING_BOOL, AT(first_start), "false", 0, 0,
+	    "true or false",
+	    "the whole deployment starts for the first time, so that the store "
+	    "has no addresses of daemons yet" },
 	{ NULL, 0, 0, NULL, 0, 0, NULL, NULL },
 };
 
--- a/src/edge-setting.h
+++ b/src/edge-setting.h
@@ -37,6 +37,7 @@
 	double cpu_share;
 	double cores;
 	double memory_mb;
+	bool first_start;
 	bool check;
 };
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -41,11 +41,6 @@
 #define STARTUP_RELAY_WAIT_MS 1500
 #define STARTUP_DATA_WAIT_MS 4000
 #define STARTUP_POLL_MS 20
-/* With fewer known peers than this a daemon that has clients already reads the
- * store itself at its start. With four hosts per daemon and 350 bytes per entry
- * all daemons together then read 23 MB, which takes the store 0.3 s; with 295
- * daemons it took 1.5 s. */
-#define STARTUP_READ_PEERS_MAX 128
 /* How long new connections are accepted while draining. A load balancer that
  * checks readiness every second and removes a daemon after two failures sends
  * no more clients by then. */
@@ -289,20 +284,10 @@
 	    (unsigned long long)e->store->failures);
 }
 
-/* Returns whether this daemon has had requests and has read the records of the
- * other daemons. */
-static bool
-has_clients(const struct edge *e)
-{
-	return (e->fwd.stats.counts[COUNT_REQUESTS] > 0 &&
-	    e->mesh.records_read_ms != 0);
-}
-
 /*
  * Starts to read the store unless another daemon sends its contents: a relay
- * reads at once, any other daemon if nothing arrives in time. 295 daemons that
- * each read all entries keep the store busy for 1.5 s and make a thousand more
- * calls.
+ * reads at once, any other daemon if nothing arrives in time. Hundreds of
+ * daemons that each read all entries keep the store busy for seconds.
  */
 static void
 on_startup_timer(uv_timer_t *timer)
@@ -310,8 +295,8 @@
 	struct edge *e = timer->data;
 	const struct mesh *mesh = &e->mesh;
 	uint64_t since = clock_loop_ms(e->loop) - mesh->opened_ms;
-	/* A daemon that knows no other waits until it is announced itself, as
-	 * others may be about to announce themselves. */
+	/* A daemon that knows no other waits until its own address is written,
+	 * as others may be about to write theirs. */
 	bool read_now = mesh->records_read_ms != 0 && mesh->relay == NULL &&
 	    (mesh->n_peers > 0 || e->announced);
 
@@ -321,12 +306,6 @@
 		mesh_send_now(&e->mesh);
 		return;
 	}
-	/* After all daemons were killed at once, waiting for a relay took 1 s,
-	 * while reading takes 0.1 s. */
-	if (has_clients(e)) {
-		topic_follower_release(&e->registry.config);
-		read_now = read_now || mesh->n_peers < STARTUP_READ_PEERS_MAX;
-	}
 	if (read_now ||
 	    since >= (mesh_relay_alive(mesh) ? STARTUP_DATA_WAIT_MS :
 					       STARTUP_RELAY_WAIT_MS))
@@ -354,6 +333,7 @@
 		e->fwd.set.retry.window_ms, clock_loop_ms(e->loop));
 	edge_choose_reader(e);
 	edge_update_fallback(e);
+	edge_announce(e);
 	e->mesh.self.served = e->fwd.stats.counts[COUNT_REQUESTS] > 0;
 	registry_sweep(&e->registry, clock_loop_ms(e->loop));
 	fwd_poison_sweep(&e->fwd);
@@ -503,6 +483,8 @@
 	e->mesh.missed_arg = e;
 	e->mesh.avoided = on_avoided;
 	e->mesh.avoided_arg = e;
+	e->mesh.became_relay = edge_read_addresses;
+	e->mesh.became_relay_arg = e;
 	e->registry.relayed = on_relayed;
 	e->registry.relayed_arg = e;
 	e->placer.store = e->store;
@@ -555,7 +537,6 @@
 	edge_apply_settings(e);
 	placer_start(&e->placer, e->loop);
 	edge_find_daemons(e);
-	edge_announce(e);
 	return (true);
 }
 
--- a/src/edge.h
+++ b/src/edge.h
@@ -41,10 +41,13 @@
  * @daemons: follows the daemons' addresses in the store
  * @tick_timer: periodic work that has no timer of its own
  * @startup_timer: decides at the start when to read the store
- * @drain_timer: steps of draining; before that, retries of edge_announce()
+ * @read_timer: delays the first read of the daemons' addresses
+ * @drain_timer: steps of draining
  * @signals: SIGTERM, SIGINT and SIGHUP
  * @file_changed_ns: modification time of the settings file, when last read
- * @announced: this daemon's address is in the store
+ * @announced: this daemon has written its address to the store
+ * @announcing: it is being written
+ * @announce_again_ms: loop time before which it is not tried again
  * @notified_version: version of the configuration as of the last change of the
  *	registry; other daemons are sent a different one at once
  * @notified_evacuations: store offset of the evacuations as of that change
@@ -69,10 +72,13 @@
 	struct topic_follower daemons;
 	uv_timer_t tick_timer;
 	uv_timer_t startup_timer;
+	uv_timer_t read_timer;
 	uv_timer_t drain_timer;
 	uv_signal_t signals[3];
 	uint64_t file_changed_ns;
 	bool announced;
+	bool announcing;
+	uint64_t announce_again_ms;
 	int64_t notified_version;
 	uint64_t notified_evacuations;
 	struct fwd_daemon_peak daemon_peak;
@@ -89,6 +95,8 @@
 unsigned edge_serve_metrics(void *, const char *, GString *);
 void edge_find_daemons(struct edge *);
 void edge_announce(struct edge *);
+void edge_remove_addresses(struct edge *);
+void edge_read_addresses(void *);
 void edge_quarantine_update(struct edge *);
 bool edge_quarantine_apply(struct edge *, const struct store_record *);
 int edge_main(const struct edge_platform *, int, const char **);
--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -6,10 +6,13 @@
 
 /* Daemons start within this time, in any order. */
 #define START_SPREAD_MS 300
-/* Bounds of the time from a daemon's start until it has read the others'
- * records. */
+/* Bounds of the time that a read of the addresses takes. */
 #define READ_MIN_MS 20
 #define READ_SPREAD_MS 40
+/* Time that the store takes for an append of an address, one after the other,
+ * and that its answer takes. */
+#define APPEND_MS 2
+#define ANSWER_MS 4
 /* Virtual time starts here, since 0 stands for never. */
 #define START_MS 1000
 /* Interval at which the reader proves the configuration. */
@@ -117,6 +120,26 @@
 	fleet_update(&daemon->registry.fleet, &report, 1, 0);
 }
 
+/* Capacity of a daemon, in thousandths of a core. */
+static uint32_t
+daemon_capacity(const struct model_daemon *daemon)
+{
+	return (daemon->index < daemon->model->n_domains * LARGE_PER_DOMAIN ?
+		LARGE_CAPACITY :
+		SMALL_CAPACITY);
+}
+
+/* Schedules another read of the addresses in the store. */
+static void
+daemon_read_later(void *arg)
+{
+	struct model_daemon *daemon = arg;
+
+	daemon->store_calls++;
+	daemon->read_at_ms =
+	    daemon->model->now_ms + READ_MIN_MS + READ_SPREAD_MS / 2;
+}
+
 /* Starts a daemon that knows no other. */
 static void
 daemon_start(struct model_daemon *daemon)
@@ -135,13 +158,13 @@
 	mesh->registry = &daemon->registry;
 	mesh->name = g_strdup_printf("d%03u", daemon->index);
 	mesh->domain = g_strdup_printf("z%u", daemon->domain);
-	mesh->capacity = daemon->index < model->n_domains * LARGE_PER_DOMAIN ?
-	    LARGE_CAPACITY :
-	    SMALL_CAPACITY;
+	mesh->capacity = daemon_capacity(daemon);
 	mesh->send_datagram = model_send;
 	mesh->send_arg = daemon;
 	mesh->missed = daemon_missed;
 	mesh->missed_arg = daemon;
+	mesh->became_relay = daemon_read_later;
+	mesh->became_relay_arg = daemon;
 	mesh->self.store_ok = true;
 	daemon->registry.endpoints.synced = true;
 	daemon->registry.endpoints.next = model->now_ms * RECORDS_PER_S / 1000;
@@ -149,8 +172,13 @@
 	    fleet_model_random(model, UINT32_MAX) + 1);
 	daemon->up = true;
 	daemon->relay = NULL;
+	daemon->announce_at_ms = 0;
+	daemon->connected_ms = 0;
+	daemon->store_calls++;
 	daemon->read_at_ms = model->now_ms + READ_MIN_MS +
 	    fleet_model_random(model, READ_SPREAD_MS);
+	if (model->now_ms < START_MS + START_SPREAD_MS)
+		daemon->read_at_ms += mesh_directory_delay_ms(mesh);
 }
 
 static void
@@ -169,22 +197,60 @@
 	daemon->up = false;
 }
 
-/* Reads the records of all daemons that have started so far. */
+/* Reads the addresses that are in the store. */
 static void
 daemon_read_records(struct model_daemon *daemon)
 {
 	struct fleet_model *model = daemon->model;
+	struct mesh *mesh = &daemon->mesh;
 
 	daemon->read_at_ms = 0;
 	for (unsigned i = 0; i < model->n; i++) {
 		const struct model_daemon *other = &model->daemons[i];
 		struct sockaddr_in addr = model_address(i);
+		g_autofree char *name = g_strdup_printf("d%03u", i);
+		g_autofree char *domain = g_strdup_printf("z%u", other->domain);
+
+		if (!model->recorded[i])
+			continue;
+		mesh_directory_set(&mesh->directory, name, domain);
+		mesh_add(mesh, name, domain, daemon_capacity(other), &addr);
+	}
+	mesh_set_records_read(mesh);
+}
 
-		if (other->up && other != daemon)
-			mesh_add(&daemon->mesh, other->mesh.name,
-			    other->mesh.domain, other->mesh.capacity, &addr);
+/* Writes a daemon's address to the store where it should be there. */
+static void
+daemon_announce(struct model_daemon *daemon)
+{
+	struct fleet_model *model = daemon->model;
+	struct mesh *mesh = &daemon->mesh;
+
+	if (daemon->announce_at_ms == 0 && mesh_directory_lacks_self(mesh)) {
+		daemon->store_calls++;
+		model->append_free_ms =
+		    MAX(model->append_free_ms, model->now_ms) + APPEND_MS;
+		daemon->announce_at_ms = model->append_free_ms + ANSWER_MS;
 	}
-	mesh_set_records_read(&daemon->mesh);
+	if (daemon->announce_at_ms == 0 ||
+	    model->now_ms < daemon->announce_at_ms)
+		return;
+	daemon->announce_at_ms = 0;
+	model->recorded[daemon->index] = true;
+	mesh_directory_set(&mesh->directory, mesh->name, mesh->domain);
+	if (!mesh_relay_alive(mesh))
+		daemon_read_later(daemon);
+}
+
+/* Notes when a daemon first hears its relay, or is one. */
+static void
+daemon_note_connected(struct model_daemon *daemon)
+{
+	const struct mesh *mesh = &daemon->mesh;
+
+	if (daemon->connected_ms == 0 && mesh->records_read_ms != 0 &&
+	    (mesh->relay == NULL || mesh_relay_alive(mesh)))
+		daemon->connected_ms = daemon->model->now_ms - mesh->opened_ms;
 }
 
 /**
@@ -208,6 +274,7 @@
 	model->seed = seed;
 	model->in_flight = g_ptr_array_new_with_free_func(datagram_free);
 	model->daemons = g_new0(struct model_daemon, n);
+	model->recorded = g_new0(bool, n);
 	for (unsigned i = 0; i < n; i++) {
 		model->daemons[i].model = model;
 		model->daemons[i].index = i;
@@ -229,6 +296,7 @@
 		daemon_stop(&model->daemons[i]);
 	g_ptr_array_free(model->in_flight, TRUE);
 	g_free(model->daemons);
+	g_free(model->recorded);
 	g_free(model);
 }
 
@@ -383,12 +451,14 @@
 	daemon->mesh.now_ms = now;
 	if (daemon->read_at_ms != 0 && now >= daemon->read_at_ms)
 		daemon_read_records(daemon);
+	daemon_announce(daemon);
 	daemon_read_store(daemon);
 	if (now % MESH_ROUND_MS != daemon->start_ms % MESH_ROUND_MS)
 		return;
 	mesh_round(&daemon->mesh);
 	daemon->relay_changes += daemon->mesh.relay != daemon->relay;
 	daemon->relay = daemon->mesh.relay;
+	daemon_note_connected(daemon);
 }
 
 /**
@@ -423,6 +493,7 @@
 		daemon->relay_changes = 0;
 		daemon->entry_reads = 0;
 		daemon->store_queries = 0;
+		daemon->store_calls = 0;
 	}
 }
 
@@ -472,6 +543,7 @@
 	stats->relay_changes += daemon->relay_changes;
 	stats->entry_reads += daemon->entry_reads;
 	stats->store_queries += daemon->store_queries;
+	stats->store_calls += daemon->store_calls;
 	stats->sent_s += (double)daemon->sent / seconds;
 	stats->received_s += (double)daemon->received / seconds;
 	stats->received_bytes_s += (double)daemon->received_bytes / seconds;
@@ -490,6 +562,8 @@
 	    registry_config_age(&daemon->registry, daemon->model->now_ms);
 
 	stats->up++;
+	stats->connected_max_ms = MAX(stats->connected_max_ms,
+	    daemon->connected_ms != 0 ? daemon->connected_ms : UINT64_MAX);
 	stats->relays += mesh->relay == NULL;
 	stats->alive_min = MIN(stats->alive_min, n_alive);
 	stats->alive_max = MAX(stats->alive_max, n_alive);
@@ -516,6 +590,7 @@
 	memset(stats, 0, sizeof *stats);
 	stats->alive_min = UINT32_MAX;
 	for (unsigned i = 0; i < model->n; i++) {
+		stats->recorded += model->recorded[i];
 		if (!model->daemons[i].up)
 			continue;
 		stats_add_daemon(&model->daemons[i], stats);
--- a/src/fleet-model.h
+++ b/src/fleet-model.h
@@ -17,7 +17,11 @@
  * @domain: index of its failure domain
  * @up: it is running
  * @start_ms: when it starts
- * @read_at_ms: when it reads the records of the daemons; 0 once it has
+ * @read_at_ms: when it reads the addresses in the store; 0 for not again
+ * @announce_at_ms: when its own address is in the store; 0 if it is not written
+ * @store_calls: calls for addresses since the counters were reset
+ * @connected_ms: time from its start until it heard its relay or was one; 0
+ *	before
  * @sent: datagrams sent since the counters were reset
  * @sent_bytes: bytes in these
  * @received: datagrams received since then
@@ -38,6 +42,9 @@
 	bool up;
 	uint64_t start_ms;
 	uint64_t read_at_ms;
+	uint64_t announce_at_ms;
+	unsigned store_calls;
+	uint64_t connected_ms;
 	uint64_t sent;
 	uint64_t sent_bytes;
 	uint64_t received;
@@ -60,6 +67,8 @@
  * @seed: state of the random number generator
  * @in_flight: datagrams that arrive in the next millisecond
  * @counted_ms: when the counters were reset
+ * @recorded: whether a daemon's address is in the store
+ * @append_free_ms: when the store takes the next append of an address
  */
 struct fleet_model {
 	uint64_t now_ms;
@@ -72,6 +81,8 @@
 	uint64_t seed;
 	GPtrArray *in_flight;
 	uint64_t counted_ms;
+	bool *recorded;
+	uint64_t append_free_ms;
 };
 
 /**
@@ -91,6 +102,10 @@
  *	then
  * @store_queries: store queries since then because no peer's state was recent
  *	enough
+ * @store_calls: calls for addresses since then
+ * @recorded: addresses in the store
+ * @connected_max_ms: longest time from a daemon's start until it heard its
+ *relay or was one; UINT64_MAX while one did not
  * @config_age_max_ms: age of the oldest proof of a configuration, in ms
  * @feed_age_max_ms: longest time since a daemon received entries, in ms
  * @sent_s: mean datagrams per second that a daemon sends
@@ -112,6 +127,9 @@
 	unsigned relay_changes;
 	unsigned entry_reads;
 	unsigned store_queries;
+	unsigned store_calls;
+	unsigned recorded;
+	uint64_t connected_max_ms;
 	uint64_t config_age_max_ms;
 	uint64_t feed_age_max_ms;
 	double sent_s;
--- a/src/mesh-message.c
+++ b/src/mesh-message.c
@@ -66,17 +66,31 @@
 	    xdr_flag(xdr, &placer->can_place));
 }
 
-/* Encodes or decodes the relay, whose port is sent as a 32-bit number. */
+/* Encodes or decodes an address, whose port is sent as a 32-bit number. */
 static bool_t
-xdr_relay(XDR *xdr, struct mesh_relay *relay)
+xdr_address(XDR *xdr, struct mesh_address *address)
 {
-	uint32_t port = relay->port;
+	uint32_t port = address->port;
 
-	if (!xdr_name(xdr, relay->name) || !xdr_uint32_t(xdr, &relay->ip) ||
+	if (!xdr_name(xdr, address->name) || !xdr_uint32_t(xdr, &address->ip) ||
 	    !xdr_uint32_t(xdr, &port) || port > UINT16_MAX)
 		return (FALSE);
-	relay->port = (uint16_t)port;
-	return (xdr_uint32_t(xdr, &relay->capacity));
+	address->port = (uint16_t)port;
+	return (xdr_uint32_t(xdr, &address->capacity));
+}
+
+static bool_t
+xdr_addresses(XDR *xdr, struct mesh_message *msg)
+{
+	if (!xdr_uint32_t(xdr, &msg->n_addresses) ||
+	    msg->n_addresses > MESH_ADDRESSES_MAX)
+		return (FALSE);
+	for (uint32_t i = 0; i < msg->n_addresses; i++) {
+		if (!xdr_address(xdr, &msg->addresses[i]) ||
+		    !xdr_name(xdr, msg->addresses[i].domain))
+			return (FALSE);
+	}
+	return (TRUE);
 }
 
 /* Packs a load's values into one word, so that a datagram with many loads stays
@@ -267,7 +281,7 @@
 	    xdr_uint64_t(xdr, &msg->sequence) &&
 	    xdr_uint64_t(xdr, &msg->ping) && xdr_uint64_t(xdr, &msg->pong) &&
 	    xdr_self(xdr, &msg->self) && xdr_placer(xdr, &msg->placer) &&
-	    xdr_relay(xdr, &msg->relay) &&
+	    xdr_address(xdr, &msg->relay) &&
 	    xdr_int64_t(xdr, &msg->config_version) &&
 	    xdr_uint64_t(xdr, &msg->config_offset) &&
 	    xdr_uint32_t(xdr, &msg->config_age_ms) &&
@@ -275,7 +289,7 @@
 	    xdr_uint32_t(xdr, &msg->n_alive) && xdr_loads(xdr, msg) &&
 	    xdr_avoid(xdr, msg) && xdr_limits(xdr, msg) &&
 	    xdr_poisons(xdr, msg) && xdr_members(xdr, msg) &&
-	    xdr_evacuations(xdr, &msg->evacuations));
+	    xdr_addresses(xdr, msg) && xdr_evacuations(xdr, &msg->evacuations));
 }
 
 /**
--- a/src/mesh-message.h
+++ b/src/mesh-message.h
@@ -22,6 +22,10 @@
 /* Members of one cell: the daemons of one failure domain that report to its
  * relay. */
 #define MESH_MEMBERS_MAX 512
+/* Members of a cell whose addresses its relay tells the others, so that one of
+ * them can replace it; and these with the relays of other cells. */
+#define MESH_CANDIDATES_MAX 8
+#define MESH_ADDRESSES_MAX 32
 /* Size of a name, in bytes, with its terminating NUL. */
 #define MESH_NAME_MAX 64
 /* Largest datagram, in bytes. */
@@ -175,14 +179,16 @@
 };
 
 /**
- * struct mesh_relay - the daemon that the sender reports to.
- * @name: its name; empty where the sender is a relay itself
+ * struct mesh_address - how to reach a daemon.
+ * @name: its name; empty for none
+ * @domain: its failure domain; empty where the receiver knows it
  * @ip: its IPv4 address, in network order
  * @port: its port, in host order
  * @capacity: its CPU capacity, in thousandths of a core
  */
-struct mesh_relay {
+struct mesh_address {
 	char name[MESH_NAME_MAX];
+	char domain[MESH_NAME_MAX];
 	uint32_t ip;
 	uint16_t port;
 	uint32_t capacity;
@@ -201,7 +207,7 @@
  *	datagram that is sent to many
  * @self: what the sender reports about itself
  * @placer: what it knows of the placer
- * @relay: the daemon that it reports to
+ * @relay: the daemon that it reports to; none where it is a relay itself
  * @config_version: version of the configuration in force there; -1 for none
  * @config_offset: store offset of that configuration
  * @config_age_ms: age of the proof that this configuration is the newest, in ms
@@ -213,11 +219,14 @@
  * @n_limits: number of @limits
  * @n_poison: number of @poison
  * @n_members: number of @members
+ * @n_addresses: number of @addresses
  * @loads: work of these daemons, by endpoint
  * @avoid: endpoints to avoid
  * @limits: limits that endpoints name
  * @poison: crashes under suspected requests
  * @members: daemons that report to the sender; in MESH_FLEET_SUMMARY only
+ * @addresses: of members that may become the relay and of relays of other
+ *cells, in some MESH_FLEET_SUMMARY only
  * @evacuations: the evacuated failure domains
  */
 struct mesh_message {
@@ -231,7 +240,7 @@
 	uint64_t pong;
 	struct mesh_self self;
 	struct mesh_placer placer;
-	struct mesh_relay relay;
+	struct mesh_address relay;
 	int64_t config_version;
 	uint64_t config_offset;
 	uint32_t config_age_ms;
@@ -242,11 +251,13 @@
 	uint32_t n_limits;
 	uint32_t n_poison;
 	uint32_t n_members;
+	uint32_t n_addresses;
 	struct mesh_load loads[MESH_LOADS_MAX];
 	struct mesh_avoid avoid[MESH_AVOID_MAX];
 	struct mesh_limit limits[MESH_LIMITS_MAX];
 	struct mesh_poison poison[MESH_POISON_MAX];
 	struct mesh_member members[MESH_MEMBERS_MAX];
+	struct mesh_address addresses[MESH_ADDRESSES_MAX];
 	struct evacuations evacuations;
 };
 
--- a/src/mesh-peers.c
+++ b/src/mesh-peers.c
@@ -30,6 +30,7 @@
 	mesh->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	mesh->by_name_hash = g_hash_table_new(g_direct_hash, g_direct_equal);
 	TAILQ_INIT(&mesh->peers);
+	mesh_directory_init(&mesh->directory);
 	for (unsigned i = 0; i < MESH_REPORTS_MAX; i++)
 		mesh->reports[i].loads =
 		    g_array_new(FALSE, FALSE, sizeof(struct mesh_load));
@@ -48,6 +49,7 @@
 		mesh_peer_free(mesh, peer);
 	g_hash_table_destroy(mesh->by_name);
 	g_hash_table_destroy(mesh->by_name_hash);
+	mesh_directory_clear(&mesh->directory);
 	for (unsigned i = 0; i < MESH_REPORTS_MAX; i++)
 		g_array_free(mesh->reports[i].loads, TRUE);
 	mesh_feed_clear(mesh);
@@ -206,6 +208,7 @@
 	if (mesh_peer_is_relay(mesh, peer))
 		peer->relay_gap_ms += GAP_ALPHA * (gap - peer->relay_gap_ms);
 	peer->relay_heard_ms = mesh->now_ms;
+	peer->trial_ms = 0;
 }
 
 /**
--- a/src/mesh-receive.c
+++ b/src/mesh-receive.c
@@ -4,6 +4,9 @@
 #include "event-log.h"
 #include "mesh.h"
 
+/* A relay that has fallen silent is not reported to again for this long because
+ * of what others say: by then they have noticed it too. */
+#define SILENT_RELAY_MS (MESH_RELAY_TIMEOUT_MS + MESH_RELAY_TIMEOUT_MS / 2)
 /* How long a warning of an endpoint is in force. */
 #define AVOID_MS 1500
 /* Datagrams of a relay that may be missing before another relay of its cell
@@ -100,11 +103,12 @@
 		mesh_send(mesh);
 }
 
-/* Names this daemon's relay to a peer that took this daemon for a relay. */
+/* Names this daemon's relay, if it is heard, to a peer that took this daemon
+ * for a relay. */
 static void
 redirect(struct mesh *mesh, struct mesh_peer *peer)
 {
-	if (mesh->relay != NULL && mesh->relay != peer)
+	if (mesh_relay_alive(mesh) && mesh->relay != peer)
 		mesh_send_to(mesh, peer, MESH_REDIRECT);
 }
 
@@ -134,30 +138,36 @@
 		mesh_send_to(mesh, peer, MESH_FLEET_SUMMARY);
 }
 
-/* Adds the relay that a peer names, so that it is sent to. */
+/* Adds the relay that a peer names, so that it is sent to. The peer is none. */
 static void
-apply_redirect(struct mesh *mesh, const struct mesh_peer *peer,
-    const struct mesh_relay *relay)
+apply_redirect(struct mesh *mesh, struct mesh_peer *peer,
+    const struct mesh_address *relay)
 {
 	struct sockaddr_in addr = { .sin_family = AF_INET };
 	struct mesh_peer *named = mesh_find(mesh, relay->name);
 
+	peer->relay_heard_ms = 0;
 	if (relay->name[0] == '\0' || strcmp(relay->name, mesh->name) == 0)
 		return;
-	/* A known relay of this cell is recognized by its own datagrams, and
-	 * its silence outweighs a peer that has not noticed it yet. */
-	if (named != NULL && mesh_peer_in_cell(mesh, named))
+	/* The silence of this cell's relay outweighs a peer that has not
+	 * noticed it yet. */
+	if (named != NULL && mesh_peer_in_cell(mesh, named) &&
+	    named->relay_heard_ms != 0 &&
+	    mesh->now_ms - named->relay_heard_ms < SILENT_RELAY_MS)
 		return;
 	addr.sin_addr.s_addr = relay->ip;
 	addr.sin_port = htons(relay->port);
 	named =
 	    mesh_add(mesh, relay->name, peer->domain, relay->capacity, &addr);
-	if (named != NULL)
-		named->redirected_ms = mesh->now_ms;
+	if (named == NULL)
+		return;
+	named->redirected_ms = mesh->now_ms;
+	named->trial_ms = 0;
 }
 
 /* Drops the former relays of a cell that has a new one, unless they are still
- * sending: the loads of the cell would be counted twice. */
+ * sending, and the sums of this daemon's own former relay, now that those of
+ * other cells arrive: loads would be counted twice. */
 static void
 drop_old_relays(struct mesh *mesh, const struct mesh_peer *peer)
 {
@@ -167,6 +177,8 @@
 		double silent_ms =
 		    (double)(mesh->now_ms - other->relay_heard_ms);
 
+		if (mesh_peer_in_cell(mesh, other) && !other->loads_in_cell)
+			mesh_remove_loads(mesh, other);
 		if (other == peer || other->relay_heard_ms == 0 ||
 		    strcmp(other->domain, peer->domain) != 0 ||
 		    silent_ms <=
@@ -208,6 +220,25 @@
 	}
 }
 
+/* Adds the members that may replace the relay, and the relays of other cells.
+ */
+static void
+add_addresses(struct mesh *mesh, const struct mesh_message *msg)
+{
+	for (uint32_t i = 0; i < msg->n_addresses; i++) {
+		const struct mesh_address *told = &msg->addresses[i];
+		struct sockaddr_in addr = { .sin_family = AF_INET,
+			.sin_port = htons(told->port) };
+		struct mesh_peer *peer;
+
+		addr.sin_addr.s_addr = told->ip;
+		peer = mesh_add(mesh, told->name, told->domain, told->capacity,
+		    &addr);
+		if (peer != NULL)
+			peer->listed_ms = mesh->now_ms;
+	}
+}
+
 /* Records the other members of the cell. */
 static void
 record_cell_hashes(struct mesh *mesh, const struct mesh_peer *relay,
@@ -236,11 +267,18 @@
 		return;
 	mesh->cells_heard_ms = mesh->now_ms;
 	mesh_peer_note_relay(mesh, peer);
+	add_addresses(mesh, msg);
 	record_members(mesh, msg);
 	if (report != NULL)
 		peer->config_proof_ms = proof_ms(msg, report->sent_ms);
-	if (peer != mesh->relay)
+	if (peer != mesh->relay) {
+		/* Two relays of a cell that don't know each other learn of
+		 * each other by its members. */
+		if (mesh->relay != NULL &&
+		    mesh_peer_outranks(mesh->relay, peer))
+			redirect(mesh, peer);
 		return;
+	}
 	record_cell_hashes(mesh, peer, msg);
 	mesh_set_fleet_loads(mesh, peer, msg);
 }
--- a/src/mesh-role.c
+++ b/src/mesh-role.c
@@ -33,8 +33,8 @@
 #define HOLDER_LOST_EXTRA_MS 300
 /* Weight of the newest interval between two signs of the placer. */
 #define HOLDER_GAP_ALPHA 0.125
-/* Rank of daemons that are not relays: behind all relays, and spread out,
- * because one of hundreds is enough where no relay reaches the store. */
+/* Rank of daemons that are not relays: behind all relays, and spread over their
+ * number, because one is enough where no relay reaches the store. */
 #define RANK_NO_RELAY 10
 #define RANK_SPREAD 64
 
@@ -260,9 +260,9 @@
 		relays += able;
 		ahead += able && !mesh_outranks(mesh, peer);
 	}
-	return (mesh->relay == NULL ?
-		ahead :
-		relays + RANK_NO_RELAY + mesh->name_hash % RANK_SPREAD);
+	return (mesh->relay == NULL ? ahead :
+				      relays + RANK_NO_RELAY +
+		    mesh->name_hash % MAX(RANK_SPREAD, mesh->n_others));
 }
 
 /**
--- a/src/mesh-send.c
+++ b/src/mesh-send.c
@@ -28,6 +28,11 @@
 #define PROBE_ONE_IN 20
 /* One in this many also goes to cells whose relay is not known. */
 #define SEEK_ONE_IN 2
+/* One in this many datagrams to the cell has the addresses that its members
+ * need to replace the relay, as have those sent this long after a daemon
+ * started. */
+#define ADDRESSES_ONE_IN 10
+#define NEWCOMER_MS 600
 /* Failure domains that a relay distinguishes. */
 #define CELLS_MAX 64
 /* How long a warning of an endpoint is repeated: a few rounds. */
@@ -83,6 +88,69 @@
 	}
 }
 
+/* Fills in the address of a daemon. */
+static void
+fill_address(const struct mesh_peer *peer, struct mesh_address *address)
+{
+	g_strlcpy(address->name, peer->name, sizeof address->name);
+	address->ip = peer->addr.sin_addr.s_addr;
+	address->port = ntohs(peer->addr.sin_port);
+	address->capacity = peer->capacity;
+}
+
+/* Adds the address of a daemon to a datagram. */
+static void
+address_add(const struct mesh_peer *peer, struct mesh_message *msg)
+{
+	struct mesh_address *address = &msg->addresses[msg->n_addresses];
+
+	if (msg->n_addresses == MESH_ADDRESSES_MAX)
+		return;
+	fill_address(peer, address);
+	g_strlcpy(address->domain, peer->domain, sizeof address->domain);
+	msg->n_addresses++;
+}
+
+/* Adds the members that are preferred to become the relay. */
+static void
+fill_candidates(const struct mesh *mesh, struct mesh_message *msg)
+{
+	const struct mesh_peer *best[MESH_CANDIDATES_MAX + 1], *peer;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(peer, &mesh->peers, entry) {
+		unsigned at = n;
+
+		if (!mesh_peer_reports(mesh, peer) || peer->self.draining)
+			continue;
+		for (; at > 0 && mesh_peer_outranks(peer, best[at - 1]); at--)
+			best[at] = best[at - 1];
+		best[at] = peer;
+		n = MIN(n + 1, MESH_CANDIDATES_MAX);
+	}
+	for (unsigned i = 0; i < n; i++)
+		address_add(best[i], msg);
+}
+
+/* Adds what a member needs to become the relay, from time to time and while
+ * daemons start. */
+static void
+fill_addresses(const struct mesh *mesh, struct mesh_message *msg)
+{
+	const struct mesh_peer *peer;
+	bool newcomer = mesh->newcomer_ms != 0 &&
+	    mesh->now_ms - mesh->newcomer_ms < NEWCOMER_MS;
+
+	if (!newcomer && mesh->n_sent % ADDRESSES_ONE_IN != 0)
+		return;
+	fill_candidates(mesh, msg);
+	TAILQ_FOREACH(peer, &mesh->peers, entry) {
+		if (!mesh_peer_in_cell(mesh, peer) &&
+		    mesh_peer_is_relay(mesh, peer))
+			address_add(peer, msg);
+	}
+}
+
 /* Fills in the holder of the placer's lease: this daemon, or the one that
  * was heard. */
 static void
@@ -106,20 +174,6 @@
 	placer->age_ms = 0;
 }
 
-/* Names the daemon that this one reports to. */
-static void
-fill_relay(const struct mesh *mesh, struct mesh_relay *relay)
-{
-	const struct mesh_peer *peer = mesh->relay;
-
-	if (peer == NULL)
-		return;
-	g_strlcpy(relay->name, peer->name, sizeof relay->name);
-	relay->ip = peer->addr.sin_addr.s_addr;
-	relay->port = ntohs(peer->addr.sin_port);
-	relay->capacity = peer->capacity;
-}
-
 /* Number of live daemons that a datagram of a kind reports on. */
 static uint32_t
 count_reported(const struct mesh *mesh, enum mesh_kind kind)
@@ -174,7 +228,8 @@
 	if (kind == MESH_CELL_SUMMARY || kind == MESH_FLEET_SUMMARY)
 		msg->self.served = mesh_has_served(mesh);
 	fill_placer(mesh, &msg->placer);
-	fill_relay(mesh, &msg->relay);
+	if (mesh->relay != NULL)
+		fill_address(mesh->relay, &msg->relay);
 	fill_config(mesh, msg);
 	evacuations_copy(&msg->evacuations, &mesh->registry->evacuations);
 	msg->n_alive = count_reported(mesh, kind);
@@ -184,8 +239,10 @@
 	fill_avoid(mesh, msg);
 	mesh_fill_limits(mesh, msg);
 	mesh_fill_poison(mesh, msg);
-	if (kind == MESH_FLEET_SUMMARY)
-		fill_members(mesh, msg);
+	if (kind != MESH_FLEET_SUMMARY)
+		return;
+	fill_members(mesh, msg);
+	fill_addresses(mesh, msg);
 }
 
 /* Sends a datagram to one peer. It is encoded for each receiver, since it
@@ -361,7 +418,9 @@
 			    mesh->n_sent % PROBE_ONE_IN == 0)))
 			message_send(mesh, peer, &msg);
 	}
-	if (!flat && mesh->n_sent % SEEK_ONE_IN == 0)
+	if (!flat &&
+	    (mesh->n_sent % SEEK_ONE_IN == 0 ||
+		mesh->now_ms - mesh->relay_since_ms < NEWCOMER_MS))
 		seek_relays(mesh, &msg);
 }
 
@@ -446,6 +505,9 @@
 	    mesh->relay != NULL ? mesh->relay->name : mesh->name,
 	    mesh_count_alive(mesh));
 	mesh->relay = relay;
+	mesh->relay_since_ms = mesh->now_ms;
+	if (relay == NULL && !mesh_flat(mesh) && mesh->became_relay != NULL)
+		mesh->became_relay(mesh->became_relay_arg);
 	/* Sent at once, since the cell may have lost its relay. */
 	mesh->sent_ms = 0;
 	mesh_send(mesh);
@@ -477,7 +539,8 @@
 	relay_update(mesh);
 	mesh_share_limits(mesh);
 	if (mesh->relay != NULL) {
-		if (mesh->round % IDLE_ROUNDS == 0 || self_busy(mesh))
+		if (mesh->round % IDLE_ROUNDS == 0 || self_busy(mesh) ||
+		    !mesh_relay_alive(mesh))
 			mesh_send(mesh);
 		return;
 	}
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -5,6 +5,7 @@
 
 #include "registry.h"
 #include "fwd-budget.h"
+#include "mesh-directory.h"
 #include "mesh-entries.h"
 #include "mesh-message.h"
 
@@ -156,13 +157,14 @@
  * @by_name: name to struct mesh_peer
  * @by_name_hash: hash of the name to struct mesh_peer
  * @n_peers: number of @peers
- * @records_read_ms: when the records of the daemons were first read from the
- *	store; 0 before
+ * @directory: the daemons whose addresses are in the store
+ * @records_read_ms: when the addresses in the store were first read; 0 before
  * @n_others: other live daemons as of this round, heard directly or reported by
  *	a relay
  * @cells_heard_ms: when this daemon last received a fleet summary, or soon
  *	after its start a report, from its own failure domain; 0 for never
  * @relay: daemon that this one reports to; NULL where it is a relay itself
+ * @relay_since_ms: when that last changed; 0 for never
  * @self: what this daemon reports about itself
  * @held_term: term of the lease that this daemon holds while self.placer is set
  * @holder: another daemon that holds the placer's lease
@@ -208,6 +210,8 @@
  *	of datagram
  * @missed: called when entries are missing and no peer supplied them
  * @missed_arg: argument of @missed
+ * @became_relay: called when this daemon has become the relay of its cell
+ * @became_relay_arg: argument of @became_relay
  * @avoided: called when a peer reports that an endpoint is to be avoided
  * @avoided_arg: argument of @avoided
  */
@@ -232,10 +236,12 @@
 	GHashTable *by_name;
 	GHashTable *by_name_hash;
 	unsigned n_peers;
+	struct mesh_directory directory;
 	uint64_t records_read_ms;
 	unsigned n_others;
 	uint64_t cells_heard_ms;
 	struct mesh_peer *relay;
+	uint64_t relay_since_ms;
 	struct mesh_self self;
 	int64_t held_term;
 	struct mesh_holder holder;
@@ -273,6 +279,8 @@
 	unsigned poison_next[MESH_KINDS];
 	void (*missed)(void *);
 	void *missed_arg;
+	void (*became_relay)(void *);
+	void *became_relay_arg;
 	void (*avoided)(void *, struct endpoint *);
 	void *avoided_arg;
 };
@@ -301,6 +309,11 @@
 unsigned mesh_count_alive(const struct mesh *);
 bool mesh_has_served(const struct mesh *);
 
+/* mesh-directory.c: which daemons' addresses are in the store. */
+unsigned mesh_directory_delay_ms(const struct mesh *);
+bool mesh_directory_lacks_self(const struct mesh *);
+void mesh_directory_prune(const struct mesh *, GPtrArray *);
+
 /* mesh-role.c: choice of relays, of the store's reader and of the placer. */
 bool mesh_flat(const struct mesh *);
 bool mesh_outranks(const struct mesh *, const struct mesh_peer *);
--- a/tests/proc-edge-settings.sh
+++ b/tests/proc-edge-settings.sh
@@ -9,7 +9,7 @@
 	sed -e 's/{{ip}}/127.0.0.1/; s/{{internal_port_range.0}}/7340/' \
 	    -e 's/^\([a-z-]*-address\)={{.*}}/\1=127.0.0.1:7341/' \
 	    -e 's/^\(name\|domain\)={{.*}}/\1=a/' \
-	    -e 's/^\(keys-fail-closed\)={{.*}}/\1=true/' \
+	    -e "s/^\\(keys-fail-closed\\|first-start\\)={{.*}}/\\1=true/" \
 	    -e "s/={{.*}}/=$1/" "$TEMPLATE" >"$RUN/settings"
 }
 
@@ -26,7 +26,7 @@
 	check "every number written as $value" 0 "$(settings_status)"
 done
 settings 600
-check "numbers of the template" 10 \
+check "numbers of the template" 11 \
     "$(grep -c '=600$' "$RUN/settings")"
 sed -i 's/^\(cpu-share\|cores\|retry-ratio\)=.*/\1=0.12/' "$RUN/settings"
 for name in key-proof-ms grace-s retry-slack cpu-share; do
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -223,7 +223,7 @@
 		.pong = 77,
 		.self = { .placer = true, .term = 3 },
 		.placer = { 7, 3, 250, true },
-		.relay = { "d0", 1, 7340, 120 },
+		.relay = { "d0", "", 1, 7340, 120 },
 		.config_version = 12,
 		.config_age_ms = 40,
 		.n_alive = 295,
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -353,6 +353,34 @@
 	    (s.feed_age_max_ms / 500 + 1) * 500);
 }
 
+/*
+ * calls: calls for addresses a start, in steps of 0.5; addresses in the store,
+ * in steps of 10; and the longest time until a daemon heard its relay, in steps
+ * of 500 ms
+ */
+static void
+exec_calls(const char *rest, GString *out)
+{
+	struct model_stats s;
+
+	fleet_model_measure(model, &s);
+	g_string_append_printf(out,
+	    "%.1f or fewer, %u addresses or fewer, connected within %" G_GUINT64_FORMAT
+	    " ms\n",
+	    ceil(2.0 * s.store_calls / s.up) / 2, (s.recorded / 10 + 1) * 10,
+	    (s.connected_max_ms / 500 + 1) * 500);
+}
+
+/* restart: all daemons stop and start again within 300 ms */
+static void
+exec_restart(const char *rest, GString *out)
+{
+	for (unsigned i = 0; i < model->n; i++) {
+		fleet_model_stop(model, i);
+		fleet_model_start(model, i, 1 + fleet_model_random(model, 300));
+	}
+}
+
 /* store-queries: store queries because no peer's state was recent enough */
 static void
 exec_store_queries(const char *rest, GString *out)
@@ -519,6 +547,8 @@
 	{ "views", exec_views },
 	{ "traffic", exec_traffic },
 	{ "proof", exec_proof },
+	{ "calls", exec_calls },
+	{ "restart", exec_restart },
 	{ "store-queries", exec_store_queries },
 	{ "set-config", exec_set_config },
 	{ "age", exec_age },
