Let members of a large cell pass on what its relay sends

Cause: a relay sent its summary, with 8 bytes a member and 8 an endpoint, to each member: members times both. At 984 daemons and 240 replicas that was 1.46 MB a second for one daemon, at 2,000 and 480 it was 5.8 MB (model), more than a small host's link takes.

Three ways were weighed: a tree below the relay, only what changed, and a part of the endpoints. Loads change all the time, so changes alone save little. Built are the other two: the relay of more than 64 members sends to about the square root of their number, each of which passes the datagram on to as many others, different ones each time, so that nobody depends on one; and of such a cell's summaries one in four has the members and the loads of all endpoints, the others those of endpoints in this failure domain, which are preferred. The envelope acknowledges the report of each receiver, so the list of members needs no sequence numbers. Entries of endpoints go the same way.

--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -159,6 +159,7 @@
 	mesh->name = g_strdup_printf("d%03u", daemon->index);
 	mesh->domain = g_strdup_printf("z%u", daemon->domain);
 	mesh->capacity = daemon_capacity(daemon);
+	mesh->addr = model_address(daemon->index);
 	mesh->send_datagram = model_send;
 	mesh->send_arg = daemon;
 	mesh->missed = daemon_missed;
--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -11,6 +11,8 @@
  * has passed: traffic between failure domains is billed, and the wait is short
  * against the bound within which a configuration must be in force. */
 #define OTHER_DOMAIN_WAIT_MS 200
+/* A relay lists its members at least this often. */
+#define LISTED_MS 2500
 /* During the first SPREAD_MS, one in this many received datagrams leads to a
  * fetch. */
 #define SPREAD_MS 400
@@ -59,7 +61,8 @@
 	if (peer != mesh->relay)
 		return (peer);
 	TAILQ_FOREACH(other, &mesh->peers, entry) {
-		if (other->config_current && other->listed_ms == mesh->now_ms &&
+		if (other->config_current &&
+		    mesh->now_ms - other->listed_ms < LISTED_MS &&
 		    random_below(++n) == 0)
 			source = other;
 	}
--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -43,14 +43,13 @@
 {
 	struct mesh_peer *peer;
 
+	mesh_spread(mesh, origin, bytes, length);
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
 		bool in_cell = mesh_peer_in_cell(mesh, peer);
 
-		if (peer == origin)
+		if (peer == origin || mesh_peer_reports(mesh, peer))
 			continue;
-		if ((in_cell &&
-			(mesh_peer_reports(mesh, peer) ||
-			    mesh_peer_is_relay(mesh, peer))) ||
+		if ((in_cell && mesh_peer_is_relay(mesh, peer)) ||
 		    (outside && !in_cell && outside_due(mesh, peer)))
 			mesh->send_datagram(mesh->send_arg, &peer->addr, bytes,
 			    length);
--- a/src/mesh-loads.c
+++ b/src/mesh-loads.c
@@ -1,6 +1,7 @@
 /* Other daemons' loads, summed per endpoint. */
 #include <string.h>
 
+#include "event-log.h"
 #include "mesh.h"
 
 /**
@@ -29,6 +30,13 @@
 	g_array_set_size(peer->loads, 0);
 }
 
+/* Whether an endpoint is in this daemon's failure domain. */
+static bool
+in_domain(const struct mesh *mesh, const struct endpoint *ep)
+{
+	return (g_strcmp0(ep->report.domain, mesh->domain) == 0);
+}
+
 /* Adds one load of a daemon to the endpoint's sums. */
 static void
 add_load(struct mesh *mesh, struct mesh_peer *peer,
@@ -69,6 +77,27 @@
 		add_load(mesh, peer, &msg->loads[i]);
 }
 
+/* Subtracts a daemon's loads at the endpoints of this failure domain. */
+static void
+remove_domain_loads(struct mesh *mesh, struct mesh_peer *peer)
+{
+	g_autoptr(GArray) kept =
+	    g_array_new(FALSE, FALSE, sizeof(struct mesh_load));
+
+	for (guint i = 0; i < peer->loads->len; i++) {
+		const struct mesh_load *load =
+		    &g_array_index(peer->loads, struct mesh_load, i);
+		const struct endpoint *ep =
+		    fleet_find_by_hash(&mesh->registry->fleet, load->id_hash);
+
+		if (ep != NULL && !in_domain(mesh, ep))
+			g_array_append_vals(kept, load, 1);
+	}
+	mesh_remove_loads(mesh, peer);
+	for (guint i = 0; i < kept->len; i++)
+		add_load(mesh, peer, &g_array_index(kept, struct mesh_load, i));
+}
+
 /* Finds the load at one endpoint in a report of this daemon. */
 static const struct mesh_load *
 find_load(const struct mesh_report *report, uint32_t id_hash)
@@ -100,8 +129,12 @@
 	struct mesh_peer *other;
 
 	/* Loads from an earlier relay are kept until the new one is heard. */
-	TAILQ_FOREACH(other, &mesh->peers, entry)
-		mesh_remove_loads(mesh, other);
+	TAILQ_FOREACH(other, &mesh->peers, entry) {
+		if (other != peer || !msg->partial)
+			mesh_remove_loads(mesh, other);
+	}
+	if (msg->partial)
+		remove_domain_loads(mesh, peer);
 	peer->loads_in_cell = false;
 	peer->loads_ms = mesh->now_ms;
 	for (uint32_t i = 0; i < msg->n_loads; i++) {
@@ -158,8 +191,13 @@
 	TAILQ_FOREACH(ep, &mesh->registry->fleet.endpoints, entry) {
 		struct mesh_load *load = &msg->loads[msg->n_loads];
 
-		if (msg->n_loads == MESH_LOADS_MAX)
+		if (msg->partial && !in_domain(mesh, ep))
+			continue;
+		if (msg->n_loads == MESH_LOADS_MAX) {
+			event_log(LOG_WARNING, "loads_cut", "max=%u",
+			    MESH_LOADS_MAX);
 			return;
+		}
 		fill_load(mesh, ep, msg->kind, load);
 		msg->n_loads += load->inflight > 0;
 	}
@@ -194,17 +232,12 @@
 const struct mesh_report *
 mesh_acked_report(const struct mesh *mesh, const struct mesh_message *msg)
 {
-	for (uint32_t i = 0; i < msg->n_members; i++) {
-		const struct mesh_member *member = &msg->members[i];
-		const struct mesh_report *report =
-		    &mesh->reports[member->sequence % MESH_REPORTS_MAX];
-
-		if (member->name_hash != mesh->name_hash)
-			continue;
-		return ((uint16_t)report->sequence == member->sequence &&
-			    report->sequence != 0 ?
-			report :
-			NULL);
-	}
-	return (NULL);
+	uint16_t sequence = (uint16_t)msg->ack;
+	const struct mesh_report *report =
+	    &mesh->reports[sequence % MESH_REPORTS_MAX];
+
+	if ((msg->ack & MESH_ACK_VALID) == 0 || report->sequence == 0 ||
+	    (uint16_t)report->sequence != sequence)
+		return (NULL);
+	return (report);
 }
--- a/src/mesh-message.c
+++ b/src/mesh-message.c
@@ -20,8 +20,8 @@
 #define SELF_DRAINING 0x2u
 #define SELF_STORE_OK 0x4u
 #define SELF_SERVED 0x8u
-/* Bit of the flag in the word that holds it and a member's sequence number. */
-#define CONFIG_CURRENT_FLAG 0x10000u
+/* Flags of members in one word. */
+#define FLAGS_PER_WORD 32u
 
 static bool_t
 xdr_flag(XDR *xdr, bool *flag)
@@ -215,16 +215,18 @@
 	return (TRUE);
 }
 
+/* Encodes or decodes the flags of up to FLAGS_PER_WORD members in one word. */
 static bool_t
-xdr_member(XDR *xdr, struct mesh_member *member)
+xdr_member_flags(XDR *xdr, struct mesh_member *members, uint32_t n)
 {
-	uint32_t word = member->sequence |
-	    (member->config_current ? CONFIG_CURRENT_FLAG : 0);
+	uint32_t word = 0;
 
-	if (!xdr_uint32_t(xdr, &member->name_hash) || !xdr_uint32_t(xdr, &word))
+	for (uint32_t i = 0; i < n; i++)
+		word |= (uint32_t)members[i].config_current << i;
+	if (!xdr_uint32_t(xdr, &word))
 		return (FALSE);
-	member->sequence = (uint16_t)word;
-	member->config_current = (word & CONFIG_CURRENT_FLAG) != 0;
+	for (uint32_t i = 0; i < n; i++)
+		members[i].config_current = (word >> i & 1) != 0;
 	return (TRUE);
 }
 
@@ -235,7 +237,12 @@
 	    msg->n_members > MESH_MEMBERS_MAX)
 		return (FALSE);
 	for (uint32_t i = 0; i < msg->n_members; i++) {
-		if (!xdr_member(xdr, &msg->members[i]))
+		if (!xdr_uint32_t(xdr, &msg->members[i].name_hash))
+			return (FALSE);
+	}
+	for (uint32_t i = 0; i < msg->n_members; i += FLAGS_PER_WORD) {
+		if (!xdr_member_flags(xdr, &msg->members[i],
+			MIN(msg->n_members - i, FLAGS_PER_WORD)))
 			return (FALSE);
 	}
 	return (TRUE);
@@ -286,10 +293,11 @@
 	    xdr_uint64_t(xdr, &msg->config_offset) &&
 	    xdr_uint32_t(xdr, &msg->config_age_ms) &&
 	    xdr_uint64_t(xdr, &msg->entries_end) &&
-	    xdr_uint32_t(xdr, &msg->n_alive) && xdr_loads(xdr, msg) &&
-	    xdr_avoid(xdr, msg) && xdr_limits(xdr, msg) &&
-	    xdr_poisons(xdr, msg) && xdr_members(xdr, msg) &&
-	    xdr_addresses(xdr, msg) && xdr_evacuations(xdr, &msg->evacuations));
+	    xdr_flag(xdr, &msg->partial) && xdr_uint32_t(xdr, &msg->n_alive) &&
+	    xdr_loads(xdr, msg) && xdr_avoid(xdr, msg) &&
+	    xdr_limits(xdr, msg) && xdr_poisons(xdr, msg) &&
+	    xdr_members(xdr, msg) && xdr_addresses(xdr, msg) &&
+	    xdr_evacuations(xdr, &msg->evacuations));
 }
 
 /**
--- a/src/mesh-message.h
+++ b/src/mesh-message.h
@@ -137,12 +137,10 @@
 /**
  * struct mesh_member - a daemon that reports to the sender.
  * @name_hash: hash of the daemon's name
- * @sequence: low 16 bits of the sequence number of its newest report
  * @config_current: it has the newest configuration that the sender knows of
  */
 struct mesh_member {
 	uint32_t name_hash;
-	uint16_t sequence;
 	bool config_current;
 };
 
@@ -213,6 +211,10 @@
  * @config_age_ms: age of the proof that this configuration is the newest, in ms
  * @entries_end: the sender has all entries of endpoints up to this store
  *	offset; MESH_NO_ENTRIES where it has read none
+ * @partial: a MESH_FLEET_SUMMARY without members and with the loads of
+ *endpoints in the sender's failure domain only
+ * @ack: acknowledgement of the receiver's reports, from the envelope; 0 for
+ *none
  * @n_alive: live daemons that this reports on
  * @n_loads: number of @loads
  * @n_avoid: number of @avoid
@@ -224,7 +226,8 @@
  * @avoid: endpoints to avoid
  * @limits: limits that endpoints name
  * @poison: crashes under suspected requests
- * @members: daemons that report to the sender; in MESH_FLEET_SUMMARY only
+ * @members: daemons that report to the sender; in a whole MESH_FLEET_SUMMARY
+ *only
  * @addresses: of members that may become the relay and of relays of other
  *cells, in some MESH_FLEET_SUMMARY only
  * @evacuations: the evacuated failure domains
@@ -245,6 +248,8 @@
 	uint64_t config_offset;
 	uint32_t config_age_ms;
 	uint64_t entries_end;
+	bool partial;
+	uint32_t ack;
 	uint32_t n_alive;
 	uint32_t n_loads;
 	uint32_t n_avoid;
--- a/src/mesh-receive.c
+++ b/src/mesh-receive.c
@@ -279,7 +279,8 @@
 			redirect(mesh, peer);
 		return;
 	}
-	record_cell_hashes(mesh, peer, msg);
+	if (!msg->partial)
+		record_cell_hashes(mesh, peer, msg);
 	mesh_set_fleet_loads(mesh, peer, msg);
 }
 
@@ -353,14 +354,19 @@
 	static struct mesh_message msg;
 	struct mesh_peer *peer;
 
-	if (mesh_receive_entries(mesh, in, length, from))
+	struct sockaddr_in origin = *from;
+	uint32_t ack = 0;
+
+	mesh_unwrap(mesh, &in, &length, &origin, &ack);
+	if (mesh_receive_entries(mesh, in, length, &origin))
 		return;
 	if (!mesh_message_decode(&msg, in, length)) {
 		event_log(LOG_WARNING, "peer_message_ignored",
 		    "bytes=%zu reason=format", length);
 		return;
 	}
-	peer = mesh_add(mesh, msg.name, msg.domain, msg.capacity, from);
+	msg.ack = ack;
+	peer = mesh_add(mesh, msg.name, msg.domain, msg.capacity, &origin);
 	/* Datagrams may be reordered or duplicated. */
 	if (peer == NULL ||
 	    (peer->incarnation == msg.incarnation &&
--- a/src/mesh-send.c
+++ b/src/mesh-send.c
@@ -23,16 +23,14 @@
 #define RELAY_BYTES_S 6000
 /* Shortest interval between two rounds that urgent changes trigger. */
 #define URGENT_MS 50
-/* One in this many datagrams of a relay also goes to daemons that are not known
- * to be alive. */
+/* One in this many datagrams of a small fleet also goes to daemons that are not
+ * known to be alive. */
 #define PROBE_ONE_IN 20
 /* One in this many also goes to cells whose relay is not known. */
 #define SEEK_ONE_IN 2
-/* One in this many datagrams to the cell has the addresses that its members
- * need to replace the relay, as have those sent this long after a daemon
- * started. */
-#define ADDRESSES_ONE_IN 10
-#define NEWCOMER_MS 600
+/* A new relay looks for the relays of other cells each time it sends, for this
+ * long. */
+#define NEW_RELAY_MS 600
 /* Failure domains that a relay distinguishes. */
 #define CELLS_MAX 64
 /* How long a warning of an endpoint is repeated: a few rounds. */
@@ -67,90 +65,6 @@
 	}
 }
 
-/* Adds the daemons that report to this one. */
-static void
-fill_members(const struct mesh *mesh, struct mesh_message *msg)
-{
-	const struct mesh_peer *peer;
-
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		struct mesh_member *member = &msg->members[msg->n_members];
-
-		if (msg->n_members == MESH_MEMBERS_MAX)
-			return;
-		if (!mesh_peer_reports(mesh, peer))
-			continue;
-		member->name_hash = peer->name_hash;
-		member->sequence = (uint16_t)peer->sequence;
-		member->config_current =
-		    peer->config_version >= msg->config_version;
-		msg->n_members++;
-	}
-}
-
-/* Fills in the address of a daemon. */
-static void
-fill_address(const struct mesh_peer *peer, struct mesh_address *address)
-{
-	g_strlcpy(address->name, peer->name, sizeof address->name);
-	address->ip = peer->addr.sin_addr.s_addr;
-	address->port = ntohs(peer->addr.sin_port);
-	address->capacity = peer->capacity;
-}
-
-/* Adds the address of a daemon to a datagram. */
-static void
-address_add(const struct mesh_peer *peer, struct mesh_message *msg)
-{
-	struct mesh_address *address = &msg->addresses[msg->n_addresses];
-
-	if (msg->n_addresses == MESH_ADDRESSES_MAX)
-		return;
-	fill_address(peer, address);
-	g_strlcpy(address->domain, peer->domain, sizeof address->domain);
-	msg->n_addresses++;
-}
-
-/* Adds the members that are preferred to become the relay. */
-static void
-fill_candidates(const struct mesh *mesh, struct mesh_message *msg)
-{
-	const struct mesh_peer *best[MESH_CANDIDATES_MAX + 1], *peer;
-	unsigned n = 0;
-
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		unsigned at = n;
-
-		if (!mesh_peer_reports(mesh, peer) || peer->self.draining)
-			continue;
-		for (; at > 0 && mesh_peer_outranks(peer, best[at - 1]); at--)
-			best[at] = best[at - 1];
-		best[at] = peer;
-		n = MIN(n + 1, MESH_CANDIDATES_MAX);
-	}
-	for (unsigned i = 0; i < n; i++)
-		address_add(best[i], msg);
-}
-
-/* Adds what a member needs to become the relay, from time to time and while
- * daemons start. */
-static void
-fill_addresses(const struct mesh *mesh, struct mesh_message *msg)
-{
-	const struct mesh_peer *peer;
-	bool newcomer = mesh->newcomer_ms != 0 &&
-	    mesh->now_ms - mesh->newcomer_ms < NEWCOMER_MS;
-
-	if (!newcomer && mesh->n_sent % ADDRESSES_ONE_IN != 0)
-		return;
-	fill_candidates(mesh, msg);
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (!mesh_peer_in_cell(mesh, peer) &&
-		    mesh_peer_is_relay(mesh, peer))
-			address_add(peer, msg);
-	}
-}
-
 /* Fills in the holder of the placer's lease: this daemon, or the one that
  * was heard. */
 static void
@@ -212,11 +126,17 @@
 	    MESH_NO_ENTRIES;
 }
 
-/* Fills in a datagram, except for what differs by receiver. */
-static void
-message_fill(struct mesh *mesh, enum mesh_kind kind, struct mesh_message *msg)
+/**
+ * mesh_fill_message() - fill in a datagram, except for what differs by
+ * receiver.
+ * @mesh: the mesh
+ * @kind: kind of the datagram
+ * @msg: the datagram, empty; @msg->partial is set
+ */
+void
+mesh_fill_message(struct mesh *mesh, enum mesh_kind kind,
+    struct mesh_message *msg)
 {
-	mesh_message_init(msg);
 	msg->kind = kind;
 	g_strlcpy(msg->name, mesh->name, sizeof msg->name);
 	g_strlcpy(msg->domain, mesh->domain, sizeof msg->domain);
@@ -229,7 +149,7 @@
 		msg->self.served = mesh_has_served(mesh);
 	fill_placer(mesh, &msg->placer);
 	if (mesh->relay != NULL)
-		fill_address(mesh->relay, &msg->relay);
+		mesh_fill_address(mesh->relay, &msg->relay);
 	fill_config(mesh, msg);
 	evacuations_copy(&msg->evacuations, &mesh->registry->evacuations);
 	msg->n_alive = count_reported(mesh, kind);
@@ -239,10 +159,8 @@
 	fill_avoid(mesh, msg);
 	mesh_fill_limits(mesh, msg);
 	mesh_fill_poison(mesh, msg);
-	if (kind != MESH_FLEET_SUMMARY)
-		return;
-	fill_members(mesh, msg);
-	fill_addresses(mesh, msg);
+	if (kind == MESH_FLEET_SUMMARY)
+		mesh_fill_summary(mesh, msg);
 }
 
 /* Sends a datagram to one peer. It is encoded for each receiver, since it
@@ -258,7 +176,9 @@
 	length = mesh_message_encode(msg, out, sizeof out);
 	/* A datagram that can't be sent now is not retried: the next one
 	 * replaces it. */
-	if (length > 0)
+	if (length > 0 && msg->kind == MESH_FLEET_SUMMARY)
+		mesh_spread_to(mesh, peer, out, length);
+	else if (length > 0)
 		mesh->send_datagram(mesh->send_arg, &peer->addr, out, length);
 	else
 		event_log(LOG_WARNING, "message_not_sent", "peer=%s loads=%u",
@@ -277,44 +197,13 @@
 {
 	static struct mesh_message msg;
 
-	message_fill(mesh, kind, &msg);
+	mesh_message_init(&msg);
+	mesh_fill_message(mesh, kind, &msg);
 	if (kind == MESH_REPORT)
 		mesh_save_report(mesh, &msg);
 	message_send(mesh, peer, &msg);
 }
 
-/* Whether a daemon of this cell is sent to in this round. */
-static bool
-cell_due(const struct mesh *mesh, const struct mesh_peer *peer)
-{
-	return (mesh_peer_maybe_alive(mesh, peer) ||
-	    mesh_peer_is_relay(mesh, peer) || mesh->n_sent % PROBE_ONE_IN == 0);
-}
-
-/* Sends the fleet summary to the cell; all members receive the same bytes. */
-static size_t
-send_to_cell(struct mesh *mesh)
-{
-	static struct mesh_message msg;
-	static char out[MESH_DATAGRAM_MAX];
-	struct mesh_peer *peer;
-	size_t length;
-
-	message_fill(mesh, MESH_FLEET_SUMMARY, &msg);
-	length = mesh_message_encode(&msg, out, sizeof out);
-	if (length == 0) {
-		event_log(LOG_WARNING, "message_not_sent",
-		    "loads=%u members=%u", msg.n_loads, msg.n_members);
-		return (0);
-	}
-	TAILQ_FOREACH(peer, &mesh->peers, entry) {
-		if (mesh_peer_in_cell(mesh, peer) && cell_due(mesh, peer))
-			mesh->send_datagram(mesh->send_arg, &peer->addr, out,
-			    length);
-	}
-	return (length);
-}
-
 /* Whether a daemon of another cell is known to be its relay. */
 static bool
 is_other_relay(const struct mesh *mesh, const struct mesh_peer *peer)
@@ -408,7 +297,8 @@
 	struct mesh_peer *peer;
 	bool flat = mesh_flat(mesh);
 
-	message_fill(mesh, MESH_CELL_SUMMARY, &msg);
+	mesh_message_init(&msg);
+	mesh_fill_message(mesh, MESH_CELL_SUMMARY, &msg);
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
 		if (mesh_peer_in_cell(mesh, peer))
 			continue;
@@ -420,7 +310,7 @@
 	}
 	if (!flat &&
 	    (mesh->n_sent % SEEK_ONE_IN == 0 ||
-		mesh->now_ms - mesh->relay_since_ms < NEWCOMER_MS))
+		mesh->now_ms - mesh->relay_since_ms < NEW_RELAY_MS))
 		seek_relays(mesh, &msg);
 }
 
@@ -447,7 +337,7 @@
 	mesh->n_sent++;
 	send_to_relays(mesh);
 	if (!mesh_flat(mesh))
-		length = send_to_cell(mesh);
+		length = mesh_send_summary(mesh);
 	mesh->send_interval_ms = mesh_flat(mesh) ?
 	    MESH_ROUND_MS :
 	    CLAMP(length * 1000 / RELAY_BYTES_S, RELAY_MIN_MS, RELAY_MAX_MS);
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -6,7 +6,7 @@
 #include "mesh.h"
 #include "random.h"
 
-static char receive_buffer[MESH_DATAGRAM_MAX];
+static char receive_buffer[MESH_DATAGRAM_MAX + MESH_ENVELOPE_BYTES_MAX];
 
 /* Sets the mesh's clock. The loop's time is updated first: an age that is sent
  * must not be less than the real one, even if this iteration of the loop takes
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -7,6 +7,7 @@
 #include "fwd-budget.h"
 #include "mesh-directory.h"
 #include "mesh-entries.h"
+#include "mesh-envelope.h"
 #include "mesh-message.h"
 
 /* Interval of reports of a daemon with work, and so the greatest age of a load
@@ -172,6 +173,8 @@
  * @sent_ms: when this daemon last sent its state as a relay
  * @n_sent: how often it has done so
  * @send_interval_ms: interval between two such times, in ms
+ * @summary_bytes: average length of the newest fleet summaries; 0 before
+ * @n_spread: number of datagrams sent to the whole cell so far
  * @reports: the newest reports, indexed by sequence number
  * @last_entries_from: offset that @last_entries begin at
  * @last_entries: records of the newest datagrams of entries; repeated once with
@@ -249,6 +252,8 @@
 	uint64_t sent_ms;
 	uint64_t n_sent;
 	uint64_t send_interval_ms;
+	double summary_bytes;
+	uint64_t n_spread;
 	struct mesh_report reports[MESH_REPORTS_MAX];
 	uint64_t last_entries_from;
 	GArray *last_entries;
@@ -352,7 +357,21 @@
 void mesh_apply_poison(struct mesh *, const struct mesh_peer *,
     const struct mesh_message *);
 
+/* mesh-spread.c: datagrams to all members of a cell. */
+void mesh_spread(struct mesh *, const struct mesh_peer *, const char *, size_t);
+void mesh_spread_to(struct mesh *, const struct mesh_peer *, const char *,
+    size_t);
+bool mesh_spread_large(const struct mesh *);
+bool mesh_unwrap(struct mesh *, char **, size_t *, struct sockaddr_in *,
+    uint32_t *);
+
+/* mesh-summary.c: what a relay tells its cell. */
+void mesh_fill_address(const struct mesh_peer *, struct mesh_address *);
+void mesh_fill_summary(const struct mesh *, struct mesh_message *);
+size_t mesh_send_summary(struct mesh *);
+
 /* mesh-send.c: which state is sent to whom, and when. */
+void mesh_fill_message(struct mesh *, enum mesh_kind, struct mesh_message *);
 void mesh_round(struct mesh *);
 void mesh_send(struct mesh *);
 void mesh_send_to(struct mesh *, struct mesh_peer *, enum mesh_kind);
