Bound what the fleet does when all miss entries, or the store is slow

Each asked its relay, which answered each alone with up to 64 datagrams, so its link was full and still more was lost; after 0.7 s all 984 read the store at the same moment, which shares its bandwidth among all reads, so that none was answered within its time, and each tried again: nothing was proved until all lost power.

In a large cell missed entries are resent once for all members, at most each 0.3 s, and not just after they were passed on. Only relays read the store for missing entries; members do when they have had no update for long, a few at a time, as before. After a failed read a member waits for 60 ms for each other daemon, so that the store gets some 16 tries a second from all of them whatever their number; reader and relays try as before. The read of the addresses is tried again by the same rule.

--- a/src/edge.c
+++ b/src/edge.c
@@ -35,6 +35,8 @@
 /* The same fractions of drain-ms; the first is the time of two missed reads. */
 #define ENDPOINT_FALLBACK_MIN 0.5
 #define ENDPOINT_FALLBACK_MAX 0.7
+/* Pause after a failed read of the daemons' addresses. */
+#define ADDRESSES_RETRY_MS 400
 /* At its start a daemon waits this long for a relay, and this long for data
  * from a relay that is alive but has none yet, since that one reads the store
  * first. Then the daemon reads the store itself. */
@@ -240,22 +242,31 @@
 	return ((unsigned)((double)bound_ms * fraction));
 }
 
+/* Returns when this daemon reads the store itself, for a bound on changes and
+ * the parts of it after which the first and the last daemon do. */
+static struct registry_fallback
+edge_fallback(const struct edge *e, int64_t bound_ms, double min, double max)
+{
+	struct registry_fallback fallback;
+
+	fallback.after_ms = mesh_stale_after_ms(&e->mesh,
+	    fraction_ms(bound_ms, min), fraction_ms(bound_ms, max));
+	fallback.retry_ms = mesh_retry_ms(&e->mesh, fallback.after_ms);
+	return (fallback);
+}
+
 /* Sets how old updates from peers may get before this daemon reads the store
  * itself. */
 static void
 edge_update_fallback(struct edge *e)
 {
-	const struct mesh *mesh = &e->mesh;
-	const struct edge_settings *set = &e->set;
-
-	registry_set_fallback(&e->registry,
-	    mesh_stale_after_ms(mesh,
-		fraction_ms(set->apply_ms, CONFIG_FALLBACK_MIN),
-		fraction_ms(set->apply_ms, CONFIG_FALLBACK_MAX)),
-	    mesh_stale_after_ms(mesh,
-		fraction_ms(set->drain_ms, ENDPOINT_FALLBACK_MIN),
-		fraction_ms(set->drain_ms, ENDPOINT_FALLBACK_MAX)),
-	    mesh_relay_alive(mesh));
+	const struct registry_fallback config = edge_fallback(e,
+	    e->set.apply_ms, CONFIG_FALLBACK_MIN, CONFIG_FALLBACK_MAX);
+	const struct registry_fallback endpoints = edge_fallback(e,
+	    e->set.drain_ms, ENDPOINT_FALLBACK_MIN, ENDPOINT_FALLBACK_MAX);
+
+	registry_set_fallback(&e->registry, &config, &endpoints);
+	e->daemons.retry_ms = mesh_retry_ms(&e->mesh, ADDRESSES_RETRY_MS);
 }
 
 /* Logs the main counters, for operators who have logs but no metrics. */
--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -25,9 +25,6 @@
 #define PROOF_STALE_MAX_MS 3200
 #define FEED_STALE_MIN_MS 2000
 #define FEED_STALE_MAX_MS 2800
-/* Records of hosts per second. An entry is written only when more than its
- * heartbeat changed, so a fleet without changes writes none. */
-#define RECORDS_PER_S 0
 /* Daemons of each failure domain with a larger capacity. */
 #define LARGE_PER_DOMAIN 3
 #define LARGE_CAPACITY 500
@@ -101,8 +98,7 @@
 	struct model_daemon *daemon = arg;
 
 	daemon->entry_reads++;
-	daemon->registry.endpoints.next =
-	    daemon->model->now_ms * RECORDS_PER_S / 1000;
+	daemon->registry.endpoints.next = daemon->model->n_records;
 	daemon->registry.endpoints.peer_update_ms = daemon->model->now_ms;
 }
 
@@ -120,6 +116,14 @@
 	fleet_update(&daemon->registry.fleet, &report, 1, 0);
 }
 
+/* Takes the place of applying an entry: all endpoints are known. */
+static void
+record_ignore(void *owner, const struct store_record *record)
+{
+}
+
+static const struct topic_follower_ops model_ops = { .record = record_ignore };
+
 /* Capacity of a daemon, in thousandths of a core. */
 static uint32_t
 daemon_capacity(const struct model_daemon *daemon)
@@ -168,7 +172,8 @@
 	mesh->became_relay_arg = daemon;
 	mesh->self.store_ok = true;
 	daemon->registry.endpoints.synced = true;
-	daemon->registry.endpoints.next = model->now_ms * RECORDS_PER_S / 1000;
+	daemon->registry.endpoints.ops = &model_ops;
+	daemon->registry.endpoints.next = model->n_records;
 	mesh_init(mesh, model->now_ms,
 	    fleet_model_random(model, UINT32_MAX) + 1);
 	daemon->up = true;
@@ -391,18 +396,39 @@
 	g_ptr_array_free(now, TRUE);
 }
 
-/* Distributes the entries that were read, none of which changed. */
+/* Distributes the entries that were read, with the given ones that changed. */
 static void
-daemon_feed(struct model_daemon *daemon)
+daemon_feed(struct model_daemon *daemon, unsigned n)
 {
 	struct topic_follower *f = &daemon->registry.endpoints;
-	g_autoptr(GArray) none =
+	g_autoptr(GArray) records =
 	    g_array_new(FALSE, TRUE, sizeof(struct store_record));
 	uint64_t from = f->next;
 
-	f->next = daemon->model->now_ms * RECORDS_PER_S / 1000;
+	g_array_set_clear_func(records, store_record_clear);
+	for (unsigned i = 0; i < n; i++) {
+		/* The end of an entry that nobody knows. */
+		struct store_record record = { .key = g_strdup_printf("x%u", i),
+			.offset = from + i };
+
+		g_array_append_val(records, record);
+	}
+	daemon->model->n_records += n;
+	f->next = daemon->model->n_records;
 	f->peer_update_ms = daemon->model->now_ms;
-	mesh_send_entries(&daemon->mesh, from, f->next, none);
+	mesh_send_entries(&daemon->mesh, from, f->next, records);
+}
+
+/**
+ * fleet_model_feed() - have a daemon read changed entries and distribute them.
+ * @model: the model
+ * @index: index of the daemon
+ * @n: number of changed entries
+ */
+void
+fleet_model_feed(struct fleet_model *model, unsigned index, unsigned n)
+{
+	daemon_feed(&model->daemons[index], n);
 }
 
 /* Whether a daemon queries the store, given the time at which it last received
@@ -435,7 +461,7 @@
 	    daemon_queries_store(daemon, registry->endpoints.peer_update_ms,
 		FEED_STALE_MIN_MS, FEED_STALE_MAX_MS) &&
 	    daemon->mesh.self.store_ok)
-		daemon_feed(daemon);
+		daemon_feed(daemon, 0);
 }
 
 /* Runs what is due at a daemon in this millisecond. */
--- a/src/fleet-model.h
+++ b/src/fleet-model.h
@@ -68,6 +68,7 @@
  * @in_flight: datagrams that arrive in the next millisecond
  * @counted_ms: when the counters were reset
  * @recorded: whether a daemon's address is in the store
+ * @n_records: records of endpoints in the store
  * @append_free_ms: when the store takes the next append of an address
  */
 struct fleet_model {
@@ -82,6 +83,7 @@
 	GPtrArray *in_flight;
 	uint64_t counted_ms;
 	bool *recorded;
+	uint64_t n_records;
 	uint64_t append_free_ms;
 };
 
@@ -144,6 +146,7 @@
 void fleet_model_run(struct fleet_model *, uint64_t);
 void fleet_model_start(struct fleet_model *, unsigned, uint64_t);
 void fleet_model_stop(struct fleet_model *, unsigned);
+void fleet_model_feed(struct fleet_model *, unsigned, unsigned);
 void fleet_model_set_load(struct fleet_model *, unsigned);
 uint32_t fleet_model_random(struct fleet_model *, uint32_t);
 void fleet_model_reset_counts(struct fleet_model *);
--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -18,11 +18,15 @@
 #define GAP_WAIT_MS 100
 /* Interval between two resend requests. */
 #define RESEND_RETRY_MS 150
+/* Interval between two times that entries are resent to a whole cell. */
+#define RESEND_ALL_MS 300
 /* A duplicate of a datagram that takes another path arrives within this time.
  * Later, the same range of offsets is a new message of the reader. */
 #define DUPLICATE_MS 100
-/* After this time the store is read: some resend requests were lost or not
- * answered. */
+/* After this time a relay reads the store: some resend requests were lost or
+ * not answered. Its members ask it, and read the store themselves only when
+ * they have had no update for long, a few at a time: what one missed all may
+ * have missed. */
 #define GAP_STORE_MS 700
 
 /* Whether entries are sent directly to a daemon of another cell. */
@@ -219,12 +223,27 @@
 	    (unsigned long long)(mesh->now_ms - mesh->missing_since_ms));
 }
 
-/* Resends the datagrams that a peer missed, as far as they are still saved. */
+/*
+ * Resends the datagrams that a peer missed, as far as they are still saved. In
+ * a large cell all members get them, and other requests are ignored for a
+ * while: what one missed all may have missed, and hundreds of answers would
+ * fill the relay's link, so that still more is lost.
+ */
 static void
 feed_resend(struct mesh *mesh, const struct mesh_resend *resend,
     const struct sockaddr_in *to)
 {
+	const struct mesh_peer *peer = mesh_find(mesh, resend->name);
+	uint64_t spread_ms = MAX(mesh->resent_ms, mesh->forwarded_ms);
 	unsigned n = MIN(mesh->n_sent_entries, MESH_SENT_ENTRIES_MAX);
+	bool to_all = peer != NULL && mesh_peer_reports(mesh, peer) &&
+	    mesh_spread_large(mesh);
+
+	if (to_all && spread_ms != 0 &&
+	    mesh->now_ms - spread_ms < RESEND_ALL_MS)
+		return;
+	if (to_all)
+		mesh->resent_ms = mesh->now_ms;
 
 	for (unsigned i = mesh->n_sent_entries - n; i < mesh->n_sent_entries;
 	     i++) {
@@ -233,7 +252,11 @@
 		gsize length;
 		const char *bytes = g_bytes_get_data(sent->bytes, &length);
 
-		if (sent->end > resend->from)
+		if (sent->end <= resend->from)
+			continue;
+		if (to_all)
+			mesh_spread(mesh, NULL, bytes, length);
+		else
 			mesh->send_datagram(mesh->send_arg, to, bytes, length);
 	}
 }
@@ -324,7 +347,8 @@
  * @end: it has all entries up to this offset; MESH_NO_ENTRIES if it has read
  *	none
  *
- * Asks that daemon to resend them, or has the store read if that did not help.
+ * Asks that daemon to resend them; a relay reads the store if that did not
+ *help.
  */
 void
 mesh_feed_check(struct mesh *mesh, const struct mesh_peer *peer, uint64_t end)
@@ -344,7 +368,7 @@
 	if (mesh->missing_since_ms == 0)
 		mesh->missing_since_ms = mesh->now_ms;
 	gap = mesh->now_ms - mesh->missing_since_ms;
-	if (gap >= GAP_STORE_MS) {
+	if (gap >= GAP_STORE_MS && mesh->relay == NULL) {
 		mesh->missing_since_ms = mesh->now_ms;
 		if (mesh->missed != NULL)
 			mesh->missed(mesh->missed_arg);
--- a/src/mesh-role.c
+++ b/src/mesh-role.c
@@ -33,6 +33,12 @@
 #define HOLDER_LOST_EXTRA_MS 300
 /* Weight of the newest interval between two signs of the placer. */
 #define HOLDER_GAP_ALPHA 0.125
+/* A daemon that failed to read the store tries again after this many times the
+ * time without an update; one that follows a relay after more, and not before
+ * this time for each other daemon. */
+#define RETRY_FACTOR 2
+#define MEMBER_RETRY_FACTOR 6
+#define MEMBER_RETRY_MS 60
 /* Rank of daemons that are not relays: behind all relays, and spread over their
  * number, because one is enough where no relay reaches the store. */
 #define RANK_NO_RELAY 10
@@ -310,6 +316,25 @@
 	return (MAX(0.0, 1.0 + log2(draw) / log2(others)));
 }
 
+/**
+ * mesh_retry_ms() - pause after this daemon failed to read the store, where it
+ * does not read for others.
+ * @mesh: the mesh
+ * @after_ms: time without an update after which it reads
+ *
+ * The reader and the relays notice the end of an outage for the others, so the
+ * rest of the fleet together makes a bounded number of calls: a store that is
+ * slow because of too many calls would never recover otherwise.
+ */
+unsigned
+mesh_retry_ms(const struct mesh *mesh, unsigned after_ms)
+{
+	if (!mesh_relay_alive(mesh))
+		return (RETRY_FACTOR * after_ms);
+	return (MAX(MEMBER_RETRY_FACTOR * after_ms,
+	    mesh->n_others * MEMBER_RETRY_MS));
+}
+
 /**
  * mesh_stale_after_ms() - age after which the store's state as received from
  * other daemons is stale, and this daemon reads the store itself.
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -187,6 +187,7 @@
  * @feed_end: newest offset up to which any peer has all entries
  * @missing_since_ms: since when entries are missing here; 0 while none are
  * @resend_asked_ms: when a peer was last asked to resend entries
+ * @resent_ms: when entries were last resent to the whole cell; 0 for never
  * @fetching_entries: entries are being fetched from the relay
  * @fetching_config: a configuration is being fetched from a peer
  * @fetched_version: version that the peer had when the fetch began
@@ -265,6 +266,7 @@
 	uint64_t feed_end;
 	uint64_t missing_since_ms;
 	uint64_t resend_asked_ms;
+	uint64_t resent_ms;
 	bool fetching_entries;
 	bool fetching_config;
 	int64_t fetched_version;
@@ -330,6 +332,7 @@
 unsigned mesh_rank(const struct mesh *);
 bool mesh_is_reader(const struct mesh *);
 unsigned mesh_stale_after_ms(const struct mesh *, unsigned, unsigned);
+unsigned mesh_retry_ms(const struct mesh *, unsigned);
 
 /* mesh-loads.c: the other daemons' loads in the endpoints' sums. */
 void mesh_remove_loads(struct mesh *, struct mesh_peer *);
--- a/src/registry-follower.c
+++ b/src/registry-follower.c
@@ -9,10 +9,6 @@
 #define RETRY_MIN_MS 50
 /* Longest pause, which bounds how late the end of an outage is noticed. */
 #define RETRY_MAX_MS 400
-/* Daemons that do not read for others retry after this many fallback times;
- * those that follow a relay, of which there are hundreds, after more. */
-#define RETRY_FALLBACKS 2
-#define SLOW_RETRY_FALLBACKS 6
 /* Least time between two reads that were requested by topic_follower_poll().
  * With hundreds of hosts something always waits for new records, and each read
  * is a call to the store. */
@@ -91,11 +87,8 @@
 	f->failures++;
 	pause = MIN(pause, RETRY_MAX_MS);
 	/* The reader notices the end of an outage for the others. */
-	if (!f->reader && f->fallback_ms > 0)
-		pause = MAX(pause,
-		    f->fallback_ms *
-			(f->slow_retry ? SLOW_RETRY_FALLBACKS :
-					 RETRY_FALLBACKS));
+	if (!f->reader)
+		pause = MAX(pause, f->retry_ms);
 	follower_schedule(f, pause);
 }
 
--- a/src/registry-follower.h
+++ b/src/registry-follower.h
@@ -31,8 +31,7 @@
  * @interval_ms: pause between two reads
  * @fallback_ms: the store is read here after no update from peers for so long;
  *	0 if peers send no updates
- * @slow_retry: other daemons try a store that does not answer, so this one
- *	retries seldom
+ * @retry_ms: where this daemon does not read for others, pause after a failure
  * @reader: this daemon reads the topic on behalf of the others
  * @relays: what the newest read returns is to be relayed to peers: this daemon
  *	is the reader, or has had no update from peers in time
@@ -66,7 +65,7 @@
 	void *owner;
 	unsigned interval_ms;
 	unsigned fallback_ms;
-	bool slow_retry;
+	unsigned retry_ms;
 	bool reader;
 	bool relays;
 	bool partial;
--- a/src/registry.c
+++ b/src/registry.c
@@ -458,19 +458,18 @@
  * registry_set_fallback() - set after which time without updates from peers the
  * store is read here.
  * @registry: the registry
- * @config_ms: time without a peer's proof of the configuration, in ms
- * @endpoints_ms: time without an update of the endpoints' entries, in ms
- * @slow_retry: other daemons try a store that does not answer, so this one
- *	retries seldom
+ * @config: for the configuration
+ * @endpoints: for the endpoints' entries
  */
 void
-registry_set_fallback(struct registry *registry, unsigned config_ms,
-    unsigned endpoints_ms, bool slow_retry)
+registry_set_fallback(struct registry *registry,
+    const struct registry_fallback *config,
+    const struct registry_fallback *endpoints)
 {
-	registry->config.fallback_ms = config_ms;
-	registry->config.slow_retry = slow_retry;
-	registry->endpoints.fallback_ms = endpoints_ms;
-	registry->endpoints.slow_retry = slow_retry;
+	registry->config.fallback_ms = config->after_ms;
+	registry->config.retry_ms = config->retry_ms;
+	registry->endpoints.fallback_ms = endpoints->after_ms;
+	registry->endpoints.retry_ms = endpoints->retry_ms;
 }
 
 /**
--- a/src/registry.h
+++ b/src/registry.h
@@ -41,6 +41,17 @@
 	const char *(*evacuated_domain)(const char *);
 };
 
+/**
+ * struct registry_fallback - when a daemon that is told by peers reads the store
+ * itself.
+ * @after_ms: time without an update from peers, in ms
+ * @retry_ms: pause after a failure, in ms
+ */
+struct registry_fallback {
+	unsigned after_ms;
+	unsigned retry_ms;
+};
+
 /**
  * struct registry - local copy of the deployment's state.
  * @loop: the event loop
@@ -86,7 +97,8 @@
 void registry_init(struct registry *, uv_loop_t *, struct store *,
     const struct registry_decoders *);
 void registry_configure(struct registry *, unsigned, unsigned);
-void registry_set_fallback(struct registry *, unsigned, unsigned, bool);
+void registry_set_fallback(struct registry *, const struct registry_fallback *,
+    const struct registry_fallback *);
 bool registry_apply_endpoints(struct registry *, uint64_t, uint64_t,
     const GArray *, uint64_t, uint64_t);
 bool registry_apply_snapshot(struct registry *, uint64_t, const GArray *,
--- a/tests/test-mesh.c
+++ b/tests/test-mesh.c
@@ -294,6 +294,27 @@
 	g_string_append_printf(out, "%u of %u\n", n, model->n);
 }
 
+/* feed NAME records=N: a daemon reads N changed entries and distributes them */
+static void
+exec_feed(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+
+	fleet_model_feed(model, fleet_model_find(model, name)->index,
+	    (unsigned)script_number(rest, "records", 0));
+}
+
+/* retry NAME after=MS: pause after a failed read of the store */
+static void
+exec_retry(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+
+	g_string_append_printf(out, "%u ms\n",
+	    mesh_retry_ms(&fleet_model_find(model, name)->mesh,
+		(unsigned)script_number(rest, "after", 0)));
+}
+
 /* relays: the daemons that are relays */
 static void
 exec_relays(const char *rest, GString *out)
@@ -543,6 +564,8 @@
 	{ "warned", exec_warned },
 	{ "evacuate", exec_evacuate },
 	{ "evacuated", exec_evacuated },
+	{ "feed", exec_feed },
+	{ "retry", exec_retry },
 	{ "relays", exec_relays },
 	{ "views", exec_views },
 	{ "traffic", exec_traffic },
