--- a/src/cmd-explain.c
+++ b/src/cmd-explain.c
@@ -23,7 +23,7 @@
 /* Log events of feedback: what an endpoint asks of the daemons. */
 static const char *const feedback_events[] = { "endpoint_asks_rest",
 	"endpoint_leaves", "endpoint_names_limit", "endpoint_lifts_limit",
-	"endpoint_limit_told" };
+	"endpoint_limit_told", "endpoint_cold" };
 
 /* Log events, at any daemon, about fingerprints of requests suspected of
  * crashing endpoints. */
@@ -31,7 +31,8 @@
 	"work_cleared", "work_quarantined", "work_released", "work_probed" };
 
 /* Log events that affect all requests of a daemon. */
-static const char *const daemon_events[] = { "config_in_force", "store_lost",
+static const char *const daemon_events[] = { "config_in_force",
+	"domain_evacuated", "domain_taken_back", "store_lost",
 	"store_regained", "not_ready", "ready", "paused", "leaving", "stopped",
 	"started" };
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -24,33 +24,8 @@
 /* Reads of the configuration within key-proof-ms, so that a proof is still
  * young when it arrives by way of other daemons. */
 #define CONFIG_READS_PER_BOUND 10
-/* Fractions of apply-ms after which the first and the last daemon that hear
- * nothing of the configuration read the store themselves. The rest of the time
- * is for that read and for sending its result to the others. What a daemon that
- * has nothing to report sends is up to 1.1 s old. */
-#define CONFIG_FALLBACK_MIN 0.6
-#define CONFIG_FALLBACK_MAX 0.8
 /* Reads of the endpoints' entries within drain-ms. */
 #define ENDPOINT_READS_PER_BOUND 4
-/* The same fractions of drain-ms; the first is the time of two missed reads. */
-#define ENDPOINT_FALLBACK_MIN 0.5
-#define ENDPOINT_FALLBACK_MAX 0.7
-/* Pause after a failed read of the daemons' addresses. */
-#define ADDRESSES_RETRY_MS 400
-/* At its start a daemon waits this long for a relay, and this long for data
- * from a relay that is alive but has none yet, since that one reads the store
- * first. Then the daemon reads the store itself. */
-#define STARTUP_RELAY_WAIT_MS 1500
-#define STARTUP_DATA_WAIT_MS 4000
-#define STARTUP_POLL_MS 20
-/* How long new connections are accepted while draining. A load balancer that
- * checks readiness every second and removes a daemon after two failures sends
- * no more clients by then. */
-#define DRAIN_ACCEPT_MS 3000
-#define DRAIN_POLL_MS 50
-/* Part of the grace time that is left for closing connections and exiting. */
-#define DRAIN_MARGIN_MS 700
-
 #define BYTES_PER_MB (1024.0 * 1024)
 /* Part of the memory that may be held for clients. A body is copied once while
  * it is sent, and the kernel holds output too. */
@@ -151,60 +126,6 @@
 	event_log(LOG_NOTICE, "reloaded", "why=%s", reason);
 }
 
-/* Stops the event loop; what still runs ends with the process. */
-static void
-edge_stop(struct edge *e, const char *reason)
-{
-	event_log(LOG_NOTICE, "stopped", "reason=%s exchanges=%u", reason,
-	    e->fwd.n_exchanges);
-	event_log_flush();
-	uv_stop(e->loop);
-}
-
-static void
-on_drain_timer(uv_timer_t *timer)
-{
-	struct edge *e = timer->data;
-	uint64_t since = clock_loop_ms(e->loop) - e->draining_since_ms;
-	uint64_t grace = (uint64_t)(e->set.grace_s * 1000);
-
-	if (since >= DRAIN_ACCEPT_MS) {
-		fwd_stop_listening(&e->fwd);
-		fwd_close_conns(&e->fwd, false);
-		if (e->fwd.n_exchanges == 0 && fwd_conns_drained(&e->fwd)) {
-			edge_stop(e, "drained");
-			return;
-		}
-	}
-	if (since + DRAIN_MARGIN_MS >= grace) {
-		fwd_close_conns(&e->fwd, true);
-		edge_stop(e, "grace_over");
-	}
-}
-
-/**
- * edge_drain() - start a graceful shutdown.
- * @e: the daemon
- *
- * The daemon is no longer ready but accepts connections until the load balancer
- * has taken it out of rotation. It exits when all exchanges have ended, or
- * shortly before the grace time is over.
- */
-void
-edge_drain(struct edge *e)
-{
-	if (e->draining_since_ms != 0)
-		return;
-	e->draining_since_ms = clock_loop_ms(e->loop);
-	event_log(LOG_NOTICE, "leaving", "exchanges=%u", e->fwd.n_exchanges);
-	placer_stop(&e->placer);
-	e->mesh.self.draining = true;
-	mesh_send_now(&e->mesh);
-	fwd_drain(&e->fwd);
-	uv_timer_start(&e->drain_timer, on_drain_timer, DRAIN_POLL_MS,
-	    DRAIN_POLL_MS);
-}
-
 static void
 on_signal(uv_signal_t *handle, int number)
 {
@@ -216,59 +137,6 @@
 		edge_drain(e);
 }
 
-/*
- * Decides whether this daemon is the reader, which reads the store for all
- * daemons that hear it: the placer, since it needs the entries first, or else
- * the highest-ranking daemon that reaches the store. In a network partition
- * each side has its own reader.
- */
-static void
-edge_choose_reader(struct edge *e)
-{
-	bool is_placer = e->placer.state == PLACER_HOLDING;
-	bool reader = is_placer ||
-	    (!mesh_placer_heard(&e->mesh) && mesh_is_reader(&e->mesh));
-
-	topic_follower_set_reader(&e->registry.config, reader);
-	/* Before a daemon takes the lease it reads all entries itself. */
-	topic_follower_set_reader(&e->registry.endpoints,
-	    reader || e->placer.preparing || e->placer.state != PLACER_IDLE);
-}
-
-/* Returns a fraction of a setting in milliseconds. */
-static unsigned
-fraction_ms(int64_t bound_ms, double fraction)
-{
-	return ((unsigned)((double)bound_ms * fraction));
-}
-
-/* Returns when this daemon reads the store itself, for a bound on changes and
- * the parts of it after which the first and the last daemon do. */
-static struct registry_fallback
-edge_fallback(const struct edge *e, int64_t bound_ms, double min, double max)
-{
-	struct registry_fallback fallback;
-
-	fallback.after_ms = mesh_stale_after_ms(&e->mesh,
-	    fraction_ms(bound_ms, min), fraction_ms(bound_ms, max));
-	fallback.retry_ms = mesh_retry_ms(&e->mesh, fallback.after_ms);
-	return (fallback);
-}
-
-/* Sets how old updates from peers may get before this daemon reads the store
- * itself. */
-static void
-edge_update_fallback(struct edge *e)
-{
-	const struct registry_fallback config = edge_fallback(e,
-	    e->set.apply_ms, CONFIG_FALLBACK_MIN, CONFIG_FALLBACK_MAX);
-	const struct registry_fallback endpoints = edge_fallback(e,
-	    e->set.drain_ms, ENDPOINT_FALLBACK_MIN, ENDPOINT_FALLBACK_MAX);
-
-	registry_set_fallback(&e->registry, &config, &endpoints);
-	e->daemons.retry_ms = mesh_retry_ms(&e->mesh, ADDRESSES_RETRY_MS);
-}
-
 /* Logs the main counters, for operators who have logs but no metrics. */
 static void
 edge_log_counters(struct edge *e)
@@ -295,34 +163,6 @@
 	    (unsigned long long)e->store->failures);
 }
 
-/*
- * Starts to read the store unless another daemon sends its contents: a relay
- * reads at once, any other daemon if nothing arrives in time. Hundreds of
- * daemons that each read all entries keep the store busy for seconds.
- */
-static void
-on_startup_timer(uv_timer_t *timer)
-{
-	struct edge *e = timer->data;
-	const struct mesh *mesh = &e->mesh;
-	uint64_t since = clock_loop_ms(e->loop) - mesh->opened_ms;
-	/* A daemon that knows no other waits until its own address is written,
-	 * as others may be about to write theirs. */
-	bool read_now = mesh->records_read_ms != 0 && mesh->relay == NULL &&
-	    (mesh->n_peers > 0 || e->announced);
-
-	if (e->registry.endpoints.synced && e->registry.catalog != NULL) {
-		uv_timer_stop(timer);
-		/* Daemons that report to this one wait for the data. */
-		mesh_send_now(&e->mesh);
-		return;
-	}
-	if (read_now ||
-	    since >= (mesh_relay_alive(mesh) ? STARTUP_DATA_WAIT_MS :
-					       STARTUP_RELAY_WAIT_MS))
-		registry_release(&e->registry);
-}
-
 /* Does the periodic work that has no timer of its own. */
 static void
 on_tick(uv_timer_t *timer)
@@ -361,45 +201,6 @@
 	}
 }
 
-/* Whether the configuration is new since the last change of the registry, and
- * not from this daemon's relay: the others are then sent it at once. */
-static bool
-edge_config_is_news(const struct edge *e, int64_t version)
-{
-	const struct mesh_peer *relay = e->mesh.relay;
-
-	return (version != e->notified_version &&
-	    (relay == NULL || relay->config_version < version));
-}
-
-/* The same for the evacuated failure domains. */
-static bool
-edge_evacuations_are_news(const struct edge *e)
-{
-	const struct mesh_peer *relay = e->mesh.relay;
-	uint64_t as_of = e->registry.evacuations.as_of;
-
-	return (as_of != e->notified_evacuations &&
-	    (relay == NULL || relay->evacuations_as_of < as_of));
-}
-
-static void
-on_registry_changed(void *arg)
-{
-	struct edge *e = arg;
-	int64_t version =
-	    e->registry.catalog != NULL ? e->registry.catalog->version : -1;
-
-	if (e->mesh.loop != NULL &&
-	    (edge_config_is_news(e, version) || edge_evacuations_are_news(e)))
-		mesh_send_now(&e->mesh);
-	e->notified_version = version;
-	e->notified_evacuations = e->registry.evacuations.as_of;
-	if (!TAILQ_EMPTY(&e->fwd.queue))
-		fwd_schedule_dispatch(&e->fwd);
-	placer_schedule_pass(&e->placer);
-}
-
 static void
 on_silent(void *arg, struct endpoint *ep)
 {
@@ -458,13 +259,10 @@
 edge_start_timers(struct edge *e)
 {
 	uv_timer_init(e->loop, &e->tick_timer);
-	uv_timer_init(e->loop, &e->startup_timer);
-	e->startup_timer.data = e;
-	uv_timer_start(&e->startup_timer, on_startup_timer, STARTUP_POLL_MS,
-	    STARTUP_POLL_MS);
 	uv_timer_init(e->loop, &e->drain_timer);
 	e->tick_timer.data = e;
 	e->drain_timer.data = e;
+	edge_start_reading(e);
 	uv_timer_start(&e->tick_timer, on_tick, TICK_MS, TICK_MS);
 	for (size_t i = 0; i < G_N_ELEMENTS(handled_signals); i++) {
 		uv_signal_init(e->loop, &e->signals[i]);
@@ -477,7 +275,7 @@
 static void
 edge_connect_parts(struct edge *e)
 {
-	e->registry.changed = on_registry_changed;
+	e->registry.changed = edge_registry_changed;
 	e->registry.changed_arg = e;
 	e->fwd.wire = e->platform->wire;
 	e->fwd.registry = &e->registry;
--- a/src/edge.h
+++ b/src/edge.h
@@ -88,6 +88,10 @@
 
 bool edge_open(struct edge *, GError **);
 void edge_drain(struct edge *);
+void edge_choose_reader(struct edge *);
+void edge_update_fallback(struct edge *);
+void edge_start_reading(struct edge *);
+void edge_registry_changed(void *);
 bool edge_is_ready(struct edge *);
 void edge_apply_settings(struct edge *);
 void edge_reload(struct edge *, const char *);
--- a/src/planner.h
+++ b/src/planner.h
@@ -135,14 +135,16 @@
     const struct model_profile **);
 const struct planner_host *planner_plan_warming(const struct planner_view *);
 
+/* planner-targets.c: how many replicas there should be, and where. */
+double planner_view_choose_cap(struct planner_view *);
+void planner_view_set_targets(struct planner_view *);
+
 /* planner-view.c: counts that the decisions share. */
 void planner_view_init(struct planner_view *, const struct engine_profile *);
 void planner_view_clear(struct planner_view *);
 void planner_view_add_replica(struct planner_view *, const struct replica *,
     const char *, const char *);
 void planner_view_count_hosts(struct planner_view *);
-double planner_view_choose_cap(struct planner_view *);
-void planner_view_set_targets(struct planner_view *);
 const struct model_profile *planner_model(const struct planner_view *,
     unsigned);
 const struct planner_host *planner_host_at(const struct planner_view *,
--- a/src/registry.c
+++ b/src/registry.c
@@ -12,250 +12,6 @@
 /* Longest time that an endpoint's word that it is cold is believed; another
  * entry of it comes within seconds. */
 #define COLD_MAX_MS 60000
-/* Key of the configuration in its topic. */
-#define CONFIG_KEY "config"
-
-static void
-notify_changed(struct registry *registry)
-{
-	if (registry->changed != NULL)
-		registry->changed(registry->changed_arg);
-}
-
-/*
- * Whether a service's requests are sent to heads of groups only. While the
- * configuration does not have the service, any endpoint may be sent some.
- */
-static bool
-service_grouped(const struct registry *registry, const char *name)
-{
-	const struct catalog_service *service = registry->catalog != NULL ?
-	    catalog_find_service(registry->catalog, name) :
-	    NULL;
-
-	return (service != NULL && service->engine != NULL &&
-	    service->engine->models->len > 0);
-}
-
-/* Requests a second that an endpoint tolerates while it is cold; 0 where it is
- * sent none. */
-static double
-endpoint_cold_per_s(const struct registry *registry, const struct endpoint *ep)
-{
-	const struct catalog_service *service = registry->catalog != NULL ?
-	    catalog_find_service(registry->catalog, ep->report.service) :
-	    NULL;
-
-	if (service == NULL ||
-	    !endpoint_report_serves(&ep->report,
-		service_grouped(registry, ep->report.service)))
-		return (0);
-	return (service->cold_per_s);
-}
-
-/* Sets until when an endpoint is cold, and logs it if it has become so. */
-static void
-endpoint_set_cold(const struct registry *registry, struct endpoint *ep,
-    uint64_t until_ms, uint64_t now_ms)
-{
-	double per_s = endpoint_cold_per_s(registry, ep);
-
-	if (endpoint_limit_set_cold(&ep->limit, per_s, until_ms, now_ms))
-		event_log(LOG_INFO, "endpoint_cold",
-		    "endpoint=%s per_s=%.3f cold_ms=%llu", ep->report.id, per_s,
-		    (unsigned long long)(until_ms - now_ms));
-}
-
-/* Updates which endpoints are cold after a change of the configuration. */
-static void
-endpoints_update_cold(struct registry *registry)
-{
-	uint64_t now = clock_loop_ms(registry->loop);
-	struct endpoint *ep;
-
-	TAILQ_FOREACH(ep, &registry->fleet.endpoints, entry)
-		endpoint_set_cold(registry, ep, ep->limit.cold_until_ms, now);
-}
-
-/**
- * registry_apply_config() - put a configuration in force if it is newer.
- * @registry: the registry
- * @value: the configuration as encoded in the store
- * @length: length of @value
- * @offset: offset of its record in the store
- *
- * Return: whether it is in force now.
- */
-bool
-registry_apply_config(struct registry *registry, const void *value,
-    size_t length, uint64_t offset)
-{
-	g_autoptr(GError) error = NULL;
-	struct catalog *next = registry->decode->config(value, length, &error);
-
-	if (next == NULL) {
-		event_log(LOG_ERR, "config_refused", "offset=%llu reason=%s",
-		    (unsigned long long)offset, error->message);
-		return (false);
-	}
-	if (registry->catalog != NULL &&
-	    next->version <= registry->catalog->version) {
-		catalog_unref(next);
-		return (false);
-	}
-	next->offset = offset;
-	event_log(LOG_NOTICE, "config_in_force",
-	    "version=%lld was=%lld offset=%llu routes=%u services=%u "
-	    "customers=%u",
-	    (long long)next->version,
-	    registry->catalog != NULL ? (long long)registry->catalog->version :
-					-1LL,
-	    (unsigned long long)offset, next->routes->len,
-	    g_hash_table_size(next->services), next->customers->len);
-	catalog_unref(registry->catalog);
-	registry->catalog = next;
-	g_clear_pointer(&registry->config_bytes, g_bytes_unref);
-	registry->config_bytes = g_bytes_new(value, length);
-	endpoints_update_cold(registry);
-	/* The proof of freshness of the previous version remains valid, as this
-	 * one has all changes made until then. When each version reset it,
-	 * there was none while changes came every 80 ms, and keys were refused.
-	 */
-	notify_changed(registry);
-	return (true);
-}
-
-/* Notes at each endpoint whether its failure domain is evacuated. */
-static void
-endpoints_mark_evacuated(struct registry *registry)
-{
-	struct endpoint *ep;
-
-	TAILQ_FOREACH(ep, &registry->fleet.endpoints, entry)
-		ep->evacuated =
-		    evacuations_has(&registry->evacuations, ep->report.domain);
-}
-
-/* Number of endpoints in a failure domain. */
-static unsigned
-endpoints_in_domain(const struct registry *registry, const char *domain)
-{
-	const struct endpoint *ep;
-	unsigned n = 0;
-
-	TAILQ_FOREACH(ep, &registry->fleet.endpoints, entry)
-		n += !ep->gone && g_strcmp0(ep->report.domain, domain) == 0;
-	return (n);
-}
-
-/* Logs the failure domains that one set has and the other lacks. */
-static void
-evacuations_log(const struct registry *registry, const struct evacuations *in,
-    const struct evacuations *out, const char *event)
-{
-	for (uint32_t i = 0; i < in->n; i++) {
-		const char *domain = in->domains[i];
-
-		if (!evacuations_has(out, domain))
-			event_log(LOG_NOTICE, event,
-			    "domain=%s endpoints=%u as_of=%llu", domain,
-			    endpoints_in_domain(registry, domain),
-			    (unsigned long long)registry->evacuations.as_of);
-	}
-}
-
-/**
- * registry_apply_evacuations() - put a set of evacuated failure domains in
- * force if it is newer.
- * @registry: the registry
- * @next: the set, as read from the store here or by a peer
- *
- * Return: whether it is in force now.
- */
-bool
-registry_apply_evacuations(struct registry *registry,
-    const struct evacuations *next)
-{
-	struct evacuations old;
-
-	if (next->as_of <= registry->evacuations.as_of)
-		return (false);
-	evacuations_copy(&old, &registry->evacuations);
-	evacuations_copy(&registry->evacuations, next);
-	endpoints_mark_evacuated(registry);
-	evacuations_log(registry, next, &old, "domain_evacuated");
-	evacuations_log(registry, &old, next, "domain_taken_back");
-	notify_changed(registry);
-	return (true);
-}
-
-/* Adds a failure domain to a set; logs it if it can't be. */
-static void
-evacuate(struct evacuations *next, const char *domain)
-{
-	enum evacuation_result result = evacuations_add(next, domain);
-
-	if (result != EVACUATION_ADDED)
-		event_log(LOG_WARNING, "evacuation_refused",
-		    "domain=%.80s reason=%s", domain,
-		    evacuation_result_name(result));
-}
-
-/* Applies a record that evacuates a failure domain or takes it back. */
-static void
-evacuation_record(struct registry *registry, const struct store_record *record,
-    const char *domain)
-{
-	struct evacuations next;
-
-	/* The records of a snapshot come in the order of their keys. */
-	if (registry->config.snapshot_keys != NULL)
-		return;
-	evacuations_copy(&next, &registry->evacuations);
-	next.as_of = record->offset + 1;
-	if (record->value != NULL)
-		evacuate(&next, domain);
-	else
-		evacuations_remove(&next, domain);
-	registry_apply_evacuations(registry, &next);
-}
-
-static void
-config_record(void *owner, const struct store_record *record)
-{
-	struct registry *registry = owner;
-	const char *domain = registry->decode->evacuated_domain(record->key);
-
-	if (domain != NULL)
-		evacuation_record(registry, record, domain);
-	else if (strcmp(record->key, CONFIG_KEY) == 0 && record->value != NULL)
-		registry_apply_config(registry, record->value, record->length,
-		    record->offset);
-}
-
-/* Applies the evacuations of a complete snapshot. */
-static void
-config_snapshot_done(void *owner, GHashTable *keys)
-{
-	struct registry *registry = owner;
-	struct evacuations next = { .as_of = registry->config.snapshot_end };
-	GHashTableIter iter;
-	gpointer key;
-
-	g_hash_table_iter_init(&iter, keys);
-	while (g_hash_table_iter_next(&iter, &key, NULL)) {
-		const char *domain = registry->decode->evacuated_domain(key);
-
-		if (domain != NULL)
-			evacuate(&next, domain);
-	}
-	registry_apply_evacuations(registry, &next);
-}
-
-static const struct topic_follower_ops config_ops = {
-	.record = config_record,
-	.snapshot_done = config_snapshot_done,
-};
 
 /* Queues a record that changed something, for the peers. */
 static void
@@ -355,7 +111,7 @@
 		entry_refused(registry, record, error);
 		return;
 	}
-	grouped = service_grouped(registry, report.service);
+	grouped = registry_service_grouped(registry, report.service);
 	if (fleet_serving_differs(&registry->fleet, &report, grouped) ||
 	    (topic_follower_overtaken(&registry->endpoints) &&
 		endpoint_report_serves(&report, grouped)))
@@ -363,7 +119,7 @@
 	ep = fleet_update(&registry->fleet, &report, record->offset, now);
 	ep->evacuated =
 	    evacuations_has(&registry->evacuations, ep->report.domain);
-	endpoint_set_cold(registry, ep,
+	registry_set_cold(registry, ep,
 	    now + MIN(ep->report.cold_ms, COLD_MAX_MS), now);
 	endpoint_set_entry(ep, grouped, record->value, record->length);
 }
@@ -397,7 +153,7 @@
 	struct registry *registry = owner;
 
 	registry_sweep(registry, clock_loop_ms(registry->loop));
-	notify_changed(registry);
+	registry_notify(registry);
 	if (registry->endpoints.relays && registry->relayed != NULL)
 		registry->relayed(registry->relayed_arg, from, end,
 		    registry->relay);
@@ -431,7 +187,7 @@
 	registry->relay = g_array_new(FALSE, TRUE, sizeof(struct store_record));
 	g_array_set_clear_func(registry->relay, store_record_clear);
 	topic_follower_init(&registry->config, store, loop, TOPIC_CONFIG,
-	    &config_ops, registry);
+	    &registry_config_ops, registry);
 	topic_follower_init(&registry->endpoints, store, loop, TOPIC_ENDPOINTS,
 	    &endpoints_ops, registry);
 	registry->endpoints.partial = true;
@@ -496,7 +252,8 @@
 
 	TAILQ_FOREACH(ep, &registry->fleet.endpoints, entry) {
 		struct store_record record = { .offset = ep->offset };
-		bool grouped = service_grouped(registry, ep->report.service);
+		bool grouped =
+		    registry_service_grouped(registry, ep->report.service);
 		gconstpointer value;
 
 		/* The entry may have been kept before there was a configuration
@@ -537,7 +294,7 @@
 	topic_follower_adopt(&registry->endpoints, end, now_ms);
 	event_log(LOG_INFO, "entries_taken", "endpoints=%u end=%llu",
 	    records->len, (unsigned long long)end);
-	notify_changed(registry);
+	registry_notify(registry);
 	return (true);
 }
 
@@ -565,7 +322,7 @@
 	topic_follower_set_updated(&registry->endpoints, now);
 	registry_sweep(registry, now);
 	if (records->len > 0)
-		notify_changed(registry);
+		registry_notify(registry);
 	return (true);
 }
 
--- a/src/registry.h
+++ b/src/registry.h
@@ -42,8 +42,8 @@
 };
 
 /**
- * struct registry_fallback - when a daemon that is told by peers reads the store
- * itself.
+ * struct registry_fallback - when a daemon that is told by peers reads the
+ * store itself.
  * @after_ms: time without an update from peers, in ms
  * @retry_ms: pause after a failure, in ms
  */
@@ -108,6 +108,13 @@
 void registry_stop(struct registry *);
 void registry_sweep(struct registry *, uint64_t);
 uint64_t registry_config_age(const struct registry *, uint64_t);
+
+/* registry-config.c: the configuration, and evacuations. */
+extern const struct topic_follower_ops registry_config_ops;
+void registry_notify(struct registry *);
+bool registry_service_grouped(const struct registry *, const char *);
+void registry_set_cold(const struct registry *, struct endpoint *, uint64_t,
+    uint64_t);
 bool registry_apply_config(struct registry *, const void *, size_t, uint64_t);
 bool registry_apply_evacuations(struct registry *, const struct evacuations *);
 
