Share the retry budget also where a share is below one retry

Cause: each daemon rounded its share of the bound on retries down. With 984 daemons the slack of 1,040 is 0.85 of a retry each, so a service of few requests a daemon had one retry by a hair, and with 2,000 none at all. The fraction is now rounded up at as many daemons as it says, drawn by the name and drawn again now and then, so that all together have the sum of their shares. Ruled out: saving shares up (all could be spent in one window), asking the relay for each retry (a retry can't wait for it).

--- a/src/edge.c
+++ b/src/edge.c
@@ -344,6 +344,7 @@
 	    (unsigned)(e->set.drain_ms / ENDPOINT_READS_PER_BOUND));
 	edge_update_fallback(e);
 	edge_apply_settings(e);
+	e->fwd.name_hash = e->mesh.name_hash;
 	placer_start(&e->placer, e->loop);
 	edge_find_daemons(e);
 	return (true);
--- a/src/fwd-budget.c
+++ b/src/fwd-budget.c
@@ -1,8 +1,13 @@
 /* Retry budget: how many requests all daemons together may retry. Pure. */
 #include <glib.h>
+#include <xxhash.h>
 
 #include "fwd-budget.h"
 
+/* A daemon keeps its draw for this long: several windows, so that few windows
+ * have two draws. */
+#define DRAW_MS 120000
+
 /* Advances the window to @now_ms. Returns the index of the current bucket. */
 static unsigned
 budget_advance(struct fwd_budget *b, const struct fwd_budget_rule *rule,
@@ -33,18 +38,38 @@
 	b->requests[budget_advance(b, rule, now_ms)]++;
 }
 
+/**
+ * fwd_budget_draw() - the fraction of a retry that a daemon rounds up.
+ * @name_hash: hash of the daemon's name
+ * @now_ms: monotonic time
+ *
+ * It is uniform over the daemons and changes now and then, at another time for
+ * each.
+ */
+double
+fwd_budget_draw(uint32_t name_hash, uint64_t now_ms)
+{
+	uint64_t epoch = (now_ms + name_hash % DRAW_MS) / DRAW_MS;
+
+	return (XXH32(&epoch, sizeof epoch, name_hash) / (UINT32_MAX + 1.0));
+}
+
 /**
  * fwd_budget_take() - take a retry from the budget.
  * @b: the budget
  * @rule: the bound
- * @daemons: number of daemons that share the slack
+ * @share: this daemon's share
  * @now_ms: monotonic time
  *
+ * A share need not be a whole number of retries, and with many daemons it is
+ * below one. Rounded up at as many daemons as the fraction says, all together
+ * have the sum of their shares.
+ *
  * Return: true if the budget allows the retry; it is counted then.
  */
 bool
 fwd_budget_take(struct fwd_budget *b, const struct fwd_budget_rule *rule,
-    unsigned daemons, uint64_t now_ms)
+    const struct fwd_budget_share *share, uint64_t now_ms)
 {
 	unsigned at = budget_advance(b, rule, now_ms);
 	unsigned requests = 0, retries = 0;
@@ -55,9 +80,8 @@
 		retries += b->retries[i];
 	}
 	allowed = FWD_BUDGET_MARGIN *
-	    (rule->ratio * requests +
-		rule->slack / (daemons > 0 ? daemons : 1));
-	if (retries + 1 > allowed)
+	    (rule->ratio * requests + rule->slack / MAX(share->daemons, 1));
+	if (retries + 1 > allowed + share->draw)
 		return (false);
 	b->retries[at]++;
 	return (true);
--- a/src/fwd-budget.h
+++ b/src/fwd-budget.h
@@ -35,6 +35,17 @@
 	uint64_t bucket;
 };
 
+/**
+ * struct fwd_budget_share - this daemon's share of a bound on all daemons.
+ * @daemons: number of daemons that share the slack
+ * @draw: the fraction of a retry, from 0 to below 1, that is rounded up to a
+ *	whole one here
+ */
+struct fwd_budget_share {
+	unsigned daemons;
+	double draw;
+};
+
 /**
  * struct fwd_daemon_peak - highest number of daemons seen alive in recent time.
  * @peak: the highest number in the current window and in the one before
@@ -49,7 +60,8 @@
     uint64_t);
 void fwd_budget_request(struct fwd_budget *, const struct fwd_budget_rule *,
     uint64_t);
+double fwd_budget_draw(uint32_t, uint64_t);
 bool fwd_budget_take(struct fwd_budget *, const struct fwd_budget_rule *,
-    unsigned, uint64_t);
+    const struct fwd_budget_share *, uint64_t);
 
 #endif
--- a/src/fwd-retry.c
+++ b/src/fwd-retry.c
@@ -74,13 +74,16 @@
 {
 	struct fwd *fwd = ex->fwd;
 	const char *obstacle = retry_obstacle(ex);
+	uint64_t now = clock_loop_ms(fwd->loop);
+	const struct fwd_budget_share share = { fwd->daemons,
+		fwd_budget_draw(fwd->name_hash, now) };
 
 	if (ex->n_tried > 0)
-		ex->tried[ex->n_tried - 1].failed_ms = clock_loop_ms(fwd->loop);
+		ex->tried[ex->n_tried - 1].failed_ms = now;
 	/* A send that can't have reached its endpoint needs no retry budget. */
 	if (obstacle == NULL && ex->reached &&
 	    !fwd_budget_take(fwd_budget_get(fwd, ex->service), &fwd->set.retry,
-		fwd->daemons, clock_loop_ms(fwd->loop)))
+		&share, now))
 		obstacle = "retry_budget";
 	event_log(LOG_INFO, "request_again",
 	    "id=%s reason=%s obstacle=%s sends=%u runs=%u "
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -61,6 +61,7 @@
  * @budgets: service name to struct fwd_budget
  * @estimates: name of a model or of a plain service to struct fwd_estimate
  * @daemons: number of daemons that share the retry budget
+ * @name_hash: hash of this daemon's name
  * @held_bytes: bytes held for clients: bodies of requests in progress, buffered
  *	responses, and output that clients have not read
  * @draining: the daemon is shutting down; connections are closed after their
@@ -90,6 +91,7 @@
 	GHashTable *budgets;
 	GHashTable *estimates;
 	unsigned daemons;
+	uint32_t name_hash;
 	size_t held_bytes;
 	bool draining;
 	bool listener_closed;
