Keep idle connections of all daemons within half of what an endpoint takes

Cause: max_connections was decoded and used by no decision. Each daemon kept up to two idle connections to an endpoint: 1,968 from 984 daemons, where a plain endpoint takes 1,800 from all, so a burst could leave none for requests. A daemon now keeps its share of half of them, rounded up at some where that is below one; deployments of up to a few hundred daemons keep two as before.

--- a/src/fwd-budget.c
+++ b/src/fwd-budget.c
@@ -1,5 +1,6 @@
-/* Retry budget: how many requests all daemons together may retry. Pure. */
+/* Bounds on all daemons together: retries, and idle connections. Pure. */
 #include <glib.h>
+#include <limits.h>
 #include <xxhash.h>
 
 #include "fwd-budget.h"
@@ -7,6 +8,8 @@
 /* A daemon keeps its draw for this long: several windows, so that few windows
  * have two draws. */
 #define DRAW_MS 120000
+/* Part of the connections that an endpoint takes that may be idle. */
+#define IDLE_SHARE 0.5
 
 /* Advances the window to @now_ms. Returns the index of the current bucket. */
 static unsigned
@@ -87,6 +90,28 @@
 	return (true);
 }
 
+/**
+ * fwd_idle_share() - idle connections to an endpoint that this daemon may keep.
+ * @max: connections that the endpoint takes from all daemons; 0 for any number
+ * @daemons: number of daemons
+ * @name_hash: hash of this daemon's name
+ * @id_hash: hash of the endpoint's id
+ *
+ * All together keep a part of @max at most, so that there is room for
+ * connections in use. Where that is less than one each, some daemons keep one.
+ */
+unsigned
+fwd_idle_share(unsigned max, unsigned daemons, uint32_t name_hash,
+    uint32_t id_hash)
+{
+	double draw =
+	    XXH32(&id_hash, sizeof id_hash, name_hash) / (UINT32_MAX + 1.0);
+
+	if (max == 0)
+		return (UINT_MAX);
+	return ((unsigned)(IDLE_SHARE * max / MAX(daemons, 1) + draw));
+}
+
 /**
  * fwd_daemon_peak_update() - update the peak with the daemons that are alive
  * now.
--- a/src/fwd-budget.h
+++ b/src/fwd-budget.h
@@ -1,4 +1,4 @@
-/* Retry budget: how many requests all daemons together may retry. Pure. */
+/* Bounds on all daemons together: retries, and idle connections. Pure. */
 #ifndef BL_FWD_BUDGET_H
 #define BL_FWD_BUDGET_H
 
@@ -61,6 +61,7 @@
 void fwd_budget_request(struct fwd_budget *, const struct fwd_budget_rule *,
     uint64_t);
 double fwd_budget_draw(uint32_t, uint64_t);
+unsigned fwd_idle_share(unsigned, unsigned, uint32_t, uint32_t);
 bool fwd_budget_take(struct fwd_budget *, const struct fwd_budget_rule *,
     const struct fwd_budget_share *, uint64_t);
 
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -94,6 +94,17 @@
 	return (text);
 }
 
+/* Idle connections to the endpoint that this daemon may keep. */
+static unsigned
+exchange_max_idle(const struct fwd_exchange *ex)
+{
+	const struct catalog_service *service =
+	    catalog_find_service(ex->catalog, ex->service);
+
+	return (fwd_idle_share(service != NULL ? service->max_connections : 0,
+	    ex->fwd->daemons, ex->fwd->name_hash, ex->endpoint->id_hash));
+}
+
 /**
  * fwd_exchange_send() - send a queued request to an endpoint.
  * @ex: the exchange
@@ -120,6 +131,7 @@
 	ex->crash_suspected = false;
 	ex->resumed = ex->events.last_id >= 0;
 	fwd_feedback_check_send(ex);
+	ex->endpoint->pool.max_idle = exchange_max_idle(ex);
 	ex->upstream =
 	    net_pool_take(&ex->endpoint->pool, idle, &fwd_response_ops, ex);
 	if (ex->upstream == NULL) {
--- a/src/net-conn.c
+++ b/src/net-conn.c
@@ -80,11 +80,11 @@
 	    !conn->stream.ended && !conn->stream.closing);
 }
 
-/* Closes the longest idle connections beyond NET_IDLE_CONNS_MAX. */
+/* Closes the longest idle connections beyond the bound. */
 static void
 pool_trim(struct net_pool *pool)
 {
-	while (pool->n_idle > NET_IDLE_CONNS_MAX) {
+	while (pool->n_idle > MIN(pool->max_idle, NET_IDLE_CONNS_MAX)) {
 		struct net_conn *oldest =
 		    TAILQ_LAST(&pool->idle, net_conn_list);
 
@@ -309,6 +309,7 @@
 	memset(pool, 0, sizeof *pool);
 	pool->loop = loop;
 	pool->addr = *addr;
+	pool->max_idle = NET_IDLE_CONNS_MAX;
 	TAILQ_INIT(&pool->idle);
 }
 
--- a/src/net-conn.h
+++ b/src/net-conn.h
@@ -65,6 +65,7 @@
  * @source: source address of the connections; 0.0.0.0 for any
  * @idle: idle connections, the most recently used first
  * @n_idle: length of @idle
+ * @max_idle: most of these that are kept, NET_IDLE_CONNS_MAX at most
  * @n_opened: connections opened so far, for the metrics
  * @n_open: connections that are not closed yet
  */
@@ -74,6 +75,7 @@
 	struct sockaddr_in source;
 	struct net_conn_list idle;
 	unsigned n_idle;
+	unsigned max_idle;
 	uint64_t n_opened;
 	unsigned n_open;
 };
--- a/tests/test-budget.c
+++ b/tests/test-budget.c
@@ -67,6 +67,23 @@
 	    granted / (fleet_rule.ratio * (double)(n * requests) + slack));
 }
 
+/* idle N max=N: idle connections that N daemons keep to an endpoint, in tenths
+ * of those that it takes; a daemon keeps two at most */
+static void
+exec_idle(const char *rest, GString *out)
+{
+	guint64 n = g_ascii_strtoull(rest, NULL, 10);
+	unsigned max = (unsigned)script_number(rest, "max", 0);
+	unsigned sum = 0;
+
+	for (guint64 i = 0; i < n; i++)
+		sum += MIN(fwd_idle_share(max, (unsigned)n,
+			       (uint32_t)i * 2654435761u, 7),
+		    2);
+	g_string_append_printf(out, "%u, %.1f of all\n", sum,
+	    max > 0 ? (double)sum / max : 0.0);
+}
+
 /* alive n=N at=MS: daemons seen alive; prints how many share the slack */
 static void
 exec_alive(const char *rest, GString *out)
@@ -80,6 +97,7 @@
 	{ "requests", exec_requests },
 	{ "retries", exec_retries },
 	{ "fleet", exec_fleet },
+	{ "idle", exec_idle },
 	{ "alive", exec_alive },
 	{ NULL, NULL },
 };
