--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -112,6 +112,16 @@
 	uv_timer_start(&c->timer, on_event, EVENT_MS, 0);
 }
 
+/* Sends a response whose body is that many bytes. */
+static void
+conn_reply_large(struct conn *c, const char *headers, size_t length)
+{
+	g_autoptr(GByteArray) body = g_byte_array_new();
+
+	g_byte_array_set_size(body, (guint)length);
+	conn_reply(c, 200, headers, body->data, length);
+}
+
 static void
 fake_endpoint_respond(struct conn *c)
 {
@@ -141,9 +151,7 @@
 		else
 			net_stream_shutdown(&c->stream);
 	} else if (large > 0) {
-		g_autofree char *body = g_malloc0((gsize)large);
-
-		conn_reply(c, 200, headers, body, (size_t)large);
+		conn_reply_large(c, headers, (size_t)large);
 	} else {
 		conn_reply(c, 200, headers, text, sizeof text - 1);
 	}
