Run the scripts of large fleets in a test of their own, and model starts cheaply

The model asked each daemon each millisecond whether its address should be in the store; it asks now after a read and after a round. No expected output changed.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,10 @@
 	$(BUILD)/tests/fake-group.o $(BUILD)/tests/fake-backoff.o \
 	$(BUILD)/tests/fake-limit.o $(BUILD)/tests/fake-crash.o \
 	$(BUILD)/tests/fake-zone.o $(BUILD)/tests/fake-cold.o
+$(BUILD)/test-mesh $(BUILD)/test-large: $(BUILD)/test-%: \
+	$(BUILD)/tests/test-%.o $(BUILD)/tests/fleet-script.o \
+	$(BUILD)/tests/script.o $(BUILD)/libbanklift.a
+	@$(CC) -o $@ $^ -lcunit $(LIBS)
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/tests/script.o \
 	$(BUILD)/tests/fake-log.o \
 	$(BUILD)/libbanklift.a
--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -225,19 +225,28 @@
 	mesh_set_records_read(mesh);
 }
 
-/* Writes a daemon's address to the store where it should be there. */
+/* Starts to write a daemon's address to the store where it should be there. */
 static void
 daemon_announce(struct model_daemon *daemon)
+{
+	struct fleet_model *model = daemon->model;
+
+	if (daemon->announce_at_ms != 0 ||
+	    !mesh_directory_lacks_self(&daemon->mesh))
+		return;
+	daemon->store_calls++;
+	model->append_free_ms =
+	    MAX(model->append_free_ms, model->now_ms) + APPEND_MS;
+	daemon->announce_at_ms = model->append_free_ms + ANSWER_MS;
+}
+
+/* Notes that a daemon's address has been written. */
+static void
+daemon_finish_announce(struct model_daemon *daemon)
 {
 	struct fleet_model *model = daemon->model;
 	struct mesh *mesh = &daemon->mesh;
 
-	if (daemon->announce_at_ms == 0 && mesh_directory_lacks_self(mesh)) {
-		daemon->store_calls++;
-		model->append_free_ms =
-		    MAX(model->append_free_ms, model->now_ms) + APPEND_MS;
-		daemon->announce_at_ms = model->append_free_ms + ANSWER_MS;
-	}
 	if (daemon->announce_at_ms == 0 ||
 	    model->now_ms < daemon->announce_at_ms)
 		return;
@@ -476,13 +485,16 @@
 	if (!daemon->up)
 		return;
 	daemon->mesh.now_ms = now;
-	if (daemon->read_at_ms != 0 && now >= daemon->read_at_ms)
+	if (daemon->read_at_ms != 0 && now >= daemon->read_at_ms) {
 		daemon_read_records(daemon);
-	daemon_announce(daemon);
+		daemon_announce(daemon);
+	}
+	daemon_finish_announce(daemon);
 	daemon_read_store(daemon);
 	if (now % MESH_ROUND_MS != daemon->start_ms % MESH_ROUND_MS)
 		return;
 	mesh_round(&daemon->mesh);
+	daemon_announce(daemon);
 	daemon->relay_changes += daemon->mesh.relay != daemon->relay;
 	daemon->relay = daemon->mesh.relay;
 	daemon_note_connected(daemon);
--- /dev/null
+++ b/tests/fleet-script.c
@@ -0,0 +1,579 @@
+/* Commands of scripts on simulated fleets of daemons that exchange state. */
+#include <math.h>
+#include <string.h>
+
+#include "limit-model.h"
+#include "poison-model.h"
+#include "fleet-script.h"
+
+/* Crashes by one request: three until it is quarantined, and three that may
+ * follow until all daemons know. */
+#define CRASHES_ALLOWED 6
+
+static struct fleet_model *model;
+static struct limit_model *limit;
+static struct poison_model *poison;
+
+/* Frees all models. */
+void
+fleet_script_reset(void)
+{
+	g_clear_pointer(&limit, limit_model_free);
+	g_clear_pointer(&poison, poison_model_free);
+	g_clear_pointer(&model, fleet_model_free);
+}
+
+/* fleet N domains=N endpoints=N [seed=N] [loss=N]: creates N daemons; loss is
+ * the number of lost datagrams, in thousandths */
+static void
+exec_fleet(const char *rest, GString *out)
+{
+	fleet_script_reset();
+	model = fleet_model_new((unsigned)g_ascii_strtoull(rest, NULL, 10),
+	    (unsigned)script_number(rest, "domains", 1),
+	    (unsigned)script_number(rest, "endpoints", 1),
+	    script_number(rest, "seed", 1));
+	model->loss = (unsigned)script_number(rest, "loss", 0);
+}
+
+/* run MS: advances virtual time */
+static void
+exec_run(const char *rest, GString *out)
+{
+	guint64 ms = g_ascii_strtoull(rest, NULL, 10);
+
+	if (limit != NULL)
+		limit_model_run(limit, ms);
+	else if (poison != NULL)
+		poison_model_run(poison, ms);
+	else
+		fleet_model_run(model, ms);
+}
+
+/*
+ * demand N [busy=N]: from now on, one in every "busy" daemons sends N
+ * thousandths of a request per second to an endpoint
+ */
+static void
+exec_demand(const char *rest, GString *out)
+{
+	g_clear_pointer(&limit, limit_model_free);
+	limit = limit_model_new(model, &limit_scheme_users,
+	    g_ascii_strtod(rest, NULL) / 1000,
+	    (unsigned)script_number(rest, "busy", 1));
+}
+
+/* limit N|none: the endpoint names N thousandths of a request per second, or no
+ * limit */
+static void
+exec_limit(const char *rest, GString *out)
+{
+	limit_model_set_limit(limit,
+	    strcmp(rest, "none") == 0 ? -1 : g_ascii_strtod(rest, NULL) / 1000);
+}
+
+/*
+ * limited: daemons that know of the limit, the sum of their shares, requests
+ * over the limit, and the used fraction of it since requests count, in tenths
+ */
+static void
+exec_limited(const char *rest, GString *out)
+{
+	double used = limit_model_used(limit);
+
+	g_string_append_printf(out, "known to %u", limit_model_informed(limit));
+	if (limit->per_s >= 0)
+		g_string_append_printf(out, " share %.2f over %u used %.1f",
+		    limit_model_share(limit), limit->n_over,
+		    MAX(floor(used * 10) / 10, 0));
+	g_string_append_c(out, '\n');
+}
+
+/*
+ * poison N [requests=N]: from now on, a request that crashes every endpoint
+ * arrives N times per second; or several such requests, each at that rate
+ */
+static void
+exec_poison(const char *rest, GString *out)
+{
+	g_clear_pointer(&poison, poison_model_free);
+	poison = poison_model_new(model, &poison_scheme_once,
+	    g_ascii_strtod(rest, NULL),
+	    (unsigned)script_number(rest, "requests", 1));
+}
+
+/*
+ * poisoned: whether each such request crashed six endpoints at most, and the
+ * highest number of late sends of one request
+ */
+static void
+exec_poisoned(const char *rest, GString *out)
+{
+	g_string_append_printf(out, "%s late sends %u\n",
+	    poison_model_crashes_max(poison) <= CRASHES_ALLOWED ? "within six" :
+								  "beyond six",
+	    poison_model_late_max(poison));
+}
+
+/* refusing FINGERPRINT: number of daemons that refuse one of these requests */
+static void
+exec_refusing(const char *rest, GString *out)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < model->n; i++)
+		n += model->daemons[i].up &&
+		    poison_scheme_once.refuses(poison, i,
+			g_ascii_strtoull(rest, NULL, 10));
+	g_string_append_printf(out, "%u\n", n);
+}
+
+/* count: resets the counters */
+static void
+exec_count(const char *rest, GString *out)
+{
+	fleet_model_reset_counts(model);
+}
+
+/* load N: each daemon has N requests at randomly drawn endpoints */
+static void
+exec_load(const char *rest, GString *out)
+{
+	fleet_model_set_load(model, (unsigned)g_ascii_strtoull(rest, NULL, 10));
+}
+
+/* loss N: lost datagrams from now on, in thousandths */
+static void
+exec_loss(const char *rest, GString *out)
+{
+	model->loss = (unsigned)g_ascii_strtoull(rest, NULL, 10);
+}
+
+/* kill NAME... and start NAME...: daemons stop, or start again */
+static void
+exec_kill(const char *rest, GString *out)
+{
+	g_auto(GStrv) names = g_strsplit(rest, " ", -1);
+
+	for (char **name = names; *name != NULL; name++)
+		fleet_model_stop(model, fleet_model_find(model, *name)->index);
+}
+
+static void
+exec_start(const char *rest, GString *out)
+{
+	g_auto(GStrv) names = g_strsplit(rest, " ", -1);
+
+	for (char **name = names; *name != NULL; name++)
+		fleet_model_start(model, fleet_model_find(model, *name)->index,
+		    1);
+}
+
+/* domain N up=0|1: all daemons of a failure domain stop or start again */
+static void
+exec_domain(const char *rest, GString *out)
+{
+	unsigned domain = (unsigned)g_ascii_strtoull(rest, NULL, 10);
+
+	for (unsigned i = domain; i < model->n; i += model->n_domains) {
+		if (script_number(rest, "up", 0) != 0)
+			fleet_model_start(model, i, 1 + i % 100);
+		else
+			fleet_model_stop(model, i);
+	}
+}
+
+/* cut FROM TO [on=0|1]: cuts or restores the link from one failure domain to
+ * another */
+static void
+exec_cut(const char *rest, GString *out)
+{
+	g_auto(GStrv) words = g_strsplit(rest, " ", 3);
+
+	model->cut[g_ascii_strtoull(words[0], NULL, 10)]
+		  [g_ascii_strtoull(words[1], NULL, 10)] =
+	    script_number(rest, "on", 1) != 0;
+}
+
+/* placer NAME [on=0|1] [store=0|1]: a daemon takes or loses the placer's lease
+ */
+static void
+exec_placer(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+	struct mesh *mesh = &fleet_model_find(model, name)->mesh;
+
+	mesh->self.placer = script_number(rest, "on", 1) != 0;
+	mesh->self.store_ok = script_number(rest, "store", 1) != 0;
+	mesh->self.term += mesh->self.placer;
+	mesh->held_term = mesh->self.term;
+}
+
+/* store NAME on=0|1: whether the store answers a daemon */
+static void
+exec_store(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+
+	fleet_model_find(model, name)->mesh.self.store_ok =
+	    script_number(rest, "on", 1) != 0;
+}
+
+/* warn NAME endpoint=ID: a daemon finds an endpoint silent and warns the others
+ */
+static void
+exec_warn(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *id = script_word(rest, "endpoint");
+	struct model_daemon *daemon = fleet_model_find(model, name);
+
+	fleet_find(&daemon->registry.fleet, id)->warned_ms = model->now_ms;
+	mesh_send(&daemon->mesh);
+}
+
+/* warned ID: number of daemons that were warned of an endpoint, and time since
+ * the newest warning */
+static void
+exec_warned(const char *rest, GString *out)
+{
+	unsigned n = 0;
+	uint64_t newest = 0;
+
+	for (unsigned i = 0; i < model->n; i++) {
+		const struct endpoint *ep;
+
+		if (!model->daemons[i].up)
+			continue;
+		ep = fleet_find(&model->daemons[i].registry.fleet, rest);
+		n += ep->avoided_ms != 0;
+		newest = MAX(newest, ep->avoided_ms);
+	}
+	g_string_append_printf(out, "%u of %u, %" G_GUINT64_FORMAT " ms ago\n",
+	    n, model->n, model->now_ms - newest);
+}
+
+/* evacuate NAME domain=D as_of=N [on=0|1]: a daemon reads from the store that a
+ * failure domain is evacuated or taken back */
+static void
+exec_evacuate(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *domain = script_word(rest, "domain");
+	struct model_daemon *daemon = fleet_model_find(model, name);
+	struct evacuations next;
+
+	evacuations_copy(&next, &daemon->registry.evacuations);
+	next.as_of = script_number(rest, "as_of", 0);
+	if (script_number(rest, "on", 1) != 0)
+		evacuations_add(&next, domain);
+	else
+		evacuations_remove(&next, domain);
+	registry_apply_evacuations(&daemon->registry, &next);
+	mesh_send(&daemon->mesh);
+}
+
+/* evacuated DOMAIN: number of daemons that send nothing to its endpoints */
+static void
+exec_evacuated(const char *rest, GString *out)
+{
+	unsigned n = 0;
+
+	for (unsigned i = 0; i < model->n; i++) {
+		const struct model_daemon *daemon = &model->daemons[i];
+		const struct endpoint *ep;
+		bool sends = false;
+
+		TAILQ_FOREACH(ep, &daemon->registry.fleet.endpoints, entry)
+			sends = sends ||
+			    (strcmp(ep->report.domain, rest) == 0 &&
+				endpoint_usable(ep, model->now_ms));
+		n += daemon->up && !sends;
+	}
+	g_string_append_printf(out, "%u of %u\n", n, model->n);
+}
+
+/* feed NAME records=N: a daemon reads N changed entries and distributes them */
+static void
+exec_feed(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+
+	fleet_model_feed(model, fleet_model_find(model, name)->index,
+	    (unsigned)script_number(rest, "records", 0));
+}
+
+/* retry NAME after=MS: pause after a failed read of the store */
+static void
+exec_retry(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+
+	g_string_append_printf(out, "%u ms\n",
+	    mesh_retry_ms(&fleet_model_find(model, name)->mesh,
+		(unsigned)script_number(rest, "after", 0)));
+}
+
+/* relays: the daemons that are relays */
+static void
+exec_relays(const char *rest, GString *out)
+{
+	for (unsigned i = 0; i < model->n; i++) {
+		if (model->daemons[i].up &&
+		    model->daemons[i].mesh.relay == NULL)
+			g_string_append_printf(out, "%s ",
+			    model->daemons[i].mesh.name);
+	}
+	g_string_truncate(out, out->len - 1);
+	g_string_append_c(out, '\n');
+}
+
+/* views: how far the daemons' views differ from the actual state */
+static void
+exec_views(const char *rest, GString *out)
+{
+	struct model_stats s;
+
+	fleet_model_measure(model, &s);
+	g_string_append_printf(out,
+	    "up %u relays %u alive %u to %u readers %u first %u placer known "
+	    "to %u\n",
+	    s.up, s.relays, s.alive_min, s.alive_max, s.readers, s.first_ranked,
+	    s.placer_known);
+}
+
+/* traffic: errors of the load sums, relay changes, and datagrams per second */
+static void
+exec_traffic(const char *rest, GString *out)
+{
+	struct model_stats s;
+
+	fleet_model_measure(model, &s);
+	g_string_append_printf(out,
+	    "load error %.2f max %u relay changes %u entry reads %u "
+	    "received %.0f a second %.1f KB sent %.0f max %.0f\n",
+	    s.load_error_mean, s.load_error_max, s.relay_changes, s.entry_reads,
+	    s.received_s, s.received_bytes_s / 1000, s.sent_s, s.sent_max_s);
+}
+
+/*
+ * proof: age of the oldest proof of a configuration, and the longest time since
+ * a daemon received entries, in steps of 500 ms
+ */
+static void
+exec_proof(const char *rest, GString *out)
+{
+	struct model_stats s;
+
+	fleet_model_measure(model, &s);
+	g_string_append_printf(out,
+	    "below %" G_GUINT64_FORMAT " ms, entries below %" G_GUINT64_FORMAT
+	    " ms\n",
+	    (s.config_age_max_ms / 500 + 1) * 500,
+	    (s.feed_age_max_ms / 500 + 1) * 500);
+}
+
+/*
+ * calls: calls for addresses a start, in steps of 0.5; addresses in the store,
+ * in steps of 10; and the longest time until a daemon heard its relay, in steps
+ * of 500 ms
+ */
+static void
+exec_calls(const char *rest, GString *out)
+{
+	struct model_stats s;
+
+	fleet_model_measure(model, &s);
+	g_string_append_printf(out,
+	    "%.1f or fewer, %u addresses or fewer, connected within %" G_GUINT64_FORMAT
+	    " ms\n",
+	    ceil(2.0 * s.store_calls / s.up) / 2, (s.recorded / 10 + 1) * 10,
+	    (s.connected_max_ms / 500 + 1) * 500);
+}
+
+/* restart: all daemons stop and start again within 300 ms */
+static void
+exec_restart(const char *rest, GString *out)
+{
+	for (unsigned i = 0; i < model->n; i++) {
+		fleet_model_stop(model, i);
+		fleet_model_start(model, i, 1 + fleet_model_random(model, 300));
+	}
+}
+
+/* store-queries: store queries because no peer's state was recent enough */
+static void
+exec_store_queries(const char *rest, GString *out)
+{
+	struct model_stats s;
+
+	fleet_model_measure(model, &s);
+	g_string_append_printf(out, "%u\n", s.store_queries);
+}
+
+/* Decodes a configuration that consists of its version alone. */
+static struct catalog *
+fake_config(const void *bytes, size_t length, GError **error)
+{
+	g_autofree char *text = g_strndup(bytes, length);
+	struct catalog *catalog = catalog_create();
+
+	catalog->version = (int64_t)g_ascii_strtoull(text, NULL, 10);
+	return (catalog);
+}
+
+static const struct registry_decoders fake_decoders = { .config = fake_config };
+
+/* set-config NAME version=N: a daemon obtains a newer configuration from
+ * elsewhere */
+static void
+exec_set_config(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *version = script_word(rest, "version");
+	struct registry *registry = &fleet_model_find(model, name)->registry;
+
+	/* Keeps the other daemons from fetching it. */
+	for (unsigned i = 0; i < model->n; i++)
+		model->daemons[i].mesh.fetching_config = true;
+	registry->decode = &fake_decoders;
+	registry_apply_config(registry, version, strlen(version), 0);
+	g_clear_pointer(&registry->config_bytes, g_bytes_unref);
+}
+
+/* age NAME: age of a daemon's proof, in steps of 500 ms */
+static void
+exec_age(const char *rest, GString *out)
+{
+	const struct registry *registry =
+	    &fleet_model_find(model, rest)->registry;
+	uint64_t age = registry_config_age(registry, model->now_ms);
+
+	if (age > model->now_ms)
+		g_string_append(out, "none\n");
+	else
+		g_string_append_printf(out, "below %" G_GUINT64_FORMAT " ms\n",
+		    (age / 500 + 1) * 500);
+}
+
+/* Causes one randomly drawn fault. */
+static void
+storm_fault(GRand *draw)
+{
+	unsigned at = (unsigned)g_rand_int_range(draw, 0, (int)model->n);
+	unsigned a = (unsigned)g_rand_int_range(draw, 0, (int)model->n_domains);
+	unsigned b = (unsigned)g_rand_int_range(draw, 0, (int)model->n_domains);
+
+	switch (g_rand_int_range(draw, 0, 4)) {
+	case 0:
+		fleet_model_stop(model, at);
+		break;
+	case 1:
+		if (!model->daemons[at].up)
+			fleet_model_start(model, at, 1);
+		break;
+	case 2:
+		model->cut[a][b] = a != b;
+		break;
+	case 3:
+		model->loss = (unsigned)g_rand_int_range(draw, 0, 200);
+		break;
+	}
+}
+
+/* Removes all faults and starts all daemons. */
+static void
+storm_heal(void)
+{
+	memset(model->cut, 0, sizeof model->cut);
+	model->loss = 0;
+	for (unsigned i = 0; i < model->n; i++) {
+		if (!model->daemons[i].up)
+			fleet_model_start(model, i, 1 + i % 100);
+	}
+}
+
+/* Whether all daemons have the same view. */
+static bool
+storm_agreed(void)
+{
+	struct model_stats s;
+
+	fleet_model_measure(model, &s);
+	return (s.alive_min == model->n && s.alive_max == model->n &&
+	    s.readers == 1);
+}
+
+/*
+ * storm from=SEED to=SEED: fleets of 5 to 80 daemons, each with ten seconds of
+ * faults; prints the seeds after which the daemons do not agree within eight
+ * seconds
+ */
+static void
+exec_storm(const char *rest, GString *out)
+{
+	guint64 to = script_number(rest, "to", 1);
+	unsigned failed = 0;
+
+	for (guint64 seed = script_number(rest, "from", 1); seed <= to;
+	     seed++) {
+		GRand *draw = g_rand_new_with_seed((guint32)seed);
+
+		fleet_script_reset();
+		model = fleet_model_new((unsigned)g_rand_int_range(draw, 5, 81),
+		    (unsigned)g_rand_int_range(draw, 1, 6), 4, seed);
+		fleet_model_run(model, 2000);
+		for (unsigned i = 0; i < 20; i++) {
+			storm_fault(draw);
+			fleet_model_run(model, 500);
+		}
+		storm_heal();
+		fleet_model_run(model, 8000);
+		if (!storm_agreed()) {
+			g_string_append_printf(out,
+			    "seed %u of %u daemons: ", (unsigned)seed,
+			    model->n);
+			exec_views("", out);
+			failed++;
+		}
+		g_rand_free(draw);
+	}
+	g_string_append_printf(out, "%u failed\n", failed);
+}
+
+const struct script_command fleet_script_commands[] = {
+	{ "fleet", exec_fleet },
+	{ "run", exec_run },
+	{ "poison", exec_poison },
+	{ "poisoned", exec_poisoned },
+	{ "refusing", exec_refusing },
+	{ "count", exec_count },
+	{ "demand", exec_demand },
+	{ "limit", exec_limit },
+	{ "limited", exec_limited },
+	{ "load", exec_load },
+	{ "loss", exec_loss },
+	{ "kill", exec_kill },
+	{ "start", exec_start },
+	{ "domain", exec_domain },
+	{ "cut", exec_cut },
+	{ "placer", exec_placer },
+	{ "store", exec_store },
+	{ "warn", exec_warn },
+	{ "warned", exec_warned },
+	{ "evacuate", exec_evacuate },
+	{ "evacuated", exec_evacuated },
+	{ "feed", exec_feed },
+	{ "retry", exec_retry },
+	{ "relays", exec_relays },
+	{ "views", exec_views },
+	{ "traffic", exec_traffic },
+	{ "proof", exec_proof },
+	{ "calls", exec_calls },
+	{ "restart", exec_restart },
+	{ "store-queries", exec_store_queries },
+	{ "set-config", exec_set_config },
+	{ "age", exec_age },
+	{ "storm", exec_storm },
+	{ NULL, NULL },
+};
