--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -347,8 +347,8 @@
  * @end: it has all entries up to this offset; MESH_NO_ENTRIES if it has read
  *	none
  *
- * Asks that daemon to resend them; a relay reads the store if that did not
- *help.
+ * Asks that daemon to resend them. If that does not help, a relay has the store
+ * read.
  */
 void
 mesh_feed_check(struct mesh *mesh, const struct mesh_peer *peer, uint64_t end)
