--- a/src/mesh-receive.c
+++ b/src/mesh-receive.c
@@ -138,8 +138,8 @@
 		mesh_send_to(mesh, peer, MESH_FLEET_SUMMARY);
 }
 
-/* Adds the relay that a peer names, so that it is sent to; the peer itself is no
- * relay. */
+/* Adds the relay that a peer names, so that it is sent to; the peer itself is
+ * no relay. */
 static void
 apply_redirect(struct mesh *mesh, struct mesh_peer *peer,
     const struct mesh_address *relay)
