Exchange sums over all daemons

Cause: decisions on requests and on placement know the load of endpoints but not what is asked of all daemons together, since datagrams carry no other sums. Change: sum_table holds rows of counters under a key; daemons report their rows to the relay, relays exchange the sums of their cells, and the fleet summary has those of all, on the way and with the bounds in time of the loads. A daemon that is told nothing takes the others to see what it sees itself. Datagrams with sums have version 9 and go to daemons that say they understand them; without rows the datagram is that of version 8.

--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -102,6 +102,18 @@
 	daemon->registry.endpoints.peer_update_ms = daemon->model->now_ms;
 }
 
+/* Counts what a daemon was told to count. */
+static void
+daemon_collect(void *arg, struct sum_table *own, uint64_t now_ms)
+{
+	const struct model_daemon *daemon = arg;
+
+	own[SUM_DEMAND].n = 0;
+	if (daemon->demand > 0)
+		sum_table_find(&own[SUM_DEMAND], MODEL_DEMAND_KEY)->values[0] =
+		    daemon->demand;
+}
+
 /* Adds an endpoint that serves, as all daemons know it. */
 static void
 daemon_add_endpoint(struct model_daemon *daemon, unsigned index)
@@ -168,6 +180,8 @@
 	mesh->send_arg = daemon;
 	mesh->missed = daemon_missed;
 	mesh->missed_arg = daemon;
+	mesh->collect_sums = daemon_collect;
+	mesh->collect_sums_arg = daemon;
 	mesh->became_relay = daemon_read_later;
 	mesh->became_relay_arg = daemon;
 	mesh->self.store_ok = true;
--- a/src/fleet-model.h
+++ b/src/fleet-model.h
@@ -7,6 +7,8 @@
 
 /* Largest number of failure domains of a model. */
 #define MODEL_DOMAINS_MAX 16
+/* Key of the sum that the daemons of a model exchange. */
+#define MODEL_DEMAND_KEY 1
 
 /**
  * struct model_daemon - one daemon.
@@ -32,6 +34,7 @@
  * @store_queries: store queries since then because no peer's state was recent
  *	enough
  * @relay: its relay as of its last round
+ * @demand: value that it counts under the key MODEL_DEMAND_KEY
  */
 struct model_daemon {
 	struct mesh mesh;
@@ -53,6 +56,7 @@
 	unsigned entry_reads;
 	unsigned store_queries;
 	const struct mesh_peer *relay;
+	uint32_t demand;
 };
 
 /**
--- a/src/mesh-loads.c
+++ b/src/mesh-loads.c
@@ -28,6 +28,7 @@
 		ep->cell_pending = MAX(ep->cell_pending - load->pending, 0);
 	}
 	g_array_set_size(peer->loads, 0);
+	mesh_remove_sums(peer);
 }
 
 /* Whether an endpoint is in this daemon's failure domain. */
@@ -75,6 +76,7 @@
 	peer->loads_ms = mesh->now_ms;
 	for (uint32_t i = 0; i < msg->n_loads; i++)
 		add_load(mesh, peer, &msg->loads[i]);
+	mesh_set_sums(peer, msg);
 }
 
 /* Subtracts a daemon's loads at the endpoints of this failure domain. */
@@ -147,6 +149,7 @@
 		}
 		add_load(mesh, peer, &load);
 	}
+	mesh_set_sums(peer, msg);
 }
 
 /* Fills in the load of an endpoint for a datagram of a kind. */
--- a/src/mesh-message.c
+++ b/src/mesh-message.c
@@ -5,8 +5,10 @@
 
 #include "mesh-message.h"
 
-/* First word of each datagram: "BLM" and the version of the format. */
+/* First word of each datagram: "BLM" and the version of the format, without
+ * sums or with them at the end. */
 #define MESH_MAGIC 0x424c4d08u
+#define MESH_MAGIC_SUMS 0x424c4d09u
 /* Bit positions of a load's values in the word that holds them. */
 #define PENDING_SHIFT 8
 #define INFLIGHT_SHIFT 22
@@ -20,6 +22,11 @@
 #define SELF_DRAINING 0x2u
 #define SELF_STORE_OK 0x4u
 #define SELF_SERVED 0x8u
+#define SELF_SUMS 0x10u
+/* Largest tables of sums that are accepted, also of kinds that are not known
+ * here. */
+#define SUM_KINDS_MAX 16
+#define SUM_VALUES_ACCEPTED_MAX 16
 /* Flags of members in one word. */
 #define FLAGS_PER_WORD 32u
 
@@ -46,7 +53,7 @@
 	uint32_t word = (self->placer ? SELF_PLACER : 0) |
 	    (self->draining ? SELF_DRAINING : 0) |
 	    (self->store_ok ? SELF_STORE_OK : 0) |
-	    (self->served ? SELF_SERVED : 0);
+	    (self->served ? SELF_SERVED : 0) | (self->sums ? SELF_SUMS : 0);
 
 	if (!xdr_uint32_t(xdr, &word))
 		return (FALSE);
@@ -54,6 +61,7 @@
 	self->draining = (word & SELF_DRAINING) != 0;
 	self->store_ok = (word & SELF_STORE_OK) != 0;
 	self->served = (word & SELF_SERVED) != 0;
+	self->sums = (word & SELF_SUMS) != 0;
 	return (xdr_int64_t(xdr, &self->term));
 }
 
@@ -275,15 +283,132 @@
 	return (TRUE);
 }
 
+/*
+ * Encodes or decodes one row. Values that are not known here are skipped, and
+ * those that the sender does not know are 0.
+ */
+static bool_t
+xdr_sum_row(XDR *xdr, struct sum_row *row, uint32_t n_values)
+{
+	if (!xdr_uint32_t(xdr, &row->key))
+		return (FALSE);
+	for (uint32_t i = 0; i < n_values; i++) {
+		uint32_t skipped;
+
+		if (!xdr_uint32_t(xdr,
+			i < SUM_VALUES_MAX ? &row->values[i] : &skipped))
+			return (FALSE);
+	}
+	return (TRUE);
+}
+
+/* Encodes or decodes the rows of one table; those of an unknown kind are
+ * skipped. */
+static bool_t
+xdr_sum_rows(XDR *xdr, struct sum_table *table, uint32_t n, uint32_t n_values)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		struct sum_row skipped;
+		struct sum_row *row =
+		    table != NULL ? &table->rows[i] : &skipped;
+
+		if (xdr->x_op == XDR_DECODE)
+			memset(row, 0, sizeof *row);
+		if (!xdr_sum_row(xdr, row, n_values))
+			return (FALSE);
+	}
+	return (TRUE);
+}
+
+/* Encodes or decodes a table of a kind, with the kind and its size. */
+static bool_t
+xdr_sum_table(XDR *xdr, struct mesh_message *msg, uint32_t kind)
+{
+	bool encode = xdr->x_op == XDR_ENCODE;
+	uint32_t n_values = encode ? sum_specs[kind].n_values : 0;
+	uint32_t n = encode ? msg->sums[kind].n : 0;
+	struct sum_table *table;
+
+	if (!xdr_uint32_t(xdr, &kind) || !xdr_uint32_t(xdr, &n_values) ||
+	    !xdr_uint32_t(xdr, &n) || n_values > SUM_VALUES_ACCEPTED_MAX ||
+	    n > SUM_ROWS_MAX)
+		return (FALSE);
+	table = kind < SUM_KINDS ? &msg->sums[kind] : NULL;
+	if (!xdr_sum_rows(xdr, table, n, n_values))
+		return (FALSE);
+	if (table != NULL)
+		table->n = n;
+	return (TRUE);
+}
+
+/* Number of tables that have rows. */
+static uint32_t
+count_tables(const struct mesh_message *msg)
+{
+	uint32_t n = 0;
+
+	for (unsigned kind = 0; kind < SUM_KINDS; kind++)
+		n += msg->sums[kind].n > 0;
+	return (n);
+}
+
+static bool_t
+encode_sums(XDR *xdr, struct mesh_message *msg)
+{
+	uint32_t n = count_tables(msg);
+
+	if (!xdr_uint32_t(xdr, &n))
+		return (FALSE);
+	for (uint32_t kind = 0; kind < SUM_KINDS; kind++) {
+		if (msg->sums[kind].n > 0 && !xdr_sum_table(xdr, msg, kind))
+			return (FALSE);
+	}
+	return (TRUE);
+}
+
+static bool_t
+decode_sums(XDR *xdr, struct mesh_message *msg)
+{
+	uint32_t n;
+
+	if (!xdr_uint32_t(xdr, &n) || n > SUM_KINDS_MAX)
+		return (FALSE);
+	for (uint32_t i = 0; i < n; i++) {
+		if (!xdr_sum_table(xdr, msg, 0))
+			return (FALSE);
+	}
+	return (TRUE);
+}
+
+static bool_t
+xdr_sums(XDR *xdr, struct mesh_message *msg)
+{
+	return (xdr->x_op == XDR_ENCODE ? encode_sums(xdr, msg) :
+					  decode_sums(xdr, msg));
+}
+
+/* Encodes or decodes the first word. */
+static bool_t
+xdr_magic(XDR *xdr, struct mesh_message *msg)
+{
+	uint32_t magic = msg->with_sums && count_tables(msg) > 0 ?
+	    MESH_MAGIC_SUMS :
+	    MESH_MAGIC;
+
+	if (!xdr_uint32_t(xdr, &magic) ||
+	    (magic != MESH_MAGIC && magic != MESH_MAGIC_SUMS))
+		return (FALSE);
+	msg->with_sums = magic == MESH_MAGIC_SUMS;
+	return (TRUE);
+}
+
 /* Encodes or decodes, depending on the operation of the XDR stream. */
 static bool_t
 xdr_message(XDR *xdr, struct mesh_message *msg)
 {
-	uint32_t magic = MESH_MAGIC;
-
-	return (xdr_uint32_t(xdr, &magic) && magic == MESH_MAGIC &&
-	    xdr_kind(xdr, &msg->kind) && xdr_name(xdr, msg->name) &&
-	    xdr_name(xdr, msg->domain) && xdr_uint32_t(xdr, &msg->capacity) &&
+	return (xdr_magic(xdr, msg) && xdr_kind(xdr, &msg->kind) &&
+	    xdr_name(xdr, msg->name) && xdr_name(xdr, msg->domain) &&
+	    xdr_uint32_t(xdr, &msg->capacity) &&
 	    xdr_uint64_t(xdr, &msg->incarnation) &&
 	    xdr_uint64_t(xdr, &msg->sequence) &&
 	    xdr_uint64_t(xdr, &msg->ping) && xdr_uint64_t(xdr, &msg->pong) &&
@@ -297,7 +422,8 @@
 	    xdr_loads(xdr, msg) && xdr_avoid(xdr, msg) &&
 	    xdr_limits(xdr, msg) && xdr_poisons(xdr, msg) &&
 	    xdr_members(xdr, msg) && xdr_addresses(xdr, msg) &&
-	    xdr_evacuations(xdr, &msg->evacuations));
+	    xdr_evacuations(xdr, &msg->evacuations) &&
+	    (!msg->with_sums || xdr_sums(xdr, msg)));
 }
 
 /**
@@ -308,6 +434,9 @@
 mesh_message_init(struct mesh_message *msg)
 {
 	memset(msg, 0, offsetof(struct mesh_message, loads));
+	msg->with_sums = false;
+	for (unsigned kind = 0; kind < SUM_KINDS; kind++)
+		msg->sums[kind].n = 0;
 }
 
 /**
--- a/src/mesh-message.h
+++ b/src/mesh-message.h
@@ -7,6 +7,7 @@
 #include <stdint.h>
 
 #include "registry-evacuation.h"
+#include "sum-table.h"
 
 /* Loads in one datagram; this many fill 7 KB. */
 #define MESH_LOADS_MAX 900
@@ -151,6 +152,7 @@
  * @store_ok: the store answers it
  * @served: it, or a daemon that it reports on, has received requests from
  *	clients
+ * @sums: it understands sums in datagrams
  * @term: newest term of the placer's lease that it knows of
  */
 struct mesh_self {
@@ -158,6 +160,7 @@
 	bool draining;
 	bool store_ok;
 	bool served;
+	bool sums;
 	int64_t term;
 };
 
@@ -231,6 +234,8 @@
  * @addresses: of members that may become the relay and of relays of other
  *cells, in some MESH_FLEET_SUMMARY only
  * @evacuations: the evacuated failure domains
+ * @with_sums: it has @sums; encoded only for daemons that understand them
+ * @sums: sums over these daemons, by kind
  */
 struct mesh_message {
 	enum mesh_kind kind;
@@ -264,6 +269,8 @@
 	struct mesh_member members[MESH_MEMBERS_MAX];
 	struct mesh_address addresses[MESH_ADDRESSES_MAX];
 	struct evacuations evacuations;
+	bool with_sums;
+	struct sum_table sums[SUM_KINDS];
 };
 
 size_t mesh_message_encode(const struct mesh_message *, char *, size_t);
--- a/src/mesh-peers.c
+++ b/src/mesh-peers.c
@@ -101,6 +101,9 @@
 	peer->domain = g_strdup(domain);
 	peer->name_hash = XXH32(name, strlen(name), 0);
 	peer->loads = g_array_new(FALSE, FALSE, sizeof(struct mesh_load));
+	for (unsigned kind = 0; kind < SUM_KINDS; kind++)
+		peer->sums[kind] =
+		    g_array_new(FALSE, FALSE, sizeof(struct sum_row));
 	peer->first_seen_ms = mesh->now_ms;
 	peer->config_version = -1;
 	net_pool_init(&peer->pool, mesh->loop, addr);
@@ -158,6 +161,8 @@
 	g_free(peer->name);
 	g_free(peer->domain);
 	g_array_free(peer->loads, TRUE);
+	for (unsigned kind = 0; kind < SUM_KINDS; kind++)
+		g_array_free(peer->sums[kind], TRUE);
 	g_free(peer);
 }
 
--- a/src/mesh-send.c
+++ b/src/mesh-send.c
@@ -145,6 +145,7 @@
 	msg->sequence = ++mesh->sequence;
 	msg->ping = mesh->now_ms;
 	msg->self = mesh->self;
+	msg->self.sums = true;
 	if (kind == MESH_CELL_SUMMARY || kind == MESH_FLEET_SUMMARY)
 		msg->self.served = mesh_has_served(mesh);
 	fill_placer(mesh, &msg->placer);
@@ -159,6 +160,7 @@
 	fill_avoid(mesh, msg);
 	mesh_fill_limits(mesh, msg);
 	mesh_fill_poison(mesh, msg);
+	mesh_fill_sums(mesh, msg);
 	if (kind == MESH_FLEET_SUMMARY)
 		mesh_fill_summary(mesh, msg);
 }
@@ -173,6 +175,7 @@
 	size_t length;
 
 	msg->pong = peer->ping;
+	msg->with_sums = peer->self.sums;
 	length = mesh_message_encode(msg, out, sizeof out);
 	/* A datagram that can't be sent now is not retried: the next one
 	 * replaces it. */
@@ -371,8 +374,7 @@
 
 		next = TAILQ_NEXT(peer, entry);
 		since = MAX(since, peer->listed_ms);
-		if (peer->loads->len > 0 &&
-		    mesh->now_ms - peer->loads_ms >= expire_ms)
+		if (mesh->now_ms - peer->loads_ms >= expire_ms)
 			mesh_remove_loads(mesh, peer);
 		if (peer->pool.n_open > 0)
 			net_pool_expire(&peer->pool);
@@ -428,6 +430,7 @@
 	mesh->n_others = count_others(mesh);
 	relay_update(mesh);
 	mesh_share_limits(mesh);
+	mesh_update_sums(mesh);
 	if (mesh->relay != NULL) {
 		if (mesh->round % IDLE_ROUNDS == 0 || self_busy(mesh) ||
 		    !mesh_relay_alive(mesh))
--- a/src/mesh-summary.c
+++ b/src/mesh-summary.c
@@ -129,6 +129,19 @@
 		mesh->n_sent % PROBE_ONE_IN == 0));
 }
 
+/* Whether all members of the cell understand sums. */
+static bool
+members_take_sums(const struct mesh *mesh)
+{
+	const struct mesh_peer *peer;
+
+	TAILQ_FOREACH(peer, &mesh->peers, entry) {
+		if (mesh_peer_reports(mesh, peer) && !peer->self.sums)
+			return (false);
+	}
+	return (true);
+}
+
 /**
  * mesh_send_summary() - send the fleet summary to the cell; all members receive
  * the same.
@@ -148,6 +161,7 @@
 	mesh_message_init(&msg);
 	msg.partial = large && mesh->n_sent % WHOLE_ONE_IN != 0;
 	mesh_fill_message(mesh, MESH_FLEET_SUMMARY, &msg);
+	msg.with_sums = members_take_sums(mesh);
 	length = mesh_message_encode(&msg, out, sizeof out);
 	if (length == 0) {
 		event_log(LOG_WARNING, "message_not_sent",
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -60,6 +60,8 @@
  *	mesh_load
  * @loads_ms: when they were added
  * @loads_in_cell: they are also added to the sums of this cell
+ * @sums: rows of its newest datagram by kind, of struct sum_row; dropped with
+ *	@loads
  * @pool: connections to it
  * @entry: in the mesh's list
  */
@@ -90,6 +92,7 @@
 	GArray *loads;
 	uint64_t loads_ms;
 	bool loads_in_cell;
+	GArray *sums[SUM_KINDS];
 	struct net_pool pool;
 	TAILQ_ENTRY(mesh_peer) entry;
 };
@@ -212,6 +215,8 @@
  *	kind of datagram; 0 for never
  * @poison_next: index of the suspected request that is repeated next, by kind
  *	of datagram
+ * @collect_sums: called to fill in what this daemon itself counted
+ * @collect_sums_arg: argument of @collect_sums
  * @missed: called when entries are missing and no peer supplied them
  * @missed_arg: argument of @missed
  * @became_relay: called when this daemon has become the relay of its cell
@@ -284,6 +289,8 @@
 	unsigned limits_next[MESH_KINDS];
 	uint64_t poison_sent_ms[MESH_KINDS];
 	unsigned poison_next[MESH_KINDS];
+	void (*collect_sums)(void *, struct sum_table *, uint64_t);
+	void *collect_sums_arg;
 	void (*missed)(void *);
 	void *missed_arg;
 	void (*became_relay)(void *);
@@ -345,6 +352,12 @@
 const struct mesh_report *mesh_acked_report(const struct mesh *,
     const struct mesh_message *);
 
+/* mesh-sums.c: sums over all daemons. */
+void mesh_remove_sums(struct mesh_peer *);
+void mesh_set_sums(struct mesh_peer *, const struct mesh_message *);
+void mesh_update_sums(struct mesh *);
+void mesh_fill_sums(const struct mesh *, struct mesh_message *);
+
 /* mesh-shares.c: shares of the limits that endpoints name. */
 void mesh_share_limits(struct mesh *);
 void mesh_limit_changed(struct mesh *, struct endpoint *);
--- a/src/registry.h
+++ b/src/registry.h
@@ -5,6 +5,7 @@
 #ifndef BL_REGISTRY_H
 #define BL_REGISTRY_H
 
+#include "fleet-sums.h"
 #include "registry-catalog.h"
 #include "registry-evacuation.h"
 #include "registry-fleet.h"
@@ -61,6 +62,7 @@
  * @evacuations: the failure domains that are evacuated
  * @fleet: the endpoints
  * @poison: requests suspected of crashing endpoints
+ * @sums: sums over all daemons
  * @refusal_reasons: endpoint id to the reason for which its entry was last
  *	refused
  * @n_refused: number of entries refused so far
@@ -82,6 +84,7 @@
 	struct evacuations evacuations;
 	struct fleet fleet;
 	struct poison poison;
+	struct fleet_sums sums;
 	GHashTable *refusal_reasons;
 	uint64_t n_refused;
 	struct topic_follower config;
--- a/tests/fleet-script.c
+++ b/tests/fleet-script.c
@@ -314,6 +314,47 @@
 		(unsigned)script_number(rest, "after", 0)));
 }
 
+/* demand-at NAME|all N: what a daemon, or each of them, counts from now on */
+static void
+exec_demand_at(const char *rest, GString *out)
+{
+	g_auto(GStrv) words = g_strsplit(rest, " ", 2);
+
+	for (unsigned i = 0; i < model->n; i++) {
+		struct model_daemon *daemon = &model->daemons[i];
+
+		if (strcmp(words[0], "all") == 0 ||
+		    (daemon->up && strcmp(daemon->mesh.name, words[0]) == 0))
+			daemon->demand =
+			    (uint32_t)g_ascii_strtoull(words[1], NULL, 10);
+	}
+}
+
+/* sums: lowest and highest sum of these counts that a running daemon has, and
+ * how many daemons were told by others */
+static void
+exec_sums(const char *rest, GString *out)
+{
+	uint32_t lowest = UINT32_MAX, highest = 0;
+	unsigned told = 0;
+
+	for (unsigned i = 0; i < model->n; i++) {
+		const struct fleet_sums *sums =
+		    &model->daemons[i].registry.sums;
+		const struct sum_row *row =
+		    sum_table_get(&sums->total[SUM_DEMAND], MODEL_DEMAND_KEY);
+		uint32_t value = row != NULL ? row->values[0] : 0;
+
+		if (!model->daemons[i].up)
+			continue;
+		lowest = MIN(lowest, value);
+		highest = MAX(highest, value);
+		told += sums->told;
+	}
+	g_string_append_printf(out, "%u to %u, told %u\n", lowest, highest,
+	    told);
+}
+
 /* relays: the daemons that are relays */
 static void
 exec_relays(const char *rest, GString *out)
@@ -565,6 +606,9 @@
 	{ "evacuated", exec_evacuated },
 	{ "feed", exec_feed },
 	{ "retry", exec_retry },
+	{ "demand-at", exec_demand_at },
+	{ "sums", exec_sums },
+	{ "old", exec_old },
 	{ "relays", exec_relays },
 	{ "views", exec_views },
 	{ "traffic", exec_traffic },
--- a/tests/test-fuzz.c
+++ b/tests/test-fuzz.c
@@ -210,7 +210,7 @@
 
 /* Encodes a datagram with some entries of each kind. */
 static size_t
-encode_datagram(char *out, size_t size)
+encode_datagram(char *out, size_t size, bool with_sums)
 {
 	static struct mesh_message msg;
 
@@ -232,6 +232,9 @@
 			.kind = MESH_POISON_BROKEN + i % MESH_POISON_CLEARED,
 		};
 	}
+	msg.with_sums = with_sums;
+	for (unsigned kind = 0; kind < SUM_KINDS; kind++)
+		sum_table_find(&msg.sums[kind], kind + 1)->values[0] = 7;
 	return (mesh_message_encode(&msg, out, size));
 }
 
@@ -244,7 +247,7 @@
 {
 	static struct mesh_message msg;
 	char sample[MESH_DATAGRAM_MAX], bytes[MESH_DATAGRAM_MAX];
-	size_t length = encode_datagram(sample, sizeof sample);
+	size_t length = encode_datagram(sample, sizeof sample, true);
 	unsigned accepted = 0;
 
 	rng = SEED;
@@ -263,6 +266,8 @@
 		    msg.n_limits <= MESH_LIMITS_MAX &&
 		    msg.n_poison <= MESH_POISON_MAX &&
 		    msg.n_members <= MESH_MEMBERS_MAX);
+		for (unsigned kind = 0; kind < SUM_KINDS; kind++)
+			CU_ASSERT(msg.sums[kind].n <= SUM_ROWS_MAX);
 		for (uint32_t k = 0; k < msg.n_poison; k++)
 			CU_ASSERT(msg.poison[k].kind >= MESH_POISON_BROKEN &&
 			    msg.poison[k].kind <= MESH_POISON_CLEARED);
@@ -270,6 +275,30 @@
 	CU_ASSERT(accepted > 0);
 }
 
+/*
+ * Guards against datagrams that a daemon of the former format ignores: one for
+ * such a daemon has no sums and the first word of that format.
+ */
+static void
+test_former_format(void)
+{
+	static const unsigned char former[] = { 'B', 'L', 'M', 8 };
+	static const unsigned char current[] = { 'B', 'L', 'M', 9 };
+	static struct mesh_message msg;
+	char bytes[MESH_DATAGRAM_MAX];
+	size_t with_sums = encode_datagram(bytes, sizeof bytes, true);
+	size_t length;
+
+	CU_ASSERT(memcmp(bytes, current, sizeof current) == 0);
+	CU_ASSERT(mesh_message_decode(&msg, bytes, with_sums));
+	CU_ASSERT(msg.sums[SUM_EVIDENCE].n == 1);
+	length = encode_datagram(bytes, sizeof bytes, false);
+	CU_ASSERT(length > 0 && length < with_sums);
+	CU_ASSERT(memcmp(bytes, former, sizeof former) == 0);
+	CU_ASSERT(mesh_message_decode(&msg, bytes, length));
+	CU_ASSERT(msg.sums[SUM_EVIDENCE].n == 0);
+}
+
 int
 main(void)
 {
@@ -282,6 +311,7 @@
 	CU_add_test(suite, "entries", test_entries);
 	CU_add_test(suite, "messages", test_messages);
 	CU_add_test(suite, "datagrams", test_datagrams);
+	CU_add_test(suite, "former format", test_former_format);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
