Add a setting for each part of load control

Cause: new decisions on load must take effect only where a deployment asks for them, and each must be separable from the others. Result: nothing reads them yet; proc-edge-settings.sh passes.

--- a/src/edge-setting.h
+++ b/src/edge-setting.h
@@ -38,6 +38,13 @@
 	double cores;
 	double memory_mb;
 	bool first_start;
+	bool overload_levels;
+	bool customer_shares;
+	bool retry_schedule;
+	bool endpoint_evidence;
+	bool balance_spread;
+	bool balance_domains;
+	bool placement_demand;
 	bool check;
 };
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -80,6 +80,13 @@
 	set->refused_fingerprints = e->set.refused_works;
 	set->held_max_bytes =
 	    (size_t)(e->set.memory_mb * BYTES_PER_MB * HELD_SHARE);
+	set->overload_levels = e->set.overload_levels;
+	set->customer_shares = e->set.customer_shares;
+	set->retry_schedule = e->set.retry_schedule;
+	set->endpoint_evidence = e->set.endpoint_evidence;
+	set->balance_spread = e->set.balance_spread;
+	set->balance_domains = e->set.balance_domains;
+	e->placer.placement_demand = e->set.placement_demand;
 	set->retry.ratio = e->set.retry_ratio;
 	set->retry.slack = e->set.retry_slack;
 	set->retry.window_ms = (uint64_t)(e->set.retry_window_s * 1000);
@@ -112,6 +119,13 @@
 	e->set.grace_s = next.grace_s;
 	e->set.rest_most_ms = next.rest_most_ms;
 	e->set.stall_ms = next.stall_ms;
+	e->set.overload_levels = next.overload_levels;
+	e->set.customer_shares = next.customer_shares;
+	e->set.retry_schedule = next.retry_schedule;
+	e->set.endpoint_evidence = next.endpoint_evidence;
+	e->set.balance_spread = next.balance_spread;
+	e->set.balance_domains = next.balance_domains;
+	e->set.placement_demand = next.placement_demand;
 	e->set.retry_ratio = next.retry_ratio;
 	e->set.retry_window_s = next.retry_window_s;
 	e->set.retry_slack = next.retry_slack;
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -27,6 +27,14 @@
  * @backoff_max_ms: upper bound on the backoff that an endpoint may ask for
  * @retry: bound on retries over all daemons
  * @held_max_bytes: upper bound on the bytes that are held for all clients
+ * @overload_levels: refuse requests of low priority first when capacity is
+ *	short
+ * @customer_shares: share capacity that is short fairly among customers
+ * @retry_schedule: tell refused clients to return when capacity is expected
+ * @endpoint_evidence: correct expected latencies by what all daemons observe
+ * @balance_spread: spread requests by what other daemons may have sent since
+ *	the loads were measured
+ * @balance_domains: prefer the own failure domain only while it has capacity
  * @released_fingerprints: requests that are never quarantined: fingerprints as
  *	they stand in log lines, separated by commas
  * @refused_fingerprints: requests that the operator has refused, in the same
@@ -40,6 +48,12 @@
 	uint64_t backoff_max_ms;
 	struct fwd_budget_rule retry;
 	size_t held_max_bytes;
+	bool overload_levels;
+	bool customer_shares;
+	bool retry_schedule;
+	bool endpoint_evidence;
+	bool balance_spread;
+	bool balance_domains;
 	const char *released_fingerprints;
 	const char *refused_fingerprints;
 };
--- a/src/placer.h
+++ b/src/placer.h
@@ -52,6 +52,7 @@
  * @name: name of this daemon
  * @stall_ms: time after which the platform breaks a group that makes no
  *	progress, in ms
+ * @placement_demand: place replicas by the demand for each model
  * @timer: starts the next periodic pass
  * @wakeup: starts an early pass after a change
  * @state: state of the placer
@@ -94,6 +95,7 @@
 	const struct order_ops *orders;
 	const char *name;
 	uint64_t stall_ms;
+	bool placement_demand;
 	uv_timer_t timer;
 	uv_timer_t wakeup;
 	enum placer_state state;
