--- a/tests/fleet-script.c
+++ b/tests/fleet-script.c
@@ -608,7 +608,6 @@
 	{ "retry", exec_retry },
 	{ "demand-at", exec_demand_at },
 	{ "sums", exec_sums },
-	{ "old", exec_old },
 	{ "relays", exec_relays },
 	{ "views", exec_views },
 	{ "traffic", exec_traffic },
