Correct expected first events by evidence of all daemons

Cause: the estimate knows loads and profiles, but not that an endpoint is slow, stalled or preempting just now. Single endpoints are late by hundreds of milliseconds for a second while the others are not, and most of these late first events were not predicted. Change: each daemon keeps the decaying mean lateness of first events per endpoint and how long first events in progress are overdue; rows of endpoints that are late are exchanged as SUM_EVIDENCE, and daemons that find them in time answer with their weight. fwd_expect_first() adds the larger of the two. Lateness is measured against the uncorrected estimate. The timeout for silence doesn't grow by overdue first events, which are a sign of silence. All behind endpoint_evidence.

--- a/src/edge.c
+++ b/src/edge.c
@@ -240,6 +240,14 @@
 	placer_suspect(&e->placer, ep);
 }
 
+static void
+on_collect_sums(void *arg, struct sum_table *own, uint64_t now_ms)
+{
+	struct edge *e = arg;
+
+	fwd_evidence_collect(&e->fwd, &own[SUM_EVIDENCE], now_ms);
+}
+
 /* Entries are missing that no other daemon could send: reads the store. */
 static void
 on_missed(void *arg)
@@ -302,6 +310,8 @@
 	e->mesh.domain = e->set.domain;
 	e->mesh.capacity =
 	    (uint32_t)(e->set.cpu_share * e->set.cores * CAPACITY_PER_CORE);
+	e->mesh.collect_sums = on_collect_sums;
+	e->mesh.collect_sums_arg = e;
 	e->mesh.missed = on_missed;
 	e->mesh.missed_arg = e;
 	e->mesh.avoided = on_avoided;
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -26,6 +26,7 @@
  * @model: the model's profile, or NULL
  * @prompt: length of the prompt, in tokens
  * @overhead_ms: measured overhead of the model's first events
+ * @evidence: evidence on endpoints; see struct fwd_workload
  * @domain: this daemon's failure domain
  * @tried: endpoints that have failed the request
  * @n_tried: length of @tried
@@ -40,6 +41,7 @@
 	const struct model_profile *model;
 	double prompt;
 	double overhead_ms;
+	const struct sum_table *evidence;
 	const char *domain;
 	const struct fwd_tried *tried;
 	unsigned n_tried;
--- /dev/null
+++ b/src/fwd-evidence.c
@@ -0,0 +1,158 @@
+/* Evidence of an endpoint: how late its first events are. Pure. */
+#include <math.h>
+#include <string.h>
+
+#include "fwd-evidence.h"
+
+/* Time constant with which the weight of a first event decays. */
+#define DECAY_MS 700.0
+/* Evidence is dropped this long after the newest first event. An endpoint that
+ * is avoided has no new events, so this bounds the time until it is used again:
+ * the sums add up to 600 ms. */
+#define FORGET_MS 400
+/* Overdue times are recorded every 100 ms; older ones are not used. */
+#define OVERDUE_MAX_AGE_MS 500
+/* Bounds of the lateness of one first event. */
+#define LATENESS_MIN_MS (-200.0)
+#define LATENESS_MAX_MS 4000.0
+/* Lateness from which on a daemon reports an endpoint unasked. */
+#define REPORT_MIN_MS 20.0
+/* Weight of the assumption that an endpoint is not late: one late event alone
+ * is often the effect of its own prompt. */
+#define PRIOR_WEIGHT 1.0
+/* Sums stay below the limit on values in datagrams. */
+#define VALUE_MAX 1e9
+#define THOUSANDTHS 1000.0
+#define SQUARES_UNIT 100.0
+
+/* Milliseconds since @then_ms, or 0 if that is later. */
+static double
+elapsed_ms(uint64_t then_ms, uint64_t now_ms)
+{
+	return (now_ms > then_ms ? (double)(now_ms - then_ms) : 0);
+}
+
+/* Part of the weight of events that is left at a later time. */
+static double
+decay(const struct fwd_evidence *ev, uint64_t now_ms)
+{
+	if (elapsed_ms(ev->event_ms, now_ms) > FORGET_MS)
+		return (0);
+	return (exp(-elapsed_ms(ev->at_ms, now_ms) / DECAY_MS));
+}
+
+/**
+ * fwd_evidence_add() - add a first event.
+ * @ev: evidence of its endpoint
+ * @lateness_ms: how much later than expected it came; negative if earlier
+ * @now_ms: loop time
+ */
+void
+fwd_evidence_add(struct fwd_evidence *ev, double lateness_ms, uint64_t now_ms)
+{
+	double left = decay(ev, now_ms);
+	double late = fmin(fmax(lateness_ms, LATENESS_MIN_MS), LATENESS_MAX_MS);
+
+	ev->weight = ev->weight * left + 1;
+	ev->late_ms = ev->late_ms * left + late;
+	ev->at_ms = now_ms;
+	ev->event_ms = now_ms;
+}
+
+/**
+ * fwd_evidence_reset_overdue() - begin to record overdue times anew.
+ * @ev: evidence of an endpoint
+ * @now_ms: loop time
+ */
+void
+fwd_evidence_reset_overdue(struct fwd_evidence *ev, uint64_t now_ms)
+{
+	ev->overdue_ms = 0;
+	ev->squares = 0;
+	ev->checked_ms = now_ms;
+}
+
+/**
+ * fwd_evidence_add_overdue() - add a request without a first event.
+ * @ev: evidence of its endpoint
+ * @overdue_ms: how long the event has been overdue; ignored if it is not
+ */
+void
+fwd_evidence_add_overdue(struct fwd_evidence *ev, double overdue_ms)
+{
+	double overdue = fmin(fmax(overdue_ms, 0), LATENESS_MAX_MS);
+
+	ev->overdue_ms += overdue;
+	ev->squares += overdue * overdue;
+}
+
+static uint32_t
+value_of(double value)
+{
+	return ((uint32_t)fmin(fmax(round(value), 0), VALUE_MAX));
+}
+
+/**
+ * fwd_evidence_row() - evidence as a row to be added to that of other daemons.
+ * @ev: evidence of an endpoint
+ * @asked: other daemons report it as late, so first events in time count too
+ * @now_ms: loop time
+ * @row: its values are filled in
+ *
+ * Return: whether there is anything to tell.
+ */
+bool
+fwd_evidence_row(const struct fwd_evidence *ev, bool asked, uint64_t now_ms,
+    struct sum_row *row)
+{
+	double left = decay(ev, now_ms);
+	double weight = ev->weight * left;
+	double late = fmax(ev->late_ms * left, 0);
+	bool checked = elapsed_ms(ev->checked_ms, now_ms) <= OVERDUE_MAX_AGE_MS;
+	double overdue = checked ? ev->overdue_ms : 0;
+	double squares = checked ? ev->squares : 0;
+
+	memset(row->values, 0, sizeof row->values);
+	if (!(asked && weight > 0) && late <= REPORT_MIN_MS * weight &&
+	    squares <= REPORT_MIN_MS * overdue)
+		return (false);
+	row->values[EVIDENCE_OVERDUE] = value_of(overdue);
+	row->values[EVIDENCE_SEVERITY] =
+	    value_of(late + row->values[EVIDENCE_OVERDUE]);
+	row->values[EVIDENCE_WEIGHT] = value_of(weight * THOUSANDTHS);
+	row->values[EVIDENCE_SQUARES] = value_of(squares / SQUARES_UNIT);
+	return (true);
+}
+
+/**
+ * fwd_evidence_lateness_ms() - mean lateness of recent first events.
+ * @row: evidence of an endpoint, of one or more daemons
+ */
+double
+fwd_evidence_lateness_ms(const struct sum_row *row)
+{
+	const uint32_t *values = row->values;
+	double weight = values[EVIDENCE_WEIGHT] / THOUSANDTHS;
+	double late =
+	    (double)values[EVIDENCE_SEVERITY] - values[EVIDENCE_OVERDUE];
+
+	return (fmin(fmax(late, 0) / (weight + PRIOR_WEIGHT), LATENESS_MAX_MS));
+}
+
+/**
+ * fwd_evidence_overdue_ms() - how long first events have been overdue.
+ * @row: evidence of an endpoint, of one or more daemons
+ *
+ * Return: a mean in which each request counts as much as it is overdue.
+ */
+double
+fwd_evidence_overdue_ms(const struct sum_row *row)
+{
+	const uint32_t *values = row->values;
+
+	if (values[EVIDENCE_OVERDUE] == 0)
+		return (0);
+	return (fmin(values[EVIDENCE_SQUARES] * SQUARES_UNIT /
+		values[EVIDENCE_OVERDUE],
+	    LATENESS_MAX_MS));
+}
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -20,16 +20,22 @@
 /* Time to retry for a request whose deadline passed before it was sent. */
 #define RETRY_LATE_MS 100
 
-/* Adds the prompt to the endpoint's prefill backlog. */
+/* Adds the prompt to the endpoint's prefill backlog, and notes what part of the
+ * expected time to its first event is due to evidence. */
 static void
 exchange_add_backlog(struct fwd_exchange *ex)
 {
 	struct endpoint *ep = ex->endpoint;
+	struct fwd_correction correction;
 	struct fwd_criteria criteria;
 	struct fwd_workload workload;
 
 	fwd_exchange_criteria(ex, &criteria);
 	fwd_criteria_workload(&criteria, ex->prompt, &workload);
+	fwd_expect_correction(ep, &workload, &correction);
+	ex->correction_ms = fwd_correction_ms(&correction);
+	ex->silence_ms =
+	    ex->expected_ms - ex->correction_ms + correction.lateness_ms;
 	ex->backlog_at_send = fwd_expect_backlog(ep, &workload);
 	ex->backlog_mark = fwd_backlog_add(&ep->backlog, ex->prompt,
 	    fwd_expect_rate(ep, &workload), criteria.now_ms);
@@ -52,11 +58,13 @@
 	ex->has_permit = endpoint_limit_active(&ep->limit, now) &&
 	    endpoint_limit_take_permit(&ep->limit, now);
 	ex->in_backlog = ex->model != NULL;
+	ex->expected_ms = choice->first_ms;
+	ex->overhead_ms = choice->overhead_ms;
+	ex->correction_ms = 0;
+	ex->silence_ms = ex->expected_ms;
 	if (ex->in_backlog)
 		exchange_add_backlog(ex);
 	ep->inflight++;
-	ex->expected_ms = choice->first_ms;
-	ex->overhead_ms = choice->overhead_ms;
 }
 
 /* Remembers the endpoint, so that others are preferred if it fails. */
@@ -177,6 +185,7 @@
 	criteria->tried = ex->tried;
 	criteria->n_tried = ex->n_tried;
 	criteria->now_ms = clock_loop_ms(ex->fwd->loop);
+	criteria->evidence = fwd_evidence_known(ex->fwd, criteria->now_ms);
 	criteria->draw = random_u32();
 }
 
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -50,6 +50,9 @@
  * @sent_ms: loop time of the last send
  * @expected_ms: expected time from the send to the first event
  * @overhead_ms: the part of @expected_ms that is measured overhead
+ * @correction_ms: the part of @expected_ms that is due to evidence
+ * @silence_ms: @expected_ms without what is due to overdue first events of
+ *	other requests, which are a sign of silence
  * @running_at_send: requests that the endpoint had at the send
  * @usable_at_send: endpoints that could have had the request at the send
  * @known_at_send: endpoints that matched at the send, usable or not
@@ -111,6 +114,8 @@
 	uint64_t sent_ms;
 	double expected_ms;
 	double overhead_ms;
+	double correction_ms;
+	double silence_ms;
 	unsigned running_at_send;
 	unsigned usable_at_send;
 	unsigned known_at_send;
@@ -154,6 +159,10 @@
 struct fwd_estimate *fwd_exchange_estimate(const struct fwd_exchange *);
 void fwd_exchange_end_send(struct fwd_exchange *, bool);
 
+/* fwd-evidence-collect.c: evidence of endpoints. */
+const struct sum_table *fwd_evidence_known(const struct fwd *, uint64_t);
+double fwd_exchange_lateness_ms(const struct fwd_exchange *, uint64_t);
+
 /* fwd-resolve.c: route, customer, service and model of a request. */
 bool fwd_resolve(struct fwd_exchange *, const struct wire_request *,
     const char *);
--- a/src/fwd-expect.c
+++ b/src/fwd-expect.c
@@ -109,6 +109,48 @@
 	    pending - prefilled));
 }
 
+/**
+ * fwd_expect_correction() - what evidence tells about the next first event.
+ * @ep: the endpoint
+ * @workload: a request for it
+ * @correction: filled in; zeros where there is no evidence
+ *
+ * The sums over all daemons are up to 0.6 s old and then include this daemon's
+ * own evidence, which counts by itself until then.
+ */
+void
+fwd_expect_correction(const struct endpoint *ep,
+    const struct fwd_workload *workload, struct fwd_correction *correction)
+{
+	const struct sum_row *known;
+	struct sum_row own = { .key = ep->id_hash };
+
+	correction->lateness_ms = 0;
+	correction->overdue_ms = 0;
+	if (workload->evidence == NULL)
+		return;
+	if (fwd_evidence_row(&ep->evidence, false, workload->now_ms, &own)) {
+		correction->lateness_ms = fwd_evidence_lateness_ms(&own);
+		correction->overdue_ms = fwd_evidence_overdue_ms(&own);
+	}
+	known = sum_table_get(workload->evidence, ep->id_hash);
+	if (known == NULL)
+		return;
+	correction->lateness_ms = fwd_evidence_lateness_ms(known);
+	correction->overdue_ms =
+	    MAX(correction->overdue_ms, fwd_evidence_overdue_ms(known));
+}
+
+/**
+ * fwd_correction_ms() - time that a correction adds to an estimate.
+ * @correction: the correction
+ */
+double
+fwd_correction_ms(const struct fwd_correction *correction)
+{
+	return (MAX(correction->lateness_ms, correction->overdue_ms));
+}
+
 /**
  * fwd_expect_first() - expected time to the first event of a request.
  * @ep: the endpoint
@@ -118,7 +160,7 @@
  * prefill of the prompts before its own and of its own, then for its own first
  * steps. Decode steps between the chunks of a prompt's prefill don't show:
  * prompts of three chunks took no longer than their prefill (MEASUREMENTS,
- * first events).
+ * first events). Evidence of the endpoint corrects the sum.
  *
  * Return: milliseconds from now.
  */
@@ -130,10 +172,13 @@
 	double pairs = workload->prompt * workload->prompt / 2 / PAIRS_UNIT;
 	double prefill = pairs * e->pairs_per_m_ms * workload->model->pace;
 	double rate = fwd_expect_rate(ep, workload);
+	struct fwd_correction correction;
 
 	if (rate > 0)
 		prefill += backlog / rate;
-	return (prefill + after_prefill_ms(ep, workload));
+	fwd_expect_correction(ep, workload, &correction);
+	return (prefill + after_prefill_ms(ep, workload) +
+	    fwd_correction_ms(&correction));
 }
 
 /* Weight of the newest of @seen values in an average. */
--- a/src/fwd-expect.h
+++ b/src/fwd-expect.h
@@ -30,6 +30,8 @@
  * @model: the model's profile
  * @prompt: length of its prompt, in tokens
  * @overhead_ms: measured overhead of the model; see struct fwd_estimate
+ * @evidence: evidence of all daemons on endpoints, by which estimates are
+ *	corrected; NULL if they are not
  * @now_ms: loop time
  */
 struct fwd_workload {
@@ -37,13 +39,30 @@
 	const struct model_profile *model;
 	double prompt;
 	double overhead_ms;
+	const struct sum_table *evidence;
 	uint64_t now_ms;
 };
 
+/**
+ * struct fwd_correction - what evidence adds to the expected time to a first
+ *	event.
+ * @lateness_ms: how late recent first events of the endpoint were
+ * @overdue_ms: how long first events of requests in progress are overdue
+ *
+ * Either estimates how late the next one will be, so the larger one is added.
+ */
+struct fwd_correction {
+	double lateness_ms;
+	double overdue_ms;
+};
+
 double fwd_expect_running(const struct endpoint *);
 double fwd_expect_backlog(const struct endpoint *, const struct fwd_workload *);
 double fwd_expect_rate(const struct endpoint *, const struct fwd_workload *);
 double fwd_expect_first(const struct endpoint *, const struct fwd_workload *);
+void fwd_expect_correction(const struct endpoint *, const struct fwd_workload *,
+    struct fwd_correction *);
+double fwd_correction_ms(const struct fwd_correction *);
 double fwd_expect_gap(const struct endpoint *, const struct engine_profile *,
     const struct model_profile *);
 void fwd_estimate_add_first(struct fwd_estimate *, double);
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -99,6 +99,9 @@
 	ex->in_backlog = false;
 	fwd_backlog_confirm(&ex->endpoint->backlog, ex->backlog_mark, now);
 	ex->endpoint->pending = MAX(ex->endpoint->pending - ex->prompt, 0);
+	if (ex->fwd->set.endpoint_evidence)
+		fwd_evidence_add(&ex->endpoint->evidence,
+		    fwd_exchange_lateness_ms(ex, now), now);
 	estimate = fwd_estimate_get(ex->fwd, ex->model->name);
 	fwd_estimate_add_first(estimate,
 	    (double)(now - ex->sent_ms) - ex->expected_ms + ex->overhead_ms);
--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -33,7 +33,7 @@
 		    MAX(PLAIN_SILENCE_FACTOR * (double)ex->route->objective_ms,
 			PLAIN_SILENCE_MIN_MS));
 	if (ex->in_backlog)
-		return (MAX(SILENCE_FIRST_FACTOR * ex->expected_ms,
+		return (MAX(SILENCE_FIRST_FACTOR * ex->silence_ms,
 		    SILENCE_FIRST_MIN_MS));
 	gap = fwd_expect_gap(ex->endpoint, ex->engine, ex->model) *
 	    ex->engine->stride;
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -75,6 +75,7 @@
  * @budgets: service name to struct fwd_budget
  * @estimates: name of a model or of a plain service to struct fwd_estimate
  * @daemons: number of daemons that share the retry budget
+ * @collected_ms: loop time at which evidence of endpoints was last exchanged
  * @name_hash: hash of this daemon's name
  * @held_bytes: bytes held for clients: bodies of requests in progress, buffered
  *	responses, and output that clients have not read
@@ -105,6 +106,7 @@
 	GHashTable *budgets;
 	GHashTable *estimates;
 	unsigned daemons;
+	uint64_t collected_ms;
 	uint32_t name_hash;
 	size_t held_bytes;
 	bool draining;
@@ -129,5 +131,6 @@
 size_t fwd_hold_limit(const struct fwd *);
 struct fwd_budget *fwd_budget_get(struct fwd *, const char *);
 struct fwd_estimate *fwd_estimate_get(struct fwd *, const char *);
+void fwd_evidence_collect(struct fwd *, struct sum_table *, uint64_t);
 
 #endif
--- a/src/registry-fleet.h
+++ b/src/registry-fleet.h
@@ -6,6 +6,7 @@
 #include "registry-limit.h"
 #include "registry-backoff.h"
 #include "fwd-backlog.h"
+#include "fwd-evidence.h"
 #include "net-conn.h"
 
 /**
@@ -97,6 +98,7 @@
  * @inflight: this daemon's requests at it
  * @pending: prompt tokens of this daemon's requests without a first event
  * @backlog: prefill backlog of the prompts that this daemon sent
+ * @evidence: how late first events of this daemon's requests are
  * @peer_inflight: other daemons' requests at it
  * @peer_pending: prompt tokens of other daemons' requests without a first event
  * @cell_inflight: the part of @peer_inflight from daemons that report to this
@@ -141,6 +143,7 @@
 	unsigned inflight;
 	double pending;
 	struct fwd_backlog backlog;
+	struct fwd_evidence evidence;
 	unsigned peer_inflight;
 	double peer_pending;
 	unsigned cell_inflight;
--- a/src/sum-table.c
+++ b/src/sum-table.c
@@ -7,7 +7,7 @@
 const struct sum_spec sum_specs[SUM_KINDS] = {
 	[SUM_DEMAND] = { "demand", 8, 32 },
 	[SUM_CUSTOMERS] = { "customers", 2, 24 },
-	[SUM_EVIDENCE] = { "evidence", 3, 64 },
+	[SUM_EVIDENCE] = { "evidence", 4, 64 },
 };
 
 /**
