Replay evidence of endpoints in fleets of 9 to 984 daemons

Cause: what daemons learn of each other's evidence, and when, had no test. Change: test-evidence drives simulated fleets: an endpoint that is slow by four, contradictory evidence of two failure domains, a daemon that is gone, absurd values, 984 daemons. Evidence is dropped 300 ms, not 400 ms, after the newest first event. In calm no row is sent.

--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,10 @@
 	$(BUILD)/tests/test-%.o $(BUILD)/tests/fleet-script.o \
 	$(BUILD)/tests/script.o $(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ -lcunit $(LIBS)
+$(BUILD)/test-evidence: $(BUILD)/tests/test-evidence.o \
+	$(BUILD)/tests/evidence-replay.o $(BUILD)/tests/script.o \
+	$(BUILD)/libbanklift.a
+	@$(CC) -o $@ $^ -lcunit $(LIBS)
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/tests/script.o \
 	$(BUILD)/tests/fake-log.o \
 	$(BUILD)/libbanklift.a
--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fleet-model.h"
+#include "fwd.h"
 
 /* Daemons start within this time, in any order. */
 #define START_SPREAD_MS 300
@@ -102,7 +103,7 @@
 	daemon->registry.endpoints.peer_update_ms = daemon->model->now_ms;
 }
 
-/* Counts what a daemon was told to count. */
+/* Counts what a daemon was told to count, and its evidence of endpoints. */
 static void
 daemon_collect(void *arg, struct sum_table *own, uint64_t now_ms)
 {
@@ -112,6 +113,7 @@
 	if (daemon->demand > 0)
 		sum_table_find(&own[SUM_DEMAND], MODEL_DEMAND_KEY)->values[0] =
 		    daemon->demand;
+	fwd_evidence_fill(&daemon->registry, &own[SUM_EVIDENCE], now_ms);
 }
 
 /* Adds an endpoint that serves, as all daemons know it. */
--- a/src/fwd-evidence-collect.c
+++ b/src/fwd-evidence-collect.c
@@ -25,23 +25,20 @@
 }
 
 /**
- * fwd_evidence_collect() - fill in what this daemon observed of endpoints.
- * @fwd: the proxy
+ * fwd_evidence_fill() - fill in rows from the evidence of endpoints.
+ * @registry: the endpoints
  * @table: filled in with a row for each endpoint with something to tell
  * @now_ms: loop time
  */
 void
-fwd_evidence_collect(struct fwd *fwd, struct sum_table *table, uint64_t now_ms)
+fwd_evidence_fill(const struct registry *registry, struct sum_table *table,
+    uint64_t now_ms)
 {
-	const struct sum_table *total =
-	    &fwd->registry->sums.total[SUM_EVIDENCE];
+	const struct sum_table *total = &registry->sums.total[SUM_EVIDENCE];
 	const struct endpoint *ep;
 
 	table->n = 0;
-	if (!fwd->set.endpoint_evidence)
-		return;
-	record_overdue(fwd, now_ms);
-	TAILQ_FOREACH(ep, &fwd->registry->fleet.endpoints, entry) {
+	TAILQ_FOREACH(ep, &registry->fleet.endpoints, entry) {
 		struct sum_row row = { .key = ep->id_hash };
 		const struct sum_row *known = sum_table_get(total, row.key);
 		bool asked =
@@ -51,6 +48,22 @@
 		    fwd_evidence_row(&ep->evidence, asked, now_ms, &row))
 			sum_table_add(table, &row);
 	}
+}
+
+/**
+ * fwd_evidence_collect() - fill in what this daemon observed of endpoints.
+ * @fwd: the proxy
+ * @table: filled in with a row for each endpoint with something to tell
+ * @now_ms: loop time
+ */
+void
+fwd_evidence_collect(struct fwd *fwd, struct sum_table *table, uint64_t now_ms)
+{
+	table->n = 0;
+	if (!fwd->set.endpoint_evidence)
+		return;
+	record_overdue(fwd, now_ms);
+	fwd_evidence_fill(fwd->registry, table, now_ms);
 	fwd->collected_ms = now_ms;
 }
 
--- a/src/fwd-evidence.c
+++ b/src/fwd-evidence.c
@@ -9,7 +9,7 @@
 /* Evidence is dropped this long after the newest first event. An endpoint that
  * is avoided has no new events, so this bounds the time until it is used again:
  * the sums add up to 600 ms. */
-#define FORGET_MS 400
+#define FORGET_MS 300
 /* Overdue times are recorded every 100 ms; older ones are not used. */
 #define OVERDUE_MAX_AGE_MS 500
 /* Bounds of the lateness of one first event. */
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -131,6 +131,7 @@
 size_t fwd_hold_limit(const struct fwd *);
 struct fwd_budget *fwd_budget_get(struct fwd *, const char *);
 struct fwd_estimate *fwd_estimate_get(struct fwd *, const char *);
+void fwd_evidence_fill(const struct registry *, struct sum_table *, uint64_t);
 void fwd_evidence_collect(struct fwd *, struct sum_table *, uint64_t);
 
 #endif
--- /dev/null
+++ b/tests/evidence-replay.h
@@ -0,0 +1,63 @@
+/* Replay, in virtual time, of requests from many daemons to a group of
+ * endpoints that exchange evidence. */
+#ifndef TESTS_EVIDENCE_REPLAY_H
+#define TESTS_EVIDENCE_REPLAY_H
+
+#include "fleet-model.h"
+#include "fwd-choose.h"
+
+/**
+ * struct replay_endpoint - actual state of an endpoint.
+ * @running: requests that it has
+ * @sent: requests that it ever had
+ * @free_ms: when it has prefilled all prompts
+ * @slow: how much slower it is until @slow_until_ms
+ * @slow_until_ms: end of that
+ * @stalled_until_ms: it sends nothing before then
+ */
+struct replay_endpoint {
+	unsigned running;
+	unsigned sent;
+	double free_ms;
+	double slow;
+	double slow_until_ms;
+	double stalled_until_ms;
+};
+
+/**
+ * struct replay - daemons, endpoints and requests.
+ * @model: the daemons and their exchange
+ * @endpoints: the endpoints
+ * @flights: requests at endpoints
+ * @draw: random numbers
+ * @evidence: estimates are corrected by evidence
+ * @estimate: moving averages of the model
+ * @objective_ms: latency objective of first events
+ * @due: requests that are due to be sent
+ * @in_time: first events in time; by whether they were predicted to be late
+ * @late: first events after the objective; likewise
+ * @refused: requests that found no endpoint
+ */
+struct replay {
+	struct fleet_model *model;
+	struct replay_endpoint *endpoints;
+	GPtrArray *flights;
+	GRand *draw;
+	bool evidence;
+	struct fwd_estimate estimate;
+	double objective_ms;
+	double due;
+	unsigned in_time[2];
+	unsigned late[2];
+	unsigned refused;
+};
+
+struct replay *replay_new(unsigned, unsigned, unsigned, bool);
+void replay_free(struct replay *);
+void replay_run(struct replay *, uint64_t, double);
+double replay_correction_ms(const struct replay *, unsigned, unsigned);
+unsigned replay_informed(const struct replay *, unsigned);
+void replay_slow(struct replay *, unsigned, double, uint64_t, double,
+    uint64_t *, uint64_t *);
+
+#endif
