Count first events by model, late or not and foreseen or not

Cause: whether the daemons know beforehand that a first event will be late could not be counted: log lines lack the objective and the time of the send, and metrics have histograms only. A request that was moved counts as not foreseen.

--- a/src/bankliftctl.c
+++ b/src/bankliftctl.c
@@ -14,6 +14,7 @@
 	&cmd_apply_entry,
 	&cmd_compare_entry,
 	&cmd_delete_entry,
+	&cmd_estimates_entry,
 	&cmd_explain_entry,
 	&cmd_get_entry,
 	&cmd_status_entry,
@@ -37,7 +38,7 @@
 {
 	fprintf(stderr, "usage: bankliftctl [options] command [arguments]\n");
 	for (size_t i = 0; cmd_table[i] != NULL; i++)
-		fprintf(stderr, "  %-9s%-16s%s\n", cmd_table[i]->name,
+		fprintf(stderr, "  %-10s%-16s%s\n", cmd_table[i]->name,
 		    cmd_table[i]->usage, cmd_table[i]->help);
 	fprintf(stderr, "bankliftctl --help shows the options.\n");
 	return (CMD_USAGE);
--- a/src/cmd.h
+++ b/src/cmd.h
@@ -62,6 +62,7 @@
 extern const struct cmd_entry cmd_apply_entry;
 extern const struct cmd_entry cmd_compare_entry;
 extern const struct cmd_entry cmd_delete_entry;
+extern const struct cmd_entry cmd_estimates_entry;
 extern const struct cmd_entry cmd_explain_entry;
 extern const struct cmd_entry cmd_get_entry;
 extern const struct cmd_entry cmd_status_entry;
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -16,7 +16,8 @@
 	    "id=%s route=%s status=%u reason=%s service=%s model=%s "
 	    "endpoint=%s sends=%u runs=%u age_ms=%llu first_ms=%llu "
 	    "last_event=%lld version=%lld prompt=%.0f expected_ms=%.0f "
-	    "running=%u reading=%.0f work=%08x",
+	    "running=%u reading=%.0f work=%08x objective_ms=%lld sent_ms=%llu "
+	    "correction_ms=%.0f",
 	    ex->id, ex->route != NULL ? ex->route->name : "-", status, reason,
 	    ex->service != NULL ? ex->service : "-",
 	    ex->model != NULL ? ex->model->name : "-",
@@ -29,7 +30,11 @@
 	    ex->events.buf != NULL ? (long long)ex->events.last_id : -1LL,
 	    ex->catalog != NULL ? (long long)ex->catalog->version : -1LL,
 	    ex->prompt, ex->expected_ms, ex->running_at_send,
-	    ex->backlog_at_send, FINGERPRINT_SHORT(ex->fingerprint));
+	    ex->backlog_at_send, FINGERPRINT_SHORT(ex->fingerprint),
+	    ex->route != NULL ? (long long)ex->route->objective_ms : 0,
+	    (unsigned long long)(ex->sends > 0 ? ex->sent_ms - ex->arrived_ms :
+						 0),
+	    ex->correction_ms);
 }
 
 /* Counts a request that ended before its first event, which was overdue. */
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -125,6 +125,25 @@
 	ep->slowness = CLAMP(ep->slowness, SLOWNESS_MIN, SLOWNESS_MAX);
 }
 
+/* Counts the first event that is passed on, by whether it is late. */
+static void
+response_count_first(const struct fwd_exchange *ex)
+{
+	struct fwd_stats *stats = &ex->fwd->stats;
+	double objective = (double)ex->route->objective_ms;
+	double waited = (double)(ex->sent_ms - ex->arrived_ms);
+	enum fwd_first_result result = FIRST_IN_TIME;
+
+	if (!ex->fwd->set.endpoint_evidence || ex->model == NULL)
+		return;
+	if ((double)(ex->first_us - ex->arrived_us) / 1000 > objective)
+		result =
+		    ex->sends == 1 && waited + ex->expected_ms > objective ?
+		    FIRST_LATE_FORESEEN :
+		    FIRST_LATE_UNFORESEEN;
+	fwd_stats_count_first(stats, ex->model->name, result);
+}
+
 /* Passes one event on to the client. */
 static void
 response_pass_event(struct fwd_exchange *ex, size_t length)
@@ -134,6 +153,7 @@
 	if (ex->state == EXCHANGE_SENT) {
 		ex->first_us = clock_now_us();
 		ex->state = EXCHANGE_RESPONDING;
+		response_count_first(ex);
 		fwd_conn_begin(conn, ex->status, ex->headers->str);
 	}
 	fwd_conn_write(conn, ex->events.buf->str, length);
--- a/src/fwd-stats.c
+++ b/src/fwd-stats.c
@@ -30,6 +30,12 @@
 	[COUNT_BAD_REQUESTS] = "bad_requests",
 };
 
+static const char *const first_names[FIRST_RESULTS] = {
+	[FIRST_IN_TIME] = "in_time",
+	[FIRST_LATE_FORESEEN] = "late_foreseen",
+	[FIRST_LATE_UNFORESEEN] = "late_unforeseen",
+};
+
 static const struct {
 	const char *name;
 	double share;
@@ -46,6 +52,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	stats->customers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	stats->first_events =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 /**
@@ -57,6 +65,7 @@
 {
 	g_hash_table_destroy(stats->routes);
 	g_hash_table_destroy(stats->customers);
+	g_hash_table_destroy(stats->first_events);
 }
 
 /**
@@ -111,6 +120,46 @@
 		    total_us);
 }
 
+/**
+ * fwd_stats_count_first() - count the first event of a response.
+ * @stats: counters and histograms
+ * @model: name of the model
+ * @result: its result
+ */
+void
+fwd_stats_count_first(struct fwd_stats *stats, const char *model,
+    enum fwd_first_result result)
+{
+	uint64_t *counts = g_hash_table_lookup(stats->first_events, model);
+
+	if (counts == NULL) {
+		if (g_hash_table_size(stats->first_events) >=
+		    FWD_STATS_LABELS_MAX)
+			return;
+		counts = g_new0(uint64_t, FIRST_RESULTS);
+		g_hash_table_insert(stats->first_events, g_strdup(model),
+		    counts);
+	}
+	counts[result]++;
+}
+
+static void
+print_first_events(GString *out, GHashTable *table)
+{
+	GHashTableIter iter;
+	gpointer model, counts;
+
+	g_hash_table_iter_init(&iter, table);
+	while (g_hash_table_iter_next(&iter, &model, &counts)) {
+		for (size_t i = 0; i < FIRST_RESULTS; i++)
+			g_string_append_printf(out,
+			    "banklift_first_events_total{model=\"%s\","
+			    "result=\"%s\"} %llu\n",
+			    (const char *)model, first_names[i],
+			    (unsigned long long)((uint64_t *)counts)[i]);
+	}
+}
+
 static void
 print_histogram(GString *out, const char *name, const char *kind,
     const char *label, struct histogram *h)
@@ -154,6 +203,7 @@
 	for (size_t i = 0; i < COUNT_KINDS; i++)
 		g_string_append_printf(out, "banklift_%s_total %llu\n",
 		    count_names[i], (unsigned long long)stats->counts[i]);
+	print_first_events(out, stats->first_events);
 	print_latencies(out, "route", stats->routes);
 	print_latencies(out, "customer", stats->customers);
 }
--- a/src/fwd-stats.h
+++ b/src/fwd-stats.h
@@ -43,6 +43,19 @@
 	COUNT_KINDS,
 };
 
+/**
+ * enum fwd_first_result - results of first events, of requests for a model.
+ * @FIRST_IN_TIME: within the objective
+ * @FIRST_LATE_FORESEEN: late, as was expected when the request was sent
+ * @FIRST_LATE_UNFORESEEN: late, and expected in time, or moved since
+ */
+enum fwd_first_result {
+	FIRST_IN_TIME,
+	FIRST_LATE_FORESEEN,
+	FIRST_LATE_UNFORESEEN,
+	FIRST_RESULTS,
+};
+
 /**
  * struct fwd_latency - latency histograms of one route or customer.
  * @first_us: from the arrival of a request to the first byte of its response
@@ -58,11 +71,13 @@
  * @counts: counters, indexed by enum fwd_count
  * @routes: route name to struct fwd_latency
  * @customers: customer name to struct fwd_latency
+ * @first_events: model name to counters, indexed by enum fwd_first_result
  */
 struct fwd_stats {
 	uint64_t counts[COUNT_KINDS];
 	GHashTable *routes;
 	GHashTable *customers;
+	GHashTable *first_events;
 };
 
 void fwd_stats_init(struct fwd_stats *);
@@ -70,6 +85,8 @@
 void fwd_stats_count(struct fwd_stats *, enum fwd_count);
 void fwd_stats_add_latency(struct fwd_stats *, const char *, const char *,
     uint64_t, uint64_t);
+void fwd_stats_count_first(struct fwd_stats *, const char *,
+    enum fwd_first_result);
 void fwd_stats_print(const struct fwd_stats *, GString *);
 
 #endif
