Test evidence of endpoints between two daemons

Cause: no test ran daemons with endpoint-evidence. Change: proc-edge-evidence.sh slows the first events of all endpoints to twice the objective and compares the counts of foreseen and unforeseen late ones, before, meanwhile and after. The stand-in has a switch that delays the first event of a stream.

--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -109,7 +109,8 @@
 	c->streaming = true;
 	c->event = last != NULL ? atoi(last) + 1 : 0;
 	net_stream_write(&c->stream, head, strlen(head));
-	uv_timer_start(&c->timer, on_event, EVENT_MS, 0);
+	uv_timer_start(&c->timer, on_event,
+	    EVENT_MS + (uint64_t)get_switch("slow-first"), 0);
 }
 
 /* Sends a response whose body is that many bytes. */
--- /dev/null
+++ b/tests/proc-edge-evidence.sh
@@ -0,0 +1,50 @@
+# Guards against late first events that come as a surprise again and again: once the endpoints
+# are slow, daemons expect that, tell each other, and forget it when it is over.
+. tests/lib-edge.sh
+
+all_ready() {
+	edge_ready 1 && edge_ready 2
+}
+
+# first_events RESULT: first events of both daemons with that result.
+first_events() {
+	for n in 1 2; do
+		curl -s -m 5 "http://$(edge_ip "$n"):9464/metrics"
+	done | sed -n "s/.*first_events_total{model=\"m\",result=\"$1\"} //p" |
+	    awk '{ sum += $1 } END { print sum + 0 }'
+}
+
+# at_least NUMBER NUMBER: whether the first is at least the second.
+at_least() {
+	[ "$1" -ge "$2" ]
+}
+
+start_edge_platform 4 1
+put_config 1 's/"target_latency_ms":500/"target_latency_ms":150/'
+start_edge 1 --endpoint-evidence true
+start_edge 2 --endpoint-evidence true --domain b
+check_true "all are ready" until_true 15 all_ready
+check_true "two replicas serve" until_true 15 groups_open 1 2
+
+ask_paced 2 2 /write/x
+check "all are served" 50 "$(answered 200)"
+check_true "first events are in time" at_least "$(first_events in_time)" 45
+check_true "the log tells the objective" grep -q \
+    'event=request_answered .* objective_ms=150 sent_ms=' "$RUN"/edge-1.out
+
+# Slower than the objective, and not slow enough to count as silent.
+control slow-first 300
+ask_paced 4 2 /write/x
+late=$(first_events late_foreseen)
+check_true "most late first events are foreseen" \
+    at_least "$late" "$(first_events late_unforeseen)"
+check_true "some first events were late" at_least "$late" 10
+
+control slow-first 0
+sleep 1
+before=$(first_events in_time)
+ask_paced 2 2 /write/x
+check "all are served again" 50 "$(answered 200)"
+check_true "and in time" at_least "$(($(first_events in_time) - before))" 45
+
+verdict
