Use one priority for a request, and tell it to endpoints

Cause: a customer's priority was decoded but not used, values out of range ordered the queue like any other, and endpoints were told no priority. Change: fwd_priority() gives the customer's priority, else the route's; values that are not valid count as 9, with one log line for each configuration. The queue uses it, and Request-Priority has it where requests of the service differ. Both need overload-levels.

--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -103,11 +103,10 @@
 exchange_enqueue(struct fwd_exchange *ex)
 {
 	struct fwd_exchange *at;
-	int priority = ex->route->priority;
 
 	ex->state = EXCHANGE_QUEUED;
 	TAILQ_FOREACH(at, &ex->fwd->queue, queue_entry) {
-		if (at->route->priority > priority)
+		if (at->priority > ex->priority)
 			break;
 	}
 	if (at != NULL)
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "event-log.h"
 #include "fwd-exchange.h"
+#include "fwd-priority.h"
 #include "random.h"
 
 /* A request that may run only once gets a new connection: an idle one may have
@@ -69,6 +70,18 @@
 	ex->tried[ex->n_tried++].endpoint = ex->endpoint;
 }
 
+/* Priority that the endpoint is told; -1 for none. It is of use to the endpoint
+ * only if other requests have another one. */
+static int
+exchange_sent_priority(const struct fwd_exchange *ex)
+{
+	if (!ex->fwd->set.overload_levels ||
+	    !fwd_priority_differs(
+		catalog_find_service(ex->catalog, ex->service)))
+		return (-1);
+	return (ex->priority);
+}
+
 /* Builds the request as it is sent to the endpoint. */
 static GString *
 exchange_build_request(const struct fwd_exchange *ex)
@@ -81,7 +94,7 @@
 		.left_ms =
 		    (int64_t)(ex->deadline_ms - clock_loop_ms(ex->fwd->loop)),
 		.last_event = ex->events.last_id,
-		.priority = -1,
+		.priority = exchange_sent_priority(ex),
 	};
 
 	ex->fwd->wire->write_forward(text, &fwd);
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -37,6 +37,7 @@
  * @request: request line and headers that are the same for every endpoint
  * @body: body of the request
  * @head_only: the method is HEAD
+ * @priority: its priority, 0 to 9; 0 is the highest
  * @prompt: length of the prompt, in tokens
  * @arrived_ms: loop time of the arrival
  * @arrived_us: the same in microseconds of the monotonic clock, for the
@@ -100,6 +101,7 @@
 	GString *request;
 	GByteArray *body;
 	bool head_only;
+	int priority;
 	double prompt;
 	uint64_t arrived_ms;
 	uint64_t arrived_us;
--- a/src/fwd-resolve.c
+++ b/src/fwd-resolve.c
@@ -5,6 +5,7 @@
 #include "clock.h"
 #include "event-log.h"
 #include "fwd-exchange.h"
+#include "fwd-priority.h"
 
 /* Time to retry at a daemon without a fresh configuration. */
 #define RETRY_STALE_MS 300
@@ -108,6 +109,15 @@
 	    timeout + ex->route->objective_ms < ex->route->timeout_ms;
 }
 
+/* Sets the priority. Customers' own priorities are used with levels only. */
+static void
+resolve_priority(struct fwd_exchange *ex)
+{
+	bool levels = ex->fwd->set.overload_levels;
+
+	ex->priority = fwd_priority(ex->route, levels ? ex->customer : NULL);
+}
+
 /* Writes the request line and the headers that are forwarded unchanged. */
 static void
 resolve_request_text(struct fwd_exchange *ex, const char *method)
@@ -181,6 +191,7 @@
 	resolve_deadline(ex, req);
 	if (!resolve_customer(ex, req->key, age) || !resolve_service(ex, req))
 		return (false);
+	resolve_priority(ex);
 	ex->fingerprint = resolve_fingerprint(ex, method);
 	resolve_request_text(ex, method);
 	fwd_events_init(&ex->events, req->last_event);
--- a/src/registry-catalog.h
+++ b/src/registry-catalog.h
@@ -83,6 +83,8 @@
  * @max_connections: most connections that an endpoint takes from all clients
  * @cold_per_s: requests per second that an endpoint tolerates while it is cold,
  *	from all daemons together; 0 for any number
+ * @priorities: priorities that its requests can have, as bits; see
+ *	fwd_priority_prepare()
  * @engine: profile of the engines; NULL for a plain service, which runs no
  *	models
  */
@@ -91,6 +93,7 @@
 	char *health_path;
 	unsigned max_connections;
 	double cold_per_s;
+	uint16_t priorities;
 	struct engine_profile *engine;
 };
 
--- a/src/registry-config.c
+++ b/src/registry-config.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "registry.h"
 #include "event-log.h"
+#include "fwd-priority.h"
 
 /* Key of the configuration in its topic. */
 #define CONFIG_KEY "config"
@@ -85,6 +86,18 @@
 		registry_set_cold(registry, ep, ep->limit.cold_until_ms, now);
 }
 
+/* Computes the services' priorities; logs those that are not valid. */
+static void
+config_prepare_priorities(const struct catalog *catalog)
+{
+	unsigned invalid = fwd_priority_prepare(catalog);
+
+	if (invalid > 0)
+		event_log(LOG_WARNING, "priorities_ignored",
+		    "version=%lld invalid=%u used=%d",
+		    (long long)catalog->version, invalid, FWD_PRIORITY_LOWEST);
+}
+
 /**
  * registry_apply_config() - put a configuration in force if it is newer.
  * @registry: the registry
@@ -112,6 +125,7 @@
 		return (false);
 	}
 	next->offset = offset;
+	config_prepare_priorities(next);
 	event_log(LOG_NOTICE, "config_in_force",
 	    "version=%lld was=%lld offset=%llu routes=%u services=%u "
 	    "customers=%u",
