Count demand by service, model and priority, and tell it to all daemons

Cause: no daemon knew what the others were asked, refused, served late or queued. Change: the proxy counts each request in a bounded table of decaying rates, by service, model and priority; edge_collect_sums() tells it as SUM_DEMAND. fleet_demand_row() and fleet_demand_total() read the sums. Result: test-overload passes. Nothing decides by it yet.

--- a/src/edge.c
+++ b/src/edge.c
@@ -306,6 +306,8 @@
 	e->mesh.missed_arg = e;
 	e->mesh.avoided = on_avoided;
 	e->mesh.avoided_arg = e;
+	e->mesh.collect_sums = edge_collect_sums;
+	e->mesh.collect_sums_arg = e;
 	e->mesh.became_relay = edge_read_addresses;
 	e->mesh.became_relay_arg = e;
 	e->registry.relayed = on_relayed;
--- a/src/edge.h
+++ b/src/edge.h
@@ -101,6 +101,7 @@
 void edge_announce(struct edge *);
 void edge_remove_addresses(struct edge *);
 void edge_read_addresses(void *);
+void edge_collect_sums(void *, struct sum_table *, uint64_t);
 void edge_quarantine_update(struct edge *);
 bool edge_quarantine_apply(struct edge *, const struct store_record *);
 int edge_main(const struct edge_platform *, int, const char **);
--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -94,6 +94,8 @@
 	    choice->limits_per_s, ep != NULL ? ep->report.id : "-",
 	    choice->load, a->first_ms, a->duration_ms, a->ahead, a->resubmitted,
 	    (long long)retry);
+	if (ex->runs == 0 && ex->first_us == 0)
+		fwd_count_refused(ex, retry);
 	fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY,
 	    no_slot_reason(choice), retry);
 }
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -182,11 +182,12 @@
 static void
 end_completed(struct fwd_exchange *ex)
 {
-	uint64_t now_us = clock_now_us();
+	uint64_t now_us;
 
 	fwd_stats_count(&ex->fwd->stats, COUNT_COMPLETED);
 	if (ex->first_us == 0)
-		ex->first_us = now_us;
+		fwd_count_first(ex);
+	now_us = clock_now_us();
 	fwd_stats_add_latency(&ex->fwd->stats, ex->route->name,
 	    ex->customer != NULL ? ex->customer->name : NULL,
 	    ex->first_us - ex->arrived_us, now_us - ex->arrived_us);
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -139,6 +139,7 @@
 	exchange_take_slot(ex, choice);
 	exchange_note_tried(ex);
 	ex->sends++;
+	fwd_count_sent(ex);
 	ex->sent_ms = clock_loop_ms(fwd->loop);
 	ex->heard_ms = ex->sent_ms;
 	ex->crash_suspected = false;
@@ -245,6 +246,7 @@
 		return;
 	fwd_budget_request(fwd_budget_get(fwd, ex->service), &fwd->set.retry,
 	    ex->arrived_ms);
+	fwd_count_asked(ex);
 	fwd_exchange_dispatch(ex);
 }
 
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -176,6 +176,13 @@
 void fwd_exchange_release(struct fwd_exchange *);
 void fwd_exchange_drop_response(struct fwd_exchange *);
 
+/* fwd-count.c: counts in the table of demand. */
+void fwd_count_asked(struct fwd_exchange *);
+void fwd_count_sent(struct fwd_exchange *);
+void fwd_count_first(struct fwd_exchange *);
+void fwd_count_refused(struct fwd_exchange *, int64_t);
+void fwd_count_fill(struct fwd *, struct sum_table *, uint64_t);
+
 /* fwd-response.c: response of an endpoint. */
 extern const struct net_conn_ops fwd_response_ops;
 
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -129,7 +129,7 @@
 	struct fwd_conn *conn = ex->conn;
 
 	if (ex->state == EXCHANGE_SENT) {
-		ex->first_us = clock_now_us();
+		fwd_count_first(ex);
 		ex->state = EXCHANGE_RESPONDING;
 		fwd_conn_begin(conn, ex->status, ex->headers->str);
 	}
@@ -198,7 +198,7 @@
 	if (!ex->passthrough) {
 		ex->passthrough = true;
 		ex->state = EXCHANGE_RESPONDING;
-		ex->first_us = clock_now_us();
+		fwd_count_first(ex);
 		fwd_conn_begin(ex->conn, ex->status, ex->headers->str);
 	}
 	fwd_conn_write(ex->conn, ex->response_body->data,
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -4,6 +4,7 @@
 
 #include "registry.h"
 #include "fwd-budget.h"
+#include "fwd-demand.h"
 #include "fwd-expect.h"
 #include "fwd-stats.h"
 #include "fwd-wire.h"
@@ -74,6 +75,7 @@
  * @n_exchanges: length of @exchanges
  * @budgets: service name to struct fwd_budget
  * @estimates: name of a model or of a plain service to struct fwd_estimate
+ * @demand: what this daemon is asked, admits and refuses
  * @daemons: number of daemons that share the retry budget
  * @name_hash: hash of this daemon's name
  * @held_bytes: bytes held for clients: bodies of requests in progress, buffered
@@ -104,6 +106,7 @@
 	unsigned n_exchanges;
 	GHashTable *budgets;
 	GHashTable *estimates;
+	struct fwd_demand demand;
 	unsigned daemons;
 	uint32_t name_hash;
 	size_t held_bytes;
--- a/tests/test-overload.c
+++ b/tests/test-overload.c
@@ -1,12 +1,17 @@
 /* Scripted tests of priorities, demand and levels. */
 #include <string.h>
 
-#include "fwd-priority.h"
+#include "fwd-demand.h"
 #include "script.h"
 
+static struct fwd_demand demand;
+static struct sum_table table;
+
 static void
 reset(void)
 {
+	memset(&demand, 0, sizeof demand);
+	memset(&table, 0, sizeof table);
 }
 
 /* A number after "name=", which may be negative. */
@@ -80,9 +85,100 @@
 	catalog_unref(catalog);
 }
 
+static const char *const events[DEMAND_RATES] = { "asked", "returned",
+	"admitted", "late", "refused" };
+
+/* The key that a command names by model= and priority=. */
+static uint32_t
+key_of(const char *rest)
+{
+	g_autofree char *model = script_word(rest, "model");
+
+	return (fwd_demand_key("s", model,
+	    (int)script_number(rest, "priority", 0)));
+}
+
+/*
+ * count EVENT [model=M] [priority=N] from=MS to=MS every=MS: events at an even
+ * rate
+ */
+static void
+exec_count(const char *rest, GString *out)
+{
+	uint64_t every = script_number(rest, "every", 1);
+	uint64_t to = script_number(rest, "to", 0);
+
+	for (uint64_t at = script_number(rest, "from", 0); at < to; at += every)
+		for (unsigned i = 0; i < DEMAND_RATES; i++)
+			if (g_str_has_prefix(rest, events[i]))
+				fwd_demand_count(&demand, key_of(rest),
+				    (enum demand_value)i, at);
+}
+
+/* due [model=M] [priority=N] in=MS at=MS: a client is told to return */
+static void
+exec_due(const char *rest, GString *out)
+{
+	uint64_t at = script_number(rest, "at", 0);
+
+	fwd_demand_add_due(&demand, key_of(rest),
+	    at + script_number(rest, "in", 0), at);
+}
+
+/* queue [model=M] [priority=N] n=N at=MS: requests are queued */
+static void
+exec_queue(const char *rest, GString *out)
+{
+	fwd_demand_clear_queued(&demand);
+	for (uint64_t n = script_number(rest, "n", 0); n > 0; n--)
+		fwd_demand_add_queued(&demand, key_of(rest),
+		    script_number(rest, "at", 0));
+}
+
+/*
+ * demand [model=M] [priority=N] at=MS [daemons=N]: demand as read from the sums
+ * of that many daemons that count the same; of all priorities without one
+ */
+static void
+exec_demand(const char *rest, GString *out)
+{
+	g_autofree char *model = script_word(rest, "model");
+	int priority = signed_number(rest, "priority", -1);
+	struct fleet_demand d;
+	bool found;
+
+	fwd_demand_fill(&demand, &table, script_number(rest, "at", 0));
+	sum_table_scale(&table, (unsigned)script_number(rest, "daemons", 1));
+	found = priority < 0 ?
+	    fleet_demand_total(&table, "s", model, &d) :
+	    fleet_demand_row(&table, "s", model, priority, &d);
+	g_string_append_printf(out,
+	    "%s asked %.1f returned %.1f admitted %.1f late %.1f refused %.1f "
+	    "queued %.0f due %.0f\n",
+	    found ? "found" : "none", d.asked, d.returned, d.admitted, d.late,
+	    d.refused, d.queued, d.due);
+}
+
+/* fill keys=N at=MS: one request of each of many models; rows that are told */
+static void
+exec_fill(const char *rest, GString *out)
+{
+	uint64_t at = script_number(rest, "at", 0);
+
+	for (uint32_t i = 0; i < script_number(rest, "keys", 0); i++)
+		fwd_demand_count(&demand, i, DEMAND_ASKED, at + i);
+	fwd_demand_fill(&demand, &table, at + 1000);
+	g_string_append_printf(out, "%u rows\n", table.n);
+}
+
 static const struct script_command commands[] = {
 	{ "priority", exec_priority },
 	{ "service", exec_service },
+	{ "count", exec_count },
+	{ "due", exec_due },
+	{ "queue", exec_queue },
+	{ "demand", exec_demand },
+	{ "fill", exec_fill },
 	{ NULL, NULL },
 };
 
