Refuse first attempts by a level of priority while capacity is short

Cause: requests beyond the capacity were admitted until all slots were taken, and all were late; what was refused then was decided by the strictest objective, which the highest priority has. Change: for each service and model, all daemons compute from the same sums which share of the first attempts exceeds what the replicas can serve in time, refuse that share from the lowest priority up, by a hash of the request's id, and leave a fifth of its share to each. The capacity is the number of requests at which first events are expected in time; it is trusted below 0.8 of the slots only as first events are late. Resubmitted requests are not refused.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -59,9 +59,15 @@
 	return (false);
 }
 
-/* Whether an endpoint is of the request's service and serves its model. */
-static bool
-endpoint_matches(const struct endpoint *ep, const struct fwd_criteria *criteria)
+/**
+ * fwd_endpoint_matches() - whether an endpoint is of a request's service and
+ *	serves its model.
+ * @ep: the endpoint
+ * @criteria: the request's criteria
+ */
+bool
+fwd_endpoint_matches(const struct endpoint *ep,
+    const struct fwd_criteria *criteria)
 {
 	if (strcmp(ep->report.service, criteria->service) != 0)
 		return (false);
@@ -108,9 +114,15 @@
 	    ERROR_WEIGHT * ep->error_rate + (remote ? CROSS_DOMAIN_LOAD : 0));
 }
 
-/* Maximum number of requests that an endpoint should have at once. */
-static double
-endpoint_slots(const struct endpoint *ep, const struct fwd_criteria *criteria)
+/**
+ * fwd_endpoint_slots() - maximum number of requests that an endpoint should
+ *	have at once.
+ * @ep: the endpoint
+ * @criteria: the criteria of a request
+ */
+double
+fwd_endpoint_slots(const struct endpoint *ep,
+    const struct fwd_criteria *criteria)
 {
 	if (criteria->engine != NULL)
 		return (criteria->engine->slots);
@@ -210,7 +222,7 @@
 	choice->permit_ms = INFINITY;
 	choice->limits_per_s = 0;
 	TAILQ_FOREACH(ep, &fleet->endpoints, entry) {
-		if (!endpoint_matches(ep, criteria) || ep->gone)
+		if (!fwd_endpoint_matches(ep, criteria) || ep->gone)
 			continue;
 		choice->known++;
 		choice_note_unavailable(choice, ep, criteria->now_ms);
@@ -221,7 +233,7 @@
 		choice->usable++;
 		choice->running += fwd_expect_running(ep);
 		choice->any_usable = ep;
-		if (fwd_expect_running(ep) < endpoint_slots(ep, criteria) &&
+		if (fwd_expect_running(ep) < fwd_endpoint_slots(ep, criteria) &&
 		    endpoint_backoff_admits(&ep->backoff))
 			eligible_add(eligible, ep, criteria->now_ms);
 	}
@@ -281,7 +293,7 @@
 		choice->first_ms = expected;
 		choice->overhead_ms = criteria->overhead_ms;
 		choice->load =
-		    fwd_expect_running(ep) / endpoint_slots(ep, criteria);
+		    fwd_expect_running(ep) / fwd_endpoint_slots(ep, criteria);
 	}
 }
 
--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -75,7 +75,8 @@
 
 /* Refuses a request that can't be served in time. */
 static void
-exchange_refuse_no_slot(struct fwd_exchange *ex, const struct fwd_admission *a)
+exchange_refuse_no_slot(struct fwd_exchange *ex, const struct fwd_admission *a,
+    const char *reason)
 {
 	const struct fwd_choice *choice = a->choice;
 	const struct endpoint *ep = choice->next_permit != NULL ?
@@ -96,8 +97,7 @@
 	    (long long)retry);
 	if (ex->runs == 0 && ex->first_us == 0)
 		fwd_count_refused(ex, retry);
-	fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY,
-	    no_slot_reason(choice), retry);
+	fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY, reason, retry);
 }
 
 /* Inserts a request into the queue, by priority. */
@@ -127,6 +127,7 @@
 	struct fwd_choice choice;
 	struct fwd_admission a;
 	struct fwd_criteria criteria;
+	bool arrived = ex->state != EXCHANGE_QUEUED && ex->sends == 0;
 
 	if (ex->state != EXCHANGE_QUEUED)
 		exchange_enqueue(ex);
@@ -144,12 +145,16 @@
 		fwd_stats_count(&ex->fwd->stats, COUNT_LIMIT_HELD_BACK);
 	}
 	exchange_fill_admission(ex, &criteria, &choice, &a);
+	if (arrived && fwd_level_refuses(ex, &choice)) {
+		exchange_refuse_no_slot(ex, &a, "overloaded");
+		return;
+	}
 	switch (fwd_admission_decide(&a)) {
 	case ADMIT_SEND:
 		fwd_exchange_send(ex, &choice);
 		break;
 	case ADMIT_REFUSE:
-		exchange_refuse_no_slot(ex, &a);
+		exchange_refuse_no_slot(ex, &a, no_slot_reason(&choice));
 		break;
 	case ADMIT_QUEUE:
 		break;
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -79,6 +79,7 @@
 		    (unsigned long long)(now - fwd->last_tick_ms));
 	}
 	fwd->last_tick_ms = now;
+	fwd_level_update_all(fwd, now);
 	tick_exchanges(fwd, now);
 	dispatch_queue(fwd);
 	tick_conns(fwd, now);
@@ -188,6 +189,7 @@
 	TAILQ_INIT(&fwd->conns);
 	TAILQ_INIT(&fwd->exchanges);
 	TAILQ_INIT(&fwd->queue);
+	TAILQ_INIT(&fwd->levels);
 	fwd->budgets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fwd->estimates =
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -6,6 +6,7 @@
 #include "fwd-budget.h"
 #include "fwd-demand.h"
 #include "fwd-expect.h"
+#include "fwd-level.h"
 #include "fwd-stats.h"
 #include "fwd-wire.h"
 
@@ -76,6 +77,7 @@
  * @budgets: service name to struct fwd_budget
  * @estimates: name of a model or of a plain service to struct fwd_estimate
  * @demand: what this daemon is asked, admits and refuses
+ * @levels: which first attempts are refused, by service and model
  * @daemons: number of daemons that share the retry budget
  * @name_hash: hash of this daemon's name
  * @held_bytes: bytes held for clients: bodies of requests in progress, buffered
@@ -107,6 +109,7 @@
 	GHashTable *budgets;
 	GHashTable *estimates;
 	struct fwd_demand demand;
+	struct fwd_level_list levels;
 	unsigned daemons;
 	uint32_t name_hash;
 	size_t held_bytes;
--- /dev/null
+++ b/src/overload-level.c
@@ -0,0 +1,210 @@
+/*
+ * Level: which first attempts of a service and model are refused while capacity
+ * is short. Pure.
+ *
+ * The share of the first attempts to refuse is the excess of what is asked over
+ * what the replicas can serve in time: the requests at which first events are
+ * expected in time, by the time for which each occupies its slot, less those
+ * that return and those that are too many already. It is computed anew from the
+ * sums at each update, so all daemons reach the same level whenever they
+ * started. Stepwise adaptation to late first events and queues was worse in all
+ * replays (tests/test-levels.c), since it reacts only when requests are late
+ * and again when the refused ones return.
+ */
+#include <math.h>
+#include <string.h>
+
+#include "overload-level.h"
+
+/* Parts of the capacity in use between which refusals set in. */
+#define GATE_FROM 0.85
+#define GATE_TO 1.0
+/* Time within which requests beyond the capacity are to be worked off. */
+#define DRAIN_S 1.0
+/* Up to this part of the slots in use, and late part of the first events, the
+ * capacity is not taken to be short, whatever is expected: many deployments run
+ * well at 0.6 to 0.8 of their slots. */
+#define SLOTS_TRUSTED 0.8
+#define LATE_TRUSTED 0.01
+/* At this late part of the first events what is expected counts alone. */
+#define LATE_SHORT 0.15
+/* A larger late part reduces the capacity, by this much for each. */
+#define LATE_USUAL 0.1
+#define LATE_GAIN 0.15
+/* Most of the first attempts that are refused. The rest shows when first events
+ * are in time again. */
+#define SHARE_MAX 0.9
+/* Time constant with which the share follows the sums. */
+#define FOLLOW_MS 100.0
+/* Lower priorities keep at least this part of their share of the capacity. */
+#define KEPT_LOWER 0.2
+/* A smaller share is none. */
+#define SHARE_MIN 0.005
+#define MS_PER_S 1000.0
+
+static double
+asked_total(const struct overload_input *in)
+{
+	double sum = 0;
+
+	for (int p = 0; p < FWD_PRIORITIES; p++)
+		sum += in->asked[p];
+	return (sum);
+}
+
+/* Part of the range from @from to @to that a value has passed, 0 to 1. */
+static double
+ramp(double value, double from, double to)
+{
+	return (fmin(fmax((value - from) / (to - from), 0), 1));
+}
+
+/* Requests that the replicas can have at once, by what is expected and by how
+ * many of the first events are late. */
+static double
+corrected_capacity(const struct overload_input *in)
+{
+	double late = in->admitted > 0 ? fmin(in->late / in->admitted, 1) : 0;
+	double trusted = SLOTS_TRUSTED * in->slots;
+	double capacity = in->capacity;
+
+	if (capacity < trusted)
+		capacity = trusted -
+		    (trusted - capacity) * ramp(late, LATE_TRUSTED, LATE_SHORT);
+	return (capacity * (1 - LATE_GAIN * fmax(late - LATE_USUAL, 0)));
+}
+
+/* First attempts per second that can be served in time. */
+static double
+room_per_s(const struct overload_input *in, double capacity)
+{
+	double present = in->running + in->queued;
+	double room;
+
+	if (in->duration_ms <= 0)
+		return (INFINITY);
+	room = capacity * MS_PER_S / in->duration_ms - in->returned;
+	if (present > capacity)
+		room -= (present - capacity) / DRAIN_S;
+	return (fmax(room, 0));
+}
+
+/* Share of the first attempts to refuse by the present sums. */
+static double
+target_share(const struct overload_input *in, double *room)
+{
+	double capacity = corrected_capacity(in);
+	double asked = asked_total(in);
+	double used, gate;
+
+	*room = room_per_s(in, capacity);
+	if (asked <= 0 || capacity <= 0 || asked <= *room)
+		return (0);
+	used = (in->running + in->queued) / capacity;
+	gate = ramp(used, GATE_FROM, GATE_TO);
+	return (fmin(gate * (asked - *room) / asked, SHARE_MAX));
+}
+
+/* Refuses nothing. */
+static void
+level_open(struct overload_level *level)
+{
+	level->share = 0;
+	level->priority = FWD_PRIORITIES;
+	level->fraction = 0;
+	level->lower_fraction = 0;
+}
+
+/*
+ * Distributes the share over the priorities: the lowest are refused first, but
+ * each keeps a part of what an equal distribution would leave to it.
+ */
+static void
+level_distribute(struct overload_level *level, const struct overload_input *in)
+{
+	double floor = KEPT_LOWER * (1 - level->share);
+	double left = asked_total(in) * (1 - level->share - floor);
+
+	level->priority = FWD_PRIORITIES;
+	level->fraction = 0;
+	level->lower_fraction = 0;
+	if (level->share < SHARE_MIN)
+		return;
+	level->lower_fraction = 1 - floor;
+	for (int p = 0; p < FWD_PRIORITIES; p++) {
+		double wanted = in->asked[p] * (1 - floor);
+
+		if (wanted <= left) {
+			left -= wanted;
+			continue;
+		}
+		level->priority = p;
+		level->fraction = 1 - floor - left / in->asked[p];
+		return;
+	}
+}
+
+/**
+ * overload_level_due() - whether a level is due for an update.
+ * @level: the level
+ * @now_ms: loop time
+ */
+bool
+overload_level_due(const struct overload_level *level, uint64_t now_ms)
+{
+	return (level->updated_ms == 0 ||
+	    now_ms - level->updated_ms >= OVERLOAD_UPDATE_MS);
+}
+
+/**
+ * overload_level_update() - update a level.
+ * @level: the level
+ * @in: the sums and the capacity
+ * @now_ms: loop time
+ *
+ * When the sums of the other daemons are lost, the level is held for
+ * OVERLOAD_HOLD_MS and then follows this daemon's own view. After a pause of
+ * this process that long, the level and the sums are too old: it opens until
+ * the next update.
+ */
+void
+overload_level_update(struct overload_level *level,
+    const struct overload_input *in, uint64_t now_ms)
+{
+	double elapsed = (double)(now_ms - level->updated_ms);
+	double target;
+
+	if (level->updated_ms == 0 || elapsed > OVERLOAD_HOLD_MS) {
+		level_open(level);
+		level->updated_ms = now_ms;
+		level->told_ms = now_ms;
+		return;
+	}
+	level->updated_ms = now_ms;
+	if (in->told)
+		level->told_ms = now_ms;
+	else if (now_ms - level->told_ms < OVERLOAD_HOLD_MS)
+		return;
+	target = target_share(in, &level->room_per_s);
+	level->share +=
+	    (1 - exp(-elapsed / FOLLOW_MS)) * (target - level->share);
+	level_distribute(level, in);
+}
+
+/**
+ * overload_level_refuses() - whether a first attempt is refused.
+ * @level: the level
+ * @priority: its priority
+ * @hash: hash of its id
+ */
+bool
+overload_level_refuses(const struct overload_level *level, int priority,
+    uint32_t hash)
+{
+	double draw = hash / (UINT32_MAX + 1.0);
+
+	if (level->updated_ms == 0 || priority < level->priority)
+		return (false);
+	return (draw < (priority == level->priority ? level->fraction :
+						      level->lower_fraction));
+}
--- /dev/null
+++ b/tests/test-levels.c
@@ -0,0 +1,401 @@
+/*
+ * Replays of load beyond the capacity: many daemons that know each other's
+ * demand by delayed sums, one pool of replicas, and clients that return once
+ * after a refusal.
+ */
+#include <math.h>
+#include <string.h>
+
+#include "fwd-demand.h"
+#include "overload-level.h"
+#include "script.h"
+
+#define STEP_MS 5
+#define SUM_MS 100
+/* Delays of the sums, by daemon, and of the load reports. */
+#define DELAYS 5
+#define DELAY_MS 100
+#define LOAD_DELAYS 3
+#define DURATION_MS 1500.0
+#define BASE_MS 150.0
+/* First events are later by this for each capacity in use beyond one. */
+#define SLOPE_MS 1000.0
+#define OBJECTIVE_MS 300.0
+#define TIMEOUT_MS 6000.0
+#define SLOTS_PER_CAPACITY 1.4
+#define RETRY_MS 1500.0
+#define WORTH_LATE 0.2
+#define CLASSES 3
+
+/* One attempt of a client. */
+struct attempt {
+	double at_ms;
+	double deadline_ms;
+	unsigned class;
+	unsigned daemon;
+	uint32_t id;
+	bool returned;
+	bool recognized;
+};
+
+/* What became of the requests of a priority. */
+struct tally {
+	unsigned asked;
+	unsigned timely;
+	unsigned timely_returned;
+	unsigned late;
+	unsigned lost;
+};
+
+struct replay {
+	unsigned n_daemons;
+	double rates[CLASSES];
+	double burst_from, burst_to, burst_factor;
+	unsigned burst_class;
+	double cut_from, cut_to, cut;
+	double capacity;
+	double length_ms;
+	bool levels;
+	bool immediate;
+	struct fwd_demand *demand;
+	struct overload_level *level;
+	struct sum_table sums[DELAYS];
+	double loads[LOAD_DELAYS];
+	GArray *ends;
+	GArray *queue;
+	GArray *returns;
+	struct tally tally[CLASSES];
+	uint32_t draw;
+	double peak;
+	double first_refusal, last_refusal;
+};
+
+static double
+draw(struct replay *r)
+{
+	r->draw ^= r->draw << 13;
+	r->draw ^= r->draw >> 17;
+	r->draw ^= r->draw << 5;
+	return (r->draw / (UINT32_MAX + 1.0));
+}
+
+static void
+reset(void)
+{
+}
+
+/* Capacity at a time. */
+static double
+capacity_at(const struct replay *r, double now)
+{
+	return (
+	    r->capacity * (now >= r->cut_from && now < r->cut_to ? r->cut : 1));
+}
+
+static void
+count(struct replay *r, const struct attempt *a, enum demand_value what,
+    double now)
+{
+	fwd_demand_count(&r->demand[a->daemon],
+	    fwd_demand_key("s", "m", (int)a->class), what, (uint64_t)now);
+}
+
+/* Refuses an attempt; a client returns after its first refusal. */
+static void
+refuse(struct replay *r, const struct attempt *a, double now)
+{
+	struct attempt next = *a;
+	double left = a->deadline_ms - now;
+	double wait = r->immediate ? 20 : RETRY_MS * (1 + 0.5 * draw(r));
+
+	count(r, a, DEMAND_REFUSED, now);
+	if (r->first_refusal == 0)
+		r->first_refusal = now;
+	r->last_refusal = now;
+	if (a->returned) {
+		r->tally[a->class].lost++;
+		return;
+	}
+	next.at_ms = now + fmin(wait, left / 3);
+	next.returned = true;
+	next.recognized = next.at_ms - now > OBJECTIVE_MS;
+	next.daemon = (unsigned)(draw(r) * r->n_daemons);
+	g_array_append_val(r->returns, next);
+}
+
+/* Starts an attempt at a replica. */
+static void
+start(struct replay *r, const struct attempt *a, double now)
+{
+	struct tally *t = &r->tally[a->class];
+	double used = (r->ends->len + 1) / capacity_at(r, now);
+	double end = now + DURATION_MS * fmax(1, used);
+	double first = now + BASE_MS + SLOPE_MS * fmax(used - 1, 0);
+
+	g_array_append_val(r->ends, end);
+	r->peak = fmax(r->peak, used);
+	count(r, a, DEMAND_ADMITTED, now);
+	if (first - a->at_ms > OBJECTIVE_MS) {
+		count(r, a, DEMAND_LATE, now);
+		t->late++;
+	} else if (a->returned) {
+		t->timely_returned++;
+	} else {
+		t->timely++;
+	}
+}
+
+/* Input of the level of a daemon. */
+static void
+fill_input(const struct replay *r, unsigned daemon, double now,
+    struct overload_input *in)
+{
+	const struct sum_table *sums = &r->sums[daemon % DELAYS];
+	struct fleet_demand d;
+
+	memset(in, 0, sizeof *in);
+	for (int p = 0; p < FWD_PRIORITIES; p++) {
+		fleet_demand_row(sums, "s", "m", p, &d);
+		in->asked[p] = d.asked;
+	}
+	fleet_demand_total(sums, "s", "m", &d);
+	in->returned = d.returned;
+	in->admitted = d.admitted;
+	in->late = d.late;
+	in->queued = d.queued;
+	in->running = r->loads[LOAD_DELAYS - 1];
+	in->capacity = capacity_at(r, now);
+	in->slots = in->capacity * SLOTS_PER_CAPACITY;
+	in->duration_ms = DURATION_MS;
+	in->told = true;
+}
+
+/* Requests queued before one, as its daemon estimates it. */
+static double
+ahead_of(const struct replay *r, guint i)
+{
+	const struct attempt *a = &g_array_index(r->queue, struct attempt, i);
+	double own = 0;
+
+	if (r->levels)
+		return (i);
+	for (guint k = 0; k < i; k++)
+		own += g_array_index(r->queue, struct attempt, k).daemon ==
+		    a->daemon;
+	return (own * r->n_daemons);
+}
+
+/* Sends, queues or refuses the queued attempts. */
+static void
+dispatch(struct replay *r, double now)
+{
+	double slots = capacity_at(r, now) * SLOTS_PER_CAPACITY;
+
+	for (guint i = 0; i < r->queue->len;) {
+		struct attempt a = g_array_index(r->queue, struct attempt, i);
+		double wait =
+		    DURATION_MS / fmax(r->ends->len, 1) * (ahead_of(r, i) + 1);
+
+		if (r->ends->len < slots)
+			start(r, &a, now);
+		else if (now - a.at_ms + wait + (a.recognized ? 0 : BASE_MS) >
+		    OBJECTIVE_MS)
+			refuse(r, &a, now);
+		else {
+			i++;
+			continue;
+		}
+		g_array_remove_index(r->queue, i);
+	}
+}
+
+/* Takes in an attempt: the level refuses it, or it is queued by priority. */
+static void
+arrive(struct replay *r, const struct attempt *a, double now)
+{
+	struct overload_level *level = &r->level[a->daemon];
+	guint i = 0;
+
+	if (!a->returned)
+		r->tally[a->class].asked++;
+	count(r, a, a->recognized ? DEMAND_RETURNED : DEMAND_ASKED, now);
+	if (r->levels && overload_level_due(level, (uint64_t)now)) {
+		struct overload_input in;
+
+		fill_input(r, a->daemon, now, &in);
+		overload_level_update(level, &in, (uint64_t)now);
+	}
+	if (r->levels && !a->recognized &&
+	    overload_level_refuses(level, (int)a->class, a->id)) {
+		refuse(r, a, now);
+		return;
+	}
+	while (i < r->queue->len &&
+	    g_array_index(r->queue, struct attempt, i).class <= a->class)
+		i++;
+	g_array_insert_val(r->queue, i, *a);
+}
+
+/* New requests of a step, and clients that return. */
+static void
+arrivals(struct replay *r, double now)
+{
+	for (unsigned c = 0; c < CLASSES; c++) {
+		double rate = r->rates[c];
+
+		if (c == r->burst_class && now >= r->burst_from &&
+		    now < r->burst_to)
+			rate *= r->burst_factor;
+		for (double n = rate * STEP_MS / 1000; n > 0; n--) {
+			struct attempt a = { now, now + TIMEOUT_MS, c,
+				(unsigned)(draw(r) * r->n_daemons), 0, false,
+				false };
+
+			a.id = (uint32_t)(draw(r) * UINT32_MAX);
+			if (draw(r) < n)
+				arrive(r, &a, now);
+		}
+	}
+	for (guint i = 0; i < r->returns->len;) {
+		struct attempt a = g_array_index(r->returns, struct attempt, i);
+
+		if (a.at_ms > now) {
+			i++;
+			continue;
+		}
+		g_array_remove_index_fast(r->returns, i);
+		arrive(r, &a, now);
+	}
+}
+
+/* Every SUM_MS: the sums and loads move on. */
+static void
+update_sums(struct replay *r, double now)
+{
+	struct sum_table own;
+
+	memmove(&r->loads[1], &r->loads[0],
+	    sizeof r->loads - sizeof r->loads[0]);
+	r->loads[0] = r->ends->len;
+	memmove(&r->sums[1], &r->sums[0], sizeof r->sums - sizeof r->sums[0]);
+	r->sums[0].n = 0;
+	for (unsigned i = 0; i < r->n_daemons; i++)
+		fwd_demand_clear_queued(&r->demand[i]);
+	for (guint i = 0; i < r->queue->len; i++) {
+		const struct attempt *a =
+		    &g_array_index(r->queue, struct attempt, i);
+
+		fwd_demand_add_queued(&r->demand[a->daemon],
+		    fwd_demand_key("s", "m", (int)a->class), (uint64_t)now);
+	}
+	for (unsigned i = 0; i < r->n_daemons; i++) {
+		fwd_demand_fill(&r->demand[i], &own, (uint64_t)now);
+		for (uint32_t k = 0; k < own.n; k++)
+			sum_table_add(&r->sums[0], &own.rows[k]);
+	}
+}
+
+static void
+run(struct replay *r)
+{
+	r->demand = g_new0(struct fwd_demand, r->n_daemons);
+	r->level = g_new0(struct overload_level, r->n_daemons);
+	r->ends = g_array_new(FALSE, FALSE, sizeof(double));
+	r->queue = g_array_new(FALSE, FALSE, sizeof(struct attempt));
+	r->returns = g_array_new(FALSE, FALSE, sizeof(struct attempt));
+	r->draw = 2463534242u;
+	for (double now = 1000; now < 1000 + r->length_ms; now += STEP_MS) {
+		for (guint i = 0; i < r->ends->len;) {
+			if (g_array_index(r->ends, double, i) <= now)
+				g_array_remove_index_fast(r->ends, i);
+			else
+				i++;
+		}
+		arrivals(r, now);
+		dispatch(r, now);
+		if ((unsigned)now % SUM_MS == 0)
+			update_sums(r, now);
+	}
+	g_array_unref(r->ends);
+	g_array_unref(r->queue);
+	g_array_unref(r->returns);
+	g_free(r->demand);
+	g_free(r->level);
+}
+
+static void
+report(const struct replay *r, GString *out)
+{
+	double worth = 0, asked = 0;
+
+	for (unsigned c = 0; c < CLASSES; c++) {
+		const struct tally *t = &r->tally[c];
+
+		asked += t->asked;
+		worth += t->timely + WORTH_LATE * t->late +
+		    (1 + WORTH_LATE) / 2 * t->timely_returned;
+		if (t->asked > 0)
+			g_string_append_printf(out,
+			    "%s priority %u: asked %u in time %u after a "
+			    "refusal %u late %u lost %u\n",
+			    r->levels ? "levels" : "before", c, t->asked,
+			    t->timely, t->timely_returned, t->late, t->lost);
+	}
+	g_string_append_printf(out,
+	    "%s worth %.3f, refused from %.1f to %.1f s\n",
+	    r->levels ? "levels" : "before", worth / asked,
+	    r->first_refusal / 1000, r->last_refusal / 1000);
+}
+
+/* Reads "A,B,..." after a name into numbers. */
+static void
+numbers(const char *rest, const char *name, double *values, unsigned n)
+{
+	g_autofree char *word = script_word(rest, name);
+	g_auto(GStrv) words = g_strsplit(word != NULL ? word : "", ",", -1);
+
+	for (unsigned i = 0; i < n && words[i] != NULL; i++)
+		values[i] = g_ascii_strtod(words[i], NULL);
+}
+
+/*
+ * replay daemons=N capacity=N rates=PER_S,... length=S
+ * [burst=FROM,TO,PRIORITY,FACTOR] [cut=FROM,TO,PART] [immediate=1]: what
+ * becomes of the requests without and with levels
+ */
+static void
+exec_replay(const char *rest, GString *out)
+{
+	for (int levels = 0; levels < 2; levels++) {
+		struct replay r = { .levels = levels != 0 };
+		double burst[4] = { 0 }, cut[3] = { 0 };
+
+		r.n_daemons = (unsigned)script_number(rest, "daemons", 100);
+		r.capacity = (double)script_number(rest, "capacity", 500);
+		r.length_ms = (double)script_number(rest, "length", 10) * 1000;
+		r.immediate = script_number(rest, "immediate", 0) != 0;
+		numbers(rest, "rates", r.rates, CLASSES);
+		numbers(rest, "burst", burst, 4);
+		numbers(rest, "cut", cut, 3);
+		r.burst_from = burst[0] * 1000;
+		r.burst_to = burst[1] * 1000;
+		r.burst_class = (unsigned)burst[2];
+		r.burst_factor = burst[3];
+		r.cut_from = cut[0] * 1000;
+		r.cut_to = cut[1] * 1000;
+		r.cut = cut[2];
+		run(&r);
+		report(&r, out);
+	}
+}
+
+static const struct script_command commands[] = {
+	{ "replay", exec_replay },
+	{ NULL, NULL },
+};
+
+int
+main(void)
+{
+	return (script_main("levels", commands, reset));
+}
--- a/tests/test-overload.c
+++ b/tests/test-overload.c
@@ -2,16 +2,20 @@
 #include <string.h>
 
 #include "fwd-demand.h"
+#include "overload-capacity.h"
+#include "overload-level.h"
 #include "script.h"
 
 static struct fwd_demand demand;
 static struct sum_table table;
+static struct overload_level level;
 
 static void
 reset(void)
 {
 	memset(&demand, 0, sizeof demand);
 	memset(&table, 0, sizeof table);
+	memset(&level, 0, sizeof level);
 }
 
 /* A number after "name=", which may be negative. */
@@ -171,6 +175,92 @@
 	g_string_append_printf(out, "%u rows\n", table.n);
 }
 
+/* Number of draws in which a first attempt of a priority is refused. */
+static unsigned
+refused_of_100(int priority)
+{
+	unsigned n = 0;
+
+	for (uint32_t i = 0; i < 100; i++)
+		n += overload_level_refuses(&level, priority,
+		    i * (UINT32_MAX / 100));
+	return (n);
+}
+
+/*
+ * level at=MS to=MS asked0=N asked1=N asked2=N [returned=N] [late=N]
+ * [queued=N] running=N capacity=N [slots=N] [told=0]: a level is updated every
+ * 100 ms by the same input; refused first attempts of 100 of priorities 0 to 2
+ */
+static void
+exec_level(const char *rest, GString *out)
+{
+	uint64_t at = script_number(rest, "at", 0);
+	struct overload_input in = { .duration_ms = 1000 };
+
+	in.asked[0] = (double)script_number(rest, "asked0", 0);
+	in.asked[1] = (double)script_number(rest, "asked1", 0);
+	in.asked[2] = (double)script_number(rest, "asked2", 0);
+	in.returned = (double)script_number(rest, "returned", 0);
+	in.admitted = in.asked[0] + in.asked[1] + in.asked[2] + in.returned;
+	in.late = (double)script_number(rest, "late", 0);
+	in.queued = (double)script_number(rest, "queued", 0);
+	in.running = (double)script_number(rest, "running", 0);
+	in.capacity = (double)script_number(rest, "capacity", 0);
+	in.slots = (double)script_number(rest, "slots", 0);
+	in.told = script_number(rest, "told", 1) != 0;
+	for (; at <= script_number(rest, "to", 0); at += OVERLOAD_UPDATE_MS)
+		overload_level_update(&level, &in, at);
+	g_string_append_printf(out, "refused %u %u %u\n", refused_of_100(0),
+	    refused_of_100(1), refused_of_100(2));
+}
+
+/*
+ * capacity objective=MS [duration=MS] [slow=PERCENT] [limit=PER_S] [running=N]
+ * [plain=1] [unusable=1]: capacity of two endpoints with 34 slots, one of which
+ * has these properties
+ */
+static void
+exec_capacity(const char *rest, GString *out)
+{
+	struct model_profile model = { .name = "m", .size = 2, .pace = 1 };
+	struct engine_profile engine = { .slots = 34,
+		.step_ms = 6,
+		.per_seq_ms = 0.25,
+		.prefill_per_ms = 46,
+		.stride = 5,
+		.usual_prompt = 1000 };
+	struct fwd_criteria criteria = { .service = "s", .now_ms = 1000 };
+	struct endpoint eps[2] = { 0 };
+	struct overload_capacity c;
+	struct fleet fleet;
+
+	if (script_number(rest, "plain", 0) == 0) {
+		criteria.engine = &engine;
+		criteria.model = &model;
+	}
+	TAILQ_INIT(&fleet.endpoints);
+	for (unsigned i = 0; i < 2; i++) {
+		eps[i].report.service = "s";
+		eps[i].report.model = "m";
+		eps[i].report.state = GROUP_OPEN;
+		eps[i].report.slots = 6;
+		eps[i].slowness = 1;
+		TAILQ_INSERT_TAIL(&fleet.endpoints, &eps[i], entry);
+	}
+	eps[0].slowness = (double)script_number(rest, "slow", 100) / 100;
+	eps[0].peer_inflight = (unsigned)script_number(rest, "running", 0);
+	eps[0].limit.named = script_number(rest, "limit", 0) > 0;
+	eps[0].limit.per_s = (double)script_number(rest, "limit", 0);
+	if (script_number(rest, "unusable", 0) != 0)
+		eps[0].cooldown_until_ms = criteria.now_ms + 1;
+	overload_capacity_measure(&fleet, &criteria,
+	    (double)script_number(rest, "objective", 250),
+	    (double)script_number(rest, "duration", 1000), &c);
+	g_string_append_printf(out, "running %.0f in time %.0f of %.0f\n",
+	    c.running, c.in_time, c.slots);
+}
+
 static const struct script_command commands[] = {
 	{ "priority", exec_priority },
 	{ "service", exec_service },
@@ -179,6 +269,8 @@
 	{ "queue", exec_queue },
 	{ "demand", exec_demand },
 	{ "fill", exec_fill },
+	{ "level", exec_level },
+	{ "capacity", exec_capacity },
 	{ NULL, NULL },
 };
 
