Tell refused clients to return when capacity is expected

Cause: a refused client was told a constant of 1.4 s with a jitter of a half, so that all that were refused in one second returned in the same half second, whatever their priority and whatever had become free. Change: retry_schedule_ms() computes the time from the capacity beyond first attempts, the clients of its own and of higher priorities that all daemons have told to return, and the time until a replica serves. Where first attempts take all, clients return over the last part of the time that they obey, so that a burst has passed. Needs retry-schedule; endpoints that ask for a backoff or name a rate limit decide as before.

--- a/src/fwd-admission.c
+++ b/src/fwd-admission.c
@@ -68,13 +68,6 @@
 	return (waits ? ADMIT_QUEUE : ADMIT_REFUSE);
 }
 
-/* Whether rate limits alone keep matching endpoints from having the request. */
-static bool
-only_limited(const struct fwd_choice *choice)
-{
-	return (choice->usable == 0 && choice->limited > 0);
-}
-
 /**
  * fwd_admission_decide() - decide on a request that has no endpoint.
  * @a: the request and the endpoints' state
@@ -98,7 +91,7 @@
 		return (decide_unavailable(a));
 	/* A request that was sent before is retried until its deadline. */
 	if (a->sends > 0)
-		return (only_limited(choice) && slot >= a->left_ms ?
+		return (fwd_choice_only_limited(choice) && slot >= a->left_ms ?
 			ADMIT_REFUSE :
 			ADMIT_QUEUE);
 	if (choice->usable == 0 && choice->limited == 0)
@@ -123,7 +116,7 @@
 		    a->criteria->model->warm_ms + a->criteria->engine->form_ms;
 	retry *= 1 + jitter;
 	/* All daemons together get permits at this rate. */
-	if (only_limited(a->choice))
+	if (fwd_choice_only_limited(a->choice))
 		retry = (1 + jitter) *
 		    fmax(MS_PER_S / a->choice->limits_per_s, RETRY_PLAIN_MS);
 	/* Before the first backoff ends the client would be refused again. */
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -309,6 +309,17 @@
 	    choice->unavailable > 0 && choice->unavailable == choice->known);
 }
 
+/**
+ * fwd_choice_only_limited() - whether rate limits alone keep matching endpoints
+ *	from having the request.
+ * @choice: the choice
+ */
+bool
+fwd_choice_only_limited(const struct fwd_choice *choice)
+{
+	return (choice->usable == 0 && choice->limited > 0);
+}
+
 /* Compares random candidates of this and of other failure domains with the best
  * so far. */
 static void
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -89,6 +89,7 @@
 bool fwd_endpoint_matches(const struct endpoint *, const struct fwd_criteria *);
 double fwd_endpoint_slots(const struct endpoint *, const struct fwd_criteria *);
 bool fwd_choice_all_unavailable(const struct fwd_choice *);
+bool fwd_choice_only_limited(const struct fwd_choice *);
 void fwd_choose(const struct fleet *, const struct fwd_criteria *,
     struct fwd_choice *);
 void fwd_criteria_workload(const struct fwd_criteria *, double,
--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -82,7 +82,7 @@
 	const struct endpoint *ep = choice->next_permit != NULL ?
 	    choice->next_permit :
 	    choice->next_available;
-	int64_t retry = fwd_admission_retry_ms(a);
+	int64_t retry = fwd_level_retry_ms(ex, a);
 
 	event_log(LOG_NOTICE, "no_place",
 	    "id=%s service=%s known=%u usable=%u closed=%u limited=%u "
@@ -145,6 +145,8 @@
 		fwd_stats_count(&ex->fwd->stats, COUNT_LIMIT_HELD_BACK);
 	}
 	exchange_fill_admission(ex, &criteria, &choice, &a);
+	if (arrived)
+		fwd_level_note(ex);
 	if (arrived && fwd_level_refuses(ex, &choice)) {
 		exchange_refuse_no_slot(ex, &a, "overloaded");
 		return;
--- a/src/fwd-level.c
+++ b/src/fwd-level.c
@@ -4,8 +4,10 @@
 #include <xxhash.h>
 
 #include "event-log.h"
+#include "fwd-admission.h"
 #include "fwd-exchange.h"
 #include "overload-capacity.h"
+#include "retry-schedule.h"
 
 /* A level without requests is dropped after this time. */
 #define UNUSED_MS 10000
@@ -31,18 +33,25 @@
 	return (ex->model != NULL ? ex->model->name : NULL);
 }
 
-/* Finds or creates the level of an exchange. */
+/* Finds the level of an exchange; NULL if there is none. */
 static struct fwd_level *
-level_get(struct fwd_exchange *ex)
+level_find(const struct fwd_exchange *ex)
 {
 	struct fwd_level *l;
 
 	TAILQ_FOREACH(l, &ex->fwd->levels, entry) {
 		if (strcmp(l->service, ex->service) == 0 &&
 		    g_strcmp0(l->model, exchange_model(ex)) == 0)
-			return (l);
+			break;
 	}
-	l = g_new0(struct fwd_level, 1);
+	return (l);
+}
+
+static struct fwd_level *
+level_create(struct fwd_exchange *ex)
+{
+	struct fwd_level *l = g_new0(struct fwd_level, 1);
+
 	l->service = g_strdup(ex->service);
 	l->model = g_strdup(exchange_model(ex));
 	l->logged = LEVEL_OPEN;
@@ -59,12 +68,28 @@
 	g_free(l);
 }
 
-/* Notes a request, with the objective that it has. */
-static void
-level_note(struct fwd_level *l, const struct fwd_exchange *ex)
+/* Whether the settings call for levels to be computed. */
+static bool
+levels_used(const struct fwd *fwd)
+{
+	return (fwd->set.overload_levels || fwd->set.retry_schedule);
+}
+
+/**
+ * fwd_level_note() - note a request that has arrived, with its objective.
+ * @ex: the exchange
+ */
+void
+fwd_level_note(struct fwd_exchange *ex)
 {
 	double objective = (double)ex->route->objective_ms;
+	struct fwd_level *l;
 
+	if (!levels_used(ex->fwd))
+		return;
+	l = level_find(ex);
+	if (l == NULL)
+		l = level_create(ex);
 	if (l->used_ms == 0 || l->version != ex->catalog->version)
 		l->objective_ms = objective;
 	l->objective_ms = MIN(l->objective_ms, objective);
@@ -72,6 +97,14 @@
 	l->used_ms = ex->arrived_ms;
 }
 
+/* Whether a level is recent enough to decide by. */
+static bool
+level_current(const struct fwd_level *l, uint64_t now_ms)
+{
+	return (l != NULL && l->level.updated_ms != 0 &&
+	    now_ms - l->level.updated_ms <= OVERLOAD_HOLD_MS);
+}
+
 /**
  * fwd_level_refuses() - whether the level refuses a request that has arrived.
  * @ex: the exchange, which was not queued or sent yet
@@ -81,22 +114,65 @@
  * was found for it.
  */
 bool
-fwd_level_refuses(struct fwd_exchange *ex, const struct fwd_choice *choice)
+fwd_level_refuses(const struct fwd_exchange *ex,
+    const struct fwd_choice *choice)
 {
-	struct fwd_level *l;
+	const struct fwd_level *l = level_find(ex);
 
-	if (!ex->fwd->set.overload_levels)
-		return (false);
-	l = level_get(ex);
-	level_note(l, ex);
-	if (ex->resubmitted || ex->events.last_id >= 0 ||
-	    ex->arrived_ms - l->level.updated_ms > OVERLOAD_HOLD_MS ||
+	if (!ex->fwd->set.overload_levels || ex->resubmitted ||
+	    ex->events.last_id >= 0 || !level_current(l, ex->arrived_ms) ||
 	    (choice->endpoint != NULL && choice->load < FWD_BUSY_LOAD))
 		return (false);
 	return (overload_level_refuses(&l->level, ex->priority,
 	    XXH32(ex->id, strlen(ex->id), 0)));
 }
 
+/* Time until the first slot is free, or the first replica serves. */
+static double
+capacity_ms(const struct fwd_admission *a)
+{
+	const struct fwd_choice *choice = a->choice;
+	const struct fwd_criteria *criteria = a->criteria;
+
+	if (choice->known == 0 && criteria->model != NULL)
+		return (criteria->model->warm_ms + criteria->engine->form_ms);
+	if (choice->endpoint != NULL || choice->running <= 0)
+		return (0);
+	return (a->duration_ms / choice->running * (a->ahead + 1));
+}
+
+/**
+ * fwd_level_retry_ms() - time after which a refused client should return.
+ * @ex: the exchange
+ * @a: the request and the endpoints' state
+ *
+ * Endpoints that ask for a backoff or name a rate limit tell themselves when
+ * they have capacity.
+ */
+int64_t
+fwd_level_retry_ms(const struct fwd_exchange *ex, const struct fwd_admission *a)
+{
+	const struct fwd_level *l = level_find(ex);
+	struct retry_input in = { .objective_ms = a->objective_ms,
+		.left_ms = a->left_ms,
+		.draw = a->draw };
+
+	if (!ex->fwd->set.retry_schedule ||
+	    !level_current(l, a->criteria->now_ms) ||
+	    fwd_choice_only_limited(a->choice) ||
+	    fwd_choice_all_unavailable(a->choice))
+		return (fwd_admission_retry_ms(a));
+	in.asked_per_s = l->asked_per_s;
+	in.served_per_s = l->served_per_s;
+	in.capacity_ms = capacity_ms(a);
+	for (int p = 0; p < FWD_PRIORITIES; p++) {
+		in.due += l->due[p];
+		in.due_higher += p < ex->priority ? l->due[p] : 0;
+	}
+	in.due_same = l->due[ex->priority];
+	return (retry_schedule_ms(&in));
+}
+
 /* Fills in what the sums tell of a service and model. */
 static void
 input_fill_demand(struct fwd_level *l, const struct fleet_sums *sums,
@@ -108,6 +184,7 @@
 	for (int p = 0; p < FWD_PRIORITIES; p++) {
 		fleet_demand_row(table, l->service, l->model, p, &d);
 		in->asked[p] = d.asked;
+		l->due[p] = d.due;
 	}
 	fleet_demand_total(table, l->service, l->model, &d);
 	in->returned = d.returned;
@@ -116,7 +193,6 @@
 	in->queued = d.queued;
 	in->told = sums->told;
 	l->asked_per_s = d.asked;
-	l->due = d.due;
 }
 
 /* Fills in the capacity. Returns false if the configuration has no such service
@@ -184,7 +260,9 @@
 	}
 	input_fill_demand(l, &fwd->registry->sums, &in);
 	overload_level_update(&l->level, &in, now_ms);
-	level_log(l, now_ms);
+	l->served_per_s = l->level.room_per_s + in.returned;
+	if (fwd->set.overload_levels)
+		level_log(l, now_ms);
 }
 
 /**
@@ -201,7 +279,7 @@
 		return;
 	for (l = TAILQ_FIRST(&fwd->levels); l != NULL; l = next) {
 		next = TAILQ_NEXT(l, entry);
-		if (!fwd->set.overload_levels)
+		if (!levels_used(fwd))
 			level_free(fwd, l);
 		else if (overload_level_due(&l->level, now_ms))
 			level_update(fwd, l, now_ms);
--- a/src/fwd-level.h
+++ b/src/fwd-level.h
@@ -10,6 +10,7 @@
 struct fwd;
 struct fwd_exchange;
 struct fwd_choice;
+struct fwd_admission;
 
 /**
  * struct fwd_level - level of a service and model.
@@ -20,7 +21,9 @@
  *	@version
  * @version: version of that configuration
  * @asked_per_s: first attempts per second at all daemons, as of the last update
- * @due: clients that all daemons have told to return and that are not due yet
+ * @served_per_s: requests per second that can be served in time
+ * @due: clients that all daemons have told to return and that are not due yet,
+ *	by priority
  * @used_ms: loop time of the last request
  * @logged: value of the level in the last log line
  * @logged_ms: loop time of that line
@@ -33,7 +36,8 @@
 	double objective_ms;
 	int64_t version;
 	double asked_per_s;
-	double due;
+	double served_per_s;
+	double due[FWD_PRIORITIES];
 	uint64_t used_ms;
 	double logged;
 	uint64_t logged_ms;
@@ -42,7 +46,10 @@
 
 TAILQ_HEAD(fwd_level_list, fwd_level);
 
-bool fwd_level_refuses(struct fwd_exchange *, const struct fwd_choice *);
+void fwd_level_note(struct fwd_exchange *);
+bool fwd_level_refuses(const struct fwd_exchange *, const struct fwd_choice *);
+int64_t fwd_level_retry_ms(const struct fwd_exchange *,
+    const struct fwd_admission *);
 void fwd_level_update_all(struct fwd *, uint64_t);
 void fwd_level_print(const struct fwd *, GString *);
 
--- a/tests/test-levels.c
+++ b/tests/test-levels.c
@@ -8,6 +8,7 @@
 
 #include "fwd-demand.h"
 #include "overload-level.h"
+#include "retry-schedule.h"
 #include "script.h"
 
 #define STEP_MS 5
@@ -57,6 +58,7 @@
 	double length_ms;
 	bool levels;
 	bool immediate;
+	bool schedule;
 	struct fwd_demand *demand;
 	struct overload_level *level;
 	struct sum_table sums[DELAYS];
@@ -100,13 +102,37 @@
 	    fwd_demand_key("s", "m", (int)a->class), what, (uint64_t)now);
 }
 
+/* Time that a refused client is told. */
+static double
+retry_ms(struct replay *r, const struct attempt *a, double now)
+{
+	const struct sum_table *sums = &r->sums[a->daemon % DELAYS];
+	struct retry_input in = { .objective_ms = OBJECTIVE_MS,
+		.left_ms = a->deadline_ms - now };
+	struct fleet_demand d;
+
+	if (!r->schedule)
+		return (RETRY_MS * (1 + 0.5 * draw(r)));
+	for (unsigned p = 0; p <= a->class; p++) {
+		fleet_demand_row(sums, "s", "m", (int)p, &d);
+		in.due_higher += in.due_same;
+		in.due_same = d.due;
+	}
+	fleet_demand_total(sums, "s", "m", &d);
+	in.due = d.due;
+	in.asked_per_s = d.asked;
+	in.served_per_s = capacity_at(r, now) / DURATION_MS * 1000;
+	in.draw = (uint32_t)(draw(r) * UINT32_MAX);
+	return ((double)retry_schedule_ms(&in));
+}
+
 /* Refuses an attempt; a client returns after its first refusal. */
 static void
 refuse(struct replay *r, const struct attempt *a, double now)
 {
 	struct attempt next = *a;
 	double left = a->deadline_ms - now;
-	double wait = r->immediate ? 20 : RETRY_MS * (1 + 0.5 * draw(r));
+	double wait = r->immediate ? 20 : retry_ms(r, a, now);
 
 	count(r, a, DEMAND_REFUSED, now);
 	if (r->first_refusal == 0)
@@ -118,6 +144,9 @@
 	}
 	next.at_ms = now + fmin(wait, left / 3);
 	next.returned = true;
+	fwd_demand_add_due(&r->demand[a->daemon],
+	    fwd_demand_key("s", "m", (int)a->class),
+	    (uint64_t)(now + fmin(wait, left / 3)), (uint64_t)now);
 	next.recognized = next.at_ms - now > OBJECTIVE_MS;
 	next.daemon = (unsigned)(draw(r) * r->n_daemons);
 	g_array_append_val(r->returns, next);
@@ -338,13 +367,18 @@
 			g_string_append_printf(out,
 			    "%s priority %u: asked %u in time %u after a "
 			    "refusal %u late %u lost %u\n",
-			    r->levels ? "levels" : "before", c, t->asked,
-			    t->timely, t->timely_returned, t->late, t->lost);
+			    r->schedule	  ? "schedule" :
+				r->levels ? "levels" :
+					    "before",
+			    c, t->asked, t->timely, t->timely_returned, t->late,
+			    t->lost);
 	}
 	g_string_append_printf(out,
 	    "%s worth %.3f, refused from %.1f to %.1f s\n",
-	    r->levels ? "levels" : "before", worth / asked,
-	    r->first_refusal / 1000, r->last_refusal / 1000);
+	    r->schedule	  ? "schedule" :
+		r->levels ? "levels" :
+			    "before",
+	    worth / asked, r->first_refusal / 1000, r->last_refusal / 1000);
 }
 
 /* Reads "A,B,..." after a name into numbers. */
@@ -366,8 +400,9 @@
 static void
 exec_replay(const char *rest, GString *out)
 {
-	for (int levels = 0; levels < 2; levels++) {
-		struct replay r = { .levels = levels != 0 };
+	for (int levels = 0; levels < 3; levels++) {
+		struct replay r = { .levels = levels != 0,
+			.schedule = levels == 2 };
 		double burst[4] = { 0 }, cut[3] = { 0 };
 
 		r.n_daemons = (unsigned)script_number(rest, "daemons", 100);
--- a/tests/test-overload.c
+++ b/tests/test-overload.c
@@ -4,6 +4,7 @@
 #include "fwd-demand.h"
 #include "overload-capacity.h"
 #include "overload-level.h"
+#include "retry-schedule.h"
 #include "script.h"
 
 static struct fwd_demand demand;
@@ -261,6 +262,31 @@
 	    c.running, c.in_time, c.slots);
 }
 
+/*
+ * schedule left=MS [objective=MS] asked=PER_S served=PER_S [higher=N] [same=N]
+ * [due=N] [capacity=MS]: earliest and latest time that a client is told
+ */
+static void
+exec_schedule(const char *rest, GString *out)
+{
+	struct retry_input in = { 0 };
+	int64_t from;
+
+	in.left_ms = (double)script_number(rest, "left", 0);
+	in.objective_ms = (double)script_number(rest, "objective", 300);
+	in.asked_per_s = (double)script_number(rest, "asked", 0);
+	in.served_per_s = (double)script_number(rest, "served", 0);
+	in.due_higher = (double)script_number(rest, "higher", 0);
+	in.due_same = (double)script_number(rest, "same", 0);
+	in.due = (double)script_number(rest, "due",
+	    (uint64_t)(in.due_higher + in.due_same));
+	in.capacity_ms = (double)script_number(rest, "capacity", 0);
+	from = retry_schedule_ms(&in);
+	in.draw = UINT32_MAX;
+	g_string_append_printf(out, "%lld to %lld\n", (long long)from,
+	    (long long)retry_schedule_ms(&in));
+}
+
 static const struct script_command commands[] = {
 	{ "priority", exec_priority },
 	{ "service", exec_service },
@@ -271,6 +297,7 @@
 	{ "fill", exec_fill },
 	{ "level", exec_level },
 	{ "capacity", exec_capacity },
+	{ "schedule", exec_schedule },
 	{ NULL, NULL },
 };
 
