Count the requests that wait elsewhere instead of multiplying the own ones

Cause: the requests ahead of one were taken to be those queued at this daemon times the number of daemons, so that the second in a queue was refused immediately in a large fleet. Change: with overload-levels, and while the sums are told, they are those queued here plus those of the same or of higher priority that the sums report from elsewhere.

--- a/src/fwd-demand.c
+++ b/src/fwd-demand.c
@@ -277,3 +277,32 @@
 		    fwd_demand_key(service, model, priority), demand);
 	return (found);
 }
+
+/**
+ * fleet_demand_queued_elsewhere() - requests that go before one at other
+ *	daemons.
+ * @sums: sums over all daemons
+ * @service: name of its service
+ * @model: name of its model, or NULL
+ * @priority: its priority
+ *
+ * Return: number of requests of the same or of higher priority that are queued
+ * at other daemons.
+ */
+double
+fleet_demand_queued_elsewhere(const struct fleet_sums *sums,
+    const char *service, const char *model, int priority)
+{
+	double queued = 0;
+
+	for (int p = 0; p <= priority; p++) {
+		struct fleet_demand all, own;
+
+		fleet_demand_row(&sums->total[SUM_DEMAND], service, model, p,
+		    &all);
+		fleet_demand_row(&sums->own[SUM_DEMAND], service, model, p,
+		    &own);
+		queued += fmax(all.queued - own.queued, 0);
+	}
+	return (queued);
+}
--- a/src/fwd-demand.h
+++ b/src/fwd-demand.h
@@ -5,8 +5,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "fleet-sums.h"
 #include "fwd-priority.h"
-#include "sum-table.h"
 
 /* Rows of one daemon: services, models and priorities with requests in the last
  * seconds. */
@@ -107,5 +107,7 @@
     struct fleet_demand *);
 bool fleet_demand_total(const struct sum_table *, const char *, const char *,
     struct fleet_demand *);
+double fleet_demand_queued_elsewhere(const struct fleet_sums *, const char *,
+    const char *, int);
 
 #endif
--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -23,6 +23,22 @@
 	return (ahead);
 }
 
+/*
+ * Number of requests queued before this one at all daemons. While the others'
+ * are not known, they are taken to have as many as this daemon.
+ */
+static double
+exchange_fleet_ahead(const struct fwd_exchange *ex, unsigned own)
+{
+	const struct fleet_sums *sums = &ex->fwd->registry->sums;
+
+	if (!ex->fwd->set.overload_levels || !sums->told)
+		return ((double)own * MAX(ex->fwd->daemons, 1));
+	return (own +
+	    fleet_demand_queued_elsewhere(sums, ex->service,
+		ex->model != NULL ? ex->model->name : NULL, ex->priority));
+}
+
 /* Fills in the input of the decision on a request. */
 static void
 exchange_fill_admission(const struct fwd_exchange *ex,
@@ -47,7 +63,7 @@
 	a->sends = ex->sends;
 	a->started = ex->runs > 0 || ex->first_us > 0;
 	a->duration_ms = fwd_exchange_estimate(ex)->duration_ms;
-	a->ahead = (double)criteria->ahead * MAX(ex->fwd->daemons, 1);
+	a->ahead = exchange_fleet_ahead(ex, criteria->ahead);
 	a->draw = random_u32();
 	if (ep == NULL)
 		return;
--- a/tests/test-overload.c
+++ b/tests/test-overload.c
@@ -164,6 +164,26 @@
 	    d.refused, d.queued, d.due);
 }
 
+/*
+ * elsewhere [model=M] priority=N at=MS others=N: requests that go before one at
+ * as many other daemons, each of which has queued the same
+ */
+static void
+exec_elsewhere(const char *rest, GString *out)
+{
+	g_autofree char *model = script_word(rest, "model");
+	struct fleet_sums sums = { .told = true };
+
+	fwd_demand_fill(&demand, &sums.own[SUM_DEMAND],
+	    script_number(rest, "at", 0));
+	sums.total[SUM_DEMAND] = sums.own[SUM_DEMAND];
+	sum_table_scale(&sums.total[SUM_DEMAND],
+	    1 + (unsigned)script_number(rest, "others", 0));
+	g_string_append_printf(out, "%.0f\n",
+	    fleet_demand_queued_elsewhere(&sums, "s", model,
+		(int)script_number(rest, "priority", 0)));
+}
+
 /* fill keys=N at=MS: one request of each of many models; rows that are told */
 static void
 exec_fill(const char *rest, GString *out)
@@ -294,6 +314,7 @@
 	{ "due", exec_due },
 	{ "queue", exec_queue },
 	{ "demand", exec_demand },
+	{ "elsewhere", exec_elsewhere },
 	{ "fill", exec_fill },
 	{ "level", exec_level },
 	{ "capacity", exec_capacity },
