--- a/src/fwd-level.c
+++ b/src/fwd-level.c
@@ -286,6 +286,31 @@
 	}
 }
 
+/* Clients of a service, of all its models, that are to return. */
+static double
+service_due(const struct fwd *fwd, const char *service)
+{
+	const struct fwd_level *l;
+	double due = 0;
+
+	TAILQ_FOREACH(l, &fwd->levels, entry) {
+		for (int p = 0; p < FWD_PRIORITIES; p++)
+			due += strcmp(l->service, service) == 0 ? l->due[p] : 0;
+	}
+	return (due);
+}
+
+/* Whether no level before this one is of the same service. */
+static bool
+first_of_service(const struct fwd *fwd, const struct fwd_level *l)
+{
+	const struct fwd_level *other = TAILQ_FIRST(&fwd->levels);
+
+	while (strcmp(other->service, l->service) != 0)
+		other = TAILQ_NEXT(other, entry);
+	return (other == l);
+}
+
 /**
  * fwd_level_print() - append the levels in the text format of metrics.
  * @fwd: the proxy
@@ -306,5 +331,9 @@
 			g_string_append_printf(out,
 			    "banklift_room{service=\"%s\",model=\"%s\"} %.1f\n",
 			    l->service, model, l->level.room_per_s);
+		if (first_of_service(fwd, l))
+			g_string_append_printf(out,
+			    "banklift_told_to_return{service=\"%s\"} %.0f\n",
+			    l->service, service_due(fwd, l->service));
 	}
 }
--- a/tests/test-levels.c
+++ b/tests/test-levels.c
@@ -68,7 +68,6 @@
 	GArray *returns;
 	struct tally tally[CLASSES];
 	uint32_t draw;
-	double peak;
 	double first_refusal, last_refusal;
 };
 
@@ -162,7 +161,6 @@
 	double first = now + BASE_MS + SLOPE_MS * fmax(used - 1, 0);
 
 	g_array_append_val(r->ends, end);
-	r->peak = fmax(r->peak, used);
 	count(r, a, DEMAND_ADMITTED, now);
 	if (first - a->at_ms > OBJECTIVE_MS) {
 		count(r, a, DEMAND_LATE, now);
@@ -270,18 +268,19 @@
 arrivals(struct replay *r, double now)
 {
 	for (unsigned c = 0; c < CLASSES; c++) {
-		double rate = r->rates[c];
+		bool burst = c == r->burst_class && now >= r->burst_from &&
+		    now < r->burst_to;
+		double n = r->rates[c] * (burst ? r->burst_factor : 1) *
+		    STEP_MS / 1000;
 
-		if (c == r->burst_class && now >= r->burst_from &&
-		    now < r->burst_to)
-			rate *= r->burst_factor;
-		for (double n = rate * STEP_MS / 1000; n > 0; n--) {
-			struct attempt a = { now, now + TIMEOUT_MS, c,
-				(unsigned)(draw(r) * r->n_daemons), 0, false,
-				false };
+		for (unsigned k = 0; k < n; k++) {
+			struct attempt a = { .at_ms = now,
+				.deadline_ms = now + TIMEOUT_MS,
+				.class = c };
 
+			a.daemon = (unsigned)(draw(r) * r->n_daemons);
 			a.id = (uint32_t)(draw(r) * UINT32_MAX);
-			if (draw(r) < n)
+			if (draw(r) < n - k)
 				arrive(r, &a, now);
 		}
 	}
@@ -333,7 +332,9 @@
 	r->queue = g_array_new(FALSE, FALSE, sizeof(struct attempt));
 	r->returns = g_array_new(FALSE, FALSE, sizeof(struct attempt));
 	r->draw = 2463534242u;
-	for (double now = 1000; now < 1000 + r->length_ms; now += STEP_MS) {
+	for (uint64_t ms = 1000; ms < 1000 + r->length_ms; ms += STEP_MS) {
+		double now = (double)ms;
+
 		for (guint i = 0; i < r->ends->len;) {
 			if (g_array_index(r->ends, double, i) <= now)
 				g_array_remove_index_fast(r->ends, i);
@@ -342,7 +343,7 @@
 		}
 		arrivals(r, now);
 		dispatch(r, now);
-		if ((unsigned)now % SUM_MS == 0)
+		if (ms % SUM_MS == 0)
 			update_sums(r, now);
 	}
 	g_array_unref(r->ends);
