Take the duration of requests from the sums of all daemons

Cause: each daemon computed the room from the duration that it measured itself, an average over 50 requests. Where it has few, it lags a change by many seconds, and daemons disagree: when a service became slow, the highest priority got 71 of 100 requests served and the lowest 42. Change: the duration is the requests that run divided by those that start, over a second, by Little's law.

--- a/src/fwd-level.c
+++ b/src/fwd-level.c
@@ -223,7 +223,9 @@
 		in->duration_ms = estimate->duration_ms;
 	}
 	overload_capacity_measure(&fwd->registry->fleet, &criteria,
-	    l->objective_ms, in->duration_ms, &capacity);
+	    l->objective_ms,
+	    l->level.duration_ms > 0 ? l->level.duration_ms : in->duration_ms,
+	    &capacity);
 	in->running = capacity.running;
 	in->capacity = capacity.in_time;
 	in->slots = capacity.slots;
--- a/src/overload-level.c
+++ b/src/overload-level.c
@@ -38,6 +38,11 @@
 #define FOLLOW_MS 100.0
 /* Lower priorities keep at least this part of their share of the capacity. */
 #define KEPT_LOWER 0.2
+/* Time constant of the average duration of requests, and the smallest rate and
+ * number of requests that it is computed from. */
+#define DURATION_FOLLOW_MS 1000.0
+#define ADMITTED_MIN_PER_S 1.0
+#define RUNNING_MIN 1.0
 /* A smaller share is none. */
 #define SHARE_MIN 0.005
 #define MS_PER_S 1000.0
@@ -74,16 +79,36 @@
 	return (capacity * (1 - LATE_GAIN * fmax(late - LATE_USUAL, 0)));
 }
 
+/*
+ * Updates the time for which a request occupies its slot: the requests that run
+ * divided by those that start, by Little's law. All daemons see it alike, while
+ * the average that one measures itself takes long where it has few requests.
+ */
+static void
+update_duration(struct overload_level *level, const struct overload_input *in,
+    double elapsed)
+{
+	double duration_ms;
+
+	if (level->duration_ms <= 0)
+		level->duration_ms = in->duration_ms;
+	if (in->admitted < ADMITTED_MIN_PER_S || in->running < RUNNING_MIN)
+		return;
+	duration_ms = in->running / in->admitted * MS_PER_S;
+	level->duration_ms += (1 - exp(-elapsed / DURATION_FOLLOW_MS)) *
+	    (duration_ms - level->duration_ms);
+}
+
 /* First attempts per second that can be served in time. */
 static double
-room_per_s(const struct overload_input *in, double capacity)
+room_per_s(const struct overload_input *in, double capacity, double duration_ms)
 {
 	double present = in->running + in->queued;
 	double room;
 
-	if (in->duration_ms <= 0)
+	if (duration_ms <= 0)
 		return (INFINITY);
-	room = capacity * MS_PER_S / in->duration_ms - in->returned;
+	room = capacity * MS_PER_S / duration_ms - in->returned;
 	if (present > capacity)
 		room -= (present - capacity) / DRAIN_S;
 	return (fmax(room, 0));
@@ -91,18 +116,19 @@
 
 /* Share of the first attempts to refuse by the present sums. */
 static double
-target_share(const struct overload_input *in, double *room)
+target_share(struct overload_level *level, const struct overload_input *in)
 {
 	double capacity = corrected_capacity(in);
 	double asked = asked_total(in);
+	double room = room_per_s(in, capacity, level->duration_ms);
 	double used, gate;
 
-	*room = room_per_s(in, capacity);
-	if (asked <= 0 || capacity <= 0 || asked <= *room)
+	level->room_per_s = room;
+	if (asked <= 0 || capacity <= 0 || asked <= room)
 		return (0);
 	used = (in->running + in->queued) / capacity;
 	gate = ramp(used, GATE_FROM, GATE_TO);
-	return (fmin(gate * (asked - *room) / asked, SHARE_MAX));
+	return (fmin(gate * (asked - room) / asked, SHARE_MAX));
 }
 
 /* Refuses nothing. */
@@ -185,7 +211,8 @@
 		level->told_ms = now_ms;
 	else if (now_ms - level->told_ms < OVERLOAD_HOLD_MS)
 		return;
-	target = target_share(in, &level->room_per_s);
+	update_duration(level, in, elapsed);
+	target = target_share(level, in);
 	level->share +=
 	    (1 - exp(-elapsed / FOLLOW_MS)) * (target - level->share);
 	level_distribute(level, in);
--- a/src/overload-level.h
+++ b/src/overload-level.h
@@ -24,8 +24,8 @@
  * @capacity: largest number of requests there with which first events are
  *	expected in time
  * @slots: slots there
- * @duration_ms: average time for which a request occupies its slot; 0 if not
- *	known
+ * @duration_ms: time for which a request occupies its slot, as measured by this
+ *	daemon; 0 if not known
  * @told: these are sums over all daemons; otherwise this daemon's own counts,
  *	times the number of daemons
  */
@@ -52,6 +52,7 @@
  * @priority: requests of higher priority are not refused
  * @fraction: fraction of the requests of @priority that is refused
  * @lower_fraction: fraction of the requests of lower priority that is refused
+ * @duration_ms: average time for which a request occupies its slot
  * @room_per_s: first attempts per second that can be served in time
  */
 struct overload_level {
@@ -61,6 +62,7 @@
 	int priority;
 	double fraction;
 	double lower_fraction;
+	double duration_ms;
 	double room_per_s;
 };
 
--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -174,6 +174,7 @@
 	const char *target = net_head_target(&c->head);
 	const char *expect = net_head_find(&c->head, "expected-instance");
 	const char *id = net_head_find(&c->head, "attempt-id");
+	const char *priority;
 
 	/* Connections accepted before "mute" was raised are never answered. */
 	if (ep->crash_mode != CRASH_NONE || fake_endpoint_switch("dark", ep) ||
@@ -213,12 +214,15 @@
 		return;
 	}
 	ep->n_runs++;
-	g_string_append_printf(fake_journal, "%s ran %s %s %s key=%s\n", ep->id,
-	    c->id, target,
+	priority = net_head_find(&c->head, "request-priority");
+	g_string_append_printf(fake_journal, "%s ran %s %s %s key=%s%s%s\n",
+	    ep->id, c->id, target,
 	    net_head_find(&c->head, "tenant") != NULL ?
 		net_head_find(&c->head, "tenant") :
 		"-",
-	    net_head_find(&c->head, "x-api-key") != NULL ? "passed" : "none");
+	    net_head_find(&c->head, "x-api-key") != NULL ? "passed" : "none",
+	    priority != NULL ? " priority=" : "",
+	    priority != NULL ? priority : "");
 	if (crash_schedule(c) && !ep->engine)
 		return;
 	if (ep->engine)
--- a/tests/test-levels.c
+++ b/tests/test-levels.c
@@ -193,7 +193,8 @@
 	in->running = r->loads[LOAD_DELAYS - 1];
 	in->capacity = capacity_at(r, now);
 	in->slots = in->capacity * SLOTS_PER_CAPACITY;
-	in->duration_ms = DURATION_MS;
+	/* A daemon with few requests measures slowly. */
+	in->duration_ms = DURATION_MS / 2;
 	in->told = true;
 }
 
--- a/tests/test-overload.c
+++ b/tests/test-overload.c
@@ -210,8 +210,9 @@
 
 /*
  * level at=MS to=MS asked0=N asked1=N asked2=N [returned=N] [late=N]
- * [queued=N] running=N capacity=N [slots=N] [told=0]: a level is updated every
- * 100 ms by the same input; refused first attempts of 100 of priorities 0 to 2
+ * [queued=N] running=N [admitted=N] capacity=N [slots=N] [told=0]: a level is
+ * updated every 100 ms by the same input; refused first attempts of 100 of
+ * priorities 0 to 2
  */
 static void
 exec_level(const char *rest, GString *out)
@@ -223,10 +224,11 @@
 	in.asked[1] = (double)script_number(rest, "asked1", 0);
 	in.asked[2] = (double)script_number(rest, "asked2", 0);
 	in.returned = (double)script_number(rest, "returned", 0);
-	in.admitted = in.asked[0] + in.asked[1] + in.asked[2] + in.returned;
 	in.late = (double)script_number(rest, "late", 0);
 	in.queued = (double)script_number(rest, "queued", 0);
 	in.running = (double)script_number(rest, "running", 0);
+	in.admitted =
+	    (double)script_number(rest, "admitted", (uint64_t)in.running);
 	in.capacity = (double)script_number(rest, "capacity", 0);
 	in.slots = (double)script_number(rest, "slots", 0);
 	in.told = script_number(rest, "told", 1) != 0;
