--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -37,6 +37,7 @@
  * @request: request line and headers that are the same for every endpoint
  * @body: body of the request
  * @head_only: the method is HEAD
+ * @priority: its priority, 0 to 9; 0 is the highest
  * @prompt: length of the prompt, in tokens
  * @arrived_ms: loop time of the arrival
  * @arrived_us: the same in microseconds of the monotonic clock, for the
@@ -103,6 +104,7 @@
 	GString *request;
 	GByteArray *body;
 	bool head_only;
+	int priority;
 	double prompt;
 	uint64_t arrived_ms;
 	uint64_t arrived_us;
@@ -183,6 +185,13 @@
 void fwd_exchange_release(struct fwd_exchange *);
 void fwd_exchange_drop_response(struct fwd_exchange *);
 
+/* fwd-count.c: counts in the table of demand. */
+void fwd_count_asked(struct fwd_exchange *);
+void fwd_count_sent(struct fwd_exchange *);
+void fwd_count_first(struct fwd_exchange *);
+void fwd_count_refused(struct fwd_exchange *, int64_t);
+void fwd_count_fill(struct fwd *, struct sum_table *, uint64_t);
+
 /* fwd-response.c: response of an endpoint. */
 extern const struct net_conn_ops fwd_response_ops;
 
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -4,7 +4,9 @@
 
 #include "registry.h"
 #include "fwd-budget.h"
+#include "fwd-demand.h"
 #include "fwd-expect.h"
+#include "fwd-level.h"
 #include "fwd-stats.h"
 #include "fwd-wire.h"
 
@@ -74,6 +76,8 @@
  * @n_exchanges: length of @exchanges
  * @budgets: service name to struct fwd_budget
  * @estimates: name of a model or of a plain service to struct fwd_estimate
+ * @demand: what this daemon is asked, admits and refuses
+ * @levels: which first attempts are refused, by service and model
  * @daemons: number of daemons that share the retry budget
  * @collected_ms: loop time at which evidence of endpoints was last exchanged
  * @name_hash: hash of this daemon's name
@@ -105,6 +109,8 @@
 	unsigned n_exchanges;
 	GHashTable *budgets;
 	GHashTable *estimates;
+	struct fwd_demand demand;
+	struct fwd_level_list levels;
 	unsigned daemons;
 	uint64_t collected_ms;
 	uint32_t name_hash;
