Place replicas by the recent peaks of the demand

Cause: the bound on the replicas of the largest model follows a five-second average of the requests that run, half of it the configured shares, one replica at a time. Large replicas with 5 to 12 of 34 slots in use stand beside full small ones.

Change: with placement-demand, the demand of a model is the hosts that its requests need at the peaks of the last 15 s, at the concurrency at which replicas still serve in time by the engine profile. The bound minimizes the expected late responses with one replica of each model lost, and changes only while a model is short, by up to a third of the replicas, for a clear gain. The placement line has asked= and crest=; the metric demand_hosts is new. Without the setting nothing changes.

--- a/src/fwd-expect.c
+++ b/src/fwd-expect.c
@@ -35,6 +35,19 @@
 	    m->pace);
 }
 
+/**
+ * fwd_expect_step() - time of one decode step.
+ * @e: profile of the engine
+ * @m: profile of the model
+ * @running: number of requests that decode
+ */
+double
+fwd_expect_step(const struct engine_profile *e, const struct model_profile *m,
+    double running)
+{
+	return (step_ms(e, m, running));
+}
+
 /* Time of the decode steps in one pass. */
 static double
 decode_pass_ms(const struct endpoint *ep, const struct fwd_workload *workload)
--- a/src/fwd-expect.h
+++ b/src/fwd-expect.h
@@ -40,6 +40,8 @@
 	uint64_t now_ms;
 };
 
+double fwd_expect_step(const struct engine_profile *,
+    const struct model_profile *, double);
 double fwd_expect_running(const struct endpoint *);
 double fwd_expect_backlog(const struct endpoint *, const struct fwd_workload *);
 double fwd_expect_rate(const struct endpoint *, const struct fwd_workload *);
--- a/src/placer-form.c
+++ b/src/placer-form.c
@@ -375,6 +375,7 @@
 		struct demand_sample *sample;
 
 		if (head == NULL || head->evacuated || !r->opened ||
+		    (p->placement_demand && !replica_active(r)) ||
 		    strcmp(r->service, service) != 0)
 			continue;
 		sample = &samples[planner_model_index(view, r->model)];
@@ -395,7 +396,8 @@
 view_apply_demand(struct placer *p, const char *service,
     struct planner_view *view, uint64_t now_ms)
 {
-	struct planner_demand *d = &placer_usage(p, service)->demand;
+	struct service_usage *u = placer_usage(p, service);
+	struct planner_demand *d = &u->demand;
 	struct demand_sample samples[PLANNER_MODELS_MAX] = { 0 };
 	unsigned old_max = d->largest_max;
 
@@ -405,8 +407,15 @@
 	if (d->updated_ms != now_ms) {
 		demand_sample_service(p, service, view, samples, now_ms);
 		planner_demand_update(d, view, samples, now_ms);
+		if (p->placement_demand)
+			planner_crest_update(&u->crest, view, samples, now_ms);
+		else
+			memset(&u->crest, 0, sizeof u->crest);
 	}
-	planner_demand_apply(d, view, now_ms);
+	if (p->placement_demand)
+		planner_crest_apply(&u->crest, &d->largest_max, view, now_ms);
+	else
+		planner_demand_apply(d, view, now_ms);
 	if (d->largest_max == old_max)
 		return;
 	placer_record_bound(p, service, d->largest_max);
--- a/src/placer-usage.c
+++ b/src/placer-usage.c
@@ -79,6 +79,16 @@
 	return (replica_active(r) && r->opened);
 }
 
+/* Demand of a model for the log; empty unless replicas are placed by it. */
+static char *
+usage_demand_fields(const struct service_usage *u, unsigned i)
+{
+	if (u->crest.updated_ms == 0)
+		return (g_strdup(""));
+	return (g_strdup_printf(" asked=%.1f crest=%.1f",
+	    u->crest.models[i].hosts, planner_crest_hosts(&u->crest, i)));
+}
+
 /* Logs the counts of each model, at most once per LOG_INTERVAL_MS. */
 static void
 usage_log(struct service_usage *u, const char *service, uint64_t now_ms)
@@ -88,14 +98,15 @@
 	u->logged_ms = now_ms;
 	for (unsigned i = 0; i < u->n_models; i++) {
 		const struct model_usage *m = &u->models[i];
+		g_autofree char *demand = usage_demand_fields(u, i);
 
 		event_log(LOG_INFO, "placement",
 		    "service=%s model=%s wanted=%.1f open=%u forming=%u "
 		    "dissolving=%u hosts=%u free=%u down_ms=%.0f "
-		    "stranded_ms=%.0f",
+		    "stranded_ms=%.0f%s",
 		    service, u->names[i], m->wanted, m->open, m->forming,
 		    m->dissolving, u->hosts, u->free, m->down_ms,
-		    u->stranded_ms);
+		    u->stranded_ms, demand);
 	}
 }
 
@@ -158,4 +169,9 @@
 		    "banklift_groups_serving{service=\"%s\",model=\"%s\"} %u\n",
 		    service, u->names[i], u->models[i].down_ms, service,
 		    u->names[i], u->models[i].open);
+	for (unsigned i = 0; i < u->n_models && u->crest.updated_ms != 0; i++)
+		g_string_append_printf(out,
+		    "banklift_demand_hosts{service=\"%s\",model=\"%s\"} "
+		    "%.1f\n",
+		    service, u->names[i], planner_crest_hosts(&u->crest, i));
 }
--- /dev/null
+++ b/src/planner-crest.c
@@ -0,0 +1,352 @@
+/*
+ * The hosts that each model of a service needs at its recent peaks, and the
+ * number of replicas of the largest model that balances the models. Pure
+ * functions.
+ *
+ * The demand is judged by its peaks, since a replica takes seconds to form: the
+ * bound on the largest model is meant to hold over a whole wave or burst. It
+ * changes only while some model can't be served in time, and for a clear gain.
+ */
+#include <math.h>
+#include <string.h>
+
+#include "planner-crest.h"
+
+#define MS_PER_S 1000
+/* Time constant of the average whose maximum is the crest. */
+#define CREST_AVERAGE_MS 1000
+/* Time constant of the average number of requests, by which models count. */
+#define REQUESTS_AVERAGE_MS 5000
+/* A model is short from this utilization at its crest on; a replica then has
+ * slightly more than half of its slots in use. */
+#define CREST_SHORT 0.95
+/* Time for which a model must have been short. Requests for a large model run
+ * longer, so after a rise of the load its demand shows later. */
+#define CREST_SHORT_MS 1800
+/* Time between two changes of the bound, and between two in opposite
+ * directions. */
+#define CREST_CHANGE_INTERVAL_MS 4000
+#define CREST_REVERSE_INTERVAL_MS 12000
+/*
+ * A change must lower the cost to this part of the present one. The first
+ * corrects the configured shares, a later one comes on top of it; for more
+ * replicas of the largest model, copies must be loaded.
+ */
+#define CREST_GAIN_FIRST 0.85
+#define CREST_GAIN_LOWER 0.75
+#define CREST_GAIN_RAISE 0.6
+/* One change adds or takes at most one in this many replicas of the largest
+ * model, whose next burst may be larger than those seen. */
+#define CREST_STEP_PART 3
+/* Exponent of the utilization in the cost: the part of late responses rises
+ * steeply where a model fills its replicas. */
+#define CREST_COST_EXPONENT 4
+/* Time for which the rise of the last second is assumed to continue. */
+#define CREST_AHEAD_S 2
+/* Replicas of a model that may be missing after a loss. */
+#define CREST_RESERVE 1
+
+/* The hosts that a model's requests need; negative if it can't be told. Those
+ * with a rate limit hide the demand, so they count as the others. */
+static double
+sample_hosts(const struct planner_view *view, unsigned model,
+    const struct demand_sample *s)
+{
+	const struct engine_profile *e = view->engine;
+	const struct model_profile *m = planner_model(view, model);
+	double requests = s->running + s->queued, running;
+
+	if (s->unlimited == 0)
+		return (-1);
+	running = s->running / s->unlimited;
+	requests += s->refused * planner_duration_ms(e, m, running) / MS_PER_S;
+	return (planner_utilization(e, m, requests / s->unlimited) *
+	    (s->unlimited + s->limited) * m->size);
+}
+
+/* Weight of a sample in a moving average. */
+static double
+sample_weight(uint64_t elapsed_ms, double constant_ms)
+{
+	return (-expm1(-(double)elapsed_ms / constant_ms));
+}
+
+/* Clears the peaks of the seconds that have begun since the last sample. */
+static void
+peaks_advance(struct model_crest *c, uint64_t from_ms, uint64_t now_ms)
+{
+	uint64_t from = from_ms / MS_PER_S, now = now_ms / MS_PER_S;
+
+	for (uint64_t s = from + 1; s <= now && s <= from + CREST_SPAN_S; s++)
+		c->peaks[s % CREST_SPAN_S] = 0;
+}
+
+/**
+ * planner_crest_update() - add a sample of the requests that run now.
+ * @crest: the demand
+ * @view: the view, for the service's models
+ * @samples: a sample for each model, in the order of the profile
+ * @now_ms: loop time
+ */
+void
+planner_crest_update(struct planner_crest *crest,
+    const struct planner_view *view, const struct demand_sample *samples,
+    uint64_t now_ms)
+{
+	unsigned n = MIN(view->engine->models->len, PLANNER_MODELS_MAX);
+	uint64_t last_ms = crest->updated_ms != 0 ? crest->updated_ms : now_ms;
+
+	for (unsigned i = 0; i < n; i++) {
+		struct model_crest *c = &crest->models[i];
+		double hosts = sample_hosts(view, i, &samples[i]);
+		double *peak = &c->peaks[now_ms / MS_PER_S % CREST_SPAN_S];
+
+		peaks_advance(c, last_ms, now_ms);
+		if (hosts >= 0) {
+			c->hosts +=
+			    sample_weight(now_ms - last_ms, CREST_AVERAGE_MS) *
+			    (hosts - c->hosts);
+			c->requests += sample_weight(now_ms - last_ms,
+					   REQUESTS_AVERAGE_MS) *
+			    (samples[i].running + samples[i].queued -
+				c->requests);
+		}
+		*peak = MAX(*peak, c->hosts);
+	}
+	crest->updated_ms = MAX(now_ms, 1);
+}
+
+/**
+ * planner_crest_hosts() - hosts that a model needs at its recent peaks.
+ * @crest: the demand
+ * @model: index of the model
+ */
+double
+planner_crest_hosts(const struct planner_crest *crest, unsigned model)
+{
+	double max = 0;
+
+	for (unsigned i = 0; i < CREST_SPAN_S; i++)
+		max = MAX(max, crest->models[model].peaks[i]);
+	return (max);
+}
+
+/* The hosts that a model needs at its recent peaks, or shortly if its demand is
+ * rising. */
+static double
+crest_hosts_ahead(const struct planner_crest *crest, unsigned model)
+{
+	const struct model_crest *c = &crest->models[model];
+	uint64_t second = crest->updated_ms / MS_PER_S + CREST_SPAN_S - 1;
+	double rise = c->hosts - c->peaks[second % CREST_SPAN_S];
+
+	return (MAX(planner_crest_hosts(crest, model),
+	    c->hosts + CREST_AHEAD_S * MAX(rise, 0)));
+}
+
+/**
+ * struct balance - the largest model beside all others together.
+ * @largest_hosts: hosts that the largest model needs at its crests
+ * @other_hosts: hosts that the others need at theirs
+ * @largest_requests: average requests of the largest model
+ * @other_requests: average requests of the others
+ * @size: hosts in a replica of the largest model
+ * @other_size: hosts in the smallest replica
+ */
+struct balance {
+	double largest_hosts;
+	double other_hosts;
+	double largest_requests;
+	double other_requests;
+	unsigned size;
+	unsigned other_size;
+};
+
+static void
+balance_init(struct balance *b, const struct planner_crest *crest,
+    const struct planner_view *view)
+{
+	unsigned n = MIN(view->engine->models->len, PLANNER_MODELS_MAX);
+
+	memset(b, 0, sizeof *b);
+	b->size = MAX(planner_model(view, view->largest)->size, 1);
+	b->other_size = b->size;
+	for (unsigned i = 0; i < n; i++) {
+		double hosts = crest_hosts_ahead(crest, i);
+
+		if (i == view->largest) {
+			b->largest_hosts = hosts;
+			b->largest_requests = crest->models[i].requests;
+			continue;
+		}
+		b->other_hosts += hosts;
+		b->other_requests += crest->models[i].requests;
+		b->other_size =
+		    CLAMP(planner_model(view, i)->size, 1, b->other_size);
+	}
+}
+
+/* Hosts that can serve the other models beside a number of replicas of the
+ * largest, which are spread evenly over the fabric domains. */
+static double
+balance_rest(const struct balance *b, const struct planner_view *view,
+    unsigned largest)
+{
+	unsigned left = largest, rest = 0, fabrics = view->fabrics->len;
+
+	for (guint i = 0; i < fabrics; i++) {
+		unsigned hosts = planner_fabric_at(view, i)->hosts;
+		unsigned part = (left + fabrics - i - 1) / (fabrics - i);
+
+		part = MIN(part, hosts / b->size);
+		left -= part;
+		rest += (hosts - part * b->size) / b->other_size;
+	}
+	return ((double)rest * b->other_size);
+}
+
+/* Utilization of the hosts that are left when a replica is lost. */
+static double
+reserved_utilization(double needed, double hosts, unsigned size)
+{
+	return (needed / MAX(hosts - CREST_RESERVE * size, size / 2.0));
+}
+
+/* The expected late responses, up to a factor, with a number of replicas of the
+ * largest model. */
+static double
+balance_cost(const struct balance *b, const struct planner_view *view,
+    unsigned largest)
+{
+	double at_largest =
+	    reserved_utilization(b->largest_hosts, largest * b->size, b->size);
+	double at_others = reserved_utilization(b->other_hosts,
+	    balance_rest(b, view, largest), b->other_size);
+
+	return (b->largest_requests * pow(at_largest, CREST_COST_EXPONENT) +
+	    b->other_requests * pow(at_others, CREST_COST_EXPONENT));
+}
+
+/* Whether the largest model or the others are short of hosts at their crests.
+ */
+static bool
+balance_short(const struct balance *b, const struct planner_view *view,
+    unsigned largest)
+{
+	return (b->largest_hosts > CREST_SHORT * largest * b->size ||
+	    b->other_hosts > CREST_SHORT * balance_rest(b, view, largest));
+}
+
+/*
+ * The number of replicas of the largest model with the least cost, at most
+ * @max. It keeps the whole replicas that its crests need; after the configured
+ * shares are corrected, also the reserve.
+ */
+static unsigned
+balance_best(const struct balance *b, const struct planner_view *view,
+    unsigned bound, unsigned max, bool corrected)
+{
+	unsigned least = (unsigned)b->largest_hosts / b->size +
+	    (corrected ? CREST_RESERVE : 0);
+	unsigned step = MAX(bound / CREST_STEP_PART, 1);
+	unsigned best = bound;
+
+	least = MAX(least, MAX(bound - step, 1));
+	for (unsigned n = MIN(least, bound); n <= MIN(max, bound + step); n++) {
+		if (balance_cost(b, view, n) < balance_cost(b, view, best))
+			best = n;
+	}
+	return (best);
+}
+
+/* Whether the bound may change now in this direction. */
+static bool
+change_allowed(const struct planner_crest *crest, bool lower, uint64_t now_ms)
+{
+	uint64_t interval = lower == crest->lowered ? CREST_CHANGE_INTERVAL_MS :
+						      CREST_REVERSE_INTERVAL_MS;
+
+	return (now_ms - crest->short_since_ms >= CREST_SHORT_MS &&
+	    (crest->changed_ms == 0 || now_ms - crest->changed_ms >= interval));
+}
+
+/* The part of the present cost that a change must reach. */
+static double
+change_gain(bool lower, bool corrected)
+{
+	if (!lower)
+		return (CREST_GAIN_RAISE);
+	return (corrected ? CREST_GAIN_LOWER : CREST_GAIN_FIRST);
+}
+
+/* Changes the bound on replicas of the largest model where that is due. */
+static void
+crest_change_bound(struct planner_crest *crest, const struct balance *b,
+    unsigned *largest_max, struct planner_view *view, uint64_t now_ms)
+{
+	unsigned by_share = (unsigned)(planner_view_choose_cap(view) + 0.5);
+	unsigned bound =
+	    *largest_max != 0 ? MIN(*largest_max, by_share) : by_share;
+	unsigned best;
+
+	if (bound == 0)
+		return;
+	if (!balance_short(b, view, bound)) {
+		crest->short_since_ms = 0;
+		return;
+	}
+	if (crest->short_since_ms == 0)
+		crest->short_since_ms = now_ms;
+	best = balance_best(b, view, bound, by_share, *largest_max != 0);
+	if (best == bound || !change_allowed(crest, best < bound, now_ms) ||
+	    balance_cost(b, view, best) >
+		change_gain(best < bound, *largest_max != 0) *
+		    balance_cost(b, view, bound))
+		return;
+	crest->changed_ms = now_ms;
+	crest->lowered = best < bound;
+	*largest_max = best < by_share ? best : 0;
+}
+
+/* Sets the shares of the work by what each model's crests and the loss of a
+ * replica need. */
+static void
+crest_set_shares(const struct planner_crest *crest, struct planner_view *view)
+{
+	unsigned n = MIN(view->engine->models->len, PLANNER_MODELS_MAX);
+	double need[PLANNER_MODELS_MAX], sum = 0;
+
+	for (unsigned i = 0; i < n; i++) {
+		need[i] = planner_crest_hosts(crest, i) +
+		    CREST_RESERVE * planner_model(view, i)->size;
+		sum += need[i];
+	}
+	for (unsigned i = 0; i < n && sum > 0; i++)
+		view->work_share[i] = need[i] / sum;
+}
+
+/**
+ * planner_crest_apply() - set a view's shares of the work and its bound on the
+ * largest model from the demand.
+ * @crest: the demand
+ * @largest_max: maximum number of replicas of the largest model, which is
+ *	updated; 0 for no bound
+ * @view: the view; its hosts have been counted
+ * @now_ms: loop time
+ *
+ * Where all models have been served in time, nothing changes.
+ */
+void
+planner_crest_apply(struct planner_crest *crest, unsigned *largest_max,
+    struct planner_view *view, uint64_t now_ms)
+{
+	struct balance b;
+
+	if (view->engine->models->len < 2 || crest->updated_ms == 0)
+		return;
+	balance_init(&b, crest, view);
+	crest_change_bound(crest, &b, largest_max, view, now_ms);
+	view->largest_max = *largest_max;
+	if (*largest_max != 0 || crest->short_since_ms != 0)
+		crest_set_shares(crest, view);
+}
--- a/src/planner-demand.h
+++ b/src/planner-demand.h
@@ -25,12 +25,19 @@
 /**
  * struct demand_sample - requests that run at one model's replicas.
  * @running: requests that run at replicas without a rate limit
+ * @queued: requests that wait at the daemons; 0 where not known
+ * @refused: requests refused per second for lack of capacity, each counted
+ *	once; 0 where not known
+ * @asked: first attempts per second; 0 where not known
  * @unlimited: number of replicas without a rate limit
  * @limited: number of replicas that limit their request rate below what they
  *	could serve
  */
 struct demand_sample {
 	double running;
+	double queued;
+	double refused;
+	double asked;
 	unsigned unlimited;
 	unsigned limited;
 };
--- a/tests/test-planner.c
+++ b/tests/test-planner.c
@@ -1,11 +1,12 @@
 /* Scripted tests of the planner: which hosts form which replicas, which get
  * copies, and how the bound on the largest model changes. */
+#include <math.h>
 #include <string.h>
 
-#include "planner-demand.h"
+#include "planner-crest.h"
 #include "script.h"
 
-#define HOSTS_MAX 64
+#define HOSTS_MAX 200
 
 static struct catalog *catalog;
 static struct engine_profile *engine;
@@ -15,6 +16,9 @@
 static unsigned n_replicas;
 static guint64 loads, served, hosts_stable;
 static struct planner_demand demand;
+static struct planner_crest crest;
+static bool use_crest;
+static uint64_t sampled_ms;
 
 static void
 reset(void)
@@ -35,9 +39,13 @@
 	served = 0;
 	hosts_stable = 1;
 	memset(&demand, 0, sizeof demand);
+	memset(&crest, 0, sizeof crest);
+	use_crest = false;
+	sampled_ms = 0;
 	g_clear_pointer(&catalog, catalog_unref);
 	catalog = catalog_create();
 	engine = catalog_add_engine(catalog_add_service(catalog, "s"));
+	engine->slots = 48;
 }
 
 /* reset: start over with no models, hosts or replicas */
@@ -47,7 +55,8 @@
 	reset();
 }
 
-/* model NAME size=N share=PERCENT: the engine profile has this model */
+/* model NAME size=N share=PERCENT [pace=PERCENT]: the engine profile has this
+ * model */
 static void
 exec_model(const char *rest, GString *out)
 {
@@ -56,9 +65,26 @@
 	m->name = g_strndup(rest, strcspn(rest, " "));
 	m->size = (unsigned)script_number(rest, "size", 1);
 	m->share = (double)script_number(rest, "share", 100) / 100;
+	m->pace = (double)script_number(rest, "pace", 100) / 100;
 	g_ptr_array_add(engine->models, m);
 }
 
+/* engine slots=N step_us=N per_seq_us=N prefill_per_ms=N prompt=N response=N:
+ * the engine profile has these times; the demand is judged by its crests */
+static void
+exec_engine(const char *rest, GString *out)
+{
+	engine->slots = (unsigned)script_number(rest, "slots", 48);
+	engine->step_ms = (double)script_number(rest, "step_us", 0) / 1000;
+	engine->per_seq_ms =
+	    (double)script_number(rest, "per_seq_us", 0) / 1000;
+	engine->prefill_per_ms =
+	    (double)script_number(rest, "prefill_per_ms", 0);
+	engine->usual_prompt = (double)script_number(rest, "prompt", 0);
+	engine->usual_response = (double)script_number(rest, "response", 0);
+	use_crest = true;
+}
+
 /* hosts N domain=D fabric=F [memory=M] [staged=M]: N free hosts, with these
  * models in memory and as a copy */
 static void
@@ -99,6 +125,9 @@
 	}
 	planner_view_count_hosts(view);
 	view->largest_max = demand.largest_max;
+	if (use_crest)
+		planner_crest_apply(&crest, &demand.largest_max, view,
+		    sampled_ms);
 	planner_view_set_targets(view);
 	view->loads_free = (unsigned)loads;
 	view->served = served != 0;
@@ -274,31 +303,54 @@
 	}
 }
 
+/* Updates the demand and the bound on the largest model. */
+static void
+demand_add(const struct demand_sample *samples, uint64_t at)
+{
+	struct planner_view view;
+
+	view_make(&view);
+	sampled_ms = at;
+	if (use_crest) {
+		planner_crest_update(&crest, &view, samples, at);
+		planner_crest_apply(&crest, &demand.largest_max, &view, at);
+	} else {
+		planner_demand_update(&demand, &view, samples, at);
+		planner_demand_apply(&demand, &view, at);
+	}
+	view_free(&view);
+}
+
 /*
- * sample big=N small=N from=MS to=MS [unlimited=N limited=N]: requests of the
- * first two models that run during this time. Of the first model's replicas,
- * "unlimited" have no rate limit and run its requests, and "limited" have one.
- * Prints each change of the bound on the largest model.
+ * sample big=N small=N from=MS to=MS [unlimited=N limited=N smalls=N
+ * swing=PERCENT period=MS refused=N]: requests of the first two models that run
+ * during this time. Of the first model's replicas, "unlimited" have no rate
+ * limit and run its requests, and "limited" have one; the second model has
+ * "smalls" replicas and refuses so many requests per second. The numbers rise
+ * and fall in a wave of that period, by so much. Prints each change of the
+ * bound on the largest model.
  */
 static void
 exec_sample(const char *rest, GString *out)
 {
 	struct demand_sample samples[PLANNER_MODELS_MAX] = { 0 };
+	double swing = (double)script_number(rest, "swing", 0) / 100;
+	double period = (double)script_number(rest, "period", 10000);
 
-	engine->slots = 48;
-	samples[0].running = (double)script_number(rest, "big", 0);
 	samples[0].unlimited = (unsigned)script_number(rest, "unlimited", 1);
 	samples[0].limited = (unsigned)script_number(rest, "limited", 0);
-	samples[1].running = (double)script_number(rest, "small", 0);
+	samples[1].unlimited = (unsigned)script_number(rest, "smalls", 1);
+	samples[1].refused = (double)script_number(rest, "refused", 0);
 	for (guint64 at = script_number(rest, "from", 0);
 	     at <= script_number(rest, "to", 0); at += 250) {
+		double factor = 1 + swing * sin(2 * G_PI * (double)at / period);
 		unsigned bound = demand.largest_max;
-		struct planner_view view;
 
-		view_make(&view);
-		planner_demand_update(&demand, &view, samples, at);
-		planner_demand_apply(&demand, &view, at);
-		view_free(&view);
+		samples[0].running =
+		    factor * (double)script_number(rest, "big", 0);
+		samples[1].running =
+		    factor * (double)script_number(rest, "small", 0);
+		demand_add(samples, at);
 		if (demand.largest_max != bound)
 			g_string_append_printf(out, "at %u bound %u\n",
 			    (unsigned)at, demand.largest_max);
@@ -325,6 +377,7 @@
 static const struct script_command commands[] = {
 	{ "reset", exec_reset },
 	{ "model", exec_model },
+	{ "engine", exec_engine },
 	{ "hosts", exec_hosts },
 	{ "group", exec_group },
 	{ "copy", exec_copy },
