Give idle hosts to a model that is short of them

Cause: hosts with the largest model wait for its replica also where that can't form without a load, and a fabric domain keeps one spare copy of a small model, so that a replica that loses two hosts waits for a load while others with the model are idle.

Change: where the demand is known, free hosts serve a model that is short at its crests if no replica of the largest can form there from free hosts and donors. Its spare copies are enough for a replica that loses half of its hosts.

--- a/src/planner-copies.c
+++ b/src/planner-copies.c
@@ -157,6 +157,17 @@
 	return (best);
 }
 
+/* Number of spare copies of a small model for each fabric domain; a model that
+ * is short of hosts has enough for a replica that loses half of its hosts. */
+static unsigned
+small_spare_copies(const struct planner_view *view, unsigned index)
+{
+	unsigned half = (planner_model(view, index)->size + 1) / 2;
+
+	return (view->short_of_hosts[index] ? MAX(half, PLANNER_SPARE_COPIES) :
+					      PLANNER_SPARE_COPIES);
+}
+
 /* Selects a free host for a spare copy of a small model in a fabric domain
  * where that model is served. */
 static const struct planner_host *
@@ -170,7 +181,7 @@
 		unsigned have, could_get;
 
 		pick = count_free_hosts(view, m, i, &have, &could_get);
-		if (pick != NULL && have < PLANNER_SPARE_COPIES &&
+		if (pick != NULL && have < small_spare_copies(view, index) &&
 		    planner_fabric_replicas(view, m, name) > 0)
 			return (pick);
 	}
--- a/src/planner-crest.c
+++ b/src/planner-crest.c
@@ -325,6 +325,18 @@
 		view->work_share[i] = need[i] / sum;
 }
 
+/* Sets which models have too few replicas for their crests. */
+static void
+crest_set_short(const struct planner_crest *crest, struct planner_view *view)
+{
+	unsigned n = MIN(view->engine->models->len, PLANNER_MODELS_MAX);
+
+	for (unsigned i = 0; i < n; i++)
+		view->short_of_hosts[i] =
+		    planner_crest_hosts(crest, i) > CREST_SHORT *
+			view->replicas[i] * planner_model(view, i)->size;
+}
+
 /**
  * planner_crest_apply() - set a view's shares of the work and its bound on the
  * largest model from the demand.
@@ -344,6 +356,7 @@
 
 	if (view->engine->models->len < 2 || crest->updated_ms == 0)
 		return;
+	crest_set_short(crest, view);
 	balance_init(&b, crest, view);
 	crest_change_bound(crest, &b, largest_max, view, now_ms);
 	view->largest_max = *largest_max;
--- a/src/planner-replicas.c
+++ b/src/planner-replicas.c
@@ -50,12 +50,45 @@
 	    f->ready >= planner_model(view, view->largest)->size);
 }
 
+/*
+ * Whether a smaller model can spare a replica for the largest: without it, its
+ * supply ratio is still at least that of the largest model.
+ */
+static bool
+model_can_donate(const struct planner_view *view, unsigned model)
+{
+	double after = (view->replicas[model] - 1.0) /
+	    MAX(view->share_replicas[model], 0.5);
+
+	return (after >= planner_supply_ratio(view, view->largest));
+}
+
+/*
+ * Whether hosts that have the largest model would only wait in a fabric domain:
+ * a model is short of hosts, and no replica of the largest can form there from
+ * free hosts and donors.
+ */
+static bool
+fabric_copies_idle(const struct planner_view *view,
+    const struct planner_fabric *f, unsigned model)
+{
+	unsigned size = planner_model(view, view->largest)->size;
+
+	if (!view->short_of_hosts[model])
+		return (false);
+	return (f->replicas >= f->max_replicas ||
+	    (f->ready < size &&
+		(f->ready + f->donors < size ||
+		    !model_can_donate(view, model))));
+}
+
 /*
  * Whether a free host that has the largest model may serve a smaller one. Where
  * the copies are reserved, only a model with a lower supply ratio gets the
  * host. Elsewhere it may return to the model that it last served; while
  * requests come, it gives up the largest model otherwise only where there are
- * other spares for it, or for a model with a lower supply ratio.
+ * other spares for it, for a model with a lower supply ratio, or where it would
+ * only wait.
  */
 static bool
 host_may_switch(const struct planner_view *view, const struct planner_host *h,
@@ -70,6 +103,7 @@
 		return (false);
 	return (g_strcmp0(h->loaded_model, c->model->name) == 0 ||
 	    !view->served || planner_fabric_has_spares(f) ||
+	    fabric_copies_idle(view, f, c->model_index) ||
 	    planner_supply_ratio(view, c->model_index) <
 		planner_supply_ratio(view, view->largest));
 }
@@ -230,21 +264,6 @@
 	return (true);
 }
 
-/*
- * Whether a smaller model can spare a replica for the largest: without it, its
- * supply ratio is still at least that of the largest model.
- */
-static bool
-donor_can_be_spared(const struct planner_view *view,
-    const struct replica *donor)
-{
-	unsigned k = planner_model_index(view, donor->model);
-	double after =
-	    (view->replicas[k] - 1.0) / MAX(view->share_replicas[k], 0.5);
-
-	return (after >= planner_supply_ratio(view, view->largest));
-}
-
 /* The first replica of a fabric domain that may donate its hosts to the largest
  * model, or NULL. */
 static struct replica *
@@ -260,7 +279,8 @@
 
 		if (planner_host_has_model(h, largest) &&
 		    planner_host_can_donate(h, largest) &&
-		    donor_can_be_spared(view, h->group))
+		    model_can_donate(view,
+			planner_model_index(view, h->group->model)))
 			return (h->group);
 	}
 	return (NULL);
--- a/src/planner.h
+++ b/src/planner.h
@@ -86,6 +86,8 @@
  * @wanted: replicas of each model that the hosts should form
  * @share_replicas: replicas of each model that its share of the work alone
  *	would give
+ * @short_of_hosts: whether a model's replicas are too few for its recent peaks;
+ *	false where the demand is not known
  * @largest: index of the model with the most hosts in a replica
  * @cap_factor: maximum number of replicas of the largest model in one fabric
  *	domain for every 2 x its size hosts there; the other hosts form
@@ -107,6 +109,7 @@
 	unsigned largest_max;
 	double wanted[PLANNER_MODELS_MAX];
 	double share_replicas[PLANNER_MODELS_MAX];
+	bool short_of_hosts[PLANNER_MODELS_MAX];
 	unsigned largest;
 	unsigned cap_factor;
 	unsigned loads_free;
