Let the demand raise the replicas of the largest model, keep the bound in an outage

Cause: the bound on the largest model could not exceed its configured share, also where it is short and the other models are idle; and it would have followed the hosts of a failure domain that is cut off for some seconds.

Change: a bound by the demand may be as high as the fabric domains have room. It stands while less than 0.8 of the most hosts seen lately is alive.

Result: planner-crest-hosts.txt: two small replicas donate their hosts for a second large one in their fabric domain; with a third of the hosts gone the bound stays, which without the condition changed.

--- a/src/planner-crest.c
+++ b/src/planner-crest.c
@@ -41,6 +41,11 @@
 /* Exponent of the utilization in the cost: the part of late responses rises
  * steeply where a model fills its replicas. */
 #define CREST_COST_EXPONENT 4
+/* The bound stands while fewer than this part of the most hosts seen is alive:
+ * those of a failure domain that is cut off usually return. The time constant
+ * is that of the decay of the number seen, for those that don't. */
+#define CREST_HOSTS_MIN 0.8
+#define CREST_HOSTS_DECAY_MS 45000
 /* Time for which the rise of the last second is assumed to continue. */
 #define CREST_AHEAD_S 2
 /* Replicas of a model that may be missing after a loss. */
@@ -96,6 +101,9 @@
 	unsigned n = MIN(view->engine->models->len, PLANNER_MODELS_MAX);
 	uint64_t last_ms = crest->updated_ms != 0 ? crest->updated_ms : now_ms;
 
+	crest->most_hosts *=
+	    1 - sample_weight(now_ms - last_ms, CREST_HOSTS_DECAY_MS);
+	crest->most_hosts = MAX(crest->most_hosts, view->hosts->len);
 	for (unsigned i = 0; i < n; i++) {
 		struct model_crest *c = &crest->models[i];
 		double hosts = sample_hosts(view, i, &samples[i]);
@@ -186,6 +194,17 @@
 	}
 }
 
+/* Replicas of the largest model that the fabric domains can hold. */
+static unsigned
+balance_fit(const struct balance *b, const struct planner_view *view)
+{
+	unsigned fit = 0;
+
+	for (guint i = 0; i < view->fabrics->len; i++)
+		fit += planner_fabric_at(view, i)->hosts / b->size;
+	return (fit);
+}
+
 /* Hosts that can serve the other models beside a number of replicas of the
  * largest, which are spread evenly over the fabric domains. */
 static double
@@ -261,12 +280,14 @@
 
 /* Whether the bound may change now in this direction. */
 static bool
-change_allowed(const struct planner_crest *crest, bool lower, uint64_t now_ms)
+change_allowed(const struct planner_crest *crest,
+    const struct planner_view *view, bool lower, uint64_t now_ms)
 {
 	uint64_t interval = lower == crest->lowered ? CREST_CHANGE_INTERVAL_MS :
 						      CREST_REVERSE_INTERVAL_MS;
 
-	return (now_ms - crest->short_since_ms >= CREST_SHORT_MS &&
+	return (view->hosts->len >= CREST_HOSTS_MIN * crest->most_hosts &&
+	    now_ms - crest->short_since_ms >= CREST_SHORT_MS &&
 	    (crest->changed_ms == 0 || now_ms - crest->changed_ms >= interval));
 }
 
@@ -285,9 +306,8 @@
     unsigned *largest_max, struct planner_view *view, uint64_t now_ms)
 {
 	unsigned by_share = (unsigned)(planner_view_choose_cap(view) + 0.5);
-	unsigned bound =
-	    *largest_max != 0 ? MIN(*largest_max, by_share) : by_share;
-	unsigned best;
+	unsigned fit = balance_fit(b, view), best;
+	unsigned bound = *largest_max != 0 ? MIN(*largest_max, fit) : by_share;
 
 	if (bound == 0)
 		return;
@@ -297,15 +317,17 @@
 	}
 	if (crest->short_since_ms == 0)
 		crest->short_since_ms = now_ms;
-	best = balance_best(b, view, bound, by_share, *largest_max != 0);
-	if (best == bound || !change_allowed(crest, best < bound, now_ms) ||
+	best = balance_best(b, view, bound, fit, *largest_max != 0);
+	if (best == bound ||
+	    !change_allowed(crest, view, best < bound, now_ms) ||
 	    balance_cost(b, view, best) >
 		change_gain(best < bound, *largest_max != 0) *
 		    balance_cost(b, view, bound))
 		return;
 	crest->changed_ms = now_ms;
 	crest->lowered = best < bound;
-	*largest_max = best < by_share ? best : 0;
+	/* Without a bound, surplus replicas would stay. */
+	*largest_max = best == by_share && !crest->lowered ? 0 : best;
 }
 
 /* Sets the shares of the work by what each model's crests and the loss of a
@@ -360,6 +382,7 @@
 	balance_init(&b, crest, view);
 	crest_change_bound(crest, &b, largest_max, view, now_ms);
 	view->largest_max = *largest_max;
+	view->by_demand = true;
 	if (*largest_max != 0 || crest->short_since_ms != 0)
 		crest_set_shares(crest, view);
 }
--- a/src/planner-crest.h
+++ b/src/planner-crest.h
@@ -31,6 +31,7 @@
  *	its replicas serve in time; 0 while none is
  * @changed_ms: loop time of the last change of the bound; 0 before the first
  * @lowered: that change lowered the bound
+ * @most_hosts: most live hosts seen lately
  */
 struct planner_crest {
 	struct model_crest models[PLANNER_MODELS_MAX];
@@ -38,6 +39,7 @@
 	uint64_t short_since_ms;
 	uint64_t changed_ms;
 	bool lowered;
+	double most_hosts;
 };
 
 void planner_crest_update(struct planner_crest *, const struct planner_view *,
--- a/src/planner-targets.c
+++ b/src/planner-targets.c
@@ -63,6 +63,22 @@
 	return (MIN(wanted, sum_max_replicas(view, view->cap_factor)));
 }
 
+/*
+ * The wanted replicas of the largest model under a bound. One by the demand may
+ * exceed the configured share, so the cap factor is raised until they fit.
+ */
+static double
+view_bound_largest(struct planner_view *view, double by_share)
+{
+	if (!view->by_demand || view->largest_max <= by_share)
+		return (MIN(by_share, view->largest_max));
+	while (view->cap_factor < CAP_FACTOR_MAX &&
+	    sum_max_replicas(view, view->cap_factor) < view->largest_max)
+		view->cap_factor++;
+	return (
+	    MIN(view->largest_max, sum_max_replicas(view, view->cap_factor)));
+}
+
 /* Sets how many replicas of each model the hosts should form. */
 static void
 view_set_wanted(struct planner_view *view)
@@ -74,7 +90,7 @@
 	double wanted = planner_view_choose_cap(view);
 
 	if (view->largest_max > 0)
-		wanted = MIN(wanted, view->largest_max);
+		wanted = view_bound_largest(view, wanted);
 	rest = hosts - wanted * largest->size;
 	for (unsigned i = 0; i < n; i++)
 		shares += i == view->largest ? 0 : view->work_share[i];
--- a/src/planner.h
+++ b/src/planner.h
@@ -83,6 +83,8 @@
  * @fabric_replicas: "model fabric-domain" to the number of replicas there
  * @work_share: share of the work of each model
  * @largest_max: maximum number of replicas of the largest model; 0 for no bound
+ * @by_demand: @largest_max was chosen by the demand; it may exceed the number
+ *	that the configured share gives
  * @wanted: replicas of each model that the hosts should form
  * @share_replicas: replicas of each model that its share of the work alone
  *	would give
@@ -107,6 +109,7 @@
 	GHashTable *fabric_replicas;
 	double work_share[PLANNER_MODELS_MAX];
 	unsigned largest_max;
+	bool by_demand;
 	double wanted[PLANNER_MODELS_MAX];
 	double share_replicas[PLANNER_MODELS_MAX];
 	bool short_of_hosts[PLANNER_MODELS_MAX];
--- a/tests/test-planner.c
+++ b/tests/test-planner.c
@@ -11,7 +11,7 @@
 static struct catalog *catalog;
 static struct engine_profile *engine;
 static struct planner_host hosts[HOSTS_MAX];
-static unsigned n_hosts;
+static unsigned n_hosts, n_gone;
 static struct replica *replicas[HOSTS_MAX];
 static unsigned n_replicas;
 static guint64 loads, served, hosts_stable;
@@ -34,6 +34,7 @@
 	for (unsigned i = 0; i < n_replicas; i++)
 		replica_free(replicas[i]);
 	n_hosts = 0;
+	n_gone = 0;
 	n_replicas = 0;
 	loads = 100;
 	served = 0;
@@ -114,7 +115,7 @@
 view_make(struct planner_view *view)
 {
 	planner_view_init(view, engine);
-	g_array_append_vals(view->hosts, hosts, n_hosts);
+	g_array_append_vals(view->hosts, hosts, n_hosts - n_gone);
 	for (unsigned i = 0; i < n_hosts; i++) {
 		const struct replica *r = hosts[i].group;
 
@@ -210,6 +211,13 @@
 	hosts[g_ascii_strtoull(rest, NULL, 10)].free = false;
 }
 
+/* gone N: the entries of the last N hosts have lapsed */
+static void
+exec_gone(const char *rest, GString *out)
+{
+	n_gone = (unsigned)g_ascii_strtoull(rest, NULL, 10);
+}
+
 /* set [loads=N] [served=0|1] [stable=0|1]: properties of the view */
 static void
 exec_set(const char *rest, GString *out)
@@ -382,6 +390,7 @@
 	{ "group", exec_group },
 	{ "copy", exec_copy },
 	{ "lost", exec_lost },
+	{ "gone", exec_gone },
 	{ "set", exec_set },
 	{ "form", exec_form },
 	{ "donor", exec_donor },
