--- a/tests/test-planner.c
+++ b/tests/test-planner.c
@@ -172,13 +172,10 @@
 	view_free(&view);
 }
 
-/* group MODEL first=N last=N: an open replica of these hosts */
+/* Adds an open replica of these hosts. */
 static void
-exec_group(const char *rest, GString *out)
+group_add(const char *model, guint64 first, guint64 last)
 {
-	g_autofree char *model = g_strndup(rest, strcspn(rest, " "));
-	guint64 first = script_number(rest, "first", 0);
-	guint64 last = script_number(rest, "last", 0);
 	g_autofree char *name = g_strdup_printf("g%u", n_replicas);
 	struct replica *r = replica_create(name, "s", model, 1);
 	struct sockaddr_in any = { 0 };
@@ -192,6 +189,20 @@
 	replicas[n_replicas++] = r;
 }
 
+/* group MODEL first=N last=N [each=N]: an open replica of these hosts, or
+ * several of so many each */
+static void
+exec_group(const char *rest, GString *out)
+{
+	g_autofree char *model = g_strndup(rest, strcspn(rest, " "));
+	guint64 first = script_number(rest, "first", 0);
+	guint64 last = script_number(rest, "last", 0);
+	guint64 each = script_number(rest, "each", last - first + 1);
+
+	for (; first <= last; first += each)
+		group_add(model, first, first + each - 1);
+}
+
 /* copy hN MODEL: the host has got a copy, which replaces its previous one */
 static void
 exec_copy(const char *rest, GString *out)
