Dissolve small replicas for a large one only where its demand needs it

Cause: where nothing is short the configured shares hold, so a small replica was dissolved for each large one that was lost, also while the remaining ones were nearly idle and the small model's were filling.

Change: no replica is dissolved for a largest model whose replicas serve its crests even after one more loss. While several replicas are missing, as many more count as lost when it is decided whether a model is short.

Result: the new case of planner-crest-hosts.txt gave a donor before.

--- a/src/planner-balance.c
+++ b/src/planner-balance.c
@@ -147,7 +147,9 @@
 hosts_short(double needed, double allowed, double present, unsigned size)
 {
 	if (present < allowed)
-		present = MAX(present - CREST_RESERVE * size, present / 2);
+		present =
+		    MAX(present - MAX(CREST_RESERVE * size, allowed - present),
+			present / 2);
 	return (needed > CREST_SHORT * MIN(present, allowed));
 }
 
--- a/src/planner-crest.c
+++ b/src/planner-crest.c
@@ -214,16 +214,22 @@
 		view->work_share[i] = need[i] / sum;
 }
 
-/* Sets which models have too few replicas for their crests. */
+/* Sets which models have too few replicas for their crests, and which have
+ * enough also after a loss. */
 static void
 crest_set_short(const struct planner_crest *crest, struct planner_view *view)
 {
 	unsigned n = MIN(view->engine->models->len, PLANNER_MODELS_MAX);
 
-	for (unsigned i = 0; i < n; i++)
-		view->short_of_hosts[i] =
-		    planner_crest_hosts(crest, i) > CREST_SHORT *
-			view->replicas[i] * planner_model(view, i)->size;
+	for (unsigned i = 0; i < n; i++) {
+		double size = planner_model(view, i)->size;
+		double needed =
+		    planner_crest_hosts(crest, i) / size / CREST_SHORT;
+
+		view->short_of_hosts[i] = needed > view->replicas[i];
+		view->demand_met[i] =
+		    needed + CREST_RESERVE <= view->replicas[i];
+	}
 }
 
 /**
--- a/src/planner-replicas.c
+++ b/src/planner-replicas.c
@@ -52,8 +52,9 @@
 
 /*
  * Whether a smaller model can spare a replica for the largest: without it, its
- * supply ratio is still at least that of the largest model. If it is short of
- * hosts, it gives none to a largest model that isn't.
+ * supply ratio is still at least that of the largest model. It gives none to a
+ * largest model whose demand is met, or, if it is short of hosts itself, that
+ * isn't short.
  */
 static bool
 model_can_donate(const struct planner_view *view, unsigned model)
@@ -61,7 +62,9 @@
 	double after = (view->replicas[model] - 1.0) /
 	    MAX(view->share_replicas[model], 0.5);
 
-	if (view->short_of_hosts[model] && !view->short_of_hosts[view->largest])
+	if (view->demand_met[view->largest] ||
+	    (view->short_of_hosts[model] &&
+		!view->short_of_hosts[view->largest]))
 		return (false);
 	return (after >= planner_supply_ratio(view, view->largest));
 }
--- a/src/planner.h
+++ b/src/planner.h
@@ -90,6 +90,8 @@
  *	would give
  * @short_of_hosts: whether a model's replicas are too few for its recent peaks;
  *	false where the demand is not known
+ * @demand_met: whether a model's replicas are enough for its recent peaks and
+ *	the loss of one; false where the demand is not known
  * @largest: index of the model with the most hosts in a replica
  * @cap_factor: maximum number of replicas of the largest model in one fabric
  *	domain for every 2 x its size hosts there; the other hosts form
@@ -113,6 +115,7 @@
 	double wanted[PLANNER_MODELS_MAX];
 	double share_replicas[PLANNER_MODELS_MAX];
 	bool short_of_hosts[PLANNER_MODELS_MAX];
+	bool demand_met[PLANNER_MODELS_MAX];
 	unsigned largest;
 	unsigned cap_factor;
 	unsigned loads_free;
