Judge the demand by slots alone if a profile has no usual response

Cause: with the prefill rate but no usual response, a request's duration came out as prefill alone, and a replica with any request counted as full.

Change: without decode times the ratio of the slots is used.

--- a/src/planner-capacity.c
+++ b/src/planner-capacity.c
@@ -37,18 +37,20 @@
  * While it decodes, the prompts of the requests that take the other slots are
  * prefilled.
  *
- * Return: the duration, or 0 if the profile has no times.
+ * Return: the duration, or 0 if the profile has no times or no usual response.
  */
 double
 planner_duration_ms(const struct engine_profile *e,
     const struct model_profile *m, double running)
 {
+	double decode_ms = e->usual_response * fwd_expect_step(e, m, running);
 	double prefill_ms = 0;
 
+	if (decode_ms <= 0)
+		return (0);
 	if (e->prefill_per_ms > 0)
 		prefill_ms = e->usual_prompt / e->prefill_per_ms * m->pace;
-	return (running * prefill_ms +
-	    e->usual_response * fwd_expect_step(e, m, running));
+	return (running * prefill_ms + decode_ms);
 }
 
 /**
