Free the hosts of a closed head once it can't serve again

Cause: a head that had closed and left was kept, with all hosts of its group, until no order to join could be carried out any more: up to 12.5 s after a join without an answer, 14 s after a change of the placer, with nothing to do meanwhile but to have it leave again. Seen: reason=member_silent ms=7073 proof=left head_state=none. Ruled out: the head's answers (both orders were accepted within 28 ms), retry intervals. Change: to serve again the head needs a late join and after it a late open. Orders to open without an answer are tracked too; a head that leaves after the earlier of the two bounds is out for good. It may rejoin, but isn't opened, so its hosts can be given a join of a newer epoch, which replaces the membership and rejects the late one. A group taken over unsettled keeps both bounds. Members of a head out of reach wait as before. A later doubt no longer shortens an earlier one.

--- a/src/placer-call.c
+++ b/src/placer-call.c
@@ -118,7 +118,8 @@
     uint64_t now_ms)
 {
 	if (result == ORDER_UNKNOWN)
-		m->late_join_until_ms = now_ms + REPLICA_LATE_ORDER_MS;
+		m->late_join_until_ms =
+		    MAX(m->late_join_until_ms, now_ms + REPLICA_LATE_ORDER_MS);
 	if (result == ORDER_FENCED)
 		m->join_fenced = true;
 	if (result != ORDER_ACCEPTED)
@@ -136,7 +137,9 @@
 
 	if (order == ORDER_JOIN)
 		member_set_join_result(m, result, now_ms);
-
+	if (order == ORDER_OPEN && result == ORDER_UNKNOWN)
+		m->late_open_until_ms =
+		    MAX(m->late_open_until_ms, now_ms + REPLICA_LATE_ORDER_MS);
 	if (done && order == ORDER_LEAVE) {
 		m->left = true;
 		m->left_ms = now_ms;
--- a/src/replica-member.c
+++ b/src/replica-member.c
@@ -42,6 +42,15 @@
 	m->silent_since_ms = 0;
 }
 
+/* Whether a member can't rejoin its group: its incarnation has ended, or it has
+ * seen a newer epoch and refuses to join an older group. */
+static bool
+member_fenced(const struct replica_member *m)
+{
+	return (m->liveness == MEMBER_DEAD || m->in_newer_group ||
+	    m->was_in_newer_group);
+}
+
 /**
  * replica_member_released() - whether a member has left its group for good.
  * @m: the member
@@ -52,11 +61,38 @@
 bool
 replica_member_released(const struct replica_member *m)
 {
-	return (m->liveness == MEMBER_DEAD || m->in_newer_group ||
-	    m->was_in_newer_group ||
+	return (member_fenced(m) ||
 	    (m->left && m->left_ms >= m->late_join_until_ms));
 }
 
+/**
+ * replica_head_leaves_from() - loop time from which a head that leaves its
+ * group can't serve in it again.
+ * @head: the head
+ *
+ * To serve again, it must first carry out a late order to join and then a late
+ * order to open. So it is enough that one of the two can't come any more. It
+ * may still rejoin by a late order to join, as may a member; but the head of
+ * the group that they are in then is not open, and they can be given a join of
+ * a newer epoch.
+ */
+uint64_t
+replica_head_leaves_from(const struct replica_member *head)
+{
+	return (MIN(head->late_join_until_ms, head->late_open_until_ms));
+}
+
+/**
+ * replica_head_released() - whether a head can't serve in its group again.
+ * @head: the head
+ */
+bool
+replica_head_released(const struct replica_member *head)
+{
+	return (member_fenced(head) ||
+	    (head->left && head->left_ms >= replica_head_leaves_from(head)));
+}
+
 /* Updates a member from its entry, which is stored under its own id. */
 static void
 member_set_entry(const struct replica *r, struct replica_member *m,
--- a/src/replica.c
+++ b/src/replica.c
@@ -94,18 +94,22 @@
  * @now_ms: loop time
  *
  * Unless it has settled, orders to join that the other placer sent may still
- * be carried out.
+ * be carried out; so may its order to open, in any case.
  */
 void
 replica_inherit(struct replica *r, uint64_t now_ms)
 {
+	const uint64_t late_until_ms =
+	    now_ms + REPLICA_LEASE_FRESH_MS + REPLICA_LATE_ORDER_MS;
+
 	r->known_ms = now_ms;
 	r->recorded = true;
 	/* The previous placer may have ordered the head to open. */
 	r->open_ordered = true;
+	if (r->n > 0)
+		r->members[0].late_open_until_ms = late_until_ms;
 	for (unsigned i = 0; i < r->n && !r->settled; i++)
-		r->members[i].late_join_until_ms =
-		    now_ms + REPLICA_LEASE_FRESH_MS + REPLICA_LATE_ORDER_MS;
+		r->members[i].late_join_until_ms = late_until_ms;
 }
 
 /**
@@ -305,29 +309,32 @@
 
 /*
  * Whether a member that has left must leave again: an order to join made it
- * rejoin, or it left at a time when such an order could still be carried out
- * and that time is over.
+ * rejoin, or it left before the time from which on that is for good, and that
+ * time has come.
  */
 static bool
-member_must_leave_again(const struct replica_member *m, uint64_t now_ms)
+member_must_leave_again(const struct replica_member *m, uint64_t for_good_ms,
+    uint64_t now_ms)
 {
 	return ((m->in_group &&
 		    m->last_report_ms >= m->left_ms + REPLICA_REPORT_LAG_MS) ||
-	    now_ms >= m->late_join_until_ms);
+	    now_ms >= for_good_ms);
 }
 
 /*
- * Orders a member to leave the group for good. While an order to join may
- * still make it rejoin, waits until that is over and has it leave again.
- * Returns whether an order is due.
+ * Orders a member to leave the group for good. While late orders may still
+ * undo that, waits until that is over and has it leave again. Returns whether
+ * an order is due.
  */
 static bool
 step_leave(struct replica *r, unsigned i, uint64_t now_ms,
     struct replica_step *step)
 {
 	struct replica_member *m = &r->members[i];
+	uint64_t for_good_ms =
+	    i == 0 ? replica_head_leaves_from(m) : m->late_join_until_ms;
 
-	if (m->left && member_must_leave_again(m, now_ms))
+	if (m->left && member_must_leave_again(m, for_good_ms, now_ms))
 		m->left = false;
 	if (m->left ||
 	    !member_order_due(m, ORDER_LEAVE, now_ms, REPLICA_ORDER_RETRY_MS))
@@ -372,8 +379,9 @@
 /*
  * The next step to dissolve a group: the head is closed and then leaves. Only
  * then can no late order open it again, and only then may the members join
- * another group. A late order to join would make the head rejoin, so it is
- * released only once no such order can be carried out any more.
+ * another group. A late order to join and a late order to open after it would
+ * make the head serve again, so it is released only once one of the two can't
+ * be carried out any more.
  */
 static void
 step_dissolve(struct replica *r, uint64_t now_ms, uint64_t stall_ms,
@@ -398,7 +406,7 @@
 		step_remove(step, PROOF_HEAD_DEAD);
 		return;
 	}
-	if (replica_member_released(head)) {
+	if (replica_head_released(head)) {
 		step_remove(step, PROOF_HEAD_LEFT);
 		return;
 	}
--- a/src/replica.h
+++ b/src/replica.h
@@ -89,6 +89,7 @@
  * @late_join_until_ms: loop time until which an order to join may still be
  *	carried out, because it had no answer or another placer may have sent
  *	it; 0 for none
+ * @late_open_until_ms: the same for an order to open
  * @was_in_newer_group: it has once reported a group with a higher epoch, so it
  *	can't rejoin this group
  * @last_report_ms: loop time of its newest report, from its entry or a direct
@@ -119,6 +120,7 @@
 	bool join_fenced;
 	uint64_t left_ms;
 	uint64_t late_join_until_ms;
+	uint64_t late_open_until_ms;
 	bool was_in_newer_group;
 	uint64_t last_report_ms;
 	uint64_t suspect_ms;
@@ -248,6 +250,8 @@
 
 /* replica-member.c: state of one member. */
 bool replica_member_released(const struct replica_member *);
+bool replica_head_released(const struct replica_member *);
+uint64_t replica_head_leaves_from(const struct replica_member *);
 void replica_member_set_answer(const struct replica *, struct replica_member *,
     const struct endpoint_report *, uint64_t);
 void replica_member_set_report(const struct replica *, struct replica_member *,
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -137,6 +137,13 @@
 	member(rest)->late_join_until_ms = script_number(rest, "until", 0);
 }
 
+/* late-open until=MS: an order to open may be carried out until then */
+static void
+exec_late_open(const char *rest, GString *out)
+{
+	r->members[0].late_open_until_ms = script_number(rest, "until", 0);
+}
+
 /* inherit now=MS: the replica is taken over from another placer */
 static void
 exec_inherit(const char *rest, GString *out)
@@ -208,6 +215,7 @@
 	{ "left", exec_left },
 	{ "closed", exec_closed },
 	{ "late-join", exec_late_join },
+	{ "late-open", exec_late_open },
 	{ "inherit", exec_inherit },
 	{ "joined", exec_joined },
 	{ "join-fenced", exec_join_fenced },
