Count the time of a leave from when its order was sent

Cause: a member was out for good if the answer to its order to leave was read after the last order to join could be carried out. A daemon that stands still for a few seconds reads the answer late; the member may have left, and rejoined, before that bound. Change: the time at which the order was sent is compared with the bound.

--- a/src/placer-call.c
+++ b/src/placer-call.c
@@ -143,6 +143,8 @@
 	if (done && order == ORDER_LEAVE) {
 		m->left = true;
 		m->left_ms = now_ms;
+		/* A member has one order in flight at a time. */
+		m->left_after_ms = m->ordered_ms;
 	}
 	if (done && m == &r->members[0] &&
 	    (order == ORDER_CLOSE || order == ORDER_CANCEL))
--- a/src/replica-member.c
+++ b/src/replica-member.c
@@ -62,7 +62,7 @@
 replica_member_released(const struct replica_member *m)
 {
 	return (member_fenced(m) ||
-	    (m->left && m->left_ms >= m->late_join_until_ms));
+	    (m->left && m->left_after_ms >= m->late_join_until_ms));
 }
 
 /**
@@ -90,7 +90,8 @@
 replica_head_released(const struct replica_member *head)
 {
 	return (member_fenced(head) ||
-	    (head->left && head->left_ms >= replica_head_leaves_from(head)));
+	    (head->left &&
+		head->left_after_ms >= replica_head_leaves_from(head)));
 }
 
 /* Updates a member from its entry, which is stored under its own id. */
--- a/src/replica.h
+++ b/src/replica.h
@@ -86,6 +86,8 @@
  *	its addressee
  * @join_fenced: it refused to join because it has seen a newer epoch
  * @left_ms: loop time of the answer that set @left
+ * @left_after_ms: loop time at which the order with that answer was sent; it
+ *	was carried out after that
  * @late_join_until_ms: loop time until which an order to join may still be
  *	carried out, because it had no answer or another placer may have sent
  *	it; 0 for none
@@ -119,6 +121,7 @@
 	bool unverified;
 	bool join_fenced;
 	uint64_t left_ms;
+	uint64_t left_after_ms;
 	uint64_t late_join_until_ms;
 	uint64_t late_open_until_ms;
 	bool was_in_newer_group;
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -122,12 +122,15 @@
 	member(rest)->in_newer_group = true;
 }
 
-/* left h=N [at=MS]: the member answered that it is in no group */
+/* left h=N [at=MS] [sent=MS]: the member answered that it is in no group, to an
+ * order sent then */
 static void
 exec_left(const char *rest, GString *out)
 {
 	member(rest)->left = true;
 	member(rest)->left_ms = script_number(rest, "at", 0);
+	member(rest)->left_after_ms =
+	    script_number(rest, "sent", script_number(rest, "at", 0));
 }
 
 /* late-join h=N until=MS: an order to join may be carried out until then */
