Free the hosts of an adopted group once its head has left

Cause: a group that reports itself without a record was taken over as if all its orders could still be carried out, so its head, closed and gone within 50 ms, had to leave again after 14 s. Most are groups of the placer before, whose head's entry is older than their end. Seen: reason=no_record ms=14119 proof=left, twice. Ruled out: waiting for a newer entry instead of adopting, which leaves a head that does serve open for longer. Change: a group's record is removed only when its head can't serve again, or can't be reached and can't serve again once it has left; for this the record is kept until the head's bounds have passed, which binds no host but the silent head. So the leave of a head without a record is for good. The lease's record says that its holder keeps records so (keeps); after a holder of a former version, or with a malformed record, the bounds hold as before. What concerns replicas of another placer is in a file of its own.

--- a/src/placer-adopt.c
+++ b/src/placer-adopt.c
@@ -46,6 +46,8 @@
 	    replica_create(head->report.group, head->report.service,
 		head->report.model != NULL ? head->report.model : "-",
 		head->report.epoch);
+	bool kept = g_hash_table_contains(p->dissolved, r->name) ||
+	    (p->records_kept && !p->record_ignored);
 	const struct endpoint *ep;
 
 	replica_add_member(r, head->report.id, &head->report.address);
@@ -55,10 +57,7 @@
 			replica_add_member(r, ep->report.id,
 			    &ep->report.address);
 	}
-	replica_inherit(r, now_ms);
-	r->adopted = true;
-	r->dissolve_reason = "no_record";
-	r->dissolving_ms = now_ms;
+	replica_adopt(r, now_ms, kept);
 	event_log(LOG_NOTICE, "group_adopted",
 	    "group=%s epoch=%lld head=%s state=%s hosts=%u", r->name,
 	    (long long)r->epoch, head->report.id,
@@ -88,8 +87,8 @@
  * @p: the placer
  * @now_ms: loop time, in ms
  *
- * Such a group was dissolved while its head could not be reached. Its hosts
- * are free only once it has been closed.
+ * Such a group was dissolved while its head could not be reached, or the entry
+ * is older than its end. Its hosts are free only once it has been closed.
  */
 void
 placer_adopt_groups(struct placer *p, uint64_t now_ms)
--- a/src/placer-lease.c
+++ b/src/placer-lease.c
@@ -268,7 +268,8 @@
 	if (record->value == NULL)
 		return;
 	if (strcmp(record->key, LEASE_KEY) == 0) {
-		term = placer_decode_lease(record->value, record->length);
+		term = placer_decode_lease(record->value, record->length,
+		    &p->records_kept);
 		p->term = MAX(p->term, term);
 		return;
 	}
@@ -280,6 +281,7 @@
 		return;
 	r = placer_decode_replica(record->key + strlen(GROUP_PREFIX),
 	    record->value, record->length);
+	p->record_ignored = p->record_ignored || r == NULL;
 	if (r == NULL)
 		return;
 	replica_inherit(r, clock_loop_ms(p->loop));
@@ -371,6 +373,8 @@
 	placer_step_down(p, "begin");
 	g_clear_pointer(&p->read_after, g_free);
 	g_hash_table_remove_all(p->usage);
+	p->records_kept = false;
+	p->record_ignored = false;
 	p->state = PLACER_READING;
 	lease_read(p);
 }
--- a/src/placer-record.c
+++ b/src/placer-record.c
@@ -106,27 +106,31 @@
 guint8 *
 placer_encode_lease(const char *holder, int64_t term, size_t *length)
 {
-	return (record_bytes(json_pack("{s:s,s:I}", "holder", holder, "term",
-				 (json_int_t)term),
+	return (record_bytes(json_pack("{s:s,s:I,s:b}", "holder", holder,
+				 "term", (json_int_t)term, "keeps", 1),
 	    length));
 }
 
 /**
- * placer_decode_lease() - decode the term of the lease's record.
+ * placer_decode_lease() - decode the lease's record.
  * @bytes: value of the record
  * @length: length of the value
+ * @keeps: set to whether the holder keeps the record of a group while its head
+ *	could serve again; records of former versions don't say so
  *
  * Return: the term, or 0 if the record is malformed.
  */
 int64_t
-placer_decode_lease(const void *bytes, size_t length)
+placer_decode_lease(const void *bytes, size_t length, bool *keeps)
 {
 	json_auto_t *root = json_loadb(bytes, length, 0, NULL);
 	json_int_t term;
 
 	if (root == NULL || json_unpack(root, "{s:I}", "term", &term) != 0) {
 		event_log(LOG_ERR, "record_ignored", "lease=1 reason=format");
+		*keeps = false;
 		return (0);
 	}
+	*keeps = json_is_true(json_object_get(root, "keeps"));
 	return (term);
 }
--- a/src/placer.h
+++ b/src/placer.h
@@ -63,6 +63,9 @@
  *	ms; 0 when this has to be checked again
  * @pending: records to be written, of struct store_record
  * @replicas: all replicas that have a record or wait for one, and adopted ones
+ * @records_kept: the placer before this one kept the record of a group while
+ *	its head could serve again after it has left
+ * @record_ignored: a record of a replica was malformed
  * @served: requests have arrived since the deployment began, by its record
  * @epochs_issued: number of epochs issued under this lease
  * @load_starts: loop times at which recent loads from the weight store started,
@@ -105,6 +108,8 @@
 	uint64_t verified_ms;
 	GArray *pending;
 	struct replica_list replicas;
+	bool records_kept;
+	bool record_ignored;
 	bool served;
 	unsigned epochs_issued;
 	GArray *load_starts;
@@ -154,7 +159,7 @@
 guint8 *placer_encode_replica(const struct replica *, size_t *);
 struct replica *placer_decode_replica(const char *, const void *, size_t);
 guint8 *placer_encode_lease(const char *, int64_t, size_t *);
-int64_t placer_decode_lease(const void *, size_t);
+int64_t placer_decode_lease(const void *, size_t, bool *);
 
 /* placer-adopt.c: groups that serve but have no record. */
 void placer_adopt_groups(struct placer *, uint64_t);
--- a/src/replica.c
+++ b/src/replica.c
@@ -88,50 +88,6 @@
 	r->drain_ms = REPLICA_SURPLUS_DRAIN_MS;
 }
 
-/**
- * replica_inherit() - take over a replica that another placer formed.
- * @r: the replica, decoded from its record or built from reports
- * @now_ms: loop time
- *
- * Unless it has settled, orders to join that the other placer sent may still
- * be carried out; so may its order to open, in any case.
- */
-void
-replica_inherit(struct replica *r, uint64_t now_ms)
-{
-	const uint64_t late_until_ms =
-	    now_ms + REPLICA_LEASE_FRESH_MS + REPLICA_LATE_ORDER_MS;
-
-	r->known_ms = now_ms;
-	r->recorded = true;
-	/* The previous placer may have ordered the head to open. */
-	r->open_ordered = true;
-	if (r->n > 0)
-		r->members[0].late_open_until_ms = late_until_ms;
-	for (unsigned i = 0; i < r->n && !r->settled; i++)
-		r->members[i].late_join_until_ms = late_until_ms;
-}
-
-/**
- * replica_can_settle() - whether a replica can be recorded as settled.
- * @r: the replica
- * @now_ms: loop time
- *
- * Return: true where it has not settled yet, has served, is not being
- * dissolved, and no order to join it can be carried out any more.
- */
-bool
-replica_can_settle(const struct replica *r, uint64_t now_ms)
-{
-	if (r->settled || !r->opened || r->dissolve_reason != NULL)
-		return (false);
-	for (unsigned i = 0; i < r->n; i++) {
-		if (r->members[i].late_join_until_ms > now_ms)
-			return (false);
-	}
-	return (true);
-}
-
 /**
  * replica_active() - whether a replica serves or is being formed.
  * @r: the replica
@@ -350,6 +306,11 @@
  * answered that it left. A member that can't be reached either is kept until
  * the platform must have broken the group: the head makes no progress from the
  * loss of a member on or, if it opens later, from then on.
+ *
+ * The record is kept while late orders could make the head serve again after it
+ * has left. So a head without a record is out for good once it has left, and
+ * whoever adopts its group need not know which orders it was sent. This binds
+ * no other host than the head.
  */
 static void
 step_without_head(struct replica *r, uint64_t now_ms, uint64_t stall_ms,
@@ -368,7 +329,8 @@
 		    step_leave(r, i, now_ms, step))
 			return;
 	}
-	if (r->member_left_ms == 0)
+	if (r->member_left_ms == 0 ||
+	    now_ms < replica_head_leaves_from(&r->members[0]))
 		return;
 	if (all)
 		step_remove(step, PROOF_MEMBERS_LEFT);
--- a/src/replica.h
+++ b/src/replica.h
@@ -246,11 +246,14 @@
 bool replica_active(const struct replica *);
 void replica_donate(struct replica *, uint64_t);
 void replica_retire(struct replica *, uint64_t);
-void replica_inherit(struct replica *, uint64_t);
-bool replica_can_settle(const struct replica *, uint64_t);
 bool replica_ends_soon(const struct replica *, uint64_t);
 const char *replica_proof_name(enum replica_proof);
 
+/* replica-inherit.c: replicas of another placer, and their records. */
+void replica_inherit(struct replica *, uint64_t);
+void replica_adopt(struct replica *, uint64_t, bool);
+bool replica_can_settle(const struct replica *, uint64_t);
+
 /* replica-member.c: state of one member. */
 bool replica_member_released(const struct replica_member *);
 bool replica_head_released(const struct replica_member *);
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -154,6 +154,15 @@
 	replica_inherit(r, script_number(rest, "now", 0));
 }
 
+/* adopt now=MS [kept=0]: the group has no record and is taken over; whoever
+ * removed the record did not keep it long enough */
+static void
+exec_adopt(const char *rest, GString *out)
+{
+	replica_adopt(r, script_number(rest, "now", 0),
+	    script_number(rest, "kept", 1) != 0);
+}
+
 /* joined h=N: the member accepted an order to join */
 static void
 exec_joined(const char *rest, GString *out)
@@ -220,6 +229,7 @@
 	{ "late-join", exec_late_join },
 	{ "late-open", exec_late_open },
 	{ "inherit", exec_inherit },
+	{ "adopt", exec_adopt },
 	{ "joined", exec_joined },
 	{ "join-fenced", exec_join_fenced },
 	{ "donate", exec_donate },
