Record that a replica may open before its head is told to

Cause: after a change of the placer all orders to join and to open of a replica that had not settled counted as in doubt for 14 s, and it settled only once it served and no join was in doubt. Replicas that were forming or had just opened were bound for that long when they lost a host. Seen: reason=member_silent ms=12467 proof=left, ms=13820 proof=members, reason=donates ms=5311 proof=left. Ruled out: a join of a newer epoch to fence the head: it can be without an answer itself. Change: a replica settles when all its members are in the group, mostly while they load; the record names the joins in doubt, and the head is told to open only when it is written. So the next placer knows that a replica that has not settled was never opened (a former placer whose lease is gone can't write the record), and that all joins but those named were carried out. The replicas are taken over when the lease is written instead of read, since the former placer may send orders until then. A record is trusted if it was written in the term before. After a placer of a former version, which writes no term, the bounds hold as before; a former version takes a replica with joins in doubt for not settled. A replica whose record waits to be written again is not marked as recorded by the former write.

--- a/src/placer-lease.c
+++ b/src/placer-lease.c
@@ -74,7 +74,7 @@
 	size_t length = 0;
 
 	if (!remove)
-		value = placer_encode_replica(r, &length);
+		value = placer_encode_replica(r, p->term, &length);
 	record_queue(p, GROUP_PREFIX, r->name, value, length);
 }
 
@@ -121,6 +121,19 @@
 	    (unsigned)g_ascii_strtoull(text, NULL, 10);
 }
 
+/* Whether a newer record for a key waits to be written. */
+static bool
+record_pending(const struct placer *p, const char *key)
+{
+	for (guint i = 0; i < p->pending->len; i++) {
+		if (strcmp(g_array_index(p->pending, struct store_record, i)
+			       .key,
+			key) == 0)
+			return (true);
+	}
+	return (false);
+}
+
 /* Marks the replicas whose records were written: their orders may be sent. */
 static void
 replicas_mark_recorded(struct placer *p, const GArray *records)
@@ -131,7 +144,8 @@
 		struct replica *r;
 
 		if (record->value == NULL ||
-		    !g_str_has_prefix(record->key, GROUP_PREFIX))
+		    !g_str_has_prefix(record->key, GROUP_PREFIX) ||
+		    record_pending(p, record->key))
 			continue;
 		TAILQ_FOREACH(r, &p->replicas, entry) {
 			if (strcmp(r->name,
@@ -210,6 +224,32 @@
 	}
 }
 
+/*
+ * Takes over the replicas whose records were read, once the lease is taken: the
+ * previous placer may have sent orders until then.
+ */
+static void
+replicas_inherit(struct placer *p)
+{
+	struct replica *r;
+
+	TAILQ_FOREACH(r, &p->replicas, entry)
+		replica_inherit(r, clock_loop_ms(p->loop),
+		    r->term != 0 && r->term == p->lease_term);
+}
+
+/* Writes the records again that the next placer could not trust otherwise. */
+static void
+replicas_record_again(struct placer *p)
+{
+	const struct replica *r;
+
+	TAILQ_FOREACH(r, &p->replicas, entry) {
+		if (replica_inherited_in_doubt(r))
+			placer_record_replica(p, r, false);
+	}
+}
+
 static void
 on_taken(void *arg, const struct store_response *response)
 {
@@ -233,6 +273,8 @@
 	p->mesh->held_term = p->term;
 	event_log(LOG_NOTICE, "placer_taken", "term=%lld end=%llu served=%d",
 	    (long long)p->term, (unsigned long long)p->end_offset, p->served);
+	replicas_inherit(p);
+	replicas_record_again(p);
 	mesh_send_now(p->mesh);
 }
 
@@ -263,14 +305,13 @@
 record_load(struct placer *p, const struct store_record *record)
 {
 	struct replica *r;
-	int64_t term;
 
 	if (record->value == NULL)
 		return;
 	if (strcmp(record->key, LEASE_KEY) == 0) {
-		term = placer_decode_lease(record->value, record->length,
-		    &p->records_kept);
-		p->term = MAX(p->term, term);
+		p->lease_term = placer_decode_lease(record->value,
+		    record->length, &p->records_kept);
+		p->term = MAX(p->term, p->lease_term);
 		return;
 	}
 	if (strcmp(record->key, SERVED_KEY) == 0)
@@ -284,7 +325,6 @@
 	p->record_ignored = p->record_ignored || r == NULL;
 	if (r == NULL)
 		return;
-	replica_inherit(r, clock_loop_ms(p->loop));
 	TAILQ_INSERT_TAIL(&p->replicas, r, entry);
 }
 
@@ -373,6 +413,7 @@
 	placer_step_down(p, "begin");
 	g_clear_pointer(&p->read_after, g_free);
 	g_hash_table_remove_all(p->usage);
+	p->lease_term = 0;
 	p->records_kept = false;
 	p->record_ignored = false;
 	p->state = PLACER_READING;
--- a/src/placer-record.c
+++ b/src/placer-record.c
@@ -20,15 +20,54 @@
 	return (bytes);
 }
 
+/*
+ * Encodes which orders to join are in doubt, as ranks. A record with such
+ * orders doesn't say "settled": former versions would take all for carried out.
+ */
+static void
+encode_settled(json_t *root, const struct replica *r)
+{
+	json_t *ranks = json_array();
+
+	for (unsigned i = 0; i < r->n; i++) {
+		if (r->members[i].join_in_doubt)
+			json_array_append_new(ranks, json_integer(i));
+	}
+	if (json_array_size(ranks) > 0)
+		json_object_set(root, "in_doubt", ranks);
+	else
+		json_object_set_new(root, "settled", json_true());
+	json_decref(ranks);
+}
+
+/* Decodes whether a replica has settled, and which orders to join are in
+ * doubt; its members are known. */
+static void
+decode_settled(const json_t *root, struct replica *r)
+{
+	const json_t *ranks = json_object_get(root, "in_doubt"), *rank;
+	size_t i;
+
+	r->settled = json_is_true(json_object_get(root, "settled")) ||
+	    json_array_size(ranks) > 0;
+	json_array_foreach(ranks, i, rank) {
+		json_int_t at = json_integer_value(rank);
+
+		if (at >= 0 && at < (json_int_t)r->n)
+			r->members[at].join_in_doubt = true;
+	}
+}
+
 /**
  * placer_encode_replica() - encode a replica's record.
  * @r: the replica
+ * @term: term of the lease
  * @length: set to the length of the value
  *
  * Return: the record's value; free with g_free().
  */
 guint8 *
-placer_encode_replica(const struct replica *r, size_t *length)
+placer_encode_replica(const struct replica *r, int64_t term, size_t *length)
 {
 	json_t *root = json_object();
 	json_t *members = json_array();
@@ -46,8 +85,9 @@
 	json_object_set_new(root, "model", json_string(r->model));
 	json_object_set_new(root, "epoch", json_integer(r->epoch));
 	json_object_set_new(root, "members", members);
+	json_object_set_new(root, "term", json_integer(term));
 	if (r->settled)
-		json_object_set_new(root, "settled", json_true());
+		encode_settled(root, r);
 	return (record_bytes(root, length));
 }
 
@@ -78,7 +118,7 @@
 		return (NULL);
 	}
 	r = replica_create(name, service, model, epoch);
-	r->settled = json_is_true(json_object_get(root, "settled"));
+	r->term = json_integer_value(json_object_get(root, "term"));
 	json_array_foreach(members, i, item) {
 		struct sockaddr_in addr;
 
@@ -87,6 +127,7 @@
 		    uv_ip4_addr(ip, port, &addr) == 0)
 			replica_add_member(r, id, &addr);
 	}
+	decode_settled(root, r);
 	if (r->n > 0)
 		return (r);
 	event_log(LOG_ERR, "record_ignored", "group=%s reason=no_members",
--- a/src/placer.c
+++ b/src/placer.c
@@ -174,10 +174,8 @@
 		    (unsigned long long)(now_ms - r->known_ms));
 	if (!was_dissolving && r->dissolve_reason != NULL)
 		placer_announce_dissolve(p, r, now_ms);
-	if (replica_can_settle(r, now_ms)) {
-		r->settled = true;
+	if (replica_settle(r, now_ms))
 		placer_record_replica(p, r, false);
-	}
 }
 
 /* Whether a replica is changing or suspect, or records or steps are left. */
--- a/src/placer.h
+++ b/src/placer.h
@@ -63,6 +63,7 @@
  *	ms; 0 when this has to be checked again
  * @pending: records to be written, of struct store_record
  * @replicas: all replicas that have a record or wait for one, and adopted ones
+ * @lease_term: term in the record of the lease before this one
  * @records_kept: the placer before this one kept the record of a group while
  *	its head could serve again after it has left
  * @record_ignored: a record of a replica was malformed
@@ -108,6 +109,7 @@
 	uint64_t verified_ms;
 	GArray *pending;
 	struct replica_list replicas;
+	int64_t lease_term;
 	bool records_kept;
 	bool record_ignored;
 	bool served;
@@ -156,7 +158,7 @@
 void placer_record_bound(struct placer *, const char *, unsigned);
 
 /* placer-record.c: encoding of the records of replicas and of the lease. */
-guint8 *placer_encode_replica(const struct replica *, size_t *);
+guint8 *placer_encode_replica(const struct replica *, int64_t, size_t *);
 struct replica *placer_decode_replica(const char *, const void *, size_t);
 guint8 *placer_encode_lease(const char *, int64_t, size_t *);
 int64_t placer_decode_lease(const void *, size_t, bool *);
--- a/src/replica.c
+++ b/src/replica.c
@@ -119,7 +119,7 @@
 
 /*
  * Whether a member is known to have been in the group. Just after a replica is
- * taken over, what was read of its members may be out of date.
+ * taken over or has settled, what was read of its members may be out of date.
  */
 static bool
 member_was_in_group(const struct replica *r, const struct replica_member *m,
@@ -127,7 +127,8 @@
 {
 	return (r->opened ||
 	    (r->settled && m->last_report_ms != 0 &&
-		now_ms - r->known_ms >= REPLICA_REPORT_LAG_MS));
+		now_ms - MAX(r->known_ms, r->settled_ms) >=
+		    REPLICA_REPORT_LAG_MS));
 }
 
 /**
@@ -236,7 +237,8 @@
 }
 
 /* The next step to form a group: all members join, and the head opens once
- * every member itself has reported that it is ready. */
+ * every member itself has reported that it is ready and the record says that
+ * it may open. */
 static void
 step_form(struct replica *r, uint64_t now_ms, struct replica_step *step)
 {
@@ -256,8 +258,9 @@
 		return;
 	if (r->members[0].state == GROUP_OPEN)
 		r->opened = true;
-	else if (member_order_due(&r->members[0], ORDER_OPEN, now_ms,
-		     REPLICA_ORDER_RETRY_MS)) {
+	else if (r->settled &&
+	    member_order_due(&r->members[0], ORDER_OPEN, now_ms,
+		REPLICA_ORDER_RETRY_MS)) {
 		r->open_ordered = true;
 		step_order(step, 0, ORDER_OPEN);
 	}
--- a/src/replica.h
+++ b/src/replica.h
@@ -92,6 +92,8 @@
  *	carried out, because it had no answer or another placer may have sent
  *	it; 0 for none
  * @late_open_until_ms: the same for an order to open
+ * @join_in_doubt: the replica's record says that an order to join may still be
+ *	carried out
  * @was_in_newer_group: it has once reported a group with a higher epoch, so it
  *	can't rejoin this group
  * @last_report_ms: loop time of its newest report, from its entry or a direct
@@ -124,6 +126,7 @@
 	uint64_t left_after_ms;
 	uint64_t late_join_until_ms;
 	uint64_t late_open_until_ms;
+	bool join_in_doubt;
 	bool was_in_newer_group;
 	uint64_t last_report_ms;
 	uint64_t suspect_ms;
@@ -143,8 +146,12 @@
  * @epoch: number of the group; each new group has a higher one
  * @known_ms: loop time at which this daemon first knew of it
  * @recorded: its record is in the store
- * @settled: its record says that it has served and that no order to join it is
- *	outstanding; no host is ordered to join it again
+ * @term: term of the lease under which its record was written, as it was read;
+ *	0 if it says none
+ * @settled: its record says that all members were in the group and which orders
+ *	to join are in doubt; no host is ordered to join it again. Only then is
+ *	its head ordered to open
+ * @settled_ms: loop time at which that was found; 0 if another placer did
  * @dissolve_reason: reason for which it is being dissolved; NULL while it is
  *	active
  * @dissolving_ms: loop time at which that began
@@ -170,7 +177,9 @@
 	int64_t epoch;
 	uint64_t known_ms;
 	bool recorded;
+	int64_t term;
 	bool settled;
+	uint64_t settled_ms;
 	const char *dissolve_reason;
 	uint64_t dissolving_ms;
 	uint64_t drain_ms;
@@ -250,9 +259,10 @@
 const char *replica_proof_name(enum replica_proof);
 
 /* replica-inherit.c: replicas of another placer, and their records. */
-void replica_inherit(struct replica *, uint64_t);
+void replica_inherit(struct replica *, uint64_t, bool);
 void replica_adopt(struct replica *, uint64_t, bool);
-bool replica_can_settle(const struct replica *, uint64_t);
+bool replica_settle(struct replica *, uint64_t);
+bool replica_inherited_in_doubt(const struct replica *);
 
 /* replica-member.c: state of one member. */
 bool replica_member_released(const struct replica_member *);
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -2,7 +2,7 @@
  * dissolution. */
 #include <string.h>
 
-#include "replica.h"
+#include "placer.h"
 #include "script.h"
 
 #define STALL_MS 5000
@@ -147,11 +147,29 @@
 	r->members[0].late_open_until_ms = script_number(rest, "until", 0);
 }
 
-/* inherit now=MS: the replica is taken over from another placer */
+/* inherit now=MS: the replica is taken over from a placer of a former version
+ */
 static void
 exec_inherit(const char *rest, GString *out)
 {
-	replica_inherit(r, script_number(rest, "now", 0));
+	replica_inherit(r, script_number(rest, "now", 0), false);
+}
+
+/* take-over now=MS [wrote=TERM] [lease=TERM]: the replica is taken over with
+ * its record, written in one term, from the placer of another */
+static void
+exec_take_over(const char *rest, GString *out)
+{
+	int64_t wrote = (int64_t)script_number(rest, "wrote", 1);
+	int64_t lease = (int64_t)script_number(rest, "lease", 1);
+	size_t length;
+	g_autofree guint8 *bytes = placer_encode_replica(r, wrote, &length);
+
+	reset();
+	r = placer_decode_replica("g1", bytes, length);
+	replica_inherit(r, script_number(rest, "now", 0), r->term == lease);
+	if (replica_inherited_in_doubt(r))
+		g_string_append(out, "record\n");
 }
 
 /* adopt now=MS [kept=0]: the group has no record and is taken over; whoever
@@ -192,16 +210,29 @@
 	replica_donate(r, script_number(rest, "now", 0));
 }
 
-/* step now=MS: the orders until nothing more is to be done now, then the state
- * of the replica or the reason for which it is dissolved */
+/* written: its newest record is in the store */
+static void
+exec_written(const char *rest, GString *out)
+{
+	r->recorded = true;
+}
+
+/* step now=MS [written=0]: the orders until nothing more is to be done now,
+ * then the state of the replica or the reason for which it is dissolved; a
+ * record is written at once, or not yet */
 static void
 exec_step(const char *rest, GString *out)
 {
 	guint64 now = script_number(rest, "now", 0);
+	bool written = script_number(rest, "written", 1) != 0;
 	struct replica_step step;
 
-	for (unsigned turn = 0; turn <= r->n; turn++) {
+	for (unsigned turn = 0; turn <= r->n + 1; turn++) {
 		replica_next_step(r, now, STALL_MS, &step);
+		if (step.action == REPLICA_WAIT && replica_settle(r, now)) {
+			r->recorded = r->recorded || written;
+			continue;
+		}
 		if (step.action != REPLICA_ORDER)
 			break;
 		g_string_append_printf(out, "%s h%u\n",
@@ -229,10 +260,12 @@
 	{ "late-join", exec_late_join },
 	{ "late-open", exec_late_open },
 	{ "inherit", exec_inherit },
+	{ "take-over", exec_take_over },
 	{ "adopt", exec_adopt },
 	{ "joined", exec_joined },
 	{ "join-fenced", exec_join_fenced },
 	{ "donate", exec_donate },
+	{ "written", exec_written },
 	{ "step", exec_step },
 	{ NULL, NULL },
 };
