Query only the head once the head of a dissolving group has closed

Cause: all members without an entry were queried every 300 ms until a group was removed, for 7 s to a dead host whose entry was gone, though nothing that they answer changes the group's end any more. Change: members other than the head are queried while the group can still go on as it is, and while its head can't be reached.

--- a/src/placer.c
+++ b/src/placer.c
@@ -40,7 +40,8 @@
 
 /*
  * Queries all members while the replica is suspect, and otherwise those that
- * have no entry, are silent or did not answer an order.
+ * have no entry, are silent or did not answer an order, as long as their
+ * answers matter.
  */
 static void
 replica_query_members(struct placer *p, struct replica *r, uint64_t now_ms)
@@ -53,6 +54,7 @@
 		    m->liveness == MEMBER_SILENT;
 
 		if (m->liveness != MEMBER_DEAD &&
+		    replica_member_queried(r, i) &&
 		    (suspect || lapsed ||
 			suspicion_active(m->suspect_ms, now_ms)))
 			placer_query_member(p, r, i);
--- a/src/replica-member.c
+++ b/src/replica-member.c
@@ -65,6 +65,22 @@
 	    (m->left && m->left_after_ms >= m->late_join_until_ms));
 }
 
+/**
+ * replica_member_queried() - whether it still matters what a member answers.
+ * @r: the replica
+ * @i: rank of the member
+ *
+ * Once the head of a group that is being dissolved has closed, the group can't
+ * go on as it is, and its end depends on the head only. So the others are not
+ * queried any more while the head can be reached.
+ */
+bool
+replica_member_queried(const struct replica *r, unsigned i)
+{
+	return (i == 0 || r->dissolve_reason == NULL || !r->head_closed ||
+	    r->members[0].liveness >= MEMBER_SILENT);
+}
+
 /**
  * replica_head_leaves_from() - loop time from which a head that leaves its
  * group can't serve in it again.
--- a/src/replica.h
+++ b/src/replica.h
@@ -266,6 +266,7 @@
 
 /* replica-member.c: state of one member. */
 bool replica_member_released(const struct replica_member *);
+bool replica_member_queried(const struct replica *, unsigned);
 bool replica_head_released(const struct replica_member *);
 uint64_t replica_head_leaves_from(const struct replica_member *);
 void replica_member_set_answer(const struct replica *, struct replica_member *,
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -210,6 +210,16 @@
 	replica_donate(r, script_number(rest, "now", 0));
 }
 
+/* queried: the ranks of the members whose answers still matter */
+static void
+exec_queried(const char *rest, GString *out)
+{
+	for (unsigned i = 0; i < r->n; i++) {
+		if (replica_member_queried(r, i))
+			g_string_append_printf(out, "h%u\n", i);
+	}
+}
+
 /* written: its newest record is in the store */
 static void
 exec_written(const char *rest, GString *out)
@@ -265,6 +275,7 @@
 	{ "joined", exec_joined },
 	{ "join-fenced", exec_join_fenced },
 	{ "donate", exec_donate },
+	{ "queried", exec_queried },
 	{ "written", exec_written },
 	{ "step", exec_step },
 	{ NULL, NULL },
