--- a/src/placer-lease.c
+++ b/src/placer-lease.c
@@ -5,11 +5,6 @@
 #include "event-log.h"
 #include "placer.h"
 
-#define LEASE_KEY "lease"
-#define GROUP_PREFIX "group/"
-#define SERVED_KEY "served"
-#define BOUND_PREFIX "bound/"
-
 /* Each daemon waits this much longer than the one ranked before it. */
 #define RANK_DELAY_MS 200
 /*
@@ -75,7 +70,7 @@
 
 	if (!remove)
 		value = placer_encode_replica(r, p->term, &length);
-	record_queue(p, GROUP_PREFIX, r->name, value, length);
+	record_queue(p, PLACER_GROUP_PREFIX, r->name, value, length);
 }
 
 /**
@@ -91,7 +86,7 @@
 	if (p->served)
 		return;
 	p->served = true;
-	record_queue(p, "", SERVED_KEY, g_memdup2("1", 1), 1);
+	record_queue(p, "", PLACER_SERVED_KEY, g_memdup2("1", 1), 1);
 }
 
 /**
@@ -106,19 +101,8 @@
 {
 	char *text = g_strdup_printf("%u", max);
 
-	record_queue(p, BOUND_PREFIX, service, (guint8 *)text, strlen(text));
-}
-
-/* Loads the record of a service's bound. */
-static void
-record_load_bound(struct placer *p, const struct store_record *record)
-{
-	g_autofree char *text =
-	    g_strndup((const char *)record->value, record->length);
-	const char *service = record->key + strlen(BOUND_PREFIX);
-
-	placer_usage(p, service)->demand.largest_max =
-	    (unsigned)g_ascii_strtoull(text, NULL, 10);
+	record_queue(p, PLACER_BOUND_PREFIX, service, (guint8 *)text,
+	    strlen(text));
 }
 
 /* Whether a newer record for a key waits to be written. */
@@ -144,12 +128,12 @@
 		struct replica *r;
 
 		if (record->value == NULL ||
-		    !g_str_has_prefix(record->key, GROUP_PREFIX) ||
+		    !g_str_has_prefix(record->key, PLACER_GROUP_PREFIX) ||
 		    record_pending(p, record->key))
 			continue;
 		TAILQ_FOREACH(r, &p->replicas, entry) {
 			if (strcmp(r->name,
-				record->key + strlen(GROUP_PREFIX)) == 0)
+				record->key + strlen(PLACER_GROUP_PREFIX)) == 0)
 				r->recorded = true;
 		}
 	}
@@ -224,32 +208,6 @@
 	}
 }
 
-/*
- * Takes over the replicas whose records were read, once the lease is taken: the
- * previous placer may have sent orders until then.
- */
-static void
-replicas_inherit(struct placer *p)
-{
-	struct replica *r;
-
-	TAILQ_FOREACH(r, &p->replicas, entry)
-		replica_inherit(r, clock_loop_ms(p->loop),
-		    r->term != 0 && r->term == p->lease_term);
-}
-
-/* Writes the records again that the next placer could not trust otherwise. */
-static void
-replicas_record_again(struct placer *p)
-{
-	const struct replica *r;
-
-	TAILQ_FOREACH(r, &p->replicas, entry) {
-		if (replica_inherited_in_doubt(r))
-			placer_record_replica(p, r, false);
-	}
-}
-
 static void
 on_taken(void *arg, const struct store_response *response)
 {
@@ -273,8 +231,7 @@
 	p->mesh->held_term = p->term;
 	event_log(LOG_NOTICE, "placer_taken", "term=%lld end=%llu served=%d",
 	    (long long)p->term, (unsigned long long)p->end_offset, p->served);
-	replicas_inherit(p);
-	replicas_record_again(p);
+	placer_inherit_replicas(p);
 	mesh_send_now(p->mesh);
 }
 
@@ -288,7 +245,7 @@
 
 	g_array_set_clear_func(records, store_record_clear);
 	p->term++;
-	record.key = g_strdup(LEASE_KEY);
+	record.key = g_strdup(PLACER_LEASE_KEY);
 	record.value = placer_encode_lease(p->name, p->term, &record.length);
 	g_array_append_val(records, record);
 	p->state = PLACER_TAKING;
@@ -300,34 +257,6 @@
 	}
 }
 
-/* Loads one record while the lease is being taken. */
-static void
-record_load(struct placer *p, const struct store_record *record)
-{
-	struct replica *r;
-
-	if (record->value == NULL)
-		return;
-	if (strcmp(record->key, LEASE_KEY) == 0) {
-		p->lease_term = placer_decode_lease(record->value,
-		    record->length, &p->records_kept);
-		p->term = MAX(p->term, p->lease_term);
-		return;
-	}
-	if (strcmp(record->key, SERVED_KEY) == 0)
-		p->served = true;
-	if (g_str_has_prefix(record->key, BOUND_PREFIX))
-		record_load_bound(p, record);
-	if (!g_str_has_prefix(record->key, GROUP_PREFIX))
-		return;
-	r = placer_decode_replica(record->key + strlen(GROUP_PREFIX),
-	    record->value, record->length);
-	p->record_ignored = p->record_ignored || r == NULL;
-	if (r == NULL)
-		return;
-	TAILQ_INSERT_TAIL(&p->replicas, r, entry);
-}
-
 static void
 on_read(void *arg, const struct store_response *response)
 {
@@ -343,7 +272,7 @@
 	if (p->read_after == NULL)
 		p->end_offset = response->end;
 	for (guint i = 0; i < response->records->len; i++)
-		record_load(p,
+		placer_load_record(p,
 		    &g_array_index(response->records, struct store_record, i));
 	if (response->more && response->records->len > 0) {
 		const struct store_record *last =
--- a/src/placer.h
+++ b/src/placer.h
@@ -9,6 +9,12 @@
 #include "placer-usage.h"
 #include "replica.h"
 
+/* Keys of the placer's records in the store. */
+#define PLACER_LEASE_KEY "lease"
+#define PLACER_GROUP_PREFIX "group/"
+#define PLACER_SERVED_KEY "served"
+#define PLACER_BOUND_PREFIX "bound/"
+
 /**
  * enum placer_state - state of this daemon's placer.
  * @PLACER_IDLE: another daemon is the placer, or none is yet
@@ -157,6 +163,10 @@
 void placer_record_served(struct placer *);
 void placer_record_bound(struct placer *, const char *, unsigned);
 
+/* placer-load.c: loading of the records of the previous placer. */
+void placer_load_record(struct placer *, const struct store_record *);
+void placer_inherit_replicas(struct placer *);
+
 /* placer-record.c: encoding of the records of replicas and of the lease. */
 guint8 *placer_encode_replica(const struct replica *, int64_t, size_t *);
 struct replica *placer_decode_replica(const char *, const void *, size_t);
