Prefer the own failure domain only while it has capacity

Cause: an endpoint of another failure domain had to be 40 ms faster, or 0.15 of its slots less loaded, also when the own ones were nearly full, and half of the candidates were always of the own failure domain. The one with the most demand was served late beside free slots. Change: with balance-domains, both amounts are multiplied by a preference that falls from 1 to 0 as the own slots fill, as their load exceeds that of the others, and as first events at the best own candidate approach the objective. In the same measure candidates are drawn from all failure domains together.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -7,9 +7,10 @@
 /* Number of random candidates of which the best is chosen. Random, so that
  * daemons with the same outdated load reports don't all choose the same one. */
 #define CANDIDATES 3
-/* An endpoint in another failure domain must be this much faster to be chosen:
- * traffic between failure domains is charged, and load reports from there are
- * older, since distant daemons are sent fewer. */
+/* An endpoint in another failure domain must be this much faster to be chosen
+ * while the own one is fully preferred: traffic between failure domains is
+ * charged, and load reports from there are older, since distant daemons are
+ * sent fewer. */
 #define CROSS_DOMAIN_MS 40.0
 /* The same for plain services, where the cost is the load: requests
  * per slot. */
@@ -89,12 +90,20 @@
 	workload->now_ms = criteria->now_ms;
 }
 
+/* Whether an endpoint is in this daemon's failure domain. */
+static bool
+endpoint_is_local(const struct endpoint *ep,
+    const struct fwd_criteria *criteria)
+{
+	return (g_strcmp0(ep->report.domain, criteria->domain) == 0);
+}
+
 /* Cost of an endpoint for a request; lower is better. */
 static double
 endpoint_cost(const struct endpoint *ep, const struct fwd_criteria *criteria,
-    double *first)
+    double preference, double *first)
 {
-	bool remote = g_strcmp0(ep->report.domain, criteria->domain) != 0;
+	double remote = endpoint_is_local(ep, criteria) ? 0 : preference;
 	struct fwd_workload workload;
 
 	*first = 0;
@@ -102,10 +111,10 @@
 		fwd_criteria_workload(criteria, criteria->prompt, &workload);
 		*first = fwd_expect_first(ep, &workload);
 		return (*first * (1 + ERROR_WEIGHT * ep->error_rate) +
-		    (remote ? CROSS_DOMAIN_MS : 0));
+		    CROSS_DOMAIN_MS * remote);
 	}
 	return (fwd_expect_running(ep) / MAX(ep->report.slots, 1) +
-	    ERROR_WEIGHT * ep->error_rate + (remote ? CROSS_DOMAIN_LOAD : 0));
+	    ERROR_WEIGHT * ep->error_rate + CROSS_DOMAIN_LOAD * remote);
 }
 
 /* Maximum number of requests that an endpoint should have at once. */
@@ -188,6 +197,21 @@
 		g_ptr_array_add(eligible->unrestricted, ep);
 }
 
+/* Counts a usable endpoint, full or not. */
+static void
+choice_count_usable(struct fwd_choice *choice, const struct endpoint *ep,
+    const struct fwd_criteria *criteria)
+{
+	struct fwd_usage *usage =
+	    endpoint_is_local(ep, criteria) ? &choice->own : &choice->others;
+
+	choice->usable++;
+	choice->running += fwd_expect_running(ep);
+	choice->any_usable = ep;
+	usage->running += fwd_expect_running(ep);
+	usage->slots += endpoint_slots(ep, criteria);
+}
+
 /*
  * Collects the endpoints with a free slot that have not failed the request; as
  * a last resort also those that did, or those in a cooldown.
@@ -199,16 +223,8 @@
 {
 	struct endpoint *ep;
 
-	choice->known = 0;
-	choice->usable = 0;
-	choice->running = 0;
-	choice->any_usable = NULL;
-	choice->next_available = NULL;
-	choice->unavailable = 0;
-	choice->limited = 0;
-	choice->next_permit = NULL;
+	memset(choice, 0, sizeof *choice);
 	choice->permit_ms = INFINITY;
-	choice->limits_per_s = 0;
 	TAILQ_FOREACH(ep, &fleet->endpoints, entry) {
 		if (!endpoint_matches(ep, criteria) || ep->gone)
 			continue;
@@ -218,9 +234,7 @@
 		    criteria_tried(criteria, ep, resort == RESORT_TRIED) ||
 		    !choice_check_limit(choice, ep, criteria))
 			continue;
-		choice->usable++;
-		choice->running += fwd_expect_running(ep);
-		choice->any_usable = ep;
+		choice_count_usable(choice, ep, criteria);
 		if (fwd_expect_running(ep) < endpoint_slots(ep, criteria) &&
 		    endpoint_backoff_admits(&ep->backoff))
 			eligible_add(eligible, ep, criteria->now_ms);
@@ -237,7 +251,7 @@
 	for (guint i = 0; i < eligible->len; i++) {
 		struct endpoint *ep = eligible->pdata[i];
 
-		if (g_strcmp0(ep->report.domain, criteria->domain) != 0)
+		if (!endpoint_is_local(ep, criteria))
 			continue;
 		eligible->pdata[i] = eligible->pdata[n];
 		eligible->pdata[n++] = ep;
@@ -245,13 +259,13 @@
 	return (n);
 }
 
-/* Moves random candidates of the range [first, end) to the start of the range.
- * Returns the end of the candidates. */
+/* Moves at most @max random candidates of the range [first, end) to the start
+ * of the range. Returns the end of the candidates. */
 static unsigned
-draw_candidates(GPtrArray *eligible, unsigned first, unsigned end,
+draw_candidates(GPtrArray *eligible, unsigned first, unsigned end, unsigned max,
     uint32_t *draw)
 {
-	unsigned n = MIN(end - first, CANDIDATES);
+	unsigned n = MIN(end - first, max);
 
 	for (unsigned i = first; i < first + n; i++) {
 		unsigned k = i + *draw % (end - i);
@@ -272,7 +286,9 @@
 {
 	for (unsigned i = first; i < end; i++) {
 		struct endpoint *ep = eligible->pdata[i];
-		double expected, cost = endpoint_cost(ep, criteria, &expected);
+		double expected,
+		    cost = endpoint_cost(ep, criteria, choice->preference,
+			&expected);
 
 		if (cost >= *best)
 			continue;
@@ -297,17 +313,38 @@
 	    choice->unavailable > 0 && choice->unavailable == choice->known);
 }
 
+/* Whether candidates are drawn from all failure domains together. Drawn apart,
+ * half of them are of the own one, whatever its part of the endpoints. */
+static bool
+draws_together(const struct fwd_criteria *criteria,
+    const struct fwd_choice *choice)
+{
+	return ((double)(criteria->draw >> 8) >=
+	    choice->preference * (UINT32_MAX >> 8));
+}
+
 /* Compares random candidates of this and of other failure domains with the best
  * so far. */
 static void
 choose_among(GPtrArray *eligible, const struct fwd_criteria *criteria,
     struct fwd_choice *choice, uint32_t *draw, double *best)
 {
-	unsigned n_local = local_first(eligible, criteria);
-	unsigned end = draw_candidates(eligible, 0, n_local, draw);
+	unsigned n_local, end;
 
+	if (criteria->balance_domains && draws_together(criteria, choice)) {
+		end = draw_candidates(eligible, 0, eligible->len,
+		    2 * CANDIDATES, draw);
+		compare(eligible, 0, end, criteria, choice, best);
+		return;
+	}
+	n_local = local_first(eligible, criteria);
+	end = draw_candidates(eligible, 0, n_local, CANDIDATES, draw);
 	compare(eligible, 0, end, criteria, choice, best);
-	end = draw_candidates(eligible, n_local, eligible->len, draw);
+	if (criteria->balance_domains && choice->endpoint != NULL)
+		choice->preference *= fwd_domains_prefer_first(choice->first_ms,
+		    criteria->objective_ms);
+	end =
+	    draw_candidates(eligible, n_local, eligible->len, CANDIDATES, draw);
 	compare(eligible, n_local, end, criteria, choice, best);
 }
 
@@ -328,13 +365,16 @@
 	double best = INFINITY;
 	uint32_t draw = criteria->draw;
 
-	memset(choice, 0, sizeof *choice);
 	collect(fleet, criteria, RESORT_NONE, &eligible, choice);
 	if (choice->usable == 0 && criteria->n_tried > 0)
 		collect(fleet, criteria, RESORT_TRIED, &eligible, choice);
 	/* If all are in a cooldown, one that may fail is better than none. */
 	if (choice->usable == 0 && criteria->model == NULL)
 		collect(fleet, criteria, RESORT_COOLDOWN, &eligible, choice);
+	choice->preference = 1;
+	if (criteria->balance_domains)
+		choice->preference =
+		    fwd_domains_prefer(&choice->own, &choice->others);
 	/* By cost alone, an endpoint in probing whose load is as low as that of
 	 * the others would never get a request again. A retry doesn't probe. */
 	if (criteria->n_tried == 0 && criteria->draw % PROBE_ONE_IN == 0)
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -2,6 +2,7 @@
 #ifndef BL_FWD_CHOOSE_H
 #define BL_FWD_CHOOSE_H
 
+#include "fwd-domains.h"
 #include "fwd-expect.h"
 
 /* Load, as a part of its slots, from which on an endpoint counts as busy. */
@@ -26,7 +27,9 @@
  * @model: the model's profile, or NULL
  * @prompt: length of the prompt, in tokens
  * @overhead_ms: measured overhead of the model's first events
+ * @objective_ms: the route's objective for the first event
  * @domain: this daemon's failure domain
+ * @balance_domains: prefer that failure domain only while it has capacity
  * @tried: endpoints that have failed the request
  * @n_tried: length of @tried
  * @ahead: requests of the same service and model queued before it at this
@@ -40,7 +43,9 @@
 	const struct model_profile *model;
 	double prompt;
 	double overhead_ms;
+	double objective_ms;
 	const char *domain;
+	bool balance_domains;
 	const struct fwd_tried *tried;
 	unsigned n_tried;
 	unsigned ahead;
@@ -55,6 +60,9 @@
  * @overhead_ms: the part of @first_ms that is measured overhead
  * @load: part of the endpoint's slots that are in use
  * @running: requests running at all usable endpoints
+ * @own: the part of the usable endpoints in this daemon's failure domain
+ * @others: the usable endpoints in other failure domains
+ * @preference: how much the own failure domain is preferred, from 0 to 1
  * @any_usable: any usable endpoint that matches, full or not, or NULL
  * @next_available: of the endpoints that asked for a backoff, the one whose
  *	backoff ends first, or NULL
@@ -75,6 +83,9 @@
 	double overhead_ms;
 	double load;
 	double running;
+	struct fwd_usage own;
+	struct fwd_usage others;
+	double preference;
 	const struct endpoint *any_usable;
 	const struct endpoint *next_available;
 	unsigned unavailable;
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -173,7 +173,9 @@
 	criteria->prompt = ex->prompt;
 	if (ex->model != NULL)
 		criteria->overhead_ms = fwd_exchange_estimate(ex)->overhead_ms;
+	criteria->objective_ms = (double)ex->route->objective_ms;
 	criteria->domain = ex->fwd->set.domain;
+	criteria->balance_domains = ex->fwd->set.balance_domains;
 	criteria->tried = ex->tried;
 	criteria->n_tried = ex->n_tried;
 	criteria->now_ms = clock_loop_ms(ex->fwd->loop);
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -410,6 +410,8 @@
 		.draw = i * 2654435761u };
 
 	criteria.now_ms = script_number(rest, "at", 0);
+	criteria.balance_domains = script_number(rest, "domains", 0) != 0;
+	criteria.objective_ms = (double)script_number(rest, "objective", 0);
 	if (script_number(rest, "model", 0) != 0) {
 		criteria.engine = engine;
 		criteria.model = model;
@@ -453,7 +455,8 @@
 	g_string_append_c(out, '\n');
 }
 
-/* count ID at=MS [model=1]: in how many of the draws an endpoint is chosen */
+/* count ID at=MS [model=1] [domains=1] [objective=MS]: in how many of the draws
+ * an endpoint is chosen */
 static void
 exec_count(const char *rest, GString *out)
 {
