Move the cost of endpoints to a file of its own

Change: fwd-cost.[ch] has the cost, the slots and the failure domain of an endpoint for a request. No code changes otherwise.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -2,22 +2,11 @@
 #include <math.h>
 #include <string.h>
 
-#include "fwd-choose.h"
+#include "fwd-cost.h"
 
 /* Number of random candidates of which the best is chosen. Random, so that
  * daemons with the same outdated load reports don't all choose the same one. */
 #define CANDIDATES 3
-/* An endpoint in another failure domain must be this much faster to be chosen
- * while the own one is fully preferred: traffic between failure domains is
- * charged, and load reports from there are older, since distant daemons are
- * sent fewer. */
-#define CROSS_DOMAIN_MS 40.0
-/* The same for plain services, where the cost is the load: requests
- * per slot. */
-#define CROSS_DOMAIN_LOAD 0.15
-/* Weight of an endpoint's error rate: an error rate of 1 counts as this much
- * load, or adds this multiple of the expected time to the first event. */
-#define ERROR_WEIGHT 2.0
 /* If every endpoint has failed a request, one may have it again after this
  * time: about that of a short response, in which a full endpoint gets a free
  * slot. */
@@ -73,59 +62,6 @@
 	    strcmp(ep->report.model, criteria->model->name) == 0);
 }
 
-/**
- * fwd_criteria_workload() - a request's workload for an engine.
- * @criteria: the request's criteria, with its engine and model
- * @prompt: length of the prompt to estimate for, in tokens
- * @workload: filled in
- */
-void
-fwd_criteria_workload(const struct fwd_criteria *criteria, double prompt,
-    struct fwd_workload *workload)
-{
-	workload->engine = criteria->engine;
-	workload->model = criteria->model;
-	workload->prompt = prompt;
-	workload->overhead_ms = criteria->overhead_ms;
-	workload->now_ms = criteria->now_ms;
-}
-
-/* Whether an endpoint is in this daemon's failure domain. */
-static bool
-endpoint_is_local(const struct endpoint *ep,
-    const struct fwd_criteria *criteria)
-{
-	return (g_strcmp0(ep->report.domain, criteria->domain) == 0);
-}
-
-/* Cost of an endpoint for a request; lower is better. */
-static double
-endpoint_cost(const struct endpoint *ep, const struct fwd_criteria *criteria,
-    double preference, double *first)
-{
-	double remote = endpoint_is_local(ep, criteria) ? 0 : preference;
-	struct fwd_workload workload;
-
-	*first = 0;
-	if (criteria->model != NULL) {
-		fwd_criteria_workload(criteria, criteria->prompt, &workload);
-		*first = fwd_expect_first(ep, &workload);
-		return (*first * (1 + ERROR_WEIGHT * ep->error_rate) +
-		    CROSS_DOMAIN_MS * remote);
-	}
-	return (fwd_expect_running(ep) / MAX(ep->report.slots, 1) +
-	    ERROR_WEIGHT * ep->error_rate + CROSS_DOMAIN_LOAD * remote);
-}
-
-/* Maximum number of requests that an endpoint should have at once. */
-static double
-endpoint_slots(const struct endpoint *ep, const struct fwd_criteria *criteria)
-{
-	if (criteria->engine != NULL)
-		return (criteria->engine->slots);
-	return (MAX(ep->report.slots, 1));
-}
-
 /* Endpoints that are chosen only if there are no others: none of them, those
  * that have failed the request, or those in a cooldown. */
 enum last_resort {
@@ -203,13 +139,13 @@
     const struct fwd_criteria *criteria)
 {
 	struct fwd_usage *usage =
-	    endpoint_is_local(ep, criteria) ? &choice->own : &choice->others;
+	    fwd_cost_is_local(ep, criteria) ? &choice->own : &choice->others;
 
 	choice->usable++;
 	choice->running += fwd_expect_running(ep);
 	choice->any_usable = ep;
 	usage->running += fwd_expect_running(ep);
-	usage->slots += endpoint_slots(ep, criteria);
+	usage->slots += fwd_cost_slots(ep, criteria);
 }
 
 /*
@@ -235,7 +171,7 @@
 		    !choice_check_limit(choice, ep, criteria))
 			continue;
 		choice_count_usable(choice, ep, criteria);
-		if (fwd_expect_running(ep) < endpoint_slots(ep, criteria) &&
+		if (fwd_expect_running(ep) < fwd_cost_slots(ep, criteria) &&
 		    endpoint_backoff_admits(&ep->backoff))
 			eligible_add(eligible, ep, criteria->now_ms);
 	}
@@ -251,7 +187,7 @@
 	for (guint i = 0; i < eligible->len; i++) {
 		struct endpoint *ep = eligible->pdata[i];
 
-		if (!endpoint_is_local(ep, criteria))
+		if (!fwd_cost_is_local(ep, criteria))
 			continue;
 		eligible->pdata[i] = eligible->pdata[n];
 		eligible->pdata[n++] = ep;
@@ -287,8 +223,8 @@
 	for (unsigned i = first; i < end; i++) {
 		struct endpoint *ep = eligible->pdata[i];
 		double expected,
-		    cost = endpoint_cost(ep, criteria, choice->preference,
-			&expected);
+		    cost =
+			fwd_cost(ep, criteria, choice->preference, &expected);
 
 		if (cost >= *best)
 			continue;
@@ -297,7 +233,7 @@
 		choice->first_ms = expected;
 		choice->overhead_ms = criteria->overhead_ms;
 		choice->load =
-		    fwd_expect_running(ep) / endpoint_slots(ep, criteria);
+		    fwd_expect_running(ep) / fwd_cost_slots(ep, criteria);
 	}
 }
 
--- /dev/null
+++ b/src/fwd-cost.h
@@ -0,0 +1,12 @@
+/* Cost of endpoints for a request. Pure. */
+#ifndef BL_FWD_COST_H
+#define BL_FWD_COST_H
+
+#include "fwd-choose.h"
+
+bool fwd_cost_is_local(const struct endpoint *, const struct fwd_criteria *);
+double fwd_cost_slots(const struct endpoint *, const struct fwd_criteria *);
+double fwd_cost(const struct endpoint *, const struct fwd_criteria *, double,
+    double *);
+
+#endif
