Draw no more candidates for all failure domains than for one

Cause: when the own failure domain is not preferred, six candidates were drawn of all endpoints together. All daemons see the same outdated loads, so the more candidates each draws the more of them choose the same endpoint. Change: three, as in each failure domain.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -268,8 +268,8 @@
 	unsigned n_local, end;
 
 	if (criteria->balance_domains && draws_together(criteria, choice)) {
-		end = draw_candidates(eligible, 0, eligible->len,
-		    2 * CANDIDATES, draw);
+		end = draw_candidates(eligible, 0, eligible->len, CANDIDATES,
+		    draw);
 		compare(eligible, 0, end, criteria, choice, best);
 		return;
 	}
