Spread requests by what other daemons may have sent

Cause: daemons choose the best of three random endpoints by load reports that are 0.1 to 0.5 s old. In a large fleet all choose the same one until they hear of each other's requests, so a replica that has just opened or emptied gets more than it can serve in time. Change: with balance-spread, a daemon estimates the requests that others sent since then, as the age of the loads times its own rate of sends times the other daemons, and draws the endpoint in proportion to what each would get if these were divided so that all costs are equal in the end. Known requests that may have ended meanwhile are deducted. An endpoint is given at most the requests that it has slots for; what exceeds all slots is chosen by known load. The requests of the other failure domains are divided first, with their own preference. With fewer unseen requests than one for two endpoints the choice is as before. At most 64 random endpoints are considered, so the work for a request is bounded.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -2,11 +2,14 @@
 #include <math.h>
 #include <string.h>
 
-#include "fwd-cost.h"
+#include "fwd-balance.h"
 
 /* Number of random candidates of which the best is chosen. Random, so that
  * daemons with the same outdated load reports don't all choose the same one. */
 #define CANDIDATES 3
+/* The same of which one is drawn by what other daemons may have sent meanwhile.
+ * It bounds the work for a request in a large fleet. */
+#define BALANCE_MAX 64
 /* If every endpoint has failed a request, one may have it again after this
  * time: about that of a short response, in which a full endpoint gets a free
  * slot. */
@@ -214,27 +217,31 @@
 	return (first + n);
 }
 
+/* Compares an endpoint with the best so far. */
+static void
+compare_one(struct endpoint *ep, const struct fwd_criteria *criteria,
+    struct fwd_choice *choice, double *best)
+{
+	double expected;
+	double cost = fwd_cost(ep, criteria, choice->preference, &expected);
+
+	if (cost >= *best)
+		return;
+	*best = cost;
+	choice->endpoint = ep;
+	choice->first_ms = expected;
+	choice->overhead_ms = criteria->overhead_ms;
+	choice->load = fwd_expect_running(ep) / fwd_cost_slots(ep, criteria);
+}
+
 /* Compares the candidates in the range [first, end) with the best so far. */
 static void
 compare(const GPtrArray *eligible, unsigned first, unsigned end,
     const struct fwd_criteria *criteria, struct fwd_choice *choice,
     double *best)
 {
-	for (unsigned i = first; i < end; i++) {
-		struct endpoint *ep = eligible->pdata[i];
-		double expected,
-		    cost =
-			fwd_cost(ep, criteria, choice->preference, &expected);
-
-		if (cost >= *best)
-			continue;
-		*best = cost;
-		choice->endpoint = ep;
-		choice->first_ms = expected;
-		choice->overhead_ms = criteria->overhead_ms;
-		choice->load =
-		    fwd_expect_running(ep) / fwd_cost_slots(ep, criteria);
-	}
+	for (unsigned i = first; i < end; i++)
+		compare_one(eligible->pdata[i], criteria, choice, best);
 }
 
 /**
@@ -284,6 +291,28 @@
 	compare(eligible, n_local, end, criteria, choice, best);
 }
 
+/* Chooses by what other daemons may have sent meanwhile, or else by the known
+ * loads. */
+static void
+choose_balanced(GPtrArray *eligible, const struct fwd_criteria *criteria,
+    struct fwd_choice *choice, uint32_t *draw, double *best)
+{
+	struct endpoint *ep = NULL;
+
+	if (fwd_balance_applies(criteria, eligible->len)) {
+		unsigned n = draw_candidates(eligible, 0, eligible->len,
+		    BALANCE_MAX, draw);
+
+		ep = fwd_balance_choose((struct endpoint *const *)
+					    eligible->pdata,
+		    n, eligible->len, criteria, choice->preference);
+	}
+	if (ep != NULL)
+		compare_one(ep, criteria, choice, best);
+	else
+		choose_among(eligible, criteria, choice, draw, best);
+}
+
 /**
  * fwd_choose() - choose an endpoint for a request.
  * @fleet: the endpoints
@@ -320,7 +349,7 @@
 	/* First, so that of equal endpoints one with a rate limit is chosen:
 	 * only its responses tell when the limit has ended. */
 	compare(permitted, 0, permitted->len, criteria, choice, &best);
-	choose_among(unrestricted, criteria, choice, &draw, &best);
+	choose_balanced(unrestricted, criteria, choice, &draw, &best);
 	if (choice->endpoint == NULL || choice->load >= FWD_BUSY_LOAD)
 		choose_among(probing, criteria, choice, &draw, &best);
 }
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -30,6 +30,7 @@
  * @objective_ms: the route's objective for the first event
  * @domain: this daemon's failure domain
  * @balance_domains: prefer that failure domain only while it has capacity
+ * @unseen: what other daemons may have sent since the loads were measured
  * @tried: endpoints that have failed the request
  * @n_tried: length of @tried
  * @ahead: requests of the same service and model queued before it at this
@@ -46,6 +47,7 @@
 	double objective_ms;
 	const char *domain;
 	bool balance_domains;
+	struct fwd_unseen unseen;
 	const struct fwd_tried *tried;
 	unsigned n_tried;
 	unsigned ahead;
@@ -100,7 +102,5 @@
 bool fwd_choice_all_unavailable(const struct fwd_choice *);
 void fwd_choose(const struct fleet *, const struct fwd_criteria *,
     struct fwd_choice *);
-void fwd_criteria_workload(const struct fwd_criteria *, double,
-    struct fwd_workload *);
 
 #endif
--- a/src/fwd-cost.c
+++ b/src/fwd-cost.c
@@ -42,6 +42,19 @@
 	return (g_strcmp0(ep->report.domain, criteria->domain) == 0);
 }
 
+/**
+ * fwd_cost_cross_domain() - by how much an endpoint in another failure domain
+ *	must be better to be chosen, while the own one is fully preferred.
+ * @criteria: the request's criteria
+ *
+ * Return: as fwd_cost().
+ */
+double
+fwd_cost_cross_domain(const struct fwd_criteria *criteria)
+{
+	return (criteria->model != NULL ? CROSS_DOMAIN_MS : CROSS_DOMAIN_LOAD);
+}
+
 /**
  * fwd_cost() - cost of an endpoint for a request; lower is better.
  * @ep: the endpoint
@@ -55,18 +68,19 @@
 fwd_cost(const struct endpoint *ep, const struct fwd_criteria *criteria,
     double preference, double *first)
 {
-	double remote = fwd_cost_is_local(ep, criteria) ? 0 : preference;
+	double cross = fwd_cost_is_local(ep, criteria) ?
+	    0 :
+	    preference * fwd_cost_cross_domain(criteria);
 	struct fwd_workload workload;
 
 	*first = 0;
 	if (criteria->model != NULL) {
 		fwd_criteria_workload(criteria, criteria->prompt, &workload);
 		*first = fwd_expect_first(ep, &workload);
-		return (*first * (1 + ERROR_WEIGHT * ep->error_rate) +
-		    CROSS_DOMAIN_MS * remote);
+		return (*first * (1 + ERROR_WEIGHT * ep->error_rate) + cross);
 	}
 	return (fwd_expect_running(ep) / MAX(ep->report.slots, 1) +
-	    ERROR_WEIGHT * ep->error_rate + CROSS_DOMAIN_LOAD * remote);
+	    ERROR_WEIGHT * ep->error_rate + cross);
 }
 
 /**
--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -4,6 +4,7 @@
 
 #include "event-log.h"
 #include "fwd-admission.h"
+#include "fwd-cost.h"
 #include "fwd-exchange.h"
 #include "random.h"
 
--- a/src/fwd-expect.c
+++ b/src/fwd-expect.c
@@ -23,16 +23,22 @@
 	return ((double)ep->inflight + ep->peer_inflight);
 }
 
+/* What each request that decodes adds to a decode step, before the model's
+ * pace. */
+static double
+request_step_ms(const struct engine_profile *e)
+{
+	double context = e->usual_prompt + e->usual_response / 2;
+
+	return (e->per_seq_ms + e->context_per_k_ms * context / 1000);
+}
+
 /* Time of one decode step while @running requests decode. */
 static double
 step_ms(const struct engine_profile *e, const struct model_profile *m,
     double running)
 {
-	double context = running * (e->usual_prompt + e->usual_response / 2);
-
-	return ((e->step_ms + e->per_seq_ms * running +
-		    e->context_per_k_ms * context / 1000) *
-	    m->pace);
+	return ((e->step_ms + request_step_ms(e) * running) * m->pace);
 }
 
 /* Time of the decode steps in one pass. */
@@ -74,6 +80,22 @@
 	    ep->slowness);
 }
 
+/**
+ * fwd_expect_slope() - what each further request that decodes adds to the time
+ *	to the first event, in milliseconds.
+ * @ep: the endpoint
+ * @workload: a request for it
+ */
+double
+fwd_expect_slope(const struct endpoint *ep, const struct fwd_workload *workload)
+{
+	const struct engine_profile *e = workload->engine;
+
+	/* It lengthens the half pass before, and the first steps. */
+	return (1.5 * request_step_ms(e) * e->stride * workload->model->pace *
+	    ep->slowness);
+}
+
 /* Time from a prompt's prefill to its first event: half a pass of the requests
  * that decode, then its own first steps. */
 static double
--- a/src/fwd-expect.h
+++ b/src/fwd-expect.h
@@ -2,6 +2,7 @@
 #ifndef BL_FWD_EXPECT_H
 #define BL_FWD_EXPECT_H
 
+#include "fwd-unseen.h"
 #include "registry-fleet.h"
 
 /**
@@ -13,6 +14,7 @@
  * @n_overhead: number of first events in @overhead_ms
  * @duration_ms: time for which a request occupies its slot
  * @n_duration: number of requests in @duration_ms
+ * @sends: rate of this daemon's sends
  *
  * There is one for each model and for each plain service, over all endpoints.
  * That one endpoint is slower than others shows in its slowness.
@@ -22,6 +24,7 @@
 	unsigned n_overhead;
 	double duration_ms;
 	unsigned n_duration;
+	struct fwd_rate sends;
 };
 
 /**
@@ -43,6 +46,7 @@
 double fwd_expect_running(const struct endpoint *);
 double fwd_expect_backlog(const struct endpoint *, const struct fwd_workload *);
 double fwd_expect_rate(const struct endpoint *, const struct fwd_workload *);
+double fwd_expect_slope(const struct endpoint *, const struct fwd_workload *);
 double fwd_expect_first(const struct endpoint *, const struct fwd_workload *);
 double fwd_expect_gap(const struct endpoint *, const struct engine_profile *,
     const struct model_profile *);
--- a/src/mesh-loads.c
+++ b/src/mesh-loads.c
@@ -60,6 +60,16 @@
 	g_array_append_vals(peer->loads, load, 1);
 }
 
+/* Notes that loads were heard from a daemon. Most of what it knows of others
+ * was measured up to a round before. */
+static void
+note_loads(struct mesh *mesh, struct mesh_peer *peer)
+{
+	peer->loads_ms = mesh->now_ms;
+	mesh->registry->loads_as_of_ms =
+	    mesh->now_ms - MIN(mesh->now_ms, MESH_ROUND_MS);
+}
+
 /**
  * mesh_add_loads() - replace a daemon's loads in the endpoints' sums.
  * @mesh: the mesh
@@ -73,7 +83,7 @@
 {
 	mesh_remove_loads(mesh, peer);
 	peer->loads_in_cell = cell;
-	peer->loads_ms = mesh->now_ms;
+	note_loads(mesh, peer);
 	for (uint32_t i = 0; i < msg->n_loads; i++)
 		add_load(mesh, peer, &msg->loads[i]);
 	mesh_set_sums(peer, msg);
@@ -138,7 +148,7 @@
 	if (msg->partial)
 		remove_domain_loads(mesh, peer);
 	peer->loads_in_cell = false;
-	peer->loads_ms = mesh->now_ms;
+	note_loads(mesh, peer);
 	for (uint32_t i = 0; i < msg->n_loads; i++) {
 		struct mesh_load load = msg->loads[i];
 		const struct mesh_load *own = find_load(report, load.id_hash);
--- a/src/registry.h
+++ b/src/registry.h
@@ -63,6 +63,8 @@
  * @fleet: the endpoints
  * @poison: requests suspected of crashing endpoints
  * @sums: sums over all daemons
+ * @loads_as_of_ms: loop time as of which other daemons' loads hold; 0 before
+ *	any were heard
  * @refusal_reasons: endpoint id to the reason for which its entry was last
  *	refused
  * @n_refused: number of entries refused so far
@@ -85,6 +87,7 @@
 	struct fleet fleet;
 	struct poison poison;
 	struct fleet_sums sums;
+	uint64_t loads_as_of_ms;
 	GHashTable *refusal_reasons;
 	uint64_t n_refused;
 	struct topic_follower config;
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -412,6 +412,10 @@
 	criteria.now_ms = script_number(rest, "at", 0);
 	criteria.balance_domains = script_number(rest, "domains", 0) != 0;
 	criteria.objective_ms = (double)script_number(rest, "objective", 0);
+	criteria.unseen.requests = (double)script_number(rest, "unseen", 0);
+	criteria.unseen.age_ms = (double)script_number(rest, "age", 0);
+	criteria.unseen.duration_ms =
+	    (double)script_number(rest, "duration", 0);
 	if (script_number(rest, "model", 0) != 0) {
 		criteria.engine = engine;
 		criteria.model = model;
@@ -455,7 +459,8 @@
 	g_string_append_c(out, '\n');
 }
 
-/* count ID at=MS [model=1] [domains=1] [objective=MS]: in how many of the draws
+/* count ID at=MS [model=1] [domains=1] [objective=MS] [unseen=N] [age=MS]
+ * [duration=MS]: in how many of the draws
  * an endpoint is chosen */
 static void
 exec_count(const char *rest, GString *out)
