--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -2,21 +2,14 @@
 #include <math.h>
 #include <string.h>
 
-#include "fwd-choose.h"
+#include "fwd-balance.h"
 
 /* Number of random candidates of which the best is chosen. Random, so that
  * daemons with the same outdated load reports don't all choose the same one. */
 #define CANDIDATES 3
-/* An endpoint in another failure domain must be this much faster to be chosen:
- * traffic between failure domains is charged, and load reports from there are
- * older, since distant daemons are sent fewer. */
-#define CROSS_DOMAIN_MS 40.0
-/* The same for plain services, where the cost is the load: requests
- * per slot. */
-#define CROSS_DOMAIN_LOAD 0.15
-/* Weight of an endpoint's error rate: an error rate of 1 counts as this much
- * load, or adds this multiple of the expected time to the first event. */
-#define ERROR_WEIGHT 2.0
+/* The same of which one is drawn by what other daemons may have sent meanwhile.
+ * It bounds the work for a request in a large fleet. */
+#define BALANCE_MAX 64
 /* If every endpoint has failed a request, one may have it again after this
  * time: about that of a short response, in which a full endpoint gets a free
  * slot. */
@@ -78,59 +71,6 @@
 	    strcmp(ep->report.model, criteria->model->name) == 0);
 }
 
-/**
- * fwd_criteria_workload() - a request's workload for an engine.
- * @criteria: the request's criteria, with its engine and model
- * @prompt: length of the prompt to estimate for, in tokens
- * @workload: filled in
- */
-void
-fwd_criteria_workload(const struct fwd_criteria *criteria, double prompt,
-    struct fwd_workload *workload)
-{
-	workload->engine = criteria->engine;
-	workload->model = criteria->model;
-	workload->prompt = prompt;
-	workload->overhead_ms = criteria->overhead_ms;
-	workload->load_error_ms = criteria->load_error_ms;
-	workload->evidence = criteria->evidence;
-	workload->now_ms = criteria->now_ms;
-}
-
-/* Cost of an endpoint for a request; lower is better. */
-static double
-endpoint_cost(const struct endpoint *ep, const struct fwd_criteria *criteria,
-    double *first)
-{
-	bool remote = g_strcmp0(ep->report.domain, criteria->domain) != 0;
-	struct fwd_workload workload;
-
-	*first = 0;
-	if (criteria->model != NULL) {
-		fwd_criteria_workload(criteria, criteria->prompt, &workload);
-		*first = fwd_expect_first(ep, &workload);
-		return (*first * (1 + ERROR_WEIGHT * ep->error_rate) +
-		    (remote ? CROSS_DOMAIN_MS : 0));
-	}
-	return (fwd_expect_running(ep) / MAX(ep->report.slots, 1) +
-	    ERROR_WEIGHT * ep->error_rate + (remote ? CROSS_DOMAIN_LOAD : 0));
-}
-
-/**
- * fwd_endpoint_slots() - maximum number of requests that an endpoint should
- *	have at once.
- * @ep: the endpoint
- * @criteria: the criteria of a request
- */
-double
-fwd_endpoint_slots(const struct endpoint *ep,
-    const struct fwd_criteria *criteria)
-{
-	if (criteria->engine != NULL)
-		return (criteria->engine->slots);
-	return (MAX(ep->report.slots, 1));
-}
-
 /* Endpoints that are chosen only if there are no others: none of them, those
  * that have failed the request, or those in a cooldown. */
 enum last_resort {
@@ -202,6 +142,21 @@
 		g_ptr_array_add(eligible->unrestricted, ep);
 }
 
+/* Counts a usable endpoint, full or not. */
+static void
+choice_count_usable(struct fwd_choice *choice, const struct endpoint *ep,
+    const struct fwd_criteria *criteria)
+{
+	struct fwd_usage *usage =
+	    fwd_cost_is_local(ep, criteria) ? &choice->own : &choice->others;
+
+	choice->usable++;
+	choice->running += fwd_expect_running(ep);
+	choice->any_usable = ep;
+	usage->running += fwd_expect_running(ep);
+	usage->slots += fwd_cost_slots(ep, criteria);
+}
+
 /*
  * Collects the endpoints with a free slot that have not failed the request; as
  * a last resort also those that did, or those in a cooldown.
@@ -213,16 +168,8 @@
 {
 	struct endpoint *ep;
 
-	choice->known = 0;
-	choice->usable = 0;
-	choice->running = 0;
-	choice->any_usable = NULL;
-	choice->next_available = NULL;
-	choice->unavailable = 0;
-	choice->limited = 0;
-	choice->next_permit = NULL;
+	memset(choice, 0, sizeof *choice);
 	choice->permit_ms = INFINITY;
-	choice->limits_per_s = 0;
 	TAILQ_FOREACH(ep, &fleet->endpoints, entry) {
 		if (!fwd_endpoint_matches(ep, criteria) || ep->gone)
 			continue;
@@ -232,10 +179,8 @@
 		    criteria_tried(criteria, ep, resort == RESORT_TRIED) ||
 		    !choice_check_limit(choice, ep, criteria))
 			continue;
-		choice->usable++;
-		choice->running += fwd_expect_running(ep);
-		choice->any_usable = ep;
-		if (fwd_expect_running(ep) < fwd_endpoint_slots(ep, criteria) &&
+		choice_count_usable(choice, ep, criteria);
+		if (fwd_expect_running(ep) < fwd_cost_slots(ep, criteria) &&
 		    endpoint_backoff_admits(&ep->backoff))
 			eligible_add(eligible, ep, criteria->now_ms);
 	}
@@ -251,7 +196,7 @@
 	for (guint i = 0; i < eligible->len; i++) {
 		struct endpoint *ep = eligible->pdata[i];
 
-		if (g_strcmp0(ep->report.domain, criteria->domain) != 0)
+		if (!fwd_cost_is_local(ep, criteria))
 			continue;
 		eligible->pdata[i] = eligible->pdata[n];
 		eligible->pdata[n++] = ep;
@@ -259,13 +204,13 @@
 	return (n);
 }
 
-/* Moves random candidates of the range [first, end) to the start of the range.
- * Returns the end of the candidates. */
+/* Moves at most @max random candidates of the range [first, end) to the start
+ * of the range. Returns the end of the candidates. */
 static unsigned
-draw_candidates(GPtrArray *eligible, unsigned first, unsigned end,
+draw_candidates(GPtrArray *eligible, unsigned first, unsigned end, unsigned max,
     uint32_t *draw)
 {
-	unsigned n = MIN(end - first, CANDIDATES);
+	unsigned n = MIN(end - first, max);
 
 	for (unsigned i = first; i < first + n; i++) {
 		unsigned k = i + *draw % (end - i);
@@ -278,25 +223,31 @@
 	return (first + n);
 }
 
+/* Compares an endpoint with the best so far. */
+static void
+compare_one(struct endpoint *ep, const struct fwd_criteria *criteria,
+    struct fwd_choice *choice, double *best)
+{
+	double expected;
+	double cost = fwd_cost(ep, criteria, choice->preference, &expected);
+
+	if (cost >= *best)
+		return;
+	*best = cost;
+	choice->endpoint = ep;
+	choice->first_ms = expected;
+	choice->overhead_ms = criteria->overhead_ms;
+	choice->load = fwd_expect_running(ep) / fwd_cost_slots(ep, criteria);
+}
+
 /* Compares the candidates in the range [first, end) with the best so far. */
 static void
 compare(const GPtrArray *eligible, unsigned first, unsigned end,
     const struct fwd_criteria *criteria, struct fwd_choice *choice,
     double *best)
 {
-	for (unsigned i = first; i < end; i++) {
-		struct endpoint *ep = eligible->pdata[i];
-		double expected, cost = endpoint_cost(ep, criteria, &expected);
-
-		if (cost >= *best)
-			continue;
-		*best = cost;
-		choice->endpoint = ep;
-		choice->first_ms = expected;
-		choice->overhead_ms = criteria->overhead_ms;
-		choice->load =
-		    fwd_expect_running(ep) / fwd_endpoint_slots(ep, criteria);
-	}
+	for (unsigned i = first; i < end; i++)
+		compare_one(eligible->pdata[i], criteria, choice, best);
 }
 
 /**
@@ -322,20 +273,63 @@
 	return (choice->usable == 0 && choice->limited > 0);
 }
 
+/* Whether candidates are drawn from all failure domains together. Drawn apart,
+ * half of them are of the own one, whatever its part of the endpoints. */
+static bool
+draws_together(const struct fwd_criteria *criteria,
+    const struct fwd_choice *choice)
+{
+	return ((double)(criteria->draw >> 8) >=
+	    choice->preference * (UINT32_MAX >> 8));
+}
+
 /* Compares random candidates of this and of other failure domains with the best
  * so far. */
 static void
 choose_among(GPtrArray *eligible, const struct fwd_criteria *criteria,
     struct fwd_choice *choice, uint32_t *draw, double *best)
 {
-	unsigned n_local = local_first(eligible, criteria);
-	unsigned end = draw_candidates(eligible, 0, n_local, draw);
+	unsigned n_local, end;
 
+	if (criteria->balance_domains && draws_together(criteria, choice)) {
+		end = draw_candidates(eligible, 0, eligible->len, CANDIDATES,
+		    draw);
+		compare(eligible, 0, end, criteria, choice, best);
+		return;
+	}
+	n_local = local_first(eligible, criteria);
+	end = draw_candidates(eligible, 0, n_local, CANDIDATES, draw);
 	compare(eligible, 0, end, criteria, choice, best);
-	end = draw_candidates(eligible, n_local, eligible->len, draw);
+	if (criteria->balance_domains && choice->endpoint != NULL)
+		choice->preference *= fwd_domains_prefer_first(choice->first_ms,
+		    criteria->objective_ms);
+	end =
+	    draw_candidates(eligible, n_local, eligible->len, CANDIDATES, draw);
 	compare(eligible, n_local, end, criteria, choice, best);
 }
 
+/* Chooses by what other daemons may have sent meanwhile, or else by the known
+ * loads. */
+static void
+choose_balanced(GPtrArray *eligible, const struct fwd_criteria *criteria,
+    struct fwd_choice *choice, uint32_t *draw, double *best)
+{
+	struct endpoint *ep = NULL;
+
+	if (fwd_balance_applies(criteria, eligible->len)) {
+		unsigned n = draw_candidates(eligible, 0, eligible->len,
+		    BALANCE_MAX, draw);
+
+		ep = fwd_balance_choose((struct endpoint *const *)
+					    eligible->pdata,
+		    n, eligible->len, criteria, choice->preference);
+	}
+	if (ep != NULL)
+		compare_one(ep, criteria, choice, best);
+	else
+		choose_among(eligible, criteria, choice, draw, best);
+}
+
 /**
  * fwd_choose() - choose an endpoint for a request.
  * @fleet: the endpoints
@@ -353,13 +347,16 @@
 	double best = INFINITY;
 	uint32_t draw = criteria->draw;
 
-	memset(choice, 0, sizeof *choice);
 	collect(fleet, criteria, RESORT_NONE, &eligible, choice);
 	if (choice->usable == 0 && criteria->n_tried > 0)
 		collect(fleet, criteria, RESORT_TRIED, &eligible, choice);
 	/* If all are in a cooldown, one that may fail is better than none. */
 	if (choice->usable == 0 && criteria->model == NULL)
 		collect(fleet, criteria, RESORT_COOLDOWN, &eligible, choice);
+	choice->preference = 1;
+	if (criteria->balance_domains)
+		choice->preference =
+		    fwd_domains_prefer(&choice->own, &choice->others);
 	/* By cost alone, an endpoint in probing whose load is as low as that of
 	 * the others would never get a request again. A retry doesn't probe. */
 	if (criteria->n_tried == 0 && criteria->draw % PROBE_ONE_IN == 0)
@@ -369,7 +366,7 @@
 	/* First, so that of equal endpoints one with a rate limit is chosen:
 	 * only its responses tell when the limit has ended. */
 	compare(permitted, 0, permitted->len, criteria, choice, &best);
-	choose_among(unrestricted, criteria, choice, &draw, &best);
+	choose_balanced(unrestricted, criteria, choice, &draw, &best);
 	if (choice->endpoint == NULL || choice->load >= FWD_BUSY_LOAD)
 		choose_among(probing, criteria, choice, &draw, &best);
 }
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -2,6 +2,7 @@
 #ifndef BL_FWD_CHOOSE_H
 #define BL_FWD_CHOOSE_H
 
+#include "fwd-domains.h"
 #include "fwd-expect.h"
 
 /* Load, as a part of its slots, from which on an endpoint counts as busy. */
@@ -28,7 +29,10 @@
  * @overhead_ms: measured overhead of the model's first events
  * @load_error_ms: errors of the model by load; see struct fwd_workload
  * @evidence: evidence on endpoints; see struct fwd_workload
+ * @objective_ms: the route's objective for the first event
  * @domain: this daemon's failure domain
+ * @balance_domains: prefer that failure domain only while it has capacity
+ * @unseen: what other daemons may have sent since the loads were measured
  * @tried: endpoints that have failed the request
  * @n_tried: length of @tried
  * @ahead: requests of the same service and model queued before it at this
@@ -44,7 +48,10 @@
 	double overhead_ms;
 	const double *load_error_ms;
 	const struct sum_table *evidence;
+	double objective_ms;
 	const char *domain;
+	bool balance_domains;
+	struct fwd_unseen unseen;
 	const struct fwd_tried *tried;
 	unsigned n_tried;
 	unsigned ahead;
@@ -59,6 +66,9 @@
  * @overhead_ms: the part of @first_ms that is measured overhead
  * @load: part of the endpoint's slots that are in use
  * @running: requests running at all usable endpoints
+ * @own: the part of the usable endpoints in this daemon's failure domain
+ * @others: the usable endpoints in other failure domains
+ * @preference: how much the own failure domain is preferred, from 0 to 1
  * @any_usable: any usable endpoint that matches, full or not, or NULL
  * @next_available: of the endpoints that asked for a backoff, the one whose
  *	backoff ends first, or NULL
@@ -79,6 +89,9 @@
 	double overhead_ms;
 	double load;
 	double running;
+	struct fwd_usage own;
+	struct fwd_usage others;
+	double preference;
 	const struct endpoint *any_usable;
 	const struct endpoint *next_available;
 	unsigned unavailable;
@@ -91,12 +104,9 @@
 };
 
 bool fwd_endpoint_matches(const struct endpoint *, const struct fwd_criteria *);
-double fwd_endpoint_slots(const struct endpoint *, const struct fwd_criteria *);
 bool fwd_choice_all_unavailable(const struct fwd_choice *);
 bool fwd_choice_only_limited(const struct fwd_choice *);
 void fwd_choose(const struct fleet *, const struct fwd_criteria *,
     struct fwd_choice *);
-void fwd_criteria_workload(const struct fwd_criteria *, double,
-    struct fwd_workload *);
 
 #endif
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "event-log.h"
+#include "fwd-cost.h"
 #include "fwd-exchange.h"
 #include "fwd-priority.h"
 #include "random.h"
@@ -145,6 +146,8 @@
 	TAILQ_REMOVE(&fwd->queue, ex, queue_entry);
 	ex->state = ex->first_us > 0 ? EXCHANGE_RESPONDING : EXCHANGE_SENT;
 	exchange_take_slot(ex, choice);
+	fwd_rate_add(&fwd_exchange_estimate(ex)->sends,
+	    clock_loop_ms(fwd->loop));
 	exchange_note_tried(ex);
 	ex->sends++;
 	fwd_count_sent(ex);
@@ -179,6 +182,23 @@
 	net_conn_send(ex->upstream, text->str, text->len, ex->head_only);
 }
 
+/* What other daemons may have sent since the loads were measured. */
+static void
+exchange_fill_unseen(const struct fwd_exchange *ex, uint64_t now_ms,
+    struct fwd_unseen *unseen)
+{
+	const struct fwd_estimate *estimate = fwd_exchange_estimate(ex);
+
+	if (!ex->fwd->set.balance_spread)
+		return;
+	unseen->age_ms =
+	    fwd_unseen_age(ex->fwd->registry->loads_as_of_ms, now_ms);
+	unseen->duration_ms = estimate->duration_ms;
+	unseen->requests =
+	    fwd_unseen_requests(fwd_rate_per_s(&estimate->sends, now_ms),
+		ex->fwd->daemons, unseen->age_ms);
+}
+
 /**
  * fwd_exchange_criteria() - what a request requires of an endpoint.
  * @ex: the exchange
@@ -200,12 +220,15 @@
 		if (ex->fwd->set.endpoint_evidence)
 			criteria->load_error_ms = estimate->load_error_ms;
 	}
+	criteria->objective_ms = (double)ex->route->objective_ms;
 	criteria->domain = ex->fwd->set.domain;
+	criteria->balance_domains = ex->fwd->set.balance_domains;
 	criteria->tried = ex->tried;
 	criteria->n_tried = ex->n_tried;
 	criteria->now_ms = clock_loop_ms(ex->fwd->loop);
 	criteria->evidence = fwd_evidence_known(ex->fwd, criteria->now_ms);
 	criteria->draw = random_u32();
+	exchange_fill_unseen(ex, criteria->now_ms, &criteria->unseen);
 }
 
 /**
--- a/src/fwd-expect.h
+++ b/src/fwd-expect.h
@@ -2,6 +2,7 @@
 #ifndef BL_FWD_EXPECT_H
 #define BL_FWD_EXPECT_H
 
+#include "fwd-unseen.h"
 #include "registry-fleet.h"
 
 /* Points of load, from none to all slots, at which errors are learned. */
@@ -18,6 +19,7 @@
  * @n_duration: number of requests in @duration_ms
  * @load_error_ms: how much later first events come than expected, by the load
  *	of the endpoint at the send: its requests as a part of its slots
+ * @sends: rate of this daemon's sends
  *
  * There is one for each model and for each plain service, over all endpoints.
  * That one endpoint is slower than others shows in its slowness.
@@ -28,6 +30,7 @@
 	double duration_ms;
 	unsigned n_duration;
 	double load_error_ms[FWD_LOAD_POINTS];
+	struct fwd_rate sends;
 };
 
 /**
@@ -70,6 +73,7 @@
 double fwd_expect_running(const struct endpoint *);
 double fwd_expect_backlog(const struct endpoint *, const struct fwd_workload *);
 double fwd_expect_rate(const struct endpoint *, const struct fwd_workload *);
+double fwd_expect_slope(const struct endpoint *, const struct fwd_workload *);
 double fwd_expect_first(const struct endpoint *, const struct fwd_workload *);
 void fwd_expect_correction(const struct endpoint *, const struct fwd_workload *,
     struct fwd_correction *);
--- a/src/overload-capacity.c
+++ b/src/overload-capacity.c
@@ -8,6 +8,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "fwd-cost.h"
 #include "overload-capacity.h"
 
 #define MS_PER_S 1000.0
@@ -77,7 +78,7 @@
     const struct fwd_criteria *criteria, double objective_ms,
     double duration_ms)
 {
-	double slots = fwd_endpoint_slots(ep, criteria);
+	double slots = fwd_cost_slots(ep, criteria);
 	double bound = slots;
 	double in_time;
 
