--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -4,6 +4,7 @@
 
 #include "event-log.h"
 #include "fwd-admission.h"
+#include "fwd-cost.h"
 #include "fwd-exchange.h"
 #include "random.h"
 
@@ -23,6 +24,22 @@
 	return (ahead);
 }
 
+/*
+ * Number of requests queued before this one at all daemons. While the others'
+ * are not known, they are taken to have as many as this daemon.
+ */
+static double
+exchange_fleet_ahead(const struct fwd_exchange *ex, unsigned own)
+{
+	const struct fleet_sums *sums = &ex->fwd->registry->sums;
+
+	if (!ex->fwd->set.overload_levels || !sums->told)
+		return ((double)own * MAX(ex->fwd->daemons, 1));
+	return (own +
+	    fleet_demand_queued_elsewhere(sums, ex->service,
+		ex->model != NULL ? ex->model->name : NULL, ex->priority));
+}
+
 /* Fills in the input of the decision on a request. */
 static void
 exchange_fill_admission(const struct fwd_exchange *ex,
@@ -47,7 +64,7 @@
 	a->sends = ex->sends;
 	a->started = ex->runs > 0 || ex->first_us > 0;
 	a->duration_ms = fwd_exchange_estimate(ex)->duration_ms;
-	a->ahead = (double)criteria->ahead * MAX(ex->fwd->daemons, 1);
+	a->ahead = exchange_fleet_ahead(ex, criteria->ahead);
 	a->draw = random_u32();
 	if (ep == NULL)
 		return;
@@ -75,13 +92,14 @@
 
 /* Refuses a request that can't be served in time. */
 static void
-exchange_refuse_no_slot(struct fwd_exchange *ex, const struct fwd_admission *a)
+exchange_refuse_no_slot(struct fwd_exchange *ex, const struct fwd_admission *a,
+    const char *reason)
 {
 	const struct fwd_choice *choice = a->choice;
 	const struct endpoint *ep = choice->next_permit != NULL ?
 	    choice->next_permit :
 	    choice->next_available;
-	int64_t retry = fwd_admission_retry_ms(a);
+	int64_t retry = fwd_level_retry_ms(ex, a);
 
 	event_log(LOG_NOTICE, "no_place",
 	    "id=%s service=%s known=%u usable=%u closed=%u limited=%u "
@@ -94,8 +112,9 @@
 	    choice->limits_per_s, ep != NULL ? ep->report.id : "-",
 	    choice->load, a->first_ms, a->duration_ms, a->ahead, a->resubmitted,
 	    (long long)retry);
-	fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY,
-	    no_slot_reason(choice), retry);
+	if (ex->runs == 0 && ex->first_us == 0)
+		fwd_count_refused(ex, retry);
+	fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY, reason, retry);
 }
 
 /* Inserts a request into the queue, by priority. */
@@ -103,11 +122,10 @@
 exchange_enqueue(struct fwd_exchange *ex)
 {
 	struct fwd_exchange *at;
-	int priority = ex->route->priority;
 
 	ex->state = EXCHANGE_QUEUED;
 	TAILQ_FOREACH(at, &ex->fwd->queue, queue_entry) {
-		if (at->route->priority > priority)
+		if (at->priority > ex->priority)
 			break;
 	}
 	if (at != NULL)
@@ -126,6 +144,7 @@
 	struct fwd_choice choice;
 	struct fwd_admission a;
 	struct fwd_criteria criteria;
+	bool arrived = ex->state != EXCHANGE_QUEUED && ex->sends == 0;
 
 	if (ex->state != EXCHANGE_QUEUED)
 		exchange_enqueue(ex);
@@ -143,12 +162,18 @@
 		fwd_stats_count(&ex->fwd->stats, COUNT_LIMIT_HELD_BACK);
 	}
 	exchange_fill_admission(ex, &criteria, &choice, &a);
+	if (arrived)
+		fwd_level_note(ex);
+	if (arrived && fwd_level_refuses(ex, &choice)) {
+		exchange_refuse_no_slot(ex, &a, "overloaded");
+		return;
+	}
 	switch (fwd_admission_decide(&a)) {
 	case ADMIT_SEND:
 		fwd_exchange_send(ex, &choice);
 		break;
 	case ADMIT_REFUSE:
-		exchange_refuse_no_slot(ex, &a);
+		exchange_refuse_no_slot(ex, &a, no_slot_reason(&choice));
 		break;
 	case ADMIT_QUEUE:
 		break;
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -16,7 +16,8 @@
 	    "id=%s route=%s status=%u reason=%s service=%s model=%s "
 	    "endpoint=%s sends=%u runs=%u age_ms=%llu first_ms=%llu "
 	    "last_event=%lld version=%lld prompt=%.0f expected_ms=%.0f "
-	    "running=%u reading=%.0f work=%08x",
+	    "running=%u reading=%.0f work=%08x objective_ms=%lld sent_ms=%llu "
+	    "correction_ms=%.0f",
 	    ex->id, ex->route != NULL ? ex->route->name : "-", status, reason,
 	    ex->service != NULL ? ex->service : "-",
 	    ex->model != NULL ? ex->model->name : "-",
@@ -29,7 +30,23 @@
 	    ex->events.buf != NULL ? (long long)ex->events.last_id : -1LL,
 	    ex->catalog != NULL ? (long long)ex->catalog->version : -1LL,
 	    ex->prompt, ex->expected_ms, ex->running_at_send,
-	    ex->backlog_at_send, FINGERPRINT_SHORT(ex->fingerprint));
+	    ex->backlog_at_send, FINGERPRINT_SHORT(ex->fingerprint),
+	    ex->route != NULL ? (long long)ex->route->objective_ms : 0,
+	    (unsigned long long)(ex->sends > 0 ? ex->sent_ms - ex->arrived_ms :
+						 0),
+	    ex->correction_ms);
+}
+
+/* Counts a request that ended before its first event, which was overdue. */
+static void
+end_note_overdue(struct fwd_exchange *ex)
+{
+	uint64_t now = clock_loop_ms(ex->fwd->loop);
+	double overdue = fwd_exchange_lateness_ms(ex, now);
+
+	if (ex->fwd->set.endpoint_evidence && ex->reached && !ex->not_run &&
+	    overdue > 0)
+		fwd_evidence_add(&ex->endpoint->evidence, overdue, now);
 }
 
 /**
@@ -49,6 +66,7 @@
 	ex->probe = false;
 	ex->has_permit = false;
 	if (ex->in_backlog) {
+		end_note_overdue(ex);
 		fwd_backlog_drop(&ep->backlog, ex->prompt,
 		    clock_loop_ms(ex->fwd->loop));
 		ep->pending = MAX(ep->pending - ex->prompt, 0);
@@ -182,11 +200,12 @@
 static void
 end_completed(struct fwd_exchange *ex)
 {
-	uint64_t now_us = clock_now_us();
+	uint64_t now_us;
 
 	fwd_stats_count(&ex->fwd->stats, COUNT_COMPLETED);
 	if (ex->first_us == 0)
-		ex->first_us = now_us;
+		fwd_count_first(ex);
+	now_us = clock_now_us();
 	fwd_stats_add_latency(&ex->fwd->stats, ex->route->name,
 	    ex->customer != NULL ? ex->customer->name : NULL,
 	    ex->first_us - ex->arrived_us, now_us - ex->arrived_us);
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -3,7 +3,9 @@
 
 #include "clock.h"
 #include "event-log.h"
+#include "fwd-cost.h"
 #include "fwd-exchange.h"
+#include "fwd-priority.h"
 #include "random.h"
 
 /* A request that may run only once gets a new connection: an idle one may have
@@ -20,16 +22,22 @@
 /* Time to retry for a request whose deadline passed before it was sent. */
 #define RETRY_LATE_MS 100
 
-/* Adds the prompt to the endpoint's prefill backlog. */
+/* Adds the prompt to the endpoint's prefill backlog, and notes what part of the
+ * expected time to its first event is due to evidence. */
 static void
 exchange_add_backlog(struct fwd_exchange *ex)
 {
 	struct endpoint *ep = ex->endpoint;
+	struct fwd_correction correction;
 	struct fwd_criteria criteria;
 	struct fwd_workload workload;
 
 	fwd_exchange_criteria(ex, &criteria);
 	fwd_criteria_workload(&criteria, ex->prompt, &workload);
+	fwd_expect_correction(ep, &workload, &correction);
+	ex->correction_ms = fwd_correction_ms(&correction);
+	ex->silence_ms =
+	    ex->expected_ms - ex->correction_ms + correction.lateness_ms;
 	ex->backlog_at_send = fwd_expect_backlog(ep, &workload);
 	ex->backlog_mark = fwd_backlog_add(&ep->backlog, ex->prompt,
 	    fwd_expect_rate(ep, &workload), criteria.now_ms);
@@ -52,11 +60,13 @@
 	ex->has_permit = endpoint_limit_active(&ep->limit, now) &&
 	    endpoint_limit_take_permit(&ep->limit, now);
 	ex->in_backlog = ex->model != NULL;
+	ex->expected_ms = choice->first_ms;
+	ex->overhead_ms = choice->overhead_ms;
+	ex->correction_ms = 0;
+	ex->silence_ms = ex->expected_ms;
 	if (ex->in_backlog)
 		exchange_add_backlog(ex);
 	ep->inflight++;
-	ex->expected_ms = choice->first_ms;
-	ex->overhead_ms = choice->overhead_ms;
 }
 
 /* Remembers the endpoint, so that others are preferred if it fails. */
@@ -69,6 +79,18 @@
 	ex->tried[ex->n_tried++].endpoint = ex->endpoint;
 }
 
+/* Priority that the endpoint is told; -1 for none. It is of use to the endpoint
+ * only if other requests have another one. */
+static int
+exchange_sent_priority(const struct fwd_exchange *ex)
+{
+	if (!ex->fwd->set.overload_levels ||
+	    !fwd_priority_differs(
+		catalog_find_service(ex->catalog, ex->service)))
+		return (-1);
+	return (ex->priority);
+}
+
 /* Builds the request as it is sent to the endpoint. */
 static GString *
 exchange_build_request(const struct fwd_exchange *ex)
@@ -81,7 +103,7 @@
 		.left_ms =
 		    (int64_t)(ex->deadline_ms - clock_loop_ms(ex->fwd->loop)),
 		.last_event = ex->events.last_id,
-		.priority = -1,
+		.priority = exchange_sent_priority(ex),
 	};
 
 	ex->fwd->wire->write_forward(text, &fwd);
@@ -124,8 +146,11 @@
 	TAILQ_REMOVE(&fwd->queue, ex, queue_entry);
 	ex->state = ex->first_us > 0 ? EXCHANGE_RESPONDING : EXCHANGE_SENT;
 	exchange_take_slot(ex, choice);
+	fwd_rate_add(&fwd_exchange_estimate(ex)->sends,
+	    clock_loop_ms(fwd->loop));
 	exchange_note_tried(ex);
 	ex->sends++;
+	fwd_count_sent(ex);
 	ex->sent_ms = clock_loop_ms(fwd->loop);
 	ex->heard_ms = ex->sent_ms;
 	ex->crash_suspected = false;
@@ -157,6 +182,23 @@
 	net_conn_send(ex->upstream, text->str, text->len, ex->head_only);
 }
 
+/* What other daemons may have sent since the loads were measured. */
+static void
+exchange_fill_unseen(const struct fwd_exchange *ex, uint64_t now_ms,
+    struct fwd_unseen *unseen)
+{
+	const struct fwd_estimate *estimate = fwd_exchange_estimate(ex);
+
+	if (!ex->fwd->set.balance_spread)
+		return;
+	unseen->age_ms =
+	    fwd_unseen_age(ex->fwd->registry->loads_as_of_ms, now_ms);
+	unseen->duration_ms = estimate->duration_ms;
+	unseen->requests =
+	    fwd_unseen_requests(fwd_rate_per_s(&estimate->sends, now_ms),
+		ex->fwd->daemons, unseen->age_ms);
+}
+
 /**
  * fwd_exchange_criteria() - what a request requires of an endpoint.
  * @ex: the exchange
@@ -171,13 +213,22 @@
 	criteria->engine = ex->model != NULL ? ex->engine : NULL;
 	criteria->model = ex->model;
 	criteria->prompt = ex->prompt;
-	if (ex->model != NULL)
-		criteria->overhead_ms = fwd_exchange_estimate(ex)->overhead_ms;
+	if (ex->model != NULL) {
+		const struct fwd_estimate *estimate = fwd_exchange_estimate(ex);
+
+		criteria->overhead_ms = estimate->overhead_ms;
+		if (ex->fwd->set.endpoint_evidence)
+			criteria->load_error_ms = estimate->load_error_ms;
+	}
+	criteria->objective_ms = (double)ex->route->objective_ms;
 	criteria->domain = ex->fwd->set.domain;
+	criteria->balance_domains = ex->fwd->set.balance_domains;
 	criteria->tried = ex->tried;
 	criteria->n_tried = ex->n_tried;
 	criteria->now_ms = clock_loop_ms(ex->fwd->loop);
+	criteria->evidence = fwd_evidence_known(ex->fwd, criteria->now_ms);
 	criteria->draw = random_u32();
+	exchange_fill_unseen(ex, criteria->now_ms, &criteria->unseen);
 }
 
 /**
@@ -232,6 +283,7 @@
 		return;
 	fwd_budget_request(fwd_budget_get(fwd, ex->service), &fwd->set.retry,
 	    ex->arrived_ms);
+	fwd_count_asked(ex);
 	fwd_exchange_dispatch(ex);
 }
 
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -37,6 +37,7 @@
  * @request: request line and headers that are the same for every endpoint
  * @body: body of the request
  * @head_only: the method is HEAD
+ * @priority: its priority, 0 to 9; 0 is the highest
  * @prompt: length of the prompt, in tokens
  * @arrived_ms: loop time of the arrival
  * @arrived_us: the same in microseconds of the monotonic clock, for the
@@ -50,6 +51,9 @@
  * @sent_ms: loop time of the last send
  * @expected_ms: expected time from the send to the first event
  * @overhead_ms: the part of @expected_ms that is measured overhead
+ * @correction_ms: the part of @expected_ms that is due to evidence
+ * @silence_ms: @expected_ms without what is due to overdue first events of
+ *	other requests, which are a sign of silence
  * @running_at_send: requests that the endpoint had at the send
  * @usable_at_send: endpoints that could have had the request at the send
  * @known_at_send: endpoints that matched at the send, usable or not
@@ -100,6 +104,7 @@
 	GString *request;
 	GByteArray *body;
 	bool head_only;
+	int priority;
 	double prompt;
 	uint64_t arrived_ms;
 	uint64_t arrived_us;
@@ -111,6 +116,8 @@
 	uint64_t sent_ms;
 	double expected_ms;
 	double overhead_ms;
+	double correction_ms;
+	double silence_ms;
 	unsigned running_at_send;
 	unsigned usable_at_send;
 	unsigned known_at_send;
@@ -154,6 +161,10 @@
 struct fwd_estimate *fwd_exchange_estimate(const struct fwd_exchange *);
 void fwd_exchange_end_send(struct fwd_exchange *, bool);
 
+/* fwd-evidence-collect.c: evidence of endpoints. */
+const struct sum_table *fwd_evidence_known(const struct fwd *, uint64_t);
+double fwd_exchange_lateness_ms(const struct fwd_exchange *, uint64_t);
+
 /* fwd-resolve.c: route, customer, service and model of a request. */
 bool fwd_resolve(struct fwd_exchange *, const struct wire_request *,
     const char *);
@@ -174,6 +185,13 @@
 void fwd_exchange_release(struct fwd_exchange *);
 void fwd_exchange_drop_response(struct fwd_exchange *);
 
+/* fwd-count.c: counts in the table of demand. */
+void fwd_count_asked(struct fwd_exchange *);
+void fwd_count_sent(struct fwd_exchange *);
+void fwd_count_first(struct fwd_exchange *);
+void fwd_count_refused(struct fwd_exchange *, int64_t);
+void fwd_count_fill(struct fwd *, struct sum_table *, uint64_t);
+
 /* fwd-response.c: response of an endpoint. */
 extern const struct net_conn_ops fwd_response_ops;
 
--- a/src/fwd-expect.c
+++ b/src/fwd-expect.c
@@ -10,6 +10,9 @@
 /* A larger overhead is due to the endpoint, a dead or slow host, and not to the
  * model. */
 #define OVERHEAD_MAX_MS 400.0
+/* Weight of the newest response in the errors by load; a daemon has about one
+ * response a second for each point. */
+#define LOAD_ERROR_ALPHA 0.05
 /* The profile gives the time for a million pairs of tokens. */
 #define PAIRS_UNIT 1e6
 
@@ -23,16 +26,35 @@
 	return ((double)ep->inflight + ep->peer_inflight);
 }
 
+/* What each request that decodes adds to a decode step, before the model's
+ * pace. */
+static double
+request_step_ms(const struct engine_profile *e)
+{
+	double context = e->usual_prompt + e->usual_response / 2;
+
+	return (e->per_seq_ms + e->context_per_k_ms * context / 1000);
+}
+
 /* Time of one decode step while @running requests decode. */
 static double
 step_ms(const struct engine_profile *e, const struct model_profile *m,
     double running)
 {
-	double context = running * (e->usual_prompt + e->usual_response / 2);
+	return ((e->step_ms + request_step_ms(e) * running) * m->pace);
+}
 
-	return ((e->step_ms + e->per_seq_ms * running +
-		    e->context_per_k_ms * context / 1000) *
-	    m->pace);
+/**
+ * fwd_expect_step() - time of one decode step.
+ * @e: profile of the engine
+ * @m: profile of the model
+ * @running: number of requests that decode
+ */
+double
+fwd_expect_step(const struct engine_profile *e, const struct model_profile *m,
+    double running)
+{
+	return (step_ms(e, m, running));
 }
 
 /* Time of the decode steps in one pass. */
@@ -74,6 +96,22 @@
 	    ep->slowness);
 }
 
+/**
+ * fwd_expect_slope() - what each further request that decodes adds to the time
+ *	to the first event, in milliseconds.
+ * @ep: the endpoint
+ * @workload: a request for it
+ */
+double
+fwd_expect_slope(const struct endpoint *ep, const struct fwd_workload *workload)
+{
+	const struct engine_profile *e = workload->engine;
+
+	/* It lengthens the half pass before, and the first steps. */
+	return (1.5 * request_step_ms(e) * e->stride * workload->model->pace *
+	    ep->slowness);
+}
+
 /* Time from a prompt's prefill to its first event: half a pass of the requests
  * that decode, then its own first steps. */
 static double
@@ -109,6 +147,80 @@
 	    pending - prefilled));
 }
 
+/* Splits a load into the point below it and the distance from that. */
+static unsigned
+load_point(double load, double *distance)
+{
+	double at = CLAMP(load, 0, 1) * (FWD_LOAD_POINTS - 1);
+	unsigned below = MIN((unsigned)at, FWD_LOAD_POINTS - 2);
+
+	*distance = at - below;
+	return (below);
+}
+
+/* Error of the estimate at a load, interpolated between points. */
+static double
+load_error_ms(const double *errors, double load)
+{
+	double distance;
+	unsigned below = load_point(load, &distance);
+
+	return (errors[below] * (1 - distance) + errors[below + 1] * distance);
+}
+
+/* What the errors by load add to the estimate for an endpoint. */
+static double
+expect_load_error(const struct endpoint *ep,
+    const struct fwd_workload *workload)
+{
+	if (workload->load_error_ms == NULL || workload->engine->slots == 0)
+		return (0);
+	return (load_error_ms(workload->load_error_ms,
+	    fwd_expect_running(ep) / workload->engine->slots));
+}
+
+/**
+ * fwd_expect_correction() - what evidence tells about the next first event.
+ * @ep: the endpoint
+ * @workload: a request for it
+ * @correction: filled in; zeros where there is no evidence
+ *
+ * The sums over all daemons are up to 0.6 s old and then include this daemon's
+ * own evidence, which counts by itself until then.
+ */
+void
+fwd_expect_correction(const struct endpoint *ep,
+    const struct fwd_workload *workload, struct fwd_correction *correction)
+{
+	const struct sum_row *known;
+	struct sum_row own = { .key = ep->id_hash };
+
+	correction->lateness_ms = 0;
+	correction->overdue_ms = 0;
+	if (workload->evidence == NULL)
+		return;
+	if (fwd_evidence_row(&ep->evidence, false, workload->now_ms, &own)) {
+		correction->lateness_ms = fwd_evidence_lateness_ms(&own);
+		correction->overdue_ms = fwd_evidence_overdue_ms(&own);
+	}
+	known = sum_table_get(workload->evidence, ep->id_hash);
+	if (known == NULL)
+		return;
+	correction->lateness_ms = fwd_evidence_lateness_ms(known);
+	correction->overdue_ms =
+	    MAX(correction->overdue_ms, fwd_evidence_overdue_ms(known));
+}
+
+/**
+ * fwd_correction_ms() - time that a correction adds to an estimate.
+ * @correction: the correction
+ */
+double
+fwd_correction_ms(const struct fwd_correction *correction)
+{
+	return (MAX(correction->lateness_ms, correction->overdue_ms));
+}
+
 /**
  * fwd_expect_first() - expected time to the first event of a request.
  * @ep: the endpoint
@@ -118,7 +230,7 @@
  * prefill of the prompts before its own and of its own, then for its own first
  * steps. Decode steps between the chunks of a prompt's prefill don't show:
  * prompts of three chunks took no longer than their prefill (MEASUREMENTS,
- * first events).
+ * first events). Evidence of the endpoint corrects the sum.
  *
  * Return: milliseconds from now.
  */
@@ -130,10 +242,14 @@
 	double pairs = workload->prompt * workload->prompt / 2 / PAIRS_UNIT;
 	double prefill = pairs * e->pairs_per_m_ms * workload->model->pace;
 	double rate = fwd_expect_rate(ep, workload);
+	struct fwd_correction correction;
 
 	if (rate > 0)
 		prefill += backlog / rate;
-	return (prefill + after_prefill_ms(ep, workload));
+	fwd_expect_correction(ep, workload, &correction);
+	prefill += expect_load_error(ep, workload);
+	return (MAX(prefill + after_prefill_ms(ep, workload), 0) +
+	    fwd_correction_ms(&correction));
 }
 
 /* Weight of the newest of @seen values in an average. */
@@ -156,6 +272,25 @@
 	    (overhead_ms - estimate->overhead_ms);
 }
 
+/**
+ * fwd_estimate_add_load_error() - update the average errors by load.
+ * @estimate: estimates of the model
+ * @load: the endpoint's requests at the send, as a part of its slots
+ * @error_ms: delay of a first event beyond the whole estimate
+ */
+void
+fwd_estimate_add_load_error(struct fwd_estimate *estimate, double load,
+    double error_ms)
+{
+	double distance;
+	unsigned below = load_point(load, &distance);
+	double step = LOAD_ERROR_ALPHA *
+	    CLAMP(error_ms, -OVERHEAD_MAX_MS, OVERHEAD_MAX_MS);
+
+	estimate->load_error_ms[below] += step * (1 - distance);
+	estimate->load_error_ms[below + 1] += step * distance;
+}
+
 /**
  * fwd_estimate_add_duration() - update the average duration of requests.
  * @estimate: estimates of the model or service
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -84,6 +84,23 @@
 	return (NET_ACCEPT);
 }
 
+/* Learns how much later than expected the first event came. */
+static void
+response_learn_first(const struct fwd_exchange *ex, uint64_t now)
+{
+	struct fwd_estimate *estimate =
+	    fwd_estimate_get(ex->fwd, ex->model->name);
+	double error = (double)(now - ex->sent_ms) - ex->expected_ms;
+
+	fwd_estimate_add_first(estimate, error + ex->overhead_ms);
+	if (!ex->fwd->set.endpoint_evidence)
+		return;
+	fwd_estimate_add_load_error(estimate,
+	    (double)ex->running_at_send / MAX(ex->engine->slots, 1), error);
+	fwd_evidence_add(&ex->endpoint->evidence,
+	    fwd_exchange_lateness_ms(ex, now), now);
+}
+
 /*
  * The first event confirms that the prompt was prefilled. Its delay beyond the
  * profile's estimate goes into the measured overhead of the model.
@@ -91,7 +108,6 @@
 static void
 response_first_event(struct fwd_exchange *ex)
 {
-	struct fwd_estimate *estimate;
 	uint64_t now = clock_loop_ms(ex->fwd->loop);
 
 	if (!ex->in_backlog)
@@ -99,9 +115,7 @@
 	ex->in_backlog = false;
 	fwd_backlog_confirm(&ex->endpoint->backlog, ex->backlog_mark, now);
 	ex->endpoint->pending = MAX(ex->endpoint->pending - ex->prompt, 0);
-	estimate = fwd_estimate_get(ex->fwd, ex->model->name);
-	fwd_estimate_add_first(estimate,
-	    (double)(now - ex->sent_ms) - ex->expected_ms + ex->overhead_ms);
+	response_learn_first(ex, now);
 }
 
 /* Updates an endpoint's slowness from the time since the last event. */
@@ -122,6 +136,25 @@
 	ep->slowness = CLAMP(ep->slowness, SLOWNESS_MIN, SLOWNESS_MAX);
 }
 
+/* Counts the first event that is passed on, by whether it is late. */
+static void
+response_count_first(const struct fwd_exchange *ex)
+{
+	struct fwd_stats *stats = &ex->fwd->stats;
+	double objective = (double)ex->route->objective_ms;
+	double waited = (double)(ex->sent_ms - ex->arrived_ms);
+	enum fwd_first_result result = FIRST_IN_TIME;
+
+	if (!ex->fwd->set.endpoint_evidence || ex->model == NULL)
+		return;
+	if ((double)(ex->first_us - ex->arrived_us) / 1000 > objective)
+		result =
+		    ex->sends == 1 && waited + ex->expected_ms > objective ?
+		    FIRST_LATE_FORESEEN :
+		    FIRST_LATE_UNFORESEEN;
+	fwd_stats_count_first(stats, ex->model->name, result);
+}
+
 /* Passes one event on to the client. */
 static void
 response_pass_event(struct fwd_exchange *ex, size_t length)
@@ -129,8 +162,9 @@
 	struct fwd_conn *conn = ex->conn;
 
 	if (ex->state == EXCHANGE_SENT) {
-		ex->first_us = clock_now_us();
+		fwd_count_first(ex);
 		ex->state = EXCHANGE_RESPONDING;
+		response_count_first(ex);
 		fwd_conn_begin(conn, ex->status, ex->headers->str);
 	}
 	fwd_conn_write(conn, ex->events.buf->str, length);
@@ -198,7 +232,7 @@
 	if (!ex->passthrough) {
 		ex->passthrough = true;
 		ex->state = EXCHANGE_RESPONDING;
-		ex->first_us = clock_now_us();
+		fwd_count_first(ex);
 		fwd_conn_begin(ex->conn, ex->status, ex->headers->str);
 	}
 	fwd_conn_write(ex->conn, ex->response_body->data,
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -4,7 +4,9 @@
 
 #include "registry.h"
 #include "fwd-budget.h"
+#include "fwd-demand.h"
 #include "fwd-expect.h"
+#include "fwd-level.h"
 #include "fwd-stats.h"
 #include "fwd-wire.h"
 
@@ -27,6 +29,14 @@
  * @backoff_max_ms: upper bound on the backoff that an endpoint may ask for
  * @retry: bound on retries over all daemons
  * @held_max_bytes: upper bound on the bytes that are held for all clients
+ * @overload_levels: refuse requests of low priority first when capacity is
+ *	short
+ * @customer_shares: share capacity that is short fairly among customers
+ * @retry_schedule: tell refused clients to return when capacity is expected
+ * @endpoint_evidence: correct expected latencies by what all daemons observe
+ * @balance_spread: spread requests by what other daemons may have sent since
+ *	the loads were measured
+ * @balance_domains: prefer the own failure domain only while it has capacity
  * @released_fingerprints: requests that are never quarantined: fingerprints as
  *	they stand in log lines, separated by commas
  * @refused_fingerprints: requests that the operator has refused, in the same
@@ -40,6 +50,12 @@
 	uint64_t backoff_max_ms;
 	struct fwd_budget_rule retry;
 	size_t held_max_bytes;
+	bool overload_levels;
+	bool customer_shares;
+	bool retry_schedule;
+	bool endpoint_evidence;
+	bool balance_spread;
+	bool balance_domains;
 	const char *released_fingerprints;
 	const char *refused_fingerprints;
 };
@@ -60,7 +76,10 @@
  * @n_exchanges: length of @exchanges
  * @budgets: service name to struct fwd_budget
  * @estimates: name of a model or of a plain service to struct fwd_estimate
+ * @demand: what this daemon is asked, admits and refuses
+ * @levels: which first attempts are refused, by service and model
  * @daemons: number of daemons that share the retry budget
+ * @collected_ms: loop time at which evidence of endpoints was last exchanged
  * @name_hash: hash of this daemon's name
  * @held_bytes: bytes held for clients: bodies of requests in progress, buffered
  *	responses, and output that clients have not read
@@ -90,7 +109,10 @@
 	unsigned n_exchanges;
 	GHashTable *budgets;
 	GHashTable *estimates;
+	struct fwd_demand demand;
+	struct fwd_level_list levels;
 	unsigned daemons;
+	uint64_t collected_ms;
 	uint32_t name_hash;
 	size_t held_bytes;
 	bool draining;
@@ -115,5 +137,7 @@
 size_t fwd_hold_limit(const struct fwd *);
 struct fwd_budget *fwd_budget_get(struct fwd *, const char *);
 struct fwd_estimate *fwd_estimate_get(struct fwd *, const char *);
+void fwd_evidence_fill(const struct registry *, struct sum_table *, uint64_t);
+void fwd_evidence_collect(struct fwd *, struct sum_table *, uint64_t);
 
 #endif
--- a/src/placer.c
+++ b/src/placer.c
@@ -40,7 +40,8 @@
 
 /*
  * Queries all members while the replica is suspect, and otherwise those that
- * have no entry, are silent or did not answer an order.
+ * have no entry, are silent or did not answer an order, as long as their
+ * answers matter.
  */
 static void
 replica_query_members(struct placer *p, struct replica *r, uint64_t now_ms)
@@ -53,6 +54,7 @@
 		    m->liveness == MEMBER_SILENT;
 
 		if (m->liveness != MEMBER_DEAD &&
+		    replica_member_queried(r, i) &&
 		    (suspect || lapsed ||
 			suspicion_active(m->suspect_ms, now_ms)))
 			placer_query_member(p, r, i);
@@ -174,10 +176,8 @@
 		    (unsigned long long)(now_ms - r->known_ms));
 	if (!was_dissolving && r->dissolve_reason != NULL)
 		placer_announce_dissolve(p, r, now_ms);
-	if (replica_can_settle(r, now_ms)) {
-		r->settled = true;
+	if (replica_settle(r, now_ms))
 		placer_record_replica(p, r, false);
-	}
 }
 
 /* Whether a replica is changing or suspect, or records or steps are left. */
--- a/src/placer.h
+++ b/src/placer.h
@@ -9,6 +9,12 @@
 #include "placer-usage.h"
 #include "replica.h"
 
+/* Keys of the placer's records in the store. */
+#define PLACER_LEASE_KEY "lease"
+#define PLACER_GROUP_PREFIX "group/"
+#define PLACER_SERVED_KEY "served"
+#define PLACER_BOUND_PREFIX "bound/"
+
 /**
  * enum placer_state - state of this daemon's placer.
  * @PLACER_IDLE: another daemon is the placer, or none is yet
@@ -52,6 +58,7 @@
  * @name: name of this daemon
  * @stall_ms: time after which the platform breaks a group that makes no
  *	progress, in ms
+ * @placement_demand: place replicas by the demand for each model
  * @timer: starts the next periodic pass
  * @wakeup: starts an early pass after a change
  * @state: state of the placer
@@ -62,6 +69,10 @@
  *	ms; 0 when this has to be checked again
  * @pending: records to be written, of struct store_record
  * @replicas: all replicas that have a record or wait for one, and adopted ones
+ * @lease_term: term in the record of the lease before this one
+ * @records_kept: the placer before this one kept the record of a group while
+ *	its head could serve again after it has left
+ * @record_ignored: a record of a replica was malformed
  * @served: requests have arrived since the deployment began, by its record
  * @epochs_issued: number of epochs issued under this lease
  * @load_starts: loop times at which recent loads from the weight store started,
@@ -94,6 +105,7 @@
 	const struct order_ops *orders;
 	const char *name;
 	uint64_t stall_ms;
+	bool placement_demand;
 	uv_timer_t timer;
 	uv_timer_t wakeup;
 	enum placer_state state;
@@ -103,6 +115,9 @@
 	uint64_t verified_ms;
 	GArray *pending;
 	struct replica_list replicas;
+	int64_t lease_term;
+	bool records_kept;
+	bool record_ignored;
 	bool served;
 	unsigned epochs_issued;
 	GArray *load_starts;
@@ -148,11 +163,15 @@
 void placer_record_served(struct placer *);
 void placer_record_bound(struct placer *, const char *, unsigned);
 
+/* placer-load.c: loading of the records of the previous placer. */
+void placer_load_record(struct placer *, const struct store_record *);
+void placer_inherit_replicas(struct placer *);
+
 /* placer-record.c: encoding of the records of replicas and of the lease. */
-guint8 *placer_encode_replica(const struct replica *, size_t *);
+guint8 *placer_encode_replica(const struct replica *, int64_t, size_t *);
 struct replica *placer_decode_replica(const char *, const void *, size_t);
 guint8 *placer_encode_lease(const char *, int64_t, size_t *);
-int64_t placer_decode_lease(const void *, size_t);
+int64_t placer_decode_lease(const void *, size_t, bool *);
 
 /* placer-adopt.c: groups that serve but have no record. */
 void placer_adopt_groups(struct placer *, uint64_t);
--- a/src/planner.h
+++ b/src/planner.h
@@ -83,9 +83,15 @@
  * @fabric_replicas: "model fabric-domain" to the number of replicas there
  * @work_share: share of the work of each model
  * @largest_max: maximum number of replicas of the largest model; 0 for no bound
+ * @by_demand: @largest_max was chosen by the demand; it may exceed the number
+ *	that the configured share gives
  * @wanted: replicas of each model that the hosts should form
  * @share_replicas: replicas of each model that its share of the work alone
  *	would give
+ * @short_of_hosts: whether a model's replicas are too few for its recent peaks;
+ *	false where the demand is not known
+ * @demand_met: whether a model's replicas are enough for its recent peaks and
+ *	the loss of one; false where the demand is not known
  * @largest: index of the model with the most hosts in a replica
  * @cap_factor: maximum number of replicas of the largest model in one fabric
  *	domain for every 2 x its size hosts there; the other hosts form
@@ -105,8 +111,11 @@
 	GHashTable *fabric_replicas;
 	double work_share[PLANNER_MODELS_MAX];
 	unsigned largest_max;
+	bool by_demand;
 	double wanted[PLANNER_MODELS_MAX];
 	double share_replicas[PLANNER_MODELS_MAX];
+	bool short_of_hosts[PLANNER_MODELS_MAX];
+	bool demand_met[PLANNER_MODELS_MAX];
 	unsigned largest;
 	unsigned cap_factor;
 	unsigned loads_free;
--- a/src/replica.c
+++ b/src/replica.c
@@ -88,46 +88,6 @@
 	r->drain_ms = REPLICA_SURPLUS_DRAIN_MS;
 }
 
-/**
- * replica_inherit() - take over a replica that another placer formed.
- * @r: the replica, decoded from its record or built from reports
- * @now_ms: loop time
- *
- * Unless it has settled, orders to join that the other placer sent may still
- * be carried out.
- */
-void
-replica_inherit(struct replica *r, uint64_t now_ms)
-{
-	r->known_ms = now_ms;
-	r->recorded = true;
-	/* The previous placer may have ordered the head to open. */
-	r->open_ordered = true;
-	for (unsigned i = 0; i < r->n && !r->settled; i++)
-		r->members[i].late_join_until_ms =
-		    now_ms + REPLICA_LEASE_FRESH_MS + REPLICA_LATE_ORDER_MS;
-}
-
-/**
- * replica_can_settle() - whether a replica can be recorded as settled.
- * @r: the replica
- * @now_ms: loop time
- *
- * Return: true where it has not settled yet, has served, is not being
- * dissolved, and no order to join it can be carried out any more.
- */
-bool
-replica_can_settle(const struct replica *r, uint64_t now_ms)
-{
-	if (r->settled || !r->opened || r->dissolve_reason != NULL)
-		return (false);
-	for (unsigned i = 0; i < r->n; i++) {
-		if (r->members[i].late_join_until_ms > now_ms)
-			return (false);
-	}
-	return (true);
-}
-
 /**
  * replica_active() - whether a replica serves or is being formed.
  * @r: the replica
@@ -159,7 +119,7 @@
 
 /*
  * Whether a member is known to have been in the group. Just after a replica is
- * taken over, what was read of its members may be out of date.
+ * taken over or has settled, what was read of its members may be out of date.
  */
 static bool
 member_was_in_group(const struct replica *r, const struct replica_member *m,
@@ -167,7 +127,8 @@
 {
 	return (r->opened ||
 	    (r->settled && m->last_report_ms != 0 &&
-		now_ms - r->known_ms >= REPLICA_REPORT_LAG_MS));
+		now_ms - MAX(r->known_ms, r->settled_ms) >=
+		    REPLICA_REPORT_LAG_MS));
 }
 
 /**
@@ -276,7 +237,8 @@
 }
 
 /* The next step to form a group: all members join, and the head opens once
- * every member itself has reported that it is ready. */
+ * every member itself has reported that it is ready and the record says that
+ * it may open. */
 static void
 step_form(struct replica *r, uint64_t now_ms, struct replica_step *step)
 {
@@ -296,8 +258,9 @@
 		return;
 	if (r->members[0].state == GROUP_OPEN)
 		r->opened = true;
-	else if (member_order_due(&r->members[0], ORDER_OPEN, now_ms,
-		     REPLICA_ORDER_RETRY_MS)) {
+	else if (r->settled &&
+	    member_order_due(&r->members[0], ORDER_OPEN, now_ms,
+		REPLICA_ORDER_RETRY_MS)) {
 		r->open_ordered = true;
 		step_order(step, 0, ORDER_OPEN);
 	}
@@ -305,29 +268,32 @@
 
 /*
  * Whether a member that has left must leave again: an order to join made it
- * rejoin, or it left at a time when such an order could still be carried out
- * and that time is over.
+ * rejoin, or it left before the time from which on that is for good, and that
+ * time has come.
  */
 static bool
-member_must_leave_again(const struct replica_member *m, uint64_t now_ms)
+member_must_leave_again(const struct replica_member *m, uint64_t for_good_ms,
+    uint64_t now_ms)
 {
 	return ((m->in_group &&
 		    m->last_report_ms >= m->left_ms + REPLICA_REPORT_LAG_MS) ||
-	    now_ms >= m->late_join_until_ms);
+	    now_ms >= for_good_ms);
 }
 
 /*
- * Orders a member to leave the group for good. While an order to join may
- * still make it rejoin, waits until that is over and has it leave again.
- * Returns whether an order is due.
+ * Orders a member to leave the group for good. While late orders may still
+ * undo that, waits until that is over and has it leave again. Returns whether
+ * an order is due.
  */
 static bool
 step_leave(struct replica *r, unsigned i, uint64_t now_ms,
     struct replica_step *step)
 {
 	struct replica_member *m = &r->members[i];
+	uint64_t for_good_ms =
+	    i == 0 ? replica_head_leaves_from(m) : m->late_join_until_ms;
 
-	if (m->left && member_must_leave_again(m, now_ms))
+	if (m->left && member_must_leave_again(m, for_good_ms, now_ms))
 		m->left = false;
 	if (m->left ||
 	    !member_order_due(m, ORDER_LEAVE, now_ms, REPLICA_ORDER_RETRY_MS))
@@ -343,6 +309,11 @@
  * answered that it left. A member that can't be reached either is kept until
  * the platform must have broken the group: the head makes no progress from the
  * loss of a member on or, if it opens later, from then on.
+ *
+ * The record is kept while late orders could make the head serve again after it
+ * has left. So a head without a record is out for good once it has left, and
+ * whoever adopts its group need not know which orders it was sent. This binds
+ * no other host than the head.
  */
 static void
 step_without_head(struct replica *r, uint64_t now_ms, uint64_t stall_ms,
@@ -361,7 +332,8 @@
 		    step_leave(r, i, now_ms, step))
 			return;
 	}
-	if (r->member_left_ms == 0)
+	if (r->member_left_ms == 0 ||
+	    now_ms < replica_head_leaves_from(&r->members[0]))
 		return;
 	if (all)
 		step_remove(step, PROOF_MEMBERS_LEFT);
@@ -372,8 +344,9 @@
 /*
  * The next step to dissolve a group: the head is closed and then leaves. Only
  * then can no late order open it again, and only then may the members join
- * another group. A late order to join would make the head rejoin, so it is
- * released only once no such order can be carried out any more.
+ * another group. A late order to join and a late order to open after it would
+ * make the head serve again, so it is released only once one of the two can't
+ * be carried out any more.
  */
 static void
 step_dissolve(struct replica *r, uint64_t now_ms, uint64_t stall_ms,
@@ -398,7 +371,7 @@
 		step_remove(step, PROOF_HEAD_DEAD);
 		return;
 	}
-	if (replica_member_released(head)) {
+	if (replica_head_released(head)) {
 		step_remove(step, PROOF_HEAD_LEFT);
 		return;
 	}
--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -109,7 +109,8 @@
 	c->streaming = true;
 	c->event = last != NULL ? atoi(last) + 1 : 0;
 	net_stream_write(&c->stream, head, strlen(head));
-	uv_timer_start(&c->timer, on_event, EVENT_MS, 0);
+	uv_timer_start(&c->timer, on_event,
+	    EVENT_MS + (uint64_t)get_switch("slow-first"), 0);
 }
 
 /* Sends a response whose body is that many bytes. */
@@ -174,6 +175,7 @@
 	const char *target = net_head_target(&c->head);
 	const char *expect = net_head_find(&c->head, "expected-instance");
 	const char *id = net_head_find(&c->head, "attempt-id");
+	const char *priority;
 
 	/* Connections accepted before "mute" was raised are never answered. */
 	if (ep->crash_mode != CRASH_NONE || fake_endpoint_switch("dark", ep) ||
@@ -213,12 +215,15 @@
 		return;
 	}
 	ep->n_runs++;
-	g_string_append_printf(fake_journal, "%s ran %s %s %s key=%s\n", ep->id,
-	    c->id, target,
+	priority = net_head_find(&c->head, "request-priority");
+	g_string_append_printf(fake_journal, "%s ran %s %s %s key=%s%s%s\n",
+	    ep->id, c->id, target,
 	    net_head_find(&c->head, "tenant") != NULL ?
 		net_head_find(&c->head, "tenant") :
 		"-",
-	    net_head_find(&c->head, "x-api-key") != NULL ? "passed" : "none");
+	    net_head_find(&c->head, "x-api-key") != NULL ? "passed" : "none",
+	    priority != NULL ? " priority=" : "",
+	    priority != NULL ? priority : "");
 	if (crash_schedule(c) && !ep->engine)
 		return;
 	if (ep->engine)
