Bound the rows of evidence and don't multiply a daemon's own

Cause: with 64 rows, and every endpoint late everywhere, the busiest of 300 daemons in 5 failure domains sent up to 400 KB per second, of 155 in calm; no daemon should exceed 200. And while no other daemon had rows, a daemon's own evidence was multiplied by the number of daemons, so that one late first event counted like 87. Change: 24 rows, the most severe; a kind of sums can tell that its rows are not multiplied.

--- a/Makefile
+++ b/Makefile
@@ -68,7 +68,8 @@
 	$(BUILD)/tests/script.o $(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ -lcunit $(LIBS)
 $(BUILD)/test-evidence: $(BUILD)/tests/test-evidence.o \
-	$(BUILD)/tests/evidence-replay.o $(BUILD)/tests/script.o \
+	$(BUILD)/tests/evidence-replay.o \
+	$(BUILD)/tests/evidence-slow.o $(BUILD)/tests/script.o \
 	$(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ -lcunit $(LIBS)
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/tests/script.o \
--- a/src/mesh-sums.c
+++ b/src/mesh-sums.c
@@ -116,8 +116,10 @@
 		}
 	}
 	sums->told = told || mesh->n_others == 0;
-	for (unsigned kind = 0; kind < SUM_KINDS && !sums->told; kind++)
-		sum_table_scale(&sums->total[kind], 1 + mesh->n_others);
+	for (unsigned kind = 0; kind < SUM_KINDS && !sums->told; kind++) {
+		if (sum_specs[kind].scaled)
+			sum_table_scale(&sums->total[kind], 1 + mesh->n_others);
+	}
 }
 
 /**
--- a/src/sum-table.c
+++ b/src/sum-table.c
@@ -5,9 +5,9 @@
 #include "sum-table.h"
 
 const struct sum_spec sum_specs[SUM_KINDS] = {
-	[SUM_DEMAND] = { "demand", 8, 32 },
-	[SUM_CUSTOMERS] = { "customers", 2, 24 },
-	[SUM_EVIDENCE] = { "evidence", 4, 64 },
+	[SUM_DEMAND] = { "demand", 8, 32, true },
+	[SUM_CUSTOMERS] = { "customers", 2, 24, true },
+	[SUM_EVIDENCE] = { "evidence", 4, 24, false },
 };
 
 /**
--- a/src/sum-table.h
+++ b/src/sum-table.h
@@ -29,11 +29,14 @@
  * @n_values: number of values in a row
  * @sent_max: most rows in one datagram; of more, those with the largest first
  *	value are sent
+ * @scaled: a daemon that is told nothing multiplies its own values by the
+ *	number of daemons; not where no row means that there is nothing to tell
  */
 struct sum_spec {
 	const char *name;
 	unsigned n_values;
 	unsigned sent_max;
+	bool scaled;
 };
 
 extern const struct sum_spec sum_specs[SUM_KINDS];
--- a/tests/evidence-replay.c
+++ b/tests/evidence-replay.c
@@ -22,11 +22,6 @@
 #define FAULT_MIN_MS 1000
 #define FAULT_SPREAD_MS 2000
 #define COLLECT_MS 100
-/* Correction from which on a daemon counts as informed. */
-#define INFORMED_MS 50.0
-/* Share of its fair part from which on an endpoint counts as used. */
-#define USED_SHARE 0.5
-#define USED_WINDOW_MS 200
 
 static struct engine_profile engine = { .slots = SLOTS,
 	.step_ms = 10,
@@ -35,21 +30,6 @@
 	.stride = 5 };
 static struct model_profile profile = { .name = (char *)"m", .pace = 1 };
 
-/* A request at an endpoint. */
-struct flight {
-	struct endpoint *ep;
-	unsigned daemon;
-	unsigned index;
-	double prompt;
-	double mark;
-	double sent_ms;
-	double expected_ms;
-	double base_ms;
-	double first_ms;
-	double load;
-	bool answered;
-};
-
 static struct endpoint *
 endpoint_of(const struct replay *r, unsigned daemon, unsigned index)
 {
@@ -141,7 +121,7 @@
 		.draw = g_rand_int(r->draw) };
 	struct fwd_correction correction;
 	struct fwd_choice choice;
-	struct flight *f;
+	struct replay_flight *f;
 
 	workload_fill(r, d, prompt, &workload);
 	criteria.overhead_ms = workload.overhead_ms;
@@ -154,7 +134,7 @@
 		return;
 	}
 	fwd_expect_correction(choice.endpoint, &workload, &correction);
-	f = g_new0(struct flight, 1);
+	f = g_new0(struct replay_flight, 1);
 	f->ep = choice.endpoint;
 	f->daemon = d;
 	f->index = (unsigned)g_ascii_strtoull(f->ep->report.id + 1, NULL, 10);
@@ -174,7 +154,7 @@
 }
 
 static void
-count_first(struct replay *r, const struct flight *f)
+count_first(struct replay *r, const struct replay_flight *f)
 {
 	double took = f->first_ms - f->sent_ms;
 	bool foreseen = f->expected_ms > r->objective_ms;
@@ -186,7 +166,7 @@
 }
 
 static void
-take_first(struct replay *r, struct flight *f)
+take_first(struct replay *r, struct replay_flight *f)
 {
 	uint64_t now = r->model->now_ms;
 	struct fwd_estimate *estimate = &r->estimates[f->daemon];
@@ -210,7 +190,7 @@
 
 	r->endpoints[index].stalled_until_ms = now + ms;
 	for (guint i = 0; i < r->flights->len; i++) {
-		struct flight *f = r->flights->pdata[i];
+		struct replay_flight *f = r->flights->pdata[i];
 
 		if (f->index == index && !f->answered)
 			f->first_ms += ms;
@@ -261,7 +241,7 @@
 			    r->model->now_ms);
 	}
 	for (guint i = 0; i < r->flights->len; i++) {
-		const struct flight *f = r->flights->pdata[i];
+		const struct replay_flight *f = r->flights->pdata[i];
 
 		if (!f->answered)
 			fwd_evidence_add_overdue(&f->ep->evidence,
@@ -275,7 +255,7 @@
 	double now = (double)r->model->now_ms;
 
 	for (guint i = 0; i < r->flights->len; i++) {
-		struct flight *f = r->flights->pdata[i];
+		struct replay_flight *f = r->flights->pdata[i];
 
 		if (!f->answered && now >= f->first_ms)
 			take_first(r, f);
@@ -343,88 +323,3 @@
 		fleet_model_run(r->model, 1);
 	}
 }
-
-/**
- * replay_informed() - number of daemons that know of an endpoint's lateness.
- * @r: the replay
- * @index: index of the endpoint
- */
-unsigned
-replay_informed(const struct replay *r, unsigned index)
-{
-	unsigned n = 0;
-
-	for (unsigned d = 0; d < r->model->n; d++)
-		n += replay_correction_ms(r, d, index) >= INFORMED_MS;
-	return (n);
-}
-
-/* Whether a request of an endpoint is late already. */
-static bool
-any_sign(const struct replay *r, unsigned index)
-{
-	double now = (double)r->model->now_ms;
-
-	for (guint i = 0; i < r->flights->len; i++) {
-		const struct flight *f = r->flights->pdata[i];
-
-		if (f->index == index && !f->answered &&
-		    now - f->sent_ms - f->base_ms > INFORMED_MS)
-			return (true);
-	}
-	return (false);
-}
-
-/* When an endpoint has sent the first events that it owes now. */
-static uint64_t
-settled_ms(const struct replay *r, unsigned index)
-{
-	double last = (double)r->model->now_ms;
-
-	for (guint i = 0; i < r->flights->len; i++) {
-		const struct flight *f = r->flights->pdata[i];
-
-		if (f->index == index && !f->answered)
-			last = fmax(last, f->first_ms);
-	}
-	return ((uint64_t)last);
-}
-
-/**
- * replay_slow() - make an endpoint slower for some time.
- * @r: the replay
- * @index: index of the endpoint
- * @factor: how much slower
- * @ms: for how long
- * @per_s: requests of all daemons per second
- * @known_ms: time from its first sign until all daemons know
- * @used_ms: time from the last event that was delayed until it is used again
- */
-void
-replay_slow(struct replay *r, unsigned index, double factor, uint64_t ms,
-    double per_s, uint64_t *known_ms, uint64_t *used_ms)
-{
-	struct replay_endpoint *at = &r->endpoints[index];
-	uint64_t start = r->model->now_ms, sign = 0;
-	double fair = per_s / 1000 * USED_WINDOW_MS / r->model->n_endpoints;
-	unsigned before;
-
-	*known_ms = 0;
-	at->slow = factor;
-	at->slow_until_ms = (double)(start + ms);
-	while (r->model->now_ms < start + ms) {
-		replay_run(r, 20, per_s);
-		if (sign == 0 && any_sign(r, index))
-			sign = r->model->now_ms;
-		if (sign != 0 && *known_ms == 0 &&
-		    replay_informed(r, index) == r->model->n)
-			*known_ms = r->model->now_ms - sign + 1;
-	}
-	start = settled_ms(r, index);
-	do {
-		before = at->sent;
-		replay_run(r, USED_WINDOW_MS, per_s);
-	} while (at->sent - before < USED_SHARE * fair &&
-	    r->model->now_ms < start + 5000);
-	*used_ms = r->model->now_ms - MIN(start, r->model->now_ms);
-}
--- a/tests/evidence-replay.h
+++ b/tests/evidence-replay.h
@@ -24,6 +24,34 @@
 	double stalled_until_ms;
 };
 
+/**
+ * struct replay_flight - a request at an endpoint.
+ * @ep: the endpoint, as its daemon knows it
+ * @daemon: index of the daemon
+ * @index: index of the endpoint
+ * @prompt: length of the prompt, in tokens
+ * @mark: its position in the backlog
+ * @sent_ms: when it was sent
+ * @expected_ms: expected time to its first event
+ * @base_ms: the same without evidence
+ * @first_ms: when its first event comes
+ * @load: part of the endpoint's slots that were in use at the send
+ * @answered: the first event came
+ */
+struct replay_flight {
+	struct endpoint *ep;
+	unsigned daemon;
+	unsigned index;
+	double prompt;
+	double mark;
+	double sent_ms;
+	double expected_ms;
+	double base_ms;
+	double first_ms;
+	double load;
+	bool answered;
+};
+
 /**
  * struct replay - daemons, endpoints and requests.
  * @model: the daemons and their exchange
@@ -60,7 +88,6 @@
 void replay_free(struct replay *);
 void replay_run(struct replay *, uint64_t, double);
 double replay_correction_ms(const struct replay *, unsigned, unsigned);
-unsigned replay_informed(const struct replay *, unsigned);
 void replay_slow(struct replay *, unsigned, double, uint64_t, double,
     uint64_t *, uint64_t *);
 
--- a/tests/test-evidence.c
+++ b/tests/test-evidence.c
@@ -10,6 +10,10 @@
 /* Time in which the daemons of a comparison learn the errors by load. */
 #define COMPARE_LEARN_MS 15000
 
+/* Late first events of a flood: how often and by how much. */
+#define FLOOD_INTERVAL_MS 200
+#define FLOOD_LATE_MS 300
+
 static struct replay *replay;
 
 static void
@@ -86,6 +90,32 @@
 	    floor(lowest / 10) * 10, floor(highest / 10) * 10);
 }
 
+/* flood MS: each daemon observes late first events at all endpoints; prints
+ * what the daemon that sends most sends, in steps of 20 KB a second */
+static void
+exec_flood(const char *rest, GString *out)
+{
+	uint64_t ms = g_ascii_strtoull(rest, NULL, 10);
+	struct fleet_model *model = replay->model;
+	struct model_stats stats;
+
+	fleet_model_reset_counts(model);
+	for (uint64_t at = 0; at < ms; at += FLOOD_INTERVAL_MS) {
+		for (unsigned i = 0; i < model->n; i++) {
+			struct fleet *fleet = &model->daemons[i].registry.fleet;
+			struct endpoint *ep;
+
+			TAILQ_FOREACH(ep, &fleet->endpoints, entry)
+				fwd_evidence_add(&ep->evidence, FLOOD_LATE_MS,
+				    model->now_ms);
+		}
+		replay_run(replay, FLOOD_INTERVAL_MS, 0);
+	}
+	fleet_model_measure(model, &stats);
+	g_string_append_printf(out, "below %.0f KB\n",
+	    ceil(stats.sent_bytes_max_s / 20000) * 20);
+}
+
 /* kill N: a daemon stops without a message to the others */
 static void
 exec_kill(const char *rest, GString *out)
@@ -204,6 +234,7 @@
 	{ "run", exec_run },
 	{ "late", exec_late },
 	{ "corrections", exec_corrections },
+	{ "flood", exec_flood },
 	{ "kill", exec_kill },
 	{ "rows", exec_rows },
 	{ "values", exec_values },
