Share what is refused fairly among customers

Cause: within a priority all customers were refused alike, so that one that asked for ten times as much as the others, or whose clients returned immediately, took it from them. Change: with customer-shares, daemons tell what each customer asks as SUM_CUSTOMERS, and what the level refuses of a priority is taken from the customers above a limit that is the same for all (max-min fairness). Customers without a row share as one. Log line share_exceeded, metric customer_share.

--- a/src/edge-status.c
+++ b/src/edge-status.c
@@ -102,6 +102,7 @@
 
 	fwd_stats_print(&e->fwd.stats, body);
 	fwd_level_print(&e->fwd, body);
+	fwd_share_print(&e->fwd, body);
 	print_fleet(e, body);
 	print_placement(e, body);
 	print_value(body, "exchanges", e->fwd.n_exchanges);
--- a/src/edge-sums.c
+++ b/src/edge-sums.c
@@ -14,4 +14,6 @@
 	struct edge *e = arg;
 
 	fwd_count_fill(&e->fwd, &own[SUM_DEMAND], now_ms);
+	fwd_demand_fill_customers(&e->fwd.customers, &own[SUM_CUSTOMERS],
+	    now_ms);
 }
--- a/src/fwd-count.c
+++ b/src/fwd-count.c
@@ -16,8 +16,14 @@
 static void
 exchange_count(struct fwd_exchange *ex, enum demand_value what)
 {
-	fwd_demand_count(&ex->fwd->demand, exchange_key(ex), what,
-	    clock_loop_ms(ex->fwd->loop));
+	uint64_t now = clock_loop_ms(ex->fwd->loop);
+
+	fwd_demand_count(&ex->fwd->demand, exchange_key(ex), what, now);
+	if (ex->customer != NULL && ex->fwd->set.customer_shares &&
+	    (what == DEMAND_ASKED || what == DEMAND_ADMITTED))
+		fwd_demand_count(&ex->fwd->customers,
+		    fwd_customer_key(ex->service, ex->customer->name), what,
+		    now);
 }
 
 /**
--- a/src/fwd-demand.c
+++ b/src/fwd-demand.c
@@ -28,6 +28,19 @@
 	return (XXH32(text, strlen(text), 0));
 }
 
+/**
+ * fwd_customer_key() - key of a customer's row.
+ * @service: name of the service
+ * @customer: name of the customer
+ */
+uint32_t
+fwd_customer_key(const char *service, const char *customer)
+{
+	g_autofree char *text = g_strdup_printf("%s\n%s", service, customer);
+
+	return (XXH32(text, strlen(text), 0));
+}
+
 /* Lets the moving averages of a row decay, and drops the returns that were due.
  */
 static void
@@ -218,6 +231,27 @@
 	demand->n = kept;
 }
 
+/**
+ * fwd_demand_fill_customers() - fill in the sums of this daemon's customers.
+ * @demand: counts by customer; rows without recent events are dropped
+ * @table: replaced
+ * @now_ms: loop time
+ */
+void
+fwd_demand_fill_customers(struct fwd_demand *demand, struct sum_table *table,
+    uint64_t now_ms)
+{
+	fwd_demand_fill(demand, table, now_ms);
+	for (uint32_t i = 0; i < table->n; i++) {
+		struct sum_row all = table->rows[i];
+		struct sum_row *row = &table->rows[i];
+
+		memset(row->values, 0, sizeof row->values);
+		row->values[CUSTOMER_ASKED] = all.values[DEMAND_ASKED];
+		row->values[CUSTOMER_ADMITTED] = all.values[DEMAND_ADMITTED];
+	}
+}
+
 /* Adds a row of a table, if it has one. */
 static bool
 add_row(const struct sum_table *table, uint32_t key, struct fleet_demand *d)
@@ -306,3 +340,22 @@
 	}
 	return (queued);
 }
+
+/**
+ * fleet_customer() - requests of a customer.
+ * @table: sums of SUM_CUSTOMERS
+ * @service: name of the service
+ * @customer: name of the customer
+ * @value: which requests
+ *
+ * Return: requests per second; 0 if the table has no row of the customer.
+ */
+double
+fleet_customer(const struct sum_table *table, const char *service,
+    const char *customer, enum customer_value value)
+{
+	const struct sum_row *row =
+	    sum_table_get(table, fwd_customer_key(service, customer));
+
+	return (row != NULL ? row->values[value] / MILLI : 0);
+}
--- a/src/fwd-demand.h
+++ b/src/fwd-demand.h
@@ -73,6 +73,7 @@
 };
 
 uint32_t fwd_demand_key(const char *, const char *, int);
+uint32_t fwd_customer_key(const char *, const char *);
 void fwd_demand_count(struct fwd_demand *, uint32_t, enum demand_value,
     uint64_t);
 void fwd_demand_add_tokens(struct fwd_demand *, uint32_t, double, uint64_t);
@@ -80,6 +81,18 @@
 void fwd_demand_clear_queued(struct fwd_demand *);
 void fwd_demand_add_queued(struct fwd_demand *, uint32_t, uint64_t);
 void fwd_demand_fill(struct fwd_demand *, struct sum_table *, uint64_t);
+void fwd_demand_fill_customers(struct fwd_demand *, struct sum_table *,
+    uint64_t);
+
+/**
+ * enum customer_value - values of a row of SUM_CUSTOMERS.
+ * @CUSTOMER_ASKED: first attempts per second, in thousandths
+ * @CUSTOMER_ADMITTED: requests that were sent for the first time, likewise
+ */
+enum customer_value {
+	CUSTOMER_ASKED,
+	CUSTOMER_ADMITTED,
+};
 
 /**
  * struct fleet_demand - demand as read from a table of SUM_DEMAND.
@@ -107,6 +120,8 @@
     struct fleet_demand *);
 bool fleet_demand_total(const struct sum_table *, const char *, const char *,
     struct fleet_demand *);
+double fleet_customer(const struct sum_table *, const char *, const char *,
+    enum customer_value);
 double fleet_demand_queued_elsewhere(const struct fleet_sums *, const char *,
     const char *, int);
 
--- a/src/fwd-level.c
+++ b/src/fwd-level.c
@@ -118,12 +118,14 @@
     const struct fwd_choice *choice)
 {
 	const struct fwd_level *l = level_find(ex);
+	double fraction;
 
 	if (!ex->fwd->set.overload_levels || ex->resubmitted ||
 	    ex->events.last_id >= 0 || !level_current(l, ex->arrived_ms) ||
 	    (choice->endpoint != NULL && choice->load < FWD_BUSY_LOAD))
 		return (false);
-	return (overload_level_refuses(&l->level, ex->priority,
+	fraction = overload_level_fraction(&l->level, ex->priority);
+	return (overload_refuses(fwd_share_fraction(ex, l, fraction),
 	    XXH32(ex->id, strlen(ex->id), 0)));
 }
 
@@ -262,6 +264,7 @@
 	}
 	input_fill_demand(l, &fwd->registry->sums, &in);
 	overload_level_update(&l->level, &in, now_ms);
+	fwd_share_update(fwd, l, now_ms);
 	l->served_per_s = l->level.room_per_s + in.returned;
 	if (fwd->set.overload_levels)
 		level_log(l, now_ms);
@@ -302,9 +305,13 @@
 	return (due);
 }
 
-/* Whether no level before this one is of the same service. */
-static bool
-first_of_service(const struct fwd *fwd, const struct fwd_level *l)
+/**
+ * fwd_level_first() - whether no level before this one is of the same service.
+ * @fwd: the proxy
+ * @l: the level
+ */
+bool
+fwd_level_first(const struct fwd *fwd, const struct fwd_level *l)
 {
 	const struct fwd_level *other = TAILQ_FIRST(&fwd->levels);
 
@@ -321,9 +328,9 @@
 void
 fwd_level_print(const struct fwd *fwd, GString *out)
 {
-	const struct fwd_level *l;
+	const struct fwd_level *l = TAILQ_FIRST(&fwd->levels);
 
-	TAILQ_FOREACH(l, &fwd->levels, entry) {
+	for (; l != NULL; l = TAILQ_NEXT(l, entry)) {
 		const char *model = l->model != NULL ? l->model : "";
 
 		g_string_append_printf(out,
@@ -333,7 +340,7 @@
 			g_string_append_printf(out,
 			    "banklift_room{service=\"%s\",model=\"%s\"} %.1f\n",
 			    l->service, model, l->level.room_per_s);
-		if (first_of_service(fwd, l))
+		if (fwd_level_first(fwd, l))
 			g_string_append_printf(out,
 			    "banklift_told_to_return{service=\"%s\"} %.0f\n",
 			    l->service, service_due(fwd, l->service));
--- a/src/fwd-level.h
+++ b/src/fwd-level.h
@@ -6,6 +6,7 @@
 #include <sys/queue.h>
 
 #include "overload-level.h"
+#include "overload-share.h"
 
 struct fwd;
 struct fwd_exchange;
@@ -24,6 +25,8 @@
  * @served_per_s: requests per second that can be served in time
  * @due: clients that all daemons have told to return and that are not due yet,
  *	by priority
+ * @share: what the customers ask of the service, while requests are refused
+ * @share_logged_ms: loop time at which a customer with an excess was logged
  * @used_ms: loop time of the last request
  * @logged: value of the level in the last log line
  * @logged_ms: loop time of that line
@@ -38,6 +41,8 @@
 	double asked_per_s;
 	double served_per_s;
 	double due[FWD_PRIORITIES];
+	struct overload_share share;
+	uint64_t share_logged_ms;
 	uint64_t used_ms;
 	double logged;
 	uint64_t logged_ms;
@@ -50,7 +55,14 @@
 bool fwd_level_refuses(const struct fwd_exchange *, const struct fwd_choice *);
 int64_t fwd_level_retry_ms(const struct fwd_exchange *,
     const struct fwd_admission *);
+bool fwd_level_first(const struct fwd *, const struct fwd_level *);
 void fwd_level_update_all(struct fwd *, uint64_t);
+/* fwd-share.c: shares of customers. */
+void fwd_share_update(const struct fwd *, struct fwd_level *, uint64_t);
+double fwd_share_fraction(const struct fwd_exchange *, const struct fwd_level *,
+    double);
+void fwd_share_print(const struct fwd *, GString *);
+
 void fwd_level_print(const struct fwd *, GString *);
 
 #endif
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -77,6 +77,7 @@
  * @budgets: service name to struct fwd_budget
  * @estimates: name of a model or of a plain service to struct fwd_estimate
  * @demand: what this daemon is asked, admits and refuses
+ * @customers: the same by service and customer
  * @levels: which first attempts are refused, by service and model
  * @daemons: number of daemons that share the retry budget
  * @name_hash: hash of this daemon's name
@@ -109,6 +110,7 @@
 	GHashTable *budgets;
 	GHashTable *estimates;
 	struct fwd_demand demand;
+	struct fwd_demand customers;
 	struct fwd_level_list levels;
 	unsigned daemons;
 	uint32_t name_hash;
--- a/src/overload-level.c
+++ b/src/overload-level.c
@@ -219,19 +219,26 @@
 }
 
 /**
- * overload_level_refuses() - whether a first attempt is refused.
+ * overload_level_fraction() - fraction of the first attempts to refuse.
  * @level: the level
- * @priority: its priority
- * @hash: hash of its id
+ * @priority: their priority
  */
-bool
-overload_level_refuses(const struct overload_level *level, int priority,
-    uint32_t hash)
+double
+overload_level_fraction(const struct overload_level *level, int priority)
 {
-	double draw = hash / (UINT32_MAX + 1.0);
-
 	if (level->updated_ms == 0 || priority < level->priority)
-		return (false);
-	return (draw < (priority == level->priority ? level->fraction :
-						      level->lower_fraction));
+		return (0);
+	return (priority == level->priority ? level->fraction :
+					      level->lower_fraction);
+}
+
+/**
+ * overload_refuses() - whether a request is among those to refuse.
+ * @fraction: fraction of the requests to refuse
+ * @hash: hash of the request's id
+ */
+bool
+overload_refuses(double fraction, uint32_t hash)
+{
+	return (hash / (UINT32_MAX + 1.0) < fraction);
 }
--- a/src/overload-level.h
+++ b/src/overload-level.h
@@ -69,6 +69,7 @@
 bool overload_level_due(const struct overload_level *, uint64_t);
 void overload_level_update(struct overload_level *,
     const struct overload_input *, uint64_t);
-bool overload_level_refuses(const struct overload_level *, int, uint32_t);
+double overload_level_fraction(const struct overload_level *, int);
+bool overload_refuses(double, uint32_t);
 
 #endif
--- a/tests/proc-edge-overload.sh
+++ b/tests/proc-edge-overload.sh
@@ -48,7 +48,8 @@
 put_config 1 's/"target_latency_ms":300,"service":"board","max_attempts":2/&,"priority":0/;
     s/"timeout_ms":2000,"service":"board"/&,"priority":3/'
 for n in $(seq $COUNT); do
-	start_edge "$n" --overload-levels true --retry-schedule true
+	start_edge "$n" --overload-levels true --retry-schedule true \
+	    --customer-shares true
 done
 check_true "all are ready" until_true 15 all_ready
 ask_both 3
--- a/tests/test-levels.c
+++ b/tests/test-levels.c
@@ -8,6 +8,7 @@
 
 #include "fwd-demand.h"
 #include "overload-level.h"
+#include "overload-share.h"
 #include "retry-schedule.h"
 #include "script.h"
 
@@ -49,6 +50,7 @@
 };
 
 struct replay {
+	const char *name;
 	unsigned n_daemons;
 	double rates[CLASSES];
 	double burst_from, burst_to, burst_factor;
@@ -59,9 +61,13 @@
 	bool levels;
 	bool immediate;
 	bool schedule;
+	bool customers;
+	bool shares;
 	struct fwd_demand *demand;
+	struct fwd_demand *asked;
 	struct overload_level *level;
 	struct sum_table sums[DELAYS];
+	struct sum_table customer_sums[DELAYS];
 	double loads[LOAD_DELAYS];
 	GArray *ends;
 	GArray *queue;
@@ -93,12 +99,29 @@
 	    r->capacity * (now >= r->cut_from && now < r->cut_to ? r->cut : 1));
 }
 
+/* Priority of an attempt: its class, unless classes are customers. */
+static int
+priority_of(const struct replay *r, const struct attempt *a)
+{
+	return (r->customers ? 0 : (int)a->class);
+}
+
+/* Key of the customer that a class stands for. */
+static uint32_t
+customer_key(unsigned class)
+{
+	return (class + 1);
+}
+
 static void
 count(struct replay *r, const struct attempt *a, enum demand_value what,
     double now)
 {
 	fwd_demand_count(&r->demand[a->daemon],
-	    fwd_demand_key("s", "m", (int)a->class), what, (uint64_t)now);
+	    fwd_demand_key("s", "m", priority_of(r, a)), what, (uint64_t)now);
+	if (what == DEMAND_ASKED)
+		fwd_demand_count(&r->asked[a->daemon], customer_key(a->class),
+		    what, (uint64_t)now);
 }
 
 /* Time that a refused client is told. */
@@ -112,8 +135,8 @@
 
 	if (!r->schedule)
 		return (RETRY_MS * (1 + 0.5 * draw(r)));
-	for (unsigned p = 0; p <= a->class; p++) {
-		fleet_demand_row(sums, "s", "m", (int)p, &d);
+	for (int p = 0; p <= priority_of(r, a); p++) {
+		fleet_demand_row(sums, "s", "m", p, &d);
 		in.due_higher += in.due_same;
 		in.due_same = d.due;
 	}
@@ -144,7 +167,7 @@
 	next.at_ms = now + fmin(wait, left / 3);
 	next.returned = true;
 	fwd_demand_add_due(&r->demand[a->daemon],
-	    fwd_demand_key("s", "m", (int)a->class),
+	    fwd_demand_key("s", "m", priority_of(r, a)),
 	    (uint64_t)(now + fmin(wait, left / 3)), (uint64_t)now);
 	next.recognized = next.at_ms - now > OBJECTIVE_MS;
 	next.daemon = (unsigned)(draw(r) * r->n_daemons);
@@ -237,6 +260,24 @@
 	}
 }
 
+/* Whether the level of its daemon refuses an attempt. */
+static bool
+level_refuses(const struct replay *r, const struct attempt *a)
+{
+	const struct sum_table *sums = &r->customer_sums[a->daemon % DELAYS];
+	double refused =
+	    overload_level_fraction(&r->level[a->daemon], priority_of(r, a));
+	struct overload_share share = { 0 };
+
+	for (uint32_t i = 0; i < sums->n && r->shares; i++)
+		overload_share_add(&share, sums->rows[i].key,
+		    sums->rows[i].values[0] / 1000.0);
+	overload_share_finish(&share, 0);
+	refused =
+	    overload_share_fraction(&share, customer_key(a->class), refused);
+	return (overload_refuses(refused, a->id));
+}
+
 /* Takes in an attempt: the level refuses it, or it is queued by priority. */
 static void
 arrive(struct replay *r, const struct attempt *a, double now)
@@ -253,13 +294,13 @@
 		fill_input(r, a->daemon, now, &in);
 		overload_level_update(level, &in, (uint64_t)now);
 	}
-	if (r->levels && !a->recognized &&
-	    overload_level_refuses(level, (int)a->class, a->id)) {
+	if (r->levels && !a->recognized && level_refuses(r, a)) {
 		refuse(r, a, now);
 		return;
 	}
 	while (i < r->queue->len &&
-	    g_array_index(r->queue, struct attempt, i).class <= a->class)
+	    priority_of(r, &g_array_index(r->queue, struct attempt, i)) <=
+		priority_of(r, a))
 		i++;
 	g_array_insert_val(r->queue, i, *a);
 }
@@ -307,7 +348,10 @@
 	    sizeof r->loads - sizeof r->loads[0]);
 	r->loads[0] = r->ends->len;
 	memmove(&r->sums[1], &r->sums[0], sizeof r->sums - sizeof r->sums[0]);
+	memmove(&r->customer_sums[1], &r->customer_sums[0],
+	    sizeof r->sums - sizeof r->sums[0]);
 	r->sums[0].n = 0;
+	r->customer_sums[0].n = 0;
 	for (unsigned i = 0; i < r->n_daemons; i++)
 		fwd_demand_clear_queued(&r->demand[i]);
 	for (guint i = 0; i < r->queue->len; i++) {
@@ -315,12 +359,15 @@
 		    &g_array_index(r->queue, struct attempt, i);
 
 		fwd_demand_add_queued(&r->demand[a->daemon],
-		    fwd_demand_key("s", "m", (int)a->class), (uint64_t)now);
+		    fwd_demand_key("s", "m", priority_of(r, a)), (uint64_t)now);
 	}
 	for (unsigned i = 0; i < r->n_daemons; i++) {
 		fwd_demand_fill(&r->demand[i], &own, (uint64_t)now);
 		for (uint32_t k = 0; k < own.n; k++)
 			sum_table_add(&r->sums[0], &own.rows[k]);
+		fwd_demand_fill_customers(&r->asked[i], &own, (uint64_t)now);
+		for (uint32_t k = 0; k < own.n; k++)
+			sum_table_add(&r->customer_sums[0], &own.rows[k]);
 	}
 }
 
@@ -328,6 +375,7 @@
 run(struct replay *r)
 {
 	r->demand = g_new0(struct fwd_demand, r->n_daemons);
+	r->asked = g_new0(struct fwd_demand, r->n_daemons);
 	r->level = g_new0(struct overload_level, r->n_daemons);
 	r->ends = g_array_new(FALSE, FALSE, sizeof(double));
 	r->queue = g_array_new(FALSE, FALSE, sizeof(struct attempt));
@@ -351,6 +399,7 @@
 	g_array_unref(r->queue);
 	g_array_unref(r->returns);
 	g_free(r->demand);
+	g_free(r->asked);
 	g_free(r->level);
 }
 
@@ -367,19 +416,14 @@
 		    (1 + WORTH_LATE) / 2 * t->timely_returned;
 		if (t->asked > 0)
 			g_string_append_printf(out,
-			    "%s priority %u: asked %u in time %u after a "
+			    "%s %s %u: asked %u in time %u after a "
 			    "refusal %u late %u lost %u\n",
-			    r->schedule	  ? "schedule" :
-				r->levels ? "levels" :
-					    "before",
-			    c, t->asked, t->timely, t->timely_returned, t->late,
+			    r->name, r->customers ? "customer" : "priority", c,
+			    t->asked, t->timely, t->timely_returned, t->late,
 			    t->lost);
 	}
 	g_string_append_printf(out,
-	    "%s worth %.3f, refused from %.1f to %.1f s\n",
-	    r->schedule	  ? "schedule" :
-		r->levels ? "levels" :
-			    "before",
+	    "%s worth %.3f, refused from %.1f to %.1f s\n", r->name,
 	    worth / asked, r->first_refusal / 1000, r->last_refusal / 1000);
 }
 
@@ -402,9 +446,16 @@
 static void
 exec_replay(const char *rest, GString *out)
 {
-	for (int levels = 0; levels < 3; levels++) {
-		struct replay r = { .levels = levels != 0,
-			.schedule = levels == 2 };
+	static const char *const names[] = { "before", "levels", "schedule",
+		"shares" };
+	bool customers = script_number(rest, "customers", 0) != 0;
+
+	for (unsigned mode = 0; mode < (customers ? 4 : 3); mode++) {
+		struct replay r = { .name = names[mode],
+			.levels = mode >= 1,
+			.schedule = mode >= 2,
+			.shares = mode == 3,
+			.customers = customers };
 		double burst[4] = { 0 }, cut[3] = { 0 };
 
 		r.n_daemons = (unsigned)script_number(rest, "daemons", 100);
--- a/tests/test-overload.c
+++ b/tests/test-overload.c
@@ -4,6 +4,7 @@
 #include "fwd-demand.h"
 #include "overload-capacity.h"
 #include "overload-level.h"
+#include "overload-share.h"
 #include "retry-schedule.h"
 #include "script.h"
 
@@ -203,7 +204,7 @@
 	unsigned n = 0;
 
 	for (uint32_t i = 0; i < 100; i++)
-		n += overload_level_refuses(&level, priority,
+		n += overload_refuses(overload_level_fraction(&level, priority),
 		    i * (UINT32_MAX / 100));
 	return (n);
 }
@@ -309,6 +310,50 @@
 	    (long long)retry_schedule_ms(&in));
 }
 
+/*
+ * share [asked=N,...] [total=N] refused=PART: the most that a customer has, and
+ * the fraction of the requests of each that is refused, and of one not known
+ */
+static void
+exec_share(const char *rest, GString *out)
+{
+	g_autofree char *asked = script_word(rest, "asked");
+	g_autofree char *part = script_word(rest, "refused");
+	g_auto(GStrv) words = g_strsplit(asked != NULL ? asked : "", ",", -1);
+	struct overload_share share = { 0 };
+	double refused = g_ascii_strtod(part, NULL);
+	uint32_t n = g_strv_length(words);
+
+	for (uint32_t i = 0; i < n; i++)
+		overload_share_add(&share, i + 1,
+		    g_ascii_strtod(words[i], NULL));
+	overload_share_finish(&share, (double)script_number(rest, "total", 0));
+	g_string_append_printf(out, "limit %.0f refused",
+	    overload_share_limit(&share, refused));
+	for (uint32_t i = 0; i <= n; i++)
+		g_string_append_printf(out, " %.3f",
+		    overload_share_fraction(&share, i + 1, refused));
+	g_string_append_c(out, '\n');
+}
+
+/* customer asked=N admitted=N: rates of a customer's requests in one moment */
+static void
+exec_customer(const char *rest, GString *out)
+{
+	uint32_t key = fwd_customer_key("s", "c");
+
+	for (guint64 n = script_number(rest, "asked", 0); n > 0; n--)
+		fwd_demand_count(&demand, key, DEMAND_ASKED, 0);
+	for (guint64 n = script_number(rest, "admitted", 0); n > 0; n--)
+		fwd_demand_count(&demand, key, DEMAND_ADMITTED, 0);
+	fwd_demand_fill_customers(&demand, &table, 0);
+	g_string_append_printf(out,
+	    "asked %.1f admitted %.1f of another %.1f\n",
+	    fleet_customer(&table, "s", "c", CUSTOMER_ASKED),
+	    fleet_customer(&table, "s", "c", CUSTOMER_ADMITTED),
+	    fleet_customer(&table, "s", "d", CUSTOMER_ASKED));
+}
+
 static const struct script_command commands[] = {
 	{ "priority", exec_priority },
 	{ "service", exec_service },
@@ -321,6 +366,8 @@
 	{ "level", exec_level },
 	{ "capacity", exec_capacity },
 	{ "schedule", exec_schedule },
+	{ "share", exec_share },
+	{ "customer", exec_customer },
 	{ NULL, NULL },
 };
 
