Keep a level closed when no number of requests is expected in time

Cause: with an expected capacity of 0 and many late first events the level opened, as if there were no replicas, in the middle of the shortage. Change: the capacity is at least 0.4 of the slots; fewer requests than that make no first event earlier. Result: overload-level.txt fails before (nothing refused) and passes; test-levels is unchanged.

--- a/src/overload-level.c
+++ b/src/overload-level.c
@@ -28,6 +28,9 @@
 #define LATE_TRUSTED 0.01
 /* At this late part of the first events what is expected counts alone. */
 #define LATE_SHORT 0.15
+/* The capacity is taken to be this part of the slots at least: below it, fewer
+ * requests make no first event earlier. */
+#define SLOTS_MIN 0.4
 /* A larger late part reduces the capacity, by this much for each. */
 #define LATE_USUAL 0.1
 #define LATE_GAIN 0.15
@@ -76,7 +79,8 @@
 	if (capacity < trusted)
 		capacity = trusted -
 		    (trusted - capacity) * ramp(late, LATE_TRUSTED, LATE_SHORT);
-	return (capacity * (1 - LATE_GAIN * fmax(late - LATE_USUAL, 0)));
+	capacity *= 1 - LATE_GAIN * fmax(late - LATE_USUAL, 0);
+	return (fmax(capacity, SLOTS_MIN * in->slots));
 }
 
 /*
