Show levels and customers' rates with bankliftctl

Cause: operators had to read the levels from the text of the metrics. Change: bankliftctl levels prints them from a daemon's metrics address.

--- a/src/bankliftctl.c
+++ b/src/bankliftctl.c
@@ -16,6 +16,7 @@
 	&cmd_delete_entry,
 	&cmd_explain_entry,
 	&cmd_get_entry,
+	&cmd_levels_entry,
 	&cmd_status_entry,
 	&cmd_wait_entry,
 	&cmd_watch_entry,
--- a/src/cmd-call.c
+++ b/src/cmd-call.c
@@ -94,6 +94,27 @@
 	return (CMD_UNAVAILABLE);
 }
 
+static size_t
+page_write(char *data, size_t size, size_t n, void *arg)
+{
+	g_string_append_len(arg, data, (gssize)(size * n));
+	return (size * n);
+}
+
+/**
+ * cmd_page() - GET a body that is not JSON.
+ * @ctx: options and arguments of the command line
+ * @url: complete URL
+ * @page: text to append the body to
+ *
+ * Return: CMD_OK or CMD_UNAVAILABLE, as cmd_stream().
+ */
+enum cmd_exit
+cmd_page(const struct cmd_context *ctx, const char *url, GString *page)
+{
+	return (cmd_stream(ctx, url, page_write, page));
+}
+
 /**
  * cmd_print_json() - print JSON indented and with sorted keys.
  * @json: what to print
--- a/src/cmd-compare.c
+++ b/src/cmd-compare.c
@@ -18,13 +18,6 @@
 	"total_us{policy=\"%s\",quantile=\"0.95\"}",
 };
 
-static size_t
-page_write(char *data, size_t size, size_t n, void *arg)
-{
-	g_string_append_len(arg, data, (gssize)(size * n));
-	return (size * n);
-}
-
 /* Returns the value of a metric of a policy, "-" if the page lacks it. */
 static char *
 metric_find(const char *page, const char *format, const char *policy)
@@ -67,7 +60,7 @@
 		g_autofree char *metrics = g_strconcat(*url, "/metrics", NULL);
 		g_autoptr(GString) page = g_string_new(NULL);
 
-		rc = cmd_stream(ctx, metrics, page_write, page);
+		rc = cmd_page(ctx, metrics, page);
 		if (rc != CMD_OK)
 			return (rc);
 		if (ctx->urls[1] != NULL)
--- a/src/cmd.h
+++ b/src/cmd.h
@@ -64,6 +64,7 @@
 extern const struct cmd_entry cmd_delete_entry;
 extern const struct cmd_entry cmd_explain_entry;
 extern const struct cmd_entry cmd_get_entry;
+extern const struct cmd_entry cmd_levels_entry;
 extern const struct cmd_entry cmd_status_entry;
 extern const struct cmd_entry cmd_wait_entry;
 extern const struct cmd_entry cmd_watch_entry;
@@ -72,6 +73,7 @@
     json_t *, struct http_response *);
 enum cmd_exit cmd_stream(const struct cmd_context *, const char *,
     size_t (*)(char *, size_t, size_t, void *), void *);
+enum cmd_exit cmd_page(const struct cmd_context *, const char *, GString *);
 enum cmd_exit cmd_report_error(const struct http_response *);
 void cmd_print_json(json_t *);
 
--- a/tests/proc-edge-overload.sh
+++ b/tests/proc-edge-overload.sh
@@ -62,6 +62,8 @@
 control slow 200
 ask_both 8
 check_true "a level changed" eval '[ "$(level_changed)" -gt 0 ]'
+check_true "bankliftctl shows levels" eval \
+    '"$BUILD/bankliftctl" -s "http://$(edge_ip 1):9464" levels | grep -q "^board  *-  *[0-9.]*$"'
 check_true "the highest priority is served ($(served "$RUN/high") of 100)" \
     eval '[ "$(served "$RUN/high")" -ge 70 ]'
 check_true "the lowest is refused ($(served "$RUN/low") of 100 served)" \
