Queue requests that were refused before ahead of first attempts

Cause: an attempt after a refusal waited behind first attempts of the same priority, though its client does not return a second time. Change: with overload-levels it goes first among those of its priority. Result: test-overload passes.

--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -116,7 +116,15 @@
 	fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY, reason, retry);
 }
 
-/* Inserts a request into the queue, by priority. */
+/* Rank of a request in the queue. */
+static int
+exchange_rank(const struct fwd_exchange *ex)
+{
+	return (fwd_priority_rank(ex->priority,
+	    ex->resubmitted && ex->fwd->set.overload_levels));
+}
+
+/* Inserts a request into the queue, by rank. */
 static void
 exchange_enqueue(struct fwd_exchange *ex)
 {
@@ -124,7 +132,7 @@
 
 	ex->state = EXCHANGE_QUEUED;
 	TAILQ_FOREACH(at, &ex->fwd->queue, queue_entry) {
-		if (at->priority > ex->priority)
+		if (exchange_rank(at) > exchange_rank(ex))
 			break;
 	}
 	if (at != NULL)
--- a/src/fwd-priority.c
+++ b/src/fwd-priority.c
@@ -35,6 +35,21 @@
 	return (fwd_priority_normalize(route->priority));
 }
 
+/**
+ * fwd_priority_rank() - rank of a request in the queue.
+ * @priority: its priority
+ * @resubmitted: it was refused before
+ *
+ * Return: a number that is lower for requests that go first: by priority, and
+ * resubmitted ones before first attempts, since their clients don't return
+ * again.
+ */
+int
+fwd_priority_rank(int priority, bool resubmitted)
+{
+	return (2 * priority + (resubmitted ? 0 : 1));
+}
+
 /* Set of the priorities that requests of a route can have, as bits. */
 static uint16_t
 route_priorities(const struct catalog *catalog,
--- a/src/fwd-priority.h
+++ b/src/fwd-priority.h
@@ -11,6 +11,7 @@
 int fwd_priority_normalize(int);
 int fwd_priority(const struct catalog_route *, const struct catalog_customer *);
 unsigned fwd_priority_prepare(const struct catalog *);
+int fwd_priority_rank(int, bool);
 bool fwd_priority_differs(const struct catalog_service *);
 
 #endif
--- a/tests/test-overload.c
+++ b/tests/test-overload.c
@@ -41,6 +41,15 @@
 	g_string_append_printf(out, "%d\n", fwd_priority(&route, &customer));
 }
 
+/* rank priority=N [resubmitted=1]: rank of a request in the queue */
+static void
+exec_rank(const char *rest, GString *out)
+{
+	g_string_append_printf(out, "%d\n",
+	    fwd_priority_rank((int)script_number(rest, "priority", 0),
+		script_number(rest, "resubmitted", 0) != 0));
+}
+
 /* Adds routes to the service, with the priorities of a list. */
 static void
 add_routes(struct catalog *catalog, const char *list, bool public)
@@ -356,6 +365,7 @@
 
 static const struct script_command commands[] = {
 	{ "priority", exec_priority },
+	{ "rank", exec_rank },
 	{ "service", exec_service },
 	{ "count", exec_count },
 	{ "due", exec_due },
