--- a/src/edge-sums.c
+++ b/src/edge-sums.c
@@ -15,4 +15,6 @@
 
 	fwd_count_fill(&e->fwd, &own[SUM_DEMAND], now_ms);
 	fwd_evidence_collect(&e->fwd, &own[SUM_EVIDENCE], now_ms);
+	fwd_demand_fill_customers(&e->fwd.customers, &own[SUM_CUSTOMERS],
+	    now_ms);
 }
