Trust removed records only once no former order can come

Cause: the lease said at once that its holder keeps records of heads that could serve again. Where a placer of a former version was replaced, and its successor again within 14 s, the third trusted a record that the first had removed. A malformed record was forgotten with the second too. Change: a lease says so only if the one before did, or once it has been held for as long as orders of former placers may be carried out; it is then written again.

--- a/src/placer-adopt.c
+++ b/src/placer-adopt.c
@@ -46,8 +46,6 @@
 	    replica_create(head->report.group, head->report.service,
 		head->report.model != NULL ? head->report.model : "-",
 		head->report.epoch);
-	bool kept = g_hash_table_contains(p->dissolved, r->name) ||
-	    (p->records_kept && !p->record_ignored);
 	const struct endpoint *ep;
 
 	replica_add_member(r, head->report.id, &head->report.address);
@@ -57,7 +55,8 @@
 			replica_add_member(r, ep->report.id,
 			    &ep->report.address);
 	}
-	replica_adopt(r, now_ms, kept);
+	replica_adopt(r, now_ms,
+	    p->records_kept || g_hash_table_contains(p->dissolved, r->name));
 	event_log(LOG_NOTICE, "group_adopted",
 	    "group=%s epoch=%lld head=%s state=%s hosts=%u", r->name,
 	    (long long)r->epoch, head->report.id,
--- a/src/placer-lease.c
+++ b/src/placer-lease.c
@@ -89,6 +89,20 @@
 	record_queue(p, "", PLACER_SERVED_KEY, g_memdup2("1", 1), 1);
 }
 
+/**
+ * placer_record_lease() - queue the writing of the lease that is held.
+ * @p: the placer
+ */
+void
+placer_record_lease(struct placer *p)
+{
+	size_t length;
+	guint8 *value =
+	    placer_encode_lease(p->name, p->term, p->records_kept, &length);
+
+	record_queue(p, "", PLACER_LEASE_KEY, value, length);
+}
+
 /**
  * placer_record_bound() - record the bound on the replicas of a service's
  * largest model, for the next placer.
@@ -225,6 +239,7 @@
 	p->end_offset = response->end;
 	p->verified_ms = response->sent_ms;
 	p->state = PLACER_HOLDING;
+	p->taken_ms = clock_loop_ms(p->loop);
 	p->epochs_issued = 0;
 	p->mesh->self.placer = true;
 	p->mesh->self.term = p->term;
@@ -245,8 +260,10 @@
 
 	g_array_set_clear_func(records, store_record_clear);
 	p->term++;
+	p->records_kept = p->records_kept && !p->record_ignored;
 	record.key = g_strdup(PLACER_LEASE_KEY);
-	record.value = placer_encode_lease(p->name, p->term, &record.length);
+	record.value = placer_encode_lease(p->name, p->term, p->records_kept,
+	    &record.length);
 	g_array_append_val(records, record);
 	p->state = PLACER_TAKING;
 	p->store_busy = true;
--- a/src/placer-load.c
+++ b/src/placer-load.c
@@ -42,9 +42,10 @@
 		return;
 	r = placer_decode_replica(record->key + strlen(PLACER_GROUP_PREFIX),
 	    record->value, record->length);
-	p->record_ignored = p->record_ignored || r == NULL;
-	if (r == NULL)
+	if (r == NULL) {
+		p->record_ignored = true;
 		return;
+	}
 	TAILQ_INSERT_TAIL(&p->replicas, r, entry);
 }
 
@@ -75,3 +76,20 @@
 		    r->term != 0 && r->term == p->lease_term);
 	replicas_record_again(p);
 }
+
+/**
+ * placer_update_records_kept() - note once no order of a former placer can be
+ * carried out any more, whatever its version did with its records.
+ * @p: the placer, which holds the lease
+ * @now_ms: loop time, in ms
+ *
+ * The lease is written again to tell the next placer.
+ */
+void
+placer_update_records_kept(struct placer *p, uint64_t now_ms)
+{
+	if (p->records_kept || now_ms - p->taken_ms < REPLICA_FORMER_ORDER_MS)
+		return;
+	p->records_kept = true;
+	placer_record_lease(p);
+}
--- a/src/placer-record.c
+++ b/src/placer-record.c
@@ -145,10 +145,11 @@
  * Return: the record's value; free with g_free().
  */
 guint8 *
-placer_encode_lease(const char *holder, int64_t term, size_t *length)
+placer_encode_lease(const char *holder, int64_t term, bool keeps,
+    size_t *length)
 {
 	return (record_bytes(json_pack("{s:s,s:I,s:b}", "holder", holder,
-				 "term", (json_int_t)term, "keeps", 1),
+				 "term", (json_int_t)term, "keeps", keeps),
 	    length));
 }
 
@@ -156,8 +157,9 @@
  * placer_decode_lease() - decode the lease's record.
  * @bytes: value of the record
  * @length: length of the value
- * @keeps: set to whether the holder keeps the record of a group while its head
- *	could serve again; records of former versions don't say so
+ * @keeps: set to whether all placers up to this one, whose orders may still be
+ *	carried out, have kept the record of a group while its head could serve
+ *	again after it has left; false for a record of a former version
  *
  * Return: the term, or 0 if the record is malformed.
  */
--- a/src/placer.c
+++ b/src/placer.c
@@ -205,6 +205,7 @@
 		next = TAILQ_NEXT(r, entry);
 		replica_update(p, r, now_ms);
 	}
+	placer_update_records_kept(p, now_ms);
 	placer_adopt_groups(p, now_ms);
 	placer_form_replicas(p, now_ms);
 	placer_flush_records(p);
--- a/src/placer.h
+++ b/src/placer.h
@@ -70,9 +70,10 @@
  * @pending: records to be written, of struct store_record
  * @replicas: all replicas that have a record or wait for one, and adopted ones
  * @lease_term: term in the record of the lease before this one
- * @records_kept: the placer before this one kept the record of a group while
- *	its head could serve again after it has left
- * @record_ignored: a record of a replica was malformed
+ * @taken_ms: loop time at which the lease was taken, in ms
+ * @records_kept: all placers whose orders may still be carried out have kept
+ *	the record of a group while its head could serve again after it has left
+ * @record_ignored: a record of a replica that was read is malformed
  * @served: requests have arrived since the deployment began, by its record
  * @epochs_issued: number of epochs issued under this lease
  * @load_starts: loop times at which recent loads from the weight store started,
@@ -116,6 +117,7 @@
 	GArray *pending;
 	struct replica_list replicas;
 	int64_t lease_term;
+	uint64_t taken_ms;
 	bool records_kept;
 	bool record_ignored;
 	bool served;
@@ -161,16 +163,18 @@
 void placer_flush_records(struct placer *);
 void placer_record_replica(struct placer *, const struct replica *, bool);
 void placer_record_served(struct placer *);
+void placer_record_lease(struct placer *);
 void placer_record_bound(struct placer *, const char *, unsigned);
 
 /* placer-load.c: loading of the records of the previous placer. */
 void placer_load_record(struct placer *, const struct store_record *);
 void placer_inherit_replicas(struct placer *);
+void placer_update_records_kept(struct placer *, uint64_t);
 
 /* placer-record.c: encoding of the records of replicas and of the lease. */
 guint8 *placer_encode_replica(const struct replica *, int64_t, size_t *);
 struct replica *placer_decode_replica(const char *, const void *, size_t);
-guint8 *placer_encode_lease(const char *, int64_t, size_t *);
+guint8 *placer_encode_lease(const char *, int64_t, bool, size_t *);
 int64_t placer_decode_lease(const void *, size_t, bool *);
 
 /* placer-adopt.c: groups that serve but have no record. */
--- a/src/replica-inherit.c
+++ b/src/replica-inherit.c
@@ -32,8 +32,7 @@
 void
 replica_inherit(struct replica *r, uint64_t now_ms, bool trusted)
 {
-	const uint64_t late_until_ms =
-	    now_ms + REPLICA_LEASE_FRESH_MS + REPLICA_LATE_ORDER_MS;
+	const uint64_t late_until_ms = now_ms + REPLICA_FORMER_ORDER_MS;
 
 	r->known_ms = now_ms;
 	r->recorded = true;
--- a/src/replica.h
+++ b/src/replica.h
@@ -40,6 +40,9 @@
 /* Orders are sent only if the placer's lease was verified within this time, so
  * a placer that has lost the lease may still send orders for this long. */
 #define REPLICA_LEASE_FRESH_MS 1500
+/* Orders of the previous placer may be carried out for this long after another
+ * has taken the lease. */
+#define REPLICA_FORMER_ORDER_MS (REPLICA_LEASE_FRESH_MS + REPLICA_LATE_ORDER_MS)
 /* A report that arrives at least this long after a change is newer than the
  * change: this is well above the lag of reports. */
 #define REPLICA_REPORT_LAG_MS 1000
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -181,6 +181,33 @@
 	    script_number(rest, "kept", 1) != 0);
 }
 
+/* lease now=MS [taken=MS] [keeps=1]: prints the record of the lease if it is
+ * written again after it was taken from a placer that kept its records, or not
+ */
+static void
+exec_lease(const char *rest, GString *out)
+{
+	struct placer p = { .name = "d1",
+		.term = 2,
+		.taken_ms = script_number(rest, "taken", 0),
+		.records_kept = script_number(rest, "keeps", 0) != 0 };
+	bool keeps;
+
+	p.pending = g_array_new(FALSE, TRUE, sizeof(struct store_record));
+	g_array_set_clear_func(p.pending, store_record_clear);
+	placer_update_records_kept(&p, script_number(rest, "now", 0));
+	for (guint i = 0; i < p.pending->len; i++) {
+		const struct store_record *record =
+		    &g_array_index(p.pending, struct store_record, i);
+		int64_t term =
+		    placer_decode_lease(record->value, record->length, &keeps);
+
+		g_string_append_printf(out, "%s term=%d keeps=%d\n",
+		    record->key, (int)term, keeps);
+	}
+	g_array_free(p.pending, TRUE);
+}
+
 /* joined h=N: the member accepted an order to join */
 static void
 exec_joined(const char *rest, GString *out)
@@ -272,6 +299,7 @@
 	{ "inherit", exec_inherit },
 	{ "take-over", exec_take_over },
 	{ "adopt", exec_adopt },
+	{ "lease", exec_lease },
 	{ "joined", exec_joined },
 	{ "join-fenced", exec_join_fenced },
 	{ "donate", exec_donate },
