Count requests that ended since the loads were measured as free slots

Cause: an endpoint of a plain service with few slots counted as full by a load report that was 0.1 to 0.5 s old, though its short requests had ended; with all endpoints full in this sense a request was refused beside free slots. Change: with balance-spread, the part of other daemons' requests that has ended by the mean duration is deducted, for plain services.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -25,7 +25,7 @@
  * @permitted: with a rate limit of which this daemon has a permit, as only few
  *	daemons have
  * @probing: in probing after a backoff or refusal: they have not accepted a
- *	request since
+ *	request since; or found silent and not heard since
  */
 struct eligible {
 	GPtrArray *unrestricted;
@@ -123,14 +123,28 @@
 	return (false);
 }
 
+/* Whether an endpoint has a free slot. The short requests of a plain service
+ * may have ended since other daemons reported them. */
+static bool
+has_free_slot(const struct endpoint *ep, const struct fwd_criteria *criteria)
+{
+	double running = fwd_expect_running(ep);
+
+	if (criteria->model == NULL)
+		running -=
+		    ep->peer_inflight * fwd_unseen_ended(&criteria->unseen);
+	return (running < fwd_cost_slots(ep, criteria));
+}
+
 /* Adds an endpoint with a free slot to the array that it belongs to. */
 static void
 eligible_add(const struct eligible *eligible, struct endpoint *ep,
-    uint64_t now_ms)
+    const struct fwd_criteria *criteria)
 {
-	if (endpoint_backoff_probing(&ep->backoff))
+	if (endpoint_backoff_probing(&ep->backoff) ||
+	    (criteria->probe_suspects && endpoint_suspected(ep)))
 		g_ptr_array_add(eligible->probing, ep);
-	else if (endpoint_limit_active(&ep->limit, now_ms))
+	else if (endpoint_limit_active(&ep->limit, criteria->now_ms))
 		g_ptr_array_add(eligible->permitted, ep);
 	else
 		g_ptr_array_add(eligible->unrestricted, ep);
@@ -174,9 +188,9 @@
 		    !choice_check_limit(choice, ep, criteria))
 			continue;
 		choice_count_usable(choice, ep, criteria);
-		if (fwd_expect_running(ep) < fwd_cost_slots(ep, criteria) &&
+		if (has_free_slot(ep, criteria) &&
 		    endpoint_backoff_admits(&ep->backoff))
-			eligible_add(eligible, ep, criteria->now_ms);
+			eligible_add(eligible, ep, criteria);
 	}
 }
 
