Find an unreachable endpoint of a plain service once, not by each daemon

Cause: a connection that was not accepted within 350 ms started a cooldown at this daemon only, which is later than an objective of 150 ms. Each daemon found out by itself, with a late request, and tried the endpoint again with the next request after each cooldown, since it had no load. Change: with balance-spread, a connection to an endpoint of a plain service may take a third of the objective while another endpoint is usable; the request is then served there, and a cooldown of 500 ms is short enough for a lost packet. If no daemon has heard from the endpoint for 700 ms, the others are warned. An endpoint found silent is probed like one after a backoff, with one request at a time, until a daemon hears from it; such a probe waits for three mean durations instead of 700 ms. All connection timeouts are now in fwd-silence.c. Not covered by a process test: the stand-in platform can't leave connections unaccepted.

--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -31,6 +31,8 @@
  * @domain: this daemon's failure domain
  * @balance_domains: prefer that failure domain only while it has capacity
  * @unseen: what other daemons may have sent since the loads were measured
+ * @probe_suspects: only few requests are sent to an endpoint that was found
+ *	silent, until a daemon hears from it again
  * @tried: endpoints that have failed the request
  * @n_tried: length of @tried
  * @ahead: requests of the same service and model queued before it at this
@@ -48,6 +50,7 @@
 	const char *domain;
 	bool balance_domains;
 	struct fwd_unseen unseen;
+	bool probe_suspects;
 	const struct fwd_tried *tried;
 	unsigned n_tried;
 	unsigned ahead;
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -14,10 +14,9 @@
  * takes a few ms. */
 #define ONCE_DELAY_MS 5
 #define IDLE_MAX_MS 60000
-/* A host that has not accepted a connection within this time is down. A lost
- * packet is retransmitted after a second, which is longer than most latency
- * objectives. */
-#define CONNECT_TIMEOUT_MS 350
+/* After a probe of an endpoint that was found silent, this daemon waits so long
+ * for a sign of it before the next one. */
+#define PROBE_PAUSE_MS 300
 /* Time to retry for a request whose deadline passed before it was sent. */
 #define RETRY_LATE_MS 100
 
@@ -49,6 +48,10 @@
 	ex->usable_at_send = choice->usable;
 	ex->known_at_send = choice->known;
 	ep->refs++;
+	if (ex->model == NULL && ex->fwd->set.balance_spread &&
+	    endpoint_suspected(ep))
+		ep->cooldown_until_ms =
+		    MAX(ep->cooldown_until_ms, now + PROBE_PAUSE_MS);
 	ex->probe = endpoint_backoff_begin_probe(&ep->backoff);
 	ex->has_permit = endpoint_limit_active(&ep->limit, now) &&
 	    endpoint_limit_take_permit(&ep->limit, now);
@@ -200,6 +203,8 @@
 	criteria->n_tried = ex->n_tried;
 	criteria->now_ms = clock_loop_ms(ex->fwd->loop);
 	criteria->draw = random_u32();
+	criteria->probe_suspects =
+	    ex->model == NULL && ex->fwd->set.balance_spread;
 	exchange_fill_unseen(ex, criteria->now_ms, &criteria->unseen);
 }
 
@@ -359,11 +364,7 @@
 		fwd_exchange_move(ex, false, "endpoint_limited");
 		return;
 	}
-	if (now_ms - ex->sent_ms <= CONNECT_TIMEOUT_MS ||
-	    now_ms < ex->fwd->grace_until_ms)
-		return;
-	ex->endpoint->cooldown_until_ms = now_ms + COOLDOWN_SILENT_MS;
-	fwd_exchange_move(ex, false, "no_connection_in_time");
+	fwd_silence_check_connect(ex, now_ms);
 }
 
 /**
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -194,6 +194,9 @@
 
 /* fwd-silence.c: detection of silent endpoints. */
 void fwd_silence_check(struct fwd_exchange *, uint64_t);
+void fwd_silence_check_connect(struct fwd_exchange *, uint64_t);
+double fwd_silence_connect_ms(bool, double, unsigned);
+bool fwd_silence_unheard(const struct endpoint *, uint64_t);
 
 /* fwd-retry.c: retries. */
 bool fwd_exchange_retryable(const struct fwd_exchange *);
--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -22,6 +22,41 @@
 #define PLAIN_SILENCE_FACTOR 2.0
 #define PLAIN_SILENCE_MIN_MS 700
 
+/* The same at one that was found silent and not heard since: this multiple of
+ * the mean duration of its requests, and at least this. */
+#define SUSPECT_SILENCE_FACTOR 3.0
+#define SUSPECT_SILENCE_MIN_MS 150
+/* A host that has not accepted a connection within this time is down. A lost
+ * packet is retransmitted after a second, which is longer than most latency
+ * objectives. */
+#define CONNECT_TIMEOUT_MS 350
+/* The same for a plain service while another endpoint is usable: this part of
+ * the objective, so that the request is served in time there, and at least
+ * several round trips between failure domains. */
+#define CONNECT_PLAIN_PART (1.0 / 3)
+#define CONNECT_PLAIN_MIN_MS 50
+/* Cooldown after that: a single lost packet is no reason for a longer one. */
+#define COOLDOWN_CONNECT_MS 500
+/* If no daemon has heard from an endpoint for this time, a missing connection
+ * is no lost packet. Loads, which tell it, are up to 0.5 s old. */
+#define UNHEARD_MS 700
+
+/* The same for a plain service. */
+static double
+plain_silence_timeout(const struct fwd_exchange *ex)
+{
+	const struct fwd_estimate *estimate = fwd_exchange_estimate(ex);
+	double timeout =
+	    MAX(PLAIN_SILENCE_FACTOR * (double)ex->route->objective_ms,
+		PLAIN_SILENCE_MIN_MS);
+
+	if (!ex->fwd->set.balance_spread || estimate->n_duration == 0 ||
+	    !endpoint_suspected(ex->endpoint))
+		return (timeout);
+	return (CLAMP(SUSPECT_SILENCE_FACTOR * estimate->duration_ms,
+	    SUSPECT_SILENCE_MIN_MS, timeout));
+}
+
 /* How long an endpoint may be silent before this request is moved. */
 static double
 exchange_silence_timeout(const struct fwd_exchange *ex)
@@ -29,9 +64,7 @@
 	double gap;
 
 	if (ex->model == NULL)
-		return (
-		    MAX(PLAIN_SILENCE_FACTOR * (double)ex->route->objective_ms,
-			PLAIN_SILENCE_MIN_MS));
+		return (plain_silence_timeout(ex));
 	if (ex->in_backlog)
 		return (MAX(SILENCE_FIRST_FACTOR * ex->expected_ms,
 		    SILENCE_FIRST_MIN_MS));
@@ -63,6 +96,83 @@
 	    exchange_silence_timeout(ex) * factor);
 }
 
+/**
+ * fwd_silence_connect_ms() - how long a connection may take.
+ * @plain: the request is for a plain service
+ * @objective_ms: the route's objective
+ * @usable: endpoints that could have had the request
+ */
+double
+fwd_silence_connect_ms(bool plain, double objective_ms, unsigned usable)
+{
+	if (!plain || usable < 2)
+		return (CONNECT_TIMEOUT_MS);
+	return (CLAMP(CONNECT_PLAIN_PART * objective_ms, CONNECT_PLAIN_MIN_MS,
+	    CONNECT_TIMEOUT_MS));
+}
+
+/**
+ * fwd_silence_unheard() - whether no daemon has heard from an endpoint for so
+ *	long that the others should be warned of a missing connection.
+ * @ep: the endpoint
+ * @now_ms: loop time
+ */
+bool
+fwd_silence_unheard(const struct endpoint *ep, uint64_t now_ms)
+{
+	uint64_t heard = MAX(ep->heard_ms, ep->peer_heard_ms);
+
+	return (now_ms - MIN(heard, now_ms) > UNHEARD_MS);
+}
+
+/* Warns other daemons of an endpoint. */
+static void
+exchange_warn(const struct fwd_exchange *ex, uint64_t now)
+{
+	ex->endpoint->warned_ms = now;
+	if (ex->fwd->on_silent != NULL)
+		ex->fwd->on_silent(ex->fwd->on_silent_arg, ex->endpoint);
+}
+
+/* Starts a cooldown of an endpoint that accepts no connection, and moves the
+ * request. */
+static void
+exchange_handle_no_connection(struct fwd_exchange *ex, uint64_t now)
+{
+	struct endpoint *ep = ex->endpoint;
+	bool plain = ex->model == NULL && ex->fwd->set.balance_spread;
+	uint64_t ms = plain ? COOLDOWN_CONNECT_MS : COOLDOWN_SILENT_MS;
+
+	if (plain && now >= ep->cooldown_until_ms &&
+	    fwd_silence_unheard(ep, now)) {
+		event_log(LOG_NOTICE, "endpoint_unheard",
+		    "endpoint=%s silent_ms=%llu id=%s", ep->report.id,
+		    (unsigned long long)(now -
+			MIN(MAX(ep->heard_ms, ep->peer_heard_ms), now)),
+		    ex->id);
+		exchange_warn(ex, now);
+	}
+	ep->cooldown_until_ms = MAX(ep->cooldown_until_ms, now + ms);
+	fwd_exchange_move(ex, false, "no_connection_in_time");
+}
+
+/**
+ * fwd_silence_check_connect() - check whether a connection takes too long.
+ * @ex: the exchange; its connection to the endpoint is not established yet
+ * @now_ms: loop time
+ */
+void
+fwd_silence_check_connect(struct fwd_exchange *ex, uint64_t now_ms)
+{
+	bool plain = ex->model == NULL && ex->fwd->set.balance_spread;
+	double timeout = fwd_silence_connect_ms(plain,
+	    (double)ex->route->objective_ms, ex->usable_at_send);
+
+	if ((double)(now_ms - ex->sent_ms) > timeout &&
+	    now_ms >= ex->fwd->grace_until_ms)
+		exchange_handle_no_connection(ex, now_ms);
+}
+
 /* Starts a cooldown of a silent endpoint, warns others and moves the request if
  * that is allowed. */
 static void
@@ -81,9 +191,7 @@
 		/* Its idle connections may be dead as well. */
 		net_pool_clear(&ep->pool);
 		ep->cooldown_until_ms = now + COOLDOWN_SILENT_MS;
-		ep->warned_ms = now;
-		if (ex->fwd->on_silent != NULL)
-			ex->fwd->on_silent(ex->fwd->on_silent_arg, ep);
+		exchange_warn(ex, now);
 	}
 	if (ex->upstream->connected && !ex->crash_suspected) {
 		ex->crash_suspected = true;
--- a/src/registry-fleet.c
+++ b/src/registry-fleet.c
@@ -496,6 +496,18 @@
 	    !endpoint_backoff_active(&ep->backoff, now_ms));
 }
 
+/**
+ * endpoint_suspected() - whether an endpoint was found silent and no daemon has
+ *	heard from it since.
+ * @ep: the endpoint
+ */
+bool
+endpoint_suspected(const struct endpoint *ep)
+{
+	return (MAX(ep->warned_ms, ep->avoided_ms) >
+	    MAX(ep->heard_ms, ep->peer_heard_ms));
+}
+
 /**
  * endpoint_usable() - whether an endpoint accepts new requests and is in no
  * cooldown.
--- a/src/registry-fleet.h
+++ b/src/registry-fleet.h
@@ -200,6 +200,7 @@
 void fleet_sweep(struct fleet *, uint64_t, bool);
 void endpoint_set_entry(struct endpoint *, bool, const void *, size_t);
 bool endpoint_accepts(const struct endpoint *, uint64_t);
+bool endpoint_suspected(const struct endpoint *);
 bool endpoint_usable(const struct endpoint *, uint64_t);
 
 #endif
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -4,6 +4,7 @@
 
 #include "registry.h"
 #include "fwd-admission.h"
+#include "fwd-exchange.h"
 #include "script.h"
 
 static uv_loop_t loop;
@@ -412,6 +413,7 @@
 	criteria.now_ms = script_number(rest, "at", 0);
 	criteria.balance_domains = script_number(rest, "domains", 0) != 0;
 	criteria.objective_ms = (double)script_number(rest, "objective", 0);
+	criteria.probe_suspects = script_number(rest, "suspects", 0) != 0;
 	criteria.unseen.requests = (double)script_number(rest, "unseen", 0);
 	criteria.unseen.age_ms = (double)script_number(rest, "age", 0);
 	criteria.unseen.duration_ms =
@@ -529,6 +531,46 @@
 	g_string_append_c(out, '\n');
 }
 
+/* silent ID at=MS: an endpoint is found silent; heard ID at=MS [peer=1]: this
+ * or another daemon hears from it */
+static void
+exec_silent(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+
+	fleet_find(&fleet, id)->warned_ms = script_number(rest, "at", 0);
+}
+
+static void
+exec_heard(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+	struct endpoint *ep = fleet_find(&fleet, id);
+	uint64_t at = script_number(rest, "at", 0);
+
+	if (script_number(rest, "peer", 0) != 0)
+		ep->peer_heard_ms = at;
+	else
+		ep->heard_ms = at;
+}
+
+/* connect ID at=MS objective=MS usable=N [plain=1]: how long a connection may
+ * take, and whether other daemons are warned after that */
+static void
+exec_connect(const char *rest, GString *out)
+{
+	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
+
+	g_string_append_printf(out, "%.0f ms, %s\n",
+	    fwd_silence_connect_ms(script_number(rest, "plain", 0) != 0,
+		(double)script_number(rest, "objective", 0),
+		(unsigned)script_number(rest, "usable", 0)),
+	    fwd_silence_unheard(fleet_find(&fleet, id),
+		script_number(rest, "at", 0)) ?
+		"warn" :
+		"don't warn");
+}
+
 static const struct script_command commands[] = {
 	{ "entry", exec_entry },
 	{ "lapse", exec_lapse },
@@ -558,6 +600,9 @@
 	{ "count", exec_count },
 	{ "probed", exec_probed },
 	{ "choose", exec_choose },
+	{ "silent", exec_silent },
+	{ "heard", exec_heard },
+	{ "connect", exec_connect },
 	{ "admit", exec_admit },
 	{ NULL, NULL },
 };
