--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -130,6 +130,8 @@
 	exchange_take_slot(ex, choice);
 	fwd_rate_add(&fwd_exchange_estimate(ex)->sends,
 	    clock_loop_ms(fwd->loop));
+	fwd_stats_count_send(&fwd->stats, ex->service,
+	    ex->endpoint->report.domain, clock_loop_ms(fwd->loop));
 	exchange_note_tried(ex);
 	ex->sends++;
 	ex->sent_ms = clock_loop_ms(fwd->loop);
--- a/src/fwd-stats.c
+++ b/src/fwd-stats.c
@@ -1,4 +1,6 @@
 /* Counters and latency histograms of the proxy. */
+#include <string.h>
+
 #include "fwd-stats.h"
 
 static const char *const count_names[COUNT_KINDS] = {
@@ -35,6 +37,16 @@
 	double share;
 } percentiles[] = { { "0.5", 0.5 }, { "0.95", 0.95 }, { "0.99", 0.99 } };
 
+static void
+sends_free(gpointer data)
+{
+	struct fwd_sends *sends = data;
+
+	g_free(sends->service);
+	g_free(sends->domain);
+	g_free(sends);
+}
+
 /**
  * fwd_stats_init() - initialize zeroed counters and histograms.
  * @stats: counters and histograms
@@ -46,6 +58,7 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	stats->customers =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	stats->sends = g_ptr_array_new_with_free_func(sends_free);
 }
 
 /**
@@ -57,6 +70,7 @@
 {
 	g_hash_table_destroy(stats->routes);
 	g_hash_table_destroy(stats->customers);
+	g_ptr_array_free(stats->sends, TRUE);
 }
 
 /**
@@ -157,3 +171,83 @@
 	print_latencies(out, "route", stats->routes);
 	print_latencies(out, "customer", stats->customers);
 }
+
+/* Finds or creates the sends of a service to a failure domain; NULL if there
+ * are too many. */
+static struct fwd_sends *
+stats_sends(struct fwd_stats *stats, const char *service, const char *domain)
+{
+	struct fwd_sends *sends;
+
+	for (guint i = 0; i < stats->sends->len; i++) {
+		sends = stats->sends->pdata[i];
+		if (strcmp(sends->service, service) == 0 &&
+		    strcmp(sends->domain, domain) == 0)
+			return (sends);
+	}
+	if (stats->sends->len >= FWD_STATS_SENDS_MAX)
+		return (NULL);
+	sends = g_new0(struct fwd_sends, 1);
+	sends->service = g_strdup(service);
+	sends->domain = g_strdup(domain);
+	g_ptr_array_add(stats->sends, sends);
+	return (sends);
+}
+
+/**
+ * fwd_stats_count_send() - count a send to an endpoint.
+ * @stats: counters and histograms
+ * @service: name of the service
+ * @domain: failure domain of the endpoint, or NULL
+ * @now_ms: loop time
+ */
+void
+fwd_stats_count_send(struct fwd_stats *stats, const char *service,
+    const char *domain, uint64_t now_ms)
+{
+	struct fwd_sends *sends =
+	    stats_sends(stats, service, domain != NULL ? domain : "");
+
+	if (sends != NULL)
+		fwd_rate_add(&sends->rate, now_ms);
+}
+
+/* Rate of all sends of a service. */
+static double
+service_rate(const struct fwd_stats *stats, const char *service,
+    uint64_t now_ms)
+{
+	double sum = 0;
+
+	for (guint i = 0; i < stats->sends->len; i++) {
+		const struct fwd_sends *sends = stats->sends->pdata[i];
+
+		if (strcmp(sends->service, service) == 0)
+			sum += fwd_rate_per_s(&sends->rate, now_ms);
+	}
+	return (sum);
+}
+
+/**
+ * fwd_stats_print_shares() - append which part of this daemon's requests goes
+ *to each failure domain, for each service.
+ * @stats: counters and histograms
+ * @now_ms: loop time
+ * @out: text to append to
+ */
+void
+fwd_stats_print_shares(const struct fwd_stats *stats, uint64_t now_ms,
+    GString *out)
+{
+	for (guint i = 0; i < stats->sends->len; i++) {
+		const struct fwd_sends *sends = stats->sends->pdata[i];
+		double sum = service_rate(stats, sends->service, now_ms);
+
+		if (sum > 0)
+			g_string_append_printf(out,
+			    "banklift_domain_share{service=\"%s\","
+			    "domain=\"%s\"} %.3f\n",
+			    sends->service, sends->domain,
+			    fwd_rate_per_s(&sends->rate, now_ms) / sum);
+	}
+}
--- a/src/fwd-stats.h
+++ b/src/fwd-stats.h
@@ -4,11 +4,15 @@
 
 #include <glib.h>
 
+#include "fwd-unseen.h"
 #include "histogram.h"
 
 /* Maximum number of routes, and of customers, with histograms of their own.
  * Both come from the configuration, so clients cannot add any. */
 #define FWD_STATS_LABELS_MAX 64
+/* Maximum number of pairs of a service and a failure domain whose sends are
+ * counted. */
+#define FWD_STATS_SENDS_MAX 128
 
 /**
  * enum fwd_count - counters; fwd-stats.c has the name of each in the metrics.
@@ -53,16 +57,30 @@
 	struct histogram total_us;
 };
 
+/**
+ * struct fwd_sends - this daemon's sends of a service to a failure domain.
+ * @service: name of the service
+ * @domain: name of the failure domain
+ * @rate: rate of the sends
+ */
+struct fwd_sends {
+	char *service;
+	char *domain;
+	struct fwd_rate rate;
+};
+
 /**
  * struct fwd_stats - all counters and histograms.
  * @counts: counters, indexed by enum fwd_count
  * @routes: route name to struct fwd_latency
  * @customers: customer name to struct fwd_latency
+ * @sends: sends by service and failure domain, of struct fwd_sends
  */
 struct fwd_stats {
 	uint64_t counts[COUNT_KINDS];
 	GHashTable *routes;
 	GHashTable *customers;
+	GPtrArray *sends;
 };
 
 void fwd_stats_init(struct fwd_stats *);
@@ -70,6 +88,9 @@
 void fwd_stats_count(struct fwd_stats *, enum fwd_count);
 void fwd_stats_add_latency(struct fwd_stats *, const char *, const char *,
     uint64_t, uint64_t);
+void fwd_stats_count_send(struct fwd_stats *, const char *, const char *,
+    uint64_t);
 void fwd_stats_print(const struct fwd_stats *, GString *);
+void fwd_stats_print_shares(const struct fwd_stats *, uint64_t, GString *);
 
 #endif
