Test an endpoint that accepts no connections, and warn of it once

Cause: the stand-in platform could not leave connections unaccepted, so the search for an unreachable endpoint of a plain service had no process test. The test showed that probes of a suspected endpoint never warned other daemons again, since each daemon had just begun a pause. Change: a switch of the stand-in, unaccepted-IP. A warning is due if no daemon has heard from the endpoint or warned of it for 700 ms, whatever the cooldown.

--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -112,17 +112,19 @@
 }
 
 /**
- * fwd_silence_unheard() - whether no daemon has heard from an endpoint for so
- *	long that the others should be warned of a missing connection.
+ * fwd_silence_unheard() - whether no daemon has heard from an endpoint, or
+ *	warned of it, for so long that the others should be warned of a missing
+ *	connection.
  * @ep: the endpoint
  * @now_ms: loop time
  */
 bool
 fwd_silence_unheard(const struct endpoint *ep, uint64_t now_ms)
 {
-	uint64_t heard = MAX(ep->heard_ms, ep->peer_heard_ms);
+	uint64_t known = MAX(ep->heard_ms, ep->peer_heard_ms);
 
-	return (now_ms - MIN(heard, now_ms) > UNHEARD_MS);
+	known = MAX(known, MAX(ep->warned_ms, ep->avoided_ms));
+	return (now_ms - MIN(known, now_ms) > UNHEARD_MS);
 }
 
 /* Warns other daemons of an endpoint. */
@@ -143,8 +145,7 @@
 	bool plain = ex->model == NULL && ex->fwd->set.balance_spread;
 	uint64_t ms = plain ? COOLDOWN_CONNECT_MS : COOLDOWN_SILENT_MS;
 
-	if (plain && now >= ep->cooldown_until_ms &&
-	    fwd_silence_unheard(ep, now)) {
+	if (plain && fwd_silence_unheard(ep, now)) {
 		event_log(LOG_NOTICE, "endpoint_unheard",
 		    "endpoint=%s silent_ms=%llu id=%s", ep->report.id,
 		    (unsigned long long)(now -
--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -177,6 +177,7 @@
 
 	/* Connections accepted before "mute" was raised are never answered. */
 	if (ep->crash_mode != CRASH_NONE || fake_endpoint_switch("dark", ep) ||
+	    fake_endpoint_switch("unaccepted", ep) ||
 	    c->mute_at_accept < get_switch("mute"))
 		return;
 	if (expect != NULL && strcmp(expect, ep->id) != 0) {
--- a/tests/fake-platform.h
+++ b/tests/fake-platform.h
@@ -32,7 +32,9 @@
 
 /*
  * An engine or plain endpoint. max_epoch: highest epoch of a join so far;
- * stalled_ms: when the head's group lost a member; n_runs: requests run.
+ * stalled_ms: when the head's group lost a member; n_runs: requests run;
+ * full_fd, queued_fd: listening socket with a full queue, and the connection in
+ * it, while the endpoint accepts none.
  */
 struct fake_endpoint {
 	char ip[32];
@@ -55,6 +57,8 @@
 	const char *state;
 	uint64_t ready_ms;
 	unsigned n_runs;
+	int full_fd;
+	int queued_fd;
 };
 
 /*
@@ -89,6 +93,7 @@
 bool consume_switch(const char *);
 void conn_reply(struct conn *, unsigned, const char *, const void *, size_t);
 void conn_json(struct conn *, unsigned, json_t *);
+void fake_endpoint_accept(struct fake_endpoint *);
 void fake_endpoint_listen(struct fake_endpoint *);
 
 /* fake-store.c: the store with keyed topics. */
@@ -130,6 +135,9 @@
 int cold_left_ms(const struct fake_endpoint *);
 bool cold_check(const struct conn *);
 
+/* fake-unaccepted.c: endpoints to which no connection can be made. */
+void unaccepted_tick(struct fake_endpoint *);
+
 /* fake-crash.c: crashes of endpoints that run a marked request. */
 void fake_endpoint_crash(struct fake_endpoint *, enum crash_mode);
 void crash_check(const struct conn *);
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -15,6 +15,8 @@
  *	down		the store refuses all calls
  *	silent		the store doesn't answer
  *	dark-IP		the endpoint doesn't answer
+ *	unaccepted-IP	the endpoint doesn't answer, and new connections to it
+ *			are neither accepted nor refused
  *	lapse-IP	the endpoint's entry is removed
  *	drain-IP	the endpoint reports that it drains
  *	cut, cuts	the next "cuts" streams end in the middle of event "cut"
@@ -299,6 +301,13 @@
 	return (listener);
 }
 
+/* Lets an endpoint accept connections. */
+void
+fake_endpoint_accept(struct fake_endpoint *ep)
+{
+	ep->listener = listen_at(ep->ip, ep);
+}
+
 /* Starts a new incarnation of an endpoint, which accepts connections. */
 void
 fake_endpoint_listen(struct fake_endpoint *ep)
@@ -309,7 +318,7 @@
 	else
 		snprintf(ep->id, sizeof ep->id, "%s-%u", ep->name, ep->starts);
 	ep->state = "none";
-	ep->listener = listen_at(ep->ip, ep);
+	fake_endpoint_accept(ep);
 }
 
 static void
@@ -337,6 +346,7 @@
 		crash_tick(ep);
 		if (ep->crash_mode != CRASH_NONE)
 			continue;
+		unaccepted_tick(ep);
 		group_tick(ep);
 		fake_endpoint_write_entry(ep);
 	}
