--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -33,6 +33,8 @@
  * @domain: this daemon's failure domain
  * @balance_domains: prefer that failure domain only while it has capacity
  * @unseen: what other daemons may have sent since the loads were measured
+ * @probe_suspects: only few requests are sent to an endpoint that was found
+ *	silent, until a daemon hears from it again
  * @tried: endpoints that have failed the request
  * @n_tried: length of @tried
  * @ahead: requests of the same service and model queued before it at this
@@ -52,6 +54,7 @@
 	const char *domain;
 	bool balance_domains;
 	struct fwd_unseen unseen;
+	bool probe_suspects;
 	const struct fwd_tried *tried;
 	unsigned n_tried;
 	unsigned ahead;
@@ -106,6 +109,7 @@
 bool fwd_endpoint_matches(const struct endpoint *, const struct fwd_criteria *);
 bool fwd_choice_all_unavailable(const struct fwd_choice *);
 bool fwd_choice_only_limited(const struct fwd_choice *);
+double fwd_choice_room(const struct fwd_choice *);
 void fwd_choose(const struct fleet *, const struct fwd_criteria *,
     struct fwd_choice *);
 
