Tell clients to return after those that were told before

Change: it returns after them, and returns are spread over 1 s at least, and over the last fifth of the time that clients obey in a shortage.

--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,10 @@
 	$(BUILD)/tests/test-%.o $(BUILD)/tests/fleet-script.o \
 	$(BUILD)/tests/script.o $(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ -lcunit $(LIBS)
+$(BUILD)/test-levels: $(BUILD)/tests/test-levels.o \
+	$(BUILD)/tests/levels-model.o $(BUILD)/tests/script.o \
+	$(BUILD)/tests/fake-log.o $(BUILD)/libbanklift.a
+	@$(CC) -o $@ $^ -lcunit $(LIBS)
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/tests/script.o \
 	$(BUILD)/tests/fake-log.o \
 	$(BUILD)/libbanklift.a
--- a/src/retry-schedule.c
+++ b/src/retry-schedule.c
@@ -2,10 +2,10 @@
  * Time after which a refused client is told to return. Pure.
  *
  * Clients that are told to return are served from what the replicas can serve
- * beyond first attempts. A client of higher priority waits only for those of
- * its own and of higher priorities, so it returns earlier. Where first attempts
- * take all, the end of the shortage is not known; clients then return over the
- * later part of the time that they obey.
+ * beyond first attempts. A client returns after those of its own and of higher
+ * priorities that were told to return before it. Where first attempts take all,
+ * the end of the shortage is not known; clients then return over the later part
+ * of the time that they obey.
  */
 #include <math.h>
 
@@ -19,10 +19,10 @@
 #define RECOGNIZED_MARGIN_MS 50
 /* Returns are spread over this time at least: over it the sums of all daemons
  * are told. */
-#define SPREAD_MIN_MS 600.0
+#define SPREAD_MIN_MS 1000.0
 /* Where no capacity is expected, clients return after this part of the time
  * that they obey: the later, the more of a burst has passed. */
-#define SHORTAGE_FROM 0.85
+#define SHORTAGE_FROM 0.8
 /* Each priority has at least this part of that time. */
 #define SHARE_MIN 0.5
 #define MS_PER_S 1000.0
@@ -59,7 +59,7 @@
 	double spread;
 
 	if (spare > 0)
-		first += in->due_higher / spare * MS_PER_S;
+		first += (in->due_higher + in->due_same) / spare * MS_PER_S;
 	if (spare <= 0 || first > last * SHORTAGE_FROM)
 		return (llround(shortage_ms(in, last * SHORTAGE_FROM, last)));
 	spread = fmax(SPREAD_MIN_MS, in->due_same / spare * MS_PER_S);
