--- a/src/overload-capacity.c
+++ b/src/overload-capacity.c
@@ -30,21 +30,15 @@
 	return (used / (1 - used) * prompt_ms);
 }
 
-/* Expected time to the first event at an endpoint that keeps @running
+/* Expected time to the first event at an idle endpoint, once it keeps @running
  * requests. */
 static double
-first_ms(const struct endpoint *ep, const struct fwd_workload *workload,
+first_ms(struct endpoint *idle, const struct fwd_workload *workload,
     double running, double duration_ms)
 {
-	struct endpoint loaded = *ep;
-
-	loaded.inflight = 0;
-	loaded.peer_inflight = (unsigned)running;
-	loaded.pending = 0;
-	loaded.peer_pending = 0;
-	memset(&loaded.backlog, 0, sizeof loaded.backlog);
-	return (fwd_expect_first(&loaded, workload) +
-	    prefill_wait_ms(ep, workload, running, duration_ms));
+	idle->peer_inflight = (unsigned)running;
+	return (fwd_expect_first(idle, workload) +
+	    prefill_wait_ms(idle, workload, running, duration_ms));
 }
 
 /* Largest number of requests up to @slots that an endpoint serves in time. */
@@ -52,6 +46,7 @@
 requests_in_time(const struct endpoint *ep, const struct fwd_criteria *criteria,
     unsigned slots, double objective_ms, double duration_ms)
 {
+	struct endpoint idle = *ep;
 	struct fwd_workload workload;
 	unsigned low = 0, high = slots;
 
@@ -59,10 +54,14 @@
 		return (slots);
 	fwd_criteria_workload(criteria, criteria->engine->usual_prompt,
 	    &workload);
+	idle.inflight = 0;
+	idle.pending = 0;
+	idle.peer_pending = 0;
+	memset(&idle.backlog, 0, sizeof idle.backlog);
 	while (low < high) {
 		unsigned middle = (low + high + 1) / 2;
 
-		if (first_ms(ep, &workload, middle, duration_ms) <=
+		if (first_ms(&idle, &workload, middle, duration_ms) <=
 		    objective_ms)
 			low = middle;
 		else
