Correct by the whole mean lateness, and by none of a pause

Cause: with lateness reduced by 40 ms and by the weight of three events, an endpoint at 12 requests per second that is late by 290 ms was corrected by some 100 ms only, so its late first events still came unforeseen. And a daemon that was stopped took what it read afterwards for lateness of all endpoints and told the others. Change: the limit and the prior decide whether lateness is noise; beyond that the whole mean counts. Nothing is recorded after a pause of this process.

--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -37,18 +37,6 @@
 	    ex->correction_ms);
 }
 
-/* Counts a request that ended before its first event, which was overdue. */
-static void
-end_note_overdue(struct fwd_exchange *ex)
-{
-	uint64_t now = clock_loop_ms(ex->fwd->loop);
-	double overdue = fwd_exchange_lateness_ms(ex, now);
-
-	if (ex->fwd->set.endpoint_evidence && ex->reached && !ex->not_run &&
-	    overdue > 0)
-		fwd_evidence_add(&ex->endpoint->evidence, overdue, now);
-}
-
 /**
  * fwd_exchange_release() - free the slot at the endpoint.
  * @ex: the exchange; it has no connection to the endpoint any more
@@ -66,7 +54,7 @@
 	ex->probe = false;
 	ex->has_permit = false;
 	if (ex->in_backlog) {
-		end_note_overdue(ex);
+		fwd_exchange_note_overdue(ex, clock_loop_ms(ex->fwd->loop));
 		fwd_backlog_drop(&ep->backlog, ex->prompt,
 		    clock_loop_ms(ex->fwd->loop));
 		ep->pending = MAX(ep->pending - ex->prompt, 0);
--- a/src/fwd-evidence-collect.c
+++ b/src/fwd-evidence-collect.c
@@ -7,6 +7,19 @@
 /* Sums over all daemons older than this are not used, as after a pause of this
  * process. */
 #define SUMS_MAX_AGE_MS 2000
+/* Evidence is collected every 100 ms; if that is this late, the process was
+ * stopped. */
+#define PAUSE_MS 400
+
+/* Whether this process was just stopped: events that have queued up since are
+ * not read yet, or late for that reason. */
+static bool
+was_paused(const struct fwd *fwd, uint64_t now_ms)
+{
+	return (now_ms < fwd->grace_until_ms ||
+	    (fwd->collected_ms != 0 &&
+		now_ms - MIN(fwd->collected_ms, now_ms) > PAUSE_MS));
+}
 
 /* Records how long the first events of requests in progress are overdue. */
 static void
@@ -17,6 +30,8 @@
 
 	TAILQ_FOREACH(ep, &fwd->registry->fleet.endpoints, entry)
 		fwd_evidence_reset_overdue(&ep->evidence, now_ms);
+	if (was_paused(fwd, now_ms))
+		return;
 	TAILQ_FOREACH(ex, &fwd->exchanges, entry) {
 		if (ex->endpoint != NULL && ex->in_backlog)
 			fwd_evidence_add_overdue(&ex->endpoint->evidence,
@@ -83,6 +98,40 @@
 	return (&fwd->registry->sums.total[SUM_EVIDENCE]);
 }
 
+/**
+ * fwd_exchange_note_first() - learn from a first event.
+ * @ex: the exchange, sent to an endpoint with a model
+ * @now_ms: loop time
+ */
+void
+fwd_exchange_note_first(const struct fwd_exchange *ex, uint64_t now_ms)
+{
+	double error = (double)(now_ms - ex->sent_ms) - ex->expected_ms;
+
+	if (!ex->fwd->set.endpoint_evidence || was_paused(ex->fwd, now_ms))
+		return;
+	fwd_estimate_add_load_error(fwd_exchange_estimate(ex),
+	    (double)ex->running_at_send / MAX(ex->engine->slots, 1), error);
+	fwd_evidence_add(&ex->endpoint->evidence,
+	    fwd_exchange_lateness_ms(ex, now_ms), now_ms);
+}
+
+/**
+ * fwd_exchange_note_overdue() - learn from a request that ended before its
+ *	first event.
+ * @ex: the exchange, with its endpoint
+ * @now_ms: loop time
+ */
+void
+fwd_exchange_note_overdue(const struct fwd_exchange *ex, uint64_t now_ms)
+{
+	double overdue = fwd_exchange_lateness_ms(ex, now_ms);
+
+	if (ex->fwd->set.endpoint_evidence && !was_paused(ex->fwd, now_ms) &&
+	    ex->reached && !ex->not_run && overdue > 0)
+		fwd_evidence_add(&ex->endpoint->evidence, overdue, now_ms);
+}
+
 /**
  * fwd_exchange_lateness_ms() - by how much a first event is or was overdue.
  * @ex: the exchange, sent to an endpoint with a model
--- a/src/fwd-evidence.c
+++ b/src/fwd-evidence.c
@@ -17,13 +17,13 @@
 #define LATENESS_MAX_MS 4000.0
 /* Lateness from which on a daemon reports an endpoint unasked. */
 #define REPORT_MIN_MS 20.0
-/* Weight of the assumption that an endpoint is not late: one late event alone
- * is often the effect of its own prompt. */
-#define PRIOR_WEIGHT 3.0
 /* Lateness up to this is not told from the estimate's own errors. Corrections
  * by less would outweigh differences in load, which are 1 ms a request, and
  * crowd the other endpoints. */
 #define NOISE_MS 40.0
+/* To exceed that, lateness is weighed against this weight of events in time:
+ * one late event alone is often the effect of its own prompt. */
+#define PRIOR_WEIGHT 3.0
 /* Sums stay below the limit on values in datagrams. */
 #define VALUE_MAX 1e9
 #define THOUSANDTHS 1000.0
@@ -128,16 +128,11 @@
 	return (true);
 }
 
-/* The part of a lateness that is not noise, within its bounds. */
-static double
-beyond_noise(double ms)
-{
-	return (fmin(fmax(ms - NOISE_MS, 0), LATENESS_MAX_MS));
-}
-
 /**
  * fwd_evidence_lateness_ms() - mean lateness of recent first events.
  * @row: evidence of an endpoint, of one or more daemons
+ *
+ * Return: the mean; 0 if it may be noise.
  */
 double
 fwd_evidence_lateness_ms(const struct sum_row *row)
@@ -147,22 +142,27 @@
 	double late =
 	    (double)values[EVIDENCE_SEVERITY] - values[EVIDENCE_OVERDUE];
 
-	return (beyond_noise(fmax(late, 0) / (weight + PRIOR_WEIGHT)));
+	if (late <= NOISE_MS * (weight + PRIOR_WEIGHT))
+		return (0);
+	return (fmin(late / fmax(weight, 1), LATENESS_MAX_MS));
 }
 
 /**
  * fwd_evidence_overdue_ms() - how long first events have been overdue.
  * @row: evidence of an endpoint, of one or more daemons
  *
- * Return: a mean in which each request counts as much as it is overdue.
+ * Return: a mean in which each request counts as much as it is overdue; 0 if it
+ * may be noise.
  */
 double
 fwd_evidence_overdue_ms(const struct sum_row *row)
 {
 	const uint32_t *values = row->values;
 
-	if (values[EVIDENCE_OVERDUE] == 0)
+	double squares = values[EVIDENCE_SQUARES] * SQUARES_UNIT;
+
+	if (squares <= NOISE_MS * values[EVIDENCE_OVERDUE])
 		return (0);
-	return (beyond_noise(values[EVIDENCE_SQUARES] * SQUARES_UNIT /
-	    values[EVIDENCE_OVERDUE]));
+	return (
+	    fmin(squares / fmax(values[EVIDENCE_OVERDUE], 1), LATENESS_MAX_MS));
 }
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -161,6 +161,8 @@
 
 /* fwd-evidence-collect.c: evidence of endpoints. */
 const struct sum_table *fwd_evidence_known(const struct fwd *, uint64_t);
+void fwd_exchange_note_first(const struct fwd_exchange *, uint64_t);
+void fwd_exchange_note_overdue(const struct fwd_exchange *, uint64_t);
 double fwd_exchange_lateness_ms(const struct fwd_exchange *, uint64_t);
 
 /* fwd-resolve.c: route, customer, service and model of a request. */
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -84,23 +84,6 @@
 	return (NET_ACCEPT);
 }
 
-/* Learns how much later than expected the first event came. */
-static void
-response_learn_first(const struct fwd_exchange *ex, uint64_t now)
-{
-	struct fwd_estimate *estimate =
-	    fwd_estimate_get(ex->fwd, ex->model->name);
-	double error = (double)(now - ex->sent_ms) - ex->expected_ms;
-
-	fwd_estimate_add_first(estimate, error + ex->overhead_ms);
-	if (!ex->fwd->set.endpoint_evidence)
-		return;
-	fwd_estimate_add_load_error(estimate,
-	    (double)ex->running_at_send / MAX(ex->engine->slots, 1), error);
-	fwd_evidence_add(&ex->endpoint->evidence,
-	    fwd_exchange_lateness_ms(ex, now), now);
-}
-
 /*
  * The first event confirms that the prompt was prefilled. Its delay beyond the
  * profile's estimate goes into the measured overhead of the model.
@@ -108,6 +91,7 @@
 static void
 response_first_event(struct fwd_exchange *ex)
 {
+	struct fwd_estimate *estimate;
 	uint64_t now = clock_loop_ms(ex->fwd->loop);
 
 	if (!ex->in_backlog)
@@ -115,7 +99,10 @@
 	ex->in_backlog = false;
 	fwd_backlog_confirm(&ex->endpoint->backlog, ex->backlog_mark, now);
 	ex->endpoint->pending = MAX(ex->endpoint->pending - ex->prompt, 0);
-	response_learn_first(ex, now);
+	estimate = fwd_estimate_get(ex->fwd, ex->model->name);
+	fwd_estimate_add_first(estimate,
+	    (double)(now - ex->sent_ms) - ex->expected_ms + ex->overhead_ms);
+	fwd_exchange_note_first(ex, now);
 }
 
 /* Updates an endpoint's slowness from the time since the last event. */
--- a/tests/proc-edge-evidence.sh
+++ b/tests/proc-edge-evidence.sh
@@ -47,4 +47,27 @@
 check "all are served again" 50 "$(answered 200)"
 check_true "and in time" at_least "$(($(first_events in_time) - before))" 45
 
+# A daemon that stood still takes its own pause for no lateness of the endpoints.
+control slow-first 100
+corrected() {
+	grep -c 'event=request_answered .*correction_ms=[1-9]' "$RUN"/edge-2.out
+}
+sleep 1
+before=$(corrected)
+ask 1 /write/x >/dev/null &
+asks=$!
+sleep 0.05
+kill -STOP "$(pid_of edge-1)"
+sleep 1.5
+kill -CONT "$(pid_of edge-1)"
+for _ in $(seq 15); do
+	ask 2 /write/x >/dev/null &
+	asks="$asks $!"
+	sleep 0.06
+done
+# shellcheck disable=SC2086
+wait $asks
+sleep 0.5
+check "no lateness is expected after a pause" "$before" "$(corrected)"
+
 verdict
