Test a head that rejoins by a late order after its hosts are free

With real processes: the head has left while an order to join it may still be carried out. The code before keeps the hosts until then.

--- a/tests/proc-edge-late.sh
+++ b/tests/proc-edge-late.sh
@@ -59,4 +59,29 @@
 check_true "the head opens late" until_true 10 journal_has "^$head open 202"
 check_true "the other group serves" until_true 15 groups_open 1 1
 check "no host is in two groups with a late open" "" "$(journal | grep '^two')"
+end edge-1 platform
+
+# Only orders to join got no response, so the head can't serve again once it has left:
+# its hosts were bound until the late orders were carried out. One takes the head back,
+# and the join of another group follows.
+start_edge_platform 4 1
+control "lapse-$E.3" 1
+control "lapse-$E.4" 1
+control late-ms 8000
+control "late-join-$E.1" 1
+control "late-join-$E.2" 1
+put_config 1
+start_edge 1 --stall-ms 5000
+check_true "a group serves with late joins" until_true 15 groups_open 1 1
+head=$(journal | sed -n 's/ open 202$//p' | tail -n 1)
+control "lapse-$E.${head#e}" 1
+check_true "its head leaves" until_true 10 journal_has "^$head leave 200"
+control "lapse-$E.3" 0
+check_true "its hosts are free at once" until_true 2 journal_has '^e3 join 202'
+check_true "the late join takes the head back" until_true 12 \
+    journal_has "^$head late"
+control "lapse-$E.${head#e}" 0
+control "lapse-$E.4" 0
+check_true "two groups serve" until_true 10 groups_open 1 2
+check "no host is in two groups with a late join" "" "$(journal | grep '^two')"
 verdict
