--- a/src/balance-model-replica.c
+++ b/src/balance-model-replica.c
@@ -1,5 +1,6 @@
 /* Replicas of the simulation of many daemons that choose among them. */
 #include <math.h>
+#include <string.h>
 
 #include "balance-model.h"
 
@@ -32,7 +33,7 @@
 	fwd_backlog_confirm(&ep->backlog, request->mark, m->now_ms);
 	ep->pending -= m->setup.prompt;
 	g_array_append_val(m->replicas[replica].first_ms, first);
-	m->in_time += first <= BALANCE_OBJECTIVE_MS;
+	m->daemons[request->daemon].in_time += first <= BALANCE_OBJECTIVE_MS;
 }
 
 /* Ends a pass of a replica: each prefilled request gets its tokens. */
@@ -102,6 +103,30 @@
 		replica_start_pass(m, r);
 }
 
+/**
+ * balance_model_in_time() - number of first events in time.
+ * @m: the model
+ * @domain: of the daemons of this failure domain; NULL for all
+ * @asked: set to the number of requests that arrived there
+ */
+unsigned
+balance_model_in_time(const struct balance_model *m, const char *domain,
+    unsigned *asked)
+{
+	unsigned in_time = 0;
+
+	*asked = 0;
+	for (unsigned i = 0; i < m->setup.daemons; i++) {
+		const struct balance_daemon *d = &m->daemons[i];
+
+		if (domain != NULL && strcmp(d->domain, domain) != 0)
+			continue;
+		*asked += d->asked;
+		in_time += d->in_time;
+	}
+	return (in_time);
+}
+
 static gint
 compare_doubles(gconstpointer a, gconstpointer b)
 {
--- a/src/balance-model.c
+++ b/src/balance-model.c
@@ -120,6 +120,25 @@
 	g_free(m);
 }
 
+/* Whether the network connects two failure domains. */
+static bool
+model_connects(const struct balance_model *m, const char *a, const char *b)
+{
+	return (g_strcmp0(a, m->cut) == 0) == (g_strcmp0(b, m->cut) == 0);
+}
+
+/* Sets whether a daemon may use a replica. */
+static void
+daemon_see(const struct balance_model *m, struct balance_daemon *d,
+    unsigned index)
+{
+	struct endpoint *ep = d->endpoints[index];
+	bool open = m->replicas[index].open &&
+	    model_connects(m, d->domain, ep->report.domain);
+
+	ep->report.state = open ? GROUP_OPEN : GROUP_READY;
+}
+
 /**
  * balance_model_set_open() - open or close a replica; all daemons know at once.
  * @m: the model
@@ -131,8 +150,23 @@
 {
 	m->replicas[index].open = open;
 	for (unsigned i = 0; i < m->setup.daemons; i++)
-		m->daemons[i].endpoints[index]->report.state =
-		    open ? GROUP_OPEN : GROUP_READY;
+		daemon_see(m, &m->daemons[i], index);
+}
+
+/**
+ * balance_model_cut() - cut a failure domain off from the others, or end that;
+ *	all daemons know at once which replicas they reach.
+ * @m: the model
+ * @domain: name of the failure domain, or NULL
+ */
+void
+balance_model_cut(struct balance_model *m, const char *domain)
+{
+	m->cut = domain;
+	for (unsigned i = 0; i < m->setup.daemons; i++) {
+		for (unsigned k = 0; k < m->setup.replicas; k++)
+			daemon_see(m, &m->daemons[i], k);
+	}
 }
 
 /* A daemon's workload of a request, for its estimates. */
@@ -206,6 +240,7 @@
 			m->setup.daemons, unseen->age_ms);
 	}
 	fwd_choose(&d->fleet, &criteria, &choice);
+	d->asked++;
 	admission.first_ms = choice.first_ms;
 	if (fwd_admission_decide(&admission) != ADMIT_SEND) {
 		m->refused++;
@@ -261,7 +296,8 @@
 			const struct balance_load *load =
 			    &m->daemons[i].records[at][k];
 
-			if (&m->daemons[i] == d)
+			if (&m->daemons[i] == d ||
+			    !model_connects(m, d->domain, m->daemons[i].domain))
 				continue;
 			ep->peer_inflight += load->inflight;
 			ep->peer_pending += load->pending;
@@ -316,9 +352,12 @@
 {
 	for (unsigned k = 0; k < m->setup.replicas; k++)
 		g_array_set_size(m->replicas[k].first_ms, 0);
+	for (unsigned i = 0; i < m->setup.daemons; i++) {
+		m->daemons[i].asked = 0;
+		m->daemons[i].in_time = 0;
+	}
 	m->refused = 0;
 	m->crossed = 0;
-	m->in_time = 0;
 	m->samples = 0;
 	m->skew = 0;
 	m->skew_max = 0;
--- a/src/balance-model.h
+++ b/src/balance-model.h
@@ -63,6 +63,8 @@
  * @endpoints: the replicas in @fleet, by index
  * @estimate: its estimates
  * @domain: name of its failure domain
+ * @asked: requests that arrived at it since the last reset
+ * @in_time: first events in time since then
  * @as_of_ms: time as of which it knows other daemons' loads
  * @records: its own loads at the last times, by time and replica
  */
@@ -71,6 +73,8 @@
 	struct endpoint **endpoints;
 	struct fwd_estimate estimate;
 	const char *domain;
+	unsigned asked;
+	unsigned in_time;
 	uint64_t as_of_ms;
 	struct balance_load *records[BALANCE_RECORDS];
 };
@@ -114,9 +118,9 @@
  * @random: state of the random numbers
  * @daemons: the daemons
  * @replicas: the replicas
+ * @cut: failure domain that is cut off from the others; NULL for none
  * @refused: requests that were not sent, since the last reset
  * @crossed: requests sent to another failure domain since then
- * @in_time: first events in time since then
  * @samples: samples of loads since then
  * @skew: sum of the largest load over the mean load in these
  * @skew_max: largest of these
@@ -130,9 +134,9 @@
 	uint64_t random;
 	struct balance_daemon *daemons;
 	struct balance_replica *replicas;
+	const char *cut;
 	unsigned refused;
 	unsigned crossed;
-	unsigned in_time;
 	unsigned samples;
 	double skew;
 	double skew_max;
@@ -141,11 +145,14 @@
 struct balance_model *balance_model_new(const struct balance_setup *);
 void balance_model_free(struct balance_model *);
 void balance_model_set_open(struct balance_model *, unsigned, bool);
+void balance_model_cut(struct balance_model *, const char *);
 void balance_model_run(struct balance_model *, uint64_t);
 void balance_model_reset(struct balance_model *);
 
 /* balance-model-replica.c: the replicas. */
 void balance_replica_step(struct balance_model *, unsigned);
+unsigned balance_model_in_time(const struct balance_model *, const char *,
+    unsigned *);
 double balance_model_first(const struct balance_model *, unsigned, double);
 
 #endif
--- a/tests/test-balance.c
+++ b/tests/test-balance.c
@@ -52,6 +52,40 @@
 	balance_model_set_open(balance, (unsigned)atoi(rest), true);
 }
 
+/* cut [DOMAIN]: a failure domain is cut off, or none */
+static void
+exec_cut(const char *rest, GString *out)
+{
+	static char domain[2];
+
+	g_strlcpy(domain, rest, sizeof domain);
+	balance_model_cut(balance, *rest != '\0' ? domain : NULL);
+}
+
+/* rate PER_S: requests per second from now on */
+static void
+exec_rate(const char *rest, GString *out)
+{
+	balance->setup.rate = atoi(rest);
+}
+
+/* domains: part of the requests of each failure domain served in time, in
+ * percent */
+static void
+exec_domains(const char *rest, GString *out)
+{
+	static const char *const names[] = { "a", "b", "c" };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(names); i++) {
+		unsigned asked, in_time;
+
+		in_time = balance_model_in_time(balance, names[i], &asked);
+		g_string_append_printf(out, "%s%s %.1f", i > 0 ? " " : "",
+		    names[i], 100.0 * in_time / MAX(asked, 1));
+	}
+	g_string_append_c(out, '\n');
+}
+
 /* slow K by=PERCENT: factor on the times of a replica */
 static void
 exec_slow(const char *rest, GString *out)
@@ -85,7 +119,8 @@
 static void
 exec_show(const char *rest, GString *out)
 {
-	unsigned n = balance->setup.replicas, served = 0;
+	unsigned n = balance->setup.replicas, served = 0, asked;
+	unsigned in_time = balance_model_in_time(balance, NULL, &asked);
 	g_autofree double *first = g_new(double, n);
 
 	for (unsigned k = 0; k < n; k++) {
@@ -100,14 +135,17 @@
 	    "median %.0f worst %.0f refused %u crossed %u late %u in time %u load mean "
 	    "%.2f most %.2f\n",
 	    first[n / 2], first[n - 1], balance->refused, balance->crossed,
-	    served - balance->in_time, balance->in_time,
-	    balance->skew / MAX(balance->samples, 1), balance->skew_max);
+	    served - in_time, in_time, balance->skew / MAX(balance->samples, 1),
+	    balance->skew_max);
 }
 
 static const struct script_command commands[] = {
 	{ "model", exec_model },
 	{ "close", exec_close },
 	{ "open", exec_open },
+	{ "cut", exec_cut },
+	{ "rate", exec_rate },
+	{ "domains", exec_domains },
 	{ "slow", exec_slow },
 	{ "run", exec_run },
 	{ "show", exec_show },
