Leave the metric room to the part that owns the levels

Cause: the levels print room as what can be served per second; a second metric of that name with free slots would be a duplicate. Change: only domain_share stays here; a process test checks it.

--- a/src/edge-status.c
+++ b/src/edge-status.c
@@ -3,7 +3,6 @@
 
 #include "clock.h"
 #include "edge.h"
-#include "fwd-choose.h"
 
 /**
  * edge_is_ready() - whether clients should be sent here.
@@ -86,47 +85,6 @@
 		service_usage_print(usage, name, out);
 }
 
-/* Prints the free slots of a model, or of a plain service. */
-static void
-print_model_room(struct edge *e, const struct catalog_service *service,
-    const struct model_profile *model, GString *out)
-{
-	struct fwd_criteria criteria = { .service = service->name,
-		.engine = model != NULL ? service->engine : NULL,
-		.model = model,
-		.domain = e->set.domain,
-		.now_ms = clock_loop_ms(e->loop) };
-	struct fwd_choice choice;
-
-	fwd_choose(&e->registry.fleet, &criteria, &choice);
-	g_string_append_printf(out,
-	    "banklift_room{service=\"%s\",model=\"%s\"} %.0f\n", service->name,
-	    model != NULL ? model->name : "", fwd_choice_room(&choice));
-}
-
-/* Prints the free slots of all models and plain services. */
-static void
-print_room(struct edge *e, GString *out)
-{
-	GHashTableIter iter;
-	gpointer name, value;
-
-	if (e->registry.catalog == NULL)
-		return;
-	g_hash_table_iter_init(&iter, e->registry.catalog->services);
-	while (g_hash_table_iter_next(&iter, &name, &value)) {
-		const struct catalog_service *service = value;
-		guint n =
-		    service->engine != NULL ? service->engine->models->len : 0;
-
-		for (guint i = 0; i < n; i++)
-			print_model_room(e, service,
-			    service->engine->models->pdata[i], out);
-		if (n == 0)
-			print_model_room(e, service, NULL, out);
-	}
-}
-
 /**
  * edge_serve_metrics() - print all metrics.
  * @arg: the struct edge
@@ -145,7 +103,6 @@
 	fwd_stats_print(&e->fwd.stats, body);
 	fwd_stats_print_shares(&e->fwd.stats, now, body);
 	print_fleet(e, body);
-	print_room(e, body);
 	print_placement(e, body);
 	print_value(body, "exchanges", e->fwd.n_exchanges);
 	print_value(body, "held_bytes", (double)e->fwd.held_bytes);
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -270,18 +270,6 @@
 	    choice->unavailable > 0 && choice->unavailable == choice->known);
 }
 
-/**
- * fwd_choice_room() - number of free slots at all usable endpoints, by the
- *known loads.
- * @choice: the choice
- */
-double
-fwd_choice_room(const struct fwd_choice *choice)
-{
-	return (
-	    MAX(choice->own.slots + choice->others.slots - choice->running, 0));
-}
-
 /* Whether candidates are drawn from all failure domains together. Drawn apart,
  * half of them are of the own one, whatever its part of the endpoints. */
 static bool
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -103,7 +103,6 @@
 };
 
 bool fwd_choice_all_unavailable(const struct fwd_choice *);
-double fwd_choice_room(const struct fwd_choice *);
 void fwd_choose(const struct fleet *, const struct fwd_criteria *,
     struct fwd_choice *);
 
--- a/tests/proc-edge-unaccepted.sh
+++ b/tests/proc-edge-unaccepted.sh
@@ -38,6 +38,10 @@
 	check_true "endpoint $e serves" [ "$(arrivals b$e)" -gt 0 ]
 done
 
+share=$(metric 1 'domain_share{service="board",domain="b"}')
+check_true "a daemon prefers its own failure domain ($share)" \
+    awk "BEGIN { exit !($share > 0.5) }"
+
 before=$(late)
 control "unaccepted-$B.1" 1
 ask_paced 10 $COUNT /look/x
