Call the highest recent demand of a model its peak

The design, the names and the log called it a crest, beside peaks in the same files. One usual word for it is enough.

The files planner-crest.* and their structs, functions and constants are renamed, and the log field crest= of placement becomes peak=. No change of behaviour.

--- a/src/placer-form.c
+++ b/src/placer-form.c
@@ -408,12 +408,12 @@
 		demand_sample_service(p, service, view, samples, now_ms);
 		planner_demand_update(d, view, samples, now_ms);
 		if (p->placement_demand)
-			planner_crest_update(&u->crest, view, samples, now_ms);
+			planner_peak_update(&u->peak, view, samples, now_ms);
 		else
-			memset(&u->crest, 0, sizeof u->crest);
+			memset(&u->peak, 0, sizeof u->peak);
 	}
 	if (p->placement_demand)
-		planner_crest_apply(&u->crest, &d->largest_max, view, now_ms);
+		planner_peak_apply(&u->peak, &d->largest_max, view, now_ms);
 	else
 		planner_demand_apply(d, view, now_ms);
 	if (d->largest_max == old_max)
--- a/src/placer-usage.c
+++ b/src/placer-usage.c
@@ -83,10 +83,10 @@
 static char *
 usage_demand_fields(const struct service_usage *u, unsigned i)
 {
-	if (u->crest.updated_ms == 0)
+	if (u->peak.updated_ms == 0)
 		return (g_strdup(""));
-	return (g_strdup_printf(" asked=%.1f crest=%.1f",
-	    u->crest.models[i].hosts, planner_crest_hosts(&u->crest, i)));
+	return (g_strdup_printf(" asked=%.1f peak=%.1f",
+	    u->peak.models[i].hosts, planner_peak_hosts(&u->peak, i)));
 }
 
 /* Logs the counts of each model, at most once per LOG_INTERVAL_MS. */
@@ -169,9 +169,9 @@
 		    "banklift_groups_serving{service=\"%s\",model=\"%s\"} %u\n",
 		    service, u->names[i], u->models[i].down_ms, service,
 		    u->names[i], u->models[i].open);
-	for (unsigned i = 0; i < u->n_models && u->crest.updated_ms != 0; i++)
+	for (unsigned i = 0; i < u->n_models && u->peak.updated_ms != 0; i++)
 		g_string_append_printf(out,
 		    "banklift_demand_hosts{service=\"%s\",model=\"%s\"} "
 		    "%.1f\n",
-		    service, u->names[i], planner_crest_hosts(&u->crest, i));
+		    service, u->names[i], planner_peak_hosts(&u->peak, i));
 }
--- a/src/placer-usage.h
+++ b/src/placer-usage.h
@@ -3,7 +3,7 @@
 #define BL_PLACER_USAGE_H
 
 #include "placer-idle.h"
-#include "planner-crest.h"
+#include "planner-peak.h"
 
 /**
  * struct model_usage - counts of one model of a service.
@@ -35,7 +35,7 @@
  * @n_models: number of models
  * @idle: uses last logged for the hosts
  * @demand: measured demand of the models
- * @crest: recent peaks of that demand
+ * @peak: recent peaks of that demand
  */
 struct service_usage {
 	uint64_t counted_ms;
@@ -48,7 +48,7 @@
 	unsigned n_models;
 	struct idle_log idle;
 	struct planner_demand demand;
-	struct planner_crest crest;
+	struct planner_peak peak;
 };
 
 struct service_usage *service_usage_create(void);
--- a/src/planner-balance.c
+++ b/src/planner-balance.c
@@ -8,7 +8,7 @@
 /* One change adds or takes at most one in this many replicas of the largest
  * model, whose next burst may be larger than those seen. */
 #define BALANCE_STEP_PART 3
-/* Part of a replica by which the crests of the largest model may exceed those
+/* Part of a replica by which the peaks of the largest model may exceed those
  * that it keeps besides the reserve. */
 #define BALANCE_MARGIN 0.25
 /* Exponent of the utilization in the cost: the part of late responses rises
@@ -18,12 +18,12 @@
 /**
  * planner_balance_init() - set the demand of a balance.
  * @b: the balance
- * @crest: the demand
+ * @peak: the demand
  * @view: the view, for the service's models
  */
 void
-planner_balance_init(struct planner_balance *b,
-    const struct planner_crest *crest, const struct planner_view *view)
+planner_balance_init(struct planner_balance *b, const struct planner_peak *peak,
+    const struct planner_view *view)
 {
 	unsigned n = MIN(view->engine->models->len, PLANNER_MODELS_MAX);
 
@@ -31,15 +31,15 @@
 	b->size = MAX(planner_model(view, view->largest)->size, 1);
 	b->other_size = b->size;
 	for (unsigned i = 0; i < n; i++) {
-		double hosts = planner_crest_hosts_ahead(crest, i);
+		double hosts = planner_peak_hosts_ahead(peak, i);
 
 		if (i == view->largest) {
 			b->largest_hosts = hosts;
-			b->largest_requests = crest->models[i].requests;
+			b->largest_requests = peak->models[i].requests;
 			continue;
 		}
 		b->other_hosts += hosts;
-		b->other_requests += crest->models[i].requests;
+		b->other_requests += peak->models[i].requests;
 		b->other_size =
 		    CLAMP(planner_model(view, i)->size, 1, b->other_size);
 	}
@@ -110,8 +110,8 @@
     const struct planner_view *view, unsigned largest)
 {
 	b->largest_reserve = b->size *
-	    MAX(CREST_RESERVE, (double)largest - view->replicas[view->largest]);
-	b->other_reserve = MAX(CREST_RESERVE * b->other_size,
+	    MAX(PEAK_RESERVE, (double)largest - view->replicas[view->largest]);
+	b->other_reserve = MAX(PEAK_RESERVE * b->other_size,
 	    balance_rest(b, view, largest) - others_present(view));
 }
 
@@ -141,21 +141,21 @@
 	    b->other_requests * pow(at_others, BALANCE_COST_EXPONENT));
 }
 
-/* Whether hosts are too few for crests. While replicas are missing, the next
+/* Whether hosts are too few for peaks. While replicas are missing, the next
  * one may be lost before they are back. */
 static bool
 hosts_short(double needed, double allowed, double present, unsigned size)
 {
 	if (present < allowed)
 		present =
-		    MAX(present - MAX(CREST_RESERVE * size, allowed - present),
+		    MAX(present - MAX(PEAK_RESERVE * size, allowed - present),
 			present / 2);
-	return (needed > CREST_SHORT * MIN(present, allowed));
+	return (needed > PEAK_SHORT * MIN(present, allowed));
 }
 
 /**
  * planner_balance_short() - whether the largest model or the others are short
- * of hosts at their crests.
+ * of hosts at their peaks.
  * @b: the balance
  * @view: the view
  * @largest: replicas of the largest model that are wanted now
@@ -181,7 +181,7 @@
  * @max: the largest number
  * @corrected: the configured shares have been corrected before
  *
- * The largest model keeps the whole replicas that its crests need. After the
+ * The largest model keeps the whole replicas that its peaks need. After the
  * configured shares were corrected it also keeps the reserve.
  */
 unsigned
@@ -191,7 +191,7 @@
 {
 	double needed = b->largest_hosts / b->size;
 	unsigned least = corrected ?
-	    (unsigned)ceil(needed - BALANCE_MARGIN) + CREST_RESERVE :
+	    (unsigned)ceil(needed - BALANCE_MARGIN) + PEAK_RESERVE :
 	    (unsigned)needed;
 	unsigned step = MAX(bound / BALANCE_STEP_PART, 1);
 	unsigned best = bound;
--- a/src/planner-balance.h
+++ b/src/planner-balance.h
@@ -3,11 +3,11 @@
 #ifndef BL_PLANNER_BALANCE_H
 #define BL_PLANNER_BALANCE_H
 
-#include "planner-crest.h"
+#include "planner-peak.h"
 
 /**
  * struct planner_balance - the largest model beside all others together.
- * @largest_hosts: hosts that the largest model needs at its crests
+ * @largest_hosts: hosts that the largest model needs at its peaks
  * @other_hosts: hosts that the others need at theirs
  * @largest_requests: average requests of the largest model
  * @other_requests: average requests of the others
@@ -27,8 +27,8 @@
 	double other_reserve;
 };
 
-void planner_balance_init(struct planner_balance *,
-    const struct planner_crest *, const struct planner_view *);
+void planner_balance_init(struct planner_balance *, const struct planner_peak *,
+    const struct planner_view *);
 unsigned planner_balance_fit(const struct planner_balance *,
     const struct planner_view *);
 bool planner_balance_short(const struct planner_balance *,
--- a/src/planner-capacity.c
+++ b/src/planner-capacity.c
@@ -3,7 +3,7 @@
 #include <math.h>
 
 #include "fwd-expect.h"
-#include "planner-crest.h"
+#include "planner-peak.h"
 
 /*
  * Standard deviations of the requests at one replica that must fit into its
--- a/tests/test-planner.c
+++ b/tests/test-planner.c
@@ -3,7 +3,7 @@
 #include <math.h>
 #include <string.h>
 
-#include "planner-crest.h"
+#include "planner-peak.h"
 #include "script.h"
 
 #define HOSTS_MAX 200
@@ -16,8 +16,8 @@
 static unsigned n_replicas;
 static guint64 loads, served, hosts_stable;
 static struct planner_demand demand;
-static struct planner_crest crest;
-static bool use_crest;
+static struct planner_peak peak;
+static bool use_peak;
 static uint64_t sampled_ms;
 
 static void
@@ -40,8 +40,8 @@
 	served = 0;
 	hosts_stable = 1;
 	memset(&demand, 0, sizeof demand);
-	memset(&crest, 0, sizeof crest);
-	use_crest = false;
+	memset(&peak, 0, sizeof peak);
+	use_peak = false;
 	sampled_ms = 0;
 	g_clear_pointer(&catalog, catalog_unref);
 	catalog = catalog_create();
@@ -71,7 +71,7 @@
 }
 
 /* engine slots=N step_us=N per_seq_us=N prefill_per_ms=N prompt=N response=N:
- * the engine profile has these times; the demand is judged by its crests */
+ * the engine profile has these times; the demand is judged by its peaks */
 static void
 exec_engine(const char *rest, GString *out)
 {
@@ -83,7 +83,7 @@
 	    (double)script_number(rest, "prefill_per_ms", 0);
 	engine->usual_prompt = (double)script_number(rest, "prompt", 0);
 	engine->usual_response = (double)script_number(rest, "response", 0);
-	use_crest = true;
+	use_peak = true;
 }
 
 /* hosts N domain=D fabric=F [memory=M] [staged=M]: N free hosts, with these
@@ -126,8 +126,8 @@
 	}
 	planner_view_count_hosts(view);
 	view->largest_max = demand.largest_max;
-	if (use_crest)
-		planner_crest_apply(&crest, &demand.largest_max, view,
+	if (use_peak)
+		planner_peak_apply(&peak, &demand.largest_max, view,
 		    sampled_ms);
 	planner_view_set_targets(view);
 	view->loads_free = (unsigned)loads;
@@ -332,9 +332,9 @@
 	sampled_ms = at;
 	for (unsigned i = 0; i < engine->models->len && n_replicas == 0; i++)
 		view.replicas[i] = samples[i].unlimited + samples[i].limited;
-	if (use_crest) {
-		planner_crest_update(&crest, &view, samples, at);
-		planner_crest_apply(&crest, &demand.largest_max, &view, at);
+	if (use_peak) {
+		planner_peak_update(&peak, &view, samples, at);
+		planner_peak_apply(&peak, &demand.largest_max, &view, at);
 	} else {
 		planner_demand_update(&demand, &view, samples, at);
 		planner_demand_apply(&demand, &view, at);
