--- a/src/placer.h
+++ b/src/placer.h
@@ -189,6 +189,10 @@
 
 /* placer-form.c: forming of replicas. */
 void placer_form_replicas(struct placer *, uint64_t);
+
+/* placer-view.c: the planner's view of a service. */
+void placer_build_view(struct placer *, const struct catalog_service *,
+    struct planner_view *, uint64_t);
 struct service_usage *placer_usage(struct placer *, const char *);
 
 #endif
