Count waiting and refused requests once beside limited replicas

The demand of a model was that of its replicas without a rate limit, scaled to all of them. Requests that wait or were refused are known for the whole service, so with half of the replicas limited they counted twice, and a large replica gave way for a demand that there was not.

They are now divided by all replicas.

--- a/src/planner-peak.c
+++ b/src/planner-peak.c
@@ -40,22 +40,27 @@
 /* Time for which the rise of the last second is assumed to continue. */
 #define PEAK_AHEAD_S 2
 
-/* The hosts that a model's requests need; negative if it can't be told. Those
- * with a rate limit hide the demand, so they count as the others. */
+/*
+ * The hosts that a model's requests need; negative if it can't be told.
+ * Replicas with a rate limit hide what they could run, so they are taken to run
+ * as much as the others. Requests that wait or were refused are known for all
+ * replicas together.
+ */
 static double
 sample_hosts(const struct planner_view *view, unsigned model,
     const struct demand_sample *s)
 {
 	const struct engine_profile *e = view->engine;
 	const struct model_profile *m = planner_model(view, model);
-	double requests = s->running + s->queued, running;
+	double replicas = s->unlimited + s->limited, running, waiting;
 
 	if (s->unlimited == 0)
 		return (-1);
 	running = s->running / s->unlimited;
-	requests += s->refused * planner_duration_ms(e, m, running) / MS_PER_S;
-	return (planner_utilization(e, m, requests / s->unlimited) *
-	    (s->unlimited + s->limited) * m->size);
+	waiting = s->queued +
+	    s->refused * planner_duration_ms(e, m, running) / MS_PER_S;
+	return (planner_utilization(e, m, running + waiting / replicas) *
+	    replicas * m->size);
 }
 
 /* Weight of a sample in a moving average. */
--- a/tests/test-planner.c
+++ b/tests/test-planner.c
@@ -344,10 +344,11 @@
 
 /*
  * sample big=N small=N from=MS to=MS [unlimited=N limited=N smalls=N
- * swing=PERCENT period=MS refused=N]: requests of the first two models that run
- * during this time. Of the first model's replicas, "unlimited" have no rate
- * limit and run its requests, and "limited" have one; the second model has
- * "smalls" replicas and refuses so many requests per second. The numbers rise
+ * swing=PERCENT period=MS refused=N slow=N]: requests of the first two models
+ * that run during this time. Of the first model's replicas, "unlimited" have no
+ * rate limit and run its requests, and "limited" have one; the second model has
+ * "smalls" replicas without and "slow" ones with a limit, and refuses so many
+ * requests per second. The numbers rise
  * and fall in a wave of that period, by so much. Prints each change of the
  * bound on the largest model.
  */
@@ -361,6 +362,7 @@
 	samples[0].unlimited = (unsigned)script_number(rest, "unlimited", 1);
 	samples[0].limited = (unsigned)script_number(rest, "limited", 0);
 	samples[1].unlimited = (unsigned)script_number(rest, "smalls", 1);
+	samples[1].limited = (unsigned)script_number(rest, "slow", 0);
 	samples[1].refused = (double)script_number(rest, "refused", 0);
 	for (guint64 at = script_number(rest, "from", 0);
 	     at <= script_number(rest, "to", 0); at += 250) {
