Count the requests that wait at all daemons in the demand of a model

Placement by demand saw only the requests that run at the replicas. Full replicas run no more requests however many wait, so a shortage showed no further than that they are full.

The sums over all daemons tell how many requests are queued for each model and how many refused clients are to return. These are added to the sample while the sums of the other daemons are known; without them a daemon has a guess, and nothing is added.

--- a/src/placer-view.c
+++ b/src/placer-view.c
@@ -218,10 +218,13 @@
 	if (d->updated_ms != now_ms) {
 		demand_sample_service(p, service, view, samples, now_ms);
 		planner_demand_update(d, view, samples, now_ms);
-		if (p->placement_demand)
+		if (p->placement_demand) {
+			planner_demand_add_sums(samples, view, service,
+			    &p->registry->sums);
 			planner_peak_update(&u->peak, view, samples, now_ms);
-		else
+		} else {
 			memset(&u->peak, 0, sizeof u->peak);
+		}
 	}
 	if (p->placement_demand)
 		planner_peak_apply(&u->peak, &d->largest_max, view, now_ms);
--- a/src/planner-demand.c
+++ b/src/planner-demand.c
@@ -10,6 +10,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "fwd-demand.h"
 #include "planner-demand.h"
 
 /* Time constant of the moving average: a burst of some seconds is over before a
@@ -147,3 +148,29 @@
 	if (d->largest_max != 0)
 		memcpy(view->work_share, work, n * sizeof work[0]);
 }
+
+/**
+ * planner_demand_add_sums() - add what all daemons together know to a sample.
+ * @samples: a sample for each model, in the order of the profile
+ * @view: the view, for the service's models
+ * @service: name of the service
+ * @sums: sums over all daemons; without those of the others they are a guess,
+ *	and nothing is added
+ */
+void
+planner_demand_add_sums(struct demand_sample *samples,
+    const struct planner_view *view, const char *service,
+    const struct fleet_sums *sums)
+{
+	unsigned n = MIN(view->engine->models->len, PLANNER_MODELS_MAX);
+
+	for (unsigned i = 0; i < n && sums->told; i++) {
+		struct fleet_demand asked;
+
+		if (!fleet_demand_total(&sums->total[SUM_DEMAND], service,
+			planner_model(view, i)->name, &asked))
+			continue;
+		samples[i].queued = asked.queued + asked.due;
+		samples[i].asked = asked.asked;
+	}
+}
--- a/src/planner-demand.h
+++ b/src/planner-demand.h
@@ -3,6 +3,7 @@
 #ifndef BL_PLANNER_DEMAND_H
 #define BL_PLANNER_DEMAND_H
 
+#include "fleet-sums.h"
 #include "planner.h"
 
 /**
@@ -25,7 +26,8 @@
 /**
  * struct demand_sample - requests that run at one model's replicas.
  * @running: requests that run at replicas without a rate limit
- * @queued: requests that wait at the daemons; 0 where not known
+ * @queued: requests that wait at the daemons, or that were refused and are to
+ *	return; 0 where not known
  * @refused: requests refused per second for lack of capacity, each counted
  *	once; 0 where not known
  * @asked: first attempts per second; 0 where not known
@@ -46,5 +48,7 @@
     const struct demand_sample *, uint64_t);
 void planner_demand_apply(struct planner_demand *, struct planner_view *,
     uint64_t);
+void planner_demand_add_sums(struct demand_sample *,
+    const struct planner_view *, const char *, const struct fleet_sums *);
 
 #endif
--- a/tests/test-planner.c
+++ b/tests/test-planner.c
@@ -3,6 +3,7 @@
 #include <math.h>
 #include <string.h>
 
+#include "fwd-demand.h"
 #include "planner-peak.h"
 #include "script.h"
 
@@ -19,6 +20,7 @@
 static struct planner_peak peak;
 static bool use_peak;
 static uint64_t sampled_ms;
+static struct fleet_sums sums;
 
 static void
 reset(void)
@@ -43,6 +45,7 @@
 	memset(&peak, 0, sizeof peak);
 	use_peak = false;
 	sampled_ms = 0;
+	memset(&sums, 0, sizeof sums);
 	g_clear_pointer(&catalog, catalog_unref);
 	catalog = catalog_create();
 	engine = catalog_add_engine(catalog_add_service(catalog, "s"));
@@ -324,11 +327,12 @@
 
 /* Updates the demand and the bound on the largest model. */
 static void
-demand_add(const struct demand_sample *samples, uint64_t at)
+demand_add(struct demand_sample *samples, uint64_t at)
 {
 	struct planner_view view;
 
 	view_make(&view);
+	planner_demand_add_sums(samples, &view, "s", &sums);
 	sampled_ms = at;
 	for (unsigned i = 0; i < engine->models->len && n_replicas == 0; i++)
 		view.replicas[i] = samples[i].unlimited + samples[i].limited;
@@ -380,6 +384,23 @@
 	}
 }
 
+/* sums MODEL priority=N queued=N due=N [told=0]: the daemons together have
+ * these requests for a model waiting, and refused ones that are to return */
+static void
+exec_sums(const char *rest, GString *out)
+{
+	g_autofree char *model = g_strndup(rest, strcspn(rest, " "));
+	struct sum_row *row = sum_table_find(&sums.total[SUM_DEMAND],
+	    fwd_demand_key("s", model,
+		(int)script_number(rest, "priority", 0)));
+
+	row->values[DEMAND_QUEUED] =
+	    1000 * (uint32_t)script_number(rest, "queued", 0);
+	row->values[DEMAND_DUE] =
+	    1000 * (uint32_t)script_number(rest, "due", 0);
+	sums.told = script_number(rest, "told", 1) != 0;
+}
+
 /* plan-copy: prints the next host to get a copy, and of which model */
 static void
 exec_plan_copy(const char *rest, GString *out)
@@ -412,6 +433,7 @@
 	{ "surplus", exec_surplus },
 	{ "end", exec_end },
 	{ "sample", exec_sample },
+	{ "sums", exec_sums },
 	{ "plan-copy", exec_plan_copy },
 	{ "memory", exec_memory },
 	{ "warm", exec_warm },
