Don't change a bound right after another placer has set it

A placer knows the bound on the largest model from the record, but not when it was set. So after a change of the placer the bound could move again, also back, as soon as a model had been short for 1.2 s, where one placer leaves 4 s between two changes and 12 s before a change back.

The bound now counts as set when it is taken over. In the scripted case it was lifted 1.5 s after the change of the placer; now after 12 s.

--- a/src/planner-peak.c
+++ b/src/planner-peak.c
@@ -171,6 +171,14 @@
 	return (corrected ? PEAK_GAIN_LOWER : PEAK_GAIN_FIRST);
 }
 
+/* Notes a bound that another placer has set, perhaps just before. */
+static void
+peak_inherit_bound(struct planner_peak *peak, bool lowered, uint64_t now_ms)
+{
+	peak->changed_ms = MAX(now_ms, 1);
+	peak->lowered = lowered;
+}
+
 /* Changes the bound on replicas of the largest model where that is due. */
 static void
 peak_change_bound(struct planner_peak *peak, struct planner_balance *b,
@@ -180,6 +188,8 @@
 	unsigned fit = planner_balance_fit(b, view), best;
 	unsigned bound = *largest_max != 0 ? MIN(*largest_max, fit) : by_share;
 
+	if (*largest_max != 0 && peak->changed_ms == 0)
+		peak_inherit_bound(peak, *largest_max < by_share, now_ms);
 	if (bound == 0)
 		return;
 	if (!planner_balance_short(b, view, bound)) {
--- a/src/planner-peak.h
+++ b/src/planner-peak.h
@@ -34,7 +34,8 @@
  * @updated_ms: loop time of the last sample; 0 before the first one
  * @short_since_ms: loop time since which a model's peak has been above what
  *	its replicas serve in time; 0 while none is
- * @changed_ms: loop time of the last change of the bound; 0 before the first
+ * @changed_ms: loop time of the last change of the bound, or at which that of
+ *	another placer was taken over; 0 before the first
  * @lowered: that change lowered the bound
  * @most_hosts: most live hosts seen lately
  */
--- a/tests/test-planner.c
+++ b/tests/test-planner.c
@@ -401,6 +401,13 @@
 	sums.told = script_number(rest, "told", 1) != 0;
 }
 
+/* take-over: another placer takes over, which knows the bound only */
+static void
+exec_take_over(const char *rest, GString *out)
+{
+	memset(&peak, 0, sizeof peak);
+}
+
 /* plan-copy: prints the next host to get a copy, and of which model */
 static void
 exec_plan_copy(const char *rest, GString *out)
@@ -434,6 +441,7 @@
 	{ "end", exec_end },
 	{ "sample", exec_sample },
 	{ "sums", exec_sums },
+	{ "take-over", exec_take_over },
 	{ "plan-copy", exec_plan_copy },
 	{ "memory", exec_memory },
 	{ "warm", exec_warm },
