Divide a bound among fabric domains in time proportional to both

For each replica of the bound, each comparison of two fabric domains added up what their failure domains had been assigned, over all fabric domains.

The sum of a failure domain is now kept with its fabric domains.

--- a/src/planner-targets.c
+++ b/src/planner-targets.c
@@ -104,22 +104,6 @@
 	view->wanted[view->largest] = wanted;
 }
 
-/* Number of replicas of the largest model that a failure domain has been
- * assigned so far. */
-static unsigned
-domain_assigned(const struct planner_view *view, const char *domain)
-{
-	unsigned sum = 0;
-
-	for (guint i = 0; i < view->fabrics->len; i++) {
-		const struct planner_fabric *f = planner_fabric_at(view, i);
-
-		if (g_strcmp0(f->domain, domain) == 0)
-			sum += f->assigned;
-	}
-	return (sum);
-}
-
 /* How soon a fabric domain could have one more replica of the largest model
  * than it has been assigned; a higher value is sooner. */
 static unsigned
@@ -149,8 +133,7 @@
 
 	if (a_ready != b_ready)
 		return (a_ready > b_ready);
-	return (domain_assigned(view, a->domain) <
-	    domain_assigned(view, b->domain));
+	return (a->domain_assigned < b->domain_assigned);
 }
 
 /* The fabric domain to assign the next replica to, or NULL where none has room.
@@ -171,6 +154,20 @@
 	return (best);
 }
 
+/* Assigns one replica to a fabric domain. */
+static void
+fabric_assign(struct planner_view *view, struct planner_fabric *to)
+{
+	to->assigned++;
+	for (guint i = 0; i < view->fabrics->len; i++) {
+		struct planner_fabric *f =
+		    &g_array_index(view->fabrics, struct planner_fabric, i);
+
+		if (g_strcmp0(f->domain, to->domain) == 0)
+			f->domain_assigned++;
+	}
+}
+
 /* Divides the bound on replicas of the largest model among fabric domains. */
 static void
 fabrics_divide_bound(struct planner_view *view)
@@ -179,8 +176,9 @@
 
 	for (unsigned k = 0; k < view->largest_max; k++) {
 		f = fabric_next(view);
-		if (f != NULL)
-			f->assigned++;
+		if (f == NULL)
+			break;
+		fabric_assign(view, f);
 	}
 	for (guint i = 0; i < view->fabrics->len; i++) {
 		f = &g_array_index(view->fabrics, struct planner_fabric, i);
--- a/src/planner.h
+++ b/src/planner.h
@@ -55,6 +55,7 @@
  * @replicas: active replicas of the largest model in it
  * @max_replicas: maximum number of replicas of the largest model in it
  * @assigned: its part so far of the bound on replicas of the largest model
+ * @domain_assigned: the part of its whole failure domain
  * @ready: hosts that have the largest model and are free now or soon
  * @donors: hosts that have the largest model and serve in smaller replicas
  * @copying: hosts that are getting a copy of the largest model
@@ -67,6 +68,7 @@
 	unsigned replicas;
 	unsigned max_replicas;
 	unsigned assigned;
+	unsigned domain_assigned;
 	unsigned ready;
 	unsigned donors;
 	unsigned copying;
