Search for a better bound only when it may change

While a model was short of hosts, every view computed the cost of all bounds within a third of the present one, each over all fabric domains, also within the seconds in which the bound may not change, and the cost of the best one anew for each comparison. The time is checked first now, and the best cost is kept.

--- a/src/planner-balance.c
+++ b/src/planner-balance.c
@@ -195,12 +195,16 @@
 	    (unsigned)needed;
 	unsigned step = MAX(bound / BALANCE_STEP_PART, 1);
 	unsigned best = bound;
+	double best_cost = planner_balance_cost(b, view, bound);
 
 	least = MAX(least, MAX(bound - step, 1));
 	for (unsigned n = MIN(least, bound); n <= MIN(max, bound + step); n++) {
-		if (planner_balance_cost(b, view, n) <
-		    planner_balance_cost(b, view, best))
-			best = n;
+		double cost = planner_balance_cost(b, view, n);
+
+		if (cost >= best_cost)
+			continue;
+		best = n;
+		best_cost = cost;
 	}
 	return (best);
 }
--- a/src/planner-peak.c
+++ b/src/planner-peak.c
@@ -149,17 +149,24 @@
 	    m->hosts + PEAK_AHEAD_S * MAX(rise, 0)));
 }
 
-/* Whether the bound may change now in this direction. */
+/* Whether the bound may change now in at least one direction. */
 static bool
 change_allowed(const struct planner_peak *peak, const struct planner_view *view,
-    bool lower, uint64_t now_ms)
+    uint64_t now_ms)
 {
-	uint64_t interval = lower == peak->lowered ? PEAK_CHANGE_INTERVAL_MS :
-						     PEAK_REVERSE_INTERVAL_MS;
-
 	return (view->hosts->len >= PEAK_HOSTS_MIN * peak->most_hosts &&
 	    now_ms - peak->short_since_ms >= PEAK_SHORT_MS &&
-	    (peak->changed_ms == 0 || now_ms - peak->changed_ms >= interval));
+	    (peak->changed_ms == 0 ||
+		now_ms - peak->changed_ms >= PEAK_CHANGE_INTERVAL_MS));
+}
+
+/* Whether a change in this direction must wait for some time after one in the
+ * other. */
+static bool
+reverse_blocked(const struct planner_peak *peak, bool lower, uint64_t now_ms)
+{
+	return (lower != peak->lowered && peak->changed_ms != 0 &&
+	    now_ms - peak->changed_ms < PEAK_REVERSE_INTERVAL_MS);
 }
 
 /* The part of the present cost that a change must reach. */
@@ -198,10 +205,11 @@
 	}
 	if (peak->short_since_ms == 0)
 		peak->short_since_ms = now_ms;
+	if (!change_allowed(peak, view, now_ms))
+		return;
 	planner_balance_set_reserves(b, view, bound);
 	best = planner_balance_best(b, view, bound, fit, *largest_max != 0);
-	if (best == bound ||
-	    !change_allowed(peak, view, best < bound, now_ms) ||
+	if (best == bound || reverse_blocked(peak, best < bound, now_ms) ||
 	    planner_balance_cost(b, view, best) >
 		change_gain(best < bound, *largest_max != 0) *
 		    planner_balance_cost(b, view, bound))
