--- a/Makefile
+++ b/Makefile
@@ -62,7 +62,8 @@
 $(BUILD)/standin-platform: $(BUILD)/tests/fake-store.o $(BUILD)/tests/fake-endpoints.o \
 	$(BUILD)/tests/fake-group.o $(BUILD)/tests/fake-backoff.o \
 	$(BUILD)/tests/fake-limit.o $(BUILD)/tests/fake-crash.o \
-	$(BUILD)/tests/fake-zone.o $(BUILD)/tests/fake-cold.o
+	$(BUILD)/tests/fake-zone.o $(BUILD)/tests/fake-cold.o \
+	$(BUILD)/tests/fake-unaccepted.o
 $(BUILD)/test-mesh $(BUILD)/test-large: $(BUILD)/test-%: \
 	$(BUILD)/tests/test-%.o $(BUILD)/tests/fleet-script.o \
 	$(BUILD)/tests/script.o $(BUILD)/libbanklift.a
@@ -72,6 +73,10 @@
 	$(BUILD)/tests/evidence-slow.o $(BUILD)/tests/script.o \
 	$(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ -lcunit $(LIBS)
+$(BUILD)/test-levels: $(BUILD)/tests/test-levels.o \
+	$(BUILD)/tests/levels-model.o $(BUILD)/tests/script.o \
+	$(BUILD)/tests/fake-log.o $(BUILD)/libbanklift.a
+	@$(CC) -o $@ $^ -lcunit $(LIBS)
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/tests/script.o \
 	$(BUILD)/tests/fake-log.o \
 	$(BUILD)/libbanklift.a
--- a/src/overload-level.c
+++ b/src/overload-level.c
@@ -28,6 +28,9 @@
 #define LATE_TRUSTED 0.01
 /* At this late part of the first events what is expected counts alone. */
 #define LATE_SHORT 0.15
+/* The capacity is taken to be this part of the slots at least: below it, fewer
+ * requests make no first event earlier. */
+#define SLOTS_MIN 0.4
 /* A larger late part reduces the capacity, by this much for each. */
 #define LATE_USUAL 0.1
 #define LATE_GAIN 0.15
@@ -76,7 +79,8 @@
 	if (capacity < trusted)
 		capacity = trusted -
 		    (trusted - capacity) * ramp(late, LATE_TRUSTED, LATE_SHORT);
-	return (capacity * (1 - LATE_GAIN * fmax(late - LATE_USUAL, 0)));
+	capacity *= 1 - LATE_GAIN * fmax(late - LATE_USUAL, 0);
+	return (fmax(capacity, SLOTS_MIN * in->slots));
 }
 
 /*
@@ -219,19 +223,26 @@
 }
 
 /**
- * overload_level_refuses() - whether a first attempt is refused.
+ * overload_level_fraction() - fraction of the first attempts to refuse.
  * @level: the level
- * @priority: its priority
- * @hash: hash of its id
+ * @priority: their priority
  */
-bool
-overload_level_refuses(const struct overload_level *level, int priority,
-    uint32_t hash)
+double
+overload_level_fraction(const struct overload_level *level, int priority)
 {
-	double draw = hash / (UINT32_MAX + 1.0);
-
 	if (level->updated_ms == 0 || priority < level->priority)
-		return (false);
-	return (draw < (priority == level->priority ? level->fraction :
-						      level->lower_fraction));
+		return (0);
+	return (priority == level->priority ? level->fraction :
+					      level->lower_fraction);
+}
+
+/**
+ * overload_refuses() - whether a request is among those to refuse.
+ * @fraction: fraction of the requests to refuse
+ * @hash: hash of the request's id
+ */
+bool
+overload_refuses(double fraction, uint32_t hash)
+{
+	return (hash / (UINT32_MAX + 1.0) < fraction);
 }
