--- a/src/replica.c
+++ b/src/replica.c
@@ -182,26 +182,31 @@
 	return (names[proof]);
 }
 
-/* Sets a step to the removal of the replica. */
-static void
-step_remove(struct replica_step *step, enum replica_proof proof)
-{
-	step->action = REPLICA_DISSOLVED;
-	step->proof = proof;
-}
-
-/* Sets a step to an order to a member. */
-static void
-step_order(struct replica_step *step, unsigned member, enum order_kind order)
+/**
+ * replica_step_order() - set a step to an order to a member.
+ * @step: the step
+ * @member: rank of the member
+ * @order: which order
+ */
+void
+replica_step_order(struct replica_step *step, unsigned member,
+    enum order_kind order)
 {
 	step->action = REPLICA_ORDER;
 	step->member = member;
 	step->order = order;
 }
 
-/* Whether an order may be sent to a member, for the first time or again. */
-static bool
-member_order_due(const struct replica_member *m, enum order_kind order,
+/**
+ * replica_order_due() - whether an order may be sent to a member, for the first
+ * time or again.
+ * @m: the member
+ * @order: which order
+ * @now_ms: loop time
+ * @retry_ms: time after which it is sent again, in ms
+ */
+bool
+replica_order_due(const struct replica_member *m, enum order_kind order,
     uint64_t now_ms, uint64_t retry_ms)
 {
 	if (m->order_pending)
@@ -230,10 +235,10 @@
 	if (r->settled)
 		return (false);
 	if (!m->in_group)
-		return (member_order_due(m, ORDER_JOIN, now_ms,
+		return (replica_order_due(m, ORDER_JOIN, now_ms,
 		    REPLICA_JOIN_RETRY_MS));
 	return (m->unverified &&
-	    member_order_due(m, ORDER_JOIN, now_ms, REPLICA_ORDER_RETRY_MS));
+	    replica_order_due(m, ORDER_JOIN, now_ms, REPLICA_ORDER_RETRY_MS));
 }
 
 /* The next step to form a group: all members join, and the head opens once
@@ -250,7 +255,7 @@
 		if (!member_ready(r, m))
 			all = false;
 		if (member_join_due(r, m, now_ms)) {
-			step_order(step, i, ORDER_JOIN);
+			replica_step_order(step, i, ORDER_JOIN);
 			return;
 		}
 	}
@@ -259,146 +264,13 @@
 	if (r->members[0].state == GROUP_OPEN)
 		r->opened = true;
 	else if (r->settled &&
-	    member_order_due(&r->members[0], ORDER_OPEN, now_ms,
+	    replica_order_due(&r->members[0], ORDER_OPEN, now_ms,
 		REPLICA_ORDER_RETRY_MS)) {
 		r->open_ordered = true;
-		step_order(step, 0, ORDER_OPEN);
+		replica_step_order(step, 0, ORDER_OPEN);
 	}
 }
 
-/*
- * Whether a member that has left must leave again: an order to join made it
- * rejoin, or it left before the time from which on that is for good, and that
- * time has come.
- */
-static bool
-member_must_leave_again(const struct replica_member *m, uint64_t for_good_ms,
-    uint64_t now_ms)
-{
-	return ((m->in_group &&
-		    m->last_report_ms >= m->left_ms + REPLICA_REPORT_LAG_MS) ||
-	    now_ms >= for_good_ms);
-}
-
-/*
- * Orders a member to leave the group for good. While late orders may still
- * undo that, waits until that is over and has it leave again. Returns whether
- * an order is due.
- */
-static bool
-step_leave(struct replica *r, unsigned i, uint64_t now_ms,
-    struct replica_step *step)
-{
-	struct replica_member *m = &r->members[i];
-	uint64_t for_good_ms =
-	    i == 0 ? replica_head_leaves_from(m) : m->late_join_until_ms;
-
-	if (m->left && member_must_leave_again(m, for_good_ms, now_ms))
-		m->left = false;
-	if (m->left ||
-	    !member_order_due(m, ORDER_LEAVE, now_ms, REPLICA_ORDER_RETRY_MS))
-		return (false);
-	step_order(step, i, ORDER_LEAVE);
-	return (true);
-}
-
-/*
- * The next step for a group whose head can't be reached. The head can't be
- * closed, clients may still reach it, and an order that it carries out late may
- * even open it. So each member is ordered to leave and is free once it has
- * answered that it left. A member that can't be reached either is kept until
- * the platform must have broken the group: the head makes no progress from the
- * loss of a member on or, if it opens later, from then on.
- *
- * The record is kept while late orders could make the head serve again after it
- * has left. So a head without a record is out for good once it has left, and
- * whoever adopts its group need not know which orders it was sent. This binds
- * no other host than the head.
- */
-static void
-step_without_head(struct replica *r, uint64_t now_ms, uint64_t stall_ms,
-    struct replica_step *step)
-{
-	bool all = true;
-
-	for (unsigned i = 1; i < r->n; i++) {
-		struct replica_member *m = &r->members[i];
-		bool released = replica_member_released(m);
-
-		if (r->member_left_ms == 0 && (released || m->left))
-			r->member_left_ms = now_ms;
-		all = all && released;
-		if (!released && m->liveness != MEMBER_SILENT &&
-		    step_leave(r, i, now_ms, step))
-			return;
-	}
-	if (r->member_left_ms == 0 ||
-	    now_ms < replica_head_leaves_from(&r->members[0]))
-		return;
-	if (all)
-		step_remove(step, PROOF_MEMBERS_LEFT);
-	else if (now_ms - r->member_left_ms >= stall_ms + REPLICA_LATE_ORDER_MS)
-		step_remove(step, PROOF_STALLED);
-}
-
-/*
- * The next step to dissolve a group: the head is closed and then leaves. Only
- * then can no late order open it again, and only then may the members join
- * another group. A late order to join and a late order to open after it would
- * make the head serve again, so it is released only once one of the two can't
- * be carried out any more.
- */
-static void
-step_dissolve(struct replica *r, uint64_t now_ms, uint64_t stall_ms,
-    struct replica_step *step)
-{
-	struct replica_member *head = &r->members[0];
-	bool graceful = now_ms - r->dissolving_ms < r->drain_ms;
-	enum order_kind close = graceful ? ORDER_CLOSE : ORDER_CANCEL;
-
-	/* A head that was never ordered to open can't serve, so the hosts are
-	 * free at once; they refuse late orders to join this group because the
-	 * epochs of newer groups are higher. */
-	if (!r->open_ordered) {
-		step_remove(step, PROOF_NEVER_OPENED);
-		return;
-	}
-	if (head->in_newer_group) {
-		step_remove(step, PROOF_HEAD_IN_NEWER_GROUP);
-		return;
-	}
-	if (head->liveness == MEMBER_DEAD) {
-		step_remove(step, PROOF_HEAD_DEAD);
-		return;
-	}
-	if (replica_head_released(head)) {
-		step_remove(step, PROOF_HEAD_LEFT);
-		return;
-	}
-	if (head->liveness == MEMBER_SILENT) {
-		step_without_head(r, now_ms, stall_ms, step);
-		return;
-	}
-	r->member_left_ms = 0;
-	if (head->left) {
-		step_leave(r, 0, now_ms, step);
-		return;
-	}
-	if (graceful && now_ms - r->dissolving_ms < REPLICA_CLOSE_NOTICE_MS)
-		return;
-	if (!r->head_closed) {
-		if (member_order_due(head, close, now_ms,
-			REPLICA_ORDER_RETRY_MS))
-			step_order(step, 0, close);
-		return;
-	}
-	/* A graceful close lasts until the head reports that it is done. */
-	if (graceful && head->in_group &&
-	    (head->state == GROUP_OPEN || head->state == GROUP_CLOSING))
-		return;
-	step_leave(r, 0, now_ms, step);
-}
-
 /*
  * Whether nothing irreversible was done yet to dissolve a replica. A group that
  * was cut off and is reached again, complete, continues to serve.
@@ -439,7 +311,7 @@
 	if (r->dissolve_reason == NULL || replica_can_recover(r))
 		r->dissolve_reason = reason;
 	if (r->dissolve_reason != NULL)
-		step_dissolve(r, now_ms, stall_ms, step);
+		replica_dissolve_step(r, now_ms, stall_ms, step);
 	else if (r->recorded)
 		step_form(r, now_ms, step);
 }
--- a/src/replica.h
+++ b/src/replica.h
@@ -260,6 +260,13 @@
 void replica_retire(struct replica *, uint64_t);
 bool replica_ends_soon(const struct replica *, uint64_t);
 const char *replica_proof_name(enum replica_proof);
+void replica_step_order(struct replica_step *, unsigned, enum order_kind);
+bool replica_order_due(const struct replica_member *, enum order_kind, uint64_t,
+    uint64_t);
+
+/* replica-dissolve.c: how a replica is dissolved. */
+void replica_dissolve_step(struct replica *, uint64_t, uint64_t,
+    struct replica_step *);
 
 /* replica-inherit.c: replicas of another placer, and their records. */
 void replica_inherit(struct replica *, uint64_t, bool);
