--- a/Makefile
+++ b/Makefile
@@ -77,6 +77,10 @@
 	$(BUILD)/tests/levels-model.o $(BUILD)/tests/script.o \
 	$(BUILD)/tests/fake-log.o $(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ -lcunit $(LIBS)
+$(BUILD)/test-planner: $(BUILD)/tests/test-planner.o \
+	$(BUILD)/tests/planner-samples.o $(BUILD)/tests/script.o \
+	$(BUILD)/libbanklift.a
+	@$(CC) -o $@ $^ -lcunit $(LIBS)
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/tests/script.o \
 	$(BUILD)/tests/fake-log.o \
 	$(BUILD)/libbanklift.a
--- a/tests/test-planner.c
+++ b/tests/test-planner.c
@@ -1,10 +1,8 @@
 /* Scripted tests of the planner: which hosts form which replicas, which get
  * copies, and how the bound on the largest model changes. */
-#include <math.h>
 #include <string.h>
 
-#include "fwd-demand.h"
-#include "planner-peak.h"
+#include "planner-samples.h"
 #include "script.h"
 
 #define HOSTS_MAX 200
@@ -16,11 +14,6 @@
 static struct replica *replicas[HOSTS_MAX];
 static unsigned n_replicas;
 static guint64 loads, served, hosts_stable;
-static struct planner_demand demand;
-static struct planner_peak peak;
-static bool use_peak;
-static uint64_t sampled_ms;
-static struct fleet_sums sums;
 
 static void
 reset(void)
@@ -41,11 +34,7 @@
 	loads = 100;
 	served = 0;
 	hosts_stable = 1;
-	memset(&demand, 0, sizeof demand);
-	memset(&peak, 0, sizeof peak);
-	use_peak = false;
-	sampled_ms = 0;
-	memset(&sums, 0, sizeof sums);
+	planner_samples_reset();
 	g_clear_pointer(&catalog, catalog_unref);
 	catalog = catalog_create();
 	engine = catalog_add_engine(catalog_add_service(catalog, "s"));
@@ -86,7 +75,7 @@
 	    (double)script_number(rest, "prefill_per_ms", 0);
 	engine->usual_prompt = (double)script_number(rest, "prompt", 0);
 	engine->usual_response = (double)script_number(rest, "response", 0);
-	use_peak = true;
+	planner_samples_use_peaks();
 }
 
 /* hosts N domain=D fabric=F [memory=M] [staged=M]: N free hosts, with these
@@ -113,9 +102,12 @@
 	}
 }
 
-/* Builds the planner's view of all hosts and replicas. */
-static void
-view_make(struct planner_view *view)
+/**
+ * planner_script_view() - build the planner's view of all hosts and replicas.
+ * @view: set to the view; the caller clears it
+ */
+void
+planner_script_view(struct planner_view *view)
 {
 	planner_view_init(view, engine);
 	g_array_append_vals(view->hosts, hosts, n_hosts - n_gone);
@@ -128,10 +120,7 @@
 			    hosts[i].fabric);
 	}
 	planner_view_count_hosts(view);
-	view->largest_max = demand.largest_max;
-	if (use_peak)
-		planner_peak_apply(&peak, &demand.largest_max, view,
-		    sampled_ms);
+	planner_samples_apply(view);
 	planner_view_set_targets(view);
 	view->loads_free = (unsigned)loads;
 	view->served = served != 0;
@@ -169,7 +158,7 @@
 	const struct planner_host *h;
 	struct planner_view view;
 
-	view_make(&view);
+	planner_script_view(&view);
 	h = planner_plan_warming(&view);
 	g_string_append_printf(out, "%s\n", h != NULL ? h->id : "none");
 	view_free(&view);
@@ -253,7 +242,7 @@
 		struct replica *r;
 		struct sockaddr_in any = { 0 };
 
-		view_make(&view);
+		planner_script_view(&view);
 		if (!planner_plan_replica(&view, &plan)) {
 			g_string_append(out, "none\n");
 			view_free(&view);
@@ -288,7 +277,7 @@
 	struct planner_view view;
 	const struct replica *r;
 
-	view_make(&view);
+	planner_script_view(&view);
 	r = planner_find_donor(&view);
 	g_string_append_printf(out, "%s\n",
 	    r != NULL ? r->members[0].id : "none");
@@ -302,7 +291,7 @@
 	struct planner_view view;
 	const struct replica *r;
 
-	view_make(&view);
+	planner_script_view(&view);
 	r = planner_find_surplus(&view);
 	g_string_append_printf(out, "%s\n",
 	    r != NULL ? r->members[0].id : "none");
@@ -325,89 +314,6 @@
 	}
 }
 
-/* Updates the demand and the bound on the largest model. */
-static void
-demand_add(struct demand_sample *samples, uint64_t at)
-{
-	struct planner_view view;
-
-	view_make(&view);
-	planner_demand_add_sums(samples, &view, "s", &sums);
-	sampled_ms = at;
-	for (unsigned i = 0; i < engine->models->len && n_replicas == 0; i++)
-		view.replicas[i] = samples[i].unlimited + samples[i].limited;
-	if (use_peak) {
-		planner_peak_update(&peak, &view, samples, at);
-		planner_peak_apply(&peak, &demand.largest_max, &view, at);
-	} else {
-		planner_demand_update(&demand, &view, samples, at);
-		planner_demand_apply(&demand, &view, at);
-	}
-	view_free(&view);
-}
-
-/*
- * sample big=N small=N from=MS to=MS [unlimited=N limited=N smalls=N
- * swing=PERCENT period=MS refused=N slow=N]: requests of the first two models
- * that run during this time. Of the first model's replicas, "unlimited" have no
- * rate limit and run its requests, and "limited" have one; the second model has
- * "smalls" replicas without and "slow" ones with a limit, and refuses so many
- * requests per second. The numbers rise
- * and fall in a wave of that period, by so much. Prints each change of the
- * bound on the largest model.
- */
-static void
-exec_sample(const char *rest, GString *out)
-{
-	struct demand_sample samples[PLANNER_MODELS_MAX] = { 0 };
-	double swing = (double)script_number(rest, "swing", 0) / 100;
-	double period = (double)script_number(rest, "period", 10000);
-
-	samples[0].unlimited = (unsigned)script_number(rest, "unlimited", 1);
-	samples[0].limited = (unsigned)script_number(rest, "limited", 0);
-	samples[1].unlimited = (unsigned)script_number(rest, "smalls", 1);
-	samples[1].limited = (unsigned)script_number(rest, "slow", 0);
-	samples[1].refused = (double)script_number(rest, "refused", 0);
-	for (guint64 at = script_number(rest, "from", 0);
-	     at <= script_number(rest, "to", 0); at += 250) {
-		double factor = 1 + swing * sin(2 * G_PI * (double)at / period);
-		unsigned bound = demand.largest_max;
-
-		samples[0].running =
-		    factor * (double)script_number(rest, "big", 0);
-		samples[1].running =
-		    factor * (double)script_number(rest, "small", 0);
-		demand_add(samples, at);
-		if (demand.largest_max != bound)
-			g_string_append_printf(out, "at %u bound %u\n",
-			    (unsigned)at, demand.largest_max);
-	}
-}
-
-/* sums MODEL priority=N queued=N due=N [told=0]: the daemons together have
- * these requests for a model waiting, and refused ones that are to return */
-static void
-exec_sums(const char *rest, GString *out)
-{
-	g_autofree char *model = g_strndup(rest, strcspn(rest, " "));
-	struct sum_row *row = sum_table_find(&sums.total[SUM_DEMAND],
-	    fwd_demand_key("s", model,
-		(int)script_number(rest, "priority", 0)));
-
-	row->values[DEMAND_QUEUED] =
-	    1000 * (uint32_t)script_number(rest, "queued", 0);
-	row->values[DEMAND_DUE] =
-	    1000 * (uint32_t)script_number(rest, "due", 0);
-	sums.told = script_number(rest, "told", 1) != 0;
-}
-
-/* take-over: another placer takes over, which knows the bound only */
-static void
-exec_take_over(const char *rest, GString *out)
-{
-	memset(&peak, 0, sizeof peak);
-}
-
 /* plan-copy: prints the next host to get a copy, and of which model */
 static void
 exec_plan_copy(const char *rest, GString *out)
@@ -416,7 +322,7 @@
 	const struct planner_host *h;
 	struct planner_view view;
 
-	view_make(&view);
+	planner_script_view(&view);
 	h = planner_plan_copy(&view, &model);
 	if (h != NULL)
 		g_string_append_printf(out, "%s %s\n", h->id, model->name);
@@ -439,9 +345,9 @@
 	{ "donor", exec_donor },
 	{ "surplus", exec_surplus },
 	{ "end", exec_end },
-	{ "sample", exec_sample },
-	{ "sums", exec_sums },
-	{ "take-over", exec_take_over },
+	{ "sample", planner_samples_exec },
+	{ "sums", planner_samples_exec_sums },
+	{ "take-over", planner_samples_exec_take_over },
 	{ "plan-copy", exec_plan_copy },
 	{ "memory", exec_memory },
 	{ "warm", exec_warm },
