--- a/src/planner-balance.c
+++ b/src/planner-balance.c
@@ -123,7 +123,7 @@
 }
 
 /**
- * planner_balance_cost() - the expected late responses, up to a factor.
+ * planner_balance_cost() - the expected late work, up to a factor.
  * @b: the balance; its reserves have been set
  * @view: the view
  * @largest: number of replicas of the largest model
@@ -137,8 +137,8 @@
 	double at_others = reserved_utilization(b->other_hosts,
 	    balance_rest(b, view, largest), b->other_reserve, b->other_size);
 
-	return (b->largest_requests * pow(at_largest, BALANCE_COST_EXPONENT) +
-	    b->other_requests * pow(at_others, BALANCE_COST_EXPONENT));
+	return (b->largest_hosts * pow(at_largest, BALANCE_COST_EXPONENT) +
+	    b->other_hosts * pow(at_others, BALANCE_COST_EXPONENT));
 }
 
 /* Whether hosts are too few for peaks. While replicas are missing, the next
--- a/src/planner-peak.c
+++ b/src/planner-peak.c
@@ -35,7 +35,7 @@
 /* The bound stands while fewer than this part of the most hosts seen is alive:
  * those of a failure domain that is cut off usually return. The time constant
  * is that of the decay of the number seen, for those that don't. */
-#define PEAK_HOSTS_MIN 0.8
+#define PEAK_HOSTS_MIN 0.9
 #define PEAK_HOSTS_DECAY_MS 45000
 /* Time for which the rise of the last second is assumed to continue. */
 #define PEAK_AHEAD_S 2
