Move the count of sends to a file of its own

Change: fwd-sends.c counts sends and fills in what other daemons may have sent. Result: no behaviour changes; test-fleet, proc-edge-unaccepted.sh and proc-edge-path.sh pass.

--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -128,10 +128,7 @@
 	TAILQ_REMOVE(&fwd->queue, ex, queue_entry);
 	ex->state = ex->first_us > 0 ? EXCHANGE_RESPONDING : EXCHANGE_SENT;
 	exchange_take_slot(ex, choice);
-	fwd_rate_add(&fwd_exchange_estimate(ex)->sends,
-	    clock_loop_ms(fwd->loop));
-	fwd_stats_count_send(&fwd->stats, ex->service,
-	    ex->endpoint->report.domain, clock_loop_ms(fwd->loop));
+	fwd_sends_count(ex);
 	exchange_note_tried(ex);
 	ex->sends++;
 	ex->sent_ms = clock_loop_ms(fwd->loop);
@@ -165,23 +162,6 @@
 	net_conn_send(ex->upstream, text->str, text->len, ex->head_only);
 }
 
-/* What other daemons may have sent since the loads were measured. */
-static void
-exchange_fill_unseen(const struct fwd_exchange *ex, uint64_t now_ms,
-    struct fwd_unseen *unseen)
-{
-	const struct fwd_estimate *estimate = fwd_exchange_estimate(ex);
-
-	if (!ex->fwd->set.balance_spread)
-		return;
-	unseen->age_ms =
-	    fwd_unseen_age(ex->fwd->registry->loads_as_of_ms, now_ms);
-	unseen->duration_ms = estimate->duration_ms;
-	unseen->requests =
-	    fwd_unseen_requests(fwd_rate_per_s(&estimate->sends, now_ms),
-		ex->fwd->daemons, unseen->age_ms);
-}
-
 /**
  * fwd_exchange_criteria() - what a request requires of an endpoint.
  * @ex: the exchange
@@ -207,7 +187,7 @@
 	criteria->draw = random_u32();
 	criteria->probe_suspects =
 	    ex->model == NULL && ex->fwd->set.balance_spread;
-	exchange_fill_unseen(ex, criteria->now_ms, &criteria->unseen);
+	fwd_sends_fill_unseen(ex, criteria->now_ms, &criteria->unseen);
 }
 
 /**
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -161,6 +161,12 @@
 /* fwd-dispatch.c: sends, queues or refuses a request. */
 void fwd_exchange_dispatch(struct fwd_exchange *);
 
+/* fwd-sends.c: this daemon's sends, from which those of others are estimated.
+ */
+void fwd_sends_count(const struct fwd_exchange *);
+void fwd_sends_fill_unseen(const struct fwd_exchange *, uint64_t,
+    struct fwd_unseen *);
+
 /* fwd-end.c: end of an exchange. */
 void fwd_exchange_refuse(struct fwd_exchange *, unsigned, const char *,
     int64_t);
