--- a/src/placer.h
+++ b/src/placer.h
@@ -160,6 +160,8 @@
 void placer_lease_poll(struct placer *, uint64_t);
 void placer_step_down(struct placer *, const char *);
 bool placer_lease_verified(struct placer *, uint64_t);
+
+/* placer-write.c: writing of the placer's records to the store. */
 void placer_flush_records(struct placer *);
 void placer_record_replica(struct placer *, const struct replica *, bool);
 void placer_record_served(struct placer *);
