--- a/src/planner-balance.c
+++ b/src/planner-balance.c
@@ -11,6 +11,9 @@
 /* Part of a replica by which the peaks of the largest model may exceed those
  * that it keeps besides the reserve. */
 #define BALANCE_MARGIN 0.25
+/* The largest model keeps the replicas with which its utilization at peaks is at
+ * most this: one that was given up comes back only after loads. */
+#define BALANCE_LARGEST_UTILIZATION 0.7
 /* Exponent of the utilization in the cost: the part of late responses rises
  * steeply where a model fills its replicas. */
 #define BALANCE_COST_EXPONENT 4
@@ -189,10 +192,10 @@
     const struct planner_view *view, unsigned bound, unsigned max,
     bool corrected)
 {
-	double needed = b->largest_hosts / b->size;
-	unsigned least = corrected ?
-	    (unsigned)ceil(needed - BALANCE_MARGIN) + PEAK_RESERVE :
-	    (unsigned)needed;
+	double needed =
+	    b->largest_hosts / b->size / BALANCE_LARGEST_UTILIZATION;
+	unsigned least = (unsigned)ceil(needed - BALANCE_MARGIN) +
+	    (corrected ? PEAK_RESERVE : 0);
 	unsigned step = MAX(bound / BALANCE_STEP_PART, 1);
 	unsigned best = bound;
 	double best_cost = planner_balance_cost(b, view, bound);
--- a/src/planner-peak.c
+++ b/src/planner-peak.c
@@ -208,7 +208,8 @@
 	if (!change_allowed(peak, view, now_ms))
 		return;
 	planner_balance_set_reserves(b, view, bound);
-	best = planner_balance_best(b, view, bound, fit, *largest_max != 0);
+	best = planner_balance_best(b, view, bound, MIN(fit, by_share),
+	    *largest_max != 0);
 	if (best == bound || reverse_blocked(peak, best < bound, now_ms) ||
 	    planner_balance_cost(b, view, best) >
 		change_gain(best < bound, *largest_max != 0) *
