Let evidence fade, and let on-time rows not ask for each other

Cause: evidence ended at once 300 ms after the newest event. Rows with small lateness, sent because others asked, had a severity and asked again, so they never ended. The check of a pause could not fail: one late event at one endpoint moved the requests to the other. Change: evidence fades linearly within 450 ms; below a weight of 1.5 the mean counts in part; a lateness up to 20 ms has no severity. The check has requests at both endpoints at the pause.

--- a/src/fwd-evidence.c
+++ b/src/fwd-evidence.c
@@ -6,10 +6,11 @@
 
 /* Time constant with which the weight of a first event decays. */
 #define DECAY_MS 700.0
-/* Evidence is dropped this long after the newest first event. An endpoint that
- * is avoided has no new events, so this bounds the time until it is used again:
- * the sums add up to 600 ms. */
-#define FORGET_MS 300
+/* Evidence fades within this time after the newest first event. An endpoint
+ * that is avoided has no new events, so this bounds the time until it is used
+ * again: the sums add up to 600 ms. If it ended at once, all would return to an
+ * endpoint that is still slow at the same time. */
+#define FADE_MS 450.0
 /* Overdue times are recorded every 100 ms; older ones are not used. */
 #define OVERDUE_MAX_AGE_MS 500
 /* Bounds of the lateness of one first event. */
@@ -24,6 +25,8 @@
 /* To exceed that, lateness is weighed against this weight of events in time:
  * one late event alone is often the effect of its own prompt. */
 #define PRIOR_WEIGHT 3.0
+/* Below this weight the mean lateness counts in part. */
+#define FULL_WEIGHT 1.5
 /* Sums stay below the limit on values in datagrams. */
 #define VALUE_MAX 1e9
 #define THOUSANDTHS 1000.0
@@ -40,11 +43,18 @@
 static double
 decay(const struct fwd_evidence *ev, uint64_t now_ms)
 {
-	if (elapsed_ms(ev->event_ms, now_ms) > FORGET_MS)
+	if (elapsed_ms(ev->event_ms, now_ms) >= FADE_MS)
 		return (0);
 	return (exp(-elapsed_ms(ev->at_ms, now_ms) / DECAY_MS));
 }
 
+/* Part of the evidence that still counts if there were no newer events. */
+static double
+fade(const struct fwd_evidence *ev, uint64_t now_ms)
+{
+	return (fmax(1 - elapsed_ms(ev->event_ms, now_ms) / FADE_MS, 0));
+}
+
 /**
  * fwd_evidence_add() - add a first event.
  * @ev: evidence of its endpoint
@@ -109,16 +119,21 @@
 fwd_evidence_row(const struct fwd_evidence *ev, bool asked, uint64_t now_ms,
     struct sum_row *row)
 {
-	double left = decay(ev, now_ms);
+	double left = decay(ev, now_ms) * fade(ev, now_ms);
 	double weight = ev->weight * left;
 	double late = fmax(ev->late_ms * left, 0);
 	bool checked = elapsed_ms(ev->checked_ms, now_ms) <= OVERDUE_MAX_AGE_MS;
 	double overdue = checked ? ev->overdue_ms : 0;
 	double squares = checked ? ev->squares : 0;
 
+	/* Less has no severity: otherwise rows that were asked for would ask
+	 * for each other. */
+	if (late <= REPORT_MIN_MS * weight)
+		late = 0;
+	if (squares <= REPORT_MIN_MS * overdue)
+		overdue = squares = 0;
 	memset(row->values, 0, sizeof row->values);
-	if (!(asked && weight > 0) && late <= REPORT_MIN_MS * weight &&
-	    squares <= REPORT_MIN_MS * overdue)
+	if (late + overdue <= 0 && !(asked && weight > 0))
 		return (false);
 	row->values[EVIDENCE_OVERDUE] = value_of(overdue);
 	row->values[EVIDENCE_SEVERITY] =
@@ -144,7 +159,7 @@
 
 	if (late <= NOISE_MS * (weight + PRIOR_WEIGHT))
 		return (0);
-	return (fmin(late / fmax(weight, 1), LATENESS_MAX_MS));
+	return (fmin(late / fmax(weight, FULL_WEIGHT), LATENESS_MAX_MS));
 }
 
 /**
--- a/tests/proc-edge-evidence.sh
+++ b/tests/proc-edge-evidence.sh
@@ -49,13 +49,18 @@
 
 # A daemon that stood still takes its own pause for no lateness of the endpoints.
 control slow-first 100
+# Corrections of at least 100 ms: the pause is of 1.5 s, and the delay at the endpoints is below.
 corrected() {
-	grep -c 'event=request_answered .*correction_ms=[1-9]' "$RUN"/edge-2.out
+	grep -c 'event=request_answered .*correction_ms=[1-9][0-9][0-9]' \
+	    "$RUN"/edge-2.out
 }
 sleep 1
 before=$(corrected)
-ask 1 /write/x >/dev/null &
-asks=$!
+asks=
+for _ in $(seq 14); do
+	ask 1 /write/x >/dev/null &
+	asks="$asks $!"
+done
 sleep 0.05
 kill -STOP "$(pid_of edge-1)"
 sleep 1.5
