Keep a margin for each model when replicas move between models

Cause: a model could give up replicas until its peaks used all that it kept. They come back only after loads of over ten seconds, so before the next peak of a wave both models were late, and the bound went from 6 to 5, none and 8 within one minute. Models counted by their number of requests, so that a large model with few but large requests gave way first. Change: a model keeps the replicas that its peaks use to 0.8 at most, in both directions; models count by the hosts that they need.

--- a/src/planner-balance.c
+++ b/src/planner-balance.c
@@ -11,9 +11,9 @@
 /* Part of a replica by which the peaks of the largest model may exceed those
  * that it keeps besides the reserve. */
 #define BALANCE_MARGIN 0.25
-/* The largest model keeps the replicas with which its utilization at peaks is at
- * most this: one that was given up comes back only after loads. */
-#define BALANCE_LARGEST_UTILIZATION 0.7
+/* A model gives up replicas only if those that it keeps are used to at most
+ * this part at its peaks: they come back only after loads. */
+#define BALANCE_KEPT_UTILIZATION 0.8
 /* Exponent of the utilization in the cost: the part of late responses rises
  * steeply where a model fills its replicas. */
 #define BALANCE_COST_EXPONENT 4
@@ -38,11 +38,9 @@
 
 		if (i == view->largest) {
 			b->largest_hosts = hosts;
-			b->largest_requests = peak->models[i].requests;
 			continue;
 		}
 		b->other_hosts += hosts;
-		b->other_requests += peak->models[i].requests;
 		b->other_size =
 		    CLAMP(planner_model(view, i)->size, 1, b->other_size);
 	}
@@ -175,6 +173,16 @@
 		others_present(view), b->other_size));
 }
 
+/* Whether the other models keep what they need beside a number of replicas of
+ * the largest. */
+static bool
+others_can_spare(const struct planner_balance *b,
+    const struct planner_view *view, unsigned largest)
+{
+	return (b->other_hosts <=
+	    BALANCE_KEPT_UTILIZATION * balance_rest(b, view, largest));
+}
+
 /**
  * planner_balance_best() - the number of replicas of the largest model with the
  * least cost.
@@ -184,16 +192,15 @@
  * @max: the largest number
  * @corrected: the configured shares have been corrected before
  *
- * The largest model keeps the whole replicas that its peaks need. After the
- * configured shares were corrected it also keeps the reserve.
+ * Both sides keep the replicas that their peaks need. After the configured
+ * shares were corrected, the largest model also keeps the reserve.
  */
 unsigned
 planner_balance_best(const struct planner_balance *b,
     const struct planner_view *view, unsigned bound, unsigned max,
     bool corrected)
 {
-	double needed =
-	    b->largest_hosts / b->size / BALANCE_LARGEST_UTILIZATION;
+	double needed = b->largest_hosts / b->size / BALANCE_KEPT_UTILIZATION;
 	unsigned least = (unsigned)ceil(needed - BALANCE_MARGIN) +
 	    (corrected ? PEAK_RESERVE : 0);
 	unsigned step = MAX(bound / BALANCE_STEP_PART, 1);
@@ -204,7 +211,8 @@
 	for (unsigned n = MIN(least, bound); n <= MIN(max, bound + step); n++) {
 		double cost = planner_balance_cost(b, view, n);
 
-		if (cost >= best_cost)
+		if (cost >= best_cost ||
+		    (n > bound && !others_can_spare(b, view, n)))
 			continue;
 		best = n;
 		best_cost = cost;
--- a/src/planner-balance.h
+++ b/src/planner-balance.h
@@ -9,8 +9,6 @@
  * struct planner_balance - the largest model beside all others together.
  * @largest_hosts: hosts that the largest model needs at its peaks
  * @other_hosts: hosts that the others need at theirs
- * @largest_requests: average requests of the largest model
- * @other_requests: average requests of the others
  * @size: hosts in a replica of the largest model
  * @other_size: hosts in the smallest replica
  * @largest_reserve: hosts of the largest model's replicas that may be missing
@@ -19,8 +17,6 @@
 struct planner_balance {
 	double largest_hosts;
 	double other_hosts;
-	double largest_requests;
-	double other_requests;
 	unsigned size;
 	unsigned other_size;
 	double largest_reserve;
--- a/src/planner-peak.c
+++ b/src/planner-peak.c
@@ -15,8 +15,6 @@
 #define MS_PER_S 1000
 /* Time constant of the average whose recent maximum is the peak. */
 #define PEAK_AVERAGE_MS 1000
-/* Time constant of the average number of requests, by which models count. */
-#define REQUESTS_AVERAGE_MS 5000
 /* Time for which a model must have been short. Requests for a large model run
  * longer, so after a rise of the load its demand shows later. */
 #define PEAK_SHORT_MS 1200
@@ -107,10 +105,6 @@
 			m->hosts +=
 			    sample_weight(now_ms - last_ms, PEAK_AVERAGE_MS) *
 			    (hosts - m->hosts);
-			m->requests += sample_weight(now_ms - last_ms,
-					   REQUESTS_AVERAGE_MS) *
-			    (samples[i].running + samples[i].queued -
-				m->requests);
 		}
 		*max = MAX(*max, m->hosts);
 	}
@@ -208,8 +202,7 @@
 	if (!change_allowed(peak, view, now_ms))
 		return;
 	planner_balance_set_reserves(b, view, bound);
-	best = planner_balance_best(b, view, bound, MIN(fit, by_share),
-	    *largest_max != 0);
+	best = planner_balance_best(b, view, bound, fit, *largest_max != 0);
 	if (best == bound || reverse_blocked(peak, best < bound, now_ms) ||
 	    planner_balance_cost(b, view, best) >
 		change_gain(best < bound, *largest_max != 0) *
--- a/src/planner-peak.h
+++ b/src/planner-peak.h
@@ -19,12 +19,10 @@
  * struct model_peak - recent demand for one model.
  * @hosts: one-second average of the number of hosts whose replicas would serve
  *	the model's requests just in time
- * @requests: average over some seconds of the requests that run or wait
  * @peaks: maximum of @hosts in each second of the last PEAK_SPAN_S
  */
 struct model_peak {
 	double hosts;
-	double requests;
 	double peaks[PEAK_SPAN_S];
 };
 
