Let first attempts wait when other daemons have taken the free slots

Cause: near full load, all daemons sent what exceeded the known free slots to the few replicas that seemed to have some left; 60 to 80 requests a second came to one replica for its share of 25, and waited there for up to a second. Change: a first attempt is given no endpoint when its draw falls on requests beyond the known slots; it waits or is refused like one without a free slot. Requests that were sent or refused before are placed as before.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -329,8 +329,9 @@
     struct fwd_choice *choice, uint32_t *draw, double *best)
 {
 	struct endpoint *ep = NULL;
+	bool applies = fwd_balance_applies(criteria, eligible->len);
 
-	if (fwd_balance_applies(criteria, eligible->len)) {
+	if (applies) {
 		unsigned n = draw_candidates(eligible, 0, eligible->len,
 		    BALANCE_MAX, draw);
 
@@ -340,7 +341,7 @@
 	}
 	if (ep != NULL)
 		compare_one(ep, criteria, choice, best);
-	else
+	else if (!applies || !criteria->may_wait)
 		choose_among(eligible, criteria, choice, draw, best);
 }
 
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -32,6 +32,8 @@
  * @objective_ms: the route's objective for the first event
  * @domain: this daemon's failure domain
  * @balance_domains: prefer that failure domain only while it has capacity
+ * @may_wait: no endpoint is chosen if other daemons have probably taken the
+ *	free slots since the loads were measured
  * @unseen: what other daemons may have sent since the loads were measured
  * @probe_suspects: only few requests are sent to an endpoint that was found
  *	silent, until a daemon hears from it again
@@ -53,6 +55,7 @@
 	double objective_ms;
 	const char *domain;
 	bool balance_domains;
+	bool may_wait;
 	struct fwd_unseen unseen;
 	bool probe_suspects;
 	const struct fwd_tried *tried;
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -208,6 +208,9 @@
 	criteria->objective_ms = (double)ex->route->objective_ms;
 	criteria->domain = ex->fwd->set.domain;
 	criteria->balance_domains = ex->fwd->set.balance_domains;
+	/* A client that was refused before does not return again. */
+	criteria->may_wait =
+	    ex->model != NULL && ex->sends == 0 && !ex->resubmitted;
 	criteria->tried = ex->tried;
 	criteria->n_tried = ex->n_tried;
 	criteria->now_ms = clock_loop_ms(ex->fwd->loop);
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -414,6 +414,7 @@
 	criteria.balance_domains = script_number(rest, "domains", 0) != 0;
 	criteria.objective_ms = (double)script_number(rest, "objective", 0);
 	criteria.probe_suspects = script_number(rest, "suspects", 0) != 0;
+	criteria.may_wait = script_number(rest, "waits", 0) != 0;
 	criteria.unseen.requests = (double)script_number(rest, "unseen", 0);
 	criteria.unseen.age_ms = (double)script_number(rest, "age", 0);
 	criteria.unseen.duration_ms =
@@ -462,7 +463,7 @@
 }
 
 /* count ID at=MS [model=1] [domains=1] [objective=MS] [unseen=N] [age=MS]
- * [duration=MS]: in how many of the draws
+ * [duration=MS] [waits=1]: in how many of the draws
  * an endpoint is chosen */
 static void
 exec_count(const char *rest, GString *out)
