--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -32,7 +32,11 @@
  * @objective_ms: the route's objective for the first event
  * @domain: this daemon's failure domain
  * @balance_domains: prefer that failure domain only while it has capacity
+ * @may_wait: no endpoint is chosen if other daemons have probably taken the
+ *	free slots since the loads were measured
  * @unseen: what other daemons may have sent since the loads were measured
+ * @probe_suspects: only few requests are sent to an endpoint that was found
+ *	silent, until a daemon hears from it again
  * @tried: endpoints that have failed the request
  * @n_tried: length of @tried
  * @ahead: requests of the same service and model queued before it at this
@@ -51,7 +55,9 @@
 	double objective_ms;
 	const char *domain;
 	bool balance_domains;
+	bool may_wait;
 	struct fwd_unseen unseen;
+	bool probe_suspects;
 	const struct fwd_tried *tried;
 	unsigned n_tried;
 	unsigned ahead;
--- a/src/fwd-evidence.c
+++ b/src/fwd-evidence.c
@@ -6,10 +6,11 @@
 
 /* Time constant with which the weight of a first event decays. */
 #define DECAY_MS 700.0
-/* Evidence is dropped this long after the newest first event. An endpoint that
- * is avoided has no new events, so this bounds the time until it is used again:
- * the sums add up to 600 ms. */
-#define FORGET_MS 300
+/* Evidence fades within this time after the newest first event. An endpoint
+ * that is avoided has no new events, so this bounds the time until it is used
+ * again: the sums add up to 600 ms. If it ended at once, all would return to an
+ * endpoint that is still slow at the same time. */
+#define FADE_MS 450.0
 /* Overdue times are recorded every 100 ms; older ones are not used. */
 #define OVERDUE_MAX_AGE_MS 500
 /* Bounds of the lateness of one first event. */
@@ -17,13 +18,15 @@
 #define LATENESS_MAX_MS 4000.0
 /* Lateness from which on a daemon reports an endpoint unasked. */
 #define REPORT_MIN_MS 20.0
-/* Weight of the assumption that an endpoint is not late: one late event alone
- * is often the effect of its own prompt. */
-#define PRIOR_WEIGHT 3.0
 /* Lateness up to this is not told from the estimate's own errors. Corrections
  * by less would outweigh differences in load, which are 1 ms a request, and
  * crowd the other endpoints. */
 #define NOISE_MS 40.0
+/* To exceed that, lateness is weighed against this weight of events in time:
+ * one late event alone is often the effect of its own prompt. */
+#define PRIOR_WEIGHT 3.0
+/* Below this weight the mean lateness counts in part. */
+#define FULL_WEIGHT 1.5
 /* Sums stay below the limit on values in datagrams. */
 #define VALUE_MAX 1e9
 #define THOUSANDTHS 1000.0
@@ -40,11 +43,18 @@
 static double
 decay(const struct fwd_evidence *ev, uint64_t now_ms)
 {
-	if (elapsed_ms(ev->event_ms, now_ms) > FORGET_MS)
+	if (elapsed_ms(ev->event_ms, now_ms) >= FADE_MS)
 		return (0);
 	return (exp(-elapsed_ms(ev->at_ms, now_ms) / DECAY_MS));
 }
 
+/* Part of the evidence that still counts if there were no newer events. */
+static double
+fade(const struct fwd_evidence *ev, uint64_t now_ms)
+{
+	return (fmax(1 - elapsed_ms(ev->event_ms, now_ms) / FADE_MS, 0));
+}
+
 /**
  * fwd_evidence_add() - add a first event.
  * @ev: evidence of its endpoint
@@ -109,16 +119,21 @@
 fwd_evidence_row(const struct fwd_evidence *ev, bool asked, uint64_t now_ms,
     struct sum_row *row)
 {
-	double left = decay(ev, now_ms);
+	double left = decay(ev, now_ms) * fade(ev, now_ms);
 	double weight = ev->weight * left;
 	double late = fmax(ev->late_ms * left, 0);
 	bool checked = elapsed_ms(ev->checked_ms, now_ms) <= OVERDUE_MAX_AGE_MS;
 	double overdue = checked ? ev->overdue_ms : 0;
 	double squares = checked ? ev->squares : 0;
 
+	/* Less has no severity: otherwise rows that were asked for would ask
+	 * for each other. */
+	if (late <= REPORT_MIN_MS * weight)
+		late = 0;
+	if (squares <= REPORT_MIN_MS * overdue)
+		overdue = squares = 0;
 	memset(row->values, 0, sizeof row->values);
-	if (!(asked && weight > 0) && late <= REPORT_MIN_MS * weight &&
-	    squares <= REPORT_MIN_MS * overdue)
+	if (late + overdue <= 0 && !(asked && weight > 0))
 		return (false);
 	row->values[EVIDENCE_OVERDUE] = value_of(overdue);
 	row->values[EVIDENCE_SEVERITY] =
@@ -128,16 +143,11 @@
 	return (true);
 }
 
-/* The part of a lateness that is not noise, within its bounds. */
-static double
-beyond_noise(double ms)
-{
-	return (fmin(fmax(ms - NOISE_MS, 0), LATENESS_MAX_MS));
-}
-
 /**
  * fwd_evidence_lateness_ms() - mean lateness of recent first events.
  * @row: evidence of an endpoint, of one or more daemons
+ *
+ * Return: the mean; 0 if it may be noise.
  */
 double
 fwd_evidence_lateness_ms(const struct sum_row *row)
@@ -147,22 +157,27 @@
 	double late =
 	    (double)values[EVIDENCE_SEVERITY] - values[EVIDENCE_OVERDUE];
 
-	return (beyond_noise(fmax(late, 0) / (weight + PRIOR_WEIGHT)));
+	if (late <= NOISE_MS * (weight + PRIOR_WEIGHT))
+		return (0);
+	return (fmin(late / fmax(weight, FULL_WEIGHT), LATENESS_MAX_MS));
 }
 
 /**
  * fwd_evidence_overdue_ms() - how long first events have been overdue.
  * @row: evidence of an endpoint, of one or more daemons
  *
- * Return: a mean in which each request counts as much as it is overdue.
+ * Return: a mean in which each request counts as much as it is overdue; 0 if it
+ * may be noise.
  */
 double
 fwd_evidence_overdue_ms(const struct sum_row *row)
 {
 	const uint32_t *values = row->values;
 
-	if (values[EVIDENCE_OVERDUE] == 0)
+	double squares = values[EVIDENCE_SQUARES] * SQUARES_UNIT;
+
+	if (squares <= NOISE_MS * values[EVIDENCE_OVERDUE])
 		return (0);
-	return (beyond_noise(values[EVIDENCE_SQUARES] * SQUARES_UNIT /
-	    values[EVIDENCE_OVERDUE]));
+	return (
+	    fmin(squares / fmax(values[EVIDENCE_OVERDUE], 1), LATENESS_MAX_MS));
 }
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -163,6 +163,8 @@
 
 /* fwd-evidence-collect.c: evidence of endpoints. */
 const struct sum_table *fwd_evidence_known(const struct fwd *, uint64_t);
+void fwd_exchange_note_first(const struct fwd_exchange *, uint64_t);
+void fwd_exchange_note_overdue(const struct fwd_exchange *, uint64_t);
 double fwd_exchange_lateness_ms(const struct fwd_exchange *, uint64_t);
 
 /* fwd-resolve.c: route, customer, service and model of a request. */
@@ -172,6 +174,12 @@
 /* fwd-dispatch.c: sends, queues or refuses a request. */
 void fwd_exchange_dispatch(struct fwd_exchange *);
 
+/* fwd-sends.c: this daemon's sends, from which those of others are estimated.
+ */
+void fwd_sends_count(const struct fwd_exchange *);
+void fwd_sends_fill_unseen(const struct fwd_exchange *, uint64_t,
+    struct fwd_unseen *);
+
 /* fwd-end.c: end of an exchange. */
 void fwd_exchange_refuse(struct fwd_exchange *, unsigned, const char *,
     int64_t);
@@ -212,6 +220,9 @@
 
 /* fwd-silence.c: detection of silent endpoints. */
 void fwd_silence_check(struct fwd_exchange *, uint64_t);
+void fwd_silence_check_connect(struct fwd_exchange *, uint64_t);
+double fwd_silence_connect_ms(bool, double, unsigned);
+bool fwd_silence_unheard(const struct endpoint *, uint64_t);
 
 /* fwd-retry.c: retries. */
 bool fwd_exchange_retryable(const struct fwd_exchange *);
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -77,6 +77,7 @@
  * @budgets: service name to struct fwd_budget
  * @estimates: name of a model or of a plain service to struct fwd_estimate
  * @demand: what this daemon is asked, admits and refuses
+ * @customers: the same by service and customer
  * @levels: which first attempts are refused, by service and model
  * @daemons: number of daemons that share the retry budget
  * @collected_ms: loop time at which evidence of endpoints was last exchanged
@@ -110,6 +111,7 @@
 	GHashTable *budgets;
 	GHashTable *estimates;
 	struct fwd_demand demand;
+	struct fwd_demand customers;
 	struct fwd_level_list levels;
 	unsigned daemons;
 	uint64_t collected_ms;
--- a/src/planner-balance.c
+++ b/src/planner-balance.c
@@ -8,9 +8,12 @@
 /* One change adds or takes at most one in this many replicas of the largest
  * model, whose next burst may be larger than those seen. */
 #define BALANCE_STEP_PART 3
-/* Part of a replica by which the crests of the largest model may exceed those
+/* Part of a replica by which the peaks of the largest model may exceed those
  * that it keeps besides the reserve. */
 #define BALANCE_MARGIN 0.25
+/* A model gives up replicas only if those that it keeps are used to at most
+ * this part at its peaks: they come back only after loads. */
+#define BALANCE_KEPT_UTILIZATION 0.8
 /* Exponent of the utilization in the cost: the part of late responses rises
  * steeply where a model fills its replicas. */
 #define BALANCE_COST_EXPONENT 4
@@ -18,12 +21,12 @@
 /**
  * planner_balance_init() - set the demand of a balance.
  * @b: the balance
- * @crest: the demand
+ * @peak: the demand
  * @view: the view, for the service's models
  */
 void
-planner_balance_init(struct planner_balance *b,
-    const struct planner_crest *crest, const struct planner_view *view)
+planner_balance_init(struct planner_balance *b, const struct planner_peak *peak,
+    const struct planner_view *view)
 {
 	unsigned n = MIN(view->engine->models->len, PLANNER_MODELS_MAX);
 
@@ -31,15 +34,13 @@
 	b->size = MAX(planner_model(view, view->largest)->size, 1);
 	b->other_size = b->size;
 	for (unsigned i = 0; i < n; i++) {
-		double hosts = planner_crest_hosts_ahead(crest, i);
+		double hosts = planner_peak_hosts_ahead(peak, i);
 
 		if (i == view->largest) {
 			b->largest_hosts = hosts;
-			b->largest_requests = crest->models[i].requests;
 			continue;
 		}
 		b->other_hosts += hosts;
-		b->other_requests += crest->models[i].requests;
 		b->other_size =
 		    CLAMP(planner_model(view, i)->size, 1, b->other_size);
 	}
@@ -110,8 +111,8 @@
     const struct planner_view *view, unsigned largest)
 {
 	b->largest_reserve = b->size *
-	    MAX(CREST_RESERVE, (double)largest - view->replicas[view->largest]);
-	b->other_reserve = MAX(CREST_RESERVE * b->other_size,
+	    MAX(PEAK_RESERVE, (double)largest - view->replicas[view->largest]);
+	b->other_reserve = MAX(PEAK_RESERVE * b->other_size,
 	    balance_rest(b, view, largest) - others_present(view));
 }
 
@@ -123,7 +124,7 @@
 }
 
 /**
- * planner_balance_cost() - the expected late responses, up to a factor.
+ * planner_balance_cost() - the expected late work, up to a factor.
  * @b: the balance; its reserves have been set
  * @view: the view
  * @largest: number of replicas of the largest model
@@ -137,25 +138,25 @@
 	double at_others = reserved_utilization(b->other_hosts,
 	    balance_rest(b, view, largest), b->other_reserve, b->other_size);
 
-	return (b->largest_requests * pow(at_largest, BALANCE_COST_EXPONENT) +
-	    b->other_requests * pow(at_others, BALANCE_COST_EXPONENT));
+	return (b->largest_hosts * pow(at_largest, BALANCE_COST_EXPONENT) +
+	    b->other_hosts * pow(at_others, BALANCE_COST_EXPONENT));
 }
 
-/* Whether hosts are too few for crests. While replicas are missing, the next
+/* Whether hosts are too few for peaks. While replicas are missing, the next
  * one may be lost before they are back. */
 static bool
 hosts_short(double needed, double allowed, double present, unsigned size)
 {
 	if (present < allowed)
 		present =
-		    MAX(present - MAX(CREST_RESERVE * size, allowed - present),
+		    MAX(present - MAX(PEAK_RESERVE * size, allowed - present),
 			present / 2);
-	return (needed > CREST_SHORT * MIN(present, allowed));
+	return (needed > PEAK_SHORT * MIN(present, allowed));
 }
 
 /**
  * planner_balance_short() - whether the largest model or the others are short
- * of hosts at their crests.
+ * of hosts at their peaks.
  * @b: the balance
  * @view: the view
  * @largest: replicas of the largest model that are wanted now
@@ -172,6 +173,16 @@
 		others_present(view), b->other_size));
 }
 
+/* Whether the other models keep what they need beside a number of replicas of
+ * the largest. */
+static bool
+others_can_spare(const struct planner_balance *b,
+    const struct planner_view *view, unsigned largest)
+{
+	return (b->other_hosts <=
+	    BALANCE_KEPT_UTILIZATION * balance_rest(b, view, largest));
+}
+
 /**
  * planner_balance_best() - the number of replicas of the largest model with the
  * least cost.
@@ -181,26 +192,30 @@
  * @max: the largest number
  * @corrected: the configured shares have been corrected before
  *
- * The largest model keeps the whole replicas that its crests need. After the
- * configured shares were corrected it also keeps the reserve.
+ * Both sides keep the replicas that their peaks need. After the configured
+ * shares were corrected, the largest model also keeps the reserve.
  */
 unsigned
 planner_balance_best(const struct planner_balance *b,
     const struct planner_view *view, unsigned bound, unsigned max,
     bool corrected)
 {
-	double needed = b->largest_hosts / b->size;
-	unsigned least = corrected ?
-	    (unsigned)ceil(needed - BALANCE_MARGIN) + CREST_RESERVE :
-	    (unsigned)needed;
+	double needed = b->largest_hosts / b->size / BALANCE_KEPT_UTILIZATION;
+	unsigned least = (unsigned)ceil(needed - BALANCE_MARGIN) +
+	    (corrected ? PEAK_RESERVE : 0);
 	unsigned step = MAX(bound / BALANCE_STEP_PART, 1);
 	unsigned best = bound;
+	double best_cost = planner_balance_cost(b, view, bound);
 
 	least = MAX(least, MAX(bound - step, 1));
 	for (unsigned n = MIN(least, bound); n <= MIN(max, bound + step); n++) {
-		if (planner_balance_cost(b, view, n) <
-		    planner_balance_cost(b, view, best))
-			best = n;
+		double cost = planner_balance_cost(b, view, n);
+
+		if (cost >= best_cost ||
+		    (n > bound && !others_can_spare(b, view, n)))
+			continue;
+		best = n;
+		best_cost = cost;
 	}
 	return (best);
 }
--- a/src/replica.h
+++ b/src/replica.h
@@ -40,6 +40,9 @@
 /* Orders are sent only if the placer's lease was verified within this time, so
  * a placer that has lost the lease may still send orders for this long. */
 #define REPLICA_LEASE_FRESH_MS 1500
+/* Orders of the previous placer may be carried out for this long after another
+ * has taken the lease. */
+#define REPLICA_FORMER_ORDER_MS (REPLICA_LEASE_FRESH_MS + REPLICA_LATE_ORDER_MS)
 /* A report that arrives at least this long after a change is newer than the
  * change: this is well above the lag of reports. */
 #define REPLICA_REPORT_LAG_MS 1000
@@ -257,6 +260,13 @@
 void replica_retire(struct replica *, uint64_t);
 bool replica_ends_soon(const struct replica *, uint64_t);
 const char *replica_proof_name(enum replica_proof);
+void replica_step_order(struct replica_step *, unsigned, enum order_kind);
+bool replica_order_due(const struct replica_member *, enum order_kind, uint64_t,
+    uint64_t);
+
+/* replica-dissolve.c: how a replica is dissolved. */
+void replica_dissolve_step(struct replica *, uint64_t, uint64_t,
+    struct replica_step *);
 
 /* replica-inherit.c: replicas of another placer, and their records. */
 void replica_inherit(struct replica *, uint64_t, bool);
--- a/tests/proc-edge-overload.sh
+++ b/tests/proc-edge-overload.sh
@@ -48,7 +48,8 @@
 put_config 1 's/"target_latency_ms":300,"service":"board","max_attempts":2/&,"priority":0/;
     s/"timeout_ms":2000,"service":"board"/&,"priority":3/'
 for n in $(seq $COUNT); do
-	start_edge "$n" --overload-levels true --retry-schedule true
+	start_edge "$n" --overload-levels true --retry-schedule true \
+	    --customer-shares true
 done
 check_true "all are ready" until_true 15 all_ready
 ask_both 3
@@ -61,6 +62,8 @@
 control slow 200
 ask_both 8
 check_true "a level changed" eval '[ "$(level_changed)" -gt 0 ]'
+check_true "bankliftctl shows levels" eval \
+    '"$BUILD/bankliftctl" -s "http://$(edge_ip 1):9464" levels | grep -q "^board  *-  *[0-9.]*$"'
 check_true "the highest priority is served ($(served "$RUN/high") of 100)" \
     eval '[ "$(served "$RUN/high")" -ge 70 ]'
 check_true "the lowest is refused ($(served "$RUN/low") of 100 served)" \
