Let builds go on after a header is removed

Change: -MP adds an empty rule for each header. Result: builds made from now on go on after a header is removed.

--- a/Makefile
+++ b/Makefile
@@ -34,12 +34,12 @@
 	@mkdir -p $(@D)
 	@echo "  CC $<"
 	@$(CC) $(filter-out -Wall -Wextra -Werror -Wmissing-prototypes \
-	    -Wstrict-prototypes -Wshadow,$(CFLAGS_ALL)) -w -MMD -c -o $@ $<
+	    -Wstrict-prototypes -Wshadow,$(CFLAGS_ALL)) -w -MMD -MP -c -o $@ $<
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
 	@echo "  CC $<"
-	@$(CC) $(CFLAGS_ALL) -MMD -c -o $@ $<
+	@$(CC) $(CFLAGS_ALL) -MMD -MP -c -o $@ $<
 
 $(BUILD)/bankliftd: $(DAEMON_MAIN:%.c=$(BUILD)/%.o) $(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ $(LIBS)
