Name some private functions and parameters after what they do

daemon_see(), model_event() and value_of() don't say what they do, and "asked" means first attempts everywhere but in the evidence of endpoints, where it is that another daemon reports the endpoint. They are daemon_set_usable(), model_receive_event(), row_value() and "reported" now. No behaviour changes.

--- a/src/balance-model-replica.c
+++ b/src/balance-model-replica.c
@@ -12,7 +12,7 @@
 
 /* A daemon receives an event of a response. */
 static void
-model_event(struct balance_model *m, unsigned replica,
+model_receive_event(struct balance_model *m, unsigned replica,
     struct balance_request *request)
 {
 	struct endpoint *ep = m->daemons[request->daemon].endpoints[replica];
@@ -50,7 +50,7 @@
 
 		if (request->unread > 0)
 			continue;
-		model_event(m, index, request);
+		model_receive_event(m, index, request);
 		request->unsent -= m->engine.stride;
 		if (request->unsent > 0)
 			continue;
--- a/src/balance-model.c
+++ b/src/balance-model.c
@@ -129,7 +129,7 @@
 
 /* Sets whether a daemon may use a replica. */
 static void
-daemon_see(const struct balance_model *m, struct balance_daemon *d,
+daemon_set_usable(const struct balance_model *m, struct balance_daemon *d,
     unsigned index)
 {
 	struct endpoint *ep = d->endpoints[index];
@@ -150,7 +150,7 @@
 {
 	m->replicas[index].open = open;
 	for (unsigned i = 0; i < m->setup.daemons; i++)
-		daemon_see(m, &m->daemons[i], index);
+		daemon_set_usable(m, &m->daemons[i], index);
 }
 
 /**
@@ -165,7 +165,7 @@
 	m->cut = domain;
 	for (unsigned i = 0; i < m->setup.daemons; i++) {
 		for (unsigned k = 0; k < m->setup.replicas; k++)
-			daemon_see(m, &m->daemons[i], k);
+			daemon_set_usable(m, &m->daemons[i], k);
 	}
 }
 
--- a/src/fwd-evidence-collect.c
+++ b/src/fwd-evidence-collect.c
@@ -56,11 +56,11 @@
 	TAILQ_FOREACH(ep, &registry->fleet.endpoints, entry) {
 		struct sum_row row = { .key = ep->id_hash };
 		const struct sum_row *known = sum_table_get(total, row.key);
-		bool asked =
+		bool reported =
 		    known != NULL && known->values[EVIDENCE_SEVERITY] > 0;
 
 		if (!ep->gone &&
-		    fwd_evidence_row(&ep->evidence, asked, now_ms, &row))
+		    fwd_evidence_row(&ep->evidence, reported, now_ms, &row))
 			sum_table_add(table, &row);
 	}
 }
--- a/src/fwd-evidence.c
+++ b/src/fwd-evidence.c
@@ -101,7 +101,7 @@
 }
 
 static uint32_t
-value_of(double value)
+row_value(double value)
 {
 	return ((uint32_t)fmin(fmax(round(value), 0), VALUE_MAX));
 }
@@ -109,14 +109,14 @@
 /**
  * fwd_evidence_row() - evidence as a row to be added to that of other daemons.
  * @ev: evidence of an endpoint
- * @asked: other daemons report it as late, so first events in time count too
+ * @reported: other daemons report it as late, so first events in time count too
  * @now_ms: loop time
  * @row: its values are filled in
  *
  * Return: whether there is anything to tell.
  */
 bool
-fwd_evidence_row(const struct fwd_evidence *ev, bool asked, uint64_t now_ms,
+fwd_evidence_row(const struct fwd_evidence *ev, bool reported, uint64_t now_ms,
     struct sum_row *row)
 {
 	double left = decay(ev, now_ms) * fade(ev, now_ms);
@@ -133,13 +133,13 @@
 	if (squares <= REPORT_MIN_MS * overdue)
 		overdue = squares = 0;
 	memset(row->values, 0, sizeof row->values);
-	if (late + overdue <= 0 && !(asked && weight > 0))
+	if (late + overdue <= 0 && !(reported && weight > 0))
 		return (false);
-	row->values[EVIDENCE_OVERDUE] = value_of(overdue);
+	row->values[EVIDENCE_OVERDUE] = row_value(overdue);
 	row->values[EVIDENCE_SEVERITY] =
-	    value_of(late + row->values[EVIDENCE_OVERDUE]);
-	row->values[EVIDENCE_WEIGHT] = value_of(weight * THOUSANDTHS);
-	row->values[EVIDENCE_SQUARES] = value_of(squares / SQUARES_UNIT);
+	    row_value(late + row->values[EVIDENCE_OVERDUE]);
+	row->values[EVIDENCE_WEIGHT] = row_value(weight * THOUSANDTHS);
+	row->values[EVIDENCE_SQUARES] = row_value(squares / SQUARES_UNIT);
 	return (true);
 }
 
