Reword unclear comments on load control and complete its kernel-doc

The comments say it in the usual terms; the prototype of fwd_level_print() stands with those of its file. No behaviour changes.

--- a/src/balance-model.h
+++ b/src/balance-model.h
@@ -5,7 +5,7 @@
 
 #include "fwd-choose.h"
 
-/* Times at which loads are recorded, and how many are kept. */
+/* Interval at which loads are recorded, and number of records kept. */
 #define BALANCE_RECORD_MS 10
 #define BALANCE_RECORDS 64
 /* Objective for the first event. */
--- a/src/fwd-balance.c
+++ b/src/fwd-balance.c
@@ -13,9 +13,9 @@
 /* With fewer unseen requests than this for each endpoint, the best by known
  * load is hardly ever chosen by two daemons at once. */
 #define UNSEEN_MIN 0.5
-/* Least cost of a further request; without a profile there would be none. */
+/* Smallest slope of an option; without times in the profile it would be 0. */
 #define SLOPE_MIN 1e-3
-/* Failure domains that are told apart. */
+/* Maximum number of failure domains that are counted. */
 #define DOMAINS_MAX 16
 
 /* What one request that decodes adds to the cost of an endpoint. */
@@ -96,7 +96,7 @@
 
 /**
  * fwd_balance_applies() - whether there are so many unseen requests that the
- *	known loads are no guide.
+ *	known loads are too outdated to choose by.
  * @criteria: what the request requires
  * @n: number of endpoints with a free slot
  */
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -7,8 +7,9 @@
 /* Number of random candidates of which the best is chosen. Random, so that
  * daemons with the same outdated load reports don't all choose the same one. */
 #define CANDIDATES 3
-/* The same of which one is drawn by what other daemons may have sent meanwhile.
- * It bounds the work for a request in a large fleet. */
+/* Maximum number of random candidates of which one is drawn by what other
+ * daemons may have sent meanwhile. It bounds the work for a request in a large
+ * fleet. */
 #define BALANCE_MAX 64
 /* If every endpoint has failed a request, one may have it again after this
  * time: about that of a short response, in which a full endpoint gets a free
--- a/src/fwd-demand.c
+++ b/src/fwd-demand.c
@@ -8,7 +8,7 @@
 /* Time constant of the moving averages. */
 #define DECAY_MS 1000.0
 #define MS_PER_S 1000.0
-/* Rates and numbers of requests are told in this part of one. */
+/* Rates and numbers of requests are sent in thousandths. */
 #define MILLI 1000.0
 /* A row whose rates add up to less than this is dropped. */
 #define RATE_MIN_PER_S 0.001
@@ -190,7 +190,7 @@
 	demand_row(demand, key, now_ms)->queued++;
 }
 
-/* Writes a row as it is told to other daemons. */
+/* Writes a row as it is sent to other daemons. */
 static void
 row_fill(const struct fwd_demand_row *row, struct sum_row *out)
 {
@@ -313,8 +313,8 @@
 }
 
 /**
- * fleet_demand_queued_elsewhere() - requests that go before one at other
- *	daemons.
+ * fleet_demand_queued_elsewhere() - number of requests queued at other daemons
+ *	that go before a request.
  * @sums: sums over all daemons
  * @service: name of its service
  * @model: name of its model, or NULL
--- a/src/fwd-demand.h
+++ b/src/fwd-demand.h
@@ -27,7 +27,8 @@
  * @DEMAND_DUE: clients that were told to return and are not due yet, in
  *	thousandths
  * @DEMAND_TOKENS: prompt tokens of first attempts per second
- * @DEMAND_RATES: number of values that are rates of events
+ * @DEMAND_RATES: number of values that are rates of events; these come first
+ * @DEMAND_VALUES: number of all values
  */
 enum demand_value {
 	DEMAND_ASKED,
--- a/src/fwd-domains.c
+++ b/src/fwd-domains.c
@@ -4,7 +4,7 @@
  * While there is capacity, requests stay in their failure domain. When it gets
  * short, all failure domains compete for all of it on equal terms: otherwise
  * the one with the most demand, or with the fewest endpoints left, serves its
- * requests late beside free slots elsewhere.
+ * requests late while slots elsewhere are free.
  */
 #include <glib.h>
 
@@ -19,10 +19,10 @@
  * endpoints. */
 #define EXCESS_FULL 0.1
 #define EXCESS_NONE 0.25
-/* One request more is no difference, also where there are few slots. */
+/* A surplus of one request doesn't count, even where there are few slots. */
 #define EXCESS_REQUESTS 1.0
 /* The same by the expected time to the first event, as a part of the objective.
- * Above half already with no load where the objective is tight. */
+ * Where the objective is tight, it is above half of that even without load. */
 #define FIRST_FULL 0.75
 #define FIRST_NONE 1.0
 
--- a/src/fwd-evidence-collect.c
+++ b/src/fwd-evidence-collect.c
@@ -42,7 +42,7 @@
 /**
  * fwd_evidence_fill() - fill in rows from the evidence of endpoints.
  * @registry: the endpoints
- * @table: filled in with a row for each endpoint with something to tell
+ * @table: replaced by a row for each endpoint with evidence to report
  * @now_ms: loop time
  */
 void
@@ -68,7 +68,7 @@
 /**
  * fwd_evidence_collect() - fill in what this daemon observed of endpoints.
  * @fwd: the proxy
- * @table: filled in with a row for each endpoint with something to tell
+ * @table: replaced by a row for each endpoint with evidence to report
  * @now_ms: loop time
  */
 void
@@ -135,10 +135,12 @@
 /**
  * fwd_exchange_lateness_ms() - by how much a first event is or was overdue.
  * @ex: the exchange, sent to an endpoint with a model
- * @now_ms: loop time; negative values are returned before it is due
+ * @now_ms: loop time
+ *
+ * The expected time is the one before its correction by evidence. Otherwise the
+ * correction would hide the lateness that it is due to, and come and go.
  *
- * Compared with the estimate before its correction: a lateness that remains
- * would otherwise be corrected in every second round only.
+ * Return: milliseconds; negative before the event is due.
  */
 double
 fwd_exchange_lateness_ms(const struct fwd_exchange *ex, uint64_t now_ms)
--- a/src/fwd-evidence.c
+++ b/src/fwd-evidence.c
@@ -8,21 +8,21 @@
 #define DECAY_MS 700.0
 /* Evidence fades within this time after the newest first event. An endpoint
  * that is avoided has no new events, so this bounds the time until it is used
- * again: the sums add up to 600 ms. If it ended at once, all would return to an
- * endpoint that is still slow at the same time. */
+ * again: the sums add up to 600 ms. If it ended abruptly, all daemons would
+ * return at the same time to an endpoint that is still slow. */
 #define FADE_MS 450.0
 /* Overdue times are recorded every 100 ms; older ones are not used. */
 #define OVERDUE_MAX_AGE_MS 500
 /* Bounds of the lateness of one first event. */
 #define LATENESS_MIN_MS (-200.0)
 #define LATENESS_MAX_MS 4000.0
-/* Lateness from which on a daemon reports an endpoint unasked. */
+/* Lateness from which on a daemon reports an endpoint that no other reports. */
 #define REPORT_MIN_MS 20.0
-/* Lateness up to this is not told from the estimate's own errors. Corrections
- * by less would outweigh differences in load, which are 1 ms a request, and
- * crowd the other endpoints. */
+/* Lateness up to this may be an error of the estimate. Corrections by less
+ * would outweigh differences in load, which are 1 ms a request, and overload
+ * the other endpoints. */
 #define NOISE_MS 40.0
-/* To exceed that, lateness is weighed against this weight of events in time:
+/* Weight of assumed events in time in the mean that is compared with NOISE_MS:
  * one late event alone is often the effect of its own prompt. */
 #define PRIOR_WEIGHT 3.0
 /* Below this weight the mean lateness counts in part. */
@@ -113,7 +113,7 @@
  * @now_ms: loop time
  * @row: its values are filled in
  *
- * Return: whether there is anything to tell.
+ * Return: whether there is evidence to report.
  */
 bool
 fwd_evidence_row(const struct fwd_evidence *ev, bool reported, uint64_t now_ms,
@@ -126,8 +126,8 @@
 	double overdue = checked ? ev->overdue_ms : 0;
 	double squares = checked ? ev->squares : 0;
 
-	/* Less has no severity: otherwise rows that were asked for would ask
-	 * for each other. */
+	/* Less has no severity. Otherwise rows that daemons report only since
+	 * another does would cause each other to be reported. */
 	if (late <= REPORT_MIN_MS * weight)
 		late = 0;
 	if (squares <= REPORT_MIN_MS * overdue)
--- a/src/fwd-evidence.h
+++ b/src/fwd-evidence.h
@@ -13,6 +13,7 @@
  * @EVIDENCE_OVERDUE: sum, over the requests without a first event, of how long
  *	it has been overdue, in ms
  * @EVIDENCE_SQUARES: sum of the squares of these times, in 100 ms²
+ * @EVIDENCE_VALUES: number of values
  *
  * All can be added over daemons. The two sums of overdue times yield a mean in
  * which the longest count most, in place of a maximum.
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -15,8 +15,8 @@
  * takes a few ms. */
 #define ONCE_DELAY_MS 5
 #define IDLE_MAX_MS 60000
-/* After a probe of an endpoint that was found silent, this daemon waits so long
- * for a sign of it before the next one. */
+/* After a probe of an endpoint that was found silent, this daemon waits this
+ * long to hear from it before the next one. */
 #define PROBE_PAUSE_MS 300
 /* Time to retry for a request whose deadline passed before it was sent. */
 #define RETRY_LATE_MS 100
--- a/src/fwd-expect.c
+++ b/src/fwd-expect.c
@@ -107,7 +107,7 @@
 {
 	const struct engine_profile *e = workload->engine;
 
-	/* It lengthens the half pass before, and the first steps. */
+	/* It lengthens the half pass before the first steps, and these. */
 	return (1.5 * request_step_ms(e) * e->stride * workload->model->pace *
 	    ep->slowness);
 }
@@ -185,8 +185,8 @@
  * @workload: a request for it
  * @correction: filled in; zeros where there is no evidence
  *
- * The sums over all daemons are up to 0.6 s old and then include this daemon's
- * own evidence, which counts by itself until then.
+ * The sums over all daemons, which are up to 0.6 s old, include this daemon's
+ * own evidence only after that time. Until then it counts by itself.
  */
 void
 fwd_expect_correction(const struct endpoint *ep,
--- a/src/fwd-level.h
+++ b/src/fwd-level.h
@@ -57,12 +57,12 @@
     const struct fwd_admission *);
 bool fwd_level_first(const struct fwd *, const struct fwd_level *);
 void fwd_level_update_all(struct fwd *, uint64_t);
+void fwd_level_print(const struct fwd *, GString *);
+
 /* fwd-share.c: shares of customers. */
 void fwd_share_update(const struct fwd *, struct fwd_level *, uint64_t);
 double fwd_share_fraction(const struct fwd_exchange *, const struct fwd_level *,
     double);
 void fwd_share_print(const struct fwd *, GString *);
 
-void fwd_level_print(const struct fwd *, GString *);
-
 #endif
--- a/src/fwd-spread.c
+++ b/src/fwd-spread.c
@@ -3,8 +3,8 @@
  *
  * Many daemons that see the same outdated loads would all choose the same
  * endpoint. The requests that they send meanwhile are assumed to be divided so
- * that all endpoints that get any have the same cost in the end, as water fills
- * a vessel. If each daemon draws endpoints in proportion to the requests that
+ * that all endpoints that get any have the same cost in the end (water
+ * filling). If each daemon draws endpoints in proportion to the requests that
  * they are given in this way, they are indeed divided so.
  */
 #include <math.h>
--- a/src/fwd-stats.c
+++ b/src/fwd-stats.c
@@ -280,7 +280,7 @@
 
 /**
  * fwd_stats_print_shares() - append which part of this daemon's requests goes
- *to each failure domain, for each service.
+ *	to each failure domain, for each service.
  * @stats: counters and histograms
  * @now_ms: loop time
  * @out: text to append to
--- a/src/fwd-stats.h
+++ b/src/fwd-stats.h
@@ -52,6 +52,7 @@
  * @FIRST_IN_TIME: within the objective
  * @FIRST_LATE_FORESEEN: late, as was expected when the request was sent
  * @FIRST_LATE_UNFORESEEN: late, and expected in time, or moved since
+ * @FIRST_RESULTS: number of results
  */
 enum fwd_first_result {
 	FIRST_IN_TIME,
--- a/src/mesh-sums.c
+++ b/src/mesh-sums.c
@@ -1,5 +1,5 @@
 /*
- * Exchange of sums over all daemons. They take the way of the loads: a daemon
+ * Exchange of sums over all daemons, in the same way as of loads: a daemon
  * reports its own rows to its relay, relays send each other the sums of their
  * cells, and the fleet summary has the sums of all.
  */
@@ -87,7 +87,7 @@
  * mesh_update_sums() - compute the sums over all daemons.
  * @mesh: the mesh
  *
- * A daemon that is told nothing takes the others to see what it sees itself.
+ * A daemon that receives no sums assumes that all others count the same as it.
  */
 void
 mesh_update_sums(struct mesh *mesh)
--- a/src/overload-level.c
+++ b/src/overload-level.c
@@ -7,16 +7,15 @@
  * expected in time, by the time for which each occupies its slot, less those
  * that return and those that are too many already. It is computed anew from the
  * sums at each update, so all daemons reach the same level whenever they
- * started. Stepwise adaptation to late first events and queues was worse in all
- * replays (tests/test-levels.c), since it reacts only when requests are late
- * and again when the refused ones return.
+ * started. Stepwise adaptation to late first events and queues would react only
+ * when requests are late, and again when the refused ones return.
  */
 #include <math.h>
 #include <string.h>
 
 #include "overload-level.h"
 
-/* Parts of the capacity in use between which refusals set in. */
+/* Refusals set in gradually between these parts of the capacity in use. */
 #define GATE_FROM 0.85
 #define GATE_TO 1.0
 /* Time within which requests beyond the capacity are to be worked off. */
@@ -26,12 +25,13 @@
  * well at 0.6 to 0.8 of their slots. */
 #define SLOTS_TRUSTED 0.8
 #define LATE_TRUSTED 0.01
-/* At this late part of the first events what is expected counts alone. */
+/* From this late part of the first events on, only what is expected counts. */
 #define LATE_SHORT 0.15
 /* The capacity is taken to be this part of the slots at least: below it, fewer
  * requests make no first event earlier. */
 #define SLOTS_MIN 0.4
-/* A larger late part reduces the capacity, by this much for each. */
+/* A late part above LATE_USUAL reduces the capacity, by LATE_GAIN times the
+ * excess. */
 #define LATE_USUAL 0.1
 #define LATE_GAIN 0.15
 /* Most of the first attempts that are refused. The rest shows when first events
@@ -46,7 +46,7 @@
 #define DURATION_FOLLOW_MS 1000.0
 #define ADMITTED_MIN_PER_S 1.0
 #define RUNNING_MIN 1.0
-/* A smaller share is none. */
+/* A smaller share counts as none. */
 #define SHARE_MIN 0.005
 #define MS_PER_S 1000.0
 
@@ -135,7 +135,7 @@
 	return (fmin(gate * (asked - room) / asked, SHARE_MAX));
 }
 
-/* Refuses nothing. */
+/* Sets a level to refuse nothing. */
 static void
 level_open(struct overload_level *level)
 {
--- a/src/overload-share.c
+++ b/src/overload-share.c
@@ -10,7 +10,7 @@
 
 #include "overload-share.h"
 
-/* Key of all customers that are not known. */
+/* Key of the customers that have no row of their own, as one. */
 #define KEY_REST 0
 
 static void
@@ -51,7 +51,7 @@
 }
 
 /**
- * overload_share_finish() - add the rest, after all customers that are known.
+ * overload_share_finish() - add the customers without a row, after all others.
  * @share: the customers
  * @total_per_s: first attempts per second of all customers
  */
--- a/src/overload-share.h
+++ b/src/overload-share.h
@@ -8,7 +8,7 @@
 
 /**
  * struct overload_customer - what a customer asks.
- * @key: see fwd_customer_key(); 0 for all customers that are not known
+ * @key: see fwd_customer_key(); 0 for those without a row, as one
  * @asked_per_s: first attempts per second at all daemons
  */
 struct overload_customer {
@@ -20,7 +20,7 @@
  * struct overload_share - what the customers of a service ask; zeroed at the
  *	start.
  * @n: number of @customers
- * @customers: those that are known, and the rest as one
+ * @customers: those with a row of their own, and the rest as one
  * @total_per_s: sum of what they ask
  */
 struct overload_share {
--- a/src/placer-record.c
+++ b/src/placer-record.c
@@ -22,7 +22,8 @@
 
 /*
  * Encodes which orders to join are in doubt, as ranks. A record with such
- * orders doesn't say "settled": former versions would take all for carried out.
+ * orders doesn't say "settled": former versions would then assume that all
+ * orders to join were carried out.
  */
 static void
 encode_settled(json_t *root, const struct replica *r)
@@ -140,6 +141,7 @@
  * placer_encode_lease() - encode the lease's record.
  * @holder: name of the daemon that holds the lease
  * @term: term of the lease
+ * @keeps: see placer_decode_lease()
  * @length: set to the length of the value
  *
  * Return: the record's value; free with g_free().
--- a/src/planner-balance.c
+++ b/src/planner-balance.c
@@ -12,7 +12,7 @@
  * that it keeps besides the reserve. */
 #define BALANCE_MARGIN 0.25
 /* A model gives up replicas only if those that it keeps are used to at most
- * this part at its peaks: they come back only after loads. */
+ * this part at its peaks: taking them back needs model loads. */
 #define BALANCE_KEPT_UTILIZATION 0.8
 /* Exponent of the utilization in the cost: the part of late responses rises
  * steeply where a model fills its replicas. */
@@ -161,7 +161,8 @@
  * @view: the view
  * @largest: replicas of the largest model that are wanted now
  *
- * Both the replicas that there are and those that the hosts allow must do.
+ * Both the replicas that there are and those that the hosts allow must be
+ * enough.
  */
 bool
 planner_balance_short(const struct planner_balance *b,
--- a/src/planner-peak.c
+++ b/src/planner-peak.c
@@ -31,16 +31,16 @@
 #define PEAK_GAIN_LOWER 0.75
 #define PEAK_GAIN_RAISE 0.4
 /* The bound stands while fewer than this part of the most hosts seen is alive:
- * those of a failure domain that is cut off usually return. The time constant
- * is that of the decay of the number seen, for those that don't. */
+ * those of a failure domain that is cut off usually return. The number seen
+ * decays with this time constant, for those that don't. */
 #define PEAK_HOSTS_MIN 0.9
 #define PEAK_HOSTS_DECAY_MS 45000
 /* Time for which the rise of the last second is assumed to continue. */
 #define PEAK_AHEAD_S 2
 
 /*
- * The hosts that a model's requests need; negative if it can't be told.
- * Replicas with a rate limit hide what they could run, so they are taken to run
+ * The hosts that a model's requests need; negative if not known.
+ * Replicas with a rate limit don't show the demand, so they are taken to run
  * as much as the others. Requests that wait or were refused are known for all
  * replicas together.
  */
--- a/src/planner-peak.h
+++ b/src/planner-peak.h
@@ -6,8 +6,8 @@
 
 #include "planner-demand.h"
 
-/* Time that a peak covers, in s; longer than the waves of a daily load that is
- * replayed fast, and than the pause between two bursts of it. */
+/* Time that a peak covers, in s; longer than the period of a wave of the load
+ * and than the pause between two bursts. */
 #define PEAK_SPAN_S 15
 /* A model is short of hosts from this utilization at its peak on; a replica
  * then has slightly more than half of its slots in use. */
--- a/src/replica-dissolve.c
+++ b/src/replica-dissolve.c
@@ -55,9 +55,9 @@
  * loss of a member on or, if it opens later, from then on.
  *
  * The record is kept while late orders could make the head serve again after it
- * has left. So a head without a record is out for good once it has left, and
- * whoever adopts its group need not know which orders it was sent. This binds
- * no other host than the head.
+ * has left. So a head without a record can't serve again once it has left, and
+ * a placer that adopts its group need not know which orders it was sent. This
+ * binds no other host than the head.
  */
 static void
 step_without_head(struct replica *r, uint64_t now_ms, uint64_t stall_ms,
@@ -94,9 +94,9 @@
  * @step: set to the step
  *
  * The head is closed and then leaves. Only then can no late order open it
- *again, and only then may the members join another group. A late order to join
- *and a late order to open after it would make the head serve again, so it is
- *released only once one of the two can't be carried out any more.
+ * again, and only then may the members join another group. A late order to join
+ * and a late order to open after it would make the head serve again, so it is
+ * released only once one of the two can't be carried out any more.
  */
 void
 replica_dissolve_step(struct replica *r, uint64_t now_ms, uint64_t stall_ms,
--- a/src/replica-inherit.c
+++ b/src/replica-inherit.c
@@ -26,7 +26,7 @@
  * records any more, so it can't open a replica that has not settled.
  *
  * A placer of a former version writes no term. Nothing is known then of the
- * orders to a replica that has not settled, whatever the record says that an
+ * orders to a replica that has not settled, whatever a record says that an
  * earlier placer wrote.
  */
 void
@@ -52,9 +52,9 @@
  * taken over must be written again.
  * @r: the replica
  *
- * Return: true where the record can be trusted and excludes orders that a
- * replica of an unknown past may have been sent. Written again, the next placer
- * can trust it too.
+ * Return: true where the record can be trusted and excludes orders that would
+ * otherwise have to be assumed. It is written again under the new term, so that
+ * the next placer can trust it too.
  */
 bool
 replica_inherited_in_doubt(const struct replica *r)
@@ -127,8 +127,8 @@
  * replica_adopt() - take over a group that has no record, to dissolve it.
  * @r: the replica, built from reports
  * @now_ms: loop time
- * @kept: whoever removed its record kept it while late orders could make the
- *	head serve again after it has left, see step_without_head()
+ * @kept: the placer that removed its record had kept it while late orders could
+ *	make the head serve again after it has left, see step_without_head()
  *
  * The head may serve, so it is closed and leaves. A group is removed with its
  * record only when the head can't serve in it again, or can't be reached and
--- a/src/retry-schedule.c
+++ b/src/retry-schedule.c
@@ -13,12 +13,12 @@
 
 /* Clients obey a time to retry up to this part of the time that they have. */
 #define OBEYED (1.0 / 3)
-/* An attempt is known to be resubmitted by having less time left than a new
- * one, by more than the objective. This much more, for the client's own delay.
- */
+/* A resubmitted attempt is recognized by its remaining time, which is shorter
+ * than that of a first attempt by more than the objective. This is added for
+ * the client's own delay. */
 #define RECOGNIZED_MARGIN_MS 50
-/* Returns are spread over this time at least: over it the sums of all daemons
- * are told. */
+/* Returns are spread over this time at least: the sums that they are computed
+ * from lag behind by about as much. */
 #define SPREAD_MIN_MS 1000.0
 /* Where no capacity is expected, clients return after this part of the time
  * that they obey: the later, the more of a burst has passed. */
--- a/src/retry-schedule.h
+++ b/src/retry-schedule.h
@@ -13,10 +13,10 @@
  *	not due yet
  * @due_same: likewise of the same priority
  * @due: likewise of all priorities
- * @capacity_ms: time until the first slot, or the first replica where there is
- *	none
+ * @capacity_ms: time until the first slot is free, or, where there is no
+ *	replica, until the first one serves
  * @objective_ms: latency objective of the next attempt
- * @left_ms: time that the client has
+ * @left_ms: time that the client has left for the request
  * @draw: random number
  */
 struct retry_input {
--- a/src/sum-table.h
+++ b/src/sum-table.h
@@ -5,9 +5,9 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Values of one row. */
+/* Maximum number of values in a row. */
 #define SUM_VALUES_MAX 8
-/* Rows of one table. */
+/* Maximum number of rows in a table. */
 #define SUM_ROWS_MAX 128
 
 /**
@@ -15,6 +15,7 @@
  * @SUM_DEMAND: requests by service, model and priority
  * @SUM_CUSTOMERS: requests by service and customer
  * @SUM_EVIDENCE: how late first events of an endpoint are
+ * @SUM_KINDS: number of kinds
  */
 enum sum_kind {
 	SUM_DEMAND,
@@ -29,8 +30,8 @@
  * @n_values: number of values in a row
  * @sent_max: most rows in one datagram; of more, those with the largest first
  *	value are sent
- * @scaled: a daemon that is told nothing multiplies its own values by the
- *	number of daemons; not where no row means that there is nothing to tell
+ * @scaled: a daemon that receives no sums multiplies its own values by the
+ *	number of daemons; false where a missing row means that all is well
  */
 struct sum_spec {
 	const char *name;
