Name two functions by what they return

Cause: a newcomer read replica_inherited_in_doubt() as nearly its opposite, and fwd_expect_step() only called another function of the same use. Change: replica_record_outdated(); one function for the time of a decode step. Result: no change of behaviour.

--- a/src/fwd-expect.c
+++ b/src/fwd-expect.c
@@ -36,14 +36,6 @@
 	return (e->per_seq_ms + e->context_per_k_ms * context / 1000);
 }
 
-/* Time of one decode step while @running requests decode. */
-static double
-step_ms(const struct engine_profile *e, const struct model_profile *m,
-    double running)
-{
-	return ((e->step_ms + request_step_ms(e) * running) * m->pace);
-}
-
 /**
  * fwd_expect_step() - time of one decode step.
  * @e: profile of the engine
@@ -54,7 +46,7 @@
 fwd_expect_step(const struct engine_profile *e, const struct model_profile *m,
     double running)
 {
-	return (step_ms(e, m, running));
+	return ((e->step_ms + request_step_ms(e) * running) * m->pace);
 }
 
 /* Time of the decode steps in one pass. */
@@ -65,7 +57,7 @@
 
 	if (running < 1)
 		return (0);
-	return (step_ms(workload->engine, workload->model, running) *
+	return (fwd_expect_step(workload->engine, workload->model, running) *
 	    workload->engine->stride);
 }
 
@@ -79,7 +71,7 @@
 fwd_expect_gap(const struct endpoint *ep, const struct engine_profile *e,
     const struct model_profile *m)
 {
-	return (step_ms(e, m, fwd_expect_running(ep)) * ep->slowness);
+	return (fwd_expect_step(e, m, fwd_expect_running(ep)) * ep->slowness);
 }
 
 /**
@@ -119,7 +111,8 @@
 {
 	const struct engine_profile *e = workload->engine;
 	double running = fwd_expect_running(ep);
-	double steps = step_ms(e, workload->model, running + 1) * e->stride;
+	double steps =
+	    fwd_expect_step(e, workload->model, running + 1) * e->stride;
 
 	return ((decode_pass_ms(ep, workload) / 2 + steps) * ep->slowness +
 	    workload->overhead_ms);
--- a/src/placer-load.c
+++ b/src/placer-load.c
@@ -56,7 +56,7 @@
 	const struct replica *r;
 
 	TAILQ_FOREACH(r, &p->replicas, entry) {
-		if (replica_inherited_in_doubt(r))
+		if (replica_record_outdated(r))
 			placer_record_replica(p, r, false);
 	}
 }
--- a/src/replica-inherit.c
+++ b/src/replica-inherit.c
@@ -48,7 +48,7 @@
 }
 
 /**
- * replica_inherited_in_doubt() - whether the record of a replica that was just
+ * replica_record_outdated() - whether the record of a replica that was just
  * taken over must be written again.
  * @r: the replica
  *
@@ -57,7 +57,7 @@
  * the next placer can trust it too.
  */
 bool
-replica_inherited_in_doubt(const struct replica *r)
+replica_record_outdated(const struct replica *r)
 {
 	return (!r->open_ordered || (r->settled && record_has_doubts(r)));
 }
--- a/src/replica.h
+++ b/src/replica.h
@@ -272,7 +272,7 @@
 void replica_inherit(struct replica *, uint64_t, bool);
 void replica_adopt(struct replica *, uint64_t, bool);
 bool replica_settle(struct replica *, uint64_t);
-bool replica_inherited_in_doubt(const struct replica *);
+bool replica_record_outdated(const struct replica *);
 
 /* replica-member.c: state of one member. */
 bool replica_member_released(const struct replica_member *);
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -168,7 +168,7 @@
 	reset();
 	r = placer_decode_replica("g1", bytes, length);
 	replica_inherit(r, script_number(rest, "now", 0), r->term == lease);
-	if (replica_inherited_in_doubt(r))
+	if (replica_record_outdated(r))
 		g_string_append(out, "record\n");
 }
 
