--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -20,6 +20,20 @@
 /* After this time the store is polled as well. */
 #define STORE_AFTER_MS 800
 
+/* Logs which version was fetched, and which one was announced. */
+static void
+log_fetched(const struct mesh *mesh)
+{
+	event_log(LOG_INFO, "config_fetched",
+	    "version=%lld announced=%lld offset=%llu proof_age_ms=%lld",
+	    (long long)mesh->registry->catalog->version,
+	    (long long)mesh->fetched_version,
+	    (unsigned long long)mesh->fetched_offset,
+	    mesh->fetched_proof_ms != 0 ?
+		(long long)(mesh->now_ms - mesh->fetched_proof_ms) :
+		-1LL);
+}
+
 /* Applies a fetched configuration, with the peer's proof that it was the
  * newest. */
 static void
@@ -36,6 +50,7 @@
 	if (!registry_apply_config(mesh->registry, response->body->data,
 		response->body->len, mesh->fetched_offset))
 		return;
+	log_fetched(mesh);
 	if (mesh->registry->config.held)
 		topic_follower_adopt(&mesh->registry->config,
 		    mesh->fetched_offset + 1, mesh->fetched_proof_ms);
--- a/src/registry-config.c
+++ b/src/registry-config.c
@@ -128,12 +128,12 @@
 	config_prepare_priorities(next);
 	event_log(LOG_NOTICE, "config_in_force",
 	    "version=%lld was=%lld offset=%llu routes=%u services=%u "
-	    "customers=%u",
+	    "customers=%u bytes=%zu",
 	    (long long)next->version,
 	    registry->catalog != NULL ? (long long)registry->catalog->version :
 					-1LL,
 	    (unsigned long long)offset, next->routes->len,
-	    g_hash_table_size(next->services), next->customers->len);
+	    g_hash_table_size(next->services), next->customers->len, length);
 	catalog_unref(registry->catalog);
 	registry->catalog = next;
 	g_clear_pointer(&registry->config_bytes, g_bytes_unref);
