Ignore pings of an earlier run, which dated proofs in the future

Callers got 404 for a route that the store had confirmed more than 2 s before, and requests with a revoked key ran more than 5 s after the revocation.

Cause: the proof that a configuration is the newest is dated by the ping that a peer returns. After a reboot the clock of a host starts at another value, and the first datagrams of its peers still return a ping of the old one. Where the new clock is behind the old one, the proof lies in the future: its age is 0 for hours, the daemon doesn't read the store when its peers fall silent, and its peers adopt the age of 0 from it. As soon as the reader is lost for more than 2 s, all of them deny by an older configuration and accept revoked keys.

Change: a ping carries the clock plus the random number of the run. A returned one counts only if it lies between the start of this run and now. The format of datagrams stays, as peers return a ping as it is. The models have a clock for each host, and a command that reboots one.

--- a/src/fleet-model-stats.c
+++ b/src/fleet-model-stats.c
@@ -84,8 +84,8 @@
 {
 	const struct mesh *mesh = &daemon->mesh;
 	unsigned n_alive = 1 + mesh_count_alive(mesh);
-	uint64_t age =
-	    registry_config_age(&daemon->registry, daemon->model->now_ms);
+	uint64_t now = fleet_model_clock(daemon);
+	uint64_t age = registry_config_age(&daemon->registry, now);
 
 	stats->up++;
 	stats->connected_max_ms = MAX(stats->connected_max_ms,
@@ -98,7 +98,7 @@
 	stats->placer_known += mesh_placer_heard(mesh) || mesh->self.placer;
 	stats->config_age_max_ms = MAX(stats->config_age_max_ms, age);
 	stats->feed_age_max_ms = MAX(stats->feed_age_max_ms,
-	    daemon->model->now_ms - daemon->registry.endpoints.peer_update_ms);
+	    now - daemon->registry.endpoints.peer_update_ms);
 }
 
 /**
--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -56,6 +56,17 @@
 	return ((uint32_t)(model->seed >> 33) % below);
 }
 
+/**
+ * fleet_model_clock() - clock of a daemon's host, in ms.
+ * @daemon: the daemon
+ */
+uint64_t
+fleet_model_clock(const struct model_daemon *daemon)
+{
+	return ((
+	    uint64_t)((int64_t)daemon->model->now_ms + daemon->clock_ahead_ms));
+}
+
 static struct sockaddr_in
 model_address(unsigned index)
 {
@@ -100,7 +111,7 @@
 
 	daemon->entry_reads++;
 	daemon->registry.endpoints.next = daemon->model->n_records;
-	daemon->registry.endpoints.peer_update_ms = daemon->model->now_ms;
+	daemon->registry.endpoints.peer_update_ms = fleet_model_clock(daemon);
 }
 
 /* Counts what a daemon was told to count, and its evidence of endpoints. */
@@ -190,7 +201,7 @@
 	daemon->registry.endpoints.synced = true;
 	daemon->registry.endpoints.ops = &model_ops;
 	daemon->registry.endpoints.next = model->n_records;
-	mesh_init(mesh, model->now_ms,
+	mesh_init(mesh, fleet_model_clock(daemon),
 	    fleet_model_random(model, UINT32_MAX) + 1);
 	daemon->up = true;
 	daemon->relay = NULL;
@@ -281,7 +292,8 @@
 
 	if (daemon->connected_ms == 0 && mesh->records_read_ms != 0 &&
 	    (mesh->relay == NULL || mesh_relay_alive(mesh)))
-		daemon->connected_ms = daemon->model->now_ms - mesh->opened_ms;
+		daemon->connected_ms =
+		    fleet_model_clock(daemon) - mesh->opened_ms;
 }
 
 /**
@@ -368,6 +380,22 @@
 	model->daemons[index].start_ms = UINT64_MAX;
 }
 
+/**
+ * fleet_model_reboot() - stop a daemon with its host and start both again; the
+ * host's clock starts anew.
+ * @model: the model
+ * @index: index of the daemon
+ * @clock_ms: the host's clock when the daemon starts, in ms
+ */
+void
+fleet_model_reboot(struct fleet_model *model, unsigned index, uint64_t clock_ms)
+{
+	fleet_model_stop(model, index);
+	fleet_model_start(model, index, 1);
+	model->daemons[index].clock_ahead_ms =
+	    (int64_t)clock_ms - (int64_t)model->daemons[index].start_ms;
+}
+
 /**
  * fleet_model_set_load() - give each daemon requests at randomly drawn
  * endpoints.
@@ -415,7 +443,7 @@
 			continue;
 		to->received++;
 		to->received_bytes += d->length;
-		to->mesh.now_ms = model->now_ms;
+		to->mesh.now_ms = fleet_model_clock(to);
 		mesh_receive(&to->mesh, d->bytes, d->length, &from);
 	}
 	g_ptr_array_free(now, TRUE);
@@ -440,7 +468,7 @@
 	}
 	daemon->model->n_records += n;
 	f->next = daemon->model->n_records;
-	f->peer_update_ms = daemon->model->now_ms;
+	f->peer_update_ms = fleet_model_clock(daemon);
 	mesh_send_entries(&daemon->mesh, from, f->next, records);
 }
 
@@ -463,8 +491,8 @@
     unsigned min_ms, unsigned max_ms)
 {
 	unsigned stale_ms = mesh_stale_after_ms(&daemon->mesh, min_ms, max_ms);
-	bool stale =
-	    updated_ms != 0 && daemon->model->now_ms - updated_ms >= stale_ms;
+	bool stale = updated_ms != 0 &&
+	    fleet_model_clock(daemon) - updated_ms >= stale_ms;
 
 	daemon->store_queries += stale;
 	return (stale || mesh_is_reader(&daemon->mesh));
@@ -481,7 +509,7 @@
 	    daemon_queries_store(daemon, registry->config.peer_update_ms,
 		PROOF_STALE_MIN_MS, PROOF_STALE_MAX_MS) &&
 	    daemon->mesh.self.store_ok)
-		registry->config.proof_ms = now;
+		registry->config.proof_ms = fleet_model_clock(daemon);
 	if (now % FEED_MS == daemon->index % FEED_MS &&
 	    daemon_queries_store(daemon, registry->endpoints.peer_update_ms,
 		FEED_STALE_MIN_MS, FEED_STALE_MAX_MS) &&
@@ -500,7 +528,7 @@
 		daemon_start(daemon);
 	if (!daemon->up)
 		return;
-	daemon->mesh.now_ms = now;
+	daemon->mesh.now_ms = fleet_model_clock(daemon);
 	if (daemon->read_at_ms != 0 && now >= daemon->read_at_ms) {
 		daemon_read_records(daemon);
 		daemon_announce(daemon);
--- a/src/fleet-model.h
+++ b/src/fleet-model.h
@@ -18,6 +18,8 @@
  * @index: its index, from which its address follows
  * @domain: index of its failure domain
  * @up: it is running
+ * @clock_ahead_ms: how far the clock of its host is ahead of virtual time, in
+ *	ms; negative if behind
  * @start_ms: when it starts
  * @read_at_ms: when it reads the addresses in the store; 0 for not again
  * @announce_at_ms: when its own address is in the store; 0 if it is not written
@@ -43,6 +45,7 @@
 	unsigned index;
 	unsigned domain;
 	bool up;
+	int64_t clock_ahead_ms;
 	uint64_t start_ms;
 	uint64_t read_at_ms;
 	uint64_t announce_at_ms;
@@ -150,6 +153,8 @@
 void fleet_model_run(struct fleet_model *, uint64_t);
 void fleet_model_start(struct fleet_model *, unsigned, uint64_t);
 void fleet_model_stop(struct fleet_model *, unsigned);
+void fleet_model_reboot(struct fleet_model *, unsigned, uint64_t);
+uint64_t fleet_model_clock(const struct model_daemon *);
 void fleet_model_feed(struct fleet_model *, unsigned, unsigned);
 void fleet_model_set_load(struct fleet_model *, unsigned);
 uint32_t fleet_model_random(struct fleet_model *, uint32_t);
--- a/src/mesh-loads.c
+++ b/src/mesh-loads.c
@@ -229,7 +229,7 @@
 	    &mesh->reports[msg->sequence % MESH_REPORTS_MAX];
 
 	report->sequence = msg->sequence;
-	report->sent_ms = msg->ping;
+	report->sent_ms = mesh->now_ms;
 	g_array_set_size(report->loads, 0);
 	g_array_append_vals(report->loads, msg->loads, msg->n_loads);
 }
--- a/src/mesh-message.h
+++ b/src/mesh-message.h
@@ -203,7 +203,8 @@
  * @capacity: CPU capacity of the sender, in thousandths of a core
  * @incarnation: random number that the sender drew at its start
  * @sequence: sequence number; increases with each datagram of an incarnation
- * @ping: the sender's clock when it sent this, in ms
+ * @ping: the sender's clock when it sent this, in ms, plus @incarnation, so
+ *	that the sender can tell the pings of its runs apart
  * @pong: newest @ping that the sender received from the receiver; 0 in a
  *	datagram that is sent to many
  * @self: what the sender reports about itself
--- a/src/mesh-receive.c
+++ b/src/mesh-receive.c
@@ -19,6 +19,26 @@
  * new one. */
 #define AVOID_ECHO_MS 300
 
+/*
+ * Returns when this daemon sent the datagram whose ping a peer returns; 0 if
+ * the peer returns none. A ping of an earlier run is ignored: the host may have
+ * rebooted since, so that its clock then says nothing about its clock now.
+ */
+static uint64_t
+pong_sent_ms(const struct mesh *mesh, const struct mesh_peer *peer,
+    const struct mesh_message *msg)
+{
+	uint64_t sent_ms = msg->pong - mesh->incarnation;
+
+	if (msg->pong == 0)
+		return (0);
+	if (sent_ms >= mesh->opened_ms && sent_ms <= mesh->now_ms)
+		return (sent_ms);
+	event_log(LOG_INFO, "pong_ignored", "peer=%s reason=earlier_run",
+	    peer->name);
+	return (0);
+}
+
 /*
  * Time as of which a peer's configuration was the newest. The peer answered a
  * message that left here at @sent_ms, so its proof is at least as recent as
@@ -314,7 +334,7 @@
 	peer->n_alive = msg->n_alive;
 	peer->config_version = msg->config_version;
 	peer->config_offset = msg->config_offset;
-	peer->config_proof_ms = proof_ms(msg, msg->pong);
+	peer->config_proof_ms = proof_ms(msg, pong_sent_ms(mesh, peer, msg));
 	peer->heard_ms = mesh->now_ms;
 	mesh->self.term = MAX(mesh->self.term, msg->self.term);
 	mesh_update_holder(mesh, msg);
--- a/src/mesh-send.c
+++ b/src/mesh-send.c
@@ -143,7 +143,7 @@
 	msg->capacity = mesh->capacity;
 	msg->incarnation = mesh->incarnation;
 	msg->sequence = ++mesh->sequence;
-	msg->ping = mesh->now_ms;
+	msg->ping = mesh->now_ms + mesh->incarnation;
 	msg->self = mesh->self;
 	msg->self.sums = true;
 	if (kind == MESH_CELL_SUMMARY || kind == MESH_FLEET_SUMMARY)
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -37,7 +37,7 @@
  * @addr: address that it listens on
  * @incarnation: random number of its current run
  * @sequence: sequence number of its newest datagram
- * @ping: its clock in its newest datagram, in ms
+ * @ping: the ping of its newest datagram, which is returned to it
  * @heard_ms: arrival of its newest datagram; 0 for never
  * @first_seen_ms: when this daemon first learned of it
  * @last_report_ms: arrival of its newest report to this daemon; 0 for never
--- a/tests/fleet-script.c
+++ b/tests/fleet-script.c
@@ -442,6 +442,17 @@
 	}
 }
 
+/* reboot NAME clock=MS: a daemon's host loses power and starts again, with its
+ * clock at this value */
+static void
+exec_reboot(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+
+	fleet_model_reboot(model, fleet_model_find(model, name)->index,
+	    script_number(rest, "clock", 0));
+}
+
 /* store-queries: store queries because no peer's state was recent enough */
 static void
 exec_store_queries(const char *rest, GString *out)
@@ -486,11 +497,11 @@
 static void
 exec_age(const char *rest, GString *out)
 {
-	const struct registry *registry =
-	    &fleet_model_find(model, rest)->registry;
-	uint64_t age = registry_config_age(registry, model->now_ms);
+	const struct model_daemon *daemon = fleet_model_find(model, rest);
+	uint64_t now = fleet_model_clock(daemon);
+	uint64_t age = registry_config_age(&daemon->registry, now);
 
-	if (age > model->now_ms)
+	if (age > now)
 		g_string_append(out, "none\n");
 	else
 		g_string_append_printf(out, "below %" G_GUINT64_FORMAT " ms\n",
@@ -614,6 +625,7 @@
 	{ "proof", exec_proof },
 	{ "calls", exec_calls },
 	{ "restart", exec_restart },
+	{ "reboot", exec_reboot },
 	{ "store-queries", exec_store_queries },
 	{ "set-config", exec_set_config },
 	{ "age", exec_age },
