Let a response that was cut short prove nothing

A daemon that had missed several versions of the configuration denied requests to routes that existed, for as long as it took to read the versions in between.

Cause: a read returns 1 MB at most, which is seven versions of 150 KB. The end of the topic in the response was dropped, so the follower took what was returned for all there was: the local copy counted as current as of that call, and the rest was read one interval later.

Change: a response says whether records follow it. Then it proves nothing, the copy is not complete, and the rest is read at once.

--- a/src/registry-follower.c
+++ b/src/registry-follower.c
@@ -92,10 +92,9 @@
 	follower_schedule(f, pause);
 }
 
-/* Notes that the local copy is current as of the time of the call. */
+/* Notes that the store answers. */
 static void
-follower_succeeded(struct topic_follower *f,
-    const struct store_response *response)
+follower_answered(struct topic_follower *f)
 {
 	if (f->failures > 0) {
 		f->regained_ms = clock_loop_ms(f->loop);
@@ -106,9 +105,27 @@
 			clock_loop_ms(f->loop)));
 	}
 	f->failures = 0;
+}
+
+/* Notes that the local copy is current as of the time of the call. */
+static void
+follower_succeeded(struct topic_follower *f,
+    const struct store_response *response)
+{
+	follower_answered(f);
+	f->more = false;
 	f->proof_ms = MAX(f->proof_ms, response->sent_ms);
 }
 
+/* Notes that records follow those of the response, which proves nothing about
+ * the newest ones. */
+static void
+follower_cut(struct topic_follower *f)
+{
+	follower_answered(f);
+	f->more = true;
+}
+
 /* Passes records to the owner, and collects the keys of a snapshot. */
 static void
 follower_pass_records(struct topic_follower *f, const GArray *records)
@@ -202,12 +219,18 @@
 	}
 	follower_pass_records(f, response->records);
 	f->next = MAX(f->next, response->end);
-	follower_succeeded(f, response);
+	if (response->more)
+		follower_cut(f);
+	else
+		follower_succeeded(f, response);
 	/* Updates from peers may have moved f->next during the read, so the
 	 * range begins where the read did. */
 	if (f->ops->advanced != NULL)
 		f->ops->advanced(f->owner, f->read_from, f->next);
-	follower_schedule_next(f);
+	if (f->more && f->next > f->read_from)
+		follower_read(f);
+	else
+		follower_schedule_next(f);
 }
 
 /* Whether the last update from peers is older than the fallback time. */
@@ -454,7 +477,7 @@
 topic_follower_complete(const struct topic_follower *f)
 {
 	return (f->synced && f->snapshot_keys == NULL && f->failures == 0 &&
-	    !f->snapshot_due && (f->reader || !f->partial));
+	    !f->more && !f->snapshot_due && (f->reader || !f->partial));
 }
 
 /**
--- a/src/registry-follower.h
+++ b/src/registry-follower.h
@@ -51,6 +51,7 @@
  * @snapshot_end: end offset of the topic as of the snapshot's first page
  * @proof_ms: loop time as of which the local copy is known to be current; 0
  *	for never
+ * @more: the newest read was cut short, so the local copy lacks newer records
  * @failures: consecutive failed calls
  * @regained_ms: loop time of the first successful call after failures; 0 if
  *	there were none
@@ -81,6 +82,7 @@
 	char *after;
 	uint64_t snapshot_end;
 	uint64_t proof_ms;
+	bool more;
 	unsigned failures;
 	uint64_t regained_ms;
 	bool held;
--- a/src/store-ops.h
+++ b/src/store-ops.h
@@ -55,8 +55,9 @@
  * struct store_response - response to a call.
  * @result: result of the call
  * @records: array of struct store_record; NULL for an append
- * @end: end offset of the topic
- * @more: further pages follow the last key
+ * @end: end offset of the topic; where @more is set after a read, the offset of
+ *	the first record that was left out
+ * @more: further pages follow the last key, or further records the last one
  * @sent_ms: loop time just before the call; the state is no older
  * @status: HTTP status of the response, for logs
  */
--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -50,15 +50,21 @@
 	g_byte_array_append(out, (const guint8 *)&big, sizeof big);
 }
 
-/* Answers a read with the records from an offset on. */
+/* Answers a read with the records from an offset on, of which the switch
+ * "read-records" bounds the number. */
 static void
 reply_read(struct conn *c, enum topic t, uint64_t from)
 {
 	g_autoptr(GByteArray) out = g_byte_array_new();
+	uint64_t most = (uint64_t)get_switch("read-records");
+	uint64_t end = records[t]->len;
+
+	if (most > 0 && from < end)
+		end = MIN(end, from + most);
 
 	put_u64(out, records[t]->len);
 	put_u64(out, 0);
-	for (uint64_t i = from; i < records[t]->len; i++) {
+	for (uint64_t i = from; i < end; i++) {
 		const struct rec *r = records[t]->pdata[i];
 		gsize n = r->value != NULL ? g_bytes_get_size(r->value) : 0;
 		guint8 key = (guint8)strlen(r->key);
--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -171,8 +171,8 @@
 }
 
 /*
- * answer end=N [records=NAME:OFFSET,...] [more=1] [refused=1] [trimmed=1]: the
- * store answers
+ * answer end=N [records=NAME:OFFSET,...] [sent=MS] [more=1] [refused=1]
+ * [trimmed=1]: the store answers a call that was sent at that time
  */
 static void
 exec_answer(const char *rest, GString *out)
@@ -182,7 +182,7 @@
 	store_fn *fn = pending_fn;
 
 	response.end = script_number(rest, "end", 0);
-	response.sent_ms = 1;
+	response.sent_ms = script_number(rest, "sent", 1);
 	response.more = script_number(rest, "more", 0) != 0;
 	if (script_number(rest, "refused", 0) != 0)
 		response.result = STORE_REFUSED;
@@ -232,6 +232,13 @@
 	    topic_follower_complete(&follower) ? "yes\n" : "no\n");
 }
 
+/* proof: time as of which the local copy is known to be current */
+static void
+exec_proof(const char *rest, GString *out)
+{
+	g_string_append_printf(out, "%u\n", (unsigned)follower.proof_ms);
+}
+
 static const struct script_command commands[] = {
 	{ "start", exec_start },
 	{ "hold", exec_hold },
@@ -244,6 +251,7 @@
 	{ "updated", exec_updated },
 	{ "relays", exec_relays },
 	{ "complete", exec_complete },
+	{ "proof", exec_proof },
 	{ NULL, NULL },
 };
 
