Read on from the known offset where a fetched configuration is older

A daemon could go on with an older configuration and prove it to be the newest, so that it denied requests to routes that existed.

Cause: a daemon fetches an announced configuration from any member that its relay listed as current, up to 2.5 s ago. That member may have an older one than was announced. The daemon applied it, but skipped the records of the store up to the announced one and named that offset to its peers. No later read returned the announced one, and each read proved the older one.

Change: where the fetched configuration is older than the announced one, the offset up to which the store was read stays, and the announcement proves nothing. Decoding a configuration and putting it in force are two functions, so that the offset is set before the peers are told.

--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -34,32 +34,61 @@
 		-1LL);
 }
 
-/* Applies a fetched configuration, with the peer's proof that it was the
- * newest. */
+/*
+ * Returns an offset in the store up to which no record is newer than a fetched
+ * configuration. The peer that served it may not have had the announced one
+ * yet; then only what was read here before is known to be older.
+ */
+static uint64_t
+fetched_offset(const struct mesh *mesh, const struct catalog *fetched)
+{
+	if (fetched->version >= mesh->fetched_version)
+		return (mesh->fetched_offset);
+	return (MAX(mesh->registry->config.next, 1) - 1);
+}
+
+/**
+ * mesh_config_fetched() - put a fetched configuration in force if it is newer,
+ * with the peer's proof that it is the newest.
+ * @mesh: the mesh
+ * @bytes: the configuration as encoded in the store
+ * @length: length of @bytes
+ */
+void
+mesh_config_fetched(struct mesh *mesh, const void *bytes, size_t length)
+{
+	struct registry *registry = mesh->registry;
+	struct topic_follower *f = &registry->config;
+	struct catalog *fetched = registry_decode_config(registry, bytes,
+	    length, mesh->fetched_offset);
+	uint64_t next, proof_ms = 0;
+
+	if (fetched == NULL)
+		return;
+	fetched->offset = fetched_offset(mesh, fetched);
+	next = fetched->offset + 1;
+	if (fetched->version >= mesh->fetched_version)
+		proof_ms = mesh->fetched_proof_ms;
+	registry_set_config(registry, fetched, bytes, length);
+	log_fetched(mesh);
+	if (f->held)
+		topic_follower_adopt(f, next, proof_ms);
+	topic_follower_skip(f, next);
+	registry->peer_proof_ms = MAX(registry->peer_proof_ms, proof_ms);
+}
+
 static void
 on_fetched(void *arg, const struct net_response *response)
 {
 	struct mesh *mesh = arg;
 
 	mesh->fetching_config = false;
-	if (response->status != HTTP_STATUS_OK) {
+	if (response->status == HTTP_STATUS_OK)
+		mesh_config_fetched(mesh, response->body->data,
+		    response->body->len);
+	else
 		event_log(LOG_INFO, "config_not_fetched", "status=%u",
 		    response->status);
-		return;
-	}
-	if (!registry_apply_config(mesh->registry, response->body->data,
-		response->body->len, mesh->fetched_offset))
-		return;
-	log_fetched(mesh);
-	if (mesh->registry->config.held)
-		topic_follower_adopt(&mesh->registry->config,
-		    mesh->fetched_offset + 1, mesh->fetched_proof_ms);
-	topic_follower_skip(&mesh->registry->config, mesh->fetched_offset + 1);
-	/* The peer may have received a newer version since it proved its own.
-	 */
-	if (mesh->registry->catalog->version >= mesh->fetched_version)
-		mesh->registry->peer_proof_ms =
-		    MAX(mesh->registry->peer_proof_ms, mesh->fetched_proof_ms);
 }
 
 /*
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -404,6 +404,7 @@
 
 /* mesh-config.c: fetching a newer configuration from a peer. */
 void mesh_fetch_config(struct mesh *, struct mesh_peer *);
+void mesh_config_fetched(struct mesh *, const void *, size_t);
 
 /* mesh-serve.c: state served to peers over HTTP, and fetched at the start. */
 unsigned mesh_serve(void *, const char *, GString *);
--- a/src/registry-config.c
+++ b/src/registry-config.c
@@ -99,16 +99,17 @@
 }
 
 /**
- * registry_apply_config() - put a configuration in force if it is newer.
+ * registry_decode_config() - decode a configuration.
  * @registry: the registry
  * @value: the configuration as encoded in the store
  * @length: length of @value
- * @offset: offset of its record in the store
+ * @offset: offset of its record in the store, or of one before it
  *
- * Return: whether it is in force now.
+ * Return: the configuration, for registry_set_config(); NULL if it is invalid
+ * or not newer than the one in force.
  */
-bool
-registry_apply_config(struct registry *registry, const void *value,
+struct catalog *
+registry_decode_config(const struct registry *registry, const void *value,
     size_t length, uint64_t offset)
 {
 	g_autoptr(GError) error = NULL;
@@ -117,14 +118,28 @@
 	if (next == NULL) {
 		event_log(LOG_ERR, "config_refused", "offset=%llu reason=%s",
 		    (unsigned long long)offset, error->message);
-		return (false);
+		return (NULL);
 	}
 	if (registry->catalog != NULL &&
 	    next->version <= registry->catalog->version) {
 		catalog_unref(next);
-		return (false);
+		return (NULL);
 	}
 	next->offset = offset;
+	return (next);
+}
+
+/**
+ * registry_set_config() - put a newer configuration in force.
+ * @registry: the registry
+ * @next: the configuration; its reference is taken over
+ * @value: the configuration as encoded in the store
+ * @length: length of @value
+ */
+void
+registry_set_config(struct registry *registry, struct catalog *next,
+    const void *value, size_t length)
+{
 	config_prepare_priorities(next);
 	event_log(LOG_NOTICE, "config_in_force",
 	    "version=%lld was=%lld offset=%llu routes=%u services=%u "
@@ -132,7 +147,7 @@
 	    (long long)next->version,
 	    registry->catalog != NULL ? (long long)registry->catalog->version :
 					-1LL,
-	    (unsigned long long)offset, next->routes->len,
+	    (unsigned long long)next->offset, next->routes->len,
 	    g_hash_table_size(next->services), next->customers->len, length);
 	catalog_unref(registry->catalog);
 	registry->catalog = next;
@@ -144,7 +159,6 @@
 	 * there was none while changes came every 80 ms, and keys were refused.
 	 */
 	registry_notify(registry);
-	return (true);
 }
 
 /* Notes at each endpoint whether its failure domain is evacuated. */
@@ -247,12 +261,19 @@
 {
 	struct registry *registry = owner;
 	const char *domain = registry->decode->evacuated_domain(record->key);
+	struct catalog *next;
 
-	if (domain != NULL)
+	if (domain != NULL) {
 		evacuation_record(registry, record, domain);
-	else if (strcmp(record->key, CONFIG_KEY) == 0 && record->value != NULL)
-		registry_apply_config(registry, record->value, record->length,
-		    record->offset);
+		return;
+	}
+	if (strcmp(record->key, CONFIG_KEY) != 0 || record->value == NULL)
+		return;
+	next = registry_decode_config(registry, record->value, record->length,
+	    record->offset);
+	if (next != NULL)
+		registry_set_config(registry, next, record->value,
+		    record->length);
 }
 
 /* Applies the evacuations of a complete snapshot. */
--- a/src/registry.h
+++ b/src/registry.h
@@ -121,7 +121,10 @@
 bool registry_service_grouped(const struct registry *, const char *);
 void registry_set_cold(const struct registry *, struct endpoint *, uint64_t,
     uint64_t);
-bool registry_apply_config(struct registry *, const void *, size_t, uint64_t);
+struct catalog *registry_decode_config(const struct registry *, const void *,
+    size_t, uint64_t);
+void registry_set_config(struct registry *, struct catalog *, const void *,
+    size_t);
 bool registry_apply_evacuations(struct registry *, const struct evacuations *);
 
 #endif
--- a/tests/fleet-script.c
+++ b/tests/fleet-script.c
@@ -484,15 +484,47 @@
 	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
 	g_autofree char *version = script_word(rest, "version");
 	struct registry *registry = &fleet_model_find(model, name)->registry;
+	size_t length = strlen(version);
 
 	/* Keeps the other daemons from fetching it. */
 	for (unsigned i = 0; i < model->n; i++)
 		model->daemons[i].mesh.fetching_config = true;
 	registry->decode = &fake_decoders;
-	registry_apply_config(registry, version, strlen(version), 0);
+	registry_set_config(registry,
+	    registry_decode_config(registry, version, length, 0), version,
+	    length);
 	g_clear_pointer(&registry->config_bytes, g_bytes_unref);
 }
 
+/*
+ * fetched NAME version=N announced=N offset=N next=N: a daemon that has read
+ * the store up to an offset is served a version of the configuration, after
+ * another one was announced with its offset; prints from where it reads on
+ */
+static void
+exec_fetched(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *version = script_word(rest, "version");
+	struct model_daemon *daemon = fleet_model_find(model, name);
+	struct registry *registry = &daemon->registry;
+
+	registry->decode = &fake_decoders;
+	registry->config.synced = true;
+	registry->config.next = script_number(rest, "next", 0);
+	daemon->mesh.fetched_version =
+	    (int64_t)script_number(rest, "announced", 0);
+	daemon->mesh.fetched_offset = script_number(rest, "offset", 0);
+	daemon->mesh.fetched_proof_ms = fleet_model_clock(daemon);
+	mesh_config_fetched(&daemon->mesh, version, strlen(version));
+	g_clear_pointer(&registry->config_bytes, g_bytes_unref);
+	g_string_append_printf(out, "version %d offset %u next %u proved %d\n",
+	    (int)registry->catalog->version,
+	    (unsigned)registry->catalog->offset,
+	    (unsigned)registry->config.next,
+	    registry->peer_proof_ms == fleet_model_clock(daemon));
+}
+
 /* age NAME: age of a daemon's proof, in steps of 500 ms */
 static void
 exec_age(const char *rest, GString *out)
@@ -628,6 +660,7 @@
 	{ "reboot", exec_reboot },
 	{ "store-queries", exec_store_queries },
 	{ "set-config", exec_set_config },
+	{ "fetched", exec_fetched },
 	{ "age", exec_age },
 	{ "storm", exec_storm },
 	{ NULL, NULL },
