--- a/src/registry-follower.c
+++ b/src/registry-follower.c
@@ -107,14 +107,13 @@
 	f->failures = 0;
 }
 
-/* Notes that the local copy is current as of the time of the call. */
+/* Notes that the local copy is current as of a time. */
 static void
-follower_succeeded(struct topic_follower *f,
-    const struct store_response *response)
+follower_succeeded(struct topic_follower *f, uint64_t as_of_ms)
 {
 	follower_answered(f);
 	f->more = false;
-	f->proof_ms = MAX(f->proof_ms, response->sent_ms);
+	f->proof_ms = MAX(f->proof_ms, as_of_ms);
 }
 
 /* Notes that records follow those of the response, which proves nothing about
@@ -182,8 +181,10 @@
 		follower_failed(f, response);
 		return;
 	}
-	if (f->after == NULL)
+	if (f->after == NULL) {
 		f->snapshot_end = response->end;
+		f->snapshot_ms = response->sent_ms;
+	}
 	follower_pass_records(f, response->records);
 	if (response->more && response->records->len > 0) {
 		last = &g_array_index(response->records, struct store_record,
@@ -194,7 +195,8 @@
 		return;
 	}
 	follower_finish_snapshot(f);
-	follower_succeeded(f, response);
+	/* A record of an earlier page may have changed since. */
+	follower_succeeded(f, f->snapshot_ms);
 	follower_schedule_next(f);
 }
 
@@ -222,7 +224,7 @@
 	if (response->more)
 		follower_cut(f);
 	else
-		follower_succeeded(f, response);
+		follower_succeeded(f, response->sent_ms);
 	/* Updates from peers may have moved f->next during the read, so the
 	 * range begins where the read did. */
 	if (f->ops->advanced != NULL)
--- a/src/registry-follower.h
+++ b/src/registry-follower.h
@@ -49,6 +49,7 @@
  * @snapshot_keys: keys of the snapshot that is being read; NULL while tailing
  * @after: last key of the previous page of the snapshot
  * @snapshot_end: end offset of the topic as of the snapshot's first page
+ * @snapshot_ms: loop time just before the call for that page
  * @proof_ms: loop time as of which the local copy is known to be current; 0
  *	for never
  * @more: the newest read was cut short, so the local copy lacks newer records
@@ -81,6 +82,7 @@
 	GHashTable *snapshot_keys;
 	char *after;
 	uint64_t snapshot_end;
+	uint64_t snapshot_ms;
 	uint64_t proof_ms;
 	bool more;
 	unsigned failures;
