Plan many replicas from one view before requests come

At 300 daemons before 3,000 hosts the placer had formed about 400 of 1,125 replicas when the first request came. The others were formed with loads from the weight store: 1,613 loads, and more of them within 5 s than the store allows.

Cause: each replica was planned from a new view of all hosts. Building one compared the name of each host's fabric domain with those of all fabric domains, and planning looked at all hosts and built a key for each fabric domain. Both grow with the square of the fleet: 4.6 ms and 0.28 ms a replica for 3,000 hosts in 375 fabric domains.

Change: fabric and failure domains are found by their names in a table. Before requests come, the view is updated after each replica, and the hosts that a fabric domain can give to a model are counted again only where a replica was formed there. A pass takes 24 steps at least, and further ones for 10 ms.

--- a/src/placer-form.c
+++ b/src/placer-form.c
@@ -1,6 +1,7 @@
 /* Forms new replicas from free hosts. */
 #include <string.h>
 
+#include "clock.h"
 #include "event-log.h"
 #include "placer.h"
 #include "planner.h"
@@ -14,11 +15,21 @@
 #define WARM_RETRY_MS 5000
 
 /*
- * Maximum number of steps per service in one pass; the next pass continues.
- * Without this bound a pass over 925 hosts took seconds and blocked the event
- * loop; with it, orders are sent between the passes.
+ * Steps per service in one pass, and the time after which no further ones are
+ * taken; the next pass continues. Orders are sent between the passes.
  */
-#define STEPS_PER_PASS 24
+#define STEPS_MIN 24
+#define STEPS_MAX_US 10000
+
+/**
+ * struct step_budget - bound on the steps of a service in one pass.
+ * @taken: steps taken so far
+ * @began_us: when the first one began, in us
+ */
+struct step_budget {
+	unsigned taken;
+	uint64_t began_us;
+};
 
 /* Issues an epoch above all that were issued so far. */
 static int64_t
@@ -27,8 +38,8 @@
 	return (p->term * EPOCHS_PER_TERM + ++p->epochs_issued);
 }
 
-/* Adds the replica of a plan and queues its record. */
-static void
+/* Adds the replica of a plan, and queues its record; returns it. */
+static struct replica *
 replica_add(struct placer *p, const char *service,
     const struct planner_view *view, const struct replica_plan *plan,
     uint64_t now_ms)
@@ -57,6 +68,7 @@
 		->fabric);
 	TAILQ_INSERT_TAIL(&p->replicas, r, entry);
 	placer_record_replica(p, r, false);
+	return (r);
 }
 
 /*
@@ -69,6 +81,7 @@
 {
 	unsigned loads_free = view->loads_free;
 	struct replica_plan plan = { 0 };
+	struct replica *r;
 	bool formed;
 
 	view->loads_free = MIN(loads, loads_free);
@@ -76,7 +89,12 @@
 	view->loads_free = loads_free;
 	if (!formed)
 		return (false);
-	replica_add(p, service, view, &plan, now_ms);
+	r = replica_add(p, service, view, &plan, now_ms);
+	/* With requests the targets also depend on the demand, so that a new
+	 * view is built. */
+	if (!view->served)
+		planner_view_set_formed(view, &plan, r);
+	view->loads_free = placer_loads_available(p, view->engine, now_ms);
 	g_array_free(plan.members, TRUE);
 	return (true);
 }
@@ -160,15 +178,24 @@
 /**
  * enum step_result - what a placement step did.
  * @STEP_NONE: nothing was left to do
- * @STEP_PREPARED: a host prepares for a model; the view was updated
- * @STEP_CHANGED: a replica was formed or is being dissolved; the view is stale
+ * @STEP_UPDATED: a replica was formed, or a host prepares for a model; the view
+ *	was updated
+ * @STEP_STALE: a replica is being dissolved, or was formed while requests
+ *	come; the view is stale
  */
 enum step_result {
 	STEP_NONE,
-	STEP_PREPARED,
-	STEP_CHANGED,
+	STEP_UPDATED,
+	STEP_STALE,
 };
 
+/* The result of a step that formed a replica. */
+static enum step_result
+formed_result(const struct planner_view *view)
+{
+	return (view->served ? STEP_STALE : STEP_UPDATED);
+}
+
 /*
  * Takes one placement step for a service. Replicas that need no load come
  * first, then hosts and copies for the largest model, then replicas that need
@@ -180,19 +207,28 @@
 {
 	unsigned loads = view->served ? 0 : view->loads_free;
 
-	if (try_form(p, service, view, loads, now_ms) ||
-	    (view->served &&
-		(try_donate(p, view, now_ms) ||
-		    try_retire_surplus(p, view, now_ms))))
-		return (STEP_CHANGED);
+	if (try_form(p, service, view, loads, now_ms))
+		return (formed_result(view));
+	if (view->served &&
+	    (try_donate(p, view, now_ms) ||
+		try_retire_surplus(p, view, now_ms)))
+		return (STEP_STALE);
 	if (!placer_call_allowed(p))
 		return (STEP_NONE);
 	if (try_copy(p, view, now_ms))
-		return (STEP_PREPARED);
+		return (STEP_UPDATED);
 	if (view->served &&
 	    try_form(p, service, view, view->loads_free, now_ms))
-		return (STEP_CHANGED);
-	return (try_warm(p, view, now_ms) ? STEP_PREPARED : STEP_NONE);
+		return (formed_result(view));
+	return (try_warm(p, view, now_ms) ? STEP_UPDATED : STEP_NONE);
+}
+
+/* Whether one more step may be taken in this pass. */
+static bool
+budget_left(const struct step_budget *budget)
+{
+	return (budget->taken < STEPS_MIN ||
+	    clock_now_us() - budget->began_us < STEPS_MAX_US);
 }
 
 /*
@@ -201,16 +237,16 @@
  */
 static bool
 service_run_steps(struct placer *p, const char *service,
-    struct planner_view *view, unsigned *steps, uint64_t now_ms)
+    struct planner_view *view, struct step_budget *budget, uint64_t now_ms)
 {
-	while (*steps > 0 && p->epochs_issued < EPOCHS_PER_TERM - 1) {
+	while (budget_left(budget) && p->epochs_issued < EPOCHS_PER_TERM - 1) {
 		enum step_result result =
 		    service_step(p, service, view, now_ms);
 
 		if (result == STEP_NONE)
 			return (false);
-		(*steps)--;
-		if (result == STEP_CHANGED)
+		budget->taken++;
+		if (result == STEP_STALE)
 			return (true);
 	}
 	return (false);
@@ -224,7 +260,7 @@
 service_form_replicas(struct placer *p, const struct catalog_service *service,
     uint64_t now_ms)
 {
-	unsigned steps = STEPS_PER_PASS;
+	struct step_budget budget = { .began_us = clock_now_us() };
 	bool more, counted = false;
 
 	do {
@@ -236,10 +272,10 @@
 			    service->name, &view, &p->replicas, now_ms);
 		counted = true;
 		more =
-		    service_run_steps(p, service->name, &view, &steps, now_ms);
+		    service_run_steps(p, service->name, &view, &budget, now_ms);
 		planner_view_clear(&view);
 	} while (more);
-	return (steps == 0 || !placer_call_allowed(p));
+	return (!budget_left(&budget) || !placer_call_allowed(p));
 }
 
 /**
--- a/src/planner-copies.c
+++ b/src/planner-copies.c
@@ -176,13 +176,13 @@
 	const struct model_profile *m = planner_model(view, index);
 
 	for (guint i = 0; i < view->fabrics->len; i++) {
-		const char *name = planner_fabric_at(view, i)->name;
+		const struct planner_fabric *f = planner_fabric_at(view, i);
 		const struct planner_host *pick;
 		unsigned have, could_get;
 
 		pick = count_free_hosts(view, m, i, &have, &could_get);
 		if (pick != NULL && have < small_spare_copies(view, index) &&
-		    planner_fabric_replicas(view, m, name) > 0)
+		    f->in_fabric->replicas[index] > 0)
 			return (pick);
 	}
 	return (NULL);
@@ -231,11 +231,12 @@
  * largest model besides a small one, and a small one besides the largest.
  */
 static const struct planner_host *
-copy_before_requests(const struct planner_view *view,
+copy_before_requests(struct planner_view *view,
     const struct model_profile **model)
 {
-	for (guint i = 0; i < view->hosts->len; i++) {
-		const struct planner_host *h = planner_host_at(view, i);
+	for (; view->copies_done < view->hosts->len; view->copies_done++) {
+		const struct planner_host *h =
+		    planner_host_at(view, view->copies_done);
 
 		*model = host_second_model(view, h);
 		if (*model != NULL && host_needs_copy(h, *model))
@@ -323,8 +324,7 @@
  * Return: the host, or NULL.
  */
 const struct planner_host *
-planner_plan_copy(const struct planner_view *view,
-    const struct model_profile **model)
+planner_plan_copy(struct planner_view *view, const struct model_profile **model)
 {
 	const struct planner_host *h;
 
--- a/src/planner-replicas.c
+++ b/src/planner-replicas.c
@@ -140,22 +140,45 @@
 /* Counts the hosts that a candidate may use, and those that need no load. */
 static void
 candidate_count_hosts(const struct planner_view *view,
-    const struct replica_candidate *c, unsigned *free, unsigned *with_model)
+    const struct replica_candidate *c, struct planner_usable *usable)
 {
-	*free = 0;
-	*with_model = 0;
-	for (guint n = 0; n < planner_fabric_at(view, c->fabric_index)->hosts;
-	     n++) {
+	const struct planner_fabric *f =
+	    planner_fabric_at(view, c->fabric_index);
+
+	usable->free = 0;
+	usable->with_model = 0;
+	for (guint n = 0; n < f->hosts; n++) {
 		const struct planner_host *h = planner_host_at(view,
 		    planner_fabric_host(view, c->fabric_index, n));
 
 		if (!candidate_can_use(view, h, c))
 			continue;
-		(*free)++;
-		*with_model += planner_host_has_model(h, c->model);
+		usable->free++;
+		usable->with_model += planner_host_has_model(h, c->model);
 	}
 }
 
+/*
+ * Returns these counts, which are kept in the view. Before requests come they
+ * depend on the fabric domain and on which model has the lower supply ratio.
+ */
+static const struct planner_usable *
+candidate_usable(const struct planner_view *view,
+    const struct replica_candidate *c)
+{
+	struct planner_usable *usable = &g_array_index(view->fabrics,
+	    struct planner_fabric, c->fabric_index)
+					     .usable[c->model_index];
+	bool largest_lower = planner_supply_ratio(view, view->largest) <=
+	    planner_supply_ratio(view, c->model_index);
+	unsigned valid = 1 + largest_lower;
+
+	if (view->served || usable->valid != valid)
+		candidate_count_hosts(view, c, usable);
+	usable->valid = valid;
+	return (usable);
+}
+
 /*
  * Scores a candidate: higher the further its model is below the wanted number
  * of replicas and the fewer of them its failure domain has; loads reduce the
@@ -166,9 +189,8 @@
     const struct replica_candidate *c)
 {
 	double wanted = MAX(view->wanted[c->model_index], 0.5);
-	double in_domain =
-	    planner_domain_replicas(view, c->model,
-		planner_fabric_at(view, c->fabric_index)->domain) /
+	double in_domain = planner_fabric_at(view, c->fabric_index)
+			       ->in_domain->replicas[c->model_index] /
 	    wanted;
 
 	return (planner_shortage(view, c->model_index) / wanted - in_domain -
@@ -203,12 +225,12 @@
 static bool
 candidate_evaluate(const struct planner_view *view, struct replica_candidate *c)
 {
-	unsigned free, with_model, size = c->model->size;
+	const struct planner_usable *usable = candidate_usable(view, c);
+	unsigned size = c->model->size;
 
-	candidate_count_hosts(view, c, &free, &with_model);
-	if (free < size)
+	if (usable->free < size)
 		return (false);
-	c->loads = size - MIN(size, with_model);
+	c->loads = size - MIN(size, usable->with_model);
 	if (!candidate_permitted(view, c))
 		return (false);
 	c->score = candidate_score(view, c);
--- a/src/planner-targets.c
+++ b/src/planner-targets.c
@@ -194,15 +194,14 @@
 void
 planner_view_set_targets(struct planner_view *view)
 {
-	const struct model_profile *largest;
-
-	largest = planner_model(view, view->largest);
 	view_set_wanted(view);
 	for (guint i = 0; i < view->fabrics->len; i++) {
 		struct planner_fabric *f =
 		    &g_array_index(view->fabrics, struct planner_fabric, i);
 
-		f->replicas = planner_fabric_replicas(view, largest, f->name);
+		f->assigned = 0;
+		f->domain_assigned = 0;
+		f->replicas = f->in_fabric->replicas[view->largest];
 		f->max_replicas =
 		    fabric_max_replicas(view, f->hosts, view->cap_factor);
 	}
--- a/src/planner-view.c
+++ b/src/planner-view.c
@@ -69,6 +69,7 @@
 	    struct planner_fabric, h->fabric_index);
 
 	host->copying = m->name;
+	memset(f->usable, 0, sizeof f->usable);
 	if (m == planner_model(view, view->largest) &&
 	    !planner_host_has_model(h, m))
 		f->copying++;
@@ -134,53 +135,19 @@
 	    h->group->opened && h->group->n < m->size);
 }
 
-/* Gets the count of a model in a failure domain or fabric domain. */
-static unsigned
-count_get(GHashTable *table, const struct model_profile *m, const char *place)
-{
-	g_autofree char *key =
-	    g_strdup_printf("%s %s", m->name, place != NULL ? place : "-");
-
-	return (GPOINTER_TO_UINT(g_hash_table_lookup(table, key)));
-}
-
-/* Adds one to the count of a model in a failure domain or fabric domain. */
-static void
-count_add(GHashTable *table, const char *model, const char *place)
-{
-	char *key =
-	    g_strdup_printf("%s %s", model, place != NULL ? place : "-");
-	guint n = GPOINTER_TO_UINT(g_hash_table_lookup(table, key));
-
-	g_hash_table_replace(table, key, GUINT_TO_POINTER(n + 1));
-}
-
-/**
- * planner_fabric_replicas() - count the active replicas of a model in a fabric
- * domain.
- * @view: the view
- * @m: the model
- * @fabric: the fabric domain
- */
-unsigned
-planner_fabric_replicas(const struct planner_view *view,
-    const struct model_profile *m, const char *fabric)
+/* Replicas in a failure domain or fabric domain, which is added where nothing
+ * of it is known yet. */
+static struct planner_place *
+place_find(GHashTable *places, const char *name)
 {
-	return (count_get(view->fabric_replicas, m, fabric));
-}
+	const char *key = name != NULL ? name : "-";
+	struct planner_place *place = g_hash_table_lookup(places, key);
 
-/**
- * planner_domain_replicas() - count the active replicas of a model in a failure
- * domain.
- * @view: the view
- * @m: the model
- * @domain: the failure domain
- */
-unsigned
-planner_domain_replicas(const struct planner_view *view,
-    const struct model_profile *m, const char *domain)
-{
-	return (count_get(view->domain_replicas, m, domain));
+	if (place == NULL) {
+		place = g_new0(struct planner_place, 1);
+		g_hash_table_insert(places, g_strdup(key), place);
+	}
+	return (place);
 }
 
 /**
@@ -262,10 +229,10 @@
 	view->hosts = g_array_new(FALSE, TRUE, sizeof(struct planner_host));
 	view->order = g_array_new(FALSE, TRUE, sizeof(guint));
 	view->fabrics = g_array_new(FALSE, TRUE, sizeof(struct planner_fabric));
-	view->domain_replicas =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	view->fabric_replicas =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	view->domain_places =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	view->fabric_places =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 /**
@@ -278,8 +245,8 @@
 	g_array_free(view->hosts, TRUE);
 	g_array_free(view->order, TRUE);
 	g_array_free(view->fabrics, TRUE);
-	g_hash_table_destroy(view->domain_replicas);
-	g_hash_table_destroy(view->fabric_replicas);
+	g_hash_table_destroy(view->domain_places);
+	g_hash_table_destroy(view->fabric_places);
 }
 
 /**
@@ -293,13 +260,19 @@
 planner_view_add_replica(struct planner_view *view, const struct replica *r,
     const char *domain, const char *fabric)
 {
+	struct planner_place *in_domain =
+	    place_find(view->domain_places, domain);
+	struct planner_place *in_fabric =
+	    place_find(view->fabric_places, fabric);
 	const GPtrArray *models = view->engine->models;
 
-	for (guint i = 0; i < models->len && i < PLANNER_MODELS_MAX; i++)
-		view->replicas[i] +=
-		    strcmp(planner_model(view, i)->name, r->model) == 0;
-	count_add(view->domain_replicas, r->model, domain);
-	count_add(view->fabric_replicas, r->model, fabric);
+	for (guint i = 0; i < models->len && i < PLANNER_MODELS_MAX; i++) {
+		if (strcmp(planner_model(view, i)->name, r->model) != 0)
+			continue;
+		view->replicas[i]++;
+		in_domain->replicas[i]++;
+		in_fabric->replicas[i]++;
+	}
 }
 
 /* Index of a host's fabric domain, which is added to the view where the host is
@@ -309,12 +282,13 @@
 {
 	struct planner_fabric f = { .name = h->fabric, .domain = h->domain };
 
-	for (guint i = 0; i < view->fabrics->len; i++) {
-		if (g_strcmp0(planner_fabric_at(view, i)->name, h->fabric) == 0)
-			return (i);
+	f.in_fabric = place_find(view->fabric_places, h->fabric);
+	if (f.in_fabric->position == 0) {
+		f.in_domain = place_find(view->domain_places, h->domain);
+		g_array_append_val(view->fabrics, f);
+		f.in_fabric->position = view->fabrics->len;
 	}
-	g_array_append_val(view->fabrics, f);
-	return (view->fabrics->len - 1);
+	return (f.in_fabric->position - 1);
 }
 
 /* Counts the hosts and copies of each fabric domain. */
@@ -377,3 +351,34 @@
 	fabrics_count_hosts(view);
 	fabrics_group_hosts(view);
 }
+
+/**
+ * planner_view_set_formed() - record in a view that a replica was formed.
+ * @view: the view; its counts and targets are updated
+ * @plan: the plan of the replica
+ * @r: the replica
+ */
+void
+planner_view_set_formed(struct planner_view *view,
+    const struct replica_plan *plan, struct replica *r)
+{
+	const struct model_profile *largest =
+	    planner_model(view, view->largest);
+	const struct planner_host *head =
+	    planner_host_at(view, g_array_index(plan->members, guint, 0));
+
+	for (guint i = 0; i < plan->members->len; i++) {
+		struct planner_host *h =
+		    &g_array_index(view->hosts, struct planner_host,
+			g_array_index(plan->members, guint, i));
+		struct planner_fabric *f = &g_array_index(view->fabrics,
+		    struct planner_fabric, h->fabric_index);
+
+		h->free = false;
+		h->group = r;
+		f->ready -= planner_host_has_model(h, largest);
+		memset(f->usable, 0, sizeof f->usable);
+	}
+	planner_view_add_replica(view, r, head->domain, head->fabric);
+	planner_view_set_targets(view);
+}
--- a/src/planner.h
+++ b/src/planner.h
@@ -46,6 +46,30 @@
 	struct replica *group;
 };
 
+/**
+ * struct planner_place - active replicas in a failure domain or fabric domain.
+ * @replicas: their number by model, in the order of the engine profile
+ * @position: for a fabric domain, its index in the view plus 1; 0 for none
+ */
+struct planner_place {
+	unsigned replicas[PLANNER_MODELS_MAX];
+	unsigned position;
+};
+
+/**
+ * struct planner_usable - the hosts of a fabric domain that a new replica of a
+ * model may use.
+ * @valid: what the counts depend on besides the fabric domain, plus 1; 0 where
+ *	they have to be counted again
+ * @free: number of these hosts
+ * @with_model: number of those that need no load
+ */
+struct planner_usable {
+	unsigned valid;
+	unsigned free;
+	unsigned with_model;
+};
+
 /**
  * struct planner_fabric - a fabric domain.
  * @name: its name; NULL for hosts that report none
@@ -59,6 +83,9 @@
  * @ready: hosts that have the largest model and are free now or soon
  * @donors: hosts that have the largest model and serve in smaller replicas
  * @copying: hosts that are getting a copy of the largest model
+ * @in_fabric: replicas in it
+ * @in_domain: replicas in its failure domain
+ * @usable: its hosts that a new replica of each model may use
  */
 struct planner_fabric {
 	const char *name;
@@ -72,6 +99,9 @@
 	unsigned ready;
 	unsigned donors;
 	unsigned copying;
+	struct planner_place *in_fabric;
+	struct planner_place *in_domain;
+	struct planner_usable usable[PLANNER_MODELS_MAX];
 };
 
 /**
@@ -81,8 +111,8 @@
  * @order: indexes of the hosts, grouped by fabric domain
  * @fabrics: array of struct planner_fabric
  * @replicas: active replicas of each model, in the order of the profile
- * @domain_replicas: "model failure-domain" to the number of replicas there
- * @fabric_replicas: "model fabric-domain" to the number of replicas there
+ * @domain_places: name of a failure domain to its struct planner_place
+ * @fabric_places: name of a fabric domain to its struct planner_place
  * @work_share: share of the work of each model
  * @largest_max: maximum number of replicas of the largest model; 0 for no bound
  * @by_demand: @largest_max was chosen by the demand; it may exceed the number
@@ -99,6 +129,8 @@
  *	domain for every 2 x its size hosts there; the other hosts form
  *	replicas that can donate hosts to it
  * @loads_free: number of loads from the weight store that may begin now
+ * @copies_done: before requests come, this many hosts from the first on need no
+ *	copy
  * @served: requests have arrived since the deployment began, so loads take
  *	their full time
  * @hosts_stable: no new host has appeared for a while
@@ -109,8 +141,8 @@
 	GArray *order;
 	GArray *fabrics;
 	unsigned replicas[PLANNER_MODELS_MAX];
-	GHashTable *domain_replicas;
-	GHashTable *fabric_replicas;
+	GHashTable *domain_places;
+	GHashTable *fabric_places;
 	double work_share[PLANNER_MODELS_MAX];
 	unsigned largest_max;
 	bool by_demand;
@@ -121,6 +153,7 @@
 	unsigned largest;
 	unsigned cap_factor;
 	unsigned loads_free;
+	unsigned copies_done;
 	bool served;
 	bool hosts_stable;
 };
@@ -142,7 +175,7 @@
 struct replica *planner_find_surplus(const struct planner_view *);
 
 /* planner-copies.c: which hosts get copies of which models. */
-const struct planner_host *planner_plan_copy(const struct planner_view *,
+const struct planner_host *planner_plan_copy(struct planner_view *,
     const struct model_profile **);
 const struct planner_host *planner_plan_warming(const struct planner_view *);
 
@@ -156,6 +189,8 @@
 void planner_view_add_replica(struct planner_view *, const struct replica *,
     const char *, const char *);
 void planner_view_count_hosts(struct planner_view *);
+void planner_view_set_formed(struct planner_view *, const struct replica_plan *,
+    struct replica *);
 const struct model_profile *planner_model(const struct planner_view *,
     unsigned);
 const struct planner_host *planner_host_at(const struct planner_view *,
@@ -172,10 +207,6 @@
     const struct model_profile *);
 bool planner_host_can_donate(const struct planner_host *,
     const struct model_profile *);
-unsigned planner_fabric_replicas(const struct planner_view *,
-    const struct model_profile *, const char *);
-unsigned planner_domain_replicas(const struct planner_view *,
-    const struct model_profile *, const char *);
 double planner_shortage(const struct planner_view *, unsigned);
 double planner_supply_ratio(const struct planner_view *, unsigned);
 unsigned planner_model_index(const struct planner_view *, const char *);
--- a/tests/test-planner.c
+++ b/tests/test-planner.c
@@ -230,44 +230,60 @@
 	hosts_stable = script_number(rest, "stable", hosts_stable);
 }
 
-/* form [times=N]: plans and forms the next replicas, which open at once */
+/* Forms the replica of a plan, which opens at once; prints and returns it. */
+static struct replica *
+plan_form(const struct replica_plan *plan, GString *out)
+{
+	struct replica *r = replica_create("g", "s", plan->model->name, 1);
+	struct sockaddr_in any = { 0 };
+
+	r->opened = true;
+	g_string_append_printf(out, "%s loads=%u", plan->model->name,
+	    plan->loads);
+	for (guint i = 0; i < plan->members->len; i++) {
+		struct planner_host *h =
+		    &hosts[g_array_index(plan->members, guint, i)];
+
+		g_string_append_printf(out, " %s", h->id);
+		replica_add_member(r, h->id, &any);
+		h->free = false;
+		h->group = r;
+		host_set_loaded_model(h, plan->model->name);
+	}
+	g_string_append_printf(out, " in %s\n",
+	    hosts[g_array_index(plan->members, guint, 0)].fabric);
+	replicas[n_replicas++] = r;
+	return (r);
+}
+
+/* form [times=N] [same-view=1]: plans and forms the next replicas, each from a
+ * new view or all from the same one */
 static void
 exec_form(const char *rest, GString *out)
 {
 	guint64 times = script_number(rest, "times", 1);
+	bool same_view = script_number(rest, "same-view", 0) != 0;
+	struct planner_view view;
 
+	planner_script_view(&view);
 	while (times-- > 0) {
 		struct replica_plan plan = { 0 };
-		struct planner_view view;
 		struct replica *r;
-		struct sockaddr_in any = { 0 };
 
-		planner_script_view(&view);
 		if (!planner_plan_replica(&view, &plan)) {
 			g_string_append(out, "none\n");
-			view_free(&view);
-			return;
+			break;
 		}
-		r = replica_create("g", "s", plan.model->name, 1);
-		r->opened = true;
-		g_string_append_printf(out, "%s loads=%u", plan.model->name,
-		    plan.loads);
-		for (guint i = 0; i < plan.members->len; i++) {
-			struct planner_host *h =
-			    &hosts[g_array_index(plan.members, guint, i)];
-
-			g_string_append_printf(out, " %s", h->id);
-			replica_add_member(r, h->id, &any);
-			h->free = false;
-			h->group = r;
-			host_set_loaded_model(h, plan.model->name);
+		r = plan_form(&plan, out);
+		if (same_view) {
+			planner_view_set_formed(&view, &plan, r);
+		} else {
+			view_free(&view);
+			planner_script_view(&view);
 		}
-		g_string_append_printf(out, " in %s\n",
-		    hosts[g_array_index(plan.members, guint, 0)].fabric);
-		replicas[n_replicas++] = r;
 		g_array_free(plan.members, TRUE);
-		view_free(&view);
 	}
+	view_free(&view);
 }
 
 /* donor: prints the head of the replica to dissolve for the largest model */
