Send waiting orders between the placer's passes

Cause: orders were sent in passes only, up to 64 at a time, and a pass over thousands of hosts takes tens of milliseconds and is followed by a pause of four times as long. So hosts waited for their order to join while the next 64 could have been sent.

Change: where an order was due while 64 were in flight, the next ones are sent 3 ms after some have ended, without a pass. Small fleets never have that many in flight.

--- a/src/placer-call.c
+++ b/src/placer-call.c
@@ -193,6 +193,7 @@
 	topic_follower_poll(&p->registry->endpoints);
 	placer_schedule_pass(p);
 	call_free(call);
+	placer_schedule_orders(p);
 }
 
 /**
--- a/src/placer.c
+++ b/src/placer.c
@@ -19,6 +19,9 @@
  */
 #define WAKEUP_DELAY_MS 10
 #define WAKEUP_PASS_FACTOR 4
+/* Delay of orders that waited for others to end, so that several are sent at a
+ * time. */
+#define ORDER_DELAY_MS 3
 /* A longer pass is logged: nothing else runs on the event loop meanwhile. */
 #define PASS_SLOW_US 50000
 /*
@@ -165,8 +168,12 @@
 			replica_remove(p, r, now_ms);
 			return;
 		}
-		if (step.action != REPLICA_ORDER || !placer_call_allowed(p))
+		if (step.action != REPLICA_ORDER)
 			break;
+		if (!placer_call_allowed(p)) {
+			p->orders_waiting = true;
+			break;
+		}
 		placer_order_member(p, r, step.member, step.order);
 	}
 	if (!was_open && r->opened)
@@ -194,6 +201,21 @@
 	return (p->pending->len > 0 || p->unfinished);
 }
 
+/* Updates the replicas that are changing, as far as orders may be sent. */
+static void
+placer_send_waiting(struct placer *p, uint64_t now_ms)
+{
+	struct replica *r, *next;
+
+	p->orders_waiting = false;
+	for (r = TAILQ_FIRST(&p->replicas); r != NULL && !p->orders_waiting;
+	     r = next) {
+		next = TAILQ_NEXT(r, entry);
+		if (!r->opened || r->dissolve_reason != NULL)
+			replica_update(p, r, now_ms);
+	}
+}
+
 /* Runs one pass over all replicas and services while the lease is held. */
 static void
 placer_holder_pass(struct placer *p, uint64_t now_ms)
@@ -201,6 +223,7 @@
 	uint64_t began_us = clock_now_us();
 	struct replica *r, *next;
 
+	p->orders_waiting = false;
 	for (r = TAILQ_FIRST(&p->replicas); r != NULL; r = next) {
 		next = TAILQ_NEXT(r, entry);
 		replica_update(p, r, now_ms);
@@ -275,6 +298,31 @@
 	    MAX(WAKEUP_DELAY_MS, p->pass_us * WAKEUP_PASS_FACTOR / 1000), 0);
 }
 
+static void
+on_order_timer(uv_timer_t *timer)
+{
+	struct placer *p = timer->data;
+	uint64_t now = clock_loop_ms(p->loop);
+
+	if (p->state == PLACER_HOLDING && placer_lease_verified(p, now))
+		placer_send_waiting(p, now);
+}
+
+/**
+ * placer_schedule_orders() - schedule the orders that wait for others to end.
+ * @p: the placer
+ *
+ * With thousands of hosts a pass takes long, and one pass for every few orders
+ * would keep hosts waiting for seconds.
+ */
+void
+placer_schedule_orders(struct placer *p)
+{
+	if (p->orders_waiting && !uv_is_active((uv_handle_t *)&p->order_timer))
+		uv_timer_start(&p->order_timer, on_order_timer, ORDER_DELAY_MS,
+		    0);
+}
+
 /**
  * placer_suspect() - mark the replica suspect whose head is an endpoint, since
  * the endpoint's streams have fallen silent.
@@ -320,6 +368,8 @@
 	p->timer.data = p;
 	uv_timer_init(loop, &p->wakeup);
 	p->wakeup.data = p;
+	uv_timer_init(loop, &p->order_timer);
+	p->order_timer.data = p;
 	uv_timer_start(&p->timer, on_timer, PASS_BUSY_MS, 0);
 }
 
@@ -335,4 +385,5 @@
 	p->state = PLACER_IDLE;
 	uv_timer_stop(&p->timer);
 	uv_timer_stop(&p->wakeup);
+	uv_timer_stop(&p->order_timer);
 }
--- a/src/placer.h
+++ b/src/placer.h
@@ -61,6 +61,7 @@
  * @placement_demand: place replicas by the demand for each model
  * @timer: starts the next periodic pass
  * @wakeup: starts an early pass after a change
+ * @order_timer: sends the orders that waited for others to end
  * @state: state of the placer
  * @term: term of the lease held or last seen; the fencing token of orders
  * @end_offset: end offset of the placement topic, as far as this daemon knows
@@ -91,6 +92,7 @@
  * @preparing: it is this daemon's turn to take the lease; it first reads all
  *	entries from the store
  * @n_calls: number of orders and queries in flight
+ * @orders_waiting: an order was due while no more were allowed in flight
  * @unfinished: the last pass left placement steps to the next
  * @pass_us: duration of the last pass, in us
  * @no_placer_ms: loop time since which no placer has been heard, in ms; 0 while
@@ -109,6 +111,7 @@
 	bool placement_demand;
 	uv_timer_t timer;
 	uv_timer_t wakeup;
+	uv_timer_t order_timer;
 	enum placer_state state;
 	int64_t term;
 	uint64_t end_offset;
@@ -132,6 +135,7 @@
 	GHashTable *pools;
 	bool preparing;
 	unsigned n_calls;
+	bool orders_waiting;
 	bool unfinished;
 	uint64_t pass_us;
 	uint64_t no_placer_ms;
@@ -144,6 +148,7 @@
 void placer_suspect(struct placer *, const struct endpoint *);
 void placer_run_pass(struct placer *);
 void placer_schedule_pass(struct placer *);
+void placer_schedule_orders(struct placer *);
 
 void placer_announce_dissolve(struct placer *, struct replica *, uint64_t);
 bool placer_call_allowed(const struct placer *);
