Split the topic follower and the scripts on fleets by what they do

What a follower takes over from peers, and the commands on configurations and on random faults, are files of their own.

--- a/src/registry-follower.h
+++ b/src/registry-follower.h
@@ -91,6 +91,7 @@
 	bool stopped;
 };
 
+/* registry-follower.c: reading the topic. */
 void topic_follower_init(struct topic_follower *, struct store *, uv_loop_t *,
     enum store_topic, const struct topic_follower_ops *, void *);
 void topic_follower_start(struct topic_follower *);
@@ -100,11 +101,13 @@
 void topic_follower_adopt(struct topic_follower *, uint64_t, uint64_t);
 void topic_follower_stop(struct topic_follower *);
 void topic_follower_poll(struct topic_follower *);
+void topic_follower_set_reader(struct topic_follower *, bool);
+
+/* registry-follower-peers.c: what peers read, and how current the copy is. */
 bool topic_follower_apply(struct topic_follower *, uint64_t, uint64_t,
     const GArray *);
 void topic_follower_skip(struct topic_follower *, uint64_t);
 void topic_follower_set_updated(struct topic_follower *, uint64_t);
-void topic_follower_set_reader(struct topic_follower *, bool);
 bool topic_follower_complete(const struct topic_follower *);
 bool topic_follower_overtaken(const struct topic_follower *);
 uint64_t topic_follower_age(const struct topic_follower *, uint64_t);
--- /dev/null
+++ b/tests/fleet-script-config.c
@@ -0,0 +1,101 @@
+/* Commands of scripts on simulated fleets: configurations and their proofs. */
+#include <string.h>
+
+#include "fleet-script.h"
+
+/*
+ * proof: age of the oldest proof of a configuration, and the longest time since
+ * a daemon received entries, in steps of 500 ms
+ */
+void
+fleet_script_proof(const char *rest, GString *out)
+{
+	struct model_stats s;
+
+	fleet_model_measure(fleet_script_model, &s);
+	g_string_append_printf(out,
+	    "below %" G_GUINT64_FORMAT " ms, entries below %" G_GUINT64_FORMAT
+	    " ms\n",
+	    (s.config_age_max_ms / 500 + 1) * 500,
+	    (s.feed_age_max_ms / 500 + 1) * 500);
+}
+
+/* Decodes a configuration that consists of its version alone. */
+static struct catalog *
+fake_config(const void *bytes, size_t length, GError **error)
+{
+	g_autofree char *text = g_strndup(bytes, length);
+	struct catalog *catalog = catalog_create();
+
+	catalog->version = (int64_t)g_ascii_strtoull(text, NULL, 10);
+	return (catalog);
+}
+
+static const struct registry_decoders fake_decoders = { .config = fake_config };
+
+/* set-config NAME version=N: a daemon obtains a newer configuration from
+ * elsewhere */
+void
+fleet_script_set_config(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *version = script_word(rest, "version");
+	struct registry *registry =
+	    &fleet_model_find(fleet_script_model, name)->registry;
+	size_t length = strlen(version);
+
+	/* Keeps the other daemons from fetching it. */
+	for (unsigned i = 0; i < fleet_script_model->n; i++)
+		fleet_script_model->daemons[i].mesh.fetching_config = true;
+	registry->decode = &fake_decoders;
+	registry_set_config(registry,
+	    registry_decode_config(registry, version, length, 0), version,
+	    length);
+	g_clear_pointer(&registry->config_bytes, g_bytes_unref);
+}
+
+/*
+ * fetched NAME version=N announced=N offset=N next=N: a daemon that has read
+ * the store up to an offset is served a version of the configuration, after
+ * another one was announced with its offset; prints from where it reads on
+ */
+void
+fleet_script_fetched(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+	g_autofree char *version = script_word(rest, "version");
+	struct model_daemon *daemon =
+	    fleet_model_find(fleet_script_model, name);
+	struct registry *registry = &daemon->registry;
+
+	registry->decode = &fake_decoders;
+	registry->config.synced = true;
+	registry->config.next = script_number(rest, "next", 0);
+	daemon->mesh.fetched_version =
+	    (int64_t)script_number(rest, "announced", 0);
+	daemon->mesh.fetched_offset = script_number(rest, "offset", 0);
+	daemon->mesh.fetched_proof_ms = fleet_model_clock(daemon);
+	mesh_config_fetched(&daemon->mesh, version, strlen(version));
+	g_clear_pointer(&registry->config_bytes, g_bytes_unref);
+	g_string_append_printf(out, "version %d offset %u next %u proved %d\n",
+	    (int)registry->catalog->version,
+	    (unsigned)registry->catalog->offset,
+	    (unsigned)registry->config.next,
+	    registry->peer_proof_ms == fleet_model_clock(daemon));
+}
+
+/* age NAME: age of a daemon's proof, in steps of 500 ms */
+void
+fleet_script_age(const char *rest, GString *out)
+{
+	const struct model_daemon *daemon =
+	    fleet_model_find(fleet_script_model, rest);
+	uint64_t now = fleet_model_clock(daemon);
+	uint64_t age = registry_config_age(&daemon->registry, now);
+
+	if (age > now)
+		g_string_append(out, "none\n");
+	else
+		g_string_append_printf(out, "below %" G_GUINT64_FORMAT " ms\n",
+		    (age / 500 + 1) * 500);
+}
--- a/tests/fleet-script.c
+++ b/tests/fleet-script.c
@@ -10,7 +10,7 @@
  * follow until all daemons know. */
 #define CRASHES_ALLOWED 6
 
-static struct fleet_model *model;
+struct fleet_model *fleet_script_model;
 static struct limit_model *limit;
 static struct poison_model *poison;
 
@@ -20,7 +20,7 @@
 {
 	g_clear_pointer(&limit, limit_model_free);
 	g_clear_pointer(&poison, poison_model_free);
-	g_clear_pointer(&model, fleet_model_free);
+	g_clear_pointer(&fleet_script_model, fleet_model_free);
 }
 
 /* fleet N domains=N endpoints=N [seed=N] [loss=N]: creates N daemons; loss is
@@ -29,11 +29,12 @@
 exec_fleet(const char *rest, GString *out)
 {
 	fleet_script_reset();
-	model = fleet_model_new((unsigned)g_ascii_strtoull(rest, NULL, 10),
-	    (unsigned)script_number(rest, "domains", 1),
-	    (unsigned)script_number(rest, "endpoints", 1),
-	    script_number(rest, "seed", 1));
-	model->loss = (unsigned)script_number(rest, "loss", 0);
+	fleet_script_model =
+	    fleet_model_new((unsigned)g_ascii_strtoull(rest, NULL, 10),
+		(unsigned)script_number(rest, "domains", 1),
+		(unsigned)script_number(rest, "endpoints", 1),
+		script_number(rest, "seed", 1));
+	fleet_script_model->loss = (unsigned)script_number(rest, "loss", 0);
 }
 
 /* run MS: advances virtual time */
@@ -47,7 +48,7 @@
 	else if (poison != NULL)
 		poison_model_run(poison, ms);
 	else
-		fleet_model_run(model, ms);
+		fleet_model_run(fleet_script_model, ms);
 }
 
 /*
@@ -58,7 +59,7 @@
 exec_demand(const char *rest, GString *out)
 {
 	g_clear_pointer(&limit, limit_model_free);
-	limit = limit_model_new(model, &limit_scheme_users,
+	limit = limit_model_new(fleet_script_model, &limit_scheme_users,
 	    g_ascii_strtod(rest, NULL) / 1000,
 	    (unsigned)script_number(rest, "busy", 1));
 }
@@ -97,7 +98,7 @@
 exec_poison(const char *rest, GString *out)
 {
 	g_clear_pointer(&poison, poison_model_free);
-	poison = poison_model_new(model, &poison_scheme_once,
+	poison = poison_model_new(fleet_script_model, &poison_scheme_once,
 	    g_ascii_strtod(rest, NULL),
 	    (unsigned)script_number(rest, "requests", 1));
 }
@@ -121,8 +122,8 @@
 {
 	unsigned n = 0;
 
-	for (unsigned i = 0; i < model->n; i++)
-		n += model->daemons[i].up &&
+	for (unsigned i = 0; i < fleet_script_model->n; i++)
+		n += fleet_script_model->daemons[i].up &&
 		    poison_scheme_once.refuses(poison, i,
 			g_ascii_strtoull(rest, NULL, 10));
 	g_string_append_printf(out, "%u\n", n);
@@ -132,21 +133,22 @@
 static void
 exec_count(const char *rest, GString *out)
 {
-	fleet_model_reset_counts(model);
+	fleet_model_reset_counts(fleet_script_model);
 }
 
 /* load N: each daemon has N requests at randomly drawn endpoints */
 static void
 exec_load(const char *rest, GString *out)
 {
-	fleet_model_set_load(model, (unsigned)g_ascii_strtoull(rest, NULL, 10));
+	fleet_model_set_load(fleet_script_model,
+	    (unsigned)g_ascii_strtoull(rest, NULL, 10));
 }
 
 /* loss N: lost datagrams from now on, in thousandths */
 static void
 exec_loss(const char *rest, GString *out)
 {
-	model->loss = (unsigned)g_ascii_strtoull(rest, NULL, 10);
+	fleet_script_model->loss = (unsigned)g_ascii_strtoull(rest, NULL, 10);
 }
 
 /* kill NAME... and start NAME...: daemons stop, or start again */
@@ -156,7 +158,8 @@
 	g_auto(GStrv) names = g_strsplit(rest, " ", -1);
 
 	for (char **name = names; *name != NULL; name++)
-		fleet_model_stop(model, fleet_model_find(model, *name)->index);
+		fleet_model_stop(fleet_script_model,
+		    fleet_model_find(fleet_script_model, *name)->index);
 }
 
 static void
@@ -165,8 +168,8 @@
 	g_auto(GStrv) names = g_strsplit(rest, " ", -1);
 
 	for (char **name = names; *name != NULL; name++)
-		fleet_model_start(model, fleet_model_find(model, *name)->index,
-		    1);
+		fleet_model_start(fleet_script_model,
+		    fleet_model_find(fleet_script_model, *name)->index, 1);
 }
 
 /* domain N up=0|1: all daemons of a failure domain stop or start again */
@@ -175,11 +178,12 @@
 {
 	unsigned domain = (unsigned)g_ascii_strtoull(rest, NULL, 10);
 
-	for (unsigned i = domain; i < model->n; i += model->n_domains) {
+	for (unsigned i = domain; i < fleet_script_model->n;
+	     i += fleet_script_model->n_domains) {
 		if (script_number(rest, "up", 0) != 0)
-			fleet_model_start(model, i, 1 + i % 100);
+			fleet_model_start(fleet_script_model, i, 1 + i % 100);
 		else
-			fleet_model_stop(model, i);
+			fleet_model_stop(fleet_script_model, i);
 	}
 }
 
@@ -190,8 +194,8 @@
 {
 	g_auto(GStrv) words = g_strsplit(rest, " ", 3);
 
-	model->cut[g_ascii_strtoull(words[0], NULL, 10)]
-		  [g_ascii_strtoull(words[1], NULL, 10)] =
+	fleet_script_model->cut[g_ascii_strtoull(words[0], NULL, 10)]
+			       [g_ascii_strtoull(words[1], NULL, 10)] =
 	    script_number(rest, "on", 1) != 0;
 }
 
@@ -201,7 +205,7 @@
 exec_placer(const char *rest, GString *out)
 {
 	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
-	struct mesh *mesh = &fleet_model_find(model, name)->mesh;
+	struct mesh *mesh = &fleet_model_find(fleet_script_model, name)->mesh;
 
 	mesh->self.placer = script_number(rest, "on", 1) != 0;
 	mesh->self.store_ok = script_number(rest, "store", 1) != 0;
@@ -215,7 +219,7 @@
 {
 	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
 
-	fleet_model_find(model, name)->mesh.self.store_ok =
+	fleet_model_find(fleet_script_model, name)->mesh.self.store_ok =
 	    script_number(rest, "on", 1) != 0;
 }
 
@@ -226,9 +230,11 @@
 {
 	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
 	g_autofree char *id = script_word(rest, "endpoint");
-	struct model_daemon *daemon = fleet_model_find(model, name);
+	struct model_daemon *daemon =
+	    fleet_model_find(fleet_script_model, name);
 
-	fleet_find(&daemon->registry.fleet, id)->warned_ms = model->now_ms;
+	fleet_find(&daemon->registry.fleet, id)->warned_ms =
+	    fleet_script_model->now_ms;
 	mesh_send(&daemon->mesh);
 }
 
@@ -240,17 +246,18 @@
 	unsigned n = 0;
 	uint64_t newest = 0;
 
-	for (unsigned i = 0; i < model->n; i++) {
+	for (unsigned i = 0; i < fleet_script_model->n; i++) {
 		const struct endpoint *ep;
 
-		if (!model->daemons[i].up)
+		if (!fleet_script_model->daemons[i].up)
 			continue;
-		ep = fleet_find(&model->daemons[i].registry.fleet, rest);
+		ep = fleet_find(&fleet_script_model->daemons[i].registry.fleet,
+		    rest);
 		n += ep->avoided_ms != 0;
 		newest = MAX(newest, ep->avoided_ms);
 	}
 	g_string_append_printf(out, "%u of %u, %" G_GUINT64_FORMAT " ms ago\n",
-	    n, model->n, model->now_ms - newest);
+	    n, fleet_script_model->n, fleet_script_model->now_ms - newest);
 }
 
 /* evacuate NAME domain=D as_of=N [on=0|1]: a daemon reads from the store that a
@@ -260,7 +267,8 @@
 {
 	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
 	g_autofree char *domain = script_word(rest, "domain");
-	struct model_daemon *daemon = fleet_model_find(model, name);
+	struct model_daemon *daemon =
+	    fleet_model_find(fleet_script_model, name);
 	struct evacuations next;
 
 	evacuations_copy(&next, &daemon->registry.evacuations);
@@ -279,18 +287,20 @@
 {
 	unsigned n = 0;
 
-	for (unsigned i = 0; i < model->n; i++) {
-		const struct model_daemon *daemon = &model->daemons[i];
+	for (unsigned i = 0; i < fleet_script_model->n; i++) {
+		const struct model_daemon *daemon =
+		    &fleet_script_model->daemons[i];
 		const struct endpoint *ep;
 		bool sends = false;
 
 		TAILQ_FOREACH(ep, &daemon->registry.fleet.endpoints, entry)
 			sends = sends ||
 			    (strcmp(ep->report.domain, rest) == 0 &&
-				endpoint_usable(ep, model->now_ms));
+				endpoint_usable(ep,
+				    fleet_script_model->now_ms));
 		n += daemon->up && !sends;
 	}
-	g_string_append_printf(out, "%u of %u\n", n, model->n);
+	g_string_append_printf(out, "%u of %u\n", n, fleet_script_model->n);
 }
 
 /* feed NAME records=N: a daemon reads N changed entries and distributes them */
@@ -299,7 +309,8 @@
 {
 	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
 
-	fleet_model_feed(model, fleet_model_find(model, name)->index,
+	fleet_model_feed(fleet_script_model,
+	    fleet_model_find(fleet_script_model, name)->index,
 	    (unsigned)script_number(rest, "records", 0));
 }
 
@@ -310,7 +321,7 @@
 	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
 
 	g_string_append_printf(out, "%u ms\n",
-	    mesh_retry_ms(&fleet_model_find(model, name)->mesh,
+	    mesh_retry_ms(&fleet_model_find(fleet_script_model, name)->mesh,
 		(unsigned)script_number(rest, "after", 0)));
 }
 
@@ -320,8 +331,8 @@
 {
 	g_auto(GStrv) words = g_strsplit(rest, " ", 2);
 
-	for (unsigned i = 0; i < model->n; i++) {
-		struct model_daemon *daemon = &model->daemons[i];
+	for (unsigned i = 0; i < fleet_script_model->n; i++) {
+		struct model_daemon *daemon = &fleet_script_model->daemons[i];
 
 		if (strcmp(words[0], "all") == 0 ||
 		    (daemon->up && strcmp(daemon->mesh.name, words[0]) == 0))
@@ -338,14 +349,14 @@
 	uint32_t lowest = UINT32_MAX, highest = 0;
 	unsigned told = 0;
 
-	for (unsigned i = 0; i < model->n; i++) {
+	for (unsigned i = 0; i < fleet_script_model->n; i++) {
 		const struct fleet_sums *sums =
-		    &model->daemons[i].registry.sums;
+		    &fleet_script_model->daemons[i].registry.sums;
 		const struct sum_row *row =
 		    sum_table_get(&sums->total[SUM_DEMAND], MODEL_DEMAND_KEY);
 		uint32_t value = row != NULL ? row->values[0] : 0;
 
-		if (!model->daemons[i].up)
+		if (!fleet_script_model->daemons[i].up)
 			continue;
 		lowest = MIN(lowest, value);
 		highest = MAX(highest, value);
@@ -359,23 +370,23 @@
 static void
 exec_relays(const char *rest, GString *out)
 {
-	for (unsigned i = 0; i < model->n; i++) {
-		if (model->daemons[i].up &&
-		    model->daemons[i].mesh.relay == NULL)
+	for (unsigned i = 0; i < fleet_script_model->n; i++) {
+		if (fleet_script_model->daemons[i].up &&
+		    fleet_script_model->daemons[i].mesh.relay == NULL)
 			g_string_append_printf(out, "%s ",
-			    model->daemons[i].mesh.name);
+			    fleet_script_model->daemons[i].mesh.name);
 	}
 	g_string_truncate(out, out->len - 1);
 	g_string_append_c(out, '\n');
 }
 
 /* views: how far the daemons' views differ from the actual state */
-static void
-exec_views(const char *rest, GString *out)
+void
+fleet_script_views(const char *rest, GString *out)
 {
 	struct model_stats s;
 
-	fleet_model_measure(model, &s);
+	fleet_model_measure(fleet_script_model, &s);
 	g_string_append_printf(out,
 	    "up %u relays %u alive %u to %u readers %u first %u placer known "
 	    "to %u\n",
@@ -389,7 +400,7 @@
 {
 	struct model_stats s;
 
-	fleet_model_measure(model, &s);
+	fleet_model_measure(fleet_script_model, &s);
 	g_string_append_printf(out,
 	    "load error %.2f max %u relay changes %u entry reads %u "
 	    "received %.0f a second %.1f KB sent %.0f max %.0f\n",
@@ -397,23 +408,6 @@
 	    s.received_s, s.received_bytes_s / 1000, s.sent_s, s.sent_max_s);
 }
 
-/*
- * proof: age of the oldest proof of a configuration, and the longest time since
- * a daemon received entries, in steps of 500 ms
- */
-static void
-exec_proof(const char *rest, GString *out)
-{
-	struct model_stats s;
-
-	fleet_model_measure(model, &s);
-	g_string_append_printf(out,
-	    "below %" G_GUINT64_FORMAT " ms, entries below %" G_GUINT64_FORMAT
-	    " ms\n",
-	    (s.config_age_max_ms / 500 + 1) * 500,
-	    (s.feed_age_max_ms / 500 + 1) * 500);
-}
-
 /*
  * calls: calls for addresses a start, in steps of 0.5; addresses in the store,
  * in steps of 10; and the longest time until a daemon heard its relay, in steps
@@ -424,7 +418,7 @@
 {
 	struct model_stats s;
 
-	fleet_model_measure(model, &s);
+	fleet_model_measure(fleet_script_model, &s);
 	g_string_append_printf(out,
 	    "%.1f or fewer, %u addresses or fewer, connected within %" G_GUINT64_FORMAT
 	    " ms\n",
@@ -436,9 +430,10 @@
 static void
 exec_restart(const char *rest, GString *out)
 {
-	for (unsigned i = 0; i < model->n; i++) {
-		fleet_model_stop(model, i);
-		fleet_model_start(model, i, 1 + fleet_model_random(model, 300));
+	for (unsigned i = 0; i < fleet_script_model->n; i++) {
+		fleet_model_stop(fleet_script_model, i);
+		fleet_model_start(fleet_script_model, i,
+		    1 + fleet_model_random(fleet_script_model, 300));
 	}
 }
 
@@ -449,7 +444,8 @@
 {
 	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
 
-	fleet_model_reboot(model, fleet_model_find(model, name)->index,
+	fleet_model_reboot(fleet_script_model,
+	    fleet_model_find(fleet_script_model, name)->index,
 	    script_number(rest, "clock", 0));
 }
 
@@ -459,172 +455,10 @@
 {
 	struct model_stats s;
 
-	fleet_model_measure(model, &s);
+	fleet_model_measure(fleet_script_model, &s);
 	g_string_append_printf(out, "%u\n", s.store_queries);
 }
 
-/* Decodes a configuration that consists of its version alone. */
-static struct catalog *
-fake_config(const void *bytes, size_t length, GError **error)
-{
-	g_autofree char *text = g_strndup(bytes, length);
-	struct catalog *catalog = catalog_create();
-
-	catalog->version = (int64_t)g_ascii_strtoull(text, NULL, 10);
-	return (catalog);
-}
-
-static const struct registry_decoders fake_decoders = { .config = fake_config };
-
-/* set-config NAME version=N: a daemon obtains a newer configuration from
- * elsewhere */
-static void
-exec_set_config(const char *rest, GString *out)
-{
-	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
-	g_autofree char *version = script_word(rest, "version");
-	struct registry *registry = &fleet_model_find(model, name)->registry;
-	size_t length = strlen(version);
-
-	/* Keeps the other daemons from fetching it. */
-	for (unsigned i = 0; i < model->n; i++)
-		model->daemons[i].mesh.fetching_config = true;
-	registry->decode = &fake_decoders;
-	registry_set_config(registry,
-	    registry_decode_config(registry, version, length, 0), version,
-	    length);
-	g_clear_pointer(&registry->config_bytes, g_bytes_unref);
-}
-
-/*
- * fetched NAME version=N announced=N offset=N next=N: a daemon that has read
- * the store up to an offset is served a version of the configuration, after
- * another one was announced with its offset; prints from where it reads on
- */
-static void
-exec_fetched(const char *rest, GString *out)
-{
-	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
-	g_autofree char *version = script_word(rest, "version");
-	struct model_daemon *daemon = fleet_model_find(model, name);
-	struct registry *registry = &daemon->registry;
-
-	registry->decode = &fake_decoders;
-	registry->config.synced = true;
-	registry->config.next = script_number(rest, "next", 0);
-	daemon->mesh.fetched_version =
-	    (int64_t)script_number(rest, "announced", 0);
-	daemon->mesh.fetched_offset = script_number(rest, "offset", 0);
-	daemon->mesh.fetched_proof_ms = fleet_model_clock(daemon);
-	mesh_config_fetched(&daemon->mesh, version, strlen(version));
-	g_clear_pointer(&registry->config_bytes, g_bytes_unref);
-	g_string_append_printf(out, "version %d offset %u next %u proved %d\n",
-	    (int)registry->catalog->version,
-	    (unsigned)registry->catalog->offset,
-	    (unsigned)registry->config.next,
-	    registry->peer_proof_ms == fleet_model_clock(daemon));
-}
-
-/* age NAME: age of a daemon's proof, in steps of 500 ms */
-static void
-exec_age(const char *rest, GString *out)
-{
-	const struct model_daemon *daemon = fleet_model_find(model, rest);
-	uint64_t now = fleet_model_clock(daemon);
-	uint64_t age = registry_config_age(&daemon->registry, now);
-
-	if (age > now)
-		g_string_append(out, "none\n");
-	else
-		g_string_append_printf(out, "below %" G_GUINT64_FORMAT " ms\n",
-		    (age / 500 + 1) * 500);
-}
-
-/* Causes one randomly drawn fault. */
-static void
-storm_fault(GRand *draw)
-{
-	unsigned at = (unsigned)g_rand_int_range(draw, 0, (int)model->n);
-	unsigned a = (unsigned)g_rand_int_range(draw, 0, (int)model->n_domains);
-	unsigned b = (unsigned)g_rand_int_range(draw, 0, (int)model->n_domains);
-
-	switch (g_rand_int_range(draw, 0, 4)) {
-	case 0:
-		fleet_model_stop(model, at);
-		break;
-	case 1:
-		if (!model->daemons[at].up)
-			fleet_model_start(model, at, 1);
-		break;
-	case 2:
-		model->cut[a][b] = a != b;
-		break;
-	case 3:
-		model->loss = (unsigned)g_rand_int_range(draw, 0, 200);
-		break;
-	}
-}
-
-/* Removes all faults and starts all daemons. */
-static void
-storm_heal(void)
-{
-	memset(model->cut, 0, sizeof model->cut);
-	model->loss = 0;
-	for (unsigned i = 0; i < model->n; i++) {
-		if (!model->daemons[i].up)
-			fleet_model_start(model, i, 1 + i % 100);
-	}
-}
-
-/* Whether all daemons have the same view. */
-static bool
-storm_agreed(void)
-{
-	struct model_stats s;
-
-	fleet_model_measure(model, &s);
-	return (s.alive_min == model->n && s.alive_max == model->n &&
-	    s.readers == 1);
-}
-
-/*
- * storm from=SEED to=SEED: fleets of 5 to 80 daemons, each with ten seconds of
- * faults; prints the seeds after which the daemons do not agree within eight
- * seconds
- */
-static void
-exec_storm(const char *rest, GString *out)
-{
-	guint64 to = script_number(rest, "to", 1);
-	unsigned failed = 0;
-
-	for (guint64 seed = script_number(rest, "from", 1); seed <= to;
-	     seed++) {
-		GRand *draw = g_rand_new_with_seed((guint32)seed);
-
-		fleet_script_reset();
-		model = fleet_model_new((unsigned)g_rand_int_range(draw, 5, 81),
-		    (unsigned)g_rand_int_range(draw, 1, 6), 4, seed);
-		fleet_model_run(model, 2000);
-		for (unsigned i = 0; i < 20; i++) {
-			storm_fault(draw);
-			fleet_model_run(model, 500);
-		}
-		storm_heal();
-		fleet_model_run(model, 8000);
-		if (!storm_agreed()) {
-			g_string_append_printf(out,
-			    "seed %u of %u daemons: ", (unsigned)seed,
-			    model->n);
-			exec_views("", out);
-			failed++;
-		}
-		g_rand_free(draw);
-	}
-	g_string_append_printf(out, "%u failed\n", failed);
-}
-
 const struct script_command fleet_script_commands[] = {
 	{ "fleet", exec_fleet },
 	{ "run", exec_run },
@@ -652,16 +486,16 @@
 	{ "demand-at", exec_demand_at },
 	{ "sums", exec_sums },
 	{ "relays", exec_relays },
-	{ "views", exec_views },
+	{ "views", fleet_script_views },
 	{ "traffic", exec_traffic },
-	{ "proof", exec_proof },
+	{ "proof", fleet_script_proof },
 	{ "calls", exec_calls },
 	{ "restart", exec_restart },
 	{ "reboot", exec_reboot },
 	{ "store-queries", exec_store_queries },
-	{ "set-config", exec_set_config },
-	{ "fetched", exec_fetched },
-	{ "age", exec_age },
-	{ "storm", exec_storm },
+	{ "set-config", fleet_script_set_config },
+	{ "fetched", fleet_script_fetched },
+	{ "age", fleet_script_age },
+	{ "storm", fleet_script_storm },
 	{ NULL, NULL },
 };
--- a/tests/fleet-script.h
+++ b/tests/fleet-script.h
@@ -2,10 +2,23 @@
 #ifndef TESTS_FLEET_SCRIPT_H
 #define TESTS_FLEET_SCRIPT_H
 
+#include "fleet-model.h"
 #include "script.h"
 
 extern const struct script_command fleet_script_commands[];
+extern struct fleet_model *fleet_script_model;
 
+/* fleet-script.c: fleets, their daemons and links. */
 void fleet_script_reset(void);
+void fleet_script_views(const char *, GString *);
+
+/* fleet-script-config.c: configurations and their proofs. */
+void fleet_script_proof(const char *, GString *);
+void fleet_script_set_config(const char *, GString *);
+void fleet_script_fetched(const char *, GString *);
+void fleet_script_age(const char *, GString *);
+
+/* fleet-script-storm.c: random faults. */
+void fleet_script_storm(const char *, GString *);
 
 #endif
