Repeat entries only if no others lie in between

Cause: a daemon that reads the store for the others repeats the records of its previous datagram with the next one, and the datagram then claims all offsets from the first of these on. A daemon that was the reader once and became it again claimed what another one had read in between, without those records. Daemons that had missed them took them for known: three of 68 knew that the endpoint drained, the others when its entry was gone four seconds later.

Change: the previous records are repeated only if they end where the new ones begin.

The class is that of the denials by an older configuration: a range that claims more than it has.

--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -162,7 +162,8 @@
  * @records: the changed records, of struct store_record
  *
  * The records of the previous call are repeated if they fit, so that the loss
- * of one datagram leaves no gap.
+ * of one datagram leaves no gap. They are not if another daemon read what lies
+ * in between: the datagram would seem to hold that, too.
  */
 void
 mesh_send_entries(struct mesh *mesh, uint64_t from, uint64_t end,
@@ -172,7 +173,7 @@
 	struct mesh_entries entries = { .from = from,
 		.regained_age_ms = UINT32_MAX };
 	bool repeat = mesh->last_entries != NULL &&
-	    mesh->last_entries_from < from &&
+	    mesh->last_entries_from < from && mesh->last_entries_end >= from &&
 	    mesh->last_entries->len + records->len <= ENTRIES_PER_DATAGRAM;
 	g_autoptr(GArray) all =
 	    g_array_new(FALSE, TRUE, sizeof(struct store_record));
@@ -200,6 +201,7 @@
 	g_array_set_size(mesh->last_entries, 0);
 	entries_append(mesh->last_entries, records);
 	mesh->last_entries_from = from;
+	mesh->last_entries_end = end;
 }
 
 /* Asks a peer to resend the missing entries. */
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -180,6 +180,7 @@
  * @n_spread: number of datagrams sent to the whole cell so far
  * @reports: the newest reports, indexed by sequence number
  * @last_entries_from: offset that @last_entries begin at
+ * @last_entries_end: offset that they end at
  * @last_entries: records of the newest datagrams of entries; repeated once with
  *	the next ones
  * @sent_entries: the newest datagrams of entries
@@ -262,6 +263,7 @@
 	uint64_t n_spread;
 	struct mesh_report reports[MESH_REPORTS_MAX];
 	uint64_t last_entries_from;
+	uint64_t last_entries_end;
 	GArray *last_entries;
 	struct mesh_sent_entries sent_entries[MESH_SENT_ENTRIES_MAX];
 	unsigned n_sent_entries;
--- a/tests/fleet-script-config.c
+++ b/tests/fleet-script-config.c
@@ -1,4 +1,5 @@
-/* Commands of scripts on simulated fleets: configurations and their proofs. */
+/* Commands of scripts on simulated fleets: configurations, entries, and how
+ * current they are known to be. */
 #include <string.h>
 
 #include "fleet-script.h"
@@ -99,3 +100,13 @@
 		g_string_append_printf(out, "below %" G_GUINT64_FORMAT " ms\n",
 		    (age / 500 + 1) * 500);
 }
+
+/* entries NAME: offset up to which a daemon has all entries */
+void
+fleet_script_entries(const char *rest, GString *out)
+{
+	const struct registry *registry =
+	    &fleet_model_find(fleet_script_model, rest)->registry;
+
+	g_string_append_printf(out, "%u\n", (unsigned)registry->endpoints.next);
+}
--- a/tests/fleet-script.c
+++ b/tests/fleet-script.c
@@ -496,6 +496,7 @@
 	{ "set-config", fleet_script_set_config },
 	{ "fetched", fleet_script_fetched },
 	{ "age", fleet_script_age },
+	{ "entries", fleet_script_entries },
 	{ "storm", fleet_script_storm },
 	{ NULL, NULL },
 };
--- a/tests/fleet-script.h
+++ b/tests/fleet-script.h
@@ -12,11 +12,12 @@
 void fleet_script_reset(void);
 void fleet_script_views(const char *, GString *);
 
-/* fleet-script-config.c: configurations and their proofs. */
+/* fleet-script-config.c: configurations, entries, and how current they are. */
 void fleet_script_proof(const char *, GString *);
 void fleet_script_set_config(const char *, GString *);
 void fleet_script_fetched(const char *, GString *);
 void fleet_script_age(const char *, GString *);
+void fleet_script_entries(const char *, GString *);
 
 /* fleet-script-storm.c: random faults. */
 void fleet_script_storm(const char *, GString *);
