Bound loads when the order to join is sent

Loads of weights were counted when a replica was planned, and its hosts are ordered to join later, when its record is written and orders are free. Where the placer was behind at the first request, replicas that were planned without a bound loaded after it, all at once.

Change: a load is counted when the order is sent, and a host that would load waits while the bound is reached. Hosts that are planned and not ordered yet take room from new plans.

--- a/src/placer-call.c
+++ b/src/placer-call.c
@@ -256,6 +256,7 @@
 	if (kind == ORDER_JOIN) {
 		order.model = r->model;
 		order.members = ids;
+		placer_join_note(p, r, m, call->sent_ms);
 	}
 	call->order = kind;
 	m->last_order = kind;
--- a/src/placer-copies.c
+++ b/src/placer-copies.c
@@ -152,6 +152,99 @@
 	return (copy != NULL ? copy->model : NULL);
 }
 
+/* Whether a member still has to be ordered to join, and loads the model from
+ * the weight store then. */
+static bool
+member_will_load(const struct placer *p, const struct replica *r,
+    const struct replica_member *m)
+{
+	const struct endpoint *ep = fleet_find(&p->registry->fleet, m->id);
+
+	return (m->ordered_ms == 0 && ep != NULL &&
+	    g_strcmp0(ep->loaded_model, r->model) != 0 &&
+	    !report_has_copy(&ep->report, r->model));
+}
+
+/* Number of loads by hosts that are planned into replicas and have not been
+ * ordered to join yet. */
+static unsigned
+loads_planned(const struct placer *p)
+{
+	const struct replica *r;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(r, &p->replicas, entry) {
+		for (unsigned i = 0; i < r->n && replica_active(r); i++)
+			n += member_will_load(p, r, &r->members[i]);
+	}
+	return (n);
+}
+
+/* Number of loads that started within the period of the bound. */
+static unsigned
+loads_started(struct placer *p, uint64_t now_ms)
+{
+	while (p->load_starts->len > 0 &&
+	    now_ms - g_array_index(p->load_starts, uint64_t, 0) >=
+		LOADS_WINDOW_MS)
+		g_array_remove_index(p->load_starts, 0);
+	return (p->load_starts->len);
+}
+
+/* Maximum number of loads that may start within that period. */
+static double
+loads_max(const struct engine_profile *e)
+{
+	return (e->loads_per_s * LOADS_WINDOW_MS / 1000 * LOADS_USED_SHARE);
+}
+
+/* Whether loads are bounded. Before the first request they are quick, do not
+ * slow each other down (40 at once took as long as one) and are not counted. */
+static bool
+loads_bounded(const struct placer *p, const struct engine_profile *e)
+{
+	return (p->served && e->loads_per_s > 0);
+}
+
+/**
+ * placer_join_allowed() - whether a member may be ordered to join now, by the
+ * bound on loads from the weight store.
+ * @p: the placer
+ * @r: the replica
+ * @m: its member
+ * @now_ms: loop time, in ms
+ *
+ * The bound is checked again here, since the order may be sent long after the
+ * replica was planned, and the first request may have come in between.
+ */
+bool
+placer_join_allowed(struct placer *p, const struct replica *r,
+    const struct replica_member *m, uint64_t now_ms)
+{
+	const struct catalog_service *service =
+	    catalog_find_service(p->registry->catalog, r->service);
+
+	if (service == NULL || service->engine == NULL ||
+	    !loads_bounded(p, service->engine) || !member_will_load(p, r, m))
+		return (true);
+	return (loads_started(p, now_ms) < loads_max(service->engine));
+}
+
+/**
+ * placer_join_note() - count the load of a member that is ordered to join.
+ * @p: the placer
+ * @r: the replica
+ * @m: its member, to which the order has not been sent yet
+ * @now_ms: loop time, in ms
+ */
+void
+placer_join_note(struct placer *p, const struct replica *r,
+    const struct replica_member *m, uint64_t now_ms)
+{
+	if (member_will_load(p, r, m))
+		g_array_append_val(p->load_starts, now_ms);
+}
+
 /**
  * placer_loads_available() - number of loads from the weight store that may
  * start now.
@@ -163,25 +256,14 @@
 placer_loads_available(struct placer *p, const struct engine_profile *e,
     uint64_t now_ms)
 {
-	double max_loads =
-	    e->loads_per_s * LOADS_WINDOW_MS / 1000 * LOADS_USED_SHARE;
 	unsigned n_copies = g_hash_table_size(p->copies);
+	double left;
 
-	while (p->load_starts->len > 0 &&
-	    now_ms - g_array_index(p->load_starts, uint64_t, 0) >=
-		LOADS_WINDOW_MS)
-		g_array_remove_index(p->load_starts, 0);
-	if (e->loads_per_s <= 0)
-		return (LOADS_UNLIMITED);
-	/*
-	 * Before the first request loads are quick, do not slow each other down
-	 * (40 at once took as long as one) and are not counted.
-	 */
-	if (!p->served)
+	if (!loads_bounded(p, e))
 		return (LOADS_UNLIMITED);
+	left = loads_max(e) - loads_started(p, now_ms) - loads_planned(p);
 	/* More loads at once would only slow each other down. */
-	if (n_copies >= e->loads_at_once || p->load_starts->len >= max_loads)
+	if (n_copies >= e->loads_at_once || left <= 0)
 		return (0);
-	return (MIN(e->loads_at_once - n_copies,
-	    (unsigned)(max_loads - p->load_starts->len)));
+	return (MIN(e->loads_at_once - n_copies, (unsigned)left));
 }
--- a/src/placer-form.c
+++ b/src/placer-form.c
@@ -58,8 +58,6 @@
 
 		replica_add_member(r, h->id, &ep->report.address);
 	}
-	for (unsigned i = 0; i < plan->loads; i++)
-		g_array_append_val(p->load_starts, now_ms);
 	event_log(LOG_NOTICE, "group_planned",
 	    "group=%s epoch=%lld model=%s hosts=%u loads=%u head=%s fabric=%s",
 	    name, (long long)epoch, r->model, r->n, plan->loads,
--- a/src/placer.c
+++ b/src/placer.c
@@ -170,6 +170,10 @@
 		}
 		if (step.action != REPLICA_ORDER)
 			break;
+		if (step.order == ORDER_JOIN &&
+		    !placer_join_allowed(p, r, &r->members[step.member],
+			now_ms))
+			break;
 		if (!placer_call_allowed(p)) {
 			p->orders_waiting = true;
 			break;
--- a/src/placer.h
+++ b/src/placer.h
@@ -195,6 +195,10 @@
     const struct model_profile *, uint64_t);
 void placer_copy_note_result(struct placer *, const char *, enum order_result);
 const char *placer_copying(const struct placer *, const char *);
+bool placer_join_allowed(struct placer *, const struct replica *,
+    const struct replica_member *, uint64_t);
+void placer_join_note(struct placer *, const struct replica *,
+    const struct replica_member *, uint64_t);
 unsigned placer_loads_available(struct placer *, const struct engine_profile *,
     uint64_t);
 
--- a/tests/test-placer-copies.c
+++ b/tests/test-placer-copies.c
@@ -54,6 +54,20 @@
 
 static const struct order_ops fake_orders = { .send = record_order };
 
+/* Frees the planned replicas. */
+static void
+replicas_clear(void)
+{
+	struct replica *r;
+
+	if (placer.replicas.tqh_last == NULL)
+		TAILQ_INIT(&placer.replicas);
+	while ((r = TAILQ_FIRST(&placer.replicas)) != NULL) {
+		TAILQ_REMOVE(&placer.replicas, r, entry);
+		replica_free(r);
+	}
+}
+
 static void
 reset(void)
 {
@@ -76,7 +90,9 @@
 		g_hash_table_destroy(placer.copies);
 		g_array_free(placer.load_starts, TRUE);
 	}
+	replicas_clear();
 	placer.loop = &loop;
+	registry.catalog = catalog;
 	placer.registry = &registry;
 	placer.orders = &fake_orders;
 	placer.served = true;
@@ -166,6 +182,60 @@
 	    fleet_find(&registry.fleet, rest)->gone ? "yes\n" : "no\n");
 }
 
+/* Adds a replica of one host, whose order to join has not been sent. */
+static void
+replica_add_host(const char *id)
+{
+	struct replica *r = replica_create(id, "s", "m", 1);
+	struct sockaddr_in any = { 0 };
+
+	replica_add_member(r, id, &any);
+	TAILQ_INSERT_TAIL(&placer.replicas, r, entry);
+}
+
+/* plan N: N hosts without a copy, which are planned into replicas */
+static void
+exec_plan(const char *rest, GString *out)
+{
+	guint64 n = g_ascii_strtoull(rest, NULL, 10);
+
+	for (guint64 i = 0; i < n; i++) {
+		g_autofree char *id = g_strdup_printf("p%u", (unsigned)i);
+
+		exec_host(id, out);
+		replica_add_host(id);
+	}
+}
+
+/* served 0|1: whether requests have come */
+static void
+exec_served(const char *rest, GString *out)
+{
+	placer.served = atoi(rest) != 0;
+}
+
+/* joins at=MS: orders the planned hosts to join as far as loads may start;
+ * prints how many orders are sent */
+static void
+exec_joins(const char *rest, GString *out)
+{
+	uint64_t now = script_number(rest, "at", 0);
+	struct replica *r;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(r, &placer.replicas, entry) {
+		struct replica_member *m = &r->members[0];
+
+		if (m->ordered_ms != 0 ||
+		    !placer_join_allowed(&placer, r, m, now))
+			continue;
+		placer_join_note(&placer, r, m, now);
+		m->ordered_ms = now;
+		n++;
+	}
+	g_string_append_printf(out, "%u\n", n);
+}
+
 static const struct script_command commands[] = {
 	{ "host", exec_host },
 	{ "lapse", exec_lapse },
@@ -173,6 +243,9 @@
 	{ "answer", exec_answer },
 	{ "gone", exec_gone },
 	{ "update", exec_update },
+	{ "plan", exec_plan },
+	{ "served", exec_served },
+	{ "joins", exec_joins },
 	{ NULL, NULL },
 };
 
@@ -185,6 +258,7 @@
 	rc = script_main("placer-copies", commands, reset);
 	pending_lose();
 	g_hash_table_destroy(pending);
+	replicas_clear();
 	fleet_clear(&registry.fleet);
 	catalog_unref(catalog);
 	g_hash_table_destroy(placer.copies);
