--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -63,8 +63,9 @@
 uint64_t
 fleet_model_clock(const struct model_daemon *daemon)
 {
-	return ((
-	    uint64_t)((int64_t)daemon->model->now_ms + daemon->clock_ahead_ms));
+	int64_t now = (int64_t)daemon->model->now_ms;
+
+	return ((uint64_t)(now + daemon->clock_ahead_ms));
 }
 
 static struct sockaddr_in
--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -34,25 +34,15 @@
 		-1LL);
 }
 
-/*
- * Returns an offset in the store up to which no record is newer than a fetched
- * configuration. The peer that served it may not have had the announced one
- * yet; then only what was read here before is known to be older.
- */
-static uint64_t
-fetched_offset(const struct mesh *mesh, const struct catalog *fetched)
-{
-	if (fetched->version >= mesh->fetched_version)
-		return (mesh->fetched_offset);
-	return (MAX(mesh->registry->config.next, 1) - 1);
-}
-
 /**
  * mesh_config_fetched() - put a fetched configuration in force if it is newer,
  * with the peer's proof that it is the newest.
  * @mesh: the mesh
  * @bytes: the configuration as encoded in the store
  * @length: length of @bytes
+ *
+ * The peer that served it may not have had the announced one yet. Then the
+ * proof does not hold, and only what was read here before is known to be older.
  */
 void
 mesh_config_fetched(struct mesh *mesh, const void *bytes, size_t length)
@@ -61,14 +51,16 @@
 	struct topic_follower *f = &registry->config;
 	struct catalog *fetched = registry_decode_config(registry, bytes,
 	    length, mesh->fetched_offset);
-	uint64_t next, proof_ms = 0;
+	uint64_t next = mesh->fetched_offset + 1;
+	uint64_t proof_ms = mesh->fetched_proof_ms;
 
 	if (fetched == NULL)
 		return;
-	fetched->offset = fetched_offset(mesh, fetched);
-	next = fetched->offset + 1;
-	if (fetched->version >= mesh->fetched_version)
-		proof_ms = mesh->fetched_proof_ms;
+	if (fetched->version < mesh->fetched_version) {
+		next = MAX(f->next, 1);
+		proof_ms = 0;
+	}
+	fetched->offset = next - 1;
 	registry_set_config(registry, fetched, bytes, length);
 	log_fetched(mesh);
 	if (f->held)
--- a/src/placer-form.c
+++ b/src/placer-form.c
@@ -92,7 +92,6 @@
 	 * view is built. */
 	if (!view->served)
 		planner_view_set_formed(view, &plan, r);
-	view->loads_free = placer_loads_available(p, view->engine, now_ms);
 	g_array_free(plan.members, TRUE);
 	return (true);
 }
--- a/src/planner-view.c
+++ b/src/planner-view.c
@@ -280,7 +280,7 @@
 static unsigned
 fabric_index_of(struct planner_view *view, const struct planner_host *h)
 {
-	struct planner_fabric f = { .name = h->fabric, .domain = h->domain };
+	struct planner_fabric f = { .domain = h->domain };
 
 	f.in_fabric = place_find(view->fabric_places, h->fabric);
 	if (f.in_fabric->position == 0) {
--- a/src/planner.h
+++ b/src/planner.h
@@ -72,7 +72,6 @@
 
 /**
  * struct planner_fabric - a fabric domain.
- * @name: its name; NULL for hosts that report none
  * @domain: failure domain of its hosts
  * @hosts: number of its live hosts
  * @first: position of its first host in the view's order
@@ -88,7 +87,6 @@
  * @usable: its hosts that a new replica of each model may use
  */
 struct planner_fabric {
-	const char *name;
 	const char *domain;
 	unsigned hosts;
 	unsigned first;
--- a/tests/fleet-script-config.c
+++ b/tests/fleet-script-config.c
@@ -110,3 +110,14 @@
 
 	g_string_append_printf(out, "%u\n", (unsigned)registry->endpoints.next);
 }
+
+/* feed NAME records=N: a daemon reads N changed entries and distributes them */
+void
+fleet_script_feed(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+
+	fleet_model_feed(fleet_script_model,
+	    fleet_model_find(fleet_script_model, name)->index,
+	    (unsigned)script_number(rest, "records", 0));
+}
--- a/tests/fleet-script.c
+++ b/tests/fleet-script.c
@@ -303,17 +303,6 @@
 	g_string_append_printf(out, "%u of %u\n", n, fleet_script_model->n);
 }
 
-/* feed NAME records=N: a daemon reads N changed entries and distributes them */
-static void
-exec_feed(const char *rest, GString *out)
-{
-	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
-
-	fleet_model_feed(fleet_script_model,
-	    fleet_model_find(fleet_script_model, name)->index,
-	    (unsigned)script_number(rest, "records", 0));
-}
-
 /* retry NAME after=MS: pause after a failed read of the store */
 static void
 exec_retry(const char *rest, GString *out)
@@ -481,7 +470,7 @@
 	{ "warned", exec_warned },
 	{ "evacuate", exec_evacuate },
 	{ "evacuated", exec_evacuated },
-	{ "feed", exec_feed },
+	{ "feed", fleet_script_feed },
 	{ "retry", exec_retry },
 	{ "demand-at", exec_demand_at },
 	{ "sums", exec_sums },
--- a/tests/fleet-script.h
+++ b/tests/fleet-script.h
@@ -18,6 +18,7 @@
 void fleet_script_fetched(const char *, GString *);
 void fleet_script_age(const char *, GString *);
 void fleet_script_entries(const char *, GString *);
+void fleet_script_feed(const char *, GString *);
 
 /* fleet-script-storm.c: random faults. */
 void fleet_script_storm(const char *, GString *);
