Write notices at the end of the loop's turn

Cause: banklift-edge wrote its log each 250 ms. Change: a line of level notice or worse makes the log be written, without blocking, before the loop waits again. Refusals are notices too, so a storm costs one write a turn at most.

--- a/src/edge.c
+++ b/src/edge.c
@@ -268,6 +268,14 @@
 	return (false);
 }
 
+/* Called at the end of each turn of the event loop. */
+static void
+on_log_prepare(uv_prepare_t *prepare)
+{
+	(void)prepare;
+	event_log_flush_notices();
+}
+
 /* Starts the timers and the signal handlers. */
 static void
 edge_start_timers(struct edge *e)
@@ -278,6 +286,8 @@
 	e->drain_timer.data = e;
 	edge_start_reading(e);
 	uv_timer_start(&e->tick_timer, on_tick, TICK_MS, TICK_MS);
+	uv_prepare_init(e->loop, &e->log_prepare);
+	uv_prepare_start(&e->log_prepare, on_log_prepare);
 	for (size_t i = 0; i < G_N_ELEMENTS(handled_signals); i++) {
 		uv_signal_init(e->loop, &e->signals[i]);
 		e->signals[i].data = e;
--- a/src/edge.h
+++ b/src/edge.h
@@ -43,6 +43,7 @@
  * @startup_timer: decides at the start when to read the store
  * @read_timer: delays the first read of the daemons' addresses
  * @drain_timer: steps of draining
+ * @log_prepare: writes urgent log lines at the end of each turn of the loop
  * @signals: SIGTERM, SIGINT and SIGHUP
  * @file_changed_ns: modification time of the settings file, when last read
  * @announced: this daemon has written its address to the store
@@ -74,6 +75,7 @@
 	uv_timer_t startup_timer;
 	uv_timer_t read_timer;
 	uv_timer_t drain_timer;
+	uv_prepare_t log_prepare;
 	uv_signal_t signals[3];
 	uint64_t file_changed_ns;
 	bool announced;
--- a/src/event-log.c
+++ b/src/event-log.c
@@ -37,6 +37,7 @@
 	uint64_t second;
 	unsigned lines;
 	uint64_t dropped;
+	bool has_notice;
 } log_buffer = { .fd = -1 };
 
 /**
@@ -102,6 +103,7 @@
 	}
 	memcpy(log_buffer.bytes + log_buffer.used, line, length);
 	log_buffer.used += length;
+	log_buffer.has_notice |= level <= LOG_NOTICE;
 }
 
 /**
@@ -132,6 +134,7 @@
 
 	if (log_buffer.fd < 0)
 		return;
+	log_buffer.has_notice = false;
 	if (dropped > 0 && log_buffer.used < BUFFER_BYTES / 2) {
 		log_buffer.dropped = 0;
 		event_log(LOG_WARNING, "lines_dropped", "count=%llu",
@@ -146,6 +149,19 @@
 	memmove(log_buffer.bytes, log_buffer.bytes + n, log_buffer.used);
 }
 
+/**
+ * event_log_flush_notices() - flush if a line of level notice or worse waits.
+ *
+ * For the end of each turn of an event loop: these lines tell why a client got
+ * no complete response, and are not lost if the process is killed next.
+ */
+void
+event_log_flush_notices(void)
+{
+	if (log_buffer.has_notice)
+		event_log_flush();
+}
+
 /* Buffers a line, or writes it by a single write(2), so that the lines of
  * several threads do not mix. */
 static void
--- a/src/event-log.h
+++ b/src/event-log.h
@@ -12,5 +12,6 @@
 int event_log_level(const char *);
 void event_log_buffer(int);
 void event_log_flush(void);
+void event_log_flush_notices(void);
 
 #endif
