Resend entries only where they close the gap

Cause: a daemon that misses entries asks its relay every 150 ms. The relay resent all datagrams that it had saved after the missing offset, 64 of up to 5 KB, although those that close the gap were no longer among them. That filled the daemon's link of 20 Mbit/s, so its own read of the store (1 MB) was lost again and again (store_lost, never regained), and it went on asking.

Change: nothing is resent unless a saved datagram begins at the missing offset or before. The daemon then reads the store, as after any long gap.

--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -225,11 +225,28 @@
 	    (unsigned long long)(mesh->now_ms - mesh->missing_since_ms));
 }
 
+/* Whether a saved datagram begins at an offset or before, and ends after it:
+ * those that begin later close no gap there. */
+static bool
+feed_saved(const struct mesh *mesh, uint64_t offset)
+{
+	unsigned n = MIN(mesh->n_sent_entries, MESH_SENT_ENTRIES_MAX);
+
+	for (unsigned i = 0; i < n; i++) {
+		const struct mesh_sent_entries *sent = &mesh->sent_entries[i];
+
+		if (sent->from <= offset && offset < sent->end)
+			return (true);
+	}
+	return (false);
+}
+
 /*
- * Resends the datagrams that a peer missed, as far as they are still saved. In
- * a large cell all members get them, and other requests are ignored for a
- * while: what one missed all may have missed, and hundreds of answers would
- * fill the relay's link, so that still more is lost.
+ * Resends the datagrams that a peer missed if all of them are still saved;
+ * otherwise the peer has to read the store. In a large cell all members get
+ * them, and other requests are ignored for a while: what one missed all may
+ * have missed, and hundreds of answers would fill the relay's link, so that
+ * still more is lost.
  */
 static void
 feed_resend(struct mesh *mesh, const struct mesh_resend *resend,
@@ -241,6 +258,8 @@
 	bool to_all = peer != NULL && mesh_peer_reports(mesh, peer) &&
 	    mesh_spread_large(mesh);
 
+	if (!feed_saved(mesh, resend->from))
+		return;
 	if (to_all && spread_ms != 0 &&
 	    mesh->now_ms - spread_ms < RESEND_ALL_MS)
 		return;
