--- a/src/registry-poison.h
+++ b/src/registry-poison.h
@@ -141,6 +141,9 @@
 bool poison_note_success(struct poison *, uint64_t, uint64_t);
 bool poison_clear(struct poison *, uint64_t, uint64_t, enum poison_origin,
     uint64_t);
+struct poison_crash *poison_request_find(const struct poison_request *,
+    const struct poison_crash *);
+bool poison_crash_refuted(const struct fleet *, const struct poison_crash *);
 bool poison_may_retry(const struct poison *, const struct fleet *, uint64_t,
     uint64_t);
 void poison_evaluate(const struct poison *, const struct fleet *,
