Split the scripts on endpoints by what they are about

Change: endpoint-script-limits.c (what endpoints ask for) and endpoint-script-choice.c (estimates, choice, admission); the commands and scripts are the same.

--- a/Makefile
+++ b/Makefile
@@ -74,6 +74,11 @@
 	$(BUILD)/tests/evidence-slow.o $(BUILD)/tests/script.o \
 	$(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ -lcunit $(LIBS)
+$(BUILD)/test-fleet: $(BUILD)/tests/test-fleet.o \
+	$(BUILD)/tests/endpoint-script-choice.o \
+	$(BUILD)/tests/endpoint-script-limits.o $(BUILD)/tests/script.o \
+	$(BUILD)/libbanklift.a
+	@$(CC) -o $@ $^ -lcunit $(LIBS)
 $(BUILD)/test-levels: $(BUILD)/tests/test-levels.o \
 	$(BUILD)/tests/levels-model.o $(BUILD)/tests/script.o \
 	$(BUILD)/tests/fake-log.o $(BUILD)/libbanklift.a
