Time a refusal in proc-fair.sh by the client, not by its start

The time included starting a shell and curl, beside a flood that starts hundreds of processes a second. Change: curl's time_total, from its first step to the end of the response; the bound of 200 ms stays.

--- a/tests/proc-fair.sh
+++ b/tests/proc-fair.sh
@@ -42,10 +42,11 @@
 check "the other customer is always served" 15 "$ok"
 check_true "its slowest response took $slowest ms, about 220 without load" \
     test "$slowest" -lt 900
-began=$(now_ms)
+# Timed by curl: the flood starts hundreds of processes a second here, so that a start alone
+# may take as long as the bound.
 out=$(CUSTOMER_KEY=flood-key; complete 1 1 late 20 \
-    -H 'Banklift-Deadline-Ms: 300')
-took=$(($(now_ms) - began))
+    -H 'Banklift-Deadline-Ms: 300' -w '\n%{time_total}\n%{http_code}')
+took=$(echo "$out" | tail -n 2 | awk 'NR == 1 { printf "%d", $1 * 1000 }')
 check "a request that cannot meet its deadline is refused" 503 "$(echo "$out" | status_of)"
 check "it is refused as overloaded, not run" '"type":"overloaded" "outcome":"not_run"' \
     "$(echo "$out" | grep -oE '"(type|outcome)":"[a-z_]*"' | paste -sd' ')"
