Look up an endpoint of a script by the command's words

Cause: 17 commands of the scripts on endpoints each cut the id out of their words before they looked it up. Change: endpoint_script_find() takes the words, of which the id is the first. No script and no expectation changes.

--- a/tests/endpoint-script-choice.c
+++ b/tests/endpoint-script-choice.c
@@ -21,8 +21,7 @@
 void
 endpoint_script_sent(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-	struct endpoint *ep = endpoint_script_find(id);
+	struct endpoint *ep = endpoint_script_find(rest);
 	struct fwd_workload workload = workload_of(rest);
 	double mark = fwd_backlog_add(&ep->backlog, workload.prompt,
 	    fwd_expect_rate(ep, &workload), workload.now_ms);
@@ -35,8 +34,7 @@
 void
 endpoint_script_event(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-	struct endpoint *ep = endpoint_script_find(id);
+	struct endpoint *ep = endpoint_script_find(rest);
 
 	fwd_backlog_confirm(&ep->backlog,
 	    (double)script_number(rest, "mark", 0),
@@ -61,8 +59,7 @@
 void
 endpoint_script_expect(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-	const struct endpoint *ep = endpoint_script_find(id);
+	const struct endpoint *ep = endpoint_script_find(rest);
 	struct fwd_workload workload = workload_of(rest);
 
 	g_string_append_printf(out, "backlog %.0f first %.0f\n",
@@ -152,7 +149,6 @@
 void
 endpoint_script_count(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
 	struct fwd_choice choice;
 	unsigned n = 0;
 
@@ -160,7 +156,7 @@
 		struct fwd_criteria criteria = criteria_of(rest, NULL, 0, i);
 
 		fwd_choose(&endpoint_script.fleet, &criteria, &choice);
-		n += choice.endpoint == endpoint_script_find(id);
+		n += choice.endpoint == endpoint_script_find(rest);
 	}
 	g_string_append_printf(out, "%u of %u\n", n, DRAWS);
 }
--- a/tests/endpoint-script-limits.c
+++ b/tests/endpoint-script-limits.c
@@ -8,9 +8,8 @@
 void
 endpoint_script_backoff(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
 	g_autofree char *asked = script_word(rest, "asked");
-	struct endpoint *ep = endpoint_script_find(id);
+	struct endpoint *ep = endpoint_script_find(rest);
 	uint64_t ms = endpoint_backoff_normalize(g_ascii_strtod(asked, NULL),
 	    script_number(rest, "most", 300000));
 
@@ -26,9 +25,8 @@
 void
 endpoint_script_limit(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
 	g_autofree char *names = script_word(rest, "names");
-	struct endpoint_limit *limit = &endpoint_script_find(id)->limit;
+	struct endpoint_limit *limit = &endpoint_script_find(rest)->limit;
 	uint64_t now = script_number(rest, "at", 0);
 	double per_s =
 	    endpoint_limit_normalize(g_ascii_strtod(names, NULL), limit);
@@ -46,8 +44,7 @@
 void
 endpoint_script_unlimited(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-	struct endpoint_limit *limit = &endpoint_script_find(id)->limit;
+	struct endpoint_limit *limit = &endpoint_script_find(rest)->limit;
 
 	if (endpoint_limit_superseded(limit, script_number(rest, "sent", 0)))
 		endpoint_limit_clear(limit, script_number(rest, "at", 0));
@@ -58,9 +55,8 @@
 void
 endpoint_script_merge(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
 	g_autofree char *names = script_word(rest, "names");
-	struct endpoint_limit *limit = &endpoint_script_find(id)->limit;
+	struct endpoint_limit *limit = &endpoint_script_find(rest)->limit;
 	double per_s =
 	    strcmp(names, "none") == 0 ? INFINITY : g_ascii_strtod(names, NULL);
 	bool changed = endpoint_limit_merge(limit, per_s,
@@ -77,8 +73,7 @@
 void
 endpoint_script_permit(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-	struct endpoint_limit *limit = &endpoint_script_find(id)->limit;
+	struct endpoint_limit *limit = &endpoint_script_find(rest)->limit;
 	uint64_t now = script_number(rest, "at", 0);
 
 	g_string_append_printf(out, "%.0f ms\n",
@@ -100,8 +95,7 @@
 void
 endpoint_script_refused(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-	struct endpoint *ep = endpoint_script_find(id);
+	struct endpoint *ep = endpoint_script_find(rest);
 	uint64_t ms = endpoint_backoff_refused(&ep->backoff);
 
 	ep->cooldown_until_ms = script_number(rest, "at", 0) + ms;
@@ -119,9 +113,8 @@
 void
 endpoint_script_probe(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
 	bool probe =
-	    endpoint_backoff_begin_probe(&endpoint_script_find(id)->backoff);
+	    endpoint_backoff_begin_probe(&endpoint_script_find(rest)->backoff);
 
 	g_string_append(out, probe ? "probe\n" : "no probe\n");
 }
@@ -130,9 +123,7 @@
 void
 endpoint_script_probed(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-
-	endpoint_backoff_end_probe(&endpoint_script_find(id)->backoff,
+	endpoint_backoff_end_probe(&endpoint_script_find(rest)->backoff,
 	    script_number(rest, "accepted", 0) != 0);
 }
 
@@ -140,9 +131,7 @@
 void
 endpoint_script_drain(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-
-	endpoint_script_find(id)->draining = true;
+	endpoint_script_find(rest)->draining = true;
 }
 
 /* silent ID at=MS: an endpoint is found silent; heard ID at=MS [peer=1]: this
@@ -150,16 +139,13 @@
 void
 endpoint_script_silent(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-
-	endpoint_script_find(id)->warned_ms = script_number(rest, "at", 0);
+	endpoint_script_find(rest)->warned_ms = script_number(rest, "at", 0);
 }
 
 void
 endpoint_script_heard(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-	struct endpoint *ep = endpoint_script_find(id);
+	struct endpoint *ep = endpoint_script_find(rest);
 	uint64_t at = script_number(rest, "at", 0);
 
 	if (script_number(rest, "peer", 0) != 0)
@@ -173,13 +159,11 @@
 void
 endpoint_script_connect(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-
 	g_string_append_printf(out, "%.0f ms, %s\n",
 	    fwd_silence_connect_ms(script_number(rest, "plain", 0) != 0,
 		(double)script_number(rest, "objective", 0),
 		(unsigned)script_number(rest, "usable", 0)),
-	    fwd_silence_unheard(endpoint_script_find(id),
+	    fwd_silence_unheard(endpoint_script_find(rest),
 		script_number(rest, "at", 0)) ?
 		"warn" :
 		"don't warn");
--- a/tests/endpoint-script.h
+++ b/tests/endpoint-script.h
@@ -2,6 +2,8 @@
 #ifndef TESTS_ENDPOINT_SCRIPT_H
 #define TESTS_ENDPOINT_SCRIPT_H
 
+#include <string.h>
+
 #include "fwd-exchange.h"
 #include "registry.h"
 #include "script.h"
@@ -26,10 +28,12 @@
 
 extern struct endpoint_script endpoint_script;
 
-/* Finds an endpoint by its id. */
+/* Finds an endpoint by its id, the first of a command's words. */
 static inline struct endpoint *
-endpoint_script_find(const char *id)
+endpoint_script_find(const char *words)
 {
+	g_autofree char *id = g_strndup(words, strcspn(words, " "));
+
 	return (fleet_find(&endpoint_script.fleet, id));
 }
 
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -142,8 +142,7 @@
 static void
 exec_load(const char *rest, GString *out)
 {
-	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
-	struct endpoint *ep = endpoint_script_find(id);
+	struct endpoint *ep = endpoint_script_find(rest);
 
 	ep->inflight = (unsigned)script_number(rest, "own", 0);
 	ep->peer_inflight = (unsigned)script_number(rest, "peers", 0);
