End the test of unreachable endpoints with its verdict

Cause: proc-edge-unaccepted.sh had no verdict, so its exit status was that of its last command, which is 0 whatever failed: the test could not fail. Change: it ends with the verdict like the others; no check is changed.

--- a/tests/proc-edge-unaccepted.sh
+++ b/tests/proc-edge-unaccepted.sh
@@ -56,3 +56,5 @@
 	[ "$(arrivals b1)" -gt "$before" ]
 }
 check_true "the endpoint is used again" until_true 4 served_again
+
+verdict
