Test that daemons cut off from all endpoints serve on, which fails

What callers saw: daemons that lose their links to all endpoints, while clients, the store and other daemons reach them, answer almost nothing. Change: the stand-in cuts daemons off by their source address, in four ways; a socket filter drops the packets of new connections, as a lost link would. The test cuts four of six daemons off and asks them.

--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -71,7 +71,7 @@
 	    g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
 
 	if (c->stream.closing || c->endpoint->crash_mode != CRASH_NONE ||
-	    fake_endpoint_switch("dark", c->endpoint))
+	    fake_endpoint_switch("dark", c->endpoint) || cut_silent(c))
 		return;
 	if (get_switch("cut") == c->event && consume_switch("cuts")) {
 		net_stream_write(&c->stream, chunk, strlen(chunk) - 4);
@@ -163,7 +163,8 @@
 {
 	struct conn *c = timer->data;
 
-	if (!c->stream.closing && c->endpoint->crash_mode == CRASH_NONE)
+	if (!c->stream.closing && c->endpoint->crash_mode == CRASH_NONE &&
+	    !cut_silent(c))
 		fake_endpoint_respond(c);
 }
 
@@ -179,7 +180,7 @@
 
 	/* Connections accepted before "mute" was raised are never answered. */
 	if (ep->crash_mode != CRASH_NONE || fake_endpoint_switch("dark", ep) ||
-	    fake_endpoint_switch("unaccepted", ep) ||
+	    fake_endpoint_switch("unaccepted", ep) || cut_silent(c) ||
 	    c->mute_at_accept < get_switch("mute"))
 		return;
 	if (expect != NULL && strcmp(expect, ep->id) != 0) {
--- a/tests/fake-platform.h
+++ b/tests/fake-platform.h
@@ -138,6 +138,12 @@
 /* fake-unaccepted.c: endpoints to which no connection can be made. */
 void unaccepted_tick(struct fake_endpoint *);
 
+/* fake-cut.c: daemons that are cut off from all endpoints. */
+void cut_listen(const uv_tcp_t *);
+void cut_check_accepted(struct conn *);
+bool cut_silent(const struct conn *);
+void cut_apply(void);
+
 /* fake-crash.c: crashes of endpoints that run a marked request. */
 void fake_endpoint_crash(struct fake_endpoint *, enum crash_mode);
 void crash_check(const struct conn *);
--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -175,6 +175,8 @@
 
 	g_hash_table_replace(fake_switches, g_strdup(w[0]),
 	    GINT_TO_POINTER(atoi(w[1])));
+	if (g_str_has_prefix(w[0], "cut-"))
+		cut_apply();
 	if (g_str_has_prefix(w[0], "excuse-")) {
 		backoff_forget_daemon(w[0] + strlen("excuse-"));
 		limit_forget_daemon(w[0] + strlen("excuse-"));
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -17,6 +17,10 @@
  *	dark-IP		the endpoint doesn't answer
  *	unaccepted-IP	the endpoint doesn't answer, and new connections to it
  *			are neither accepted nor refused
+ *	cut-IP		IP of a daemon: it is cut off from all endpoints. 1: its
+ *			connections go silent and new ones are neither accepted
+ *			nor refused; 2: its connections are reset, and new ones
+ *			as before; 3: new ones only; 4: new ones are refused
  *	lapse-IP	the endpoint's entry is removed
  *	drain-IP	the endpoint reports that it drains
  *	cut, cuts	the next "cuts" streams end in the middle of event "cut"
@@ -282,6 +286,8 @@
 	net_stream_init(&c->stream, fake_loop, &conn_ops, c);
 	if (status != 0 || net_stream_accept(&c->stream, listener) != 0)
 		net_stream_close(&c->stream);
+	else if (c->endpoint != NULL)
+		cut_check_accepted(c);
 }
 
 static uv_tcp_t *
@@ -298,6 +304,8 @@
 		fprintf(stderr, "can't listen at %s\n", ip);
 		exit(1);
 	}
+	if (endpoint != NULL)
+		cut_listen(listener);
 	return (listener);
 }
 
