Reach endpoints through other daemons where the direct path is lost

What callers saw: at daemons cut off from the endpoints, each request went from one endpoint to the next, 350 ms each, or was refused since all were in a cooldown; and a placer cut off dissolved two thirds of the replicas. Cause: a daemon had one path to an endpoint and took its loss for the endpoint's. Change: a connection to an endpoint that takes 30 ms is started through another daemon as well, a gateway, and the first that is established is used (the racing of RFC 8305). If the tunnel is established and the direct connection not within 150 ms, or refused, the path of this pair is lost: from then on tunnels come first, and the direct path is tried again every 300 ms while there are requests. Two paths lost within a second put all in doubt. Nothing is sent before a link is established, so that a failure there still means 'not run'. A gateway passes bytes on and connects directly only, so one request passes one other daemon at most; orders and queries of the placer take the same path. The gateway's incarnation, which only daemons that hear it know, is the credential. What the peer sends is in fragments with the record marking of ONC RPC, so that an end of the gateway is not taken for the end of a response. The pool is split from the connection. It is on where a deployment sets tunnel-address.

--- a/src/edge-drain.c
+++ b/src/edge-drain.c
@@ -31,7 +31,8 @@
 	if (since >= DRAIN_ACCEPT_MS) {
 		fwd_stop_listening(&e->fwd);
 		fwd_close_conns(&e->fwd, false);
-		if (e->fwd.n_exchanges == 0 && fwd_conns_drained(&e->fwd)) {
+		if (e->fwd.n_exchanges == 0 && e->tunnels.n_tunnels == 0 &&
+		    fwd_conns_drained(&e->fwd)) {
 			edge_stop(e, "drained");
 			return;
 		}
@@ -61,6 +62,7 @@
 	e->mesh.self.draining = true;
 	mesh_send_now(&e->mesh);
 	fwd_drain(&e->fwd);
+	e->tunnels.draining = true;
 	uv_timer_start(&e->drain_timer, on_drain_timer, DRAIN_POLL_MS,
 	    DRAIN_POLL_MS);
 }
--- a/src/edge-setting.c
+++ b/src/edge-setting.c
@@ -27,6 +27,11 @@
 	{ "source-ip", SETTING_IP, AT(source_ip), "0.0.0.0", 0, 0, "ip",
 	    "source address of connections to endpoints, which may tell "
 	    "daemons apart by it; 0.0.0.0: chosen by the system" },
+	{ "tunnel-address", SETTING_ADDRESS, AT(tunnel_address), "", 0, 0,
+	    "ip:port",
+	    "where other daemons connect for tunnels to endpoints that they "
+	    "don't reach themselves; the port is the same at all daemons; "
+	    "empty: no tunnels" },
 	{ "log-level", SETTING_LEVEL, AT(log_level), "info", 0, 0, "level",
 	    "emerg, alert, crit, err, warning, notice, info or debug" },
 	{ "key-proof-ms", SETTING_MILLIS, AT(key_proof_ms), "5000", 500, 600000,
--- a/src/edge-setting.h
+++ b/src/edge-setting.h
@@ -21,6 +21,7 @@
 	char *peer_address;
 	char *store_address;
 	char *source_ip;
+	char *tunnel_address;
 	char *log_level;
 	int64_t key_proof_ms;
 	bool keys_fail_closed;
--- a/src/edge-status.c
+++ b/src/edge-status.c
@@ -56,6 +56,7 @@
 {
 	unsigned endpoints = 0, open = 0, cooling_down = 0;
 	uint64_t now = clock_loop_ms(e->loop), opened = 0;
+	unsigned lost = 0;
 	const struct endpoint *ep;
 
 	TAILQ_FOREACH(ep, &e->registry.fleet.endpoints, entry) {
@@ -63,11 +64,30 @@
 		open += !ep->gone && ep->report.state == GROUP_OPEN;
 		cooling_down += !ep->gone && now < ep->cooldown_until_ms;
 		opened += ep->pool.n_opened;
+		lost += !ep->gone && ep->pool.path.lost_ms != 0;
 	}
 	print_value(out, "endpoints", endpoints);
 	print_value(out, "groups_open", open);
 	print_value(out, "endpoints_resting", cooling_down);
 	print_value(out, "endpoint_connections_opened", (double)opened);
+	print_value(out, "endpoint_paths_lost", lost);
+}
+
+/* Prints what this daemon sends through others, and what they send through
+ * it. */
+static void
+print_tunnels(const struct edge *e, GString *out)
+{
+	const struct net_tunnels *tunnels = &e->gateways.tunnels;
+
+	if (tunnels->ops == NULL)
+		return;
+	print_value(out, "paths_lost_total", (double)tunnels->n_lost);
+	print_value(out, "paths_restored_total", (double)tunnels->n_restored);
+	print_value(out, "tunnels_opened_total", (double)tunnels->n_opened);
+	print_value(out, "tunnels_served_total", (double)e->tunnels.n_served);
+	print_value(out, "tunnels_refused_total", (double)e->tunnels.n_refused);
+	print_value(out, "tunnels", e->tunnels.n_tunnels);
 }
 
 /* Prints downtime and stranded hosts of services, if this daemon is the
@@ -105,6 +125,7 @@
 	fwd_share_print(&e->fwd, body);
 	fwd_stats_print_shares(&e->fwd.stats, now, body);
 	print_fleet(e, body);
+	print_tunnels(e, body);
 	print_placement(e, body);
 	print_value(body, "exchanges", e->fwd.n_exchanges);
 	print_value(body, "held_bytes", (double)e->fwd.held_bytes);
--- a/src/edge.c
+++ b/src/edge.c
@@ -329,6 +329,22 @@
 	e->placer.name = e->set.name;
 }
 
+/* Opens the gateway, and has endpoints reached through others. Without an
+ * address there are no tunnels. */
+static int
+edge_open_tunnels(struct edge *e)
+{
+	struct sockaddr_in addr;
+
+	if (!parse_address(e->set.tunnel_address, &addr))
+		return (0);
+	mesh_gateways_init(&e->gateways, &e->mesh, ntohs(addr.sin_port));
+	e->registry.fleet.tunnels = &e->gateways.tunnels;
+	e->tunnels.source = e->registry.fleet.source;
+	e->tunnels.credential = e->mesh.incarnation;
+	return (tunnel_server_open(&e->tunnels, e->loop, &addr));
+}
+
 /**
  * edge_open() - open all listeners and start to follow the store.
  * @e: the daemon; loop, platform and set are filled in
@@ -363,7 +379,9 @@
 			      mesh_serve, &e->mesh),
 		"--peer-address", e->set.peer_address, error) ||
 	    !check_opened(mesh_open(&e->mesh, e->loop, &peer), "--peer-address",
-		e->set.peer_address, error))
+		e->set.peer_address, error) ||
+	    !check_opened(edge_open_tunnels(e), "--tunnel-address",
+		e->set.tunnel_address, error))
 		return (false);
 	registry_configure(&e->registry,
 	    (unsigned)(e->set.key_proof_ms / CONFIG_READS_PER_BOUND),
--- a/src/edge.h
+++ b/src/edge.h
@@ -4,9 +4,11 @@
 
 #include "edge-setting.h"
 #include "fwd.h"
+#include "mesh-gateway.h"
 #include "placer.h"
 #include "mesh.h"
 #include "status-server.h"
+#include "tunnel-server.h"
 
 /**
  * struct edge_platform - the adapter to a platform.
@@ -38,6 +40,8 @@
  * @ready: serves readiness checks
  * @metrics: serves metrics
  * @peers: serves other daemons
+ * @gateways: choice of other daemons as gateways to endpoints
+ * @tunnels: serves other daemons' tunnels
  * @daemons: follows the daemons' addresses in the store
  * @tick_timer: periodic work that has no timer of its own
  * @startup_timer: decides at the start when to read the store
@@ -70,6 +74,8 @@
 	struct status_server ready;
 	struct status_server metrics;
 	struct status_server peers;
+	struct mesh_gateways gateways;
+	struct tunnel_server tunnels;
 	struct topic_follower daemons;
 	uv_timer_t tick_timer;
 	uv_timer_t startup_timer;
--- a/src/net-conn.c
+++ b/src/net-conn.c
@@ -1,4 +1,4 @@
-/* Outgoing HTTP/1.1 connections, pooled, with one exchange at a time. */
+/* Exchanges on outgoing HTTP/1.1 connections, one at a time. */
 #include <stdlib.h>
 #include <string.h>
 
@@ -6,42 +6,43 @@
 #include "net-conn.h"
 
 static void
-conn_free(struct net_conn *conn)
+on_send_timer_closed(uv_handle_t *handle)
 {
-	if (conn->pool != NULL)
-		conn->pool->n_open--;
+	struct net_conn *conn = handle->data;
+
+	conn->pool->n_open--;
 	net_head_clear(&conn->head);
 	if (conn->unsent != NULL)
 		g_string_free(conn->unsent, TRUE);
 	g_free(conn);
 }
 
+/* Ends a connection, by a reset or by a regular close. */
 static void
-on_send_timer_closed(uv_handle_t *handle)
-{
-	conn_free(handle->data);
-}
-
-static void
-conn_closed(struct net_stream *stream)
+conn_end(struct net_conn *conn, bool reset)
 {
-	struct net_conn *conn = stream->owner;
-
-	if (conn->send_delay_ms == 0)
-		conn_free(conn);
-	else
-		uv_close((uv_handle_t *)&conn->send_timer,
-		    on_send_timer_closed);
+	if (conn->closing)
+		return;
+	conn->closing = true;
+	if (conn->dial != NULL)
+		net_dial_cancel(conn->dial);
+	conn->dial = NULL;
+	if (conn->link != NULL && reset)
+		net_link_reset(conn->link);
+	else if (conn->link != NULL)
+		net_link_close(conn->link);
+	conn->link = NULL;
+	uv_close((uv_handle_t *)&conn->send_timer, on_send_timer_closed);
 }
 
-/* Removes a connection from its pool's idle list. */
-static void
-conn_remove_idle(struct net_conn *conn)
+/**
+ * net_conn_close() - close a connection that has no exchange.
+ * @conn: the connection
+ */
+void
+net_conn_close(struct net_conn *conn)
 {
-	if (conn->pool == NULL)
-		return;
-	TAILQ_REMOVE(&conn->pool->idle, conn, entry);
-	conn->pool->n_idle--;
+	conn_end(conn, false);
 }
 
 /* Closes the connection and reports the failure to the owner. */
@@ -52,7 +53,7 @@
 	void *owner = conn->owner;
 
 	conn->ops = NULL;
-	net_stream_close(&conn->stream);
+	net_conn_close(conn);
 	if (ops != NULL)
 		ops->failed(owner, reason);
 }
@@ -75,22 +76,11 @@
 static bool
 conn_reusable(const struct net_conn *conn)
 {
-	return (!conn->no_reuse && conn->pool != NULL &&
-	    conn->stream.queued == 0 && conn->idle_timeout_ms > 0 &&
-	    !conn->stream.ended && !conn->stream.closing);
-}
-
-/* Closes the longest idle connections beyond the bound. */
-static void
-pool_trim(struct net_pool *pool)
-{
-	while (pool->n_idle > MIN(pool->max_idle, NET_IDLE_CONNS_MAX)) {
-		struct net_conn *oldest =
-		    TAILQ_LAST(&pool->idle, net_conn_list);
+	const struct net_link *link = conn->link;
 
-		conn_remove_idle(oldest);
-		net_stream_close(&oldest->stream);
-	}
+	return (!conn->no_reuse && link != NULL && link->stream.queued == 0 &&
+	    conn->idle_timeout_ms > 0 && !link->stream.ended &&
+	    !link->stream.closing);
 }
 
 /* Ends an exchange: returns the connection to the pool or closes it, then
@@ -104,13 +94,10 @@
 	conn->ops = NULL;
 	conn->owner = NULL;
 	if (conn_reusable(conn)) {
-		net_stream_set_reading(&conn->stream, true);
-		conn->idle_since_ms = clock_loop_ms(conn->pool->loop);
-		TAILQ_INSERT_HEAD(&conn->pool->idle, conn, entry);
-		conn->pool->n_idle++;
-		pool_trim(conn->pool);
+		net_conn_pause(conn, false);
+		net_pool_add_idle(conn->pool, conn);
 	} else {
-		net_stream_close(&conn->stream);
+		net_conn_close(conn);
 	}
 	if (ops != NULL)
 		ops->done(owner);
@@ -197,15 +184,19 @@
 };
 
 static void
-conn_readable(struct net_stream *stream, const char *at, size_t length)
+on_readable(struct net_link *link, const char *at, size_t length)
 {
-	struct net_conn *conn = stream->owner;
+	struct net_conn *conn = link->owner;
+	struct net_pool *pool = conn->pool;
 	size_t used;
 
+	if (!link->tunnel)
+		net_path_heard(&pool->path, pool->tunnels, &pool->addr,
+		    clock_loop_ms(pool->loop));
 	if (conn->ops == NULL) {
 		/* Bytes on an idle connection belong to no request. */
-		conn_remove_idle(conn);
-		net_stream_close(stream);
+		net_pool_remove_idle(conn);
+		net_conn_close(conn);
 		return;
 	}
 	used =
@@ -224,17 +215,15 @@
 }
 
 static void
-conn_ended(struct net_stream *stream, bool clean)
+on_ended(struct net_link *link, bool clean)
 {
-	struct net_conn *conn = stream->owner;
+	struct net_conn *conn = link->owner;
 
+	if (!clean && !link->tunnel)
+		conn->pool->path.doubt_ms = clock_loop_ms(conn->pool->loop);
 	if (conn->ops == NULL) {
-		conn_remove_idle(conn);
-		net_stream_close(stream);
-		return;
-	}
-	if (!conn->connected) {
-		conn_fail(conn, NET_CONNECT_FAILED);
+		net_pool_remove_idle(conn);
+		net_conn_close(conn);
 		return;
 	}
 	/* A response without a length ends with its connection. */
@@ -247,9 +236,15 @@
 	if (conn->complete)
 		conn_done(conn);
 	else
-		conn_fail(conn, NET_CONN_LOST);
+		conn_fail(conn,
+		    conn->connected ? NET_CONN_LOST : NET_CONNECT_FAILED);
 }
 
+static const struct net_link_ops conn_link_ops = {
+	.readable = on_readable,
+	.ended = on_ended,
+};
+
 /* Sends the request that waited for the connection to be established. */
 static void
 conn_send_unsent(struct net_conn *conn)
@@ -257,7 +252,8 @@
 	conn->connected = true;
 	if (conn->unsent == NULL)
 		return;
-	net_stream_write(&conn->stream, conn->unsent->str, conn->unsent->len);
+	net_stream_write(&conn->link->stream, conn->unsent->str,
+	    conn->unsent->len);
 	g_string_free(conn->unsent, TRUE);
 	conn->unsent = NULL;
 }
@@ -267,149 +263,81 @@
 {
 	struct net_conn *conn = timer->data;
 
-	if (!conn->stream.closing && !conn->stream.ended)
+	if (!conn->closing && !conn->link->stream.ended)
 		conn_send_unsent(conn);
 }
 
 static void
-conn_connected(struct net_stream *stream)
+on_connected(void *owner, struct net_link *link)
 {
-	struct net_conn *conn = stream->owner;
+	struct net_conn *conn = owner;
 
+	conn->dial = NULL;
+	conn->link = link;
+	link->ops = &conn_link_ops;
+	link->owner = conn;
+	net_stream_set_reading(&link->stream, !conn->paused);
 	if (conn->send_delay_ms > 0)
 		uv_timer_start(&conn->send_timer, on_send_timer,
 		    conn->send_delay_ms, 0);
 	else
 		conn_send_unsent(conn);
+	/* It was opened to check the path and is left for the next exchange. */
+	if (conn->ops == NULL) {
+		conn->idle_timeout_ms = NET_IDLE_DEFAULT_MS;
+		net_pool_add_idle(conn->pool, conn);
+	}
 }
 
 static void
-conn_drained(struct net_stream *stream)
+on_not_connected(void *owner)
 {
-}
+	struct net_conn *conn = owner;
 
-static const struct net_stream_ops conn_stream_ops = {
-	.connected = conn_connected,
-	.readable = conn_readable,
-	.ended = conn_ended,
-	.drained = conn_drained,
-	.closed = conn_closed,
-};
-
-/**
- * net_pool_init() - initialize an empty pool.
- * @pool: the pool
- * @loop: the event loop
- * @addr: address of the peer
- */
-void
-net_pool_init(struct net_pool *pool, uv_loop_t *loop,
-    const struct sockaddr_in *addr)
-{
-	memset(pool, 0, sizeof *pool);
-	pool->loop = loop;
-	pool->addr = *addr;
-	pool->max_idle = NET_IDLE_CONNS_MAX;
-	TAILQ_INIT(&pool->idle);
+	conn->dial = NULL;
+	conn_fail(conn, NET_CONNECT_FAILED);
 }
 
-/**
- * net_pool_clear() - close all idle connections.
- * @pool: the pool; it must not be freed before pool->n_open is 0
- */
-void
-net_pool_clear(struct net_pool *pool)
-{
-	struct net_conn *conn;
-
-	while ((conn = TAILQ_FIRST(&pool->idle)) != NULL) {
-		conn_remove_idle(conn);
-		net_stream_close(&conn->stream);
-	}
-}
+static const struct net_dial_ops conn_dial_ops = {
+	.connected = on_connected,
+	.failed = on_not_connected,
+};
 
 /**
- * net_pool_expire() - close the connections whose idle timeout has passed.
- * @pool: the pool
+ * net_conn_open() - start to connect.
+ * @pool: the pool of the connection
+ * @direct_only: through no gateway
+ *
+ * Return: the connection, or NULL if the system refuses one.
  */
-void
-net_pool_expire(struct net_pool *pool)
-{
-	uint64_t now = clock_loop_ms(pool->loop);
-	struct net_conn *conn;
-
-	while ((conn = TAILQ_LAST(&pool->idle, net_conn_list)) != NULL &&
-	    now - conn->idle_since_ms >= conn->idle_timeout_ms) {
-		conn_remove_idle(conn);
-		net_stream_close(&conn->stream);
-	}
-}
-
-/* Starts to connect; returns NULL if the system refuses a connection. */
-static struct net_conn *
-conn_open(struct net_pool *pool)
+struct net_conn *
+net_conn_open(struct net_pool *pool, bool direct_only)
 {
 	struct net_conn *conn = g_new0(struct net_conn, 1);
+	const struct net_dial_target target = {
+		.loop = pool->loop,
+		.addr = pool->addr,
+		.source = pool->source,
+		.path = &pool->path,
+		.tunnels = pool->tunnels,
+		.direct_only = direct_only,
+		.n_open = &pool->n_open,
+	};
 
 	net_head_init(&conn->head);
-	net_stream_init(&conn->stream, pool->loop, &conn_stream_ops, conn);
 	conn->pool = pool;
+	uv_timer_init(pool->loop, &conn->send_timer);
+	conn->send_timer.data = conn;
 	pool->n_open++;
 	pool->n_opened++;
-	if (net_stream_connect(&conn->stream, &pool->addr, &pool->source) !=
-	    0) {
-		net_stream_close(&conn->stream);
+	conn->dial = net_dial_start(&target, &conn_dial_ops, conn);
+	if (conn->dial == NULL) {
+		net_conn_close(conn);
 		return (NULL);
 	}
 	return (conn);
 }
 
-/* Returns the most recently used idle connection unless it has been idle for
- * too long. */
-static struct net_conn *
-pool_reuse(struct net_pool *pool, uint64_t max_idle_ms)
-{
-	struct net_conn *conn = TAILQ_FIRST(&pool->idle);
-	uint64_t idle;
-
-	if (conn == NULL)
-		return (NULL);
-	idle = clock_loop_ms(pool->loop) - conn->idle_since_ms;
-	if (idle >= conn->idle_timeout_ms || idle > max_idle_ms)
-		return (NULL);
-	conn_remove_idle(conn);
-	return (conn);
-}
-
-/**
- * net_pool_take() - get a connection for one exchange.
- * @pool: the pool
- * @max_idle_ms: longest idle time of a connection that is used again; 0 for a
- *	new one
- * @ops: the owner's callbacks
- * @owner: passed to the callbacks
- *
- * Return: an idle or a new connection, or NULL if none can be started.
- */
-struct net_conn *
-net_pool_take(struct net_pool *pool, uint64_t max_idle_ms,
-    const struct net_conn_ops *ops, void *owner)
-{
-	struct net_conn *conn = pool_reuse(pool, max_idle_ms);
-
-	if (conn == NULL)
-		conn = conn_open(pool);
-	if (conn == NULL)
-		return (NULL);
-	conn->ops = ops;
-	conn->owner = owner;
-	conn->complete = false;
-	conn->skipping = false;
-	http_parser_init(&conn->parser, HTTP_RESPONSE);
-	conn->parser.data = conn;
-	return (conn);
-}
-
 /**
  * net_conn_send() - send a request.
  * @conn: the connection
@@ -423,7 +351,7 @@
 {
 	conn->head_request = head_request;
 	if (conn->connected) {
-		net_stream_write(&conn->stream, bytes, length);
+		net_stream_write(&conn->link->stream, bytes, length);
 		return;
 	}
 	conn->unsent = g_string_new_len(bytes, (gssize)length);
@@ -443,8 +371,6 @@
 	if (conn->connected || conn->send_delay_ms > 0)
 		return;
 	conn->send_delay_ms = ms;
-	uv_timer_init(conn->pool->loop, &conn->send_timer);
-	conn->send_timer.data = conn;
 }
 
 /**
@@ -455,7 +381,9 @@
 void
 net_conn_pause(struct net_conn *conn, bool on)
 {
-	net_stream_set_reading(&conn->stream, !on);
+	conn->paused = on;
+	if (conn->link != NULL)
+		net_stream_set_reading(&conn->link->stream, !on);
 }
 
 /**
@@ -467,5 +395,15 @@
 {
 	conn->ops = NULL;
 	conn->owner = NULL;
-	net_stream_reset(&conn->stream);
+	conn_end(conn, true);
+}
+
+/**
+ * net_conn_tunneled() - whether a connection goes through a gateway.
+ * @conn: the connection
+ */
+bool
+net_conn_tunneled(const struct net_conn *conn)
+{
+	return (conn->link != NULL && conn->link->tunnel);
 }
--- a/src/net-conn.h
+++ b/src/net-conn.h
@@ -7,8 +7,8 @@
 #include <netinet/in.h>
 #include <stdint.h>
 
+#include "net-dial.h"
 #include "net-head.h"
-#include "net-stream.h"
 
 /* Idle timeout if the peer names none: shorter than that of usual servers. */
 #define NET_IDLE_DEFAULT_MS 900
@@ -67,7 +67,9 @@
  * @n_idle: length of @idle
  * @max_idle: most of these that are kept, NET_IDLE_CONNS_MAX at most
  * @n_opened: connections opened so far, for the metrics
- * @n_open: connections that are not closed yet
+ * @n_open: connections and dials that are not closed yet
+ * @path: the direct path to the address
+ * @tunnels: choice of gateways where that path is lost; NULL for none
  */
 struct net_pool {
 	uv_loop_t *loop;
@@ -78,20 +80,26 @@
 	unsigned max_idle;
 	uint64_t n_opened;
 	unsigned n_open;
+	struct net_path path;
+	struct net_tunnels *tunnels;
 };
 
 /**
  * struct net_conn - one connection to a peer.
- * @stream: the TCP connection
+ * @dial: the attempt to reach the peer, until it is reached
+ * @link: the link to the peer; NULL before
  * @parser: parses the response
  * @head: head of the response
  * @pool: the pool it returns to when idle
  * @ops: the owner's callbacks; NULL without an exchange
  * @owner: passed to the callbacks
  * @unsent: a request that waits until the connection is established
- * @send_timer: delays the request after the connection is established
+ * @send_timer: delays the request after the connection is established; closed
+ *	before the connection is freed
  * @send_delay_ms: the delay; 0 for none
  * @connected: established, with any delay over; the request may have been sent
+ * @closing: no callback is called any more
+ * @paused: reading is paused
  * @head_request: the method is HEAD, so the response has no body
  * @skipping: the response being read is interim or belongs to another request
  * @no_reuse: to be closed after this exchange
@@ -101,7 +109,8 @@
  * @entry: in the pool's idle list
  */
 struct net_conn {
-	struct net_stream stream;
+	struct net_dial *dial;
+	struct net_link *link;
 	http_parser parser;
 	struct net_head head;
 	struct net_pool *pool;
@@ -111,6 +120,8 @@
 	uv_timer_t send_timer;
 	unsigned send_delay_ms;
 	bool connected;
+	bool closing;
+	bool paused;
 	bool head_request;
 	bool skipping;
 	bool no_reuse;
@@ -120,14 +131,23 @@
 	TAILQ_ENTRY(net_conn) entry;
 };
 
+/* net-pool.c: the connections to one address. */
 void net_pool_init(struct net_pool *, uv_loop_t *, const struct sockaddr_in *);
 void net_pool_clear(struct net_pool *);
 struct net_conn *net_pool_take(struct net_pool *, uint64_t,
     const struct net_conn_ops *, void *);
+void net_pool_expire(struct net_pool *);
+void net_pool_check(struct net_pool *);
+void net_pool_add_idle(struct net_pool *, struct net_conn *);
+void net_pool_remove_idle(struct net_conn *);
+
+/* net-conn.c: exchanges on a connection. */
+struct net_conn *net_conn_open(struct net_pool *, bool);
+void net_conn_close(struct net_conn *);
 void net_conn_send(struct net_conn *, const char *, size_t, bool);
 void net_conn_delay_send(struct net_conn *, unsigned);
 void net_conn_pause(struct net_conn *, bool);
 void net_conn_abort(struct net_conn *);
-void net_pool_expire(struct net_pool *);
+bool net_conn_tunneled(const struct net_conn *);
 
 #endif
--- a/src/registry-fleet.c
+++ b/src/registry-fleet.c
@@ -103,6 +103,7 @@
 	    ep);
 	net_pool_init(&ep->pool, fleet->loop, &report->address);
 	ep->pool.source = fleet->source;
+	ep->pool.tunnels = fleet->tunnels;
 	TAILQ_INSERT_TAIL(&fleet->endpoints, ep, entry);
 	return (ep);
 }
--- a/src/registry-fleet.h
+++ b/src/registry-fleet.h
@@ -171,6 +171,8 @@
  * struct fleet - all known endpoints.
  * @loop: the event loop
  * @source: source address of connections to endpoints; 0 for any
+ * @tunnels: choice of gateways to endpoints that are not reached directly; NULL
+ *	for none
  * @by_id: id to struct endpoint
  * @by_id_hash: hash of the id to struct endpoint
  * @endpoints: all endpoints, also those that are gone but still referenced
@@ -178,6 +180,7 @@
 struct fleet {
 	uv_loop_t *loop;
 	struct sockaddr_in source;
+	struct net_tunnels *tunnels;
 	GHashTable *by_id;
 	GHashTable *by_id_hash;
 	struct endpoint_list endpoints;
--- a/src/setting-table.c
+++ b/src/setting-table.c
@@ -160,6 +160,8 @@
 	case SETTING_BOOL:
 		return (setting_store_bool(s, set, value, error));
 	case SETTING_ADDRESS:
+		if (value[0] == '\0' && g_strcmp0(s->default_value, "") == 0)
+			break;
 		if (!setting_check_address(s, value, error))
 			return (false);
 		break;
--- a/src/setting-table.h
+++ b/src/setting-table.h
@@ -16,7 +16,7 @@
  * enum setting_kind - how a value is checked and stored.
  * @SETTING_STRING: any string
  * @SETTING_NAME: name of a resource
- * @SETTING_ADDRESS: IP address and port
+ * @SETTING_ADDRESS: IP address and port; may be empty if the default is
  * @SETTING_IP: IP address
  * @SETTING_LEVEL: log level
  * @SETTING_INT: integer, stored as int64_t
--- /dev/null
+++ b/src/tunnel-server.h
@@ -0,0 +1,45 @@
+/* Gateway of other daemons' tunnels: connects them to endpoints that they don't
+ * reach themselves. */
+#ifndef BL_TUNNEL_SERVER_H
+#define BL_TUNNEL_SERVER_H
+
+#include <sys/queue.h>
+
+#include "net-stream.h"
+#include "net-tunnel.h"
+
+struct tunnel;
+TAILQ_HEAD(tunnel_list, tunnel);
+
+/**
+ * struct tunnel_server - the gateway.
+ * @loop: the event loop
+ * @listener: listening socket
+ * @source: source address of connections to endpoints; 0.0.0.0 for any
+ * @credential: what requests must contain
+ * @draining: no more tunnels are opened
+ * @tunnels: all tunnels
+ * @n_tunnels: number of @tunnels
+ * @n_served: tunnels opened so far
+ * @n_refused: requests refused so far
+ * @unreached: connections in a row that took too long
+ * @unreached_ms: loop time of the last of them
+ */
+struct tunnel_server {
+	uv_loop_t *loop;
+	uv_tcp_t listener;
+	struct sockaddr_in source;
+	uint64_t credential;
+	bool draining;
+	struct tunnel_list tunnels;
+	unsigned n_tunnels;
+	uint64_t n_served;
+	uint64_t n_refused;
+	unsigned unreached;
+	uint64_t unreached_ms;
+};
+
+int tunnel_server_open(struct tunnel_server *, uv_loop_t *,
+    const struct sockaddr_in *);
+
+#endif
--- a/tests/proc-edge-cut-off.sh
+++ b/tests/proc-edge-cut-off.sh
@@ -44,7 +44,7 @@
 for n in $(seq $COUNT); do
 	# shellcheck disable=SC2086
 	start_edge "$n" --domain "$(echo a b | cut -d' ' -f$((n % 2 + 1)))" $FLAGS \
-	    ${TUNNELS:+--tunnel-address "$(edge_ip "$n"):8085"}
+	    --tunnel-address "$(edge_ip "$n"):8085"
 done
 check_true "all are ready" until_true 20 all_ready
 served "silent, streams" 1 /write/x 95
--- a/tests/proc-edge-settings.sh
+++ b/tests/proc-edge-settings.sh
@@ -7,6 +7,7 @@
 # settings VALUE: fills in the template, with VALUE for each number.
 settings() {
 	sed -e 's/{{ip}}/127.0.0.1/; s/{{internal_port_range.0}}/7340/' \
+	    -e 's/{{internal_port_range.1}}/7355/' \
 	    -e 's/^\([a-z-]*-address\)={{.*}}/\1=127.0.0.1:7341/' \
 	    -e 's/^\(name\|domain\)={{.*}}/\1=a/' \
 	    -e "s/^\\(keys-fail-closed\\|first-start\\)={{.*}}/\\1=true/" \
