Move requests from lost paths, and blame no endpoint for them

What callers saw: on connections that went silent with a cut, requests waited for their deadline. Cause: an endpoint that answers other daemons was taken for busy, and silence could not be told from a lost path. Change: a silent exchange has its path checked by a new connection, which the system of a busy endpoint accepts too; through a gateway, by another tunnel through it. If the path is lost the request is moved where that is allowed; until there is an outcome the endpoint is neither avoided nor reported, nor does the request count as evidence of its slowness. Responses' log lines name the gateway.

--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -17,7 +17,7 @@
 	    "endpoint=%s sends=%u runs=%u age_ms=%llu first_ms=%llu "
 	    "last_event=%lld version=%lld prompt=%.0f expected_ms=%.0f "
 	    "running=%u reading=%.0f work=%08x objective_ms=%lld sent_ms=%llu "
-	    "correction_ms=%.0f",
+	    "correction_ms=%.0f gateway=%s",
 	    ex->id, ex->route != NULL ? ex->route->name : "-", status, reason,
 	    ex->service != NULL ? ex->service : "-",
 	    ex->model != NULL ? ex->model->name : "-",
@@ -34,7 +34,7 @@
 	    ex->route != NULL ? (long long)ex->route->objective_ms : 0,
 	    (unsigned long long)(ex->sends > 0 ? ex->sent_ms - ex->arrived_ms :
 						 0),
-	    ex->correction_ms);
+	    ex->correction_ms, ex->gateway != NULL ? ex->gateway : "-");
 }
 
 /**
@@ -99,6 +99,7 @@
 	ex->fwd->n_exchanges--;
 	catalog_unref(ex->catalog);
 	g_free(ex->id);
+	g_free(ex->gateway);
 	g_string_free(ex->request, TRUE);
 	ex->fwd->held_bytes -= ex->body->len + ex->response_body->len;
 	g_byte_array_unref(ex->body);
--- a/src/fwd-evidence-collect.c
+++ b/src/fwd-evidence-collect.c
@@ -33,7 +33,7 @@
 	if (was_paused(fwd, now_ms))
 		return;
 	TAILQ_FOREACH(ex, &fwd->exchanges, entry) {
-		if (ex->endpoint != NULL && ex->in_backlog)
+		if (ex->endpoint != NULL && ex->in_backlog && !ex->path_doubted)
 			fwd_evidence_add_overdue(&ex->endpoint->evidence,
 			    fwd_exchange_lateness_ms(ex, now_ms));
 	}
@@ -128,7 +128,7 @@
 	double overdue = fwd_exchange_lateness_ms(ex, now_ms);
 
 	if (ex->fwd->set.endpoint_evidence && !was_paused(ex->fwd, now_ms) &&
-	    ex->reached && !ex->not_run && overdue > 0)
+	    ex->reached && !ex->not_run && !ex->path_doubted && overdue > 0)
 		fwd_evidence_add(&ex->endpoint->evidence, overdue, now_ms);
 }
 
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -156,6 +156,7 @@
 	ex->sent_ms = clock_loop_ms(fwd->loop);
 	ex->heard_ms = ex->sent_ms;
 	ex->crash_suspected = false;
+	ex->path_doubted = false;
 	ex->resumed = ex->events.last_id >= 0;
 	fwd_feedback_check_send(ex);
 	ex->endpoint->pool.max_idle = exchange_max_idle(ex);
@@ -343,6 +344,7 @@
 void
 fwd_exchange_move(struct fwd_exchange *ex, bool reached, const char *reason)
 {
+	fwd_path_note(ex);
 	fwd_exchange_end_send(ex, reached);
 	net_conn_abort(ex->upstream);
 	ex->upstream = NULL;
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -86,6 +86,9 @@
  *	crashes endpoints
  * @crash_suspected: the fingerprint was reported as a suspect since the
  *	endpoint fell silent
+ * @path_doubted: its path to the endpoint may be lost, so that its silence
+ *tells nothing about the endpoint
+ * @gateway: name of the gateway of its last send; NULL for none
  * @paused: reading from the endpoint is paused for a slow client
  * @entry: entry in the proxy's list
  * @queue_entry: entry in the queue
@@ -146,6 +149,8 @@
 	bool resumed;
 	bool poison_probe;
 	bool crash_suspected;
+	bool path_doubted;
+	char *gateway;
 	bool paused;
 	TAILQ_ENTRY(fwd_exchange) entry;
 	TAILQ_ENTRY(fwd_exchange) queue_entry;
@@ -224,6 +229,22 @@
 double fwd_silence_connect_ms(bool, double, unsigned);
 bool fwd_silence_unheard(const struct endpoint *, uint64_t);
 
+/**
+ * enum fwd_path_verdict - what is known of the path of an exchange.
+ * @FWD_PATH_SOUND: nothing speaks against it
+ * @FWD_PATH_UNKNOWN: it is being checked
+ * @FWD_PATH_LOST: it is lost, while the endpoint may be sound
+ */
+enum fwd_path_verdict {
+	FWD_PATH_SOUND,
+	FWD_PATH_UNKNOWN,
+	FWD_PATH_LOST,
+};
+
+/* fwd-path.c: whether an exchange waits because its path is lost. */
+enum fwd_path_verdict fwd_path_judge(const struct fwd_exchange *, uint64_t);
+void fwd_path_note(struct fwd_exchange *);
+
 /* fwd-retry.c: retries. */
 bool fwd_exchange_retryable(const struct fwd_exchange *);
 bool fwd_exchange_movable(const struct fwd_exchange *);
--- /dev/null
+++ b/src/fwd-path.c
@@ -0,0 +1,130 @@
+/* Whether an exchange waits because its path to the endpoint is lost, rather
+ * than because of the endpoint. */
+#include "fwd-exchange.h"
+#include "net-probe.h"
+
+/* An exchange is silent if nothing arrives for this time beyond what is
+ * expected; while other endpoints are heard directly, for that time. */
+#define SILENT_MS 200
+#define SILENT_OTHERS_HEARD_MS 800
+/* Time within which bytes from any endpoint show that not all are lost. */
+#define OTHERS_HEARD_MS 200
+/* Time in which a check has an outcome. */
+#define CHECK_MS 300
+/* Pause between two checks, at least; it grows with the silence. */
+#define CHECK_PAUSE_MS 400
+/* A plain response may take this multiple of the mean duration. */
+#define PLAIN_FACTOR 2
+
+/* Time within which a byte is expected. */
+static double
+path_expected_ms(const struct fwd_exchange *ex)
+{
+	if (ex->in_backlog)
+		return (ex->silence_ms);
+	if (ex->model != NULL)
+		return (0);
+	return (PLAIN_FACTOR * fwd_exchange_estimate(ex)->duration_ms);
+}
+
+/* Whether the exchange is silent for so long that its path is to be checked. */
+static bool
+path_is_silent(const struct fwd_exchange *ex, uint64_t now_ms)
+{
+	const struct net_tunnels *tunnels = ex->endpoint->pool.tunnels;
+	uint64_t silent = now_ms - MIN(ex->heard_ms, now_ms);
+	bool others_heard =
+	    now_ms - MIN(tunnels->heard_ms, now_ms) < OTHERS_HEARD_MS;
+
+	return ((double)silent > path_expected_ms(ex) +
+		(others_heard ? SILENT_OTHERS_HEARD_MS : SILENT_MS));
+}
+
+/* Whether a check is due: the pause after one grows with the silence. */
+static bool
+path_check_due(const struct fwd_exchange *ex, uint64_t checked_ms,
+    uint64_t now_ms)
+{
+	uint64_t silent = now_ms - MIN(ex->heard_ms, now_ms);
+
+	return (
+	    now_ms - MIN(checked_ms, now_ms) >= MAX(CHECK_PAUSE_MS, silent));
+}
+
+/* Judges the direct path of a silent exchange. */
+static enum fwd_path_verdict
+path_judge_direct(const struct fwd_exchange *ex, uint64_t now_ms)
+{
+	struct net_pool *pool = &ex->endpoint->pool;
+	const struct net_path *path = &pool->path;
+
+	if (path->lost_ms > ex->heard_ms)
+		return (FWD_PATH_LOST);
+	if (now_ms - MIN(path->heard_ms, now_ms) < SILENT_MS)
+		return (FWD_PATH_SOUND);
+	if (path_check_due(ex, path->checked_ms, now_ms)) {
+		net_pool_check(pool);
+		return (FWD_PATH_UNKNOWN);
+	}
+	if (path->heard_ms >= path->checked_ms ||
+	    now_ms - path->checked_ms >= CHECK_MS)
+		return (FWD_PATH_SOUND);
+	return (FWD_PATH_UNKNOWN);
+}
+
+/* Judges the gateway of a silent exchange. */
+static enum fwd_path_verdict
+path_judge_gateway(const struct fwd_exchange *ex, uint64_t now_ms)
+{
+	struct net_pool *pool = &ex->endpoint->pool;
+	const struct net_gateway_probe *probe = &pool->path.gateway;
+	const struct net_gateway *gateway = &ex->upstream->link->gateway;
+
+	if (probe->pending)
+		return (FWD_PATH_UNKNOWN);
+	if (probe->name_hash == gateway->name_hash &&
+	    probe->lost_ms > ex->heard_ms)
+		return (FWD_PATH_LOST);
+	if (probe->name_hash == gateway->name_hash &&
+	    !path_check_due(ex, probe->started_ms, now_ms))
+		return (FWD_PATH_SOUND);
+	net_probe_gateway(pool, gateway);
+	return (FWD_PATH_UNKNOWN);
+}
+
+/**
+ * fwd_path_judge() - judge the path of an exchange; checks it if needed.
+ * @ex: the exchange; its connection to the endpoint is established
+ * @now_ms: loop time
+ */
+enum fwd_path_verdict
+fwd_path_judge(const struct fwd_exchange *ex, uint64_t now_ms)
+{
+	const struct net_tunnels *tunnels = ex->endpoint->pool.tunnels;
+	bool tunneled = net_conn_tunneled(ex->upstream);
+
+	if (tunnels == NULL || ex->paused || now_ms < ex->fwd->grace_until_ms)
+		return (FWD_PATH_SOUND);
+	if (tunneled &&
+	    !tunnels->ops->usable(tunnels->arg, &ex->upstream->link->gateway))
+		return (FWD_PATH_LOST);
+	if (!path_is_silent(ex, now_ms))
+		return (FWD_PATH_SOUND);
+	return (tunneled ? path_judge_gateway(ex, now_ms) :
+			   path_judge_direct(ex, now_ms));
+}
+
+/**
+ * fwd_path_note() - note through which gateway an exchange goes, for the log.
+ * @ex: the exchange, with a connection to its endpoint
+ */
+void
+fwd_path_note(struct fwd_exchange *ex)
+{
+	const struct net_tunnels *tunnels = ex->endpoint->pool.tunnels;
+
+	g_clear_pointer(&ex->gateway, g_free);
+	if (net_conn_tunneled(ex->upstream))
+		ex->gateway = g_strdup(tunnels->ops->name(tunnels->arg,
+		    &ex->upstream->link->gateway));
+}
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -67,6 +67,7 @@
 		    ex->id, response.id, ex->endpoint->report.id);
 		return (NET_SKIP);
 	}
+	fwd_path_note(ex);
 	ex->heard_ms = clock_loop_ms(ex->fwd->loop);
 	if (!response.wrong_endpoint)
 		ex->endpoint->heard_ms = ex->heard_ms;
--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -211,6 +211,11 @@
 void
 fwd_silence_check(struct fwd_exchange *ex, uint64_t now_ms)
 {
-	if (exchange_is_silent(ex, now_ms))
+	enum fwd_path_verdict verdict = fwd_path_judge(ex, now_ms);
+
+	ex->path_doubted = verdict != FWD_PATH_SOUND;
+	if (verdict == FWD_PATH_LOST && fwd_exchange_movable(ex))
+		fwd_exchange_move(ex, true, "path_lost");
+	else if (verdict == FWD_PATH_SOUND && exchange_is_silent(ex, now_ms))
 		exchange_handle_silence(ex, now_ms);
 }
