Have gateways heed what endpoints tell through them

Change: a gateway refuses tunnels to endpoints that decline requests from it, and tells the tunnels that it has, by an empty fragment; a daemon that is told something through a tunnel has the gateway note it.

--- a/src/edge.c
+++ b/src/edge.c
@@ -36,8 +36,15 @@
 
 static const int handled_signals[] = { SIGTERM, SIGINT, SIGHUP };
 
-static bool
-parse_address(const char *text, struct sockaddr_in *addr)
+/**
+ * edge_parse_address() - parse a setting with an address.
+ * @text: the setting
+ * @addr: filled in
+ *
+ * Return: whether it is one.
+ */
+bool
+edge_parse_address(const char *text, struct sockaddr_in *addr)
 {
 	g_autofree char *ip = NULL;
 	uint16_t port;
@@ -329,22 +336,6 @@
 	e->placer.name = e->set.name;
 }
 
-/* Opens the gateway, and has endpoints reached through others. Without an
- * address there are no tunnels. */
-static int
-edge_open_tunnels(struct edge *e)
-{
-	struct sockaddr_in addr;
-
-	if (!parse_address(e->set.tunnel_address, &addr))
-		return (0);
-	mesh_gateways_init(&e->gateways, &e->mesh, ntohs(addr.sin_port));
-	e->registry.fleet.tunnels = &e->gateways.tunnels;
-	e->tunnels.source = e->registry.fleet.source;
-	e->tunnels.credential = e->mesh.incarnation;
-	return (tunnel_server_open(&e->tunnels, e->loop, &addr));
-}
-
 /**
  * edge_open() - open all listeners and start to follow the store.
  * @e: the daemon; loop, platform and set are filled in
@@ -357,11 +348,11 @@
 {
 	struct sockaddr_in store, client, ready, metrics, peer;
 
-	parse_address(e->set.store_address, &store);
-	parse_address(e->set.caller_address, &client);
-	parse_address(e->set.ready_address, &ready);
-	parse_address(e->set.metrics_address, &metrics);
-	parse_address(e->set.peer_address, &peer);
+	edge_parse_address(e->set.store_address, &store);
+	edge_parse_address(e->set.caller_address, &client);
+	edge_parse_address(e->set.ready_address, &ready);
+	edge_parse_address(e->set.metrics_address, &metrics);
+	edge_parse_address(e->set.peer_address, &peer);
 	e->store = e->platform->store_open(e->loop, &store, STORE_TIMEOUT_MS);
 	registry_init(&e->registry, e->loop, e->store, e->platform->decoders);
 	uv_ip4_addr(e->set.source_ip, 0, &e->registry.fleet.source);
--- a/src/edge.h
+++ b/src/edge.h
@@ -110,6 +110,8 @@
 void edge_remove_addresses(struct edge *);
 void edge_read_addresses(void *);
 void edge_collect_sums(void *, struct sum_table *, uint64_t);
+bool edge_parse_address(const char *, struct sockaddr_in *);
+int edge_open_tunnels(struct edge *);
 void edge_quarantine_update(struct edge *);
 bool edge_quarantine_apply(struct edge *, const struct store_record *);
 int edge_main(const struct edge_platform *, int, const char **);
--- a/src/fwd-feedback.c
+++ b/src/fwd-feedback.c
@@ -36,6 +36,20 @@
 	return (clock_loop_ms(ex->fwd->loop));
 }
 
+/* Has it noted that the endpoint wants nothing from this daemon for so many ms,
+ * nor from the gateway that the response came through. */
+static void
+feedback_declined(const struct fwd_exchange *ex, uint64_t ms)
+{
+	const struct net_gateway *gateway = NULL;
+
+	if (ex->upstream != NULL && net_conn_tunneled(ex->upstream))
+		gateway = &ex->upstream->link->gateway;
+	if (ex->fwd->on_declined != NULL)
+		ex->fwd->on_declined(ex->fwd->on_declined_arg, ex->endpoint, ms,
+		    gateway);
+}
+
 /* The endpoint asks for a backoff: nothing from this daemon for a while. */
 static void
 feedback_backoff(struct fwd_exchange *ex, const struct feedback *fb)
@@ -45,6 +59,7 @@
 	    endpoint_backoff_normalize(fb->number, ex->fwd->set.backoff_max_ms);
 
 	endpoint_backoff_extend(&ep->backoff, ms, feedback_now(ex));
+	feedback_declined(ex, MAX(ms, 1));
 	fwd_stats_count(&ex->fwd->stats, COUNT_BACKOFFS);
 	event_log(LOG_NOTICE, "endpoint_asks_rest",
 	    "endpoint=%s started_ms=%lld asked=\"%.40s\" read=%s ms=%llu "
@@ -68,6 +83,7 @@
 	/* Its entry in the store may tell that later, or not at all while the
 	 * store is unreachable. */
 	ep->draining = true;
+	feedback_declined(ex, 0);
 	fwd_stats_count(&ex->fwd->stats, COUNT_DRAINING);
 	event_log(LOG_NOTICE, "endpoint_leaves",
 	    "endpoint=%s started_ms=%lld entry_age_ms=%llu inflight=%u id=%s",
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -94,6 +94,9 @@
  * @on_silent_arg: argument of @on_silent
  * @on_limit: called when an endpoint names, changes or lifts a rate limit
  * @on_limit_arg: argument of @on_limit
+ * @on_declined: called when an endpoint asks for a backoff, of so many ms, or
+ *	says that it drains (0), and which gateway that came through, or NULL
+ * @on_declined_arg: argument of @on_declined
  * @stats: counters and histograms
  */
 struct fwd {
@@ -125,6 +128,9 @@
 	void *on_silent_arg;
 	void (*on_limit)(void *, struct endpoint *);
 	void *on_limit_arg;
+	void (*on_declined)(void *, const struct endpoint *, uint64_t,
+	    const struct net_gateway *);
+	void *on_declined_arg;
 	struct fwd_stats stats;
 };
 
--- a/src/mesh-gateway.c
+++ b/src/mesh-gateway.c
@@ -149,7 +149,8 @@
 	struct mesh_gateways *g = arg;
 	struct mesh_gateway *gateway = gateway_find(g, out->name_hash);
 
-	if (gateway == NULL)
+	/* A gateway that an endpoint declines may reach others. */
+	if (gateway == NULL || result == TUNNEL_DECLINED)
 		return;
 	if (result == TUNNEL_OPEN) {
 		gateway->failures = 0;
--- a/src/net-conn.c
+++ b/src/net-conn.c
@@ -240,7 +240,21 @@
 		    conn->connected ? NET_CONN_LOST : NET_CONNECT_FAILED);
 }
 
+/* The peer wants no more requests from the gateway. */
+static void
+on_declined(struct net_link *link)
+{
+	struct net_conn *conn = link->owner;
+
+	conn->no_reuse = true;
+	if (conn->ops != NULL)
+		return;
+	net_pool_remove_idle(conn);
+	net_conn_close(conn);
+}
+
 static const struct net_link_ops conn_link_ops = {
+	.declined = on_declined,
 	.readable = on_readable,
 	.ended = on_ended,
 };
--- a/src/net-dial.c
+++ b/src/net-dial.c
@@ -95,6 +95,8 @@
 dial_start_tunnel(struct net_dial *dial)
 {
 	struct net_tunnels *tunnels = dial->target.tunnels;
+	const struct tunnel_request request = { .kind = TUNNEL_CONNECT,
+		.peer = dial->target.addr };
 	struct net_gateway gateway;
 
 	if (tunnels == NULL || dial->target.direct_only)
@@ -102,8 +104,8 @@
 	while (dial->n_tunnels < GATEWAYS_MAX &&
 	    tunnels->ops->choose(tunnels->arg, &gateway)) {
 		dial->n_tunnels++;
-		dial->tunnel = net_link_open_tunnel(dial->target.loop,
-		    &dial->target.addr, &gateway, &dial_link_ops, dial);
+		dial->tunnel = net_link_open_tunnel(dial->target.loop, &gateway,
+		    &request, &dial_link_ops, dial);
 		if (dial->tunnel != NULL)
 			return (true);
 		tunnels->ops->report(tunnels->arg, &gateway, TUNNEL_NO_REPLY);
--- a/src/net-link.c
+++ b/src/net-link.c
@@ -24,18 +24,13 @@
 	link->ops->established(link);
 }
 
-/* Asks the gateway for the tunnel. */
+/* Sends the request to the gateway. */
 static void
-link_request_tunnel(struct net_link *link)
+link_send_request(struct net_link *link)
 {
-	const struct tunnel_request request = {
-		.peer = link->peer,
-		.credential = link->gateway.incarnation,
-		.name_hash = link->gateway.requester,
-	};
 	char out[TUNNEL_REQUEST_BYTES];
 
-	tunnel_request_encode(&request, out);
+	tunnel_request_encode(&link->request, out);
 	net_stream_write(&link->stream, out, sizeof out);
 }
 
@@ -45,7 +40,7 @@
 	struct net_link *link = stream->owner;
 
 	if (link->tunnel)
-		link_request_tunnel(link);
+		link_send_request(link);
 	else
 		link_establish(link);
 }
@@ -84,6 +79,10 @@
 			link->ops->readable(link, data, n_data);
 		at += used;
 		length -= used;
+		if (link->decoder.declined && link->ops != NULL &&
+		    link->ops->declined != NULL)
+			link->ops->declined(link);
+		link->decoder.declined = false;
 		if (tunnel_decoder_ended(&link->decoder)) {
 			if (link->ops != NULL)
 				link->ops->ended(link, true);
@@ -175,32 +174,34 @@
 
 	link->ops = ops;
 	link->owner = owner;
-	link->peer = *peer;
 	return (link_start(link, loop, peer, source));
 }
 
 /**
- * net_link_open_tunnel() - start to connect to a peer through a gateway.
+ * net_link_open_tunnel() - start to connect to a peer through a gateway, or to
+ *	have the gateway note something about the peer.
  * @loop: the event loop
- * @peer: address of the peer
  * @gateway: the gateway
+ * @request: what is asked of it, but for the credential and the requester
  * @ops: the owner's callbacks, none of which is called within this function
  * @owner: for use by the callbacks
  *
  * Return: the link, or NULL if the system refuses a connection.
  */
 struct net_link *
-net_link_open_tunnel(uv_loop_t *loop, const struct sockaddr_in *peer,
-    const struct net_gateway *gateway, const struct net_link_ops *ops,
+net_link_open_tunnel(uv_loop_t *loop, const struct net_gateway *gateway,
+    const struct tunnel_request *request, const struct net_link_ops *ops,
     void *owner)
 {
 	struct net_link *link = g_new0(struct net_link, 1);
 
 	link->ops = ops;
 	link->owner = owner;
-	link->peer = *peer;
 	link->tunnel = true;
 	link->gateway = *gateway;
+	link->request = *request;
+	link->request.credential = gateway->incarnation;
+	link->request.name_hash = gateway->requester;
 	return (link_start(link, loop, &gateway->addr, NULL));
 }
 
--- a/src/net-link.h
+++ b/src/net-link.h
@@ -14,12 +14,14 @@
  * @failed: it was not; for a tunnel, with the outcome; called instead of
  *	@established, and the owner has lost the link
  * @readable: bytes arrived
+ * @declined: the peer wants no more requests from the gateway; may be NULL
  * @ended: the connection failed, or the peer closed its side (clean)
  */
 struct net_link_ops {
 	void (*established)(struct net_link *);
 	void (*failed)(struct net_link *, enum tunnel_result);
 	void (*readable)(struct net_link *, const char *, size_t);
+	void (*declined)(struct net_link *);
 	void (*ended)(struct net_link *, bool clean);
 };
 
@@ -28,7 +30,7 @@
  * @stream: the TCP connection, to the peer or to the gateway
  * @ops: the owner's callbacks; NULL after the owner closed it
  * @owner: for use by the callbacks
- * @peer: address of the peer
+ * @request: the request to the gateway
  * @tunnel: it goes through a gateway
  * @gateway: that gateway
  * @established: the peer is reached
@@ -41,7 +43,7 @@
 	struct net_stream stream;
 	const struct net_link_ops *ops;
 	void *owner;
-	struct sockaddr_in peer;
+	struct tunnel_request request;
 	bool tunnel;
 	struct net_gateway gateway;
 	bool established;
@@ -53,8 +55,8 @@
 
 struct net_link *net_link_open(uv_loop_t *, const struct sockaddr_in *,
     const struct sockaddr_in *, const struct net_link_ops *, void *);
-struct net_link *net_link_open_tunnel(uv_loop_t *, const struct sockaddr_in *,
-    const struct net_gateway *, const struct net_link_ops *, void *);
+struct net_link *net_link_open_tunnel(uv_loop_t *, const struct net_gateway *,
+    const struct tunnel_request *, const struct net_link_ops *, void *);
 void net_link_close(struct net_link *);
 void net_link_reset(struct net_link *);
 
--- a/src/net-probe.c
+++ b/src/net-probe.c
@@ -54,7 +54,7 @@
 static void
 on_failed(struct net_link *link, enum tunnel_result result)
 {
-	probe_end(link->owner, false);
+	probe_end(link->owner, result == TUNNEL_DECLINED);
 }
 
 /* It is closed once it is established. */
@@ -101,12 +101,15 @@
 		.started_ms = clock_loop_ms(pool->loop),
 	};
 
+	const struct tunnel_request request = { .kind = TUNNEL_CONNECT,
+		.peer = pool->addr };
+
 	pool->path.gateway = started;
 	probe->pool = pool;
 	pool->n_open++;
 	uv_timer_init(pool->loop, &probe->timer);
 	probe->timer.data = probe;
-	probe->link = net_link_open_tunnel(pool->loop, &pool->addr, gateway,
+	probe->link = net_link_open_tunnel(pool->loop, gateway, &request,
 	    &probe_link_ops, probe);
 	if (probe->link == NULL)
 		probe_end(probe, false);
--- a/src/net-tunnel.c
+++ b/src/net-tunnel.c
@@ -12,8 +12,8 @@
 /* Set in the header of the last fragment. */
 #define FRAGMENT_LAST 0x80000000u
 
-static const char *const result_names[] = { "open", "unreached", "busy",
-	"draining", "no_reply" };
+static const char *const result_names[] = { "open", "unreached", "declined",
+	"busy", "draining", "no_reply" };
 
 /**
  * tunnel_result_name() - name of a result, for logs.
@@ -31,12 +31,16 @@
 	uint32_t magic = TUNNEL_MAGIC;
 	uint32_t ip = request->peer.sin_addr.s_addr;
 	uint32_t port = ntohs(request->peer.sin_port);
+	uint32_t kind = request->kind;
 
 	if (!xdr_uint32_t(xdr, &magic) || magic != TUNNEL_MAGIC ||
+	    !xdr_uint32_t(xdr, &kind) || kind < TUNNEL_CONNECT ||
+	    kind > TUNNEL_NOTE_DRAINING || !xdr_uint32_t(xdr, &request->ms) ||
 	    !xdr_uint32_t(xdr, &ip) || !xdr_uint32_t(xdr, &port) ||
 	    port > UINT16_MAX || !xdr_uint64_t(xdr, &request->credential) ||
 	    !xdr_uint32_t(xdr, &request->name_hash))
 		return (FALSE);
+	request->kind = (enum tunnel_request_kind)kind;
 	request->peer.sin_family = AF_INET;
 	request->peer.sin_addr.s_addr = ip;
 	request->peer.sin_port = htons((uint16_t)port);
@@ -149,6 +153,7 @@
 	word = ntohl(word);
 	d->last = (word & FRAGMENT_LAST) != 0;
 	d->left = word & ~FRAGMENT_LAST;
+	d->declined = d->declined || word == 0;
 	return (n);
 }
 
--- a/src/registry-fleet.c
+++ b/src/registry-fleet.c
@@ -57,9 +57,18 @@
 	fleet->loop = loop;
 	fleet->by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->by_id_hash = g_hash_table_new(g_direct_hash, g_direct_equal);
+	fleet->by_address = g_hash_table_new(g_direct_hash, g_direct_equal);
 	TAILQ_INIT(&fleet->endpoints);
 }
 
+/* Key of an address. */
+static gpointer
+address_key(const struct sockaddr_in *addr)
+{
+	return ((
+	    gpointer)((uintptr_t)addr->sin_addr.s_addr << 16 | addr->sin_port));
+}
+
 static void
 endpoint_free(struct fleet *fleet, struct endpoint *ep)
 {
@@ -68,6 +77,9 @@
 	if (fleet_find_by_hash(fleet, ep->id_hash) == ep)
 		g_hash_table_remove(fleet->by_id_hash,
 		    GUINT_TO_POINTER(ep->id_hash));
+	if (fleet_find_by_address(fleet, &ep->pool.addr) == ep)
+		g_hash_table_remove(fleet->by_address,
+		    address_key(&ep->pool.addr));
 	TAILQ_REMOVE(&fleet->endpoints, ep, entry);
 	endpoint_report_clear(&ep->report);
 	g_clear_pointer(&ep->entry_bytes, g_bytes_unref);
@@ -90,6 +102,7 @@
 	}
 	g_hash_table_destroy(fleet->by_id);
 	g_hash_table_destroy(fleet->by_id_hash);
+	g_hash_table_destroy(fleet->by_address);
 }
 
 static struct endpoint *
@@ -102,6 +115,8 @@
 	g_hash_table_insert(fleet->by_id_hash, GUINT_TO_POINTER(ep->id_hash),
 	    ep);
 	net_pool_init(&ep->pool, fleet->loop, &report->address);
+	g_hash_table_insert(fleet->by_address, address_key(&report->address),
+	    ep);
 	ep->pool.source = fleet->source;
 	ep->pool.tunnels = fleet->tunnels;
 	TAILQ_INSERT_TAIL(&fleet->endpoints, ep, entry);
@@ -416,6 +431,19 @@
 	    g_hash_table_lookup(fleet->by_id_hash, GUINT_TO_POINTER(id_hash)));
 }
 
+/**
+ * fleet_find_by_address() - find an endpoint by its address.
+ * @fleet: the fleet
+ * @addr: the address
+ *
+ * Return: the newest endpoint at the address, or NULL.
+ */
+struct endpoint *
+fleet_find_by_address(const struct fleet *fleet, const struct sockaddr_in *addr)
+{
+	return (g_hash_table_lookup(fleet->by_address, address_key(addr)));
+}
+
 /**
  * endpoint_mark_gone() - send no more requests to an endpoint.
  * @ep: the endpoint
--- a/src/registry-fleet.h
+++ b/src/registry-fleet.h
@@ -175,6 +175,7 @@
  *	for none
  * @by_id: id to struct endpoint
  * @by_id_hash: hash of the id to struct endpoint
+ * @by_address: address to struct endpoint, the newest at that address
  * @endpoints: all endpoints, also those that are gone but still referenced
  */
 struct fleet {
@@ -183,6 +184,7 @@
 	struct net_tunnels *tunnels;
 	GHashTable *by_id;
 	GHashTable *by_id_hash;
+	GHashTable *by_address;
 	struct endpoint_list endpoints;
 };
 
@@ -202,6 +204,8 @@
 void fleet_lapse(struct fleet *, const char *, uint64_t, bool);
 struct endpoint *fleet_find(const struct fleet *, const char *);
 struct endpoint *fleet_find_by_hash(const struct fleet *, uint32_t);
+struct endpoint *fleet_find_by_address(const struct fleet *,
+    const struct sockaddr_in *);
 void endpoint_mark_gone(struct endpoint *);
 void fleet_sweep(struct fleet *, uint64_t, bool);
 void endpoint_set_entry(struct endpoint *, bool, const void *, size_t);
--- a/src/tunnel-server.c
+++ b/src/tunnel-server.c
@@ -123,17 +123,23 @@
 		uv_timer_stop(&t->timer);
 }
 
-/* Replies that no tunnel is opened, and ends the connection. */
 static void
-tunnel_refuse(struct tunnel *t, enum tunnel_result result)
+tunnel_reply(struct tunnel *t, enum tunnel_result result)
 {
 	char out[TUNNEL_REPLY_BYTES];
 
+	tunnel_reply_encode(result, out);
+	net_stream_write(&t->client, out, sizeof out);
+}
+
+/* Replies that no tunnel is opened, and ends the connection. */
+static void
+tunnel_refuse(struct tunnel *t, enum tunnel_result result)
+{
 	t->server->n_refused++;
 	log_debug("tunnel_refused", "result=%s tunnels=%u",
 	    tunnel_result_name(result), t->server->n_tunnels);
-	tunnel_reply_encode(result, out);
-	net_stream_write(&t->client, out, sizeof out);
+	tunnel_reply(t, result);
 	tunnel_close(t, false);
 }
 
@@ -178,13 +184,11 @@
 target_connected(struct net_stream *stream)
 {
 	struct tunnel *t = stream->owner;
-	char out[TUNNEL_REPLY_BYTES];
 
 	t->server->unreached = 0;
 	t->server->n_served++;
 	tunnel_set_state(t, TUNNEL_SERVING, 0);
-	tunnel_reply_encode(TUNNEL_OPEN, out);
-	net_stream_write(&t->client, out, sizeof out);
+	tunnel_reply(t, TUNNEL_OPEN);
 }
 
 static void
@@ -265,6 +269,28 @@
 		tunnel_refuse(t, TUNNEL_UNREACHED);
 }
 
+/**
+ * tunnel_server_decline() - have the requesters of tunnels to an endpoint send
+ *	it no more requests through them.
+ * @server: the gateway
+ * @peer: address of the endpoint
+ */
+void
+tunnel_server_decline(struct tunnel_server *server,
+    const struct sockaddr_in *peer)
+{
+	char header[TUNNEL_HEADER_BYTES];
+	struct tunnel *t;
+
+	tunnel_header_encode(0, false, header);
+	TAILQ_FOREACH(t, &server->tunnels, entry) {
+		if (t->state == TUNNEL_SERVING &&
+		    t->peer.sin_addr.s_addr == peer->sin_addr.s_addr &&
+		    t->peer.sin_port == peer->sin_port)
+			net_stream_write(&t->client, header, sizeof header);
+	}
+}
+
 /* Handles a request that was read. */
 static void
 tunnel_handle_request(struct tunnel *t)
@@ -280,10 +306,20 @@
 		tunnel_reject(t, "credential");
 		return;
 	}
+	if (request.kind != TUNNEL_CONNECT) {
+		t->server->ops->noted(t->server->arg, &request);
+		tunnel_reply(t, TUNNEL_OPEN);
+		tunnel_close(t, false);
+		return;
+	}
 	if (obstacle != TUNNEL_OPEN) {
 		tunnel_refuse(t, obstacle);
 		return;
 	}
+	if (t->server->ops->declines(t->server->arg, &request.peer)) {
+		tunnel_refuse(t, TUNNEL_DECLINED);
+		return;
+	}
 	t->peer = request.peer;
 	log_debug("tunnel_opening", "from=%08x tunnels=%u", request.name_hash,
 	    t->server->n_tunnels);
@@ -382,7 +418,7 @@
 
 /**
  * tunnel_server_open() - start to accept requests for tunnels.
- * @server: the gateway; credential is filled in
+ * @server: the gateway; ops, arg, source and credential are filled in
  * @loop: the event loop
  * @addr: address to listen at
  *
--- a/src/tunnel-server.h
+++ b/src/tunnel-server.h
@@ -11,8 +11,20 @@
 struct tunnel;
 TAILQ_HEAD(tunnel_list, tunnel);
 
+/**
+ * struct tunnel_server_ops - what the gateway asks of its daemon.
+ * @declines: whether an endpoint wants nothing from this daemon for now
+ * @noted: another daemon has learned that of an endpoint, through this one
+ */
+struct tunnel_server_ops {
+	bool (*declines)(void *, const struct sockaddr_in *);
+	void (*noted)(void *, const struct tunnel_request *);
+};
+
 /**
  * struct tunnel_server - the gateway.
+ * @ops: what it asks of its daemon
+ * @arg: first argument of @ops
  * @loop: the event loop
  * @listener: listening socket
  * @source: source address of connections to endpoints; 0.0.0.0 for any
@@ -26,6 +38,8 @@
  * @unreached_ms: loop time of the last of them
  */
 struct tunnel_server {
+	const struct tunnel_server_ops *ops;
+	void *arg;
 	uv_loop_t *loop;
 	uv_tcp_t listener;
 	struct sockaddr_in source;
@@ -39,6 +53,7 @@
 	uint64_t unreached_ms;
 };
 
+void tunnel_server_decline(struct tunnel_server *, const struct sockaddr_in *);
 int tunnel_server_open(struct tunnel_server *, uv_loop_t *,
     const struct sockaddr_in *);
 
