Find gateways in large fleets, and blame no endpoint while paths are in doubt

Cause: a daemon in a cell hears its relay only; a gateway that is cut off itself took 150 ms to say so; and a connection to a plain endpoint that was not made within a third of the objective put it into a cooldown and warned the others, whoever's path was lost. Change: a gateway names up to eight others (relays of other cells and members of its own) to a daemon that knows too few; one whose own paths were lost together, with nothing heard since, refuses at once; and while a daemon's path is in doubt a missing connection neither starts a cooldown nor a warning.

--- a/src/edge-tunnel.c
+++ b/src/edge-tunnel.c
@@ -3,6 +3,9 @@
 #include "edge.h"
 #include "event-log.h"
 
+/* A lost path that was tried within this time is taken for lost still. */
+#define LOST_PATH_MS 1000
+
 /* A gateway that was notified. */
 static void
 on_notified(struct net_link *link)
@@ -54,17 +57,35 @@
 		    e);
 }
 
-/* Whether an endpoint wants nothing from this daemon for now. */
+/* Whether this daemon is cut off itself: direct paths were lost together, and
+ * nothing was heard directly since. */
 static bool
-tunnel_declines(void *arg, const struct sockaddr_in *peer)
+edge_is_cut_off(const struct edge *e)
+{
+	const struct net_tunnels *tunnels = &e->gateways.tunnels;
+
+	return (tunnels->doubt_ms > tunnels->heard_ms);
+}
+
+/* Whether an endpoint may be asked on behalf of another daemon. */
+static enum tunnel_result
+tunnel_judge(void *arg, const struct sockaddr_in *peer)
 {
 	const struct edge *e = arg;
+	uint64_t now = clock_loop_ms(e->loop);
 	const struct endpoint *ep =
 	    fleet_find_by_address(&e->registry.fleet, peer);
+	const struct net_path *path = ep != NULL ? &ep->pool.path : NULL;
 
-	return (ep != NULL &&
-	    (ep->draining ||
-		endpoint_backoff_active(&ep->backoff, clock_loop_ms(e->loop))));
+	if (edge_is_cut_off(e))
+		return (TUNNEL_UNREACHED);
+	if (ep == NULL)
+		return (TUNNEL_OPEN);
+	if (path->lost_ms != 0 && now - path->probed_ms < LOST_PATH_MS)
+		return (TUNNEL_UNREACHED);
+	if (ep->draining || endpoint_backoff_active(&ep->backoff, now))
+		return (TUNNEL_DECLINED);
+	return (TUNNEL_OPEN);
 }
 
 /* Another daemon has learned, through this one, that an endpoint wants nothing
@@ -91,8 +112,17 @@
 	tunnel_server_decline(&e->tunnels, &request->peer);
 }
 
+static unsigned
+tunnel_list(void *arg, struct tunnel_gateway list[TUNNEL_LIST_MAX])
+{
+	const struct edge *e = arg;
+
+	return (mesh_gateways_list(&e->mesh, list));
+}
+
 static const struct tunnel_server_ops tunnel_ops = {
-	.declines = tunnel_declines,
+	.list = tunnel_list,
+	.judge = tunnel_judge,
 	.noted = tunnel_noted,
 };
 
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -243,6 +243,7 @@
 
 /* fwd-path.c: whether an exchange waits because its path is lost. */
 enum fwd_path_verdict fwd_path_judge(const struct fwd_exchange *, uint64_t);
+bool fwd_path_doubted(const struct endpoint *);
 void fwd_path_note(struct fwd_exchange *);
 
 /* fwd-retry.c: retries. */
--- a/src/fwd-path.c
+++ b/src/fwd-path.c
@@ -114,6 +114,20 @@
 			   path_judge_direct(ex, now_ms));
 }
 
+/**
+ * fwd_path_doubted() - whether this daemon may not reach an endpoint directly,
+ *	so that a missing connection tells nothing about the endpoint.
+ * @ep: the endpoint
+ */
+bool
+fwd_path_doubted(const struct endpoint *ep)
+{
+	const struct net_tunnels *tunnels = ep->pool.tunnels;
+
+	return (tunnels != NULL &&
+	    net_path_state(&ep->pool.path, tunnels) != NET_PATH_DIRECT);
+}
+
 /**
  * fwd_path_note() - note through which gateway an exchange goes, for the log.
  * @ex: the exchange, with a connection to its endpoint
--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -35,6 +35,8 @@
  * several round trips between failure domains. */
 #define CONNECT_PLAIN_PART (1.0 / 3)
 #define CONNECT_PLAIN_MIN_MS 50
+/* Added where a tunnel is tried beside the direct connection. */
+#define CONNECT_TUNNEL_MS 60
 /* Cooldown after that: a single lost packet is no reason for a longer one. */
 #define COOLDOWN_CONNECT_MS 500
 /* If no daemon has heard from an endpoint for this time, a missing connection
@@ -145,6 +147,10 @@
 	bool plain = ex->model == NULL && ex->fwd->set.balance_spread;
 	uint64_t ms = plain ? COOLDOWN_CONNECT_MS : COOLDOWN_SILENT_MS;
 
+	if (fwd_path_doubted(ep)) {
+		fwd_exchange_move(ex, false, "no_path_in_time");
+		return;
+	}
 	if (plain && fwd_silence_unheard(ep, now)) {
 		event_log(LOG_NOTICE, "endpoint_unheard",
 		    "endpoint=%s silent_ms=%llu id=%s", ep->report.id,
@@ -169,6 +175,8 @@
 	double timeout = fwd_silence_connect_ms(plain,
 	    (double)ex->route->objective_ms, ex->usable_at_send);
 
+	if (ex->endpoint->pool.tunnels != NULL)
+		timeout = MIN(timeout + CONNECT_TUNNEL_MS, CONNECT_TIMEOUT_MS);
 	if ((double)(now_ms - ex->sent_ms) > timeout &&
 	    now_ms >= ex->fwd->grace_until_ms)
 		exchange_handle_no_connection(ex, now_ms);
--- a/src/mesh-gateway.c
+++ b/src/mesh-gateway.c
@@ -19,9 +19,19 @@
  * tunnels. */
 #define FOREIGN_TUNNELS 2
 
-/* Whether a daemon can be a gateway at all. */
-static bool
-peer_eligible(const struct mesh *mesh, const struct mesh_peer *peer,
+/* How long a gateway that another one named is considered, and how many
+ * failures in a row it may have. */
+#define NAMED_MS 30000
+#define NAMED_FAILURES_MAX 3
+
+/**
+ * mesh_gateway_eligible() - whether a daemon that was heard can be a gateway.
+ * @mesh: the mesh
+ * @peer: the daemon
+ * @now_ms: loop time
+ */
+bool
+mesh_gateway_eligible(const struct mesh *mesh, const struct mesh_peer *peer,
     uint64_t now_ms)
 {
 	return (peer->heard_ms != 0 && peer->incarnation != 0 &&
@@ -29,58 +39,122 @@
 	    !peer->self.draining);
 }
 
-static struct mesh_gateway *
-gateway_find(struct mesh_gateways *g, uint32_t name_hash)
+/**
+ * mesh_gateway_find() - find a daemon that is considered.
+ * @g: the daemons that are considered
+ * @name_hash: hash of its name
+ */
+struct mesh_gateway *
+mesh_gateway_find(struct mesh_gateways *g, uint32_t name_hash)
 {
 	for (unsigned i = 0; i < g->n; i++) {
-		if (g->list[i].name_hash == name_hash)
+		if (g->list[i].gateway.name_hash == name_hash)
 			return (&g->list[i]);
 	}
 	return (NULL);
 }
 
-/* Chooses which daemons are considered: all eligible ones, or random ones if
- * there are too many. */
+/* Considers a daemon that was heard; keeps what is known of it. */
 static void
-gateways_refresh(struct mesh_gateways *g, uint64_t now_ms)
+gateway_set_heard(struct mesh_gateways *g, const struct mesh_peer *peer,
+    struct mesh_gateway *out)
+{
+	const struct mesh_gateway *known =
+	    mesh_gateway_find(g, peer->name_hash);
+
+	memset(out, 0, sizeof *out);
+	if (known != NULL)
+		*out = *known;
+	out->named_ms = 0;
+	out->recent *= RECENT_KEPT;
+	out->gateway.addr = peer->addr;
+	out->gateway.addr.sin_port = htons(g->port);
+	out->gateway.incarnation = peer->incarnation;
+	out->gateway.name_hash = peer->name_hash;
+	out->gateway.requester = g->mesh->name_hash;
+}
+
+/* Chooses among the daemons that are heard: all eligible ones, or random ones
+ * if there are too many. Returns their number. */
+static unsigned
+gateways_choose_heard(struct mesh_gateways *g, struct mesh_gateway *out,
+    uint64_t now_ms)
 {
-	struct mesh_gateway next[MESH_GATEWAYS_MAX];
 	const struct mesh_peer *peer;
 	unsigned n = 0, seen = 0;
 
-	memset(next, 0, sizeof next);
 	TAILQ_FOREACH(peer, &g->mesh->peers, entry) {
-		const struct mesh_gateway *known;
 		unsigned at = n;
 
-		if (!peer_eligible(g->mesh, peer, now_ms))
+		if (!mesh_gateway_eligible(g->mesh, peer, now_ms))
 			continue;
 		seen++;
-		if (n < MESH_GATEWAYS_MAX)
+		if (n < MESH_GATEWAYS_HEARD_MAX)
 			n++;
 		else
 			at = random_below(seen);
-		if (at >= MESH_GATEWAYS_MAX)
+		if (at < MESH_GATEWAYS_HEARD_MAX)
+			gateway_set_heard(g, peer, &out[at]);
+	}
+	return (n);
+}
+
+/* Whether a gateway that another one named is considered further. */
+static bool
+named_is_kept(const struct mesh_gateway *gateway, uint64_t now_ms)
+{
+	return (gateway->named_ms != 0 &&
+	    now_ms - gateway->named_ms < NAMED_MS &&
+	    gateway->failures <= NAMED_FAILURES_MAX);
+}
+
+/* Chooses anew which daemons are considered. */
+static void
+gateways_refresh(struct mesh_gateways *g, uint64_t now_ms)
+{
+	struct mesh_gateway next[MESH_GATEWAYS_MAX];
+	unsigned n = gateways_choose_heard(g, next, now_ms);
+	unsigned n_heard = n;
+
+	for (unsigned i = 0; i < g->n && n < MESH_GATEWAYS_MAX; i++) {
+		bool heard = false;
+
+		for (unsigned k = 0; k < n_heard; k++)
+			heard |= next[k].gateway.name_hash ==
+			    g->list[i].gateway.name_hash;
+		if (heard || !named_is_kept(&g->list[i], now_ms))
 			continue;
-		known = gateway_find(g, peer->name_hash);
-		memset(&next[at], 0, sizeof next[at]);
-		if (known != NULL)
-			next[at] = *known;
-		next[at].name_hash = peer->name_hash;
-		next[at].recent *= RECENT_KEPT;
+		next[n] = g->list[i];
+		next[n++].recent *= RECENT_KEPT;
 	}
-	memcpy(g->list, next, sizeof next);
+	memcpy(g->list, next, n * sizeof *next);
 	g->n = n;
 	g->refreshed_ms = now_ms;
 }
 
 /* Cost of a daemon as a gateway: its recent tunnels and how far it is. */
 static double
-gateway_cost(const struct mesh *mesh, const struct mesh_gateway *gateway,
-    const struct mesh_peer *peer)
+gateway_cost(const struct mesh *mesh, const struct mesh_gateway *gateway)
+{
+	const struct mesh_peer *peer =
+	    mesh_find_by_hash(mesh, gateway->gateway.name_hash);
+	bool local = peer != NULL && strcmp(peer->domain, mesh->domain) == 0;
+
+	return (gateway->recent + (local ? 0 : FOREIGN_TUNNELS));
+}
+
+/* Whether a daemon may be chosen. */
+static bool
+gateway_allowed(const struct mesh_gateways *g,
+    const struct mesh_gateway *gateway, uint64_t now_ms)
 {
-	return (gateway->recent +
-	    (strcmp(peer->domain, mesh->domain) == 0 ? 0 : FOREIGN_TUNNELS));
+	const struct mesh_peer *peer =
+	    mesh_find_by_hash(g->mesh, gateway->gateway.name_hash);
+
+	if (now_ms < gateway->avoid_until_ms)
+		return (false);
+	return (gateway->named_ms != 0 ||
+	    (peer != NULL && mesh_gateway_eligible(g->mesh, peer, now_ms)));
 }
 
 /* Draws a daemon that may be chosen, from a random one on. */
@@ -91,11 +165,8 @@
 
 	for (unsigned i = 0; i < g->n; i++) {
 		struct mesh_gateway *gateway = &g->list[(first + i) % g->n];
-		const struct mesh_peer *peer =
-		    mesh_find_by_hash(g->mesh, gateway->name_hash);
 
-		if (now_ms >= gateway->avoid_until_ms && peer != NULL &&
-		    peer_eligible(g->mesh, peer, now_ms))
+		if (gateway_allowed(g, gateway, now_ms))
 			return (gateway);
 	}
 	return (NULL);
@@ -108,27 +179,18 @@
 	struct mesh_gateways *g = arg;
 	uint64_t now = clock_loop_ms(g->mesh->loop);
 	struct mesh_gateway *one, *two;
-	const struct mesh_peer *peer, *other;
 
 	if (g->refreshed_ms == 0 || now - g->refreshed_ms >= REFRESH_MS)
 		gateways_refresh(g, now);
+	mesh_gateways_ask(g, now);
 	one = gateway_draw(g, now);
 	two = gateway_draw(g, now);
-	if (one == NULL || two == NULL)
+	if (one == NULL)
 		return (false);
-	peer = mesh_find_by_hash(g->mesh, one->name_hash);
-	other = mesh_find_by_hash(g->mesh, two->name_hash);
-	if (gateway_cost(g->mesh, two, other) <
-	    gateway_cost(g->mesh, one, peer)) {
+	if (gateway_cost(g->mesh, two) < gateway_cost(g->mesh, one))
 		one = two;
-		peer = other;
-	}
 	one->recent++;
-	out->addr = peer->addr;
-	out->addr.sin_port = htons(g->port);
-	out->incarnation = peer->incarnation;
-	out->name_hash = peer->name_hash;
-	out->requester = g->mesh->name_hash;
+	*out = one->gateway;
 	return (true);
 }
 
@@ -147,7 +209,7 @@
     enum tunnel_result result)
 {
 	struct mesh_gateways *g = arg;
-	struct mesh_gateway *gateway = gateway_find(g, out->name_hash);
+	struct mesh_gateway *gateway = mesh_gateway_find(g, out->name_hash);
 
 	/* A gateway that an endpoint declines may reach others. */
 	if (gateway == NULL || result == TUNNEL_DECLINED)
@@ -159,11 +221,15 @@
 	gateway->avoid_until_ms = clock_loop_ms(g->mesh->loop) +
 	    (AVOID_MIN_MS << MIN(gateway->failures, AVOID_DOUBLINGS));
 	gateway->failures++;
+	/* It has been restarted or is gone. */
+	if (gateway->named_ms != 0 && result == TUNNEL_NO_REPLY)
+		gateway->failures = NAMED_FAILURES_MAX + 1;
 	log_debug("tunnel_not_opened", "gateway=%s result=%s failures=%u",
 	    gateway_name(g, out), tunnel_result_name(result),
 	    gateway->failures);
 }
 
+/* Of a gateway that isn't heard, only its tunnels themselves tell. */
 static bool
 gateway_usable(void *arg, const struct net_gateway *out)
 {
@@ -171,8 +237,10 @@
 	const struct mesh_peer *peer =
 	    mesh_find_by_hash(g->mesh, out->name_hash);
 
-	return (peer != NULL && peer->incarnation == out->incarnation &&
-	    peer_eligible(g->mesh, peer, clock_loop_ms(g->mesh->loop)));
+	if (peer == NULL || peer->heard_ms == 0)
+		return (true);
+	return (peer->incarnation == out->incarnation &&
+	    mesh_gateway_eligible(g->mesh, peer, clock_loop_ms(g->mesh->loop)));
 }
 
 static const struct net_gateway_ops gateway_ops = {
--- a/src/net-tunnel.c
+++ b/src/net-tunnel.c
@@ -35,7 +35,7 @@
 
 	if (!xdr_uint32_t(xdr, &magic) || magic != TUNNEL_MAGIC ||
 	    !xdr_uint32_t(xdr, &kind) || kind < TUNNEL_CONNECT ||
-	    kind > TUNNEL_NOTE_DRAINING || !xdr_uint32_t(xdr, &request->ms) ||
+	    kind > TUNNEL_LIST || !xdr_uint32_t(xdr, &request->ms) ||
 	    !xdr_uint32_t(xdr, &ip) || !xdr_uint32_t(xdr, &port) ||
 	    port > UINT16_MAX || !xdr_uint64_t(xdr, &request->credential) ||
 	    !xdr_uint32_t(xdr, &request->name_hash))
@@ -123,6 +123,72 @@
 	return (ok && magic == TUNNEL_MAGIC && code < TUNNEL_NO_REPLY);
 }
 
+static bool_t
+xdr_gateway(XDR *xdr, struct tunnel_gateway *gateway)
+{
+	uint32_t ip = gateway->addr.sin_addr.s_addr;
+	uint32_t port = ntohs(gateway->addr.sin_port);
+
+	if (!xdr_uint32_t(xdr, &ip) || !xdr_uint32_t(xdr, &port) ||
+	    port > UINT16_MAX || !xdr_uint64_t(xdr, &gateway->incarnation) ||
+	    !xdr_uint32_t(xdr, &gateway->name_hash))
+		return (FALSE);
+	gateway->addr.sin_family = AF_INET;
+	gateway->addr.sin_addr.s_addr = ip;
+	gateway->addr.sin_port = htons((uint16_t)port);
+	return (TRUE);
+}
+
+/**
+ * tunnel_list_encode() - encode a list of gateways.
+ * @list: the gateways
+ * @n: number of these, TUNNEL_LIST_MAX at most
+ * @out: output buffer
+ *
+ * Return: length of the encoded list.
+ */
+size_t
+tunnel_list_encode(const struct tunnel_gateway *list, unsigned n,
+    char out[TUNNEL_LIST_BYTES])
+{
+	size_t length;
+	XDR xdr;
+
+	xdrmem_create(&xdr, out, TUNNEL_LIST_BYTES, XDR_ENCODE);
+	for (unsigned i = 0; i < n; i++) {
+		struct tunnel_gateway copy = list[i];
+
+		xdr_gateway(&xdr, &copy);
+	}
+	length = xdr_getpos(&xdr);
+	xdr_destroy(&xdr);
+	return (length);
+}
+
+/**
+ * tunnel_list_decode() - decode a list of gateways.
+ * @list: filled in
+ * @in: the encoded list
+ * @length: its length
+ *
+ * Return: number of gateways.
+ */
+unsigned
+tunnel_list_decode(struct tunnel_gateway list[TUNNEL_LIST_MAX], char *in,
+    size_t length)
+{
+	unsigned n = 0;
+	XDR xdr;
+
+	memset(list, 0, TUNNEL_LIST_MAX * sizeof *list);
+	xdrmem_create(&xdr, in, (u_int)length, XDR_DECODE);
+	while (n < TUNNEL_LIST_MAX && xdr_getpos(&xdr) < length &&
+	    xdr_gateway(&xdr, &list[n]))
+		n++;
+	xdr_destroy(&xdr);
+	return (n);
+}
+
 /**
  * tunnel_header_encode() - encode the header of a fragment.
  * @length: bytes of the fragment
--- a/src/net-tunnel.h
+++ b/src/net-tunnel.h
@@ -14,6 +14,10 @@
 #define TUNNEL_REPLY_BYTES 8
 #define TUNNEL_HEADER_BYTES 4
 
+/* Gateways in a list, and the largest size of one, in bytes. */
+#define TUNNEL_LIST_MAX 8
+#define TUNNEL_LIST_BYTES (TUNNEL_LIST_MAX * 20)
+
 /**
  * enum tunnel_result - outcome of a request for a tunnel.
  * @TUNNEL_OPEN: the gateway is connected to the peer
@@ -38,11 +42,13 @@
  * @TUNNEL_NOTE_BACKOFF: to note that the peer has asked for a backoff in what
  *	came through it
  * @TUNNEL_NOTE_DRAINING: to note that the peer has said there that it drains
+ * @TUNNEL_LIST: to name other gateways
  */
 enum tunnel_request_kind {
 	TUNNEL_CONNECT = 1,
 	TUNNEL_NOTE_BACKOFF,
 	TUNNEL_NOTE_DRAINING,
+	TUNNEL_LIST,
 };
 
 /**
@@ -62,6 +68,18 @@
 	uint32_t name_hash;
 };
 
+/**
+ * struct tunnel_gateway - a gateway that another one names.
+ * @addr: IPv4 address that it listens on for other daemons, and its port
+ * @incarnation: random number of its current run
+ * @name_hash: hash of its name
+ */
+struct tunnel_gateway {
+	struct sockaddr_in addr;
+	uint64_t incarnation;
+	uint32_t name_hash;
+};
+
 /**
  * struct tunnel_decoder - decoder of the fragments that the gateway sends: the
  * peer's bytes with the record marking of ONC RPC (RFC 5531, section 11), so
@@ -88,6 +106,10 @@
 void tunnel_reply_encode(enum tunnel_result, char[TUNNEL_REPLY_BYTES]);
 bool tunnel_reply_decode(enum tunnel_result *, char[TUNNEL_REPLY_BYTES]);
 const char *tunnel_result_name(enum tunnel_result);
+size_t tunnel_list_encode(const struct tunnel_gateway *, unsigned,
+    char[TUNNEL_LIST_BYTES]);
+unsigned tunnel_list_decode(struct tunnel_gateway[TUNNEL_LIST_MAX], char *,
+    size_t);
 void tunnel_header_encode(uint32_t, bool, char[TUNNEL_HEADER_BYTES]);
 size_t tunnel_decode(struct tunnel_decoder *, const char *, size_t,
     const char **, size_t *);
--- a/src/tunnel-server.c
+++ b/src/tunnel-server.c
@@ -291,6 +291,22 @@
 	}
 }
 
+/* Names other gateways, in one fragment. */
+static void
+tunnel_send_list(struct tunnel *t)
+{
+	struct tunnel_gateway list[TUNNEL_LIST_MAX];
+	unsigned n = t->server->ops->list(t->server->arg, list);
+	char header[TUNNEL_HEADER_BYTES], out[TUNNEL_LIST_BYTES];
+	size_t length = tunnel_list_encode(list, n, out);
+
+	tunnel_reply(t, TUNNEL_OPEN);
+	tunnel_header_encode((uint32_t)length, true, header);
+	net_stream_write(&t->client, header, sizeof header);
+	net_stream_write(&t->client, out, length);
+	tunnel_close(t, false);
+}
+
 /* Handles a request that was read. */
 static void
 tunnel_handle_request(struct tunnel *t)
@@ -306,20 +322,22 @@
 		tunnel_reject(t, "credential");
 		return;
 	}
+	if (request.kind == TUNNEL_LIST) {
+		tunnel_send_list(t);
+		return;
+	}
 	if (request.kind != TUNNEL_CONNECT) {
 		t->server->ops->noted(t->server->arg, &request);
 		tunnel_reply(t, TUNNEL_OPEN);
 		tunnel_close(t, false);
 		return;
 	}
+	if (obstacle == TUNNEL_OPEN)
+		obstacle = t->server->ops->judge(t->server->arg, &request.peer);
 	if (obstacle != TUNNEL_OPEN) {
 		tunnel_refuse(t, obstacle);
 		return;
 	}
-	if (t->server->ops->declines(t->server->arg, &request.peer)) {
-		tunnel_refuse(t, TUNNEL_DECLINED);
-		return;
-	}
 	t->peer = request.peer;
 	log_debug("tunnel_opening", "from=%08x tunnels=%u", request.name_hash,
 	    t->server->n_tunnels);
--- a/src/tunnel-server.h
+++ b/src/tunnel-server.h
@@ -13,12 +13,14 @@
 
 /**
  * struct tunnel_server_ops - what the gateway asks of its daemon.
- * @declines: whether an endpoint wants nothing from this daemon for now
+ * @judge: whether an endpoint may be asked: TUNNEL_OPEN, or why not
  * @noted: another daemon has learned that of an endpoint, through this one
+ * @list: fills in other gateways; returns their number
  */
 struct tunnel_server_ops {
-	bool (*declines)(void *, const struct sockaddr_in *);
+	enum tunnel_result (*judge)(void *, const struct sockaddr_in *);
 	void (*noted)(void *, const struct tunnel_request *);
+	unsigned (*list)(void *, struct tunnel_gateway[TUNNEL_LIST_MAX]);
 };
 
 /**
