Check the path of tunneled requests sooner

Cause: what a plain response may take was taken from the mean duration without a bound, so that the loss of a gateway's own links was checked after the route's timeout when responses were slow; and that other endpoints are heard directly tells nothing about a gateway. Change: a byte is expected within 400 ms at most, and after a gateway's silence of 200 ms beyond that it is probed. The test's slow response takes 600 ms, since the silence rule for plain endpoints moves a request after 700 ms, whatever its path.

--- a/src/fwd-path.c
+++ b/src/fwd-path.c
@@ -13,18 +13,24 @@
 #define CHECK_MS 300
 /* Pause between two checks, at least; it grows with the silence. */
 #define CHECK_PAUSE_MS 400
+/* Longest time within which a byte is expected. */
+#define EXPECTED_MAX_MS 400
 /* A plain response may take this multiple of the mean duration. */
 #define PLAIN_FACTOR 2
 
-/* Time within which a byte is expected. */
+/* Time within which a byte is expected; at most EXPECTED_MAX_MS, since a check
+ * costs less than a response that is lost. */
 static double
 path_expected_ms(const struct fwd_exchange *ex)
 {
+	double expected = 0;
+
 	if (ex->in_backlog)
-		return (ex->silence_ms);
-	if (ex->model != NULL)
-		return (0);
-	return (PLAIN_FACTOR * fwd_exchange_estimate(ex)->duration_ms);
+		expected = ex->silence_ms;
+	else if (ex->model == NULL)
+		expected =
+		    PLAIN_FACTOR * fwd_exchange_estimate(ex)->duration_ms;
+	return (MIN(expected, EXPECTED_MAX_MS));
 }
 
 /* Whether the exchange is silent for so long that its path is to be checked. */
@@ -33,7 +39,7 @@
 {
 	const struct net_tunnels *tunnels = ex->endpoint->pool.tunnels;
 	uint64_t silent = now_ms - MIN(ex->heard_ms, now_ms);
-	bool others_heard =
+	bool others_heard = !net_conn_tunneled(ex->upstream) &&
 	    now_ms - MIN(tunnels->heard_ms, now_ms) < OTHERS_HEARD_MS;
 
 	return ((double)silent > path_expected_ms(ex) +
