--- a/src/fwd-path.c
+++ b/src/fwd-path.c
@@ -66,7 +66,9 @@
 
 	if (path->lost_ms > ex->heard_ms)
 		return (FWD_PATH_LOST);
-	if (now_ms - MIN(path->heard_ms, now_ms) < SILENT_MS)
+	/* An endpoint that nobody hears is silent itself. */
+	if (now_ms - MIN(path->heard_ms, now_ms) < SILENT_MS ||
+	    ex->endpoint->peer_heard_ms <= ex->heard_ms)
 		return (FWD_PATH_SOUND);
 	if (path_check_due(ex, path->checked_ms, now_ms)) {
 		net_pool_check(pool);
--- a/src/mesh-gateway.c
+++ b/src/mesh-gateway.c
@@ -211,8 +211,9 @@
 	struct mesh_gateways *g = arg;
 	struct mesh_gateway *gateway = mesh_gateway_find(g, out->name_hash);
 
-	/* A gateway that an endpoint declines may reach others. */
-	if (gateway == NULL || result == TUNNEL_DECLINED)
+	/* A gateway that an endpoint refuses or declines may reach others. */
+	if (gateway == NULL || result == TUNNEL_DECLINED ||
+	    result == TUNNEL_REFUSED)
 		return;
 	if (result == TUNNEL_OPEN) {
 		gateway->failures = 0;
--- a/src/net-dial.c
+++ b/src/net-dial.c
@@ -187,6 +187,10 @@
 
 	dial->tunnel = NULL;
 	tunnels->ops->report(tunnels->arg, gateway, result);
+	if (result == TUNNEL_REFUSED && dial->refused) {
+		dial_fail(dial);
+		return;
+	}
 	if (dial_start_tunnel(dial) || dial->direct != NULL)
 		return;
 	/* A lost path that was not probed now is better than none. */
--- a/src/net-probe.c
+++ b/src/net-probe.c
@@ -54,7 +54,8 @@
 static void
 on_failed(struct net_link *link, enum tunnel_result result)
 {
-	probe_end(link->owner, result == TUNNEL_DECLINED);
+	probe_end(link->owner,
+	    result == TUNNEL_DECLINED || result == TUNNEL_REFUSED);
 }
 
 /* It is closed once it is established. */
--- a/src/net-tunnel.c
+++ b/src/net-tunnel.c
@@ -12,8 +12,8 @@
 /* Set in the header of the last fragment. */
 #define FRAGMENT_LAST 0x80000000u
 
-static const char *const result_names[] = { "open", "unreached", "declined",
-	"busy", "draining", "no_reply" };
+static const char *const result_names[] = { "open", "unreached", "refused",
+	"declined", "busy", "draining", "no_reply" };
 
 /**
  * tunnel_result_name() - name of a result, for logs.
--- a/src/net-tunnel.h
+++ b/src/net-tunnel.h
@@ -22,6 +22,7 @@
  * enum tunnel_result - outcome of a request for a tunnel.
  * @TUNNEL_OPEN: the gateway is connected to the peer
  * @TUNNEL_UNREACHED: the gateway doesn't reach the peer
+ * @TUNNEL_REFUSED: the peer refuses the gateway's connection
  * @TUNNEL_DECLINED: the peer wants nothing from the gateway for now
  * @TUNNEL_BUSY: the gateway has as many tunnels as it may
  * @TUNNEL_DRAINING: the gateway is shutting down
@@ -30,6 +31,7 @@
 enum tunnel_result {
 	TUNNEL_OPEN,
 	TUNNEL_UNREACHED,
+	TUNNEL_REFUSED,
 	TUNNEL_DECLINED,
 	TUNNEL_BUSY,
 	TUNNEL_DRAINING,
--- a/src/tunnel-server.c
+++ b/src/tunnel-server.c
@@ -211,7 +211,7 @@
 	char header[TUNNEL_HEADER_BYTES];
 
 	if (t->state == TUNNEL_CONNECTING) {
-		tunnel_refuse(t, TUNNEL_UNREACHED);
+		tunnel_refuse(t, TUNNEL_REFUSED);
 		return;
 	}
 	if (!clean || t->state == TUNNEL_ENDING) {
