--- a/src/edge-drain.c
+++ b/src/edge-drain.c
@@ -62,7 +62,7 @@
 	e->mesh.self.draining = true;
 	mesh_send_now(&e->mesh);
 	fwd_drain(&e->fwd);
-	e->tunnels.draining = true;
+	tunnel_server_drain(&e->tunnels);
 	uv_timer_start(&e->drain_timer, on_drain_timer, DRAIN_POLL_MS,
 	    DRAIN_POLL_MS);
 }
--- a/src/edge-tunnel.c
+++ b/src/edge-tunnel.c
@@ -20,22 +20,9 @@
 	    link->gateway.name_hash, tunnel_result_name(result));
 }
 
-/* The link is closed once the gateway has replied. */
-static void
-on_readable(struct net_link *link, const char *at, size_t length)
-{
-}
-
-static void
-on_ended(struct net_link *link, bool clean)
-{
-}
-
 static const struct net_link_ops notify_ops = {
 	.established = on_notified,
 	.failed = on_not_notified,
-	.readable = on_readable,
-	.ended = on_ended,
 };
 
 /* An endpoint wants nothing from this daemon for so many ms, or, if 0, as it
--- a/src/mesh-gateway-names.c
+++ b/src/mesh-gateway-names.c
@@ -68,11 +68,6 @@
 	place->gateway.requester = g->mesh->name_hash;
 }
 
-static void
-on_established(struct net_link *link)
-{
-}
-
 static void
 on_failed(struct net_link *link, enum tunnel_result result)
 {
@@ -107,7 +102,6 @@
 }
 
 static const struct net_link_ops ask_ops = {
-	.established = on_established,
 	.failed = on_failed,
 	.readable = on_readable,
 	.ended = on_ended,
--- a/src/net-dial.c
+++ b/src/net-dial.c
@@ -209,22 +209,9 @@
 		tunnel_failed(dial, &link->gateway, result);
 }
 
-/* A link that is not established has no owner to read it. */
-static void
-on_readable(struct net_link *link, const char *at, size_t length)
-{
-}
-
-static void
-on_ended(struct net_link *link, bool clean)
-{
-}
-
 static const struct net_link_ops dial_link_ops = {
 	.established = on_established,
 	.failed = on_failed,
-	.readable = on_readable,
-	.ended = on_ended,
 };
 
 /* Leaves out the time for which this process was stopped: what arrived
--- a/src/net-link.c
+++ b/src/net-link.c
@@ -21,7 +21,8 @@
 link_establish(struct net_link *link)
 {
 	link->established = true;
-	link->ops->established(link);
+	if (link->ops->established != NULL)
+		link->ops->established(link);
 }
 
 /* Sends the request to the gateway. */
@@ -34,6 +35,22 @@
 	net_stream_write(&link->stream, out, sizeof out);
 }
 
+/* Passes bytes of the peer on. */
+static void
+link_pass(struct net_link *link, const char *at, size_t length)
+{
+	if (length > 0 && link->ops->readable != NULL)
+		link->ops->readable(link, at, length);
+}
+
+/* Reports the end of the connection, or of what the peer sends (clean). */
+static void
+link_end(struct net_link *link, bool clean)
+{
+	if (link->ops != NULL && link->ops->ended != NULL)
+		link->ops->ended(link, clean);
+}
+
 static void
 stream_connected(struct net_stream *stream)
 {
@@ -75,8 +92,7 @@
 		size_t used =
 		    tunnel_decode(&link->decoder, at, length, &data, &n_data);
 
-		if (n_data > 0)
-			link->ops->readable(link, data, n_data);
+		link_pass(link, data, n_data);
 		at += used;
 		length -= used;
 		if (link->decoder.declined && link->ops != NULL &&
@@ -84,8 +100,7 @@
 			link->ops->declined(link);
 		link->decoder.declined = false;
 		if (tunnel_decoder_ended(&link->decoder)) {
-			if (link->ops != NULL)
-				link->ops->ended(link, true);
+			link_end(link, true);
 			return;
 		}
 	}
@@ -100,7 +115,7 @@
 	if (link->ops == NULL)
 		return;
 	if (!link->tunnel) {
-		link->ops->readable(link, at, length);
+		link_pass(link, at, length);
 		return;
 	}
 	if (!link->established)
@@ -119,7 +134,7 @@
 	if (!link->established)
 		link_fail(link, TUNNEL_NO_REPLY);
 	else
-		link->ops->ended(link, clean && !link->tunnel);
+		link_end(link, clean && !link->tunnel);
 }
 
 static void
--- a/src/net-link.h
+++ b/src/net-link.h
@@ -9,12 +9,13 @@
 struct net_link;
 
 /**
- * struct net_link_ops - callbacks to the owner of a link.
+ * struct net_link_ops - callbacks to the owner of a link; all but @failed may
+ *be NULL.
  * @established: the peer is reached
  * @failed: it was not; for a tunnel, with the outcome; called instead of
  *	@established, and the owner has lost the link
  * @readable: bytes arrived
- * @declined: the peer wants no more requests from the gateway; may be NULL
+ * @declined: the peer wants no more requests from the gateway
  * @ended: the connection failed, or the peer closed its side (clean)
  */
 struct net_link_ops {
--- a/src/net-probe.c
+++ b/src/net-probe.c
@@ -58,22 +58,9 @@
 	    result == TUNNEL_DECLINED || result == TUNNEL_REFUSED);
 }
 
-/* It is closed once it is established. */
-static void
-on_readable(struct net_link *link, const char *at, size_t length)
-{
-}
-
-static void
-on_ended(struct net_link *link, bool clean)
-{
-}
-
 static const struct net_link_ops probe_link_ops = {
 	.established = on_established,
 	.failed = on_failed,
-	.readable = on_readable,
-	.ended = on_ended,
 };
 
 static void
--- a/src/tunnel-server.c
+++ b/src/tunnel-server.c
@@ -269,6 +269,18 @@
 		tunnel_refuse(t, TUNNEL_UNREACHED);
 }
 
+/* Has the requester of a tunnel send no more requests through it. */
+static void
+tunnel_decline(struct tunnel *t)
+{
+	char header[TUNNEL_HEADER_BYTES];
+
+	if (t->state != TUNNEL_SERVING)
+		return;
+	tunnel_header_encode(0, false, header);
+	net_stream_write(&t->client, header, sizeof header);
+}
+
 /**
  * tunnel_server_decline() - have the requesters of tunnels to an endpoint send
  *	it no more requests through them.
@@ -279,18 +291,32 @@
 tunnel_server_decline(struct tunnel_server *server,
     const struct sockaddr_in *peer)
 {
-	char header[TUNNEL_HEADER_BYTES];
 	struct tunnel *t;
 
-	tunnel_header_encode(0, false, header);
 	TAILQ_FOREACH(t, &server->tunnels, entry) {
-		if (t->state == TUNNEL_SERVING &&
-		    t->peer.sin_addr.s_addr == peer->sin_addr.s_addr &&
+		if (t->peer.sin_addr.s_addr == peer->sin_addr.s_addr &&
 		    t->peer.sin_port == peer->sin_port)
-			net_stream_write(&t->client, header, sizeof header);
+			tunnel_decline(t);
 	}
 }
 
+/**
+ * tunnel_server_drain() - open no more tunnels; those that are open end with
+ *the requests that are under way.
+ * @server: the gateway
+ */
+void
+tunnel_server_drain(struct tunnel_server *server)
+{
+	struct tunnel *t;
+
+	if (server->loop == NULL)
+		return;
+	server->draining = true;
+	TAILQ_FOREACH(t, &server->tunnels, entry)
+		tunnel_decline(t);
+}
+
 /* Names other gateways, in one fragment. */
 static void
 tunnel_send_list(struct tunnel *t)
--- a/src/tunnel-server.h
+++ b/src/tunnel-server.h
@@ -27,7 +27,7 @@
  * struct tunnel_server - the gateway.
  * @ops: what it asks of its daemon
  * @arg: first argument of @ops
- * @loop: the event loop
+ * @loop: the event loop; NULL while it is not open
  * @listener: listening socket
  * @source: source address of connections to endpoints; 0.0.0.0 for any
  * @credential: what requests must contain
@@ -56,6 +56,7 @@
 };
 
 void tunnel_server_decline(struct tunnel_server *, const struct sockaddr_in *);
+void tunnel_server_drain(struct tunnel_server *);
 int tunnel_server_open(struct tunnel_server *, uv_loop_t *,
     const struct sockaddr_in *);
 
