--- a/src/edge-tunnel.c
+++ b/src/edge-tunnel.c
@@ -64,7 +64,8 @@
 	    fleet_find_by_address(&e->registry.fleet, peer);
 	const struct net_path *path = ep != NULL ? &ep->pool.path : NULL;
 
-	if (edge_is_cut_off(e))
+	/* What endpoints say through tunnels is noted with their entries. */
+	if (edge_is_cut_off(e) || !e->registry.endpoints.synced)
 		return (TUNNEL_UNREACHED);
 	if (ep == NULL)
 		return (TUNNEL_OPEN);
