--- a/src/fwd-feedback.c
+++ b/src/fwd-feedback.c
@@ -78,12 +78,14 @@
 {
 	struct endpoint *ep = ex->endpoint;
 
-	if (fb->number != 1 || ep->draining)
+	if (fb->number != 1)
+		return;
+	feedback_declined(ex, 0);
+	if (ep->draining)
 		return;
 	/* Its entry in the store may tell that later, or not at all while the
 	 * store is unreachable. */
 	ep->draining = true;
-	feedback_declined(ex, 0);
 	fwd_stats_count(&ex->fwd->stats, COUNT_DRAINING);
 	event_log(LOG_NOTICE, "endpoint_leaves",
 	    "endpoint=%s started_ms=%lld entry_age_ms=%llu inflight=%u id=%s",
