Remove what the tunnels left unread or double

By reading the whole change: the time at which a probe reached a peer was never read; how a gateway is reached was filled in twice, and so was how one is named; each direct response of an endpoint that is known to drain walked all tunnels again, which only the first one needs (a tunneled one still has its gateway told); a check for a connection that is always there; four comments that the formatter had broken. Behaviour is otherwise as before.

--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -86,8 +86,8 @@
  *	crashes endpoints
  * @crash_suspected: the fingerprint was reported as a suspect since the
  *	endpoint fell silent
- * @path_doubted: its path to the endpoint may be lost, so that its silence
- *tells nothing about the endpoint
+ * @path_doubted: its path to the endpoint may be lost: its silence tells
+ *	nothing about the endpoint
  * @gateway: name of the gateway of its last send; NULL for none
  * @paused: reading from the endpoint is paused for a slow client
  * @entry: entry in the proxy's list
--- a/src/fwd-feedback.c
+++ b/src/fwd-feedback.c
@@ -43,7 +43,7 @@
 {
 	const struct net_gateway *gateway = NULL;
 
-	if (ex->upstream != NULL && net_conn_tunneled(ex->upstream))
+	if (net_conn_tunneled(ex->upstream))
 		gateway = &ex->upstream->link->gateway;
 	if (ex->fwd->on_declined != NULL)
 		ex->fwd->on_declined(ex->fwd->on_declined_arg, ex->endpoint, ms,
@@ -80,7 +80,9 @@
 
 	if (fb->number != 1)
 		return;
-	feedback_declined(ex, 0);
+	/* Each gateway is told, also of what this daemon knows already. */
+	if (!ep->draining || net_conn_tunneled(ex->upstream))
+		feedback_declined(ex, 0);
 	if (ep->draining)
 		return;
 	/* Its entry in the store may tell that later, or not at all while the
--- a/src/mesh-gateway-names.c
+++ b/src/mesh-gateway-names.c
@@ -61,11 +61,7 @@
 		return;
 	memset(place, 0, sizeof *place);
 	place->named_ms = clock_loop_ms(g->mesh->loop);
-	place->gateway.addr = named->addr;
-	place->gateway.addr.sin_port = htons(g->port);
-	place->gateway.incarnation = named->incarnation;
-	place->gateway.name_hash = named->name_hash;
-	place->gateway.requester = g->mesh->name_hash;
+	mesh_gateway_set(g, place, named);
 }
 
 static void
@@ -144,14 +140,12 @@
 		at = random_below(*seen);
 	if (at >= max)
 		return;
-	list[at].addr = peer->addr;
-	list[at].incarnation = peer->incarnation;
-	list[at].name_hash = peer->name_hash;
+	list[at] = mesh_gateway_of(peer);
 }
 
 /**
  * mesh_gateways_list() - name gateways to another daemon: relays of other
- *cells, which are not cut off with this one, and members of this cell.
+ *	cells, which are not cut off with this one, and members of this cell.
  * @mesh: the mesh
  * @list: filled in with random ones
  *
--- a/src/mesh-gateway.c
+++ b/src/mesh-gateway.c
@@ -54,6 +54,37 @@
 	return (NULL);
 }
 
+/**
+ * mesh_gateway_of() - how a daemon is named as a gateway.
+ * @peer: the daemon
+ */
+struct tunnel_gateway
+mesh_gateway_of(const struct mesh_peer *peer)
+{
+	const struct tunnel_gateway named = { .addr = peer->addr,
+		.incarnation = peer->incarnation,
+		.name_hash = peer->name_hash };
+
+	return (named);
+}
+
+/**
+ * mesh_gateway_set() - fill in how a gateway is reached.
+ * @g: the daemons that are considered
+ * @gateway: the gateway
+ * @named: its address, incarnation and name
+ */
+void
+mesh_gateway_set(const struct mesh_gateways *g, struct mesh_gateway *gateway,
+    const struct tunnel_gateway *named)
+{
+	gateway->gateway.addr = named->addr;
+	gateway->gateway.addr.sin_port = htons(g->port);
+	gateway->gateway.incarnation = named->incarnation;
+	gateway->gateway.name_hash = named->name_hash;
+	gateway->gateway.requester = g->mesh->name_hash;
+}
+
 /* Considers a daemon that was heard; keeps what is known of it. */
 static void
 gateway_set_heard(struct mesh_gateways *g, const struct mesh_peer *peer,
@@ -61,17 +92,14 @@
 {
 	const struct mesh_gateway *known =
 	    mesh_gateway_find(g, peer->name_hash);
+	const struct tunnel_gateway named = mesh_gateway_of(peer);
 
 	memset(out, 0, sizeof *out);
 	if (known != NULL)
 		*out = *known;
 	out->named_ms = 0;
 	out->recent *= RECENT_KEPT;
-	out->gateway.addr = peer->addr;
-	out->gateway.addr.sin_port = htons(g->port);
-	out->gateway.incarnation = peer->incarnation;
-	out->gateway.name_hash = peer->name_hash;
-	out->gateway.requester = g->mesh->name_hash;
+	mesh_gateway_set(g, out, &named);
 }
 
 /* Chooses among the daemons that are heard: all eligible ones, or random ones
--- a/src/mesh-gateway.h
+++ b/src/mesh-gateway.h
@@ -56,6 +56,9 @@
 void mesh_gateways_init(struct mesh_gateways *, struct mesh *, uint16_t);
 bool mesh_gateway_eligible(const struct mesh *, const struct mesh_peer *,
     uint64_t);
+struct tunnel_gateway mesh_gateway_of(const struct mesh_peer *);
+void mesh_gateway_set(const struct mesh_gateways *, struct mesh_gateway *,
+    const struct tunnel_gateway *);
 struct mesh_gateway *mesh_gateway_find(struct mesh_gateways *, uint32_t);
 
 /* mesh-gateway-names.c: gateways that other gateways name. */
--- a/src/net-link.h
+++ b/src/net-link.h
@@ -9,8 +9,8 @@
 struct net_link;
 
 /**
- * struct net_link_ops - callbacks to the owner of a link; all but @failed may
- *be NULL.
+ * struct net_link_ops - callbacks to the owner of a link, NULL where it needs
+ *	none; @failed is always called.
  * @established: the peer is reached
  * @failed: it was not; for a tunnel, with the outcome; called instead of
  *	@established, and the owner has lost the link
--- a/src/net-path.h
+++ b/src/net-path.h
@@ -79,14 +79,12 @@
  * @name_hash: hash of the gateway's name
  * @pending: it has no outcome yet
  * @started_ms: loop time at which it was started
- * @reached_ms: loop time at which the peer was reached; 0 if it was not
  * @lost_ms: loop time at which it was found not to be reached; 0 if it was
  */
 struct net_gateway_probe {
 	uint32_t name_hash;
 	bool pending;
 	uint64_t started_ms;
-	uint64_t reached_ms;
 	uint64_t lost_ms;
 };
 
--- a/src/net-probe.c
+++ b/src/net-probe.c
@@ -35,9 +35,7 @@
 	struct net_gateway_probe *result = &probe->pool->path.gateway;
 
 	result->pending = false;
-	if (reached)
-		result->reached_ms = clock_loop_ms(probe->pool->loop);
-	else
+	if (!reached)
 		result->lost_ms = clock_loop_ms(probe->pool->loop);
 	uv_close((uv_handle_t *)&probe->timer, on_timer_closed);
 }
@@ -88,7 +86,6 @@
 		.pending = true,
 		.started_ms = clock_loop_ms(pool->loop),
 	};
-
 	const struct tunnel_request request = { .kind = TUNNEL_CONNECT,
 		.peer = pool->addr };
 
--- a/src/tunnel-server.c
+++ b/src/tunnel-server.c
@@ -13,8 +13,8 @@
 /* Time for a request to arrive, and for an endpoint to be reached. */
 #define REQUEST_TIMEOUT_MS 1000
 #define CONNECT_TIMEOUT_MS 150
-/* After this many endpoints in a row were not reached, only one is tried within
- * this time: this daemon may be cut off itself. */
+/* After this many endpoints in a row were not reached, none is tried for this
+ * time: this daemon may be cut off itself. */
 #define UNREACHED_MAX 2
 #define UNREACHED_PAUSE_MS 300
 /* Bytes that wait for one side, from which on the other is not read. */
@@ -301,8 +301,8 @@
 }
 
 /**
- * tunnel_server_drain() - open no more tunnels; those that are open end with
- *the requests that are under way.
+ * tunnel_server_drain() - open no more tunnels; end the others with the
+ *	requests that are under way.
  * @server: the gateway
  */
 void
