--- a/Makefile
+++ b/Makefile
@@ -64,7 +64,7 @@
 	$(BUILD)/tests/fake-limit.o $(BUILD)/tests/fake-crash.o \
 	$(BUILD)/tests/fake-zone.o $(BUILD)/tests/fake-cold.o \
 	$(BUILD)/tests/fake-unaccepted.o $(BUILD)/tests/fake-cut.o
-$(BUILD)/test-mesh $(BUILD)/test-large: $(BUILD)/test-%: \
+$(BUILD)/test-mesh $(BUILD)/test-large $(BUILD)/test-entries: $(BUILD)/test-%: \
 	$(BUILD)/tests/test-%.o $(BUILD)/tests/fleet-script.o \
 	$(BUILD)/tests/fleet-script-config.o $(BUILD)/tests/fleet-script-storm.o \
 	$(BUILD)/tests/script.o $(BUILD)/libbanklift.a
--- a/src/fleet-model-daemon.c
+++ b/src/fleet-model-daemon.c
@@ -28,15 +28,25 @@
 
 static uv_loop_t model_loop;
 
-/* A daemon reads the entries from the store itself. */
+/* Reads the entries from the store. */
+static void
+daemon_read_entries(struct model_daemon *daemon)
+{
+	struct topic_follower *f = &daemon->registry.endpoints;
+
+	f->next = daemon->model->n_records;
+	f->peer_update_ms = fleet_model_clock(daemon);
+	model_daemon_learn_until(daemon, f->next);
+}
+
+/* A daemon lacks entries that no other daemon could send. */
 static void
 daemon_missed(void *arg)
 {
 	struct model_daemon *daemon = arg;
 
 	daemon->entry_reads++;
-	daemon->registry.endpoints.next = daemon->model->n_records;
-	daemon->registry.endpoints.peer_update_ms = fleet_model_clock(daemon);
+	daemon_read_entries(daemon);
 }
 
 /* Counts what a daemon was told to count, and its evidence of endpoints. */
@@ -68,11 +78,12 @@
 
 /* Takes the place of applying an entry: all endpoints are known. */
 static void
-record_ignore(void *owner, const struct store_record *record)
+record_learn(void *owner, const struct store_record *record)
 {
+	model_daemon_learn(owner, record->offset);
 }
 
-static const struct topic_follower_ops model_ops = { .record = record_ignore };
+static const struct topic_follower_ops model_ops = { .record = record_learn };
 
 /* Capacity of a daemon, in thousandths of a core. */
 static uint32_t
@@ -128,7 +139,10 @@
 	mesh->self.store_ok = true;
 	daemon->registry.endpoints.synced = true;
 	daemon->registry.endpoints.ops = &model_ops;
+	daemon->registry.endpoints.owner = daemon;
 	daemon->registry.endpoints.next = model->n_records;
+	daemon->known = g_byte_array_new();
+	daemon->known_end = model->n_records;
 	mesh_init(mesh, fleet_model_clock(daemon),
 	    fleet_model_random(model, UINT32_MAX) + 1);
 	daemon->up = true;
@@ -155,6 +169,7 @@
 	fleet_clear(&daemon->registry.fleet);
 	poison_release(&daemon->registry.poison);
 	catalog_unref(daemon->registry.catalog);
+	g_byte_array_free(daemon->known, TRUE);
 	g_free((char *)daemon->mesh.name);
 	g_free((char *)daemon->mesh.domain);
 	memset(&daemon->mesh, 0, sizeof daemon->mesh);
@@ -229,13 +244,11 @@
 }
 
 /**
- * model_daemon_feed() - distribute the entries that were read, with the given
- *	ones that changed.
+ * model_daemon_feed() - read the entries from the store and distribute them.
  * @daemon: the daemon
- * @n: number of changed entries
  */
 void
-model_daemon_feed(struct model_daemon *daemon, unsigned n)
+model_daemon_feed(struct model_daemon *daemon)
 {
 	struct topic_follower *f = &daemon->registry.endpoints;
 	g_autoptr(GArray) records =
@@ -243,16 +256,14 @@
 	uint64_t from = f->next;
 
 	g_array_set_clear_func(records, store_record_clear);
-	for (unsigned i = 0; i < n; i++) {
+	for (uint64_t at = from; at < daemon->model->n_records; at++) {
 		/* The end of an entry that nobody knows. */
-		struct store_record record = { .key = g_strdup_printf("x%u", i),
-			.offset = from + i };
+		struct store_record record = { .offset = at };
 
+		record.key = g_strdup_printf("x%" G_GUINT64_FORMAT, at);
 		g_array_append_val(records, record);
 	}
-	daemon->model->n_records += n;
-	f->next = daemon->model->n_records;
-	f->peer_update_ms = fleet_model_clock(daemon);
+	daemon_read_entries(daemon);
 	mesh_send_entries(&daemon->mesh, from, f->next, records);
 }
 
@@ -286,7 +297,7 @@
 	    daemon_queries_store(daemon, registry->endpoints.peer_update_ms,
 		FEED_STALE_MIN_MS, FEED_STALE_MAX_MS) &&
 	    daemon->mesh.self.store_ok)
-		model_daemon_feed(daemon, 0);
+		model_daemon_feed(daemon);
 }
 
 /**
--- a/src/fleet-model-daemon.h
+++ b/src/fleet-model-daemon.h
@@ -12,7 +12,12 @@
 void model_daemon_start(struct model_daemon *);
 void model_daemon_stop(struct model_daemon *);
 void model_daemon_step(struct model_daemon *);
-void model_daemon_feed(struct model_daemon *, unsigned);
+void model_daemon_feed(struct model_daemon *);
+
+void fleet_model_write(struct fleet_model *, unsigned);
+void fleet_model_step_stream(struct fleet_model *);
+void model_daemon_learn(struct model_daemon *, uint64_t);
+void model_daemon_learn_until(struct model_daemon *, uint64_t);
 
 struct sockaddr_in fleet_model_address(unsigned);
 GPtrArray *fleet_model_datagrams(void);
--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -53,6 +53,7 @@
 	model->in_flight = fleet_model_datagrams();
 	model->daemons = g_new0(struct model_daemon, n);
 	model->recorded = g_new0(bool, n);
+	model->written_ms = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	for (unsigned i = 0; i < n; i++) {
 		model->daemons[i].model = model;
 		model->daemons[i].index = i;
@@ -75,6 +76,7 @@
 	g_ptr_array_free(model->in_flight, TRUE);
 	g_free(model->daemons);
 	g_free(model->recorded);
+	g_array_free(model->written_ms, TRUE);
 	g_free(model);
 }
 
@@ -166,7 +168,8 @@
 void
 fleet_model_feed(struct fleet_model *model, unsigned index, unsigned n)
 {
-	model_daemon_feed(&model->daemons[index], n);
+	fleet_model_write(model, n);
+	model_daemon_feed(&model->daemons[index]);
 }
 
 /**
@@ -180,6 +183,7 @@
 	while (ms-- > 0) {
 		model->now_ms++;
 		fleet_model_deliver(model);
+		fleet_model_step_stream(model);
 		for (unsigned i = 0; i < model->n; i++)
 			model_daemon_step(&model->daemons[i]);
 	}
--- a/src/fleet-model.h
+++ b/src/fleet-model.h
@@ -3,10 +3,13 @@
 #ifndef BL_FLEET_MODEL_H
 #define BL_FLEET_MODEL_H
 
+#include "histogram.h"
 #include "mesh.h"
 
 /* Largest number of failure domains of a model. */
 #define MODEL_DOMAINS_MAX 16
+/* An entry is known late after this time. */
+#define MODEL_ENTRY_LATE_MS 1000
 /* Key of the sum that the daemons of a model exchange. */
 #define MODEL_DEMAND_KEY 1
 
@@ -37,6 +40,8 @@
  *	enough
  * @relay: its relay as of its last round
  * @demand: value that it counts under the key MODEL_DEMAND_KEY
+ * @known: for each entry in the store, whether this daemon knows it
+ * @known_end: it knows all entries before this offset
  */
 struct model_daemon {
 	struct mesh mesh;
@@ -60,6 +65,20 @@
 	unsigned store_queries;
 	const struct mesh_peer *relay;
 	uint32_t demand;
+	GByteArray *known;
+	uint64_t known_end;
+};
+
+/**
+ * struct model_stream - entries that change at a steady rate.
+ * @records: entries that change at a time
+ * @each_ms: interval between two such times
+ * @until_ms: virtual time at which that ends
+ */
+struct model_stream {
+	unsigned records;
+	unsigned each_ms;
+	uint64_t until_ms;
 };
 
 /**
@@ -77,6 +96,11 @@
  * @recorded: whether a daemon's address is in the store
  * @n_records: records of endpoints in the store
  * @append_free_ms: when the store takes the next append of an address
+ * @written_ms: virtual time at which each entry was written, of uint64_t
+ * @stream: entries that change at a steady rate
+ * @entry_delays: times in ms from the write of an entry until a daemon knew it
+ * @entry_delay_max_ms: the longest of them
+ * @n_entries_late: those of them beyond MODEL_ENTRY_LATE_MS
  */
 struct fleet_model {
 	uint64_t now_ms;
@@ -92,6 +116,26 @@
 	bool *recorded;
 	uint64_t n_records;
 	uint64_t append_free_ms;
+	GArray *written_ms;
+	struct model_stream stream;
+	struct histogram entry_delays;
+	uint64_t entry_delay_max_ms;
+	uint64_t n_entries_late;
+};
+
+/**
+ * struct model_entry_stats - how soon daemons know entries.
+ * @n: entries times the daemons that were running when they were written
+ * @late: those of them that were not known within MODEL_ENTRY_LATE_MS
+ * @lacking: those that are not known yet
+ * @longest_ms: longest time from an entry's write until a daemon knew it, or
+ *	until now
+ */
+struct model_entry_stats {
+	uint64_t n;
+	uint64_t late;
+	uint64_t lacking;
+	uint64_t longest_ms;
 };
 
 /**
@@ -160,6 +204,9 @@
 uint32_t fleet_model_random(struct fleet_model *, uint32_t);
 void fleet_model_reset_counts(struct fleet_model *);
 void fleet_model_measure(const struct fleet_model *, struct model_stats *);
+void fleet_model_stream(struct fleet_model *, unsigned, unsigned, uint64_t);
+void fleet_model_measure_entries(const struct fleet_model *,
+    struct model_entry_stats *);
 struct model_daemon *fleet_model_find(const struct fleet_model *, const char *);
 
 #endif
--- a/tests/fleet-script-config.c
+++ b/tests/fleet-script-config.c
@@ -121,3 +121,55 @@
 	    fleet_model_find(fleet_script_model, name)->index,
 	    (unsigned)script_number(rest, "records", 0));
 }
+
+/* stream N each=MS for=MS: from now on, the reader reads N changed entries at a
+ * time and distributes them */
+void
+fleet_script_stream(const char *rest, GString *out)
+{
+	fleet_model_stream(fleet_script_model,
+	    (unsigned)g_ascii_strtoull(rest, NULL, 10),
+	    (unsigned)script_number(rest, "each", 100),
+	    script_number(rest, "for", 1000));
+}
+
+/* Longest time after which the last daemon is to know an entry. */
+#define ENTRY_LAST_MS 2500
+/* Share of entries, in thousandths, that are to be known within
+ * MODEL_ENTRY_LATE_MS. */
+#define ENTRY_IN_TIME 999
+
+/*
+ * entry-delays: how many entries of a thousand the daemons knew within a second
+ * of their write, and after which time the last daemon knew the last one; both
+ * as the target says where it is met
+ */
+void
+fleet_script_entry_delays(const char *rest, GString *out)
+{
+	struct model_entry_stats s;
+	guint64 in_time;
+
+	fleet_model_measure_entries(fleet_script_model, &s);
+	in_time = s.n > 0 ? (s.n - s.late) * 1000 / s.n : 0;
+	g_string_append_printf(out,
+	    "%u or more of 1000 within %u ms, the last within %u ms, lacking "
+	    "%" G_GUINT64_FORMAT "\n",
+	    (unsigned)MIN(in_time, ENTRY_IN_TIME), MODEL_ENTRY_LATE_MS,
+	    s.longest_ms <= ENTRY_LAST_MS ?
+		ENTRY_LAST_MS :
+		(unsigned)(s.longest_ms / 500 + 1) * 500,
+	    s.lacking);
+}
+
+/* members-store on=0|1: whether the store answers daemons that aren't relays */
+void
+fleet_script_members_store(const char *rest, GString *out)
+{
+	for (unsigned i = 0; i < fleet_script_model->n; i++) {
+		struct mesh *mesh = &fleet_script_model->daemons[i].mesh;
+
+		if (mesh->relay != NULL)
+			mesh->self.store_ok = script_number(rest, "on", 1) != 0;
+	}
+}
--- a/tests/fleet-script.c
+++ b/tests/fleet-script.c
@@ -486,6 +486,9 @@
 	{ "fetched", fleet_script_fetched },
 	{ "age", fleet_script_age },
 	{ "entries", fleet_script_entries },
+	{ "stream", fleet_script_stream },
+	{ "entry-delays", fleet_script_entry_delays },
+	{ "members-store", fleet_script_members_store },
 	{ "storm", fleet_script_storm },
 	{ NULL, NULL },
 };
