Repair what is missing of the entries whatever else arrives, and date it by its reader

What callers saw: requests reached endpoints more than drain-ms after the store had confirmed that they drain, as hundreds of daemons lacked entries for tens of seconds.

Cause: a gap was closed by chance only. A relay of a large cell dropped resend requests within 300 ms of anything that it forwarded, which under a steady stream is always; nothing that followed a gap was applied; 64 datagrams were kept; what arrived out of order was not forwarded; and any arrival, also of what closed no gap, dated the copy as current, so that the read of the store was put off.

Change: records are applied beyond a gap (offset-ranges.c), older ones of the same key that follow are not. Each datagram has its reader's clock and the age of the read; a copy is as old as the newest read without a gap before it (feed-clock.c), whenever it arrived. All daemons keep what they received (feed-log.c); what is missing is asked for by range, of the relay or of members that passed other datagrams on, and is answered within a bound on bytes a second (mesh-repair.c). A relay forwards each datagram once, in any order. Earlier versions ignore what is new in the datagrams, and theirs are dated by arrival as before.

In the model a daemon that starts has entries from its relay or the store, as real ones do, and not by magic.

Measured: test-entries passes, 7 checks failed before.

--- a/src/edge.c
+++ b/src/edge.c
@@ -261,7 +261,7 @@
 {
 	struct edge *e = arg;
 
-	mesh_send_entries(&e->mesh, from, end, records);
+	mesh_entries_read(&e->mesh, from, end, records);
 }
 
 /* Returns whether a listener was opened; sets the error if it was not. */
--- a/src/fleet-model-daemon.c
+++ b/src/fleet-model-daemon.c
@@ -28,14 +28,30 @@
 
 static uv_loop_t model_loop;
 
+/* Takes over all entries up to an offset, at a daemon that has started. */
+static void
+daemon_sync(struct model_daemon *daemon, uint64_t end)
+{
+	struct topic_follower *f = &daemon->registry.endpoints;
+
+	f->synced = true;
+	f->next = end;
+	f->proof_ms = fleet_model_clock(daemon);
+	daemon->known_end = end;
+}
+
 /* Reads the entries from the store. */
 static void
 daemon_read_entries(struct model_daemon *daemon)
 {
 	struct topic_follower *f = &daemon->registry.endpoints;
 
-	f->next = daemon->model->n_records;
-	f->peer_update_ms = fleet_model_clock(daemon);
+	if (!f->synced) {
+		daemon_sync(daemon, daemon->model->n_records);
+		return;
+	}
+	topic_follower_advance(f, daemon->model->n_records);
+	f->proof_ms = fleet_model_clock(daemon);
 	model_daemon_learn_until(daemon, f->next);
 }
 
@@ -137,12 +153,12 @@
 	mesh->became_relay = daemon_read_later;
 	mesh->became_relay_arg = daemon;
 	mesh->self.store_ok = true;
-	daemon->registry.endpoints.synced = true;
 	daemon->registry.endpoints.ops = &model_ops;
 	daemon->registry.endpoints.owner = daemon;
-	daemon->registry.endpoints.next = model->n_records;
+	topic_follower_init_copy(&daemon->registry.endpoints);
+	topic_follower_init_copy(&daemon->registry.config);
 	daemon->known = g_byte_array_new();
-	daemon->known_end = model->n_records;
+	daemon->known_end = UINT64_MAX;
 	mesh_init(mesh, fleet_model_clock(daemon),
 	    fleet_model_random(model, UINT32_MAX) + 1);
 	daemon->up = true;
@@ -168,6 +184,8 @@
 	mesh_clear(&daemon->mesh);
 	fleet_clear(&daemon->registry.fleet);
 	poison_release(&daemon->registry.poison);
+	topic_follower_clear(&daemon->registry.endpoints);
+	topic_follower_clear(&daemon->registry.config);
 	catalog_unref(daemon->registry.catalog);
 	g_byte_array_free(daemon->known, TRUE);
 	g_free((char *)daemon->mesh.name);
@@ -267,6 +285,26 @@
 	mesh_send_entries(&daemon->mesh, from, f->next, records);
 }
 
+/* Has a daemon that has started fetch the entries: from its relay, or from the
+ * store if it is one. */
+static void
+daemon_fetch_entries(struct model_daemon *daemon)
+{
+	const struct mesh *mesh = &daemon->mesh;
+	const struct mesh_peer *relay = mesh->relay;
+
+	if (daemon->registry.endpoints.synced)
+		return;
+	if (relay == NULL) {
+		if (mesh->records_read_ms != 0)
+			daemon_sync(daemon, daemon->model->n_records);
+		return;
+	}
+	if (mesh_peer_is_relay(mesh, relay) &&
+	    relay->entries_end != MESH_NO_ENTRIES)
+		daemon_sync(daemon, relay->entries_end);
+}
+
 /* Whether a daemon queries the store, given the time at which it last received
  * the store's state from others. */
 static bool
@@ -294,7 +332,9 @@
 	    daemon->mesh.self.store_ok)
 		registry->config.proof_ms = fleet_model_clock(daemon);
 	if (now % FEED_MS == daemon->index % FEED_MS &&
-	    daemon_queries_store(daemon, registry->endpoints.peer_update_ms,
+	    daemon_queries_store(daemon,
+		MAX(registry->endpoints.proof_ms,
+		    registry->endpoints.peer_update_ms),
 		FEED_STALE_MIN_MS, FEED_STALE_MAX_MS) &&
 	    daemon->mesh.self.store_ok)
 		model_daemon_feed(daemon);
@@ -324,6 +364,7 @@
 	if (now % MESH_ROUND_MS != daemon->start_ms % MESH_ROUND_MS)
 		return;
 	mesh_round(&daemon->mesh);
+	daemon_fetch_entries(daemon);
 	daemon_announce(daemon);
 	daemon->relay_changes += daemon->mesh.relay != daemon->relay;
 	daemon->relay = daemon->mesh.relay;
--- a/src/fleet-model-stats.c
+++ b/src/fleet-model-stats.c
@@ -98,7 +98,7 @@
 	stats->placer_known += mesh_placer_heard(mesh) || mesh->self.placer;
 	stats->config_age_max_ms = MAX(stats->config_age_max_ms, age);
 	stats->feed_age_max_ms = MAX(stats->feed_age_max_ms,
-	    now - daemon->registry.endpoints.peer_update_ms);
+	    topic_follower_copy_age(&daemon->registry.endpoints, now));
 }
 
 /**
--- a/src/fleet-model.h
+++ b/src/fleet-model.h
@@ -160,7 +160,7 @@
  * @connected_max_ms: longest time from a daemon's start until it heard its
  *relay or was one; UINT64_MAX while one did not
  * @config_age_max_ms: age of the oldest proof of a configuration, in ms
- * @feed_age_max_ms: longest time since a daemon received entries, in ms
+ * @feed_age_max_ms: age of the oldest copy of the entries, in ms
  * @sent_s: mean datagrams per second that a daemon sends
  * @sent_max_s: largest number of datagrams per second that a daemon sends
  * @received_s: mean datagrams per second that a daemon receives
--- a/src/mesh-entries.c
+++ b/src/mesh-entries.c
@@ -38,7 +38,8 @@
 	XDR xdr;
 
 	xdrmem_create(&xdr, out, (u_int)size, XDR_ENCODE);
-	if (xdr_resend(&xdr, (struct mesh_resend *)resend))
+	if (xdr_resend(&xdr, (struct mesh_resend *)resend) &&
+	    xdr_uint64_t(&xdr, (uint64_t *)&resend->end))
 		length = xdr_getpos(&xdr);
 	xdr_destroy(&xdr);
 	return (length);
@@ -61,6 +62,9 @@
 	memset(resend, 0, sizeof *resend);
 	xdrmem_create(&xdr, in, (u_int)length, XDR_DECODE);
 	ok = xdr_resend(&xdr, resend);
+	/* Earlier versions send no end. */
+	if (ok && !xdr_uint64_t(&xdr, &resend->end))
+		resend->end = UINT64_MAX;
 	xdr_destroy(&xdr);
 	return (ok);
 }
@@ -78,6 +82,15 @@
 	    xdr_uint32_t(xdr, &entries->regained_age_ms));
 }
 
+/* Follows the records; earlier versions don't send it, and ignore it. */
+static bool_t
+xdr_stamp(XDR *xdr, struct mesh_stamp *stamp)
+{
+	return (xdr_uint64_t(xdr, &stamp->incarnation) &&
+	    xdr_uint64_t(xdr, &stamp->sent_ms) &&
+	    xdr_uint32_t(xdr, &stamp->age_ms));
+}
+
 static bool_t
 xdr_record(XDR *xdr, struct store_record *record)
 {
@@ -116,7 +129,7 @@
 	for (guint i = first; ok && i < first + n; i++)
 		ok = xdr_record(&xdr,
 		    &g_array_index(entries->records, struct store_record, i));
-	if (ok)
+	if (ok && xdr_stamp(&xdr, (struct mesh_stamp *)&entries->stamp))
 		length = xdr_getpos(&xdr);
 	xdr_destroy(&xdr);
 	return (length);
@@ -167,6 +180,8 @@
 	    count <= MESH_RECORDS_MAX && entries->from <= entries->end;
 	for (uint32_t i = 0; ok && i < count; i++)
 		ok = decode_record(&xdr, entries->records);
+	if (ok && !xdr_stamp(&xdr, &entries->stamp))
+		memset(&entries->stamp, 0, sizeof entries->stamp);
 	xdr_destroy(&xdr);
 	return (ok);
 }
--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -4,7 +4,8 @@
  *
  * This saves hundreds of daemons from each reading the store. A lost datagram
  * is compensated for by the repetition of its records with the next one, then
- * by a peer that resends it on request, and only then by a read of the store.
+ * by a daemon that sends it again on request (mesh-repair.c), and only then by
+ * a read of the store.
  */
 #include <string.h>
 
@@ -13,21 +14,6 @@
 
 /* Records in one datagram; at about 400 bytes each it stays below 5 KB. */
 #define ENTRIES_PER_DATAGRAM 12
-/* Missing entries may still arrive within this time: the reader sends them just
- * before other daemons' messages can show that they exist. */
-#define GAP_WAIT_MS 100
-/* Interval between two resend requests. */
-#define RESEND_RETRY_MS 150
-/* Interval between two times that entries are resent to a whole cell. */
-#define RESEND_ALL_MS 300
-/* A duplicate of a datagram that takes another path arrives within this time.
- * Later, the same range of offsets is a new message of the reader. */
-#define DUPLICATE_MS 100
-/* After this time a relay reads the store: some resend requests were lost or
- * not answered. Its members ask it, and read the store themselves only when
- * they have had no update for long, a few at a time: what one missed all may
- * have missed. */
-#define GAP_STORE_MS 700
 
 /* Whether entries are sent directly to a daemon of another cell. */
 static bool
@@ -60,20 +46,6 @@
 	}
 }
 
-/* Saves a datagram for peers that miss it. */
-static void
-feed_save(struct mesh *mesh, uint64_t from, uint64_t end, const char *bytes,
-    size_t length)
-{
-	struct mesh_sent_entries *sent =
-	    &mesh->sent_entries[mesh->n_sent_entries++ % MESH_SENT_ENTRIES_MAX];
-
-	g_clear_pointer(&sent->bytes, g_bytes_unref);
-	sent->from = from;
-	sent->end = end;
-	sent->bytes = g_bytes_new(bytes, length);
-}
-
 /**
  * mesh_feed_clear() - free the saved datagrams and records.
  * @mesh: the mesh
@@ -81,8 +53,7 @@
 void
 mesh_feed_clear(struct mesh *mesh)
 {
-	for (unsigned i = 0; i < MESH_SENT_ENTRIES_MAX; i++)
-		g_clear_pointer(&mesh->sent_entries[i].bytes, g_bytes_unref);
+	feed_log_clear(&mesh->feed_log);
 	if (mesh->last_entries != NULL)
 		g_array_free(mesh->last_entries, TRUE);
 	mesh->last_entries = NULL;
@@ -100,7 +71,10 @@
 		event_log(LOG_WARNING, "entries_not_sent", "records=%u", n);
 		return;
 	}
-	feed_save(mesh, entries->from, entries->end, out, length);
+	/* Nobody asks for one that says that nothing has changed. */
+	if (entries->from < entries->end)
+		feed_log_add(&mesh->feed_log, entries, out, length,
+		    mesh->now_ms);
 	if (mesh->relay != NULL)
 		mesh->send_datagram(mesh->send_arg, &mesh->relay->addr, out,
 		    length);
@@ -136,6 +110,7 @@
 entries_send_all(struct mesh *mesh, struct mesh_entries *entries, uint64_t end)
 {
 	const GArray *records = entries->records;
+	uint32_t age_ms = entries->stamp.age_ms;
 	guint first = 0;
 
 	do {
@@ -148,6 +123,9 @@
 			    .offset,
 			end) :
 		    end;
+		/* The topic did not end where the first datagrams do. */
+		entries->stamp.age_ms =
+		    last < records->len ? UINT32_MAX : age_ms;
 		entries_send(mesh, entries, first, n);
 		entries->from = entries->end;
 		first = last;
@@ -184,6 +162,11 @@
 		entries.regained_age_ms = (uint32_t)MIN(mesh->now_ms -
 			MIN(f->regained_ms, mesh->now_ms),
 		    UINT32_MAX);
+	entries.stamp.incarnation = mesh->incarnation;
+	entries.stamp.sent_ms = mesh->now_ms;
+	entries.stamp.age_ms = f->more ?
+	    UINT32_MAX :
+	    (uint32_t)MIN(topic_follower_age(f, mesh->now_ms), UINT32_MAX);
 	if (repeat) {
 		entries_append(all, mesh->last_entries);
 		entries.from = mesh->last_entries_from;
@@ -204,84 +187,6 @@
 	mesh->last_entries_end = end;
 }
 
-/* Asks a peer to resend the missing entries. */
-static void
-feed_request_resend(struct mesh *mesh, const struct mesh_peer *peer)
-{
-	struct mesh_resend resend = { .from = mesh->registry->endpoints.next };
-	char out[MESH_NAME_MAX * 2];
-	size_t length;
-
-	if (mesh->resend_asked_ms != 0 &&
-	    mesh->now_ms - mesh->resend_asked_ms < RESEND_RETRY_MS)
-		return;
-	mesh->resend_asked_ms = mesh->now_ms;
-	g_strlcpy(resend.name, mesh->name, sizeof resend.name);
-	length = mesh_resend_encode(&resend, out, sizeof out);
-	mesh->send_datagram(mesh->send_arg, &peer->addr, out, length);
-	event_log(LOG_INFO, "entries_missed",
-	    "peer=%s next=%llu told=%llu gap_ms=%llu", peer->name,
-	    (unsigned long long)resend.from, (unsigned long long)mesh->feed_end,
-	    (unsigned long long)(mesh->now_ms - mesh->missing_since_ms));
-}
-
-/* Whether a saved datagram begins at an offset or before, and ends after it:
- * those that begin later close no gap there. */
-static bool
-feed_saved(const struct mesh *mesh, uint64_t offset)
-{
-	unsigned n = MIN(mesh->n_sent_entries, MESH_SENT_ENTRIES_MAX);
-
-	for (unsigned i = 0; i < n; i++) {
-		const struct mesh_sent_entries *sent = &mesh->sent_entries[i];
-
-		if (sent->from <= offset && offset < sent->end)
-			return (true);
-	}
-	return (false);
-}
-
-/*
- * Resends the datagrams that a peer missed if all of them are still saved;
- * otherwise the peer has to read the store. In a large cell all members get
- * them, and other requests are ignored for a while: what one missed all may
- * have missed, and hundreds of answers would fill the relay's link, so that
- * still more is lost.
- */
-static void
-feed_resend(struct mesh *mesh, const struct mesh_resend *resend,
-    const struct sockaddr_in *to)
-{
-	const struct mesh_peer *peer = mesh_find(mesh, resend->name);
-	uint64_t spread_ms = MAX(mesh->resent_ms, mesh->forwarded_ms);
-	unsigned n = MIN(mesh->n_sent_entries, MESH_SENT_ENTRIES_MAX);
-	bool to_all = peer != NULL && mesh_peer_reports(mesh, peer) &&
-	    mesh_spread_large(mesh);
-
-	if (!feed_saved(mesh, resend->from))
-		return;
-	if (to_all && spread_ms != 0 &&
-	    mesh->now_ms - spread_ms < RESEND_ALL_MS)
-		return;
-	if (to_all)
-		mesh->resent_ms = mesh->now_ms;
-
-	for (unsigned i = mesh->n_sent_entries - n; i < mesh->n_sent_entries;
-	     i++) {
-		const struct mesh_sent_entries *sent =
-		    &mesh->sent_entries[i % MESH_SENT_ENTRIES_MAX];
-		gsize length;
-		const char *bytes = g_bytes_get_data(sent->bytes, &length);
-
-		if (sent->end <= resend->from)
-			continue;
-		if (to_all)
-			mesh_spread(mesh, NULL, bytes, length);
-		else
-			mesh->send_datagram(mesh->send_arg, to, bytes, length);
-	}
-}
-
 /* Forwards a datagram: a relay sends it to its cell and, if it comes from its
  * cell, to the relays of other cells. */
 static void
@@ -293,44 +198,67 @@
 
 	if (mesh->relay != NULL || mesh_flat(mesh))
 		return;
-	mesh->forwarded_from = entries->from;
-	mesh->forwarded_end = entries->end;
-	mesh->forwarded_ms = mesh->now_ms;
-	feed_save(mesh, entries->from, entries->end, bytes, length);
 	feed_send(mesh, origin, bytes, length, in_cell);
 }
 
-/*
- * Whether a datagram is to be forwarded: once if it arrives by two paths, and
- * not if it was resent on request; one without changes is forwarded too.
+/* Loop time at which a datagram was sent; without a stamp it is dated by its
+ * arrival. */
+static uint64_t
+feed_sent_ms(struct mesh *mesh, const struct mesh_stamp *stamp)
+{
+	if (stamp->incarnation == 0)
+		return (mesh->now_ms);
+	return (feed_clocks_date(&mesh->feed_clocks, stamp->incarnation,
+	    stamp->sent_ms, mesh->now_ms));
+}
+
+/* Loop time as of which the topic ended where a datagram does; 0 for unknown.
  */
-static bool
-feed_is_new(const struct mesh *mesh, const struct mesh_entries *entries)
+static uint64_t
+feed_as_of_ms(const struct mesh_stamp *stamp, uint64_t sent_ms)
 {
-	bool same = entries->from == mesh->forwarded_from &&
-	    entries->end == mesh->forwarded_end;
+	if (stamp->incarnation == 0)
+		return (sent_ms);
+	if (stamp->age_ms == UINT32_MAX || stamp->age_ms >= sent_ms)
+		return (0);
+	return (sent_ms - stamp->age_ms);
+}
 
-	return (entries->end >= mesh->feed_end &&
-	    (!same || mesh->now_ms - mesh->forwarded_ms >= DUPLICATE_MS));
+/* Applies the records of a datagram. */
+static void
+feed_apply(struct mesh *mesh, const struct mesh_entries *entries)
+{
+	uint64_t sent_ms = feed_sent_ms(mesh, &entries->stamp);
+	const struct topic_update update = {
+		.from = entries->from,
+		.end = entries->end,
+		.as_of_ms = feed_as_of_ms(&entries->stamp, sent_ms),
+		.records = entries->records,
+	};
+
+	if (entries->records->len > 0 &&
+	    entries->end > mesh->registry->endpoints.next)
+		histogram_add(&mesh->repair.delays, mesh->now_ms - sent_ms);
+	registry_apply_endpoints(mesh->registry, &update,
+	    entries->regained_age_ms, mesh->now_ms);
 }
 
-/* Forwards received entries, saves them for resending and applies them. */
+/* Saves received entries for others, forwards them once, whatever order they
+ * arrive in, and applies them. */
 static void
-feed_apply(struct mesh *mesh, const struct mesh_entries *entries,
+feed_receive(struct mesh *mesh, const struct mesh_entries *entries,
     const char *bytes, size_t length)
 {
-	bool is_new = feed_is_new(mesh, entries);
+	bool is_new =
+	    feed_log_add(&mesh->feed_log, entries, bytes, length, mesh->now_ms);
 
+	/* Without a stamp, what was resent can't be told from what is new. */
+	if (entries->stamp.incarnation == 0 && entries->end < mesh->feed_end)
+		is_new = false;
 	mesh->feed_end = MAX(mesh->feed_end, entries->end);
 	if (is_new)
 		feed_forward(mesh, entries, bytes, length);
-	else if (mesh->relay == NULL && !mesh_flat(mesh))
-		feed_save(mesh, entries->from, entries->end, bytes, length);
-	if (!registry_apply_endpoints(mesh->registry, entries->from,
-		entries->end, entries->records, entries->regained_age_ms,
-		mesh->now_ms) &&
-	    mesh->missing_since_ms == 0)
-		mesh->missing_since_ms = mesh->now_ms;
+	feed_apply(mesh, entries);
 }
 
 /**
@@ -351,49 +279,27 @@
 	bool ok;
 
 	if (mesh_resend_decode(&resend, in, length)) {
-		feed_resend(mesh, &resend, from);
+		mesh_repair_answer(mesh, &resend, from);
 		return (true);
 	}
 	ok = mesh_entries_decode(&entries, in, length);
 	if (ok && strcmp(entries.name, mesh->name) != 0)
-		feed_apply(mesh, &entries, in, length);
+		feed_receive(mesh, &entries, in, length);
 	g_array_free(entries.records, TRUE);
 	return (ok);
 }
 
 /**
- * mesh_feed_check() - check whether entries are missing here.
+ * mesh_feed_note_end() - note up to which offset another daemon has all
+ * entries.
  * @mesh: the mesh
- * @peer: a daemon that was heard
- * @end: it has all entries up to this offset; MESH_NO_ENTRIES if it has read
- *	none
- *
- * Asks that daemon to resend them. If that does not help, a relay has the store
- * read.
+ * @peer: the daemon
+ * @end: the offset; MESH_NO_ENTRIES if it has read none
  */
 void
-mesh_feed_check(struct mesh *mesh, const struct mesh_peer *peer, uint64_t end)
+mesh_feed_note_end(struct mesh *mesh, struct mesh_peer *peer, uint64_t end)
 {
-	struct topic_follower *f = &mesh->registry->endpoints;
-	uint64_t gap;
-
-	if (end == MESH_NO_ENTRIES)
-		return;
-	if (mesh_peer_is_relay(mesh, peer))
+	peer->entries_end = end;
+	if (end != MESH_NO_ENTRIES && mesh_peer_is_relay(mesh, peer))
 		mesh->feed_end = MAX(mesh->feed_end, end);
-	if (f->reader || !f->synced || f->snapshot_keys != NULL ||
-	    f->next >= mesh->feed_end) {
-		mesh->missing_since_ms = 0;
-		return;
-	}
-	if (mesh->missing_since_ms == 0)
-		mesh->missing_since_ms = mesh->now_ms;
-	gap = mesh->now_ms - mesh->missing_since_ms;
-	if (gap >= GAP_STORE_MS && mesh->relay == NULL) {
-		mesh->missing_since_ms = mesh->now_ms;
-		if (mesh->missed != NULL)
-			mesh->missed(mesh->missed_arg);
-	} else if (gap >= GAP_WAIT_MS && end > f->next) {
-		feed_request_resend(mesh, peer);
-	}
 }
--- a/src/mesh-peers.c
+++ b/src/mesh-peers.c
@@ -31,6 +31,7 @@
 	mesh->by_name_hash = g_hash_table_new(g_direct_hash, g_direct_equal);
 	TAILQ_INIT(&mesh->peers);
 	mesh_directory_init(&mesh->directory);
+	feed_log_init(&mesh->feed_log);
 	for (unsigned i = 0; i < MESH_REPORTS_MAX; i++)
 		mesh->reports[i].loads =
 		    g_array_new(FALSE, FALSE, sizeof(struct mesh_load));
--- a/src/mesh-receive.c
+++ b/src/mesh-receive.c
@@ -3,6 +3,7 @@
 
 #include "event-log.h"
 #include "mesh.h"
+#include "net-address.h"
 
 /* A relay that has fallen silent is not reported to again for this long because
  * of what others say: by then they have noticed it too. */
@@ -378,7 +379,9 @@
 	struct sockaddr_in origin = *from;
 	uint32_t ack = 0;
 
-	mesh_unwrap(mesh, &in, &length, &origin, &ack);
+	if (mesh_unwrap(mesh, &in, &length, &origin, &ack) &&
+	    !net_address_equal(from, &origin))
+		mesh_repair_note_hop(mesh, from);
 	if (mesh_receive_entries(mesh, in, length, &origin))
 		return;
 	if (!mesh_message_decode(&msg, in, length)) {
@@ -402,5 +405,5 @@
 	mesh_apply_limits(mesh, peer, &msg);
 	mesh_apply_poison(mesh, peer, &msg);
 	mesh_fetch_entries(mesh, peer, msg.entries_end);
-	mesh_feed_check(mesh, peer, msg.entries_end);
+	mesh_feed_note_end(mesh, peer, msg.entries_end);
 }
--- a/src/mesh-serve.c
+++ b/src/mesh-serve.c
@@ -2,6 +2,7 @@
  * starts. */
 #include <string.h>
 
+#include "clock.h"
 #include "event-log.h"
 #include "mesh.h"
 #include "net-call.h"
@@ -61,6 +62,11 @@
 	g_strlcpy(entries.name, mesh->name, sizeof entries.name);
 	entries.end = mesh->registry->endpoints.next;
 	entries.records = records;
+	entries.stamp.incarnation = mesh->incarnation;
+	entries.stamp.age_ms =
+	    (uint32_t)MIN(topic_follower_copy_age(&mesh->registry->endpoints,
+			      clock_loop_ms(mesh->loop)),
+		UINT32_MAX);
 	size = records_size_max(records);
 	out = g_malloc(size);
 	length = mesh_entries_encode(&entries, 0, records->len, out, size);
@@ -90,6 +96,16 @@
 	return (HTTP_STATUS_NOT_FOUND);
 }
 
+/* Loop time as of which fetched entries are complete, given their age when they
+ * were served; 0 for unknown. */
+static uint64_t
+fetched_as_of_ms(const struct mesh *mesh, const struct mesh_stamp *stamp)
+{
+	if (stamp->age_ms >= mesh->fetch_entries_ms)
+		return (0);
+	return (mesh->fetch_entries_ms - stamp->age_ms);
+}
+
 /* Applies fetched entries. */
 static void
 on_entries(void *arg, const struct net_response *response)
@@ -109,7 +125,7 @@
 		    "bytes=%u reason=format", response->body->len);
 	else
 		registry_apply_snapshot(mesh->registry, entries.end,
-		    entries.records, mesh->now_ms);
+		    entries.records, fetched_as_of_ms(mesh, &entries.stamp));
 	g_array_free(entries.records, TRUE);
 }
 
@@ -143,6 +159,7 @@
 
 	if (end == MESH_NO_ENTRIES || !fetch_from(mesh, peer))
 		return;
+	mesh->fetch_entries_ms = mesh->now_ms;
 	mesh->fetching_entries =
 	    net_call_start(&peer->pool, &req, FETCH_TIMEOUT_MS, on_entries,
 		mesh) != NULL;
--- a/src/mesh-spread.c
+++ b/src/mesh-spread.c
@@ -116,6 +116,18 @@
 	envelope_send(mesh, &envelope, bytes, length);
 }
 
+/* Number of members that report to this daemon. */
+static unsigned
+count_members(const struct mesh *mesh)
+{
+	const struct mesh_peer *peer;
+	unsigned n = 0;
+
+	TAILQ_FOREACH(peer, &mesh->peers, entry)
+		n += mesh_peer_reports(mesh, peer);
+	return (n);
+}
+
 /**
  * mesh_spread_large() - whether the cell is so large that its members pass
  * datagrams on.
@@ -124,12 +136,21 @@
 bool
 mesh_spread_large(const struct mesh *mesh)
 {
-	const struct mesh_peer *peer;
-	unsigned n = 0;
+	return (count_members(mesh) > DIRECT_MAX);
+}
 
-	TAILQ_FOREACH(peer, &mesh->peers, entry)
-		n += mesh_peer_reports(mesh, peer);
-	return (n > DIRECT_MAX);
+/**
+ * mesh_spread_groups() - how often this daemon itself sends a datagram that is
+ * for all members.
+ * @mesh: the mesh
+ */
+unsigned
+mesh_spread_groups(const struct mesh *mesh)
+{
+	unsigned members = count_members(mesh);
+	unsigned size = group_size(members);
+
+	return ((members + size - 1) / size);
 }
 
 /**
--- a/src/mesh.c
+++ b/src/mesh.c
@@ -46,7 +46,9 @@
 	struct mesh *mesh = arg;
 	uv_buf_t buf = uv_buf_init((char *)bytes, (unsigned)length);
 
-	(void)uv_udp_try_send(&mesh->udp, &buf, 1, (const struct sockaddr *)to);
+	if (uv_udp_try_send(&mesh->udp, &buf, 1, (const struct sockaddr *)to) <
+	    0)
+		mesh->n_unsent++;
 }
 
 static void
@@ -84,6 +86,21 @@
 	mesh_send(mesh);
 }
 
+/**
+ * mesh_entries_read() - distribute entries that were just read from the store.
+ * @mesh: the mesh
+ * @from: they were read from this store offset on
+ * @end: up to this one
+ * @records: the changed records, of struct store_record
+ */
+void
+mesh_entries_read(struct mesh *mesh, uint64_t from, uint64_t end,
+    const GArray *records)
+{
+	mesh_update_clock(mesh);
+	mesh_send_entries(mesh, from, end, records);
+}
+
 /**
  * mesh_on_records_read() - choose a relay, once the records of all daemons have
  * been read.
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -4,11 +4,14 @@
 #define BL_MESH_H
 
 #include "registry.h"
+#include "feed-clock.h"
+#include "feed-log.h"
 #include "fwd-budget.h"
 #include "mesh-directory.h"
 #include "mesh-entries.h"
 #include "mesh-envelope.h"
 #include "mesh-message.h"
+#include "mesh-repair.h"
 
 /* Interval of reports of a daemon with work, and so the greatest age of a load
  * at its relay. Three of these are well below the shortest objective. */
@@ -25,8 +28,6 @@
 #define MESH_REPORTS_MAX 16
 /* HTTP path under which a daemon serves its configuration to other daemons. */
 #define MESH_CONFIG_PATH "/config"
-/* Datagrams of entries kept for peers that missed one. */
-#define MESH_SENT_ENTRIES_MAX 64
 
 /**
  * struct mesh_peer - another daemon.
@@ -54,6 +55,8 @@
  * @config_offset: store offset of that configuration
  * @config_proof_ms: time as of which that configuration was the newest; 0 for
  *	unknown
+ * @entries_end: it has all entries up to this store offset; MESH_NO_ENTRIES if
+ *	it has read none
  * @evacuations_as_of: store offset as of which it knows the evacuated failure
  *	domains
  * @loads: loads that it reported, as added to the endpoints' sums, of struct
@@ -88,6 +91,7 @@
 	int64_t config_version;
 	uint64_t config_offset;
 	uint64_t config_proof_ms;
+	uint64_t entries_end;
 	uint64_t evacuations_as_of;
 	GArray *loads;
 	uint64_t loads_ms;
@@ -127,19 +131,6 @@
 	double gap_ms;
 };
 
-/**
- * struct mesh_sent_entries - a datagram of entries, kept for peers that missed
- * it.
- * @from: it holds all records that changed from this offset on
- * @end: up to this offset
- * @bytes: the datagram
- */
-struct mesh_sent_entries {
-	uint64_t from;
-	uint64_t end;
-	GBytes *bytes;
-};
-
 /**
  * struct mesh - this daemon's view of the others, and its exchange with them.
  * @now_ms: loop time, in ms; set by the caller before each call
@@ -156,6 +147,7 @@
  * @incarnation: random number drawn at its start
  * @sequence: sequence number of its newest datagram
  * @udp: socket
+ * @n_unsent: datagrams that the system did not take
  * @timer: starts a round every MESH_ROUND_MS
  * @peers: the other daemons
  * @by_name: name to struct mesh_peer
@@ -183,16 +175,12 @@
  * @last_entries_end: offset that they end at
  * @last_entries: records of the newest datagrams of entries; repeated once with
  *	the next ones
- * @sent_entries: the newest datagrams of entries
- * @n_sent_entries: datagrams kept so far
- * @forwarded_from: @from of the newest forwarded datagram of entries
- * @forwarded_end: @end of that datagram
- * @forwarded_ms: when it was forwarded
- * @feed_end: newest offset up to which any peer has all entries
- * @missing_since_ms: since when entries are missing here; 0 while none are
- * @resend_asked_ms: when a peer was last asked to resend entries
- * @resent_ms: when entries were last resent to the whole cell; 0 for never
+ * @feed_log: the newest datagrams of entries
+ * @feed_clocks: clocks of the daemons that read entries for the others
+ * @feed_end: newest offset up to which any relay has all entries
+ * @repair: repair of gaps in the entries
  * @fetching_entries: entries are being fetched from the relay
+ * @fetch_entries_ms: when that began
  * @fetching_config: a configuration is being fetched from a peer
  * @fetched_version: version that the peer had when the fetch began
  * @fetched_offset: store offset of that version
@@ -241,6 +229,7 @@
 	uint64_t incarnation;
 	uint64_t sequence;
 	uv_udp_t udp;
+	uint64_t n_unsent;
 	uv_timer_t timer;
 	struct mesh_peer_list peers;
 	GHashTable *by_name;
@@ -265,16 +254,12 @@
 	uint64_t last_entries_from;
 	uint64_t last_entries_end;
 	GArray *last_entries;
-	struct mesh_sent_entries sent_entries[MESH_SENT_ENTRIES_MAX];
-	unsigned n_sent_entries;
-	uint64_t forwarded_from;
-	uint64_t forwarded_end;
-	uint64_t forwarded_ms;
+	struct feed_log feed_log;
+	struct feed_clocks feed_clocks;
 	uint64_t feed_end;
-	uint64_t missing_since_ms;
-	uint64_t resend_asked_ms;
-	uint64_t resent_ms;
+	struct mesh_repair repair;
 	bool fetching_entries;
+	uint64_t fetch_entries_ms;
 	bool fetching_config;
 	int64_t fetched_version;
 	uint64_t fetched_offset;
@@ -305,6 +290,7 @@
 int mesh_open(struct mesh *, uv_loop_t *, const struct sockaddr_in *);
 void mesh_send_now(struct mesh *);
 void mesh_limit_announce(struct mesh *, struct endpoint *);
+void mesh_entries_read(struct mesh *, uint64_t, uint64_t, const GArray *);
 void mesh_on_records_read(struct mesh *);
 
 /* mesh-peers.c: table of the other daemons, and which of them are alive. */
@@ -380,6 +366,7 @@
 void mesh_spread_to(struct mesh *, const struct mesh_peer *, const char *,
     size_t);
 bool mesh_spread_large(const struct mesh *);
+unsigned mesh_spread_groups(const struct mesh *);
 bool mesh_unwrap(struct mesh *, char **, size_t *, struct sockaddr_in *,
     uint32_t *);
 
@@ -401,9 +388,15 @@
 void mesh_send_entries(struct mesh *, uint64_t, uint64_t, const GArray *);
 bool mesh_receive_entries(struct mesh *, char *, size_t,
     const struct sockaddr_in *);
-void mesh_feed_check(struct mesh *, const struct mesh_peer *, uint64_t);
+void mesh_feed_note_end(struct mesh *, struct mesh_peer *, uint64_t);
 void mesh_feed_clear(struct mesh *);
 
+/* mesh-repair.c: gaps in these entries. */
+void mesh_repair_round(struct mesh *);
+void mesh_repair_note_hop(struct mesh *, const struct sockaddr_in *);
+void mesh_repair_answer(struct mesh *, const struct mesh_resend *,
+    const struct sockaddr_in *);
+
 /* mesh-config.c: fetching a newer configuration from a peer. */
 void mesh_fetch_config(struct mesh *, struct mesh_peer *);
 void mesh_config_fetched(struct mesh *, const void *, size_t);
--- a/src/registry-follower-peers.c
+++ b/src/registry-follower-peers.c
@@ -2,35 +2,126 @@
  * No function here calls the store. */
 #include "registry-follower.h"
 
+/* Keys whose records are applied beyond a gap. */
+#define AHEAD_KEYS_MAX 8192
+
+/**
+ * topic_follower_init_copy() - prepare to take over updates from peers.
+ * @f: the follower
+ */
+void
+topic_follower_init_copy(struct topic_follower *f)
+{
+	f->ahead_offsets =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+}
+
+/**
+ * topic_follower_pass() - pass a record to the owner, unless a newer one of its
+ * key was passed before a gap was closed.
+ * @f: the follower
+ * @record: the record
+ */
+void
+topic_follower_pass(struct topic_follower *f, const struct store_record *record)
+{
+	gpointer known = g_hash_table_lookup(f->ahead_offsets, record->key);
+
+	if ((uintptr_t)known <= record->offset)
+		f->ops->record(f->owner, record);
+}
+
+/**
+ * topic_follower_advance() - note that all records before an offset are known.
+ * @f: the follower
+ * @next: the offset
+ */
+void
+topic_follower_advance(struct topic_follower *f, uint64_t next)
+{
+	f->next = MAX(f->next, next);
+	topic_follower_set_updated(f,
+	    offset_ranges_absorb(&f->ahead, &f->next));
+	if (f->ahead.n == 0)
+		g_hash_table_remove_all(f->ahead_offsets);
+}
+
+/**
+ * topic_follower_ahead_full() - whether no more records may be applied beyond a
+ * gap.
+ * @f: the follower
+ */
+bool
+topic_follower_ahead_full(const struct topic_follower *f)
+{
+	return (f->ahead.n == OFFSET_RANGES_MAX ||
+	    g_hash_table_size(f->ahead_offsets) >= AHEAD_KEYS_MAX);
+}
+
+/* Passes the records of an update that begins beyond a gap, and remembers how
+ * new they are until the gap is closed. */
+static void
+follower_apply_ahead(struct topic_follower *f,
+    const struct topic_update *update)
+{
+	const struct offset_range range = { update->from, update->end,
+		update->as_of_ms };
+
+	if (g_hash_table_size(f->ahead_offsets) >= AHEAD_KEYS_MAX ||
+	    !offset_ranges_add(&f->ahead, &range))
+		return;
+	for (guint i = 0; i < update->records->len; i++) {
+		const struct store_record *record =
+		    &g_array_index(update->records, struct store_record, i);
+		uintptr_t known =
+		    (uintptr_t)g_hash_table_lookup(f->ahead_offsets,
+			record->key);
+
+		if (record->offset < f->next || record->offset < known)
+			continue;
+		f->ops->record(f->owner, record);
+		g_hash_table_insert(f->ahead_offsets, g_strdup(record->key),
+		    (gpointer)(uintptr_t)(record->offset + 1));
+	}
+}
+
 /**
  * topic_follower_apply() - apply records that a peer read.
  * @f: the follower
- * @from: start offset of the peer's read
- * @end: end offset of the peer's read
- * @records: all that changed in that range, of struct store_record
+ * @update: the records
+ *
+ * They are applied even if earlier ones are missing here.
  *
- * Return: false if records before @from are missing here.
+ * Return: false if records before them are missing here.
  */
 bool
-topic_follower_apply(struct topic_follower *f, uint64_t from, uint64_t end,
-    const GArray *records)
+topic_follower_apply(struct topic_follower *f,
+    const struct topic_update *update)
 {
+	/* Peers leave out records that only a reader needs, so a reader reads
+	 * the range itself: one that continued from the update's end missed 8
+	 * to 23 of 162 hosts. */
+	bool reads_all = f->reader && f->partial;
+
+	f->peer_read_ms = MAX(f->peer_read_ms, update->as_of_ms);
 	if (!f->synced || f->snapshot_keys != NULL)
 		return (true);
-	if (from > f->next)
+	if (update->from > f->next) {
+		if (!reads_all)
+			follower_apply_ahead(f, update);
 		return (false);
-	for (guint i = 0; i < records->len; i++) {
+	}
+	for (guint i = 0; i < update->records->len; i++) {
 		const struct store_record *record =
-		    &g_array_index(records, struct store_record, i);
+		    &g_array_index(update->records, struct store_record, i);
 
 		if (record->offset >= f->next)
-			f->ops->record(f->owner, record);
+			topic_follower_pass(f, record);
 	}
-	/* Peers leave out records that only a reader needs, so a reader reads
-	 * the range itself: one that continued from @end missed 8 to 23 of 162
-	 * hosts. */
-	if (!f->reader || !f->partial)
-		f->next = MAX(f->next, end);
+	if (reads_all)
+		return (true);
+	topic_follower_set_updated(f, update->as_of_ms);
+	topic_follower_advance(f, update->end);
 	return (true);
 }
 
@@ -43,7 +134,7 @@
 topic_follower_skip(struct topic_follower *f, uint64_t next)
 {
 	if (f->synced && f->snapshot_keys == NULL)
-		f->next = MAX(f->next, next);
+		topic_follower_advance(f, next);
 }
 
 /**
@@ -84,11 +175,11 @@
 }
 
 /**
- * topic_follower_age() - age of the local copy.
+ * topic_follower_age() - age of the local copy by this daemon's own reads.
  * @f: the follower
  * @now_ms: loop time
  *
- * Return: time since it was known to be current, in ms; UINT64_MAX before the
+ * Return: time since the store proved it current, in ms; UINT64_MAX before the
  * first answer.
  */
 uint64_t
@@ -98,3 +189,22 @@
 		return (UINT64_MAX);
 	return (now_ms > f->proof_ms ? now_ms - f->proof_ms : 0);
 }
+
+/**
+ * topic_follower_copy_age() - age of the local copy by own reads and by updates
+ * from peers.
+ * @f: the follower
+ * @now_ms: loop time
+ *
+ * Return: time since it was known to be current, in ms; UINT64_MAX if it never
+ * was.
+ */
+uint64_t
+topic_follower_copy_age(const struct topic_follower *f, uint64_t now_ms)
+{
+	uint64_t as_of_ms = MAX(f->proof_ms, f->peer_update_ms);
+
+	if (as_of_ms == 0)
+		return (UINT64_MAX);
+	return (now_ms > as_of_ms ? now_ms - as_of_ms : 0);
+}
--- a/src/registry-follower.c
+++ b/src/registry-follower.c
@@ -84,11 +84,10 @@
 			clock_loop_ms(f->loop)));
 	for (unsigned i = 0; i < f->failures && pause < RETRY_MAX_MS; i++)
 		pause *= 2;
-	f->failures++;
 	pause = MIN(pause, RETRY_MAX_MS);
-	/* The reader notices the end of an outage for the others. */
 	if (!f->reader)
 		pause = MAX(pause, f->retry_ms);
+	f->failures++;
 	follower_schedule(f, pause);
 }
 
@@ -136,7 +135,7 @@
 		if (f->snapshot_keys != NULL && record->value != NULL)
 			g_hash_table_add(f->snapshot_keys,
 			    g_strdup(record->key));
-		f->ops->record(f->owner, record);
+		topic_follower_pass(f, record);
 	}
 }
 
@@ -161,10 +160,12 @@
 	g_hash_table_destroy(f->snapshot_keys);
 	f->snapshot_keys = NULL;
 	f->next = f->snapshot_end;
+	topic_follower_advance(f, f->next);
 	f->synced = true;
 	/* Daemons that follow peers have not read this snapshot. */
 	if (known && f->ops->advanced != NULL)
-		f->ops->advanced(f->owner, MIN(f->read_from, f->next), f->next);
+		f->ops->advanced(f->owner, MIN(f->read_from, f->snapshot_end),
+		    f->snapshot_end);
 }
 
 static void
@@ -220,15 +221,15 @@
 		return;
 	}
 	follower_pass_records(f, response->records);
-	f->next = MAX(f->next, response->end);
+	topic_follower_advance(f, response->end);
 	if (response->more)
 		follower_cut(f);
 	else
 		follower_succeeded(f, response->sent_ms);
 	/* Updates from peers may have moved f->next during the read, so the
-	 * range begins where the read did. */
+	 * range is that of the read. */
 	if (f->ops->advanced != NULL)
-		f->ops->advanced(f->owner, f->read_from, f->next);
+		f->ops->advanced(f->owner, f->read_from, response->end);
 	if (f->more && f->next > f->read_from)
 		follower_read(f);
 	else
@@ -294,6 +295,7 @@
 	f->owner = owner;
 	uv_timer_init(loop, &f->timer);
 	f->timer.data = f;
+	topic_follower_init_copy(f);
 	follower_restart(f);
 }
 
@@ -375,6 +377,19 @@
 	uv_timer_stop(&f->timer);
 }
 
+/**
+ * topic_follower_clear() - free the follower's memory, after the loop has
+ * ended.
+ * @f: the follower
+ */
+void
+topic_follower_clear(struct topic_follower *f)
+{
+	g_clear_pointer(&f->snapshot_keys, g_hash_table_destroy);
+	g_clear_pointer(&f->ahead_offsets, g_hash_table_destroy);
+	g_clear_pointer(&f->after, g_free);
+}
+
 /**
  * topic_follower_poll() - read as soon as possible rather than after the pause.
  * @f: the follower
--- a/src/registry-follower.h
+++ b/src/registry-follower.h
@@ -4,6 +4,7 @@
 
 #include <uv.h>
 
+#include "offset-ranges.h"
 #include "store-ops.h"
 
 /**
@@ -21,6 +22,20 @@
 	void (*advanced)(void *, uint64_t, uint64_t);
 };
 
+/**
+ * struct topic_update - what a peer read of a topic.
+ * @from: start offset of its read
+ * @end: end offset of its read
+ * @as_of_ms: loop time as of which the topic ended there; 0 for unknown
+ * @records: all that changed in that range, of struct store_record
+ */
+struct topic_update {
+	uint64_t from;
+	uint64_t end;
+	uint64_t as_of_ms;
+	const GArray *records;
+};
+
 /**
  * struct topic_follower - state of following one topic.
  * @store: the store
@@ -31,7 +46,8 @@
  * @interval_ms: pause between two reads
  * @fallback_ms: the store is read here after no update from peers for so long;
  *	0 if peers send no updates
- * @retry_ms: where this daemon does not read for others, pause after a failure
+ * @retry_ms: where this daemon does not read for others, longest pause after a
+ *	failure, and the pause while nothing shows that the store answers others
  * @reader: this daemon reads the topic on behalf of the others
  * @relays: what the newest read returns is to be relayed to peers: this daemon
  *	is the reader, or has had no update from peers in time
@@ -42,8 +58,12 @@
  * @read_from: offset at which the newest read began; for a snapshot, the
  *	offset up to which the topic was known before
  * @peer_update_ms: loop time as of which updates from peers are complete
+ * @peer_read_ms: newest loop time as of which a peer has read the topic,
+ *whether or not its updates are complete here
  * @timer: runs out when the next read is due
- * @next: offset of the next record
+ * @next: offset of the next record: all before it are known
+ * @ahead: further offsets that are known from peers' updates
+ * @ahead_offsets: key to the newest offset of its records in @ahead, plus one
  * @synced: a snapshot has been complete once
  * @busy: a call to the store is pending
  * @snapshot_keys: keys of the snapshot that is being read; NULL while tailing
@@ -75,8 +95,11 @@
 	uint64_t called_ms;
 	uint64_t read_from;
 	uint64_t peer_update_ms;
+	uint64_t peer_read_ms;
 	uv_timer_t timer;
 	uint64_t next;
+	struct offset_ranges ahead;
+	GHashTable *ahead_offsets;
 	bool synced;
 	bool busy;
 	GHashTable *snapshot_keys;
@@ -100,16 +123,21 @@
 void topic_follower_resync(struct topic_follower *);
 void topic_follower_adopt(struct topic_follower *, uint64_t, uint64_t);
 void topic_follower_stop(struct topic_follower *);
+void topic_follower_clear(struct topic_follower *);
 void topic_follower_poll(struct topic_follower *);
 void topic_follower_set_reader(struct topic_follower *, bool);
 
 /* registry-follower-peers.c: what peers read, and how current the copy is. */
-bool topic_follower_apply(struct topic_follower *, uint64_t, uint64_t,
-    const GArray *);
+void topic_follower_init_copy(struct topic_follower *);
+bool topic_follower_apply(struct topic_follower *, const struct topic_update *);
+void topic_follower_pass(struct topic_follower *, const struct store_record *);
+bool topic_follower_ahead_full(const struct topic_follower *);
+void topic_follower_advance(struct topic_follower *, uint64_t);
 void topic_follower_skip(struct topic_follower *, uint64_t);
 void topic_follower_set_updated(struct topic_follower *, uint64_t);
 bool topic_follower_complete(const struct topic_follower *);
 bool topic_follower_overtaken(const struct topic_follower *);
 uint64_t topic_follower_age(const struct topic_follower *, uint64_t);
+uint64_t topic_follower_copy_age(const struct topic_follower *, uint64_t);
 
 #endif
--- a/src/registry.c
+++ b/src/registry.c
@@ -275,14 +275,14 @@
  * @registry: the registry
  * @end: offset up to which the entries are complete
  * @records: the entries, of struct store_record
- * @now_ms: loop time
+ * @as_of_ms: loop time as of which they are; 0 for unknown
  *
  * Return: false, and nothing is applied, if this daemon is the reader, or has
  * read all entries or is reading them.
  */
 bool
 registry_apply_snapshot(struct registry *registry, uint64_t end,
-    const GArray *records, uint64_t now_ms)
+    const GArray *records, uint64_t as_of_ms)
 {
 	/* A peer's snapshot has serving endpoints only; a reader needs all. */
 	if (registry->endpoints.synced || registry->endpoints.busy ||
@@ -291,7 +291,7 @@
 	for (guint i = 0; i < records->len; i++)
 		endpoint_record(registry,
 		    &g_array_index(records, struct store_record, i));
-	topic_follower_adopt(&registry->endpoints, end, now_ms);
+	topic_follower_adopt(&registry->endpoints, end, as_of_ms);
 	event_log(LOG_INFO, "entries_taken", "endpoints=%u end=%llu",
 	    records->len, (unsigned long long)end);
 	registry_notify(registry);
@@ -301,29 +301,27 @@
 /**
  * registry_apply_endpoints() - apply changed entries that a peer read.
  * @registry: the registry
- * @from: start offset of the peer's read
- * @end: end offset of the peer's read
- * @records: the entries that changed, of struct store_record
+ * @update: the entries
  * @regained_age_ms: time since the store answered the peer again after an
  *	outage
  * @now: loop time
  *
- * Return: false if entries before @from are missing here.
+ * Return: false if earlier entries are missing here.
  */
 bool
-registry_apply_endpoints(struct registry *registry, uint64_t from, uint64_t end,
-    const GArray *records, uint64_t regained_age_ms, uint64_t now)
+registry_apply_endpoints(struct registry *registry,
+    const struct topic_update *update, uint64_t regained_age_ms, uint64_t now)
 {
+	bool complete;
+
 	if (regained_age_ms < REGISTRY_RECOVERY_MS && regained_age_ms < now)
 		registry->endpoints.regained_ms =
 		    MAX(registry->endpoints.regained_ms, now - regained_age_ms);
-	if (!topic_follower_apply(&registry->endpoints, from, end, records))
-		return (false);
-	topic_follower_set_updated(&registry->endpoints, now);
+	complete = topic_follower_apply(&registry->endpoints, update);
 	registry_sweep(registry, now);
-	if (records->len > 0)
+	if (update->records->len > 0)
 		registry_notify(registry);
-	return (true);
+	return (complete);
 }
 
 /**
--- a/tests/fleet-script-config.c
+++ b/tests/fleet-script-config.c
@@ -140,9 +140,11 @@
 #define ENTRY_IN_TIME 999
 
 /*
- * entry-delays: how many entries of a thousand the daemons knew within a second
- * of their write, and after which time the last daemon knew the last one; both
- * as the target says where it is met
+ * entry-delays [last]: how many entries of a thousand the daemons knew within a
+ * second of their write, and after which time the last daemon knew the last
+ * one; both as the target says where it is met. With "last" only the second:
+ * nobody reads or forwards entries until the loss of a reader or relay is
+ * noticed.
  */
 void
 fleet_script_entry_delays(const char *rest, GString *out)
@@ -152,10 +154,11 @@
 
 	fleet_model_measure_entries(fleet_script_model, &s);
 	in_time = s.n > 0 ? (s.n - s.late) * 1000 / s.n : 0;
+	if (strcmp(rest, "last") != 0)
+		g_string_append_printf(out, "%u or more of 1000 within %u ms, ",
+		    (unsigned)MIN(in_time, ENTRY_IN_TIME), MODEL_ENTRY_LATE_MS);
 	g_string_append_printf(out,
-	    "%u or more of 1000 within %u ms, the last within %u ms, lacking "
-	    "%" G_GUINT64_FORMAT "\n",
-	    (unsigned)MIN(in_time, ENTRY_IN_TIME), MODEL_ENTRY_LATE_MS,
+	    "the last within %u ms, lacking %" G_GUINT64_FORMAT "\n",
 	    s.longest_ms <= ENTRY_LAST_MS ?
 		ENTRY_LAST_MS :
 		(unsigned)(s.longest_ms / 500 + 1) * 500,
--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -73,8 +73,7 @@
 	topic_follower_stop(&follower);
 	uv_close((uv_handle_t *)&follower.timer, NULL);
 	uv_run(&loop, UV_RUN_DEFAULT);
-	g_clear_pointer(&follower.snapshot_keys, g_hash_table_destroy);
-	g_clear_pointer(&follower.after, g_free);
+	topic_follower_clear(&follower);
 }
 
 static void
@@ -197,15 +196,24 @@
 	flush(out);
 }
 
-/* apply from=N end=N [records=NAME:OFFSET,...]: a peer sent what it read */
+/*
+ * apply from=N end=N [records=NAME:OFFSET,...] [age=MS]: a peer sent what it
+ * read that long ago
+ */
 static void
 exec_apply(const char *rest, GString *out)
 {
 	g_autofree char *list = script_word(rest, "records");
 	g_autoptr(GArray) records = records_of(list);
 
-	if (!topic_follower_apply(&follower, script_number(rest, "from", 0),
-		script_number(rest, "end", 0), records))
+	const struct topic_update update = {
+		.from = script_number(rest, "from", 0),
+		.end = script_number(rest, "end", 0),
+		.as_of_ms = uv_now(&loop) - script_number(rest, "age", 0),
+		.records = records,
+	};
+
+	if (!topic_follower_apply(&follower, &update))
 		g_string_append(printed, "missing\n");
 	flush(out);
 }
@@ -218,6 +226,39 @@
 	    uv_now(&loop) - g_ascii_strtoull(rest, NULL, 10);
 }
 
+/* age: age of the local copy */
+static void
+exec_age(const char *rest, GString *out)
+{
+	g_string_append_printf(out, "%u ms\n",
+	    (unsigned)topic_follower_copy_age(&follower, uv_now(&loop)));
+}
+
+/* next: all records before this offset are known */
+static void
+exec_next(const char *rest, GString *out)
+{
+	g_string_append_printf(out, "%u\n", (unsigned)follower.next);
+}
+
+/* retry-ms MS: longest pause after a failed read */
+static void
+exec_retry_ms(const char *rest, GString *out)
+{
+	follower.retry_ms = (unsigned)g_ascii_strtoull(rest, NULL, 10);
+}
+
+/* pause MS: whether the next read begins within this time */
+static void
+exec_pause(const char *rest, GString *out)
+{
+	g_string_append(out,
+	    uv_timer_get_due_in(&follower.timer) <=
+		    g_ascii_strtoull(rest, NULL, 10) ?
+		"within\n" :
+		"longer\n");
+}
+
 /* relays: whether the records of this read are relayed to peers */
 static void
 exec_relays(const char *rest, GString *out)
@@ -249,6 +290,10 @@
 	{ "answer", exec_answer },
 	{ "apply", exec_apply },
 	{ "updated", exec_updated },
+	{ "age", exec_age },
+	{ "next", exec_next },
+	{ "retry-ms", exec_retry_ms },
+	{ "pause", exec_pause },
 	{ "relays", exec_relays },
 	{ "complete", exec_complete },
 	{ "proof", exec_proof },
