Try a failed read of the store again soon while peers' reads succeed

What callers saw: daemons that lacked entries, and whose one read of the store had failed, had no other way for a minute.

Cause: the pause after a failed read was 60 ms times the number of daemons, 59 s at 984, to bound the calls of all in an outage; it was the same where the store answered others and only this daemon lacked what they had read. Change: where a peer has read the topic within the time after which this daemon reads for itself, the pause begins at half of that time, with jitter, and doubles up to the old one.

--- a/src/registry-follower.c
+++ b/src/registry-follower.c
@@ -4,11 +4,17 @@
 #include "clock.h"
 #include "registry-follower.h"
 #include "event-log.h"
+#include "random.h"
 
 /* Pause after the first failure, doubled for each further one. */
 #define RETRY_MIN_MS 50
 /* Longest pause, which bounds how late the end of an outage is noticed. */
 #define RETRY_MAX_MS 400
+/* Where peers have read the topic lately, the first pause is this part of the
+ * time without updates after which this daemon reads, and is doubled so often.
+ */
+#define RETRY_FALLBACK_PART 2
+#define RETRY_DOUBLED_MAX 8
 /* Least time between two reads that were requested by topic_follower_poll().
  * With hundreds of hosts something always waits for new records, and each read
  * is a call to the store. */
@@ -69,6 +75,27 @@
 		follower_read(f);
 }
 
+/*
+ * Pause after a failure where this daemon does not read for others. If peers
+ * have read the topic lately, the store answers, and only a few daemons lack
+ * what these have read: the pause begins short and grows. Otherwise the reader
+ * notices the end of the outage for the others.
+ */
+static unsigned
+follower_retry_ms(const struct topic_follower *f)
+{
+	uint64_t now = clock_loop_ms(f->loop);
+	uint64_t base_ms = f->fallback_ms / RETRY_FALLBACK_PART;
+
+	if (f->fallback_ms == 0 || f->peer_read_ms == 0 ||
+	    now >= f->peer_read_ms + f->fallback_ms)
+		return (f->retry_ms);
+	base_ms <<= MIN(f->failures, RETRY_DOUBLED_MAX);
+	/* Daemons that failed together don't try again together. */
+	return ((unsigned)MIN(base_ms / 2 + random_below((uint32_t)base_ms + 1),
+	    f->retry_ms));
+}
+
 /* Counts a failure, logs the first of a row and schedules a retry. */
 static void
 follower_failed(struct topic_follower *f, const struct store_response *response)
@@ -86,7 +113,7 @@
 		pause *= 2;
 	pause = MIN(pause, RETRY_MAX_MS);
 	if (!f->reader)
-		pause = MAX(pause, f->retry_ms);
+		pause = MAX(pause, follower_retry_ms(f));
 	f->failures++;
 	follower_schedule(f, pause);
 }
