Tell how old the entries of endpoints are, and what was repaired

Cause: a daemon that lacked entries for half a minute was ready and served, and neither a log line nor a metric told so: endpoints_age_ms knew own reads only, and why a request for entries had no effect was nowhere. Change: entries_stale and entries_current when the copy is older than drain-ms, the age by own and others' reads, counters of gaps, requests and answers, the delay of entries as a histogram, datagrams that the system did not take. Measured: proc-edge-fleet.sh asks each of 16 daemons for the age of its entries; it failed before (all but the reader said that they never had any).

--- a/src/edge-reader.c
+++ b/src/edge-reader.c
@@ -2,6 +2,7 @@
  */
 #include "clock.h"
 #include "edge.h"
+#include "event-log.h"
 
 /* Fractions of apply-ms after which the first and the last daemon that hear
  * nothing of the configuration read the store themselves. The rest of the time
@@ -80,6 +81,32 @@
 	e->daemons.retry_ms = mesh_retry_ms(&e->mesh, ADDRESSES_RETRY_MS);
 }
 
+/**
+ * edge_check_entries() - log when the entries of endpoints become older than
+ * drain-ms, so that requests may be sent to endpoints that have drained, and
+ * when they are current again.
+ * @e: the daemon
+ */
+void
+edge_check_entries(struct edge *e)
+{
+	const struct topic_follower *f = &e->registry.endpoints;
+	uint64_t age = topic_follower_copy_age(f, clock_loop_ms(e->loop));
+	bool stale = f->synced && age >= (uint64_t)e->set.drain_ms;
+
+	if (stale == e->entries_stale)
+		return;
+	e->entries_stale = stale;
+	event_log(stale ? LOG_WARNING : LOG_NOTICE,
+	    stale ? "entries_stale" : "entries_current",
+	    "age_ms=%lld next=%llu told=%llu gap_from=%llu requests=%u "
+	    "failures=%u reader=%d",
+	    (long long)MIN(age, INT64_MAX), (unsigned long long)f->next,
+	    (unsigned long long)e->mesh.feed_end,
+	    (unsigned long long)e->mesh.repair.gap_from,
+	    e->mesh.repair.n_requests, f->failures, f->reader);
+}
+
 /*
  * Starts to read the store unless another daemon sends its contents: a relay
  * reads at once, any other daemon if nothing arrives in time. Hundreds of
--- a/src/edge-status.c
+++ b/src/edge-status.c
@@ -90,6 +90,40 @@
 	print_value(out, "tunnels", e->tunnels.n_tunnels);
 }
 
+/* Prints how current the entries of endpoints are here, and what was missing.
+ */
+static void
+print_entries(struct edge *e, GString *out)
+{
+	static const double quantiles[] = { 0.5, 0.99, 0.999 };
+	static const char *const names[REPAIR_COUNTS] = {
+		[REPAIR_GAPS] = "entries_gaps_total",
+		[REPAIR_ASKED] = "entries_requests_total",
+		[REPAIR_RESENT] = "entries_resent_total",
+		[REPAIR_SPREAD] = "entries_resent_to_cell_total",
+		[REPAIR_UNKNOWN] = "entries_requests_unknown_total",
+		[REPAIR_PACED] = "entries_not_resent_total",
+	};
+	struct mesh_repair *repair = &e->mesh.repair;
+	uint64_t now = clock_loop_ms(e->loop);
+
+	print_value(out, "endpoints_age_ms",
+	    (double)topic_follower_copy_age(&e->registry.endpoints, now));
+	print_value(out, "entries_gap_ms",
+	    repair->gap_ms != 0 ? (double)(now - MIN(repair->gap_ms, now)) : 0);
+	print_value(out, "entries_refused_total",
+	    (double)e->registry.n_refused);
+	for (int i = 0; i < REPAIR_COUNTS; i++)
+		print_value(out, names[i], (double)repair->counts[i]);
+	for (size_t i = 0; i < G_N_ELEMENTS(quantiles); i++)
+		g_string_append_printf(out,
+		    "banklift_entries_delay_ms{quantile=\"%g\"} %llu\n",
+		    quantiles[i],
+		    (unsigned long long)histogram_percentile(&repair->delays,
+			quantiles[i]));
+	print_value(out, "datagrams_unsent_total", (double)e->mesh.n_unsent);
+}
+
 /* Prints downtime and stranded hosts of services, if this daemon is the
  * placer. */
 static void
@@ -140,10 +174,7 @@
 	print_value(body, "domains_evacuated", e->registry.evacuations.n);
 	print_value(body, "config_age_ms",
 	    (double)registry_config_age(&e->registry, now));
-	print_value(body, "entries_refused_total",
-	    (double)e->registry.n_refused);
-	print_value(body, "endpoints_age_ms",
-	    (double)topic_follower_age(&e->registry.endpoints, now));
+	print_entries(e, body);
 	for (int t = 0; t < TOPIC_COUNT; t++)
 		g_string_append_printf(body,
 		    "banklift_store_calls_total{topic=\"%s\"} %llu\n",
--- a/src/edge.c
+++ b/src/edge.c
@@ -164,12 +164,14 @@
 {
 	const uint64_t *counts = e->fwd.stats.counts;
 	const uint64_t *calls = e->store->calls;
+	const uint64_t *repair = e->mesh.repair.counts;
 
 	event_log(LOG_INFO, "counters",
 	    "requests=%llu answered=%llu refused=%llu failed=%llu sent=%llu "
 	    "repeated=%llu resumed=%llu exchanges=%u peers=%u calls_config=%llu "
 	    "calls_endpoints=%llu calls_placement=%llu calls_daemons=%llu "
-	    "store_failures=%llu",
+	    "store_failures=%llu entries_age_ms=%lld gaps=%llu resent=%llu "
+	    "unsent=%llu",
 	    (unsigned long long)counts[COUNT_REQUESTS],
 	    (unsigned long long)counts[COUNT_COMPLETED],
 	    (unsigned long long)counts[COUNT_REFUSED],
@@ -181,7 +183,13 @@
 	    (unsigned long long)calls[TOPIC_ENDPOINTS],
 	    (unsigned long long)calls[TOPIC_PLACEMENT],
 	    (unsigned long long)calls[TOPIC_DAEMONS],
-	    (unsigned long long)e->store->failures);
+	    (unsigned long long)e->store->failures,
+	    (long long)MIN(topic_follower_copy_age(&e->registry.endpoints,
+			       clock_loop_ms(e->loop)),
+		INT64_MAX),
+	    (unsigned long long)repair[REPAIR_GAPS],
+	    (unsigned long long)repair[REPAIR_RESENT],
+	    (unsigned long long)e->mesh.n_unsent);
 }
 
 /* Does the periodic work that has no timer of its own. */
@@ -205,6 +213,7 @@
 		e->fwd.set.retry.window_ms, clock_loop_ms(e->loop));
 	edge_choose_reader(e);
 	edge_update_fallback(e);
+	edge_check_entries(e);
 	edge_announce(e);
 	e->mesh.self.served = e->fwd.stats.counts[COUNT_REQUESTS] > 0;
 	registry_sweep(&e->registry, clock_loop_ms(e->loop));
--- a/src/edge.h
+++ b/src/edge.h
@@ -59,6 +59,7 @@
  * @daemon_peak: number of daemons that share the bounds on all of them
  * @draining_since_ms: loop time at which draining began; 0 before
  * @was_ready: readiness as last logged
+ * @entries_stale: the entries were older than drain_ms when last checked
  */
 struct edge {
 	uv_loop_t *loop;
@@ -92,12 +93,14 @@
 	struct fwd_daemon_peak daemon_peak;
 	uint64_t draining_since_ms;
 	bool was_ready;
+	bool entries_stale;
 };
 
 bool edge_open(struct edge *, GError **);
 void edge_drain(struct edge *);
 void edge_choose_reader(struct edge *);
 void edge_update_fallback(struct edge *);
+void edge_check_entries(struct edge *);
 void edge_start_reading(struct edge *);
 void edge_registry_changed(void *);
 bool edge_is_ready(struct edge *);
--- a/tests/proc-edge-fleet.sh
+++ b/tests/proc-edge-fleet.sh
@@ -57,6 +57,14 @@
     '[ "$(sum groups_open)" = 16 ]'
 check_true "all serve" until_true 5 all_served
 
+# entries_younger MS: whether the entries of all daemons are younger than this.
+entries_younger() {
+	for n in $(seq 1 $COUNT); do
+		[ "$(metric "$n" endpoints_age_ms)" -lt "$1" ] || return 1
+	done
+}
+check_true "all know that their entries are current" until_true 5 entries_younger 2000
+
 # calls DAEMON-NUMBER: prints its store calls for entries and configuration.
 calls() {
 	curl -s -m 5 "http://$(edge_ip "$1"):9464/metrics" |
