Send removals of one offset in one datagram

What callers saw: not observed; found by reading.

Cause: such removals have one offset for all, the last before the end. From the 37th on they are in datagrams of the same, empty range of offsets, which relays took for duplicates and did not pass on, and whose loss leaves no gap that could be noticed. Change: removals of one offset stay in one datagram, 128 at most; further ones get offsets before it.

--- a/src/fleet-model-daemon.c
+++ b/src/fleet-model-daemon.c
@@ -40,9 +40,12 @@
 	daemon->known_end = end;
 }
 
-/* Reads the entries from the store. */
-static void
-daemon_read_entries(struct model_daemon *daemon)
+/**
+ * model_daemon_read() - read the entries from the store.
+ * @daemon: the daemon
+ */
+void
+model_daemon_read(struct model_daemon *daemon)
 {
 	struct topic_follower *f = &daemon->registry.endpoints;
 
@@ -62,7 +65,7 @@
 	struct model_daemon *daemon = arg;
 
 	daemon->entry_reads++;
-	daemon_read_entries(daemon);
+	model_daemon_read(daemon);
 }
 
 /* Counts what a daemon was told to count, and its evidence of endpoints. */
@@ -96,7 +99,10 @@
 static void
 record_learn(void *owner, const struct store_record *record)
 {
-	model_daemon_learn(owner, record->offset);
+	struct model_daemon *daemon = owner;
+
+	daemon->n_removed += record->key[0] == MODEL_REMOVED_KEY;
+	model_daemon_learn(daemon, record->offset);
 }
 
 static const struct topic_follower_ops model_ops = { .record = record_learn };
@@ -159,6 +165,7 @@
 	topic_follower_init_copy(&daemon->registry.config);
 	daemon->known = g_byte_array_new();
 	daemon->known_end = UINT64_MAX;
+	daemon->n_removed = 0;
 	mesh_init(mesh, fleet_model_clock(daemon),
 	    fleet_model_random(model, UINT32_MAX) + 1);
 	daemon->up = true;
@@ -281,7 +288,7 @@
 		record.key = g_strdup_printf("x%" G_GUINT64_FORMAT, at);
 		g_array_append_val(records, record);
 	}
-	daemon_read_entries(daemon);
+	model_daemon_read(daemon);
 	mesh_send_entries(&daemon->mesh, from, f->next, records);
 }
 
--- a/src/fleet-model-daemon.h
+++ b/src/fleet-model-daemon.h
@@ -6,12 +6,15 @@
 
 /* Virtual time starts here, since 0 stands for never. */
 #define MODEL_START_MS 1000
+/* First letter of the keys of entries that were removed. */
+#define MODEL_REMOVED_KEY 'r'
 /* Daemons start within this time, in any order. */
 #define MODEL_START_SPREAD_MS 300
 
 void model_daemon_start(struct model_daemon *);
 void model_daemon_stop(struct model_daemon *);
 void model_daemon_step(struct model_daemon *);
+void model_daemon_read(struct model_daemon *);
 void model_daemon_feed(struct model_daemon *);
 
 void fleet_model_write(struct fleet_model *, unsigned);
--- a/src/fleet-model-entries.c
+++ b/src/fleet-model-entries.c
@@ -17,6 +17,35 @@
 	model->n_records += n;
 }
 
+/**
+ * fleet_model_remove() - have a daemon find by a snapshot that entries were
+ * removed, and distribute that.
+ * @model: the model
+ * @index: index of the daemon
+ * @n: number of removed entries
+ */
+void
+fleet_model_remove(struct fleet_model *model, unsigned index, unsigned n)
+{
+	struct model_daemon *daemon = &model->daemons[index];
+	uint64_t from = daemon->registry.endpoints.next;
+	g_autoptr(GArray) records =
+	    g_array_new(FALSE, TRUE, sizeof(struct store_record));
+
+	g_array_set_clear_func(records, store_record_clear);
+	fleet_model_write(model, n);
+	for (unsigned i = 0; i < n; i++) {
+		struct store_record record = {
+			.offset = registry_removal_offset(model->n_records, i)
+		};
+
+		record.key = g_strdup_printf("%c%u", MODEL_REMOVED_KEY, i);
+		g_array_append_val(records, record);
+	}
+	model_daemon_read(daemon);
+	mesh_send_entries(&daemon->mesh, from, model->n_records, records);
+}
+
 /* Counts the time until a daemon knew an entry. */
 static void
 count_delay(struct fleet_model *model, uint64_t offset)
--- a/src/fleet-model.h
+++ b/src/fleet-model.h
@@ -42,6 +42,7 @@
  * @demand: value that it counts under the key MODEL_DEMAND_KEY
  * @known: for each entry in the store, whether this daemon knows it
  * @known_end: it knows all entries before this offset
+ * @n_removed: removals that it applied
  */
 struct model_daemon {
 	struct mesh mesh;
@@ -67,6 +68,7 @@
 	uint32_t demand;
 	GByteArray *known;
 	uint64_t known_end;
+	unsigned n_removed;
 };
 
 /**
@@ -204,6 +206,7 @@
 uint32_t fleet_model_random(struct fleet_model *, uint32_t);
 void fleet_model_reset_counts(struct fleet_model *);
 void fleet_model_measure(const struct fleet_model *, struct model_stats *);
+void fleet_model_remove(struct fleet_model *, unsigned, unsigned);
 void fleet_model_stream(struct fleet_model *, unsigned, unsigned, uint64_t);
 void fleet_model_measure_entries(const struct fleet_model *,
     struct model_entry_stats *);
--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -105,6 +105,24 @@
 	return (x->offset < y->offset ? -1 : x->offset > y->offset);
 }
 
+/* Number of records of the next datagram. Removals with the same offset stay
+ * together: each datagram has a range of offsets of its own. */
+static guint
+entries_count(const GArray *records, guint first)
+{
+	guint n = MIN(records->len - first, ENTRIES_PER_DATAGRAM);
+
+	while (first + n < records->len) {
+		const struct store_record *next =
+		    &g_array_index(records, struct store_record, first + n);
+
+		if (next->value != NULL || next->offset > next[-1].offset)
+			break;
+		n++;
+	}
+	return (n);
+}
+
 /* Sends all records, in as many datagrams as they need. */
 static void
 entries_send_all(struct mesh *mesh, struct mesh_entries *entries, uint64_t end)
@@ -114,15 +132,17 @@
 	guint first = 0;
 
 	do {
-		guint n = MIN(records->len - first, ENTRIES_PER_DATAGRAM);
+		guint n = entries_count(records, first);
 		guint last = first + n;
 
-		/* A snapshot may hold records that are newer than its end. */
-		entries->end = last < records->len ?
-		    MIN(g_array_index(records, struct store_record, last)
-			    .offset,
-			end) :
-		    end;
+		/* A snapshot may hold records that are newer than its end, or
+		 * older than its beginning. */
+		entries->end = end;
+		if (last < records->len)
+			entries->end = CLAMP(g_array_index(records,
+						 struct store_record, last)
+						 .offset,
+			    entries->from, end);
 		/* The topic did not end where the first datagrams do. */
 		entries->stamp.age_ms =
 		    last < records->len ? UINT32_MAX : age_ms;
--- a/src/registry.c
+++ b/src/registry.c
@@ -124,25 +124,42 @@
 	endpoint_set_entry(ep, grouped, record->value, record->length);
 }
 
+/**
+ * registry_removal_offset() - store offset that stands for that of a removal
+ * which a snapshot shows.
+ * @end: end offset of the snapshot
+ * @i: index of the removal
+ *
+ * The entry was removed at an unknown offset before @end. Removals of the same
+ * offset are sent to peers in one datagram, so not all of them can have it.
+ */
+uint64_t
+registry_removal_offset(uint64_t end, unsigned i)
+{
+	uint64_t before_end = 1 + i / REGISTRY_REMOVALS_MAX;
+
+	return (end > before_end ? end - before_end : 0);
+}
+
 /* Marks endpoints that a complete snapshot does not have as lapsed. */
 static void
 endpoints_snapshot_done(void *owner, GHashTable *keys)
 {
 	struct registry *registry = owner;
 	struct endpoint *ep;
+	unsigned n = 0;
 
 	TAILQ_FOREACH(ep, &registry->fleet.endpoints, entry) {
-		/* Its entry was removed at an unknown offset before the end of
-		 * the snapshot. */
-		const struct store_record record = { .key = ep->report.id,
-			.offset =
-			    MAX(registry->endpoints.snapshot_end, 1) - 1 };
+		struct store_record record = { .key = ep->report.id };
 
 		if (ep->lapsed_ms != 0 ||
 		    g_hash_table_contains(keys, ep->report.id))
 			continue;
 		fleet_lapse(&registry->fleet, ep->report.id,
 		    clock_loop_ms(registry->loop), catching_up(registry));
+		record.offset =
+		    registry_removal_offset(registry->endpoints.snapshot_end,
+			n++);
 		relay_add(registry, &record);
 	}
 }
--- a/src/registry.h
+++ b/src/registry.h
@@ -23,6 +23,8 @@
 /* Largest accepted lead of an endpoint's clock over the clock here: no clock
  * that is set at all is a day off. */
 #define REGISTRY_CLOCK_SKEW_MS 86400000
+/* Removals that a snapshot shows and that have the same offset. */
+#define REGISTRY_REMOVALS_MAX 128
 /* Endpoints whose refused entries are remembered, so that each refusal is
  * logged once. */
 #define REGISTRY_REFUSALS_MAX 1024
@@ -109,6 +111,7 @@
     uint64_t, uint64_t);
 bool registry_apply_snapshot(struct registry *, uint64_t, const GArray *,
     uint64_t);
+uint64_t registry_removal_offset(uint64_t, unsigned);
 void registry_get_snapshot(const struct registry *, GArray *);
 void registry_release(struct registry *);
 void registry_stop(struct registry *);
--- a/tests/fleet-script-config.c
+++ b/tests/fleet-script-config.c
@@ -176,3 +176,31 @@
 			mesh->self.store_ok = script_number(rest, "on", 1) != 0;
 	}
 }
+
+/* remove NAME records=N: a daemon finds by a snapshot that N entries were
+ * removed, and distributes that */
+void
+fleet_script_remove(const char *rest, GString *out)
+{
+	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
+
+	fleet_model_remove(fleet_script_model,
+	    fleet_model_find(fleet_script_model, name)->index,
+	    (unsigned)script_number(rest, "records", 0));
+}
+
+/* removed: fewest and most removals that a daemon applied, but for the one that
+ * found them */
+void
+fleet_script_removed(const char *rest, GString *out)
+{
+	unsigned least = UINT32_MAX, most = 0;
+
+	for (unsigned i = 1; i < fleet_script_model->n; i++) {
+		unsigned n = fleet_script_model->daemons[i].n_removed;
+
+		least = MIN(least, n);
+		most = MAX(most, n);
+	}
+	g_string_append_printf(out, "%u to %u\n", least, most);
+}
--- a/tests/fleet-script.c
+++ b/tests/fleet-script.c
@@ -487,6 +487,8 @@
 	{ "age", fleet_script_age },
 	{ "entries", fleet_script_entries },
 	{ "stream", fleet_script_stream },
+	{ "remove", fleet_script_remove },
+	{ "removed", fleet_script_removed },
 	{ "entry-delays", fleet_script_entry_delays },
 	{ "members-store", fleet_script_members_store },
 	{ "storm", fleet_script_storm },
--- a/tests/fleet-script.h
+++ b/tests/fleet-script.h
@@ -19,6 +19,8 @@
 void fleet_script_age(const char *, GString *);
 void fleet_script_entries(const char *, GString *);
 void fleet_script_feed(const char *, GString *);
+void fleet_script_remove(const char *, GString *);
+void fleet_script_removed(const char *, GString *);
 void fleet_script_stream(const char *, GString *);
 void fleet_script_entry_delays(const char *, GString *);
 void fleet_script_members_store(const char *, GString *);
