--- a/Makefile
+++ b/Makefile
@@ -87,6 +87,10 @@
 	$(BUILD)/tests/planner-samples.o $(BUILD)/tests/script.o \
 	$(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ -lcunit $(LIBS)
+$(BUILD)/test-schedules: $(BUILD)/tests/test-schedules.o \
+	$(BUILD)/tests/schedules-world.o $(BUILD)/tests/schedules-daemon.o \
+	$(BUILD)/tests/script.o $(BUILD)/tests/fake-log.o $(BUILD)/libbanklift.a
+	@$(CC) -o $@ $^ -lcunit $(LIBS)
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/tests/script.o \
 	$(BUILD)/tests/fake-log.o \
 	$(BUILD)/libbanklift.a
