Show in a benchmark how soon all daemons know changed entries

Cause: docs/design/whole-fleet.md names the times that changes take to reach all daemons as missing.

--- a/src/banklift-bench.c
+++ b/src/banklift-bench.c
@@ -10,6 +10,7 @@
 	&bench_choice_entry,
 	&bench_slopes_entry,
 	&bench_fleet_entry,
+	&bench_entries_entry,
 	&bench_limits_entry,
 	&bench_poison_entry,
 	NULL,
--- a/src/bench.h
+++ b/src/bench.h
@@ -18,6 +18,7 @@
 extern const struct bench_entry bench_routing_entry;
 extern const struct bench_entry bench_slopes_entry;
 extern const struct bench_entry bench_choice_entry;
+extern const struct bench_entry bench_entries_entry;
 extern const struct bench_entry bench_fleet_entry;
 extern const struct bench_entry bench_limits_entry;
 extern const struct bench_entry bench_poison_entry;
