Read the store for a gap at an interval, also where it does not answer

What callers saw: nothing yet; found by reading the repair of gaps, which is new. Cause: a relay that lacks entries which nobody has kept had the store read each round, 100 ms, past the pause after a failed read; before the repair it was each 700 ms. Change: the interval is back.

--- a/src/fleet-model-daemon.c
+++ b/src/fleet-model-daemon.c
@@ -65,7 +65,8 @@
 	struct model_daemon *daemon = arg;
 
 	daemon->entry_reads++;
-	model_daemon_read(daemon);
+	if (daemon->mesh.self.store_ok)
+		model_daemon_read(daemon);
 }
 
 /* Counts what a daemon was told to count, and its evidence of endpoints. */
--- a/src/mesh-repair.c
+++ b/src/mesh-repair.c
@@ -22,7 +22,8 @@
 #define GAP_OLD_ROUNDS 3
 /* A gap that is open for this long is logged, and again at this interval. */
 #define GAP_LOG_MS 500
-/* After this time a relay reads the store for its cell. */
+/* After this time a relay reads the store for its cell, and again at this
+ * interval. */
 #define GAP_STORE_MS 700
 /* Bytes per second that are sent again, and in a burst: part of a link of 20
  * Mbit/s. */
@@ -162,6 +163,20 @@
 	repair->counts[REPAIR_GAPS]++;
 }
 
+/* Has the store read if a gap has been open for long. */
+static void
+gap_read_store(struct mesh *mesh)
+{
+	struct mesh_repair *repair = &mesh->repair;
+
+	if (mesh->now_ms - MAX(repair->gap_ms, repair->read_ms) <
+		GAP_STORE_MS ||
+	    mesh->missed == NULL)
+		return;
+	repair->read_ms = mesh->now_ms;
+	mesh->missed(mesh->missed_arg);
+}
+
 /* Whether this daemon takes entries from others at present. */
 static bool
 follows_peers(const struct mesh *mesh)
@@ -192,9 +207,8 @@
 		gap_log(mesh, false);
 	if (open_ms < GAP_OLD_MS || mesh->round % GAP_OLD_ROUNDS == 0)
 		repair_ask_all(mesh, end);
-	if (open_ms >= GAP_STORE_MS && mesh->relay == NULL &&
-	    mesh->missed != NULL)
-		mesh->missed(mesh->missed_arg);
+	if (mesh->relay == NULL)
+		gap_read_store(mesh);
 }
 
 /**
--- a/src/mesh-repair.h
+++ b/src/mesh-repair.h
@@ -37,6 +37,7 @@
  * @gap_from: where the first gap begins
  * @gap_ms: since when it has been open; 0 for no gap
  * @logged_ms: when it was last logged
+ * @read_ms: when the store was last read because of a gap; 0 for never
  * @n_requests: requests sent because of it
  * @hops: members that passed the newest datagrams on
  * @n_hops: number of such datagrams so far
@@ -52,6 +53,7 @@
 	uint64_t gap_from;
 	uint64_t gap_ms;
 	uint64_t logged_ms;
+	uint64_t read_ms;
 	unsigned n_requests;
 	struct sockaddr_in hops[REPAIR_HOPS_MAX];
 	unsigned n_hops;
