Read no slow store oneself because the reader's reads take long

What callers saw: nothing yet; found by reading what the true age of a copy does where the store takes most of a second for a read. Cause: the age includes what the reader's read took, so it passes the bound of the fallback, and most daemons would read for themselves, which can't be any newer and makes the store slower. Change: an update covers its fallback time and what its read took, up to the time-out of a call; the age that is told stays true. Measured: follow-slow-store.txt, which fails before.

--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -253,6 +253,7 @@
 		.from = entries->from,
 		.end = entries->end,
 		.as_of_ms = feed_as_of_ms(&entries->stamp, sent_ms),
+		.took_ms = entries->stamp.age_ms,
 		.records = entries->records,
 	};
 
--- a/src/registry-follower-peers.c
+++ b/src/registry-follower-peers.c
@@ -4,6 +4,9 @@
 
 /* Keys whose records are applied beyond a gap. */
 #define AHEAD_KEYS_MAX 8192
+/* Longest time that a peer's read counts as having taken: the bound on a call
+ * to the store. */
+#define PEER_TOOK_MAX_MS 1200
 
 /**
  * topic_follower_init_copy() - prepare to take over updates from peers.
@@ -103,7 +106,10 @@
 	 * to 23 of 162 hosts. */
 	bool reads_all = f->reader && f->partial;
 
-	f->peer_read_ms = MAX(f->peer_read_ms, update->as_of_ms);
+	if (update->as_of_ms > f->peer_read_ms) {
+		f->peer_read_ms = update->as_of_ms;
+		f->peer_took_ms = MIN(update->took_ms, PEER_TOOK_MAX_MS);
+	}
 	if (!f->synced || f->snapshot_keys != NULL)
 		return (true);
 	if (update->from > f->next) {
@@ -149,6 +155,23 @@
 	f->peer_update_ms = MAX(f->peer_update_ms, as_of_ms);
 }
 
+/**
+ * topic_follower_covered_until() - loop time until which updates from peers
+ * make a read unnecessary.
+ * @f: the follower
+ *
+ * An update is older by what its read took; a read here would take as long.
+ *
+ * Return: loop time in ms; 0 if peers send no updates.
+ */
+uint64_t
+topic_follower_covered_until(const struct topic_follower *f)
+{
+	if (f->fallback_ms == 0 || f->peer_update_ms == 0)
+		return (0);
+	return (f->peer_update_ms + f->peer_took_ms + f->fallback_ms);
+}
+
 /**
  * topic_follower_complete() - whether the local copy has all of the topic's
  * records.
--- a/src/registry-follower.c
+++ b/src/registry-follower.c
@@ -27,11 +27,10 @@
 static unsigned
 follower_covered_ms(const struct topic_follower *f)
 {
-	uint64_t now = clock_loop_ms(f->loop),
-		 until = f->peer_update_ms + f->fallback_ms;
+	uint64_t now = clock_loop_ms(f->loop);
+	uint64_t until = topic_follower_covered_until(f);
 
-	if (f->reader || f->fallback_ms == 0 || f->peer_update_ms == 0 ||
-	    f->snapshot_keys != NULL || now >= until)
+	if (f->reader || f->snapshot_keys != NULL || now >= until)
 		return (0);
 	return ((unsigned)(until - now));
 }
@@ -267,8 +266,9 @@
 static bool
 follower_lacks_updates(const struct topic_follower *f)
 {
-	return (f->fallback_ms > 0 && f->peer_update_ms != 0 &&
-	    clock_loop_ms(f->loop) >= f->peer_update_ms + f->fallback_ms);
+	uint64_t until = topic_follower_covered_until(f);
+
+	return (until != 0 && clock_loop_ms(f->loop) >= until);
 }
 
 /* Reads the next page of the snapshot, or the next records. */
--- a/src/registry-follower.h
+++ b/src/registry-follower.h
@@ -27,12 +27,14 @@
  * @from: start offset of its read
  * @end: end offset of its read
  * @as_of_ms: loop time as of which the topic ended there; 0 for unknown
+ * @took_ms: time that its read took
  * @records: all that changed in that range, of struct store_record
  */
 struct topic_update {
 	uint64_t from;
 	uint64_t end;
 	uint64_t as_of_ms;
+	unsigned took_ms;
 	const GArray *records;
 };
 
@@ -58,6 +60,7 @@
  * @read_from: offset at which the newest read began; for a snapshot, the
  *	offset up to which the topic was known before
  * @peer_update_ms: loop time as of which updates from peers are complete
+ * @peer_took_ms: time that the newest of the reads in these updates took
  * @peer_read_ms: newest loop time as of which a peer has read the topic,
  *whether or not its updates are complete here
  * @timer: runs out when the next read is due
@@ -95,6 +98,7 @@
 	uint64_t called_ms;
 	uint64_t read_from;
 	uint64_t peer_update_ms;
+	unsigned peer_took_ms;
 	uint64_t peer_read_ms;
 	uv_timer_t timer;
 	uint64_t next;
@@ -135,6 +139,7 @@
 void topic_follower_advance(struct topic_follower *, uint64_t);
 void topic_follower_skip(struct topic_follower *, uint64_t);
 void topic_follower_set_updated(struct topic_follower *, uint64_t);
+uint64_t topic_follower_covered_until(const struct topic_follower *);
 bool topic_follower_complete(const struct topic_follower *);
 bool topic_follower_overtaken(const struct topic_follower *);
 uint64_t topic_follower_age(const struct topic_follower *, uint64_t);
--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -197,8 +197,8 @@
 }
 
 /*
- * apply from=N end=N [records=NAME:OFFSET,...] [age=MS]: a peer sent what it
- * read that long ago
+ * apply from=N end=N [records=NAME:OFFSET,...] [age=MS] [took=MS]: a peer sent
+ * what it read, with a call that long ago, which took that time
  */
 static void
 exec_apply(const char *rest, GString *out)
@@ -210,6 +210,7 @@
 		.from = script_number(rest, "from", 0),
 		.end = script_number(rest, "end", 0),
 		.as_of_ms = uv_now(&loop) - script_number(rest, "age", 0),
+		.took_ms = (unsigned)script_number(rest, "took", 0),
 		.records = records,
 	};
 
