Have one linear ramp, and drop a field that nothing reads

Cause: fwd-domains and overload-level each had a ramp between two values; demand_sample.asked was set and never read.

--- a/src/fwd-domains.c
+++ b/src/fwd-domains.c
@@ -9,6 +9,7 @@
 #include <glib.h>
 
 #include "fwd-domains.h"
+#include "ramp.h"
 
 /* The preference falls from 1 to 0 between these parts of the slots of the own
  * failure domain that are in use. */
@@ -26,13 +27,6 @@
 #define FIRST_FULL 0.75
 #define FIRST_NONE 1.0
 
-/* Falls from 1 at @full to 0 at @none. */
-static double
-fade(double value, double full, double none)
-{
-	return (CLAMP((none - value) / (none - full), 0, 1));
-}
-
 /**
  * fwd_domains_prefer() - how much the own failure domain is preferred.
  * @own: its usable endpoints
@@ -49,11 +43,12 @@
 		return (0);
 	load = own->running / own->slots;
 	if (others->slots <= 0)
-		return (fade(load, LOAD_FULL, LOAD_NONE));
+		return (1 - ramp(load, LOAD_FULL, LOAD_NONE));
 	excess = (own->running - EXCESS_REQUESTS) / own->slots -
 	    others->running / others->slots;
-	return (MIN(fade(load, LOAD_FULL, LOAD_NONE),
-	    fade(excess, EXCESS_FULL, EXCESS_NONE)));
+	return (1 -
+	    MAX(ramp(load, LOAD_FULL, LOAD_NONE),
+		ramp(excess, EXCESS_FULL, EXCESS_NONE)));
 }
 
 /**
@@ -68,5 +63,5 @@
 {
 	if (objective_ms <= 0)
 		return (1);
-	return (fade(first_ms / objective_ms, FIRST_FULL, FIRST_NONE));
+	return (1 - ramp(first_ms / objective_ms, FIRST_FULL, FIRST_NONE));
 }
--- a/src/overload-level.c
+++ b/src/overload-level.c
@@ -14,6 +14,7 @@
 #include <string.h>
 
 #include "overload-level.h"
+#include "ramp.h"
 
 /* Refusals set in gradually between these parts of the capacity in use. */
 #define GATE_FROM 0.85
@@ -60,13 +61,6 @@
 	return (sum);
 }
 
-/* Part of the range from @from to @to that a value has passed, 0 to 1. */
-static double
-ramp(double value, double from, double to)
-{
-	return (fmin(fmax((value - from) / (to - from), 0), 1));
-}
-
 /* Requests that the replicas can have at once, by what is expected and by how
  * many of the first events are late. */
 static double
--- a/src/planner-demand.c
+++ b/src/planner-demand.c
@@ -171,6 +171,5 @@
 			planner_model(view, i)->name, &asked))
 			continue;
 		samples[i].queued = asked.queued + asked.due;
-		samples[i].asked = asked.asked;
 	}
 }
--- a/src/planner-demand.h
+++ b/src/planner-demand.h
@@ -30,7 +30,6 @@
  *	return; 0 where not known
  * @refused: requests refused per second for lack of capacity, each counted
  *	once; 0 where not known
- * @asked: first attempts per second; 0 where not known
  * @unlimited: number of replicas without a rate limit
  * @limited: number of replicas that limit their request rate below what they
  *	could serve
@@ -39,7 +38,6 @@
 	double running;
 	double queued;
 	double refused;
-	double asked;
 	unsigned unlimited;
 	unsigned limited;
 };
