Have a reader know what peers told it, and tell it to the others again

Cause: two halves of one claim. A reader that the store does not answer dropped what others read as soon as it was beyond its own last read, so it went on sending to endpoints that drain. And a record that peers had told beyond a gap was left out when a read of the store passed it, while the range of that read was told to all as complete: daemons that lacked it would not have missed it.

Change: a reader applies such records too, but takes no range for known; a read passes a record again that peers told at the same offset, and relays it like one that came during the read.

Measured: follow-reader-refused.txt, which fails before (the record is dropped, and after the read is not told again); follow-late-answer.txt shows the records that are told again, which it did not print.

--- a/src/registry-follower-peers.c
+++ b/src/registry-follower-peers.c
@@ -30,7 +30,7 @@
 {
 	gpointer known = g_hash_table_lookup(f->ahead_offsets, record->key);
 
-	if ((uintptr_t)known <= record->offset)
+	if ((uintptr_t)known <= record->offset + 1)
 		f->ops->record(f->owner, record);
 }
 
@@ -61,17 +61,27 @@
 	    g_hash_table_size(f->ahead_offsets) >= AHEAD_KEYS_MAX);
 }
 
-/* Passes the records of an update that begins beyond a gap, and remembers how
- * new they are until the gap is closed. */
-static void
-follower_apply_ahead(struct topic_follower *f,
-    const struct topic_update *update)
+/* Whether no record of an update beyond a gap may be applied. */
+static bool
+ahead_refuses(struct topic_follower *f, const struct topic_update *update,
+    bool reads_all)
 {
 	const struct offset_range range = { update->from, update->end,
 		update->as_of_ms };
 
-	if (g_hash_table_size(f->ahead_offsets) >= AHEAD_KEYS_MAX ||
-	    !offset_ranges_add(&f->ahead, &range))
+	if (g_hash_table_size(f->ahead_offsets) >= AHEAD_KEYS_MAX)
+		return (true);
+	return (!reads_all && !offset_ranges_add(&f->ahead, &range));
+}
+
+/* Passes the records of an update that begins beyond a gap, and remembers how
+ * new they are until the gap is closed. A daemon that reads all records itself
+ * does not take the range for known. */
+static void
+follower_apply_ahead(struct topic_follower *f,
+    const struct topic_update *update, bool reads_all)
+{
+	if (ahead_refuses(f, update, reads_all))
 		return;
 	for (guint i = 0; i < update->records->len; i++) {
 		const struct store_record *record =
@@ -113,8 +123,7 @@
 	if (!f->synced || f->snapshot_keys != NULL)
 		return (true);
 	if (update->from > f->next) {
-		if (!reads_all)
-			follower_apply_ahead(f, update);
+		follower_apply_ahead(f, update, reads_all);
 		return (false);
 	}
 	for (guint i = 0; i < update->records->len; i++) {
@@ -124,10 +133,9 @@
 		if (record->offset >= f->next)
 			topic_follower_pass(f, record);
 	}
-	if (reads_all)
-		return (true);
 	topic_follower_set_updated(f, update->as_of_ms);
-	topic_follower_advance(f, update->end);
+	if (!reads_all)
+		topic_follower_advance(f, update->end);
 	return (true);
 }
 
@@ -185,15 +193,19 @@
 }
 
 /**
- * topic_follower_overtaken() - whether an update from peers came during the
- * read.
+ * topic_follower_overtaken() - whether an update from peers may have had a
+ * record already: it came during the read, or was applied beyond a gap.
  * @f: the follower, in the callback for a record
+ * @record: the record
  *
  * The record may then be known here, but not at all other daemons.
  */
 bool
-topic_follower_overtaken(const struct topic_follower *f)
+topic_follower_overtaken(const struct topic_follower *f,
+    const struct store_record *record)
 {
+	if (g_hash_table_lookup(f->ahead_offsets, record->key) != NULL)
+		return (true);
 	return (f->snapshot_keys == NULL && f->next > f->read_from);
 }
 
--- a/src/registry-follower.h
+++ b/src/registry-follower.h
@@ -141,7 +141,8 @@
 void topic_follower_set_updated(struct topic_follower *, uint64_t);
 uint64_t topic_follower_covered_until(const struct topic_follower *);
 bool topic_follower_complete(const struct topic_follower *);
-bool topic_follower_overtaken(const struct topic_follower *);
+bool topic_follower_overtaken(const struct topic_follower *,
+    const struct store_record *);
 uint64_t topic_follower_age(const struct topic_follower *, uint64_t);
 uint64_t topic_follower_copy_age(const struct topic_follower *, uint64_t);
 
--- a/src/registry.c
+++ b/src/registry.c
@@ -113,7 +113,7 @@
 	}
 	grouped = registry_service_grouped(registry, report.service);
 	if (fleet_serving_differs(&registry->fleet, &report, grouped) ||
-	    (topic_follower_overtaken(&registry->endpoints) &&
+	    (topic_follower_overtaken(&registry->endpoints, record) &&
 		endpoint_report_serves(&report, grouped)))
 		relay_add(registry, record);
 	ep = fleet_update(&registry->fleet, &report, record->offset, now);
--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -12,6 +12,7 @@
 static GString *printed;
 static store_fn *pending_fn;
 static void *pending_arg;
+static bool answering;
 
 static bool
 fake_newest(struct store *s, enum store_topic topic, const char *after,
@@ -41,7 +42,10 @@
 static void
 on_record(void *owner, const struct store_record *record)
 {
-	g_string_append_printf(printed, "record %s\n", record->key);
+	g_string_append_printf(printed, "record %s%s\n", record->key,
+	    answering && topic_follower_overtaken(&follower, record) ?
+		" again" :
+		"");
 }
 
 static void
@@ -171,7 +175,8 @@
 
 /*
  * answer end=N [records=NAME:OFFSET,...] [sent=MS] [more=1] [refused=1]
- * [trimmed=1]: the store answers a call that was sent at that time
+ * [trimmed=1]: the store answers a call that was sent at that time; a record
+ * that peers told already is to be relayed again, as not all may have it
  */
 static void
 exec_answer(const char *rest, GString *out)
@@ -188,10 +193,12 @@
 	if (script_number(rest, "trimmed", 0) != 0)
 		response.result = STORE_TRIMMED;
 	pending_fn = NULL;
+	answering = true;
 	if (fn != NULL)
 		fn(pending_arg, &response);
 	else
 		g_string_append(printed, "no call pending\n");
+	answering = false;
 	g_array_free(response.records, TRUE);
 	flush(out);
 }
