--- a/src/edge.c
+++ b/src/edge.c
@@ -383,8 +383,6 @@
 	    !check_opened(edge_open_tunnels(e), "--tunnel-address",
 		e->set.tunnel_address, error))
 		return (false);
-	status_server_bound(&e->peers, MESH_ENTRIES_PATH,
-	    MESH_ENTRIES_SERVED_MAX, MESH_ENTRIES_FETCH_MS);
 	registry_configure(&e->registry,
 	    (unsigned)(e->set.key_proof_ms / CONFIG_READS_PER_BOUND),
 	    (unsigned)(e->set.drain_ms / ENDPOINT_READS_PER_BOUND));
--- a/src/mesh-receive.c
+++ b/src/mesh-receive.c
@@ -404,6 +404,6 @@
 	apply_avoids(mesh, peer, &msg);
 	mesh_apply_limits(mesh, peer, &msg);
 	mesh_apply_poison(mesh, peer, &msg);
+	mesh_fetch_entries(mesh, peer, msg.entries_end);
 	mesh_feed_note_end(mesh, peer, msg.entries_end);
-	mesh_fetch_entries(mesh);
 }
--- a/src/mesh-send.c
+++ b/src/mesh-send.c
@@ -432,7 +432,6 @@
 	mesh_share_limits(mesh);
 	mesh_update_sums(mesh);
 	mesh_repair_round(mesh);
-	mesh_fetch_entries(mesh);
 	if (mesh->relay != NULL) {
 		if (mesh->round % IDLE_ROUNDS == 0 || self_busy(mesh) ||
 		    !mesh_relay_alive(mesh))
--- a/src/mesh-serve.c
+++ b/src/mesh-serve.c
@@ -1,11 +1,16 @@
-/* State that a daemon serves to its peers over HTTP. */
+/* State that a daemon serves to its peers over HTTP, and fetches when it
+ * starts. */
 #include <string.h>
 
 #include "clock.h"
 #include "event-log.h"
 #include "mesh.h"
-#include "net-head.h"
+#include "net-call.h"
 
+#define ENTRIES_PATH "/entries"
+/* Entries of some hundred endpoints at some hundred bytes each, served to a
+ * cell of daemons that all start at once. */
+#define FETCH_TIMEOUT_MS 1500
 /* Room for the header of a response with entries, and for each record's fixed
  * part. */
 #define HEADER_BYTES 256
@@ -86,7 +91,76 @@
 
 	if (strcmp(path, MESH_CONFIG_PATH) == 0)
 		return (serve_config(mesh, body));
-	if (strcmp(path, MESH_ENTRIES_PATH) == 0)
+	if (strcmp(path, ENTRIES_PATH) == 0)
 		return (serve_entries(mesh, body));
 	return (HTTP_STATUS_NOT_FOUND);
 }
+
+/* Loop time as of which fetched entries are complete, given their age when they
+ * were served; 0 for unknown. */
+static uint64_t
+fetched_as_of_ms(const struct mesh *mesh, const struct mesh_stamp *stamp)
+{
+	if (stamp->age_ms >= mesh->fetch_entries_ms)
+		return (0);
+	return (mesh->fetch_entries_ms - stamp->age_ms);
+}
+
+/* Applies fetched entries. */
+static void
+on_entries(void *arg, const struct net_response *response)
+{
+	struct mesh *mesh = arg;
+	struct mesh_entries entries;
+
+	mesh->fetching_entries = false;
+	if (response->status != HTTP_STATUS_OK) {
+		event_log(LOG_INFO, "entries_not_fetched", "status=%u",
+		    response->status);
+		return;
+	}
+	if (!mesh_entries_decode(&entries, (char *)response->body->data,
+		response->body->len))
+		event_log(LOG_WARNING, "entries_ignored",
+		    "bytes=%u reason=format", response->body->len);
+	else
+		registry_apply_snapshot(mesh->registry, entries.end,
+		    entries.records, fetched_as_of_ms(mesh, &entries.stamp));
+	g_array_free(entries.records, TRUE);
+}
+
+/*
+ * Whether to fetch from a daemon: from its relay, if this daemon waits for
+ * that; from any relay, if the store does not answer.
+ */
+static bool
+fetch_from(const struct mesh *mesh, const struct mesh_peer *peer)
+{
+	const struct topic_follower *f = &mesh->registry->endpoints;
+
+	if (f->synced || mesh->fetching_entries)
+		return (false);
+	return (f->held ? peer == mesh->relay :
+			  f->failures > 0 && mesh_peer_is_relay(mesh, peer));
+}
+
+/**
+ * mesh_fetch_entries() - fetch all entries from a relay at the start.
+ * @mesh: the mesh
+ * @peer: a daemon that was heard
+ * @end: it has all entries up to this offset; MESH_NO_ENTRIES if it has read
+ *	none
+ */
+void
+mesh_fetch_entries(struct mesh *mesh, struct mesh_peer *peer, uint64_t end)
+{
+	const struct net_request req = { .method = "GET",
+		.target = ENTRIES_PATH };
+
+	if (end == MESH_NO_ENTRIES || !fetch_from(mesh, peer))
+		return;
+	mesh->fetch_entries_ms = mesh->now_ms;
+	mesh->fetching_entries =
+	    net_call_start(&peer->pool, &req, FETCH_TIMEOUT_MS, on_entries,
+		mesh) != NULL;
+}
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -28,11 +28,6 @@
 #define MESH_REPORTS_MAX 16
 /* HTTP path under which a daemon serves its configuration to other daemons. */
 #define MESH_CONFIG_PATH "/config"
-/* HTTP path under which it serves the entries of endpoints; how many daemons it
- * serves them to at a time, and the time that one may take. */
-#define MESH_ENTRIES_PATH "/entries"
-#define MESH_ENTRIES_SERVED_MAX 8
-#define MESH_ENTRIES_FETCH_MS 3000
 
 /**
  * struct mesh_peer - another daemon.
@@ -186,8 +181,6 @@
  * @repair: repair of gaps in the entries
  * @fetching_entries: entries are being fetched from the relay
  * @fetch_entries_ms: when that began
- * @fetch_failures: consecutive times that it failed
- * @fetch_after_ms: when it may be tried again
  * @fetching_config: a configuration is being fetched from a peer
  * @fetched_version: version that the peer had when the fetch began
  * @fetched_offset: store offset of that version
@@ -267,8 +260,6 @@
 	struct mesh_repair repair;
 	bool fetching_entries;
 	uint64_t fetch_entries_ms;
-	unsigned fetch_failures;
-	uint64_t fetch_after_ms;
 	bool fetching_config;
 	int64_t fetched_version;
 	uint64_t fetched_offset;
@@ -410,10 +401,8 @@
 void mesh_fetch_config(struct mesh *, struct mesh_peer *);
 void mesh_config_fetched(struct mesh *, const void *, size_t);
 
-/* mesh-serve.c: state served to peers over HTTP. */
+/* mesh-serve.c: state served to peers over HTTP, and fetched at the start. */
 unsigned mesh_serve(void *, const char *, GString *);
-
-/* mesh-fetch.c: entries fetched from peers at the start. */
-void mesh_fetch_entries(struct mesh *);
+void mesh_fetch_entries(struct mesh *, struct mesh_peer *, uint64_t);
 
 #endif
--- a/src/status-server.c
+++ b/src/status-server.c
@@ -11,61 +11,8 @@
 	struct status_server *server;
 	http_parser parser;
 	struct net_head head;
-	/* When a response began that counts in the server's bound; 0 for none.
-	 */
-	uint64_t bounded_ms;
-	TAILQ_ENTRY(status_conn) bounded;
 };
 
-/* No longer counts a connection in the server's bound. */
-static void
-bound_leave(struct status_conn *c)
-{
-	if (c->bounded_ms == 0)
-		return;
-	c->bounded_ms = 0;
-	TAILQ_REMOVE(&c->server->bounded, c, bounded);
-}
-
-/* Counts a connection in the server's bound; false if there are too many. */
-static bool
-bound_enter(struct status_conn *c)
-{
-	struct status_server *server = c->server;
-	uint64_t now = uv_now(server->listener.loop);
-	struct status_conn *other, *next;
-	unsigned n = 0;
-
-	bound_leave(c);
-	for (other = TAILQ_FIRST(&server->bounded); other != NULL;
-	     other = next) {
-		next = TAILQ_NEXT(other, bounded);
-		if (now - other->bounded_ms >= server->bounded_ms)
-			bound_leave(other);
-		else
-			n++;
-	}
-	if (n >= server->bounded_max)
-		return (false);
-	c->bounded_ms = MAX(now, 1);
-	TAILQ_INSERT_TAIL(&server->bounded, c, bounded);
-	return (true);
-}
-
-/* Gets the response to a request; returns its status. */
-static unsigned
-conn_respond(struct status_conn *c, GString *body)
-{
-	const struct status_server *server = c->server;
-	const char *path = net_head_target(&c->head);
-
-	if (c->parser.method != HTTP_GET && c->parser.method != HTTP_HEAD)
-		return (HTTP_STATUS_METHOD_NOT_ALLOWED);
-	if (g_strcmp0(path, server->bounded_path) == 0 && !bound_enter(c))
-		return (HTTP_STATUS_SERVICE_UNAVAILABLE);
-	return (server->handler(server->arg, path, body));
-}
-
 static int
 on_message_begin(http_parser *parser)
 {
@@ -92,18 +39,20 @@
 	g_autoptr(GString) body = g_string_new(NULL);
 	g_autoptr(GString) out = g_string_new(NULL);
 	bool keep_alive = http_should_keep_alive(parser);
-	unsigned status = conn_respond(c, body);
+	unsigned status = HTTP_STATUS_METHOD_NOT_ALLOWED;
 
-	/* The client closes the connection as soon as it has the response. */
+	if (parser->method == HTTP_GET || parser->method == HTTP_HEAD)
+		status = c->server->handler(c->server->arg,
+		    net_head_target(&c->head), body);
 	g_string_printf(out,
 	    "HTTP/1.1 %u %s\r\nContent-Type: text/plain\r\n"
 	    "Content-Length: %zu\r\n%s\r\n",
 	    status, http_status_str(status), body->len,
-	    keep_alive && c->bounded_ms == 0 ? "" : "Connection: close\r\n");
+	    keep_alive ? "" : "Connection: close\r\n");
 	if (parser->method != HTTP_HEAD)
 		g_string_append_len(out, body->str, (gssize)body->len);
 	net_stream_write(&c->stream, out->str, out->len);
-	if (!keep_alive && c->bounded_ms == 0)
+	if (!keep_alive)
 		net_stream_close(&c->stream);
 	return (0);
 }
@@ -142,7 +91,6 @@
 {
 	struct status_conn *c = stream->owner;
 
-	bound_leave(c);
 	net_head_clear(&c->head);
 	g_free(c);
 }
@@ -190,7 +138,6 @@
 
 	server->handler = handler;
 	server->arg = arg;
-	TAILQ_INIT(&server->bounded);
 	uv_tcp_init(loop, &server->listener);
 	server->listener.data = server;
 	rc = uv_tcp_bind(&server->listener, (const struct sockaddr *)addr, 0);
@@ -199,22 +146,3 @@
 		    on_connection);
 	return (rc);
 }
-
-/**
- * status_server_bound() - bound the large responses that are sent at a time.
- * @server: the server
- * @path: their path
- * @max: most of them
- * @ms: time after which one no longer counts
- *
- * Hundreds of transfers at a time over one link all take longer than their
- * clients wait; a few at a time are each over soon.
- */
-void
-status_server_bound(struct status_server *server, const char *path,
-    unsigned max, unsigned ms)
-{
-	server->bounded_path = path;
-	server->bounded_max = max;
-	server->bounded_ms = ms;
-}
