Count a cell's members only where a datagram may go to all of them

Cause: each datagram that is sent again counted the members of the cell twice, also at daemons that never send to a cell; and nothing used what registry_apply_endpoints() returned since gaps are found by ranges. Change: the count comes after the cheaper conditions, and the function returns nothing; behaviour is the same.

--- a/src/mesh-repair.c
+++ b/src/mesh-repair.c
@@ -243,10 +243,13 @@
 resend_to_cell(struct mesh *mesh, struct feed_datagram *datagram)
 {
 	struct mesh_repair *repair = &mesh->repair;
-	double cost = (double)datagram->length * mesh_spread_groups(mesh);
+	double cost;
 
 	if (datagram->n_requests < SPREAD_REQUESTS || mesh->relay != NULL ||
-	    !mesh_spread_large(mesh) || repair->tokens < cost)
+	    !mesh_spread_large(mesh))
+		return (false);
+	cost = (double)datagram->length * mesh_spread_groups(mesh);
+	if (repair->tokens < cost)
 		return (false);
 	datagram->n_requests = 0;
 	repair->tokens -= cost;
--- a/src/registry.c
+++ b/src/registry.c
@@ -322,23 +322,18 @@
  * @regained_age_ms: time since the store answered the peer again after an
  *	outage
  * @now: loop time
- *
- * Return: false if earlier entries are missing here.
  */
-bool
+void
 registry_apply_endpoints(struct registry *registry,
     const struct topic_update *update, uint64_t regained_age_ms, uint64_t now)
 {
-	bool complete;
-
 	if (regained_age_ms < REGISTRY_RECOVERY_MS && regained_age_ms < now)
 		registry->endpoints.regained_ms =
 		    MAX(registry->endpoints.regained_ms, now - regained_age_ms);
-	complete = topic_follower_apply(&registry->endpoints, update);
+	topic_follower_apply(&registry->endpoints, update);
 	registry_sweep(registry, now);
 	if (update->records->len > 0)
 		registry_notify(registry);
-	return (complete);
 }
 
 /**
--- a/src/registry.h
+++ b/src/registry.h
@@ -107,7 +107,7 @@
 void registry_configure(struct registry *, unsigned, unsigned);
 void registry_set_fallback(struct registry *, const struct registry_fallback *,
     const struct registry_fallback *);
-bool registry_apply_endpoints(struct registry *, const struct topic_update *,
+void registry_apply_endpoints(struct registry *, const struct topic_update *,
     uint64_t, uint64_t);
 bool registry_apply_snapshot(struct registry *, uint64_t, const GArray *,
     uint64_t);
