--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -27,54 +27,15 @@
 	    (unsigned long long)(ex->first_us > 0 ?
 		    (ex->first_us - ex->arrived_us) / 1000 :
 		    0),
-	    ex->events.buf != NULL ? (long long)ex->events.last_id : -1LL,
+	    (long long)ex->last_event,
 	    ex->catalog != NULL ? (long long)ex->catalog->version : -1LL,
-	    ex->prompt, ex->expected_ms, ex->running_at_send,
-	    ex->backlog_at_send, FINGERPRINT_SHORT(ex->fingerprint),
+	    ex->prompt, ex->last.expected_ms, ex->last.running,
+	    ex->last.backlog, FINGERPRINT_SHORT(ex->fingerprint),
 	    ex->route != NULL ? (long long)ex->route->objective_ms : 0,
-	    (unsigned long long)(ex->sends > 0 ? ex->sent_ms - ex->arrived_ms :
-						 0),
-	    ex->correction_ms, ex->gateway != NULL ? ex->gateway : "-");
-}
-
-/**
- * fwd_exchange_release() - free the slot at the endpoint.
- * @ex: the exchange; it has no connection to the endpoint any more
- */
-void
-fwd_exchange_release(struct fwd_exchange *ex)
-{
-	struct endpoint *ep = ex->endpoint;
-
-	if (ep == NULL)
-		return;
-	ep->inflight--;
-	if (ex->probe)
-		endpoint_backoff_end_probe(&ep->backoff, false);
-	ex->probe = false;
-	ex->has_permit = false;
-	if (ex->in_backlog) {
-		fwd_exchange_note_overdue(ex, clock_loop_ms(ex->fwd->loop));
-		fwd_backlog_drop(&ep->backlog, ex->prompt,
-		    clock_loop_ms(ex->fwd->loop));
-		ep->pending = MAX(ep->pending - ex->prompt, 0);
-	}
-	ex->in_backlog = false;
-	ep->refs--;
-	ex->endpoint = NULL;
-	if (!TAILQ_EMPTY(&ex->fwd->queue))
-		fwd_schedule_dispatch(ex->fwd);
-}
-
-/**
- * fwd_exchange_drop_response() - drop the buffered part of a response.
- * @ex: the exchange
- */
-void
-fwd_exchange_drop_response(struct fwd_exchange *ex)
-{
-	ex->fwd->held_bytes -= ex->response_body->len;
-	g_byte_array_set_size(ex->response_body, 0);
+	    (unsigned long long)(ex->sends > 0 ?
+		    ex->last.sent_ms - ex->arrived_ms :
+		    0),
+	    ex->last.correction_ms, ex->gateway != NULL ? ex->gateway : "-");
 }
 
 /**
@@ -84,15 +45,14 @@
 void
 fwd_exchange_free(struct fwd_exchange *ex)
 {
+	struct fwd_send *send;
+
 	if (ex->state == EXCHANGE_QUEUED)
 		TAILQ_REMOVE(&ex->fwd->queue, ex, queue_entry);
 	ex->state = EXCHANGE_DONE;
 	fwd_poison_end_probe(ex);
-	if (ex->upstream != NULL) {
-		net_conn_abort(ex->upstream);
-		ex->upstream = NULL;
-	}
-	fwd_exchange_release(ex);
+	while ((send = TAILQ_FIRST(&ex->active)) != NULL)
+		fwd_send_free(send);
 	for (unsigned i = 0; i < ex->n_tried; i++)
 		ex->tried[i].endpoint->refs--;
 	TAILQ_REMOVE(&ex->fwd->exchanges, ex, entry);
@@ -101,11 +61,8 @@
 	g_free(ex->id);
 	g_free(ex->gateway);
 	g_string_free(ex->request, TRUE);
-	ex->fwd->held_bytes -= ex->body->len + ex->response_body->len;
+	ex->fwd->held_bytes -= ex->body->len;
 	g_byte_array_unref(ex->body);
-	g_string_free(ex->headers, TRUE);
-	g_byte_array_unref(ex->response_body);
-	fwd_events_clear(&ex->events);
 	g_free(ex);
 }
 
@@ -203,15 +160,16 @@
 
 /**
  * fwd_exchange_deliver() - send a complete response that was buffered.
- * @ex: the exchange; its endpoint was released
+ * @ex: the exchange
+ * @send: its send that has the response
  */
 void
-fwd_exchange_deliver(struct fwd_exchange *ex)
+fwd_exchange_deliver(struct fwd_exchange *ex, struct fwd_send *send)
 {
 	struct fwd_conn *conn = ex->conn;
-	g_autoptr(GString) headers = g_string_new(ex->headers->str);
-	g_autoptr(GByteArray) body = g_byte_array_ref(ex->response_body);
-	unsigned status = ex->status;
+	g_autoptr(GString) headers = g_string_new(send->headers->str);
+	g_autoptr(GByteArray) body = g_byte_array_ref(send->body);
+	unsigned status = send->status;
 
 	end_completed(ex);
 	fwd_exchange_free(ex);
--- a/src/fwd-events.c
+++ b/src/fwd-events.c
@@ -29,17 +29,6 @@
 	ev->buf = NULL;
 }
 
-/**
- * fwd_events_restart() - continue the stream from another endpoint.
- * @ev: the events; an incomplete event of the first endpoint is dropped
- */
-void
-fwd_events_restart(struct fwd_events *ev)
-{
-	g_string_truncate(ev->buf, 0);
-	ev->scanned = 0;
-}
-
 /**
  * fwd_events_add() - add bytes of the stream.
  * @ev: the events
--- a/src/fwd-events.h
+++ b/src/fwd-events.h
@@ -24,9 +24,9 @@
 };
 
 /**
- * struct fwd_events - the events of one response, over all of its endpoints.
+ * struct fwd_events - the events of the response to one send.
  * @buf: bytes that are not passed on yet
- * @last_id: id of the last event passed on; -1 before the first
+ * @last_id: the client has the events up to this id; -1 for none
  * @scanned: length of the part of @buf in which no event ends
  */
 struct fwd_events {
@@ -37,7 +37,6 @@
 
 void fwd_events_init(struct fwd_events *, int64_t);
 void fwd_events_clear(struct fwd_events *);
-void fwd_events_restart(struct fwd_events *);
 bool fwd_events_add(struct fwd_events *, const char *, size_t);
 enum fwd_event_verdict fwd_events_next(struct fwd_events *, size_t *);
 void fwd_events_drop(struct fwd_events *, size_t);
--- a/src/fwd-evidence-collect.c
+++ b/src/fwd-evidence-collect.c
@@ -21,11 +21,21 @@
 		now_ms - MIN(fwd->collected_ms, now_ms) > PAUSE_MS));
 }
 
+/* Records how long the first event of a send is overdue. */
+static void
+record_send_overdue(const struct fwd_send *send, uint64_t now_ms)
+{
+	if (send->in_backlog && !send->path_doubted)
+		fwd_evidence_add_overdue(&send->endpoint->evidence,
+		    fwd_send_lateness_ms(send, now_ms));
+}
+
 /* Records how long the first events of requests in progress are overdue. */
 static void
 record_overdue(struct fwd *fwd, uint64_t now_ms)
 {
 	const struct fwd_exchange *ex;
+	const struct fwd_send *send;
 	struct endpoint *ep;
 
 	TAILQ_FOREACH(ep, &fwd->registry->fleet.endpoints, entry)
@@ -33,9 +43,8 @@
 	if (was_paused(fwd, now_ms))
 		return;
 	TAILQ_FOREACH(ex, &fwd->exchanges, entry) {
-		if (ex->endpoint != NULL && ex->in_backlog && !ex->path_doubted)
-			fwd_evidence_add_overdue(&ex->endpoint->evidence,
-			    fwd_exchange_lateness_ms(ex, now_ms));
+		TAILQ_FOREACH(send, &ex->active, entry)
+			record_send_overdue(send, now_ms);
 	}
 }
 
@@ -99,42 +108,45 @@
 }
 
 /**
- * fwd_exchange_note_first() - learn from a first event.
- * @ex: the exchange, sent to an endpoint with a model
+ * fwd_send_note_first() - learn from a first event.
+ * @send: the send, to an endpoint with a model
  * @now_ms: loop time
  */
 void
-fwd_exchange_note_first(const struct fwd_exchange *ex, uint64_t now_ms)
+fwd_send_note_first(const struct fwd_send *send, uint64_t now_ms)
 {
-	double error = (double)(now_ms - ex->sent_ms) - ex->expected_ms;
+	const struct fwd_exchange *ex = send->exchange;
+	double error =
+	    (double)(now_ms - send->basis.sent_ms) - send->basis.expected_ms;
 
 	if (!ex->fwd->set.endpoint_evidence || was_paused(ex->fwd, now_ms))
 		return;
 	fwd_estimate_add_load_error(fwd_exchange_estimate(ex),
-	    (double)ex->running_at_send / MAX(ex->engine->slots, 1), error);
-	fwd_evidence_add(&ex->endpoint->evidence,
-	    fwd_exchange_lateness_ms(ex, now_ms), now_ms);
+	    (double)send->basis.running / MAX(ex->engine->slots, 1), error);
+	fwd_evidence_add(&send->endpoint->evidence,
+	    fwd_send_lateness_ms(send, now_ms), now_ms);
 }
 
 /**
- * fwd_exchange_note_overdue() - learn from a request that ended before its
- *	first event.
- * @ex: the exchange, with its endpoint
+ * fwd_send_note_overdue() - learn from a send that ends before its first event.
+ * @send: the send
  * @now_ms: loop time
  */
 void
-fwd_exchange_note_overdue(const struct fwd_exchange *ex, uint64_t now_ms)
+fwd_send_note_overdue(const struct fwd_send *send, uint64_t now_ms)
 {
-	double overdue = fwd_exchange_lateness_ms(ex, now_ms);
+	const struct fwd *fwd = send->exchange->fwd;
+	double overdue = fwd_send_lateness_ms(send, now_ms);
 
-	if (ex->fwd->set.endpoint_evidence && !was_paused(ex->fwd, now_ms) &&
-	    ex->reached && !ex->not_run && !ex->path_doubted && overdue > 0)
-		fwd_evidence_add(&ex->endpoint->evidence, overdue, now_ms);
+	if (fwd->set.endpoint_evidence && !was_paused(fwd, now_ms) &&
+	    send->reached && !send->not_run && !send->path_doubted &&
+	    overdue > 0)
+		fwd_evidence_add(&send->endpoint->evidence, overdue, now_ms);
 }
 
 /**
- * fwd_exchange_lateness_ms() - by how much a first event is or was overdue.
- * @ex: the exchange, sent to an endpoint with a model
+ * fwd_send_lateness_ms() - by how much a first event is or was overdue.
+ * @send: the send, to an endpoint with a model
  * @now_ms: loop time
  *
  * The expected time is the one before its correction by evidence. Otherwise the
@@ -143,8 +155,10 @@
  * Return: milliseconds; negative before the event is due.
  */
 double
-fwd_exchange_lateness_ms(const struct fwd_exchange *ex, uint64_t now_ms)
+fwd_send_lateness_ms(const struct fwd_send *send, uint64_t now_ms)
 {
-	return ((double)(now_ms - MIN(ex->sent_ms, now_ms)) -
-	    (ex->expected_ms - ex->correction_ms));
+	const struct fwd_send_basis *basis = &send->basis;
+
+	return ((double)(now_ms - MIN(basis->sent_ms, now_ms)) -
+	    (basis->expected_ms - basis->correction_ms));
 }
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -3,131 +3,20 @@
 
 #include "clock.h"
 #include "event-log.h"
-#include "fwd-cost.h"
 #include "fwd-exchange.h"
-#include "fwd-priority.h"
 #include "random.h"
 
-/* A request that may run only once gets a new connection: an idle one may have
- * been closed by the peer unnoticed, and the request can't be sent again to
- * find out. The send is delayed by this time, so that the reset of a peer that
- * accepts no more can arrive before; the round trip to another failure domain
- * takes a few ms. */
-#define ONCE_DELAY_MS 5
-#define IDLE_MAX_MS 60000
-/* After a probe of an endpoint that was found silent, this daemon waits this
- * long to hear from it before the next one. */
-#define PROBE_PAUSE_MS 300
 /* Time to retry for a request whose deadline passed before it was sent. */
 #define RETRY_LATE_MS 100
 
-/* Adds the prompt to the endpoint's prefill backlog, and notes what part of the
- * expected time to its first event is due to evidence. */
+/* Remembers an endpoint, so that others are preferred if it fails. */
 static void
-exchange_add_backlog(struct fwd_exchange *ex)
-{
-	struct endpoint *ep = ex->endpoint;
-	struct fwd_correction correction;
-	struct fwd_criteria criteria;
-	struct fwd_workload workload;
-
-	fwd_exchange_criteria(ex, &criteria);
-	fwd_criteria_workload(&criteria, ex->prompt, &workload);
-	fwd_expect_correction(ep, &workload, &correction);
-	ex->correction_ms = fwd_correction_ms(&correction);
-	ex->silence_ms =
-	    ex->expected_ms - ex->correction_ms + correction.lateness_ms;
-	ex->backlog_at_send = fwd_expect_backlog(ep, &workload);
-	ex->backlog_mark = fwd_backlog_add(&ep->backlog, ex->prompt,
-	    fwd_expect_rate(ep, &workload), criteria.now_ms);
-	ep->pending += ex->prompt;
-}
-
-/* Takes a slot at the endpoint. */
-static void
-exchange_take_slot(struct fwd_exchange *ex, const struct fwd_choice *choice)
-{
-	struct endpoint *ep = choice->endpoint;
-	uint64_t now = clock_loop_ms(ex->fwd->loop);
-
-	ex->endpoint = ep;
-	ex->running_at_send = ep->inflight + ep->peer_inflight;
-	ex->usable_at_send = choice->usable;
-	ex->known_at_send = choice->known;
-	ep->refs++;
-	if (ex->model == NULL && ex->fwd->set.balance_spread &&
-	    endpoint_suspected(ep))
-		ep->cooldown_until_ms =
-		    MAX(ep->cooldown_until_ms, now + PROBE_PAUSE_MS);
-	ex->probe = endpoint_backoff_begin_probe(&ep->backoff);
-	ex->has_permit = endpoint_limit_active(&ep->limit, now) &&
-	    endpoint_limit_take_permit(&ep->limit, now);
-	ex->in_backlog = ex->model != NULL;
-	ex->expected_ms = choice->first_ms;
-	ex->overhead_ms = choice->overhead_ms;
-	ex->correction_ms = 0;
-	ex->silence_ms = ex->expected_ms;
-	if (ex->in_backlog)
-		exchange_add_backlog(ex);
-	ep->inflight++;
-}
-
-/* Remembers the endpoint, so that others are preferred if it fails. */
-static void
-exchange_note_tried(struct fwd_exchange *ex)
+exchange_note_tried(struct fwd_exchange *ex, struct endpoint *ep)
 {
 	if (ex->n_tried == FWD_TRIED_MAX)
 		return;
-	ex->endpoint->refs++;
-	ex->tried[ex->n_tried++].endpoint = ex->endpoint;
-}
-
-/* Priority that the endpoint is told; -1 for none. It is of use to the endpoint
- * only if other requests have another one. */
-static int
-exchange_sent_priority(const struct fwd_exchange *ex)
-{
-	if (!ex->fwd->set.overload_levels ||
-	    !fwd_priority_differs(
-		catalog_find_service(ex->catalog, ex->service)))
-		return (-1);
-	return (ex->priority);
-}
-
-/* Builds the request as it is sent to the endpoint. */
-static GString *
-exchange_build_request(const struct fwd_exchange *ex)
-{
-	GString *text =
-	    g_string_new_len(ex->request->str, (gssize)ex->request->len);
-	const struct wire_forward fwd = {
-		.endpoint = ex->endpoint->report.id,
-		.customer = ex->customer != NULL ? ex->customer->name : NULL,
-		.left_ms =
-		    (int64_t)(ex->deadline_ms - clock_loop_ms(ex->fwd->loop)),
-		.last_event = ex->events.last_id,
-		.priority = exchange_sent_priority(ex),
-	};
-
-	ex->fwd->wire->write_forward(text, &fwd);
-	if (ex->body->len > 0 || !g_str_has_prefix(text->str, "GET "))
-		g_string_append_printf(text, "Content-Length: %u\r\n",
-		    ex->body->len);
-	g_string_append(text, "\r\n");
-	g_string_append_len(text, (const char *)ex->body->data,
-	    (gssize)ex->body->len);
-	return (text);
-}
-
-/* Idle connections to the endpoint that this daemon may keep. */
-static unsigned
-exchange_max_idle(const struct fwd_exchange *ex)
-{
-	const struct catalog_service *service =
-	    catalog_find_service(ex->catalog, ex->service);
-
-	return (fwd_idle_share(service != NULL ? service->max_connections : 0,
-	    ex->fwd->daemons, ex->fwd->name_hash, ex->endpoint->id_hash));
+	ep->refs++;
+	ex->tried[ex->n_tried++].endpoint = ep;
 }
 
 /**
@@ -138,51 +27,13 @@
 void
 fwd_exchange_send(struct fwd_exchange *ex, const struct fwd_choice *choice)
 {
-	struct fwd *fwd = ex->fwd;
-	bool once = !fwd_exchange_retryable(ex);
-	/* A retry uses a new connection: the idle ones may all have failed
-	 * together. */
-	uint64_t idle = once || ex->sends > 0 ? 0 : IDLE_MAX_MS;
-	const struct endpoint_limit *limit = &choice->endpoint->limit;
-	g_autoptr(GString) text = NULL;
-
-	TAILQ_REMOVE(&fwd->queue, ex, queue_entry);
+	TAILQ_REMOVE(&ex->fwd->queue, ex, queue_entry);
 	ex->state = ex->first_us > 0 ? EXCHANGE_RESPONDING : EXCHANGE_SENT;
-	exchange_take_slot(ex, choice);
-	fwd_sends_count(ex);
-	exchange_note_tried(ex);
+	exchange_note_tried(ex, choice->endpoint);
 	ex->sends++;
 	fwd_count_sent(ex);
-	ex->sent_ms = clock_loop_ms(fwd->loop);
-	ex->heard_ms = ex->sent_ms;
-	ex->crash_suspected = false;
-	ex->path_doubted = false;
-	ex->resumed = ex->events.last_id >= 0;
-	fwd_feedback_check_send(ex);
-	ex->endpoint->pool.max_idle = exchange_max_idle(ex);
-	ex->upstream =
-	    net_pool_take(&ex->endpoint->pool, idle, &fwd_response_ops, ex);
-	if (ex->upstream == NULL) {
-		if (ex->has_permit)
-			endpoint_limit_return_permit(&ex->endpoint->limit);
-		fwd_exchange_release(ex);
+	if (fwd_send_start(ex, choice) == NULL)
 		fwd_exchange_retry(ex, "no_connection");
-		return;
-	}
-	if (once)
-		net_conn_delay_send(ex->upstream, ONCE_DELAY_MS);
-	ex->runs++;
-	fwd_stats_count(&fwd->stats, COUNT_SENT);
-	log_debug("request_sent",
-	    "id=%s endpoint=%s sends=%u expected_ms=%.0f load=%.2f known=%u "
-	    "usable=%u limit=%.3f limit_age_ms=%llu",
-	    ex->id, ex->endpoint->report.id, ex->sends, choice->first_ms,
-	    choice->load, choice->known, choice->usable,
-	    limit->named ? limit->per_s : -1,
-	    (unsigned long long)(limit->named ? ex->sent_ms - limit->as_of_ms :
-						0));
-	text = exchange_build_request(ex);
-	net_conn_send(ex->upstream, text->str, text->len, ex->head_only);
 }
 
 /**
@@ -256,8 +107,8 @@
 	conn->exchange = ex;
 	ex->id = g_strdup(req.id != NULL ? req.id : "-");
 	ex->request = g_string_sized_new(512);
-	ex->headers = g_string_new(NULL);
-	ex->response_body = g_byte_array_new();
+	ex->last_event = -1;
+	TAILQ_INIT(&ex->active);
 	ex->body = g_steal_pointer(&conn->body);
 	conn->body = g_byte_array_new();
 	ex->head_only = conn->head_only;
@@ -285,17 +136,19 @@
 void
 fwd_exchange_client_left(struct fwd_exchange *ex)
 {
+	const struct fwd_send *send = TAILQ_FIRST(&ex->active);
+
 	fwd_stats_count(&ex->fwd->stats, COUNT_CLIENT_LEFT);
 	event_log(LOG_INFO, "caller_left",
 	    "id=%s state=%d endpoint=%s age_ms=%llu", ex->id, ex->state,
-	    ex->endpoint != NULL ? ex->endpoint->report.id : "-",
+	    send != NULL ? send->endpoint->report.id : "-",
 	    (unsigned long long)(clock_loop_ms(ex->fwd->loop) -
 		ex->arrived_ms));
 	ex->conn = NULL;
 	/* A request that may run only once is left to run; its response is read
 	 * and dropped. */
 	if (ex->route != NULL && ex->route->retry == RETRY_NEVER &&
-	    ex->upstream != NULL && ex->upstream->connected)
+	    send != NULL && send->conn != NULL && send->conn->connected)
 		return;
 	fwd_exchange_free(ex);
 }
@@ -308,79 +161,10 @@
 void
 fwd_exchange_pause(struct fwd_exchange *ex, bool on)
 {
-	if (ex->upstream == NULL || ex->paused == on)
-		return;
-	ex->paused = on;
-	net_conn_pause(ex->upstream, on);
-	/* The endpoint is not to blame for silence during a pause. */
-	ex->heard_ms = clock_loop_ms(ex->fwd->loop);
-}
+	struct fwd_send *send;
 
-/**
- * fwd_exchange_end_send() - record whether the last send reached its endpoint.
- * @ex: the exchange, with its endpoint
- * @reached: the endpoint may have received the request
- *
- * An endpoint that hangs may run a request and never respond, so each send that
- * may have reached an endpoint counts as a run.
- */
-void
-fwd_exchange_end_send(struct fwd_exchange *ex, bool reached)
-{
-	ex->reached = reached;
-	if (reached)
-		return;
-	ex->runs--;
-	if (ex->has_permit)
-		endpoint_limit_return_permit(&ex->endpoint->limit);
-}
-
-/**
- * fwd_exchange_move() - move a request from its endpoint to another.
- * @ex: the exchange
- * @reached: the endpoint may have received the request
- * @reason: reason for the log
- */
-void
-fwd_exchange_move(struct fwd_exchange *ex, bool reached, const char *reason)
-{
-	fwd_path_note(ex);
-	fwd_exchange_end_send(ex, reached);
-	net_conn_abort(ex->upstream);
-	ex->upstream = NULL;
-	fwd_exchange_release(ex);
-	fwd_exchange_retry(ex, reason);
-}
-
-/* Whether the endpoint's rate limit allows the request. Takes a permit if the
- * endpoint has named the limit since it was chosen. */
-static bool
-exchange_has_permit(struct fwd_exchange *ex, uint64_t now_ms)
-{
-	struct endpoint_limit *limit = &ex->endpoint->limit;
-
-	if (ex->has_permit || endpoint_limit_wait_ms(limit, 0, now_ms) > 0)
-		return (ex->has_permit);
-	ex->has_permit = endpoint_limit_active(limit, now_ms) &&
-	    endpoint_limit_take_permit(limit, now_ms);
-	return (true);
-}
-
-/* Checks a request whose connection to the endpoint is not established yet. */
-static void
-exchange_check_connect(struct fwd_exchange *ex, uint64_t now_ms)
-{
-	/* A response to another request asked for a backoff or told that the
-	 * endpoint is draining. */
-	if (!endpoint_accepts(ex->endpoint, now_ms)) {
-		fwd_exchange_move(ex, false, "endpoint_closed");
-		return;
-	}
-	if (!exchange_has_permit(ex, now_ms)) {
-		fwd_exchange_move(ex, false, "endpoint_limited");
-		return;
-	}
-	fwd_silence_check_connect(ex, now_ms);
+	TAILQ_FOREACH(send, &ex->active, entry)
+		fwd_send_pause(send, on);
 }
 
 /**
@@ -391,15 +175,14 @@
 void
 fwd_exchange_tick(struct fwd_exchange *ex, uint64_t now_ms)
 {
+	struct fwd_send *send;
+
 	if (now_ms >= ex->deadline_ms) {
 		fwd_exchange_give_up(ex, HTTP_STATUS_GATEWAY_TIMEOUT, "time_up",
 		    RETRY_LATE_MS);
 		return;
 	}
-	if (ex->state == EXCHANGE_QUEUED || ex->upstream == NULL)
-		return;
-	if (ex->upstream->connected)
-		fwd_silence_check(ex, now_ms);
-	else
-		exchange_check_connect(ex, now_ms);
+	send = TAILQ_FIRST(&ex->active);
+	if (send != NULL)
+		fwd_send_check(send, now_ms);
 }
--- a/src/fwd-feedback.c
+++ b/src/fwd-feedback.c
@@ -11,14 +11,15 @@
 
 /**
  * fwd_endpoint_cool_down() - start a cooldown of an endpoint: prefer others.
- * @ex: the exchange, with its endpoint
+ * @send: the send
  * @ms: length of the cooldown, which the endpoint did not ask for
  * @reason: reason for the log
  */
 void
-fwd_endpoint_cool_down(struct fwd_exchange *ex, uint64_t ms, const char *reason)
+fwd_endpoint_cool_down(struct fwd_send *send, uint64_t ms, const char *reason)
 {
-	struct endpoint *ep = ex->endpoint;
+	const struct fwd_exchange *ex = send->exchange;
+	struct endpoint *ep = send->endpoint;
 
 	ep->cooldown_until_ms =
 	    MAX(ep->cooldown_until_ms, clock_loop_ms(ex->fwd->loop) + ms);
@@ -30,8 +31,10 @@
 /* Current time. Feedback holds from now on, and the loop's time is that at
  * which this round began. */
 static uint64_t
-feedback_now(const struct fwd_exchange *ex)
+feedback_now(const struct fwd_send *send)
 {
+	const struct fwd_exchange *ex = send->exchange;
+
 	uv_update_time(ex->fwd->loop);
 	return (clock_loop_ms(ex->fwd->loop));
 }
@@ -39,27 +42,29 @@
 /* Has it noted that the endpoint wants nothing from this daemon for so many ms,
  * nor from the gateway that the response came through. */
 static void
-feedback_declined(const struct fwd_exchange *ex, uint64_t ms)
+feedback_declined(const struct fwd_send *send, uint64_t ms)
 {
+	const struct fwd_exchange *ex = send->exchange;
 	const struct net_gateway *gateway = NULL;
 
-	if (net_conn_tunneled(ex->upstream))
-		gateway = &ex->upstream->link->gateway;
+	if (net_conn_tunneled(send->conn))
+		gateway = &send->conn->link->gateway;
 	if (ex->fwd->on_declined != NULL)
-		ex->fwd->on_declined(ex->fwd->on_declined_arg, ex->endpoint, ms,
-		    gateway);
+		ex->fwd->on_declined(ex->fwd->on_declined_arg, send->endpoint,
+		    ms, gateway);
 }
 
 /* The endpoint asks for a backoff: nothing from this daemon for a while. */
 static void
-feedback_backoff(struct fwd_exchange *ex, const struct feedback *fb)
+feedback_backoff(struct fwd_send *send, const struct feedback *fb)
 {
-	struct endpoint *ep = ex->endpoint;
+	const struct fwd_exchange *ex = send->exchange;
+	struct endpoint *ep = send->endpoint;
 	uint64_t ms =
 	    endpoint_backoff_normalize(fb->number, ex->fwd->set.backoff_max_ms);
 
-	endpoint_backoff_extend(&ep->backoff, ms, feedback_now(ex));
-	feedback_declined(ex, MAX(ms, 1));
+	endpoint_backoff_extend(&ep->backoff, ms, feedback_now(send));
+	feedback_declined(send, MAX(ms, 1));
 	fwd_stats_count(&ex->fwd->stats, COUNT_BACKOFFS);
 	event_log(LOG_NOTICE, "endpoint_asks_rest",
 	    "endpoint=%s started_ms=%lld asked=\"%.40s\" read=%s ms=%llu "
@@ -74,15 +79,16 @@
 
 /* The endpoint is draining; this incarnation won't accept requests again. */
 static void
-feedback_draining(struct fwd_exchange *ex, const struct feedback *fb)
+feedback_draining(struct fwd_send *send, const struct feedback *fb)
 {
-	struct endpoint *ep = ex->endpoint;
+	const struct fwd_exchange *ex = send->exchange;
+	struct endpoint *ep = send->endpoint;
 
 	if (fb->number != 1)
 		return;
 	/* Each gateway is told, also of what this daemon knows already. */
-	if (!ep->draining || net_conn_tunneled(ex->upstream))
-		feedback_declined(ex, 0);
+	if (!ep->draining || net_conn_tunneled(send->conn))
+		feedback_declined(send, 0);
 	if (ep->draining)
 		return;
 	/* Its entry in the store may tell that later, or not at all while the
@@ -98,10 +104,11 @@
 
 /* Logs a changed rate limit, and has other daemons notified. */
 static void
-feedback_limit_changed(struct fwd_exchange *ex, const char *event,
+feedback_limit_changed(struct fwd_send *send, const char *event,
     const char *asked)
 {
-	struct endpoint *ep = ex->endpoint;
+	const struct fwd_exchange *ex = send->exchange;
+	struct endpoint *ep = send->endpoint;
 
 	event_log(LOG_NOTICE, event,
 	    "endpoint=%s started_ms=%lld asked=\"%.40s\" per_s=%.3f "
@@ -114,33 +121,33 @@
 
 /* The endpoint names a rate limit, which all daemons share. */
 static void
-feedback_limit(struct fwd_exchange *ex, const struct feedback *fb)
+feedback_limit(struct fwd_send *send, const struct feedback *fb)
 {
-	struct endpoint_limit *limit = &ex->endpoint->limit;
+	struct endpoint_limit *limit = &send->endpoint->limit;
 	double per_s = endpoint_limit_normalize(fb->number, limit);
 	bool unreadable = isnan(fb->number);
 	bool changed = unreadable && !limit->unreadable;
 
 	limit->unreadable = unreadable;
-	limit->heard_ms = feedback_now(ex);
+	limit->heard_ms = feedback_now(send);
 	changed |= endpoint_limit_set(limit, per_s, limit->heard_ms);
 	if (!changed)
 		return;
-	fwd_stats_count(&ex->fwd->stats, COUNT_LIMITS);
-	feedback_limit_changed(ex, "endpoint_names_limit", fb->text);
+	fwd_stats_count(&send->exchange->fwd->stats, COUNT_LIMITS);
+	feedback_limit_changed(send, "endpoint_names_limit", fb->text);
 }
 
 /* The response names no rate limit: one that was named before has ended. */
 static void
-feedback_no_limit(struct fwd_exchange *ex)
+feedback_no_limit(struct fwd_send *send)
 {
-	struct endpoint_limit *limit = &ex->endpoint->limit;
+	struct endpoint_limit *limit = &send->endpoint->limit;
 
-	if (!endpoint_limit_superseded(limit, ex->sent_ms))
+	if (!endpoint_limit_superseded(limit, send->basis.sent_ms))
 		return;
-	limit->heard_ms = feedback_now(ex);
+	limit->heard_ms = feedback_now(send);
 	if (endpoint_limit_clear(limit, limit->heard_ms))
-		feedback_limit_changed(ex, "endpoint_lifts_limit", "");
+		feedback_limit_changed(send, "endpoint_lifts_limit", "");
 }
 
 /**
@@ -149,8 +156,8 @@
  * @absent: called for a response without it; NULL if that means nothing
  */
 static const struct feedback_handler {
-	void (*present)(struct fwd_exchange *, const struct feedback *);
-	void (*absent)(struct fwd_exchange *);
+	void (*present)(struct fwd_send *, const struct feedback *);
+	void (*absent)(struct fwd_send *);
 } feedback_handlers[FEEDBACK_KINDS] = {
 	[FEEDBACK_BACKOFF] = { feedback_backoff, NULL },
 	[FEEDBACK_DRAINING] = { feedback_draining, NULL },
@@ -159,14 +166,14 @@
 
 /* The endpoint accepted a request, which may have been a probe. */
 static void
-feedback_accepted(struct fwd_exchange *ex)
+feedback_accepted(struct fwd_send *send)
 {
-	struct endpoint_backoff *backoff = &ex->endpoint->backoff;
+	struct endpoint_backoff *backoff = &send->endpoint->backoff;
 
 	endpoint_backoff_accepted(backoff);
-	if (ex->probe)
+	if (send->probe)
 		endpoint_backoff_end_probe(backoff, true);
-	ex->probe = false;
+	send->probe = false;
 }
 
 /*
@@ -175,86 +182,88 @@
  * two requests of three while replicas had free slots.
  */
 static void
-feedback_refused(struct fwd_exchange *ex)
+feedback_refused(struct fwd_send *send)
 {
-	fwd_endpoint_cool_down(ex,
-	    endpoint_backoff_refused(&ex->endpoint->backoff), "refused");
+	fwd_endpoint_cool_down(send,
+	    endpoint_backoff_refused(&send->endpoint->backoff), "refused");
 }
 
 /**
  * fwd_feedback_apply() - apply the feedback in a response.
- * @ex: the exchange
+ * @send: the send
  * @response: decoded headers of the response; those of another incarnation tell
  *	nothing about the endpoint
  */
 void
-fwd_feedback_apply(struct fwd_exchange *ex,
-    const struct wire_response *response)
+fwd_feedback_apply(struct fwd_send *send, const struct wire_response *response)
 {
+	const struct fwd_exchange *ex = send->exchange;
 	const struct feedback *backoff = &response->feedback[FEEDBACK_BACKOFF];
-	const struct endpoint *ep = ex->endpoint;
+	const struct endpoint *ep = send->endpoint;
 
 	if (response->not_run)
 		event_log(LOG_INFO, "request_not_run",
 		    "id=%s endpoint=%s status=%u rest=\"%.40s\" "
 		    "expected_ms=%.0f running=%u usable=%u known=%u sends=%u "
 		    "age_ms=%llu",
-		    ex->id, ep->report.id, ex->status,
+		    ex->id, ep->report.id, send->status,
 		    backoff->text != NULL ? backoff->text : "-",
-		    ex->expected_ms, ex->running_at_send, ex->usable_at_send,
-		    ex->known_at_send, ex->sends,
+		    send->basis.expected_ms, send->basis.running,
+		    send->basis.usable, send->basis.known, ex->sends,
 		    (unsigned long long)(clock_loop_ms(ex->fwd->loop) -
-			ex->sent_ms));
+			send->basis.sent_ms));
 	if (response->wrong_endpoint)
 		return;
 	for (enum feedback_kind kind = 0; kind < FEEDBACK_KINDS; kind++) {
 		if (response->feedback[kind].text != NULL)
-			feedback_handlers[kind].present(ex,
+			feedback_handlers[kind].present(send,
 			    &response->feedback[kind]);
 		else if (feedback_handlers[kind].absent != NULL)
-			feedback_handlers[kind].absent(ex);
+			feedback_handlers[kind].absent(send);
 	}
 	if (!response->not_run)
-		feedback_accepted(ex);
+		feedback_accepted(send);
 	else if (response->lost_member == NULL &&
 	    !endpoint_backoff_active(&ep->backoff,
 		clock_loop_ms(ex->fwd->loop)))
-		feedback_refused(ex);
+		feedback_refused(send);
 }
 
 /* Counts a request to an endpoint with a rate limit; logs it if it is sent
  * without a permit. */
 static void
-feedback_check_limit(struct fwd_exchange *ex)
+feedback_check_limit(struct fwd_send *send)
 {
-	const struct endpoint *ep = ex->endpoint;
+	const struct fwd_exchange *ex = send->exchange;
+	const struct endpoint *ep = send->endpoint;
 	const struct endpoint_limit *limit = &ep->limit;
 
-	if (!endpoint_limit_active(limit, ex->sent_ms))
+	if (!endpoint_limit_active(limit, send->basis.sent_ms))
 		return;
 	fwd_stats_count(&ex->fwd->stats, COUNT_SENT_LIMITED);
-	if (ex->has_permit)
+	if (send->has_permit)
 		return;
 	fwd_stats_count(&ex->fwd->stats, COUNT_SENT_OVER_SHARE);
 	event_log(LOG_WARNING, "sent_over_share",
 	    "id=%s endpoint=%s per_s=%.3f share_per_s=%.3f turns=%.2f sends=%u "
 	    "usable=%u known=%u",
 	    ex->id, ep->report.id, limit->per_s, limit->share_per_s,
-	    limit->permits, ex->sends, ex->usable_at_send, ex->known_at_send);
+	    limit->permits, ex->sends, send->basis.usable, send->basis.known);
 }
 
 /**
  * fwd_feedback_check_send() - count and log a send that exceeds a rate limit or
  *	ignores a backoff.
- * @ex: the exchange, with its endpoint
+ * @send: the send
  */
 void
-fwd_feedback_check_send(struct fwd_exchange *ex)
+fwd_feedback_check_send(struct fwd_send *send)
 {
-	const struct endpoint *ep = ex->endpoint;
+	const struct fwd_exchange *ex = send->exchange;
+	const struct endpoint *ep = send->endpoint;
 	uint64_t now = clock_loop_ms(ex->fwd->loop);
 
-	feedback_check_limit(ex);
+	feedback_check_limit(send);
 	if (!endpoint_backoff_active(&ep->backoff, now))
 		return;
 	fwd_stats_count(&ex->fwd->stats, COUNT_SENT_IN_BACKOFF);
@@ -263,5 +272,5 @@
 	    "expected_ms=%.0f",
 	    ex->id, ep->report.id,
 	    (unsigned long long)(ep->backoff.until_ms - now), ex->sends,
-	    ex->usable_at_send, ex->known_at_send, ex->expected_ms);
+	    send->basis.usable, send->basis.known, send->basis.expected_ms);
 }
--- a/src/fwd-level.c
+++ b/src/fwd-level.c
@@ -121,7 +121,7 @@
 	double fraction;
 
 	if (!ex->fwd->set.overload_levels || ex->resubmitted ||
-	    ex->events.last_id >= 0 || !level_current(l, ex->arrived_ms) ||
+	    ex->last_event >= 0 || !level_current(l, ex->arrived_ms) ||
 	    (choice->endpoint != NULL && choice->load < FWD_BUSY_LOAD))
 		return (false);
 	fraction = overload_level_fraction(&l->level, ex->priority);
--- a/src/fwd-path.c
+++ b/src/fwd-path.c
@@ -1,9 +1,9 @@
-/* Whether an exchange waits because its path to the endpoint is lost, rather
+/* Whether a send waits because its path to the endpoint is lost, rather
  * than because of the endpoint. */
 #include "fwd-exchange.h"
 #include "net-probe.h"
 
-/* An exchange is silent if nothing arrives for this time beyond what is
+/* A send is silent if nothing arrives for this time beyond what is
  * expected; while other endpoints are heard directly, for that time. */
 #define SILENT_MS 200
 #define SILENT_OTHERS_HEARD_MS 800
@@ -21,56 +21,57 @@
 /* Time within which a byte is expected; at most EXPECTED_MAX_MS, since a check
  * costs less than a response that is lost. */
 static double
-path_expected_ms(const struct fwd_exchange *ex)
+path_expected_ms(const struct fwd_send *send)
 {
+	const struct fwd_exchange *ex = send->exchange;
 	double expected = 0;
 
-	if (ex->in_backlog)
-		expected = ex->silence_ms;
+	if (send->in_backlog)
+		expected = send->basis.silence_ms;
 	else if (ex->model == NULL)
 		expected =
 		    PLAIN_FACTOR * fwd_exchange_estimate(ex)->duration_ms;
 	return (MIN(expected, EXPECTED_MAX_MS));
 }
 
-/* Whether the exchange is silent for so long that its path is to be checked. */
+/* Whether a send is silent for so long that its path is to be checked. */
 static bool
-path_is_silent(const struct fwd_exchange *ex, uint64_t now_ms)
+path_is_silent(const struct fwd_send *send, uint64_t now_ms)
 {
-	const struct net_tunnels *tunnels = ex->endpoint->pool.tunnels;
-	uint64_t silent = now_ms - MIN(ex->heard_ms, now_ms);
-	bool others_heard = !net_conn_tunneled(ex->upstream) &&
+	const struct net_tunnels *tunnels = send->endpoint->pool.tunnels;
+	uint64_t silent = now_ms - MIN(send->heard_ms, now_ms);
+	bool others_heard = !net_conn_tunneled(send->conn) &&
 	    now_ms - MIN(tunnels->heard_ms, now_ms) < OTHERS_HEARD_MS;
 
-	return ((double)silent > path_expected_ms(ex) +
+	return ((double)silent > path_expected_ms(send) +
 		(others_heard ? SILENT_OTHERS_HEARD_MS : SILENT_MS));
 }
 
 /* Whether a check is due: the pause after one grows with the silence. */
 static bool
-path_check_due(const struct fwd_exchange *ex, uint64_t checked_ms,
+path_check_due(const struct fwd_send *send, uint64_t checked_ms,
     uint64_t now_ms)
 {
-	uint64_t silent = now_ms - MIN(ex->heard_ms, now_ms);
+	uint64_t silent = now_ms - MIN(send->heard_ms, now_ms);
 
 	return (
 	    now_ms - MIN(checked_ms, now_ms) >= MAX(CHECK_PAUSE_MS, silent));
 }
 
-/* Judges the direct path of a silent exchange. */
+/* Judges the direct path of a silent send. */
 static enum fwd_path_verdict
-path_judge_direct(const struct fwd_exchange *ex, uint64_t now_ms)
+path_judge_direct(const struct fwd_send *send, uint64_t now_ms)
 {
-	struct net_pool *pool = &ex->endpoint->pool;
+	struct net_pool *pool = &send->endpoint->pool;
 	const struct net_path *path = &pool->path;
 
-	if (path->lost_ms > ex->heard_ms)
+	if (path->lost_ms > send->heard_ms)
 		return (FWD_PATH_LOST);
 	/* An endpoint that nobody hears is silent itself. */
 	if (now_ms - MIN(path->heard_ms, now_ms) < SILENT_MS ||
-	    ex->endpoint->peer_heard_ms <= ex->heard_ms)
+	    send->endpoint->peer_heard_ms <= send->heard_ms)
 		return (FWD_PATH_SOUND);
-	if (path_check_due(ex, path->checked_ms, now_ms)) {
+	if (path_check_due(send, path->checked_ms, now_ms)) {
 		net_pool_check(pool);
 		return (FWD_PATH_UNKNOWN);
 	}
@@ -80,46 +81,47 @@
 	return (FWD_PATH_UNKNOWN);
 }
 
-/* Judges the gateway of a silent exchange. */
+/* Judges the gateway of a silent send. */
 static enum fwd_path_verdict
-path_judge_gateway(const struct fwd_exchange *ex, uint64_t now_ms)
+path_judge_gateway(const struct fwd_send *send, uint64_t now_ms)
 {
-	struct net_pool *pool = &ex->endpoint->pool;
+	struct net_pool *pool = &send->endpoint->pool;
 	const struct net_gateway_probe *probe = &pool->path.gateway;
-	const struct net_gateway *gateway = &ex->upstream->link->gateway;
+	const struct net_gateway *gateway = &send->conn->link->gateway;
 
 	if (probe->pending)
 		return (FWD_PATH_UNKNOWN);
 	if (probe->name_hash == gateway->name_hash &&
-	    probe->lost_ms > ex->heard_ms)
+	    probe->lost_ms > send->heard_ms)
 		return (FWD_PATH_LOST);
 	if (probe->name_hash == gateway->name_hash &&
-	    !path_check_due(ex, probe->started_ms, now_ms))
+	    !path_check_due(send, probe->started_ms, now_ms))
 		return (FWD_PATH_SOUND);
 	net_probe_gateway(pool, gateway);
 	return (FWD_PATH_UNKNOWN);
 }
 
 /**
- * fwd_path_judge() - judge the path of an exchange; checks it if needed.
- * @ex: the exchange; its connection to the endpoint is established
+ * fwd_path_judge() - judge the path of a send; checks it if needed.
+ * @send: the send; its connection is established
  * @now_ms: loop time
  */
 enum fwd_path_verdict
-fwd_path_judge(const struct fwd_exchange *ex, uint64_t now_ms)
+fwd_path_judge(const struct fwd_send *send, uint64_t now_ms)
 {
-	const struct net_tunnels *tunnels = ex->endpoint->pool.tunnels;
-	bool tunneled = net_conn_tunneled(ex->upstream);
+	const struct net_tunnels *tunnels = send->endpoint->pool.tunnels;
+	bool tunneled = net_conn_tunneled(send->conn);
 
-	if (tunnels == NULL || ex->paused || now_ms < ex->fwd->grace_until_ms)
+	if (tunnels == NULL || send->paused ||
+	    now_ms < send->exchange->fwd->grace_until_ms)
 		return (FWD_PATH_SOUND);
 	if (tunneled &&
-	    !tunnels->ops->usable(tunnels->arg, &ex->upstream->link->gateway))
+	    !tunnels->ops->usable(tunnels->arg, &send->conn->link->gateway))
 		return (FWD_PATH_LOST);
-	if (!path_is_silent(ex, now_ms))
+	if (!path_is_silent(send, now_ms))
 		return (FWD_PATH_SOUND);
-	return (tunneled ? path_judge_gateway(ex, now_ms) :
-			   path_judge_direct(ex, now_ms));
+	return (tunneled ? path_judge_gateway(send, now_ms) :
+			   path_judge_direct(send, now_ms));
 }
 
 /**
@@ -137,16 +139,17 @@
 }
 
 /**
- * fwd_path_note() - note through which gateway an exchange goes, for the log.
- * @ex: the exchange, with a connection to its endpoint
+ * fwd_path_note() - note through which gateway a send goes, for the log.
+ * @send: the send, with a connection
  */
 void
-fwd_path_note(struct fwd_exchange *ex)
+fwd_path_note(struct fwd_send *send)
 {
-	const struct net_tunnels *tunnels = ex->endpoint->pool.tunnels;
+	struct fwd_exchange *ex = send->exchange;
+	const struct net_tunnels *tunnels = send->endpoint->pool.tunnels;
 
 	g_clear_pointer(&ex->gateway, g_free);
-	if (net_conn_tunneled(ex->upstream))
+	if (net_conn_tunneled(send->conn))
 		ex->gateway = g_strdup(tunnels->ops->name(tunnels->arg,
-		    &ex->upstream->link->gateway));
+		    &send->conn->link->gateway));
 }
--- a/src/fwd-poison.c
+++ b/src/fwd-poison.c
@@ -92,14 +92,15 @@
 /**
  * fwd_poison_observe_crash() - record that an endpoint may have crashed while
  *	it had a request.
- * @ex: the exchange, with its endpoint
+ * @send: the send
  * @silent: the endpoint fell silent; otherwise the connection broke
  */
 void
-fwd_poison_observe_crash(struct fwd_exchange *ex, bool silent)
+fwd_poison_observe_crash(struct fwd_send *send, bool silent)
 {
+	const struct fwd_exchange *ex = send->exchange;
 	struct fwd *fwd = ex->fwd;
-	const struct endpoint *ep = ex->endpoint;
+	const struct endpoint *ep = send->endpoint;
 	uint64_t now = clock_loop_ms(fwd->loop);
 	const struct poison_crash crash = poison_crash_of(ep, silent, now);
 	bool is_new = poison_observe_crash(&fwd->registry->poison,
@@ -112,29 +113,30 @@
 	    "peer_inflight=%u",
 	    ex->id, FINGERPRINT_SHORT(ex->fingerprint), ep->report.id,
 	    (long long)ep->report.started_ms, silent ? "silent" : "broken",
-	    is_new, (unsigned long long)(now - ex->sent_ms),
-	    (long long)ex->events.last_id, ep->inflight, ep->peer_inflight);
+	    is_new, (unsigned long long)(now - send->basis.sent_ms),
+	    (long long)ex->last_event, ep->inflight, ep->peer_inflight);
 }
 
 /**
  * fwd_poison_note_success() - record that an endpoint completed a response.
- * @ex: the exchange
+ * @send: the send
  *
  * A resumed response doesn't count: it tells nothing about what the beginning
  * of the request does to endpoints.
  */
 void
-fwd_poison_note_success(struct fwd_exchange *ex)
+fwd_poison_note_success(struct fwd_send *send)
 {
-	if (ex->resumed)
+	const struct fwd_exchange *ex = send->exchange;
+
+	if (send->resumed)
 		return;
 	if (!poison_note_success(&ex->fwd->registry->poison, ex->fingerprint,
 		clock_loop_ms(ex->fwd->loop)))
 		return;
 	event_log(LOG_INFO, "work_cleared", "id=%s work=%08x endpoint=%s",
 	    ex->id, FINGERPRINT_SHORT(ex->fingerprint),
-	    ex->n_tried > 0 ? ex->tried[ex->n_tried - 1].endpoint->report.id :
-			      "-");
+	    send->endpoint->report.id);
 }
 
 /* Whether a fingerprint is in the list of a setting. */
--- a/src/fwd-resolve.c
+++ b/src/fwd-resolve.c
@@ -194,6 +194,6 @@
 	resolve_priority(ex);
 	ex->fingerprint = resolve_fingerprint(ex, method);
 	resolve_request_text(ex, method);
-	fwd_events_init(&ex->events, req->last_event);
+	ex->last_event = req->last_event;
 	return (true);
 }
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -30,16 +30,16 @@
 
 /* Keeps the header lines of a response for the client. */
 static void
-response_keep_headers(struct fwd_exchange *ex, const struct net_head *head)
+response_keep_headers(struct fwd_send *send, const struct net_head *head)
 {
 	/* A resumed response keeps the headers of its first endpoint. */
-	if (ex->first_us > 0)
+	if (send->exchange->first_us > 0)
 		return;
-	g_string_truncate(ex->headers, 0);
+	g_string_truncate(send->headers, 0);
 	for (unsigned i = 0; i < head->n_fields; i++) {
 		if (net_head_hop_by_hop(head, i))
 			continue;
-		g_string_append_printf(ex->headers, "%s: %s\r\n",
+		g_string_append_printf(send->headers, "%s: %s\r\n",
 		    net_head_name(head, i), net_head_value(head, i));
 	}
 }
@@ -55,7 +55,8 @@
 static enum net_head_action
 on_response_head(void *owner, unsigned status, const struct net_head *head)
 {
-	struct fwd_exchange *ex = owner;
+	struct fwd_send *send = owner;
+	struct fwd_exchange *ex = send->exchange;
 	struct wire_response response;
 
 	ex->fwd->wire->read_response(status, head, &response);
@@ -64,24 +65,25 @@
 		event_log(LOG_NOTICE, "stray_answer",
 		    "id=%s answers=%s "
 		    "endpoint=%s",
-		    ex->id, response.id, ex->endpoint->report.id);
+		    ex->id, response.id, send->endpoint->report.id);
 		return (NET_SKIP);
 	}
-	fwd_path_note(ex);
-	ex->heard_ms = clock_loop_ms(ex->fwd->loop);
+	fwd_path_note(send);
+	send->heard_ms = clock_loop_ms(ex->fwd->loop);
 	if (!response.wrong_endpoint)
-		ex->endpoint->heard_ms = ex->heard_ms;
+		send->endpoint->heard_ms = send->heard_ms;
+	send->status = status;
 	ex->status = status;
-	ex->has_signature = response.has_signature;
-	ex->not_run = response.not_run;
-	fwd_feedback_apply(ex, &response);
+	send->has_signature = response.has_signature;
+	send->not_run = response.not_run;
+	fwd_feedback_apply(send, &response);
 	if (response.wrong_endpoint)
-		endpoint_mark_gone(ex->endpoint);
+		endpoint_mark_gone(send->endpoint);
 	if (response.not_run && response.lost_member != NULL)
-		fwd_endpoint_cool_down(ex, COOLDOWN_BROKEN_MS, "member_lost");
-	ex->streaming = ex->route->retry == RETRY_STREAM &&
-	    status_is_success(status) && ex->has_signature;
-	response_keep_headers(ex, head);
+		fwd_endpoint_cool_down(send, COOLDOWN_BROKEN_MS, "member_lost");
+	send->streaming = ex->route->retry == RETRY_STREAM &&
+	    status_is_success(status) && send->has_signature;
+	response_keep_headers(send, head);
 	return (NET_ACCEPT);
 }
 
@@ -90,151 +92,183 @@
  * profile's estimate goes into the measured overhead of the model.
  */
 static void
-response_first_event(struct fwd_exchange *ex)
+response_first_event(struct fwd_send *send)
 {
-	struct fwd_estimate *estimate;
+	struct fwd_exchange *ex = send->exchange;
+	const struct fwd_send_basis *basis = &send->basis;
+	struct endpoint *ep = send->endpoint;
 	uint64_t now = clock_loop_ms(ex->fwd->loop);
 
-	if (!ex->in_backlog)
+	if (!send->in_backlog)
 		return;
-	ex->in_backlog = false;
-	fwd_backlog_confirm(&ex->endpoint->backlog, ex->backlog_mark, now);
-	ex->endpoint->pending = MAX(ex->endpoint->pending - ex->prompt, 0);
-	estimate = fwd_estimate_get(ex->fwd, ex->model->name);
-	fwd_estimate_add_first(estimate,
-	    (double)(now - ex->sent_ms) - ex->expected_ms + ex->overhead_ms);
-	fwd_exchange_note_first(ex, now);
+	send->in_backlog = false;
+	fwd_backlog_confirm(&ep->backlog, send->backlog_mark, now);
+	ep->pending = MAX(ep->pending - ex->prompt, 0);
+	fwd_estimate_add_first(fwd_exchange_estimate(ex),
+	    (double)(now - basis->sent_ms) - basis->expected_ms +
+		basis->overhead_ms);
+	fwd_send_note_first(send, now);
 }
 
 /* Updates an endpoint's slowness from the time since the last event. */
 static void
-response_update_slowness(struct fwd_exchange *ex, uint64_t now)
+response_update_slowness(struct fwd_send *send, uint64_t now)
 {
-	struct endpoint *ep = ex->endpoint;
+	const struct fwd_exchange *ex = send->exchange;
+	struct endpoint *ep = send->endpoint;
 	double expected, ratio;
 
-	if (ex->model == NULL || ex->in_backlog || ex->heard_ms <= ex->sent_ms)
+	if (ex->model == NULL || send->in_backlog ||
+	    send->heard_ms <= send->basis.sent_ms)
 		return;
 	expected = fwd_expect_gap(ep, ex->engine, ex->model) / ep->slowness *
 	    ex->engine->stride;
 	if (expected <= 0)
 		return;
-	ratio = (double)(now - ex->heard_ms) / expected;
+	ratio = (double)(now - send->heard_ms) / expected;
 	ep->slowness += SLOWNESS_ALPHA * (ratio - ep->slowness);
 	ep->slowness = CLAMP(ep->slowness, SLOWNESS_MIN, SLOWNESS_MAX);
 }
 
 /* Counts the first event that is passed on, by whether it is late. */
 static void
-response_count_first(const struct fwd_exchange *ex)
+response_count_first(const struct fwd_send *send)
 {
+	const struct fwd_exchange *ex = send->exchange;
 	struct fwd_stats *stats = &ex->fwd->stats;
 	double objective = (double)ex->route->objective_ms;
-	double waited = (double)(ex->sent_ms - ex->arrived_ms);
+	double waited = (double)(send->basis.sent_ms - ex->arrived_ms);
 	enum fwd_first_result result = FIRST_IN_TIME;
 
 	if (!ex->fwd->set.endpoint_evidence || ex->model == NULL)
 		return;
 	if ((double)(ex->first_us - ex->arrived_us) / 1000 > objective)
-		result =
-		    ex->sends == 1 && waited + ex->expected_ms > objective ?
+		result = ex->sends == 1 &&
+			waited + send->basis.expected_ms > objective ?
 		    FIRST_LATE_FORESEEN :
 		    FIRST_LATE_UNFORESEEN;
 	fwd_stats_count_first(stats, ex->model->name, result);
 }
 
+/* Begins the response to the client with the headers of this send's. */
+static void
+response_begin(struct fwd_send *send)
+{
+	struct fwd_exchange *ex = send->exchange;
+
+	fwd_count_first(ex);
+	ex->state = EXCHANGE_RESPONDING;
+	fwd_conn_begin(ex->conn, send->status, send->headers->str);
+}
+
 /* Passes one event on to the client. */
 static void
-response_pass_event(struct fwd_exchange *ex, size_t length)
+response_pass_event(struct fwd_send *send, size_t length)
 {
-	struct fwd_conn *conn = ex->conn;
+	struct fwd_exchange *ex = send->exchange;
 
 	if (ex->state == EXCHANGE_SENT) {
-		fwd_count_first(ex);
-		ex->state = EXCHANGE_RESPONDING;
-		response_count_first(ex);
-		fwd_conn_begin(conn, ex->status, ex->headers->str);
+		response_begin(send);
+		response_count_first(send);
 	}
-	fwd_conn_write(conn, ex->events.buf->str, length);
+	ex->last_event = send->events.last_id;
+	fwd_conn_write(ex->conn, send->events.buf->str, length);
 }
 
 /* Passes all complete events on. Returns false if one was missing. */
 static bool
-response_pass_events(struct fwd_exchange *ex)
+response_pass_events(struct fwd_send *send)
 {
 	enum fwd_event_verdict verdict;
 	size_t length;
 
-	while ((verdict = fwd_events_next(&ex->events, &length)) !=
+	while ((verdict = fwd_events_next(&send->events, &length)) !=
 	    FWD_EVENT_NONE) {
 		if (verdict == FWD_EVENT_GAP) {
-			fwd_exchange_move(ex, true, "event_missing");
+			fwd_send_withdraw(send, true, "event_missing");
 			return (false);
 		}
 		if (verdict == FWD_EVENT_PASS)
-			response_pass_event(ex, length);
-		fwd_events_drop(&ex->events, length);
+			response_pass_event(send, length);
+		fwd_events_drop(&send->events, length);
 	}
 	return (true);
 }
 
 static void
-response_stream(struct fwd_exchange *ex, const char *at, size_t length)
+response_stream(struct fwd_send *send, const char *at, size_t length)
 {
+	struct fwd_exchange *ex = send->exchange;
 	uint64_t now = clock_loop_ms(ex->fwd->loop);
 
-	response_update_slowness(ex, now);
-	response_first_event(ex);
-	ex->heard_ms = now;
-	ex->endpoint->heard_ms = now;
-	if (!fwd_events_add(&ex->events, at, length)) {
-		fwd_exchange_move(ex, true, "event_too_large");
+	response_update_slowness(send, now);
+	response_first_event(send);
+	send->heard_ms = now;
+	send->endpoint->heard_ms = now;
+	if (!fwd_events_add(&send->events, at, length)) {
+		fwd_send_withdraw(send, true, "event_too_large");
 		return;
 	}
-	if (response_pass_events(ex) && ex->conn != NULL)
+	if (response_pass_events(send) && ex->conn != NULL)
 		fwd_conn_flush(ex->conn);
 }
 
+/* Buffers a piece of a response, or passes it on if it is too large. */
+static void
+response_buffer(struct fwd_send *send, const char *at, size_t length)
+{
+	struct fwd_exchange *ex = send->exchange;
+
+	g_byte_array_append(send->body, (const guint8 *)at, (guint)length);
+	ex->fwd->held_bytes += length;
+	if (!send->passthrough &&
+	    (send->body->len <= fwd_hold_limit(ex->fwd) || send->not_run ||
+		!send->has_signature))
+		return;
+	if (!send->passthrough)
+		response_begin(send);
+	send->passthrough = true;
+	fwd_conn_write(ex->conn, send->body->data, send->body->len);
+	fwd_send_drop_body(send);
+	fwd_conn_flush(ex->conn);
+}
+
 static void
 on_response_body(void *owner, const char *at, size_t length)
 {
-	struct fwd_exchange *ex = owner;
+	struct fwd_send *send = owner;
 
-	if (ex->conn == NULL)
+	if (send->exchange->conn == NULL)
 		return;
-	if (ex->streaming) {
-		response_stream(ex, at, length);
+	if (send->streaming) {
+		response_stream(send, at, length);
 		return;
 	}
-	ex->heard_ms = clock_loop_ms(ex->fwd->loop);
+	send->heard_ms = clock_loop_ms(send->exchange->fwd->loop);
 	/* A refusal may come from another incarnation. */
-	if (!ex->not_run)
-		ex->endpoint->heard_ms = ex->heard_ms;
-	g_byte_array_append(ex->response_body, (const guint8 *)at,
-	    (guint)length);
-	ex->fwd->held_bytes += length;
-	if (!ex->passthrough &&
-	    (ex->response_body->len <= fwd_hold_limit(ex->fwd) || ex->not_run ||
-		!ex->has_signature))
-		return;
-	if (!ex->passthrough) {
-		ex->passthrough = true;
-		ex->state = EXCHANGE_RESPONDING;
-		fwd_count_first(ex);
-		fwd_conn_begin(ex->conn, ex->status, ex->headers->str);
-	}
-	fwd_conn_write(ex->conn, ex->response_body->data,
-	    ex->response_body->len);
-	fwd_exchange_drop_response(ex);
-	fwd_conn_flush(ex->conn);
+	if (!send->not_run)
+		send->endpoint->heard_ms = send->heard_ms;
+	response_buffer(send, at, length);
+}
+
+/* Ends a send whose response was not of use, and retries the request. */
+static void
+response_retry(struct fwd_send *send, const char *reason)
+{
+	struct fwd_exchange *ex = send->exchange;
+
+	fwd_send_free(send);
+	fwd_exchange_retry(ex, reason);
 }
 
 /* Ends a stream. It is complete only if it ends with a complete event. */
 static void
-response_end_stream(struct fwd_exchange *ex)
+response_end_stream(struct fwd_send *send)
 {
-	if (ex->events.buf->len > 0 || ex->first_us == 0) {
-		fwd_exchange_retry(ex, "cut_in_event");
+	struct fwd_exchange *ex = send->exchange;
+
+	if (send->events.buf->len > 0 || ex->first_us == 0) {
+		response_retry(send, "cut_in_event");
 		return;
 	}
 	fwd_exchange_finish(ex);
@@ -242,84 +276,102 @@
 
 /* Whether to retry after a complete response that is not a success. */
 static bool
-response_is_retryable(struct fwd_exchange *ex)
+response_is_retryable(const struct fwd_send *send)
 {
-	if (ex->status < HTTP_STATUS_INTERNAL_SERVER_ERROR && ex->has_signature)
+	const struct fwd_exchange *ex = send->exchange;
+
+	if (send->status < HTTP_STATUS_INTERNAL_SERVER_ERROR &&
+	    send->has_signature)
 		return (false);
-	if (!status_is_success(ex->status) &&
-	    ex->status < HTTP_STATUS_INTERNAL_SERVER_ERROR)
+	if (!status_is_success(send->status) &&
+	    send->status < HTTP_STATUS_INTERNAL_SERVER_ERROR)
 		return (false);
 	return (
 	    fwd_exchange_retryable(ex) && ex->runs < ex->route->max_attempts);
 }
 
+/* Ends a send that the endpoint did not run, and retries the request. */
 static void
-on_response_done(void *owner)
+response_not_run(struct fwd_send *send)
 {
-	struct fwd_exchange *ex = owner;
-	struct endpoint *ep = ex->endpoint;
+	struct fwd_exchange *ex = send->exchange;
+
+	ex->runs--;
+	fwd_stats_count(&ex->fwd->stats, COUNT_NOT_RUN);
+	response_retry(send, "endpoint_refused");
+}
+
+/* Ends a send that the endpoint ran. */
+static void
+response_ran(struct fwd_send *send)
+{
+	struct fwd_exchange *ex = send->exchange;
 	bool lacks_signature =
-	    status_is_success(ex->status) && !ex->has_signature;
+	    status_is_success(send->status) && !send->has_signature;
 
-	ex->upstream = NULL;
-	if (ex->has_signature && !ex->not_run)
-		fwd_poison_note_success(ex);
-	if (ex->conn == NULL) {
-		fwd_exchange_free(ex);
-		return;
-	}
-	if (ex->not_run) {
-		ex->runs--;
-		ex->reached = true;
-		fwd_stats_count(&ex->fwd->stats, COUNT_NOT_RUN);
-		fwd_exchange_release(ex);
-		fwd_exchange_retry(ex, "endpoint_refused");
-		return;
-	}
-	ex->reached = true;
 	fwd_estimate_add_duration(fwd_exchange_estimate(ex),
-	    (double)(clock_loop_ms(ex->fwd->loop) - ex->sent_ms));
-	endpoint_count_outcome(ep,
-	    lacks_signature || ex->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
-	fwd_exchange_release(ex);
-	if (ex->streaming)
-		response_end_stream(ex);
-	else if (ex->passthrough)
+	    (double)(clock_loop_ms(ex->fwd->loop) - send->basis.sent_ms));
+	endpoint_count_outcome(send->endpoint,
+	    lacks_signature ||
+		send->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
+	if (send->streaming)
+		response_end_stream(send);
+	else if (send->passthrough)
 		fwd_exchange_finish(ex);
 	else if (ex->first_us > 0)
-		fwd_exchange_retry(ex, "not_resumed");
-	else if (lacks_signature || response_is_retryable(ex))
-		fwd_exchange_retry(ex,
+		response_retry(send, "not_resumed");
+	else if (lacks_signature || response_is_retryable(send))
+		response_retry(send,
 		    lacks_signature ? "no_proof" : "endpoint_error");
 	else
-		fwd_exchange_deliver(ex);
+		fwd_exchange_deliver(ex, send);
+}
+
+static void
+on_response_done(void *owner)
+{
+	struct fwd_send *send = owner;
+
+	send->conn = NULL;
+	if (send->has_signature && !send->not_run)
+		fwd_poison_note_success(send);
+	if (send->exchange->conn == NULL)
+		fwd_exchange_free(send->exchange);
+	else if (send->not_run)
+		response_not_run(send);
+	else
+		response_ran(send);
+}
+
+static const char *
+failure_reason(enum net_failure failure)
+{
+	if (failure == NET_CONNECT_FAILED)
+		return ("unreached");
+	return (failure == NET_CONN_LOST ? "connection_lost" :
+					   "no_answer_in_protocol");
 }
 
 static void
 on_response_failed(void *owner, enum net_failure failure)
 {
-	struct fwd_exchange *ex = owner;
-	struct endpoint *ep = ex->endpoint;
+	struct fwd_send *send = owner;
 
-	ex->upstream = NULL;
+	send->conn = NULL;
 	if (failure == NET_CONN_LOST)
-		fwd_poison_observe_crash(ex, false);
-	if (ex->conn == NULL) {
-		fwd_exchange_free(ex);
+		fwd_poison_observe_crash(send, false);
+	if (send->exchange->conn == NULL) {
+		fwd_exchange_free(send->exchange);
 		return;
 	}
-	endpoint_count_outcome(ep, true);
-	fwd_exchange_end_send(ex, failure != NET_CONNECT_FAILED);
-	if (failure == NET_CONNECT_FAILED) {
-		fwd_endpoint_cool_down(ex, COOLDOWN_UNREACHED_MS, "unreached");
-	} else if (ep->failures >= FAILURES_TO_COOLDOWN) {
-		fwd_endpoint_cool_down(ex, COOLDOWN_FAILURES_MS, "failures");
-	}
-	fwd_exchange_release(ex);
-	fwd_exchange_retry(ex,
-	    failure == NET_CONNECT_FAILED ? "unreached" :
-		failure == NET_CONN_LOST  ? "connection_lost" :
-					    "no_answer_in_protocol");
+	endpoint_count_outcome(send->endpoint, true);
+	fwd_send_end(send, failure != NET_CONNECT_FAILED);
+	if (failure == NET_CONNECT_FAILED)
+		fwd_endpoint_cool_down(send, COOLDOWN_UNREACHED_MS,
+		    "unreached");
+	else if (send->endpoint->failures >= FAILURES_TO_COOLDOWN)
+		fwd_endpoint_cool_down(send, COOLDOWN_FAILURES_MS, "failures");
+	response_retry(send, failure_reason(failure));
 }
 
 const struct net_conn_ops fwd_response_ops = {
--- a/src/fwd-retry.c
+++ b/src/fwd-retry.c
@@ -66,7 +66,7 @@
 
 /**
  * fwd_exchange_retry() - retry a request, or end it if it must not be retried.
- * @ex: the exchange; its endpoint was released
+ * @ex: the exchange; the send has ended
  * @reason: why the last send failed
  */
 void
@@ -89,7 +89,7 @@
 	    "id=%s reason=%s obstacle=%s sends=%u runs=%u "
 	    "last_event=%lld work=%08x",
 	    ex->id, reason, obstacle != NULL ? obstacle : "none", ex->sends,
-	    ex->runs, (long long)ex->events.last_id,
+	    ex->runs, (long long)ex->last_event,
 	    FINGERPRINT_SHORT(ex->fingerprint));
 	if (obstacle != NULL) {
 		fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY, reason,
@@ -99,7 +99,5 @@
 	fwd_stats_count(&fwd->stats, COUNT_RETRIED);
 	if (ex->first_us > 0)
 		fwd_stats_count(&fwd->stats, COUNT_RESUMED);
-	fwd_exchange_drop_response(ex);
-	fwd_events_restart(&ex->events);
 	fwd_exchange_dispatch(ex);
 }
--- a/src/fwd-sends.c
+++ b/src/fwd-sends.c
@@ -4,16 +4,17 @@
 
 /**
  * fwd_sends_count() - count a send.
- * @ex: the exchange, with its endpoint
+ * @send: the send
  */
 void
-fwd_sends_count(const struct fwd_exchange *ex)
+fwd_sends_count(const struct fwd_send *send)
 {
+	const struct fwd_exchange *ex = send->exchange;
 	uint64_t now = clock_loop_ms(ex->fwd->loop);
 
 	fwd_rate_add(&fwd_exchange_estimate(ex)->sends, now);
 	fwd_stats_count_send(&ex->fwd->stats, ex->service,
-	    ex->endpoint->report.domain, now);
+	    send->endpoint->report.domain, now);
 }
 
 /**
--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -45,15 +45,16 @@
 
 /* The same for a plain service. */
 static double
-plain_silence_timeout(const struct fwd_exchange *ex)
+plain_silence_timeout(const struct fwd_send *send)
 {
+	const struct fwd_exchange *ex = send->exchange;
 	const struct fwd_estimate *estimate = fwd_exchange_estimate(ex);
 	double timeout =
 	    MAX(PLAIN_SILENCE_FACTOR * (double)ex->route->objective_ms,
 		PLAIN_SILENCE_MIN_MS);
 
 	if (!ex->fwd->set.balance_spread || estimate->n_duration == 0 ||
-	    !endpoint_suspected(ex->endpoint))
+	    !endpoint_suspected(send->endpoint))
 		return (timeout);
 	return (CLAMP(SUSPECT_SILENCE_FACTOR * estimate->duration_ms,
 	    SUSPECT_SILENCE_MIN_MS, timeout));
@@ -61,41 +62,43 @@
 
 /* How long an endpoint may be silent before this request is moved. */
 static double
-exchange_silence_timeout(const struct fwd_exchange *ex)
+send_silence_timeout(const struct fwd_send *send)
 {
+	const struct fwd_exchange *ex = send->exchange;
 	double gap;
 
 	if (ex->model == NULL)
-		return (plain_silence_timeout(ex));
-	if (ex->in_backlog)
-		return (MAX(SILENCE_FIRST_FACTOR * ex->silence_ms,
+		return (plain_silence_timeout(send));
+	if (send->in_backlog)
+		return (MAX(SILENCE_FIRST_FACTOR * send->basis.silence_ms,
 		    SILENCE_FIRST_MIN_MS));
-	gap = fwd_expect_gap(ex->endpoint, ex->engine, ex->model) *
+	gap = fwd_expect_gap(send->endpoint, ex->engine, ex->model) *
 	    ex->engine->stride;
 	return (MAX(SILENCE_FACTOR * gap, SILENCE_MIN_MS));
 }
 
 /* Whether the endpoint has sent nothing to any daemon for too long. */
 static bool
-exchange_is_silent(const struct fwd_exchange *ex, uint64_t now)
+send_is_silent(const struct fwd_send *send, uint64_t now)
 {
-	uint64_t heard = MAX(ex->heard_ms, ex->endpoint->heard_ms);
+	const struct fwd_exchange *ex = send->exchange;
+	uint64_t heard = MAX(send->heard_ms, send->endpoint->heard_ms);
 	double factor = 1;
 
 	/* A replica that sends events to other daemons is busy, not lost. */
-	heard = MAX(heard, ex->endpoint->peer_heard_ms);
-	if (ex->paused || now < ex->fwd->grace_until_ms)
+	heard = MAX(heard, send->endpoint->peer_heard_ms);
+	if (send->paused || now < ex->fwd->grace_until_ms)
 		return (false);
 	/* Other responses of an endpoint without a model tell nothing about
 	 * this one. */
 	if (ex->model == NULL)
-		heard = ex->heard_ms;
-	if (now - ex->endpoint->avoided_ms < WARNED_MS)
+		heard = send->heard_ms;
+	if (now - send->endpoint->avoided_ms < WARNED_MS)
 		factor = WARNED_FACTOR;
-	if (endpoint_limit_cold(&ex->endpoint->limit, now))
+	if (endpoint_limit_cold(&send->endpoint->limit, now))
 		factor *= COLD_FACTOR;
 	return ((double)(now - MIN(heard, now)) >
-	    exchange_silence_timeout(ex) * factor);
+	    send_silence_timeout(send) * factor);
 }
 
 /**
@@ -131,24 +134,27 @@
 
 /* Warns other daemons of an endpoint. */
 static void
-exchange_warn(const struct fwd_exchange *ex, uint64_t now)
+send_warn(const struct fwd_send *send, uint64_t now)
 {
-	ex->endpoint->warned_ms = now;
+	const struct fwd_exchange *ex = send->exchange;
+
+	send->endpoint->warned_ms = now;
 	if (ex->fwd->on_silent != NULL)
-		ex->fwd->on_silent(ex->fwd->on_silent_arg, ex->endpoint);
+		ex->fwd->on_silent(ex->fwd->on_silent_arg, send->endpoint);
 }
 
 /* Starts a cooldown of an endpoint that accepts no connection, and moves the
  * request. */
 static void
-exchange_handle_no_connection(struct fwd_exchange *ex, uint64_t now)
+send_handle_no_connection(struct fwd_send *send, uint64_t now)
 {
-	struct endpoint *ep = ex->endpoint;
+	const struct fwd_exchange *ex = send->exchange;
+	struct endpoint *ep = send->endpoint;
 	bool plain = ex->model == NULL && ex->fwd->set.balance_spread;
 	uint64_t ms = plain ? COOLDOWN_CONNECT_MS : COOLDOWN_SILENT_MS;
 
 	if (fwd_path_doubted(ep)) {
-		fwd_exchange_move(ex, false, "no_path_in_time");
+		fwd_send_withdraw(send, false, "no_path_in_time");
 		return;
 	}
 	if (plain && fwd_silence_unheard(ep, now)) {
@@ -157,37 +163,39 @@
 		    (unsigned long long)(now -
 			MIN(MAX(ep->heard_ms, ep->peer_heard_ms), now)),
 		    ex->id);
-		exchange_warn(ex, now);
+		send_warn(send, now);
 	}
 	ep->cooldown_until_ms = MAX(ep->cooldown_until_ms, now + ms);
-	fwd_exchange_move(ex, false, "no_connection_in_time");
+	fwd_send_withdraw(send, false, "no_connection_in_time");
 }
 
 /**
  * fwd_silence_check_connect() - check whether a connection takes too long.
- * @ex: the exchange; its connection to the endpoint is not established yet
+ * @send: the send; its connection is not established yet
  * @now_ms: loop time
  */
 void
-fwd_silence_check_connect(struct fwd_exchange *ex, uint64_t now_ms)
+fwd_silence_check_connect(struct fwd_send *send, uint64_t now_ms)
 {
+	const struct fwd_exchange *ex = send->exchange;
 	bool plain = ex->model == NULL && ex->fwd->set.balance_spread;
 	double timeout = fwd_silence_connect_ms(plain,
-	    (double)ex->route->objective_ms, ex->usable_at_send);
+	    (double)ex->route->objective_ms, send->basis.usable);
 
-	if (ex->endpoint->pool.tunnels != NULL)
+	if (send->endpoint->pool.tunnels != NULL)
 		timeout = MIN(timeout + CONNECT_TUNNEL_MS, CONNECT_TIMEOUT_MS);
-	if ((double)(now_ms - ex->sent_ms) > timeout &&
+	if ((double)(now_ms - send->basis.sent_ms) > timeout &&
 	    now_ms >= ex->fwd->grace_until_ms)
-		exchange_handle_no_connection(ex, now_ms);
+		send_handle_no_connection(send, now_ms);
 }
 
 /* Starts a cooldown of a silent endpoint, warns others and moves the request if
  * that is allowed. */
 static void
-exchange_handle_silence(struct fwd_exchange *ex, uint64_t now)
+send_handle_silence(struct fwd_send *send, uint64_t now)
 {
-	struct endpoint *ep = ex->endpoint;
+	const struct fwd_exchange *ex = send->exchange;
+	struct endpoint *ep = send->endpoint;
 
 	if (now >= ep->cooldown_until_ms) {
 		fwd_stats_count(&ex->fwd->stats, COUNT_SILENT_ENDPOINTS);
@@ -195,35 +203,36 @@
 		    "endpoint=%s silent_ms=%llu inflight=%u pending=%.0f "
 		    "slowness=%.2f id=%s",
 		    ep->report.id,
-		    (unsigned long long)(now - MAX(ex->heard_ms, ep->heard_ms)),
+		    (unsigned long long)(now -
+			MAX(send->heard_ms, ep->heard_ms)),
 		    ep->inflight, ep->pending, ep->slowness, ex->id);
 		/* Its idle connections may be dead as well. */
 		net_pool_clear(&ep->pool);
 		ep->cooldown_until_ms = now + COOLDOWN_SILENT_MS;
-		exchange_warn(ex, now);
+		send_warn(send, now);
 	}
-	if (ex->upstream->connected && !ex->crash_suspected) {
-		ex->crash_suspected = true;
-		fwd_poison_observe_crash(ex, true);
+	if (send->conn->connected && !send->crash_suspected) {
+		send->crash_suspected = true;
+		fwd_poison_observe_crash(send, true);
 	}
 	if (fwd_exchange_movable(ex))
-		fwd_exchange_move(ex, ex->upstream->connected,
+		fwd_send_withdraw(send, send->conn->connected,
 		    "endpoint_silent");
 }
 
 /**
- * fwd_silence_check() - check whether the endpoint of an exchange is silent.
- * @ex: the exchange; its connection to the endpoint is established
+ * fwd_silence_check() - check whether the endpoint of a send is silent.
+ * @send: the send; its connection is established
  * @now_ms: loop time
  */
 void
-fwd_silence_check(struct fwd_exchange *ex, uint64_t now_ms)
+fwd_silence_check(struct fwd_send *send, uint64_t now_ms)
 {
-	enum fwd_path_verdict verdict = fwd_path_judge(ex, now_ms);
+	enum fwd_path_verdict verdict = fwd_path_judge(send, now_ms);
 
-	ex->path_doubted = verdict != FWD_PATH_SOUND;
-	if (verdict == FWD_PATH_LOST && fwd_exchange_movable(ex))
-		fwd_exchange_move(ex, true, "path_lost");
-	else if (verdict == FWD_PATH_SOUND && exchange_is_silent(ex, now_ms))
-		exchange_handle_silence(ex, now_ms);
+	send->path_doubted = verdict != FWD_PATH_SOUND;
+	if (verdict == FWD_PATH_LOST && fwd_exchange_movable(send->exchange))
+		fwd_send_withdraw(send, true, "path_lost");
+	else if (verdict == FWD_PATH_SOUND && send_is_silent(send, now_ms))
+		send_handle_silence(send, now_ms);
 }
--- a/tests/test-events.c
+++ b/tests/test-events.c
@@ -55,7 +55,10 @@
 static void
 exec_restart(const char *rest, GString *out)
 {
-	fwd_events_restart(&events);
+	int64_t last_id = events.last_id;
+
+	fwd_events_clear(&events);
+	fwd_events_init(&events, last_id);
 }
 
 /* flood BYTES: adds that many bytes in which no event ends */
