Hedge a silent send instead of leaving its endpoint

What callers saw: streams that had begun ended without their rest after an endpoint had been silent for 0.3 s.

Cause: a request was moved away from a silent endpoint by closing its connection first; what may forbid the next send (attempts, retry budget, suspicion, a refusal, no free slot until the deadline) was asked afterwards. Silence of most endpoints of a service was judged an endpoint at a time: a cooldown, a warning and a suspected crash each.

Change: a silent send, and one whose path is lost, goes on. What forbids another send is asked first (enum fwd_obstacle, one function for retries and hedges); then the request is also sent to a second endpoint (fwd-hedge.c), at most two at once, each with its slot, permit and buffers, and the one that brings the next part of the response goes on. If silence is shared by most endpoints of the service that this daemon waits for (fwd-survey.c), none is blamed, and only one that was heard of since gets a second send; an endpoint that stays silent while another went on is blamed then. A connection that takes too long is not given up where nothing else may be tried. Events request_hedged, hedge_settled, hedge_failed and silence_shared, counters hedged, hedges_won, hedges_lost, hedges_withheld and shared_silences.

--- a/src/fwd-admission.c
+++ b/src/fwd-admission.c
@@ -87,6 +87,10 @@
 			return (ADMIT_SEND);
 		return (ADMIT_REFUSE);
 	}
+	/* A response that was begun is continued as soon as any endpoint may,
+	 * one that is not known yet too. */
+	if (a->begun)
+		return (ADMIT_QUEUE);
 	if (fwd_choice_all_unavailable(choice))
 		return (decide_unavailable(a));
 	/* A request that was sent before is retried until its deadline. */
--- a/src/fwd-admission.h
+++ b/src/fwd-admission.h
@@ -29,7 +29,8 @@
  * @resubmitted: the client resubmitted it after a refusal, so its objective has
  *	passed
  * @sends: number of times it was sent
- * @started: it may have run, or part of its response was passed on
+ * @started: it may have run
+ * @begun: part of its response was passed on
  * @duration_ms: average time for which a request of its kind occupies a slot
  * @ahead: requests queued before it for the same slots, at all daemons;
  *	permits of rate limits are this daemon's own, so @criteria has the
@@ -46,6 +47,7 @@
 	bool resubmitted;
 	unsigned sends;
 	bool started;
+	bool begun;
 	double duration_ms;
 	double ahead;
 	uint32_t draw;
--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -34,25 +34,6 @@
 	GPtrArray *probing;
 };
 
-/*
- * Whether an endpoint has failed the request; with @recently, only within the
- * last TRIED_AGAIN_MS.
- */
-static bool
-criteria_tried(const struct fwd_criteria *criteria, const struct endpoint *ep,
-    bool recently)
-{
-	for (unsigned i = 0; i < criteria->n_tried; i++) {
-		const struct fwd_tried *tried = &criteria->tried[i];
-
-		if (tried->endpoint == ep &&
-		    (!recently ||
-			criteria->now_ms - tried->failed_ms < TRIED_AGAIN_MS))
-			return (true);
-	}
-	return (false);
-}
-
 /**
  * fwd_endpoint_matches() - whether an endpoint is of a request's service and
  *	serves its model.
@@ -92,6 +73,45 @@
 	return (endpoint_usable(ep, now_ms));
 }
 
+/* Finds an endpoint among those that the request was sent to, or NULL. */
+static const struct fwd_tried *
+criteria_find_tried(const struct fwd_criteria *criteria,
+    const struct endpoint *ep)
+{
+	for (unsigned i = 0; i < criteria->n_tried; i++) {
+		if (criteria->tried[i].endpoint == ep)
+			return (&criteria->tried[i]);
+	}
+	return (NULL);
+}
+
+/* Whether the request's earlier sends allow an endpoint. As a last resort one
+ * that failed it may be chosen again after a while. */
+static bool
+criteria_allows_tried(const struct fwd_criteria *criteria,
+    const struct endpoint *ep, enum last_resort resort)
+{
+	const struct fwd_tried *tried = criteria_find_tried(criteria, ep);
+
+	if (tried == NULL)
+		return (!criteria->tried_only);
+	if (tried->active || (criteria->tried_only && tried->runs == 0))
+		return (false);
+	if (!criteria->tried_only && resort != RESORT_TRIED)
+		return (false);
+	return (criteria->now_ms - tried->failed_ms >= TRIED_AGAIN_MS);
+}
+
+/* Whether an endpoint was heard of as lately as is required. */
+static bool
+criteria_allows_heard(const struct fwd_criteria *criteria,
+    const struct endpoint *ep)
+{
+	return (
+	    MAX(ep->heard_ms, ep->peer_heard_ms) >= criteria->heard_since_ms ||
+	    ep->inflight + ep->peer_inflight == 0);
+}
+
 /* Notes an endpoint that has asked for a backoff or is draining. */
 static void
 choice_note_unavailable(struct fwd_choice *choice, const struct endpoint *ep,
@@ -191,7 +211,8 @@
 		choice->known++;
 		choice_note_unavailable(choice, ep, criteria->now_ms);
 		if (!resort_allows(ep, criteria->now_ms, resort) ||
-		    criteria_tried(criteria, ep, resort == RESORT_TRIED) ||
+		    !criteria_allows_tried(criteria, ep, resort) ||
+		    !criteria_allows_heard(criteria, ep) ||
 		    !choice_check_limit(choice, ep, criteria))
 			continue;
 		choice_count_usable(choice, ep, criteria);
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -7,16 +7,20 @@
 
 /* Load, as a part of its slots, from which on an endpoint counts as busy. */
 #define FWD_BUSY_LOAD 0.6
-/* Maximum number of failed endpoints that are remembered for a request. */
+/* Maximum number of endpoints that are remembered for a request. */
 #define FWD_TRIED_MAX 6
 
 /**
- * struct fwd_tried - an endpoint that failed a request.
+ * struct fwd_tried - an endpoint that a request was sent to.
  * @endpoint: the endpoint
- * @failed_ms: loop time of the failure
+ * @runs: sends after which it may have run the request
+ * @active: it has the request now
+ * @failed_ms: loop time at which it last failed the request; 0 for never
  */
 struct fwd_tried {
 	struct endpoint *endpoint;
+	unsigned runs;
+	bool active;
 	uint64_t failed_ms;
 };
 
@@ -37,8 +41,11 @@
  * @unseen: what other daemons may have sent since the loads were measured
  * @probe_suspects: only few requests are sent to an endpoint that was found
  *	silent, until a daemon hears from it again
- * @tried: endpoints that have failed the request
+ * @tried: endpoints that the request was sent to
  * @n_tried: length of @tried
+ * @tried_only: only those of them that may have run it may be chosen
+ * @heard_since_ms: only endpoints that were heard of since then, or have no
+ *	requests, may be chosen; 0 for all
  * @ahead: requests of the same service and model queued before it at this
  *	daemon
  * @now_ms: loop time
@@ -60,6 +67,8 @@
 	bool probe_suspects;
 	const struct fwd_tried *tried;
 	unsigned n_tried;
+	bool tried_only;
+	uint64_t heard_since_ms;
 	unsigned ahead;
 	uint64_t now_ms;
 	uint32_t draw;
--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -62,7 +62,8 @@
 	    (double)(ex->deadline_ms - MIN(criteria->now_ms, ex->deadline_ms));
 	a->resubmitted = ex->resubmitted;
 	a->sends = ex->sends;
-	a->started = ex->runs > 0 || ex->first_us > 0;
+	a->started = ex->runs > 0;
+	a->begun = ex->first_us > 0;
 	a->duration_ms = fwd_exchange_estimate(ex)->duration_ms;
 	a->ahead = exchange_fleet_ahead(ex, criteria->ahead);
 	a->draw = random_u32();
@@ -158,6 +159,10 @@
 		exchange_enqueue(ex);
 	if (fwd_poison_refuse(ex))
 		return;
+	if (!fwd_exchange_recheck(ex)) {
+		fwd_exchange_end_wait(ex);
+		return;
+	}
 	fwd_exchange_criteria(ex, &criteria);
 	criteria.ahead = exchange_count_ahead(ex);
 	fwd_choose(&ex->fwd->registry->fleet, &criteria, &choice);
@@ -184,6 +189,7 @@
 		exchange_refuse_no_slot(ex, &a, no_slot_reason(&choice));
 		break;
 	case ADMIT_QUEUE:
+		fwd_exchange_end_wait(ex);
 		break;
 	}
 }
--- a/src/fwd-end.c
+++ b/src/fwd-end.c
@@ -5,6 +5,19 @@
 #include "event-log.h"
 #include "fwd-exchange.h"
 
+/* Id of the endpoint whose response goes on, or that had the request last. */
+static const char *
+end_endpoint(const struct fwd_exchange *ex)
+{
+	const struct fwd_send *send = TAILQ_FIRST(&ex->active);
+
+	if (send != NULL)
+		return (send->endpoint->report.id);
+	if (ex->n_tried == 0)
+		return ("-");
+	return (ex->tried[ex->n_tried - 1].endpoint->report.id);
+}
+
 /* Logs the end of an exchange. */
 static void
 end_log(const struct fwd_exchange *ex, int level, const char *event,
@@ -20,9 +33,7 @@
 	    "correction_ms=%.0f gateway=%s",
 	    ex->id, ex->route != NULL ? ex->route->name : "-", status, reason,
 	    ex->service != NULL ? ex->service : "-",
-	    ex->model != NULL ? ex->model->name : "-",
-	    ex->n_tried > 0 ? ex->tried[ex->n_tried - 1].endpoint->report.id :
-			      "-",
+	    ex->model != NULL ? ex->model->name : "-", end_endpoint(ex),
 	    ex->sends, ex->runs, (unsigned long long)(now - ex->arrived_ms),
 	    (unsigned long long)(ex->first_us > 0 ?
 		    (ex->first_us - ex->arrived_us) / 1000 :
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -9,14 +9,90 @@
 /* Time to retry for a request whose deadline passed before it was sent. */
 #define RETRY_LATE_MS 100
 
+/* Finds an endpoint among those that the request was sent to, or NULL. */
+static struct fwd_tried *
+exchange_find_tried(struct fwd_exchange *ex, const struct endpoint *ep)
+{
+	for (unsigned i = 0; i < ex->n_tried; i++) {
+		if (ex->tried[i].endpoint == ep)
+			return (&ex->tried[i]);
+	}
+	return (NULL);
+}
+
+/* Makes room among the endpoints that the request was sent to, by forgetting
+ * the first one that did not run it. Returns false if all did. */
+static bool
+exchange_forget_tried(struct fwd_exchange *ex)
+{
+	for (unsigned i = 0; i < ex->n_tried; i++) {
+		if (ex->tried[i].runs > 0)
+			continue;
+		ex->tried[i].endpoint->refs--;
+		ex->n_tried--;
+		memmove(&ex->tried[i], &ex->tried[i + 1],
+		    (ex->n_tried - i) * sizeof ex->tried[0]);
+		return (true);
+	}
+	return (false);
+}
+
 /* Remembers an endpoint, so that others are preferred if it fails. */
 static void
 exchange_note_tried(struct fwd_exchange *ex, struct endpoint *ep)
 {
-	if (ex->n_tried == FWD_TRIED_MAX)
+	if (exchange_find_tried(ex, ep) != NULL)
+		return;
+	if (ex->n_tried == FWD_TRIED_MAX && !exchange_forget_tried(ex))
 		return;
 	ep->refs++;
-	ex->tried[ex->n_tried++].endpoint = ep;
+	ex->tried[ex->n_tried++] = (struct fwd_tried){ .endpoint = ep };
+}
+
+/**
+ * fwd_exchange_add_runs() - count the sends after which a request may have run.
+ * @ex: the exchange
+ * @ep: the endpoint of the send
+ * @n: 1, or -1 if the request turns out not to have run
+ */
+void
+fwd_exchange_add_runs(struct fwd_exchange *ex, const struct endpoint *ep, int n)
+{
+	struct fwd_tried *tried = exchange_find_tried(ex, ep);
+
+	ex->runs += (unsigned)n;
+	if (tried != NULL)
+		tried->runs += (unsigned)n;
+}
+
+/**
+ * fwd_exchange_note_failed() - note that an endpoint failed the request.
+ * @ex: the exchange
+ * @ep: the endpoint
+ */
+void
+fwd_exchange_note_failed(struct fwd_exchange *ex, const struct endpoint *ep)
+{
+	struct fwd_tried *tried = exchange_find_tried(ex, ep);
+
+	if (tried != NULL)
+		tried->failed_ms = clock_loop_ms(ex->fwd->loop);
+}
+
+/**
+ * fwd_exchange_add_send() - send a request to an endpoint.
+ * @ex: the exchange, which is not queued
+ * @choice: the chosen endpoint
+ *
+ * Return: false if no connection can be started.
+ */
+bool
+fwd_exchange_add_send(struct fwd_exchange *ex, const struct fwd_choice *choice)
+{
+	exchange_note_tried(ex, choice->endpoint);
+	ex->sends++;
+	fwd_count_sent(ex);
+	return (fwd_send_start(ex, choice) != NULL);
 }
 
 /**
@@ -29,22 +105,37 @@
 {
 	TAILQ_REMOVE(&ex->fwd->queue, ex, queue_entry);
 	ex->state = ex->first_us > 0 ? EXCHANGE_RESPONDING : EXCHANGE_SENT;
-	exchange_note_tried(ex, choice->endpoint);
-	ex->sends++;
-	fwd_count_sent(ex);
-	if (fwd_send_start(ex, choice) == NULL)
+	if (!fwd_exchange_add_send(ex, choice))
 		fwd_exchange_retry(ex, "no_connection");
 }
 
+/* Notes which endpoints have the request now, but for those to which the path
+ * may be lost: these may have it again by another one. */
+static void
+exchange_mark_active(struct fwd_exchange *ex)
+{
+	const struct fwd_send *send;
+
+	for (unsigned i = 0; i < ex->n_tried; i++)
+		ex->tried[i].active = false;
+	TAILQ_FOREACH(send, &ex->active, entry) {
+		struct fwd_tried *tried =
+		    exchange_find_tried(ex, send->endpoint);
+
+		if (tried != NULL && !send->path_doubted)
+			tried->active = true;
+	}
+}
+
 /**
  * fwd_exchange_criteria() - what a request requires of an endpoint.
  * @ex: the exchange
  * @criteria: filled in
  */
 void
-fwd_exchange_criteria(const struct fwd_exchange *ex,
-    struct fwd_criteria *criteria)
+fwd_exchange_criteria(struct fwd_exchange *ex, struct fwd_criteria *criteria)
 {
+	exchange_mark_active(ex);
 	memset(criteria, 0, sizeof *criteria);
 	criteria->service = ex->service;
 	criteria->engine = ex->model != NULL ? ex->engine : NULL;
@@ -65,6 +156,7 @@
 	    ex->model != NULL && ex->sends == 0 && !ex->resubmitted;
 	criteria->tried = ex->tried;
 	criteria->n_tried = ex->n_tried;
+	criteria->tried_only = fwd_exchange_tried_only(ex);
 	criteria->now_ms = clock_loop_ms(ex->fwd->loop);
 	criteria->evidence = fwd_evidence_known(ex->fwd, criteria->now_ms);
 	criteria->draw = random_u32();
@@ -169,13 +261,13 @@
 
 /**
  * fwd_exchange_tick() - check the deadline and timeouts of an exchange.
- * @ex: the exchange
+ * @ex: the exchange; it may end
  * @now_ms: loop time
  */
 void
 fwd_exchange_tick(struct fwd_exchange *ex, uint64_t now_ms)
 {
-	struct fwd_send *send;
+	struct fwd_send *send, *second;
 
 	if (now_ms >= ex->deadline_ms) {
 		fwd_exchange_give_up(ex, HTTP_STATUS_GATEWAY_TIMEOUT, "time_up",
@@ -183,6 +275,11 @@
 		return;
 	}
 	send = TAILQ_FIRST(&ex->active);
-	if (send != NULL)
-		fwd_send_check(send, now_ms);
+	if (send == NULL)
+		return;
+	/* With a second send the exchange outlives the end of the first. */
+	second = TAILQ_NEXT(send, entry);
+	fwd_send_check(send, now_ms);
+	if (second != NULL)
+		fwd_send_check(second, now_ms);
 }
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -4,6 +4,7 @@
 
 #include "fwd-conn.h"
 #include "fwd-fingerprint.h"
+#include "fwd-obstacle.h"
 #include "fwd-send.h"
 #include "fwd.h"
 
@@ -52,6 +53,11 @@
  * @reached: the send that ended last may have reached its endpoint
  * @tried: endpoints that the request was sent to
  * @n_tried: length of @tried
+ * @obstacle: what a queued retry waits for besides a free slot
+ * @failed: why the last send failed, for the log
+ * @failed_ms: loop time at which it failed
+ * @hedge_obstacle: what kept the request from a second send last
+ * @hedge_again_ms: loop time before which that isn't tried again
  * @last_event: id of the last event that the client has; -1 before the first
  * @status: status of the response that was passed on, or heard of last
  * @first_us: time at which its first byte was passed on; 0 before
@@ -92,6 +98,11 @@
 	bool reached;
 	struct fwd_tried tried[FWD_TRIED_MAX];
 	unsigned n_tried;
+	enum fwd_obstacle obstacle;
+	const char *failed;
+	uint64_t failed_ms;
+	enum fwd_obstacle hedge_obstacle;
+	uint64_t hedge_again_ms;
 	int64_t last_event;
 	unsigned status;
 	uint64_t first_us;
@@ -106,8 +117,11 @@
 void fwd_exchange_start(struct fwd *, struct fwd_conn *);
 void fwd_exchange_client_left(struct fwd_exchange *);
 void fwd_exchange_pause(struct fwd_exchange *, bool);
-void fwd_exchange_criteria(const struct fwd_exchange *, struct fwd_criteria *);
+void fwd_exchange_criteria(struct fwd_exchange *, struct fwd_criteria *);
 void fwd_exchange_send(struct fwd_exchange *, const struct fwd_choice *);
+bool fwd_exchange_add_send(struct fwd_exchange *, const struct fwd_choice *);
+void fwd_exchange_add_runs(struct fwd_exchange *, const struct endpoint *, int);
+void fwd_exchange_note_failed(struct fwd_exchange *, const struct endpoint *);
 void fwd_exchange_tick(struct fwd_exchange *, uint64_t);
 struct fwd_estimate *fwd_exchange_estimate(const struct fwd_exchange *);
 
@@ -150,7 +164,17 @@
 
 /* fwd-retry.c: retries. */
 bool fwd_exchange_retryable(const struct fwd_exchange *);
-bool fwd_exchange_movable(const struct fwd_exchange *);
+bool fwd_exchange_tried_only(const struct fwd_exchange *);
+bool fwd_exchange_withdrawable(const struct fwd_exchange *);
+enum fwd_obstacle fwd_exchange_obstacle(const struct fwd_exchange *);
+bool fwd_exchange_take_budget(const struct fwd_exchange *);
+void fwd_exchange_count_retry(struct fwd_exchange *);
 void fwd_exchange_retry(struct fwd_exchange *, const char *);
+bool fwd_exchange_recheck(struct fwd_exchange *);
+void fwd_exchange_end_wait(struct fwd_exchange *);
+
+/* fwd-hedge.c: a second send beside one whose endpoint is silent. */
+void fwd_hedge(struct fwd_send *, const char *, bool);
+void fwd_hedge_settle(struct fwd_send *);
 
 #endif
--- /dev/null
+++ b/src/fwd-hedge.c
@@ -0,0 +1,156 @@
+/*
+ * Hedging: a second send of a request beside one whose endpoint is silent. The
+ * first one to bring the next part of the response goes on; the other is
+ * cancelled.
+ */
+#include "clock.h"
+#include "event-log.h"
+#include "fwd-exchange.h"
+
+/* Pause between two tries to hedge a request. */
+#define HEDGE_PAUSE_MS 100
+/* What other daemons tell of an endpoint is older by this time than it seems.
+ */
+#define HEARD_LAG_MS 100
+
+/* Finds the send that a new one would replace: with two silent ones, the newer.
+ * Returns false if the request may not be with another endpoint now. */
+static bool
+hedge_find_replaced(struct fwd_send *send, struct fwd_send **replaced)
+{
+	struct fwd_send *newest =
+	    TAILQ_LAST(&send->exchange->active, fwd_send_list);
+
+	*replaced = NULL;
+	if (TAILQ_FIRST(&send->exchange->active) == newest)
+		return (true);
+	*replaced = newest;
+	return (send == newest);
+}
+
+/* Cancels a send. */
+static void
+hedge_cancel(struct fwd_send *send)
+{
+	if (!send->conn->connected)
+		fwd_send_end(send, false);
+	fwd_send_free(send);
+}
+
+/* Starts a second send, or returns what keeps the request from it. */
+static enum fwd_obstacle
+hedge_start(struct fwd_send *send, uint64_t heard_since_ms)
+{
+	struct fwd_exchange *ex = send->exchange;
+	enum fwd_obstacle obstacle;
+	struct fwd_criteria criteria;
+	struct fwd_choice choice;
+	struct fwd_send *replaced;
+
+	if (!hedge_find_replaced(send, &replaced))
+		return (OBSTACLE_HEDGED);
+	obstacle = fwd_exchange_obstacle(ex);
+	if (obstacle != OBSTACLE_NONE)
+		return (obstacle);
+	fwd_exchange_criteria(ex, &criteria);
+	criteria.heard_since_ms = heard_since_ms;
+	fwd_choose(&ex->fwd->registry->fleet, &criteria, &choice);
+	if (choice.endpoint == NULL)
+		return (OBSTACLE_NO_ENDPOINT);
+	if (!fwd_exchange_take_budget(ex))
+		return (OBSTACLE_BUDGET);
+	if (replaced != NULL)
+		hedge_cancel(replaced);
+	fwd_exchange_count_retry(ex);
+	fwd_stats_count(&ex->fwd->stats, COUNT_HEDGED);
+	return (fwd_exchange_add_send(ex, &choice) ? OBSTACLE_NONE :
+						     OBSTACLE_NO_CONNECTION);
+}
+
+/* Logs a hedge, or what keeps a request from one if that has changed. */
+static void
+hedge_log(const struct fwd_exchange *ex, const char *endpoint,
+    const char *reason, enum fwd_obstacle obstacle, uint64_t silent_ms)
+{
+	const struct fwd_send *newest = TAILQ_LAST(&ex->active, fwd_send_list);
+
+	event_log(LOG_INFO, "request_hedged",
+	    "id=%s reason=%s obstacle=%s endpoint=%s silent_ms=%llu other=%s "
+	    "sends=%u runs=%u last_event=%lld work=%08x",
+	    ex->id, reason, fwd_obstacle_name(obstacle), endpoint,
+	    (unsigned long long)silent_ms,
+	    obstacle == OBSTACLE_NONE ? newest->endpoint->report.id : "-",
+	    ex->sends, ex->runs, (long long)ex->last_event,
+	    FINGERPRINT_SHORT(ex->fingerprint));
+}
+
+/**
+ * fwd_hedge() - send a request to a second endpoint as well, if it may be.
+ * @send: a send whose endpoint is silent; it goes on, but for the newer one of
+ *	two silent sends, which may be replaced
+ * @reason: reason for the log
+ * @unshared: if false, most endpoints are silent, and only one that was heard
+ *	of since is chosen
+ */
+void
+fwd_hedge(struct fwd_send *send, const char *reason, bool unshared)
+{
+	struct fwd_exchange *ex = send->exchange;
+	const char *endpoint = send->endpoint->report.id;
+	uint64_t now = clock_loop_ms(ex->fwd->loop);
+	uint64_t heard = send->heard_ms;
+	enum fwd_obstacle obstacle;
+
+	if (now < ex->hedge_again_ms)
+		return;
+	ex->hedge_again_ms = now + HEDGE_PAUSE_MS;
+	obstacle = hedge_start(send, unshared ? 0 : heard + HEARD_LAG_MS);
+	if (obstacle == OBSTACLE_HEDGED)
+		return;
+	if (obstacle == OBSTACLE_NONE || obstacle != ex->hedge_obstacle)
+		hedge_log(ex, endpoint, reason, obstacle,
+		    now - MIN(heard, now));
+	if (obstacle != OBSTACLE_NONE && ex->hedge_obstacle == OBSTACLE_NONE)
+		fwd_stats_count(&ex->fwd->stats, COUNT_HEDGES_WITHHELD);
+	ex->hedge_obstacle = obstacle;
+}
+
+/* Logs which of two sends goes on, and what the other one was doing. */
+static void
+hedge_settle_log(const struct fwd_send *send, const struct fwd_send *other)
+{
+	const struct fwd_exchange *ex = send->exchange;
+	uint64_t now = clock_loop_ms(ex->fwd->loop);
+	bool first = send == TAILQ_FIRST(&ex->active);
+
+	fwd_stats_count(&ex->fwd->stats,
+	    first ? COUNT_HEDGES_LOST : COUNT_HEDGES_WON);
+	event_log(LOG_INFO, "hedge_settled",
+	    "id=%s endpoint=%s first=%d ms=%llu other=%s other_connected=%d "
+	    "other_silent_ms=%llu last_event=%lld",
+	    ex->id, send->endpoint->report.id, first,
+	    (unsigned long long)(now - MIN(ex->last.sent_ms, now)),
+	    other->endpoint->report.id, other->conn->connected,
+	    (unsigned long long)(now - MIN(other->heard_ms, now)),
+	    (long long)ex->last_event);
+}
+
+/**
+ * fwd_hedge_settle() - go on with one send, and cancel the other.
+ * @send: the send that has brought the next part of the response
+ */
+void
+fwd_hedge_settle(struct fwd_send *send)
+{
+	struct fwd_exchange *ex = send->exchange;
+	struct fwd_send *other = TAILQ_FIRST(&ex->active);
+
+	if (other == send)
+		other = TAILQ_NEXT(send, entry);
+	if (other == NULL)
+		return;
+	hedge_settle_log(send, other);
+	fwd_silence_outlasted(other);
+	hedge_cancel(other);
+	ex->hedge_obstacle = OBSTACLE_NONE;
+}
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -167,6 +167,7 @@
 {
 	struct fwd_exchange *ex = send->exchange;
 
+	fwd_hedge_settle(send);
 	if (ex->state == EXCHANGE_SENT) {
 		response_begin(send);
 		response_count_first(send);
@@ -223,10 +224,12 @@
 	ex->fwd->held_bytes += length;
 	if (!send->passthrough &&
 	    (send->body->len <= fwd_hold_limit(ex->fwd) || send->not_run ||
-		!send->has_signature))
+		!send->has_signature || ex->first_us > 0))
 		return;
-	if (!send->passthrough)
+	if (!send->passthrough) {
+		fwd_hedge_settle(send);
 		response_begin(send);
+	}
 	send->passthrough = true;
 	fwd_conn_write(ex->conn, send->body->data, send->body->len);
 	fwd_send_drop_body(send);
@@ -251,16 +254,6 @@
 	response_buffer(send, at, length);
 }
 
-/* Ends a send whose response was not of use, and retries the request. */
-static void
-response_retry(struct fwd_send *send, const char *reason)
-{
-	struct fwd_exchange *ex = send->exchange;
-
-	fwd_send_free(send);
-	fwd_exchange_retry(ex, reason);
-}
-
 /* Ends a stream. It is complete only if it ends with a complete event. */
 static void
 response_end_stream(struct fwd_send *send)
@@ -268,9 +261,10 @@
 	struct fwd_exchange *ex = send->exchange;
 
 	if (send->events.buf->len > 0 || ex->first_us == 0) {
-		response_retry(send, "cut_in_event");
+		fwd_send_fail(send, "cut_in_event");
 		return;
 	}
+	fwd_hedge_settle(send);
 	fwd_exchange_finish(ex);
 }
 
@@ -286,19 +280,25 @@
 	if (!status_is_success(send->status) &&
 	    send->status < HTTP_STATUS_INTERNAL_SERVER_ERROR)
 		return (false);
-	return (
-	    fwd_exchange_retryable(ex) && ex->runs < ex->route->max_attempts);
+	return (fwd_exchange_retryable(ex) &&
+	    (fwd_send_other(send) || ex->runs < ex->route->max_attempts));
 }
 
 /* Ends a send that the endpoint did not run, and retries the request. */
 static void
 response_not_run(struct fwd_send *send)
 {
-	struct fwd_exchange *ex = send->exchange;
+	fwd_exchange_add_runs(send->exchange, send->endpoint, -1);
+	fwd_stats_count(&send->exchange->fwd->stats, COUNT_NOT_RUN);
+	fwd_send_fail(send, "endpoint_refused");
+}
 
-	ex->runs--;
-	fwd_stats_count(&ex->fwd->stats, COUNT_NOT_RUN);
-	response_retry(send, "endpoint_refused");
+/* Sends a complete response that was buffered. */
+static void
+response_deliver(struct fwd_send *send)
+{
+	fwd_hedge_settle(send);
+	fwd_exchange_deliver(send->exchange, send);
 }
 
 /* Ends a send that the endpoint ran. */
@@ -319,12 +319,12 @@
 	else if (send->passthrough)
 		fwd_exchange_finish(ex);
 	else if (ex->first_us > 0)
-		response_retry(send, "not_resumed");
+		fwd_send_fail(send, "not_resumed");
 	else if (lacks_signature || response_is_retryable(send))
-		response_retry(send,
+		fwd_send_fail(send,
 		    lacks_signature ? "no_proof" : "endpoint_error");
 	else
-		fwd_exchange_deliver(ex, send);
+		response_deliver(send);
 }
 
 static void
@@ -371,7 +371,7 @@
 		    "unreached");
 	else if (send->endpoint->failures >= FAILURES_TO_COOLDOWN)
 		fwd_endpoint_cool_down(send, COOLDOWN_FAILURES_MS, "failures");
-	response_retry(send, failure_reason(failure));
+	fwd_send_fail(send, failure_reason(failure));
 }
 
 const struct net_conn_ops fwd_response_ops = {
--- a/src/fwd-send.c
+++ b/src/fwd-send.c
@@ -211,7 +211,7 @@
 	if (once)
 		net_conn_delay_send(send->conn, ONCE_DELAY_MS);
 	send->reached = true;
-	ex->runs++;
+	fwd_exchange_add_runs(ex, send->endpoint, 1);
 	fwd_stats_count(&ex->fwd->stats, COUNT_SENT);
 	send_log(send, choice);
 	text = send_build_request(send);
@@ -233,7 +233,7 @@
 	send->reached = reached;
 	if (reached)
 		return;
-	send->exchange->runs--;
+	fwd_exchange_add_runs(send->exchange, send->endpoint, -1);
 	if (send->has_permit)
 		endpoint_limit_return_permit(&send->endpoint->limit);
 }
@@ -262,8 +262,47 @@
 }
 
 /**
- * fwd_send_withdraw() - end a send before its response is complete, and retry
- *	the request.
+ * fwd_send_other() - whether another send of the same request is active.
+ * @send: the send
+ */
+bool
+fwd_send_other(const struct fwd_send *send)
+{
+	const struct fwd_send_list *active = &send->exchange->active;
+
+	return (TAILQ_FIRST(active) != send ||
+	    TAILQ_LAST(active, fwd_send_list) != send);
+}
+
+/**
+ * fwd_send_fail() - end a send that failed; retry the request unless another
+ *	send of it goes on.
+ * @send: the send
+ * @reason: why it failed
+ */
+void
+fwd_send_fail(struct fwd_send *send, const char *reason)
+{
+	struct fwd_exchange *ex = send->exchange;
+	const char *endpoint = send->endpoint->report.id;
+
+	fwd_exchange_note_failed(ex, send->endpoint);
+	fwd_send_free(send);
+	if (TAILQ_EMPTY(&ex->active)) {
+		fwd_exchange_retry(ex, reason);
+		return;
+	}
+	event_log(LOG_INFO, "hedge_failed",
+	    "id=%s reason=%s endpoint=%s other=%s sends=%u runs=%u "
+	    "last_event=%lld",
+	    ex->id, reason, endpoint,
+	    TAILQ_FIRST(&ex->active)->endpoint->report.id, ex->sends, ex->runs,
+	    (long long)ex->last_event);
+}
+
+/**
+ * fwd_send_withdraw() - end a send before its response is complete, as one that
+ *	failed.
  * @send: the send
  * @reached: the endpoint may have received the request
  * @reason: reason for the log
@@ -271,12 +310,9 @@
 void
 fwd_send_withdraw(struct fwd_send *send, bool reached, const char *reason)
 {
-	struct fwd_exchange *ex = send->exchange;
-
 	fwd_path_note(send);
 	fwd_send_end(send, reached);
-	fwd_send_free(send);
-	fwd_exchange_retry(ex, reason);
+	fwd_send_fail(send, reason);
 }
 
 /**
@@ -320,7 +356,8 @@
 	return (true);
 }
 
-/* Checks a send whose connection to the endpoint is not established yet. */
+/* Checks a send whose connection to the endpoint is not established yet. It is
+ * not sent to an endpoint that wants none any more. */
 static void
 send_check_connect(struct fwd_send *send, uint64_t now_ms)
 {
--- a/src/fwd-send.h
+++ b/src/fwd-send.h
@@ -97,6 +97,8 @@
     const struct fwd_choice *);
 void fwd_send_end(struct fwd_send *, bool);
 void fwd_send_free(struct fwd_send *);
+bool fwd_send_other(const struct fwd_send *);
+void fwd_send_fail(struct fwd_send *, const char *);
 void fwd_send_withdraw(struct fwd_send *, bool, const char *);
 void fwd_send_pause(struct fwd_send *, bool);
 void fwd_send_drop_body(struct fwd_send *);
@@ -122,7 +124,9 @@
 /* fwd-silence.c: detection of silent endpoints. */
 void fwd_silence_check(struct fwd_send *, uint64_t);
 void fwd_silence_check_connect(struct fwd_send *, uint64_t);
+double fwd_silence_part(const struct fwd_send *, uint64_t);
 double fwd_silence_connect_ms(bool, double, unsigned);
+void fwd_silence_outlasted(struct fwd_send *);
 bool fwd_silence_unheard(const struct endpoint *, uint64_t);
 
 /**
--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -1,6 +1,8 @@
 /* Detection of silent endpoints, and what follows from it. */
+#include "clock.h"
 #include "event-log.h"
 #include "fwd-exchange.h"
+#include "fwd-survey.h"
 
 /* Timeout of a stream between events: this multiple of the expected gap, and at
  * least this. */
@@ -77,28 +79,41 @@
 	return (MAX(SILENCE_FACTOR * gap, SILENCE_MIN_MS));
 }
 
-/* Whether the endpoint has sent nothing to any daemon for too long. */
-static bool
-send_is_silent(const struct fwd_send *send, uint64_t now)
+/* Loop time at which the endpoint of a send was last heard of. */
+static uint64_t
+send_heard_ms(const struct fwd_send *send)
 {
-	const struct fwd_exchange *ex = send->exchange;
-	uint64_t heard = MAX(send->heard_ms, send->endpoint->heard_ms);
-	double factor = 1;
+	const struct endpoint *ep = send->endpoint;
 
-	/* A replica that sends events to other daemons is busy, not lost. */
-	heard = MAX(heard, send->endpoint->peer_heard_ms);
-	if (send->paused || now < ex->fwd->grace_until_ms)
-		return (false);
 	/* Other responses of an endpoint without a model tell nothing about
 	 * this one. */
-	if (ex->model == NULL)
-		heard = send->heard_ms;
-	if (now - send->endpoint->avoided_ms < WARNED_MS)
-		factor = WARNED_FACTOR;
-	if (endpoint_limit_cold(&send->endpoint->limit, now))
-		factor *= COLD_FACTOR;
-	return ((double)(now - MIN(heard, now)) >
-	    send_silence_timeout(send) * factor);
+	if (send->exchange->model == NULL)
+		return (send->heard_ms);
+	/* A replica that sends events to other daemons is busy, not lost. */
+	return (MAX(send->heard_ms, MAX(ep->heard_ms, ep->peer_heard_ms)));
+}
+
+/**
+ * fwd_silence_part() - for how long an endpoint has sent nothing to any daemon,
+ *	as a part of its timeout.
+ * @send: a send to it
+ * @now_ms: loop time
+ *
+ * Return: 1 or more if the endpoint is silent; 0 if its silence tells nothing.
+ */
+double
+fwd_silence_part(const struct fwd_send *send, uint64_t now_ms)
+{
+	uint64_t heard = send_heard_ms(send);
+	double timeout = send_silence_timeout(send);
+
+	if (send->paused || now_ms < send->exchange->fwd->grace_until_ms)
+		return (0);
+	if (now_ms - send->endpoint->avoided_ms < WARNED_MS)
+		timeout *= WARNED_FACTOR;
+	if (endpoint_limit_cold(&send->endpoint->limit, now_ms))
+		timeout *= COLD_FACTOR;
+	return ((double)(now_ms - MIN(heard, now_ms)) / timeout);
 }
 
 /**
@@ -153,6 +168,8 @@
 	bool plain = ex->model == NULL && ex->fwd->set.balance_spread;
 	uint64_t ms = plain ? COOLDOWN_CONNECT_MS : COOLDOWN_SILENT_MS;
 
+	if (!fwd_send_other(send) && !fwd_exchange_withdrawable(ex))
+		return;
 	if (fwd_path_doubted(ep)) {
 		fwd_send_withdraw(send, false, "no_path_in_time");
 		return;
@@ -189,10 +206,10 @@
 		send_handle_no_connection(send, now_ms);
 }
 
-/* Starts a cooldown of a silent endpoint, warns others and moves the request if
- * that is allowed. */
+/* Starts a cooldown of a silent endpoint, warns others of it, and reports the
+ * request as a suspect. */
 static void
-send_handle_silence(struct fwd_send *send, uint64_t now)
+send_report_silence(struct fwd_send *send, uint64_t now)
 {
 	const struct fwd_exchange *ex = send->exchange;
 	struct endpoint *ep = send->endpoint;
@@ -211,19 +228,45 @@
 		ep->cooldown_until_ms = now + COOLDOWN_SILENT_MS;
 		send_warn(send, now);
 	}
-	if (send->conn->connected && !send->crash_suspected) {
+	if (!send->crash_suspected) {
 		send->crash_suspected = true;
 		fwd_poison_observe_crash(send, true);
 	}
-	if (fwd_exchange_movable(ex))
-		fwd_send_withdraw(send, send->conn->connected,
-		    "endpoint_silent");
+}
+
+/**
+ * fwd_silence_outlasted() - handle that a response went on at another endpoint.
+ * @send: the send that it did not go on with; its endpoint is reported if it is
+ *	silent, as now the silence is not that of all
+ */
+void
+fwd_silence_outlasted(struct fwd_send *send)
+{
+	uint64_t now = clock_loop_ms(send->exchange->fwd->loop);
+
+	if (send->conn->connected && !send->path_doubted &&
+	    fwd_silence_part(send, now) >= 1)
+		send_report_silence(send, now);
+}
+
+/* Handles a silent endpoint. Silence that most endpoints share is not the fault
+ * of each of them. */
+static void
+send_handle_silence(struct fwd_send *send, uint64_t now)
+{
+	bool shared = fwd_survey_is_shared(send, now);
+
+	if (!shared)
+		send_report_silence(send, now);
+	fwd_hedge(send, "endpoint_silent", !shared);
 }
 
 /**
  * fwd_silence_check() - check whether the endpoint of a send is silent.
  * @send: the send; its connection is established
  * @now_ms: loop time
+ *
+ * The send goes on, as silence alone is no reason to abort a response.
  */
 void
 fwd_silence_check(struct fwd_send *send, uint64_t now_ms)
@@ -231,8 +274,9 @@
 	enum fwd_path_verdict verdict = fwd_path_judge(send, now_ms);
 
 	send->path_doubted = verdict != FWD_PATH_SOUND;
-	if (verdict == FWD_PATH_LOST && fwd_exchange_movable(send->exchange))
-		fwd_send_withdraw(send, true, "path_lost");
-	else if (verdict == FWD_PATH_SOUND && send_is_silent(send, now_ms))
+	if (verdict == FWD_PATH_LOST)
+		fwd_hedge(send, "path_lost", true);
+	else if (verdict == FWD_PATH_SOUND &&
+	    fwd_silence_part(send, now_ms) >= 1)
 		send_handle_silence(send, now_ms);
 }
--- a/src/fwd-stats.c
+++ b/src/fwd-stats.c
@@ -28,6 +28,11 @@
 	[COUNT_REFUSED_POISON] = "refused_quarantined",
 	[COUNT_STRAY_RESPONSES] = "stray_answers",
 	[COUNT_SILENT_ENDPOINTS] = "silent_endpoints",
+	[COUNT_SHARED_SILENCES] = "shared_silences",
+	[COUNT_HEDGED] = "hedged",
+	[COUNT_HEDGES_WON] = "hedges_won",
+	[COUNT_HEDGES_LOST] = "hedges_lost",
+	[COUNT_HEDGES_WITHHELD] = "hedges_withheld",
 	[COUNT_CONNECTIONS] = "connections",
 	[COUNT_BAD_REQUESTS] = "bad_requests",
 };
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -192,6 +192,8 @@
 	TAILQ_INIT(&fwd->levels);
 	fwd->budgets =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fwd->surveys =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fwd->estimates =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fwd_stats_init(&fwd->stats);
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -75,6 +75,7 @@
  *	first
  * @n_exchanges: length of @exchanges
  * @budgets: service name to struct fwd_budget
+ * @surveys: service name to struct fwd_survey
  * @estimates: name of a model or of a plain service to struct fwd_estimate
  * @demand: what this daemon is asked, admits and refuses
  * @customers: the same by service and customer
@@ -112,6 +113,7 @@
 	struct fwd_exchange_list queue;
 	unsigned n_exchanges;
 	GHashTable *budgets;
+	GHashTable *surveys;
 	GHashTable *estimates;
 	struct fwd_demand demand;
 	struct fwd_demand customers;
