Take no connection that a dissolved replica ends for a crash

Cause: the placer has a replica's head leave its group, and the head ends its connections. Daemons took each of these for a crash of the endpoint that the request may have caused; with a silence before, the request was suspected of two and not sent again.

Change: a connection lost at a head whose entry says that it is closing is no suspected crash; work_lost tells closing=1.

--- a/src/fwd-poison.c
+++ b/src/fwd-poison.c
@@ -89,6 +89,13 @@
 	}
 }
 
+/* Whether an endpoint ends its connections because its group is dissolved. */
+static bool
+endpoint_is_closing(const struct endpoint *ep)
+{
+	return (ep->report.state == GROUP_CLOSING);
+}
+
 /**
  * fwd_poison_observe_crash() - record that an endpoint may have crashed while
  *	it had a request.
@@ -103,18 +110,20 @@
 	const struct endpoint *ep = send->endpoint;
 	uint64_t now = clock_loop_ms(fwd->loop);
 	const struct poison_crash crash = poison_crash_of(ep, silent, now);
-	bool is_new = poison_observe_crash(&fwd->registry->poison,
-	    ex->fingerprint, &crash, now);
+	bool is_new = !endpoint_is_closing(ep) &&
+	    poison_observe_crash(&fwd->registry->poison, ex->fingerprint,
+		&crash, now);
 
 	fwd_stats_count(&fwd->stats, COUNT_CRASHES);
 	event_log(LOG_NOTICE, "work_lost",
 	    "id=%s work=%08x endpoint=%s started_ms=%lld sign=%s "
 	    "suspected=%d sent_ms_ago=%llu last_event=%lld inflight=%u "
-	    "peer_inflight=%u",
+	    "peer_inflight=%u closing=%d",
 	    ex->id, FINGERPRINT_SHORT(ex->fingerprint), ep->report.id,
 	    (long long)ep->report.started_ms, silent ? "silent" : "broken",
 	    is_new, (unsigned long long)(now - send->basis.sent_ms),
-	    (long long)ex->last_event, ep->inflight, ep->peer_inflight);
+	    (long long)ex->last_event, ep->inflight, ep->peer_inflight,
+	    endpoint_is_closing(ep));
 }
 
 /**
