End the cooldown for silence soon after an endpoint is heard of

Cause: an endpoint that was silent for a second was avoided for five, whatever it sent meanwhile. Where all endpoints of a service stood still together, their daemons refused requests with no_endpoint for seconds after that.

--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -4,6 +4,7 @@
 #include "clock.h"
 #include "event-log.h"
 #include "fwd-exchange.h"
+#include "registry-silence.h"
 
 /* Weight of the newest response in an endpoint's error rate. */
 #define ERROR_ALPHA 0.1
@@ -71,7 +72,7 @@
 	fwd_path_note(send);
 	send->heard_ms = clock_loop_ms(ex->fwd->loop);
 	if (!response.wrong_endpoint)
-		send->endpoint->heard_ms = send->heard_ms;
+		endpoint_note_heard(send->endpoint, send->heard_ms);
 	send->status = status;
 	ex->status = status;
 	send->has_signature = response.has_signature;
@@ -205,7 +206,7 @@
 	response_update_slowness(send, now);
 	response_first_event(send);
 	send->heard_ms = now;
-	send->endpoint->heard_ms = now;
+	endpoint_note_heard(send->endpoint, now);
 	if (!fwd_events_add(&send->events, at, length)) {
 		fwd_send_withdraw(send, true, "event_too_large");
 		return;
@@ -250,7 +251,7 @@
 	send->heard_ms = clock_loop_ms(send->exchange->fwd->loop);
 	/* A refusal may come from another incarnation. */
 	if (!send->not_run)
-		send->endpoint->heard_ms = send->heard_ms;
+		endpoint_note_heard(send->endpoint, send->heard_ms);
 	response_buffer(send, at, length);
 }
 
--- a/src/fwd-send.h
+++ b/src/fwd-send.h
@@ -117,10 +117,6 @@
 void fwd_poison_observe_crash(struct fwd_send *, bool);
 void fwd_poison_note_success(struct fwd_send *);
 
-/* How long a silent endpoint is avoided: by then the platform has reported it
- * broken. */
-#define COOLDOWN_SILENT_MS 5000
-
 /* fwd-silence.c: detection of silent endpoints. */
 void fwd_silence_check(struct fwd_send *, uint64_t);
 void fwd_silence_check_connect(struct fwd_send *, uint64_t);
--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -3,6 +3,7 @@
 #include "event-log.h"
 #include "fwd-exchange.h"
 #include "fwd-survey.h"
+#include "registry-silence.h"
 
 /* Timeout of a stream between events: this multiple of the expected gap, and at
  * least this. */
@@ -225,7 +226,7 @@
 		    ep->inflight, ep->pending, ep->slowness, ex->id);
 		/* Its idle connections may be dead as well. */
 		net_pool_clear(&ep->pool);
-		ep->cooldown_until_ms = now + COOLDOWN_SILENT_MS;
+		endpoint_note_silent(ep, now);
 		send_warn(send, now);
 	}
 	if (!send->crash_suspected) {
--- a/src/registry-fleet.h
+++ b/src/registry-fleet.h
@@ -42,6 +42,8 @@
  * @limit: rate limit that it names for all daemons together
  * @cooldown_until_ms: not to be chosen before then, as this daemon or another
  *	suspects that it does not serve
+ * @silent_until_ms: end of the cooldown that began when this daemon found it
+ *	silent; 0 once it was heard of
  * @unfit_until_ms: not to be put into a group before then, as it did not answer
  * @excluded_epoch: it serves in no group up to this epoch, and can't come back
  *	into one, whatever its entry still says
@@ -83,6 +85,7 @@
 	struct endpoint_backoff backoff;
 	struct endpoint_limit limit;
 	uint64_t cooldown_until_ms;
+	uint64_t silent_until_ms;
 	uint64_t unfit_until_ms;
 	int64_t excluded_epoch;
 	uint64_t warned_ms;
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "endpoint-script.h"
+#include "registry-silence.h"
 
 static uv_loop_t loop;
 struct endpoint_script endpoint_script;
@@ -138,7 +139,10 @@
 	    ep->loaded_model != NULL ? ep->loaded_model : "none");
 }
 
-/* load ID own=N peers=N pending=N cooldown=MS errors=PERCENT slow=PERCENT */
+/*
+ * load ID own=N peers=N pending=N cooldown=MS errors=PERCENT slow=PERCENT
+ * [heard=MS] [peers-heard=MS]
+ */
 static void
 exec_load(const char *rest, GString *out)
 {
@@ -150,6 +154,23 @@
 	ep->cooldown_until_ms = script_number(rest, "cooldown", 0);
 	ep->error_rate = (double)script_number(rest, "errors", 0) / 100;
 	ep->slowness = (double)script_number(rest, "slow", 100) / 100;
+	ep->heard_ms = script_number(rest, "heard", ep->heard_ms);
+	ep->peer_heard_ms = script_number(rest, "peers-heard", 0);
+}
+
+/* found-silent ID at=MS; bytes ID at=MS: bytes arrive from an endpoint */
+static void
+exec_found_silent(const char *rest, GString *out)
+{
+	endpoint_note_silent(endpoint_script_find(rest),
+	    script_number(rest, "at", 0));
+}
+
+static void
+exec_bytes(const char *rest, GString *out)
+{
+	endpoint_note_heard(endpoint_script_find(rest),
+	    script_number(rest, "at", 0));
 }
 
 /*
@@ -186,6 +207,8 @@
 	{ "gone", exec_gone },
 	{ "show", exec_show },
 	{ "loaded", exec_loaded },
+	{ "found-silent", exec_found_silent },
+	{ "bytes", exec_bytes },
 	{ "snapshot", exec_snapshot },
 	{ "sent", endpoint_script_sent },
 	{ "event", endpoint_script_event },
