Choose again among endpoints that ran a request, despite a cooldown

Cause: a response that was begun and has used up its attempts may go on only at endpoints that ran the request; while these were in a cooldown it ended.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -388,7 +388,8 @@
 	if (choice->usable == 0 && criteria->n_tried > 0)
 		collect(fleet, criteria, RESORT_TRIED, &eligible, choice);
 	/* If all are in a cooldown, one that may fail is better than none. */
-	if (choice->usable == 0 && criteria->model == NULL)
+	if (choice->usable == 0 &&
+	    (criteria->model == NULL || criteria->tried_only))
 		collect(fleet, criteria, RESORT_COOLDOWN, &eligible, choice);
 	choice->preference = 1;
 	if (criteria->balance_domains)
--- a/tests/endpoint-script-choice.c
+++ b/tests/endpoint-script-choice.c
@@ -100,6 +100,8 @@
 	criteria.unseen.age_ms = (double)script_number(rest, "age", 0);
 	criteria.unseen.duration_ms =
 	    (double)script_number(rest, "duration", 0);
+	criteria.tried_only = script_number(rest, "only", 0) != 0;
+	criteria.heard_since_ms = script_number(rest, "heard", 0);
 	if (script_number(rest, "model", 0) != 0) {
 		criteria.engine = endpoint_script.engine;
 		criteria.model = endpoint_script.model;
@@ -108,14 +110,18 @@
 }
 
 /*
- * choose at=MS [model=1] [tried=ID,ID,...] [failed=MS]: endpoints that are
- * chosen in many draws
+ * choose at=MS [model=1] [tried=ID,ID,...] [failed=MS] [active=ID] [not-run=ID]
+ * [only=1] [heard=MS]: endpoints that are chosen in many draws. Of those tried,
+ * one has the request now, and one did not run it; with only=1 no other may be
+ * chosen; with heard=MS none that was not heard of since
  */
 void
 endpoint_script_choose(const char *rest, GString *out)
 {
 	g_autoptr(GPtrArray) seen = g_ptr_array_new();
 	g_autofree char *word = script_word(rest, "tried");
+	g_autofree char *active = script_word(rest, "active");
+	g_autofree char *not_run = script_word(rest, "not-run");
 	g_auto(GStrv) ids = g_strsplit(word != NULL ? word : "", ",", -1);
 	struct fwd_tried tried[FWD_TRIED_MAX] = { 0 };
 	unsigned n_tried = 0;
@@ -124,6 +130,8 @@
 	for (; ids[n_tried] != NULL && n_tried < FWD_TRIED_MAX; n_tried++) {
 		tried[n_tried].endpoint = endpoint_script_find(ids[n_tried]);
 		tried[n_tried].failed_ms = script_number(rest, "failed", 0);
+		tried[n_tried].active = g_strcmp0(ids[n_tried], active) == 0;
+		tried[n_tried].runs = g_strcmp0(ids[n_tried], not_run) != 0;
 	}
 	for (uint32_t i = 0; i < DRAWS; i++) {
 		struct fwd_criteria criteria =
@@ -165,8 +173,8 @@
 
 /*
  * admit objective=MS [at=MS] [waited=MS] [left=MS] [sends=N] [resubmitted=1]
- * [started=1] [duration=MS] [ahead=N] [plain=1]: decision on a request of 1,000
- * tokens
+ * [started=1] [begun=1] [duration=MS] [ahead=N] [plain=1]: decision on a
+ * request of 1,000 tokens
  */
 void
 endpoint_script_admit(const char *rest, GString *out)
@@ -194,6 +202,7 @@
 	a.resubmitted = script_number(rest, "resubmitted", 0) != 0;
 	a.sends = (unsigned)script_number(rest, "sends", 0);
 	a.started = script_number(rest, "started", 0) != 0;
+	a.begun = script_number(rest, "begun", 0) != 0;
 	a.duration_ms = (double)script_number(rest, "duration", 800);
 	a.ahead = (double)script_number(rest, "ahead", 0);
 	a.draw = UINT32_MAX / 2;
