Let a response go on only at endpoints that it was released from

Change: only an endpoint where this daemon cancelled the request, and that did not fail it, may have it again then; without one the response ends at once.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -94,12 +94,13 @@
 	const struct fwd_tried *tried = criteria_find_tried(criteria, ep);
 
 	if (tried == NULL)
-		return (!criteria->tried_only);
-	if (tried->active || (criteria->tried_only && tried->runs == 0))
+		return (!criteria->released_only);
+	if (tried->active)
 		return (false);
-	if (!criteria->tried_only && resort != RESORT_TRIED)
-		return (false);
-	return (criteria->now_ms - tried->failed_ms >= TRIED_AGAIN_MS);
+	if (criteria->released_only)
+		return (tried->released);
+	return (resort == RESORT_TRIED &&
+	    criteria->now_ms - tried->failed_ms >= TRIED_AGAIN_MS);
 }
 
 /* Whether an endpoint was heard of as lately as is required. */
@@ -389,7 +390,7 @@
 		collect(fleet, criteria, RESORT_TRIED, &eligible, choice);
 	/* If all are in a cooldown, one that may fail is better than none. */
 	if (choice->usable == 0 &&
-	    (criteria->model == NULL || criteria->tried_only))
+	    (criteria->model == NULL || criteria->released_only))
 		collect(fleet, criteria, RESORT_COOLDOWN, &eligible, choice);
 	choice->preference = 1;
 	if (criteria->balance_domains)
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -13,14 +13,14 @@
 /**
  * struct fwd_tried - an endpoint that a request was sent to.
  * @endpoint: the endpoint
- * @runs: sends after which it may have run the request
  * @active: it has the request now
+ * @released: this daemon cancelled the request there, and it did not fail it
  * @failed_ms: loop time at which it last failed the request; 0 for never
  */
 struct fwd_tried {
 	struct endpoint *endpoint;
-	unsigned runs;
 	bool active;
+	bool released;
 	uint64_t failed_ms;
 };
 
@@ -43,7 +43,7 @@
  *	silent, until a daemon hears from it again
  * @tried: endpoints that the request was sent to
  * @n_tried: length of @tried
- * @tried_only: only those of them that may have run it may be chosen
+ * @released_only: only those of them that did not fail it may be chosen
  * @heard_since_ms: only endpoints that were heard of since then, or have no
  *	requests, may be chosen; 0 for all
  * @ahead: requests of the same service and model queued before it at this
@@ -67,7 +67,7 @@
 	bool probe_suspects;
 	const struct fwd_tried *tried;
 	unsigned n_tried;
-	bool tried_only;
+	bool released_only;
 	uint64_t heard_since_ms;
 	unsigned ahead;
 	uint64_t now_ms;
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -21,12 +21,12 @@
 }
 
 /* Makes room among the endpoints that the request was sent to, by forgetting
- * the first one that did not run it. Returns false if all did. */
+ * the first one that failed it. Returns false if none did. */
 static bool
 exchange_forget_tried(struct fwd_exchange *ex)
 {
 	for (unsigned i = 0; i < ex->n_tried; i++) {
-		if (ex->tried[i].runs > 0)
+		if (ex->tried[i].failed_ms == 0)
 			continue;
 		ex->tried[i].endpoint->refs--;
 		ex->n_tried--;
@@ -41,8 +41,12 @@
 static void
 exchange_note_tried(struct fwd_exchange *ex, struct endpoint *ep)
 {
-	if (exchange_find_tried(ex, ep) != NULL)
+	struct fwd_tried *tried = exchange_find_tried(ex, ep);
+
+	if (tried != NULL) {
+		tried->released = false;
 		return;
+	}
 	if (ex->n_tried == FWD_TRIED_MAX && !exchange_forget_tried(ex))
 		return;
 	ep->refs++;
@@ -50,33 +54,21 @@
 }
 
 /**
- * fwd_exchange_add_runs() - count the sends after which a request may have run.
- * @ex: the exchange
- * @ep: the endpoint of the send
- * @n: 1, or -1 if the request turns out not to have run
- */
-void
-fwd_exchange_add_runs(struct fwd_exchange *ex, const struct endpoint *ep, int n)
-{
-	struct fwd_tried *tried = exchange_find_tried(ex, ep);
-
-	ex->runs += (unsigned)n;
-	if (tried != NULL)
-		tried->runs += (unsigned)n;
-}
-
-/**
- * fwd_exchange_note_failed() - note that an endpoint failed the request.
+ * fwd_exchange_note_left() - note that an endpoint has the request no more.
  * @ex: the exchange
  * @ep: the endpoint
+ * @failed: it failed the request; otherwise this daemon cancelled it there
  */
 void
-fwd_exchange_note_failed(struct fwd_exchange *ex, const struct endpoint *ep)
+fwd_exchange_note_left(struct fwd_exchange *ex, const struct endpoint *ep,
+    bool failed)
 {
 	struct fwd_tried *tried = exchange_find_tried(ex, ep);
 
-	if (tried != NULL)
-		tried->failed_ms = clock_loop_ms(ex->fwd->loop);
+	if (tried == NULL)
+		return;
+	tried->released = !failed;
+	tried->failed_ms = failed ? clock_loop_ms(ex->fwd->loop) : 0;
 }
 
 /**
@@ -156,7 +148,7 @@
 	    ex->model != NULL && ex->sends == 0 && !ex->resubmitted;
 	criteria->tried = ex->tried;
 	criteria->n_tried = ex->n_tried;
-	criteria->tried_only = fwd_exchange_tried_only(ex);
+	criteria->released_only = fwd_exchange_released_only(ex);
 	criteria->now_ms = clock_loop_ms(ex->fwd->loop);
 	criteria->evidence = fwd_evidence_known(ex->fwd, criteria->now_ms);
 	criteria->draw = random_u32();
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -120,8 +120,8 @@
 void fwd_exchange_criteria(struct fwd_exchange *, struct fwd_criteria *);
 void fwd_exchange_send(struct fwd_exchange *, const struct fwd_choice *);
 bool fwd_exchange_add_send(struct fwd_exchange *, const struct fwd_choice *);
-void fwd_exchange_add_runs(struct fwd_exchange *, const struct endpoint *, int);
-void fwd_exchange_note_failed(struct fwd_exchange *, const struct endpoint *);
+void fwd_exchange_note_left(struct fwd_exchange *, const struct endpoint *,
+    bool);
 void fwd_exchange_tick(struct fwd_exchange *, uint64_t);
 struct fwd_estimate *fwd_exchange_estimate(const struct fwd_exchange *);
 
@@ -164,7 +164,7 @@
 
 /* fwd-retry.c: retries. */
 bool fwd_exchange_retryable(const struct fwd_exchange *);
-bool fwd_exchange_tried_only(const struct fwd_exchange *);
+bool fwd_exchange_released_only(const struct fwd_exchange *);
 bool fwd_exchange_withdrawable(const struct fwd_exchange *);
 enum fwd_obstacle fwd_exchange_obstacle(const struct fwd_exchange *);
 bool fwd_exchange_take_budget(const struct fwd_exchange *);
--- a/src/fwd-hedge.c
+++ b/src/fwd-hedge.c
@@ -32,7 +32,10 @@
 static void
 hedge_cancel(struct fwd_send *send)
 {
-	if (!send->conn->connected)
+	bool connected = send->conn->connected;
+
+	fwd_exchange_note_left(send->exchange, send->endpoint, !connected);
+	if (!connected)
 		fwd_send_end(send, false);
 	fwd_send_free(send);
 }
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -289,7 +289,7 @@
 static void
 response_not_run(struct fwd_send *send)
 {
-	fwd_exchange_add_runs(send->exchange, send->endpoint, -1);
+	send->exchange->runs--;
 	fwd_stats_count(&send->exchange->fwd->stats, COUNT_NOT_RUN);
 	fwd_send_fail(send, "endpoint_refused");
 }
--- a/src/fwd-retry.c
+++ b/src/fwd-retry.c
@@ -28,30 +28,36 @@
 	return (ex->route->retry == RETRY_IDEMPOTENT);
 }
 
-/* Number of endpoints that may have run a request. */
-static unsigned
-exchange_attempts(const struct fwd_exchange *ex)
+/* Whether a request ran as often as its route allows. */
+static bool
+exchange_attempts_used(const struct fwd_exchange *ex)
 {
-	unsigned attempts = 0;
+	return (ex->runs >= MAX(ex->route->max_attempts, 1));
+}
 
-	for (unsigned i = 0; i < ex->n_tried; i++)
-		attempts += ex->tried[i].runs > 0;
-	return (attempts);
+/* Whether an endpoint was left that did not fail the request. */
+static bool
+exchange_has_released(const struct fwd_exchange *ex)
+{
+	for (unsigned i = 0; i < ex->n_tried; i++) {
+		if (ex->tried[i].released)
+			return (true);
+	}
+	return (false);
 }
 
 /**
- * fwd_exchange_tried_only() - whether only endpoints that ran a request already
- *	may continue its response.
+ * fwd_exchange_released_only() - whether only endpoints that did not fail a
+ *	request that ran there may continue its response.
  * @ex: the exchange
  *
- * A response that was begun may go on there though the attempts of its route
- * are used up, as these bound the endpoints that run a request.
+ * The attempts of a route bound the endpoints that run a request, so a response
+ * that was begun may go on there when they are used up.
  */
 bool
-fwd_exchange_tried_only(const struct fwd_exchange *ex)
+fwd_exchange_released_only(const struct fwd_exchange *ex)
 {
-	return (ex->first_us > 0 &&
-	    exchange_attempts(ex) >= MAX(ex->route->max_attempts, 1));
+	return (ex->first_us > 0 && exchange_attempts_used(ex));
 }
 
 /* What keeps a request from another send, whether its last one ran or not. */
@@ -98,7 +104,8 @@
 		return (obstacle);
 	if (!fwd_exchange_retryable(ex))
 		return (OBSTACLE_MAY_HAVE_RUN);
-	if (ex->first_us == 0 && ex->runs >= MAX(ex->route->max_attempts, 1))
+	if (exchange_attempts_used(ex) &&
+	    (ex->first_us == 0 || !exchange_has_released(ex)))
 		return (OBSTACLE_ATTEMPTS);
 	if (!poison_may_retry(&registry->poison, &registry->fleet,
 		ex->fingerprint, now))
@@ -214,7 +221,7 @@
 {
 	uint64_t now = clock_loop_ms(ex->fwd->loop);
 
-	if (ex->obstacle == OBSTACLE_NONE && !fwd_exchange_tried_only(ex))
+	if (ex->obstacle == OBSTACLE_NONE && !fwd_exchange_released_only(ex))
 		return;
 	if (now - MIN(ex->failed_ms, now) < OBSTACLE_WAIT_MS)
 		return;
--- a/src/fwd-send.c
+++ b/src/fwd-send.c
@@ -211,7 +211,7 @@
 	if (once)
 		net_conn_delay_send(send->conn, ONCE_DELAY_MS);
 	send->reached = true;
-	fwd_exchange_add_runs(ex, send->endpoint, 1);
+	ex->runs++;
 	fwd_stats_count(&ex->fwd->stats, COUNT_SENT);
 	send_log(send, choice);
 	text = send_build_request(send);
@@ -233,7 +233,7 @@
 	send->reached = reached;
 	if (reached)
 		return;
-	fwd_exchange_add_runs(send->exchange, send->endpoint, -1);
+	send->exchange->runs--;
 	if (send->has_permit)
 		endpoint_limit_return_permit(&send->endpoint->limit);
 }
@@ -286,7 +286,7 @@
 	struct fwd_exchange *ex = send->exchange;
 	const char *endpoint = send->endpoint->report.id;
 
-	fwd_exchange_note_failed(ex, send->endpoint);
+	fwd_exchange_note_left(ex, send->endpoint, true);
 	fwd_send_free(send);
 	if (TAILQ_EMPTY(&ex->active)) {
 		fwd_exchange_retry(ex, reason);
--- a/tests/endpoint-script-choice.c
+++ b/tests/endpoint-script-choice.c
@@ -100,7 +100,7 @@
 	criteria.unseen.age_ms = (double)script_number(rest, "age", 0);
 	criteria.unseen.duration_ms =
 	    (double)script_number(rest, "duration", 0);
-	criteria.tried_only = script_number(rest, "only", 0) != 0;
+	criteria.released_only = script_number(rest, "only", 0) != 0;
 	criteria.heard_since_ms = script_number(rest, "heard", 0);
 	if (script_number(rest, "model", 0) != 0) {
 		criteria.engine = endpoint_script.engine;
@@ -110,10 +110,10 @@
 }
 
 /*
- * choose at=MS [model=1] [tried=ID,ID,...] [failed=MS] [active=ID] [not-run=ID]
- * [only=1] [heard=MS]: endpoints that are chosen in many draws. Of those tried,
- * one has the request now, and one did not run it; with only=1 no other may be
- * chosen; with heard=MS none that was not heard of since
+ * choose at=MS [model=1] [tried=ID,ID,...] [failed=MS] [active=ID]
+ * [released=ID] [only=1] [heard=MS]: endpoints that are chosen in many draws.
+ * Of those tried, one has the request now, and from one it was released; with
+ * only=1 no other may be chosen; with heard=MS none that was not heard of since
  */
 void
 endpoint_script_choose(const char *rest, GString *out)
@@ -121,7 +121,7 @@
 	g_autoptr(GPtrArray) seen = g_ptr_array_new();
 	g_autofree char *word = script_word(rest, "tried");
 	g_autofree char *active = script_word(rest, "active");
-	g_autofree char *not_run = script_word(rest, "not-run");
+	g_autofree char *released = script_word(rest, "released");
 	g_auto(GStrv) ids = g_strsplit(word != NULL ? word : "", ",", -1);
 	struct fwd_tried tried[FWD_TRIED_MAX] = { 0 };
 	unsigned n_tried = 0;
@@ -131,7 +131,8 @@
 		tried[n_tried].endpoint = endpoint_script_find(ids[n_tried]);
 		tried[n_tried].failed_ms = script_number(rest, "failed", 0);
 		tried[n_tried].active = g_strcmp0(ids[n_tried], active) == 0;
-		tried[n_tried].runs = g_strcmp0(ids[n_tried], not_run) != 0;
+		tried[n_tried].released =
+		    g_strcmp0(ids[n_tried], released) == 0;
 	}
 	for (uint32_t i = 0; i < DRAWS; i++) {
 		struct fwd_criteria criteria =
