Report no endpoint silent because another woke first

Cause: when all endpoints go on after a pause, the first of two sends to bring the next event won, and the other endpoint was reported silent: a cooldown and a suspected crash, a few ms before it went on too.

Change: it is reported only if the endpoint that went on had not been silent itself at the last check.

--- a/src/fwd-hedge.c
+++ b/src/fwd-hedge.c
@@ -153,7 +153,7 @@
 	if (other == NULL)
 		return;
 	hedge_settle_log(send, other);
-	fwd_silence_outlasted(other);
+	fwd_silence_outlasted(send, other);
 	hedge_cancel(other);
 	ex->hedge_obstacle = OBSTACLE_NONE;
 }
--- a/src/fwd-send.h
+++ b/src/fwd-send.h
@@ -60,6 +60,7 @@
  * @body: body of the response while it is buffered
  * @passthrough: the response is passed on unbuffered, since it is too large
  * @heard_ms: loop time of the last byte from the endpoint
+ * @found_silent: its endpoint was silent when it was last checked
  * @crash_suspected: the fingerprint was reported as a suspect since the
  *	endpoint fell silent
  * @path_doubted: its path to the endpoint may be lost: its silence tells
@@ -87,6 +88,7 @@
 	GByteArray *body;
 	bool passthrough;
 	uint64_t heard_ms;
+	bool found_silent;
 	bool crash_suspected;
 	bool path_doubted;
 	bool paused;
@@ -122,7 +124,7 @@
 void fwd_silence_check_connect(struct fwd_send *, uint64_t);
 double fwd_silence_part(const struct fwd_send *, uint64_t);
 double fwd_silence_connect_ms(bool, double, unsigned);
-void fwd_silence_outlasted(struct fwd_send *);
+void fwd_silence_outlasted(const struct fwd_send *, struct fwd_send *);
 bool fwd_silence_unheard(const struct endpoint *, uint64_t);
 
 /**
--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -63,7 +63,7 @@
 	    SUSPECT_SILENCE_MIN_MS, timeout));
 }
 
-/* How long an endpoint may be silent before this request is moved. */
+/* How long an endpoint may be silent. */
 static double
 send_silence_timeout(const struct fwd_send *send)
 {
@@ -236,18 +236,18 @@
 }
 
 /**
- * fwd_silence_outlasted() - handle that a response went on at another endpoint.
- * @send: the send that it did not go on with; its endpoint is reported if it is
- *	silent, as now the silence is not that of all
+ * fwd_silence_outlasted() - handle that a response goes on with one of two
+ *sends.
+ * @send: that send
+ * @other: the other one; its endpoint is reported if it is silent while that of
+ *	@send was not, so that it isn't the silence of all
  */
 void
-fwd_silence_outlasted(struct fwd_send *send)
+fwd_silence_outlasted(const struct fwd_send *send, struct fwd_send *other)
 {
-	uint64_t now = clock_loop_ms(send->exchange->fwd->loop);
-
-	if (send->conn->connected && !send->path_doubted &&
-	    fwd_silence_part(send, now) >= 1)
-		send_report_silence(send, now);
+	if (!send->found_silent && other->found_silent)
+		send_report_silence(other,
+		    clock_loop_ms(send->exchange->fwd->loop));
 }
 
 /* Handles a silent endpoint. Silence that most endpoints share is not the fault
@@ -275,9 +275,10 @@
 	enum fwd_path_verdict verdict = fwd_path_judge(send, now_ms);
 
 	send->path_doubted = verdict != FWD_PATH_SOUND;
+	send->found_silent =
+	    verdict == FWD_PATH_SOUND && fwd_silence_part(send, now_ms) >= 1;
 	if (verdict == FWD_PATH_LOST)
 		fwd_hedge(send, "path_lost", true);
-	else if (verdict == FWD_PATH_SOUND &&
-	    fwd_silence_part(send, now_ms) >= 1)
+	else if (send->found_silent)
 		send_handle_silence(send, now_ms);
 }
