Test streams whose endpoints are silent for some time

Cause: streams that have begun are ended by the daemon itself, without their rest, where their endpoint is silent and would go on, and the retry budget, a refusal, a broken connection or suspicion of the request forbids to go on elsewhere. No test has endpoints that stop and go on.

--- a/Makefile
+++ b/Makefile
@@ -63,7 +63,8 @@
 	$(BUILD)/tests/fake-group.o $(BUILD)/tests/fake-backoff.o \
 	$(BUILD)/tests/fake-limit.o $(BUILD)/tests/fake-crash.o \
 	$(BUILD)/tests/fake-zone.o $(BUILD)/tests/fake-cold.o \
-	$(BUILD)/tests/fake-unaccepted.o $(BUILD)/tests/fake-cut.o
+	$(BUILD)/tests/fake-unaccepted.o $(BUILD)/tests/fake-cut.o \
+	$(BUILD)/tests/fake-silence.o
 $(BUILD)/test-mesh $(BUILD)/test-large $(BUILD)/test-entries: $(BUILD)/test-%: \
 	$(BUILD)/tests/test-%.o $(BUILD)/tests/fleet-script.o \
 	$(BUILD)/tests/fleet-script-config.o $(BUILD)/tests/fleet-script-storm.o \
--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -4,6 +4,8 @@
 
 #include "fake-platform.h"
 
+/* Events of a stream and ms between them, unless switches set them. */
+#define STREAM_EVENTS 8
 #define EVENT_MS 10
 
 /* Returns what an endpoint reports about itself. */
@@ -60,6 +62,24 @@
 	json_decref(root);
 }
 
+/* Returns the number of events of a stream. */
+int
+fake_stream_events(void)
+{
+	int n = get_switch("events");
+
+	return (n > 0 ? n : STREAM_EVENTS);
+}
+
+/* Returns the time between the events of a stream, in ms. */
+static uint64_t
+stream_event_ms(void)
+{
+	int ms = get_switch("event-ms");
+
+	return (ms > 0 ? (uint64_t)ms : EVENT_MS);
+}
+
 /* Sends the next event of a stream. */
 static void
 on_event(uv_timer_t *timer)
@@ -71,7 +91,8 @@
 	    g_strdup_printf("%zx\r\n%s\r\n", strlen(event), event);
 
 	if (c->stream.closing || c->endpoint->crash_mode != CRASH_NONE ||
-	    fake_endpoint_switch("dark", c->endpoint) || cut_silent(c))
+	    fake_endpoint_switch("dark", c->endpoint) || cut_silent(c) ||
+	    silence_defer(timer, on_event))
 		return;
 	if (get_switch("cut") == c->event && consume_switch("cuts")) {
 		net_stream_write(&c->stream, chunk, strlen(chunk) - 4);
@@ -79,8 +100,8 @@
 		return;
 	}
 	net_stream_write(&c->stream, chunk, strlen(chunk));
-	if (++c->event < STREAM_EVENTS) {
-		uv_timer_start(timer, on_event, EVENT_MS, 0);
+	if (++c->event < fake_stream_events()) {
+		uv_timer_start(timer, on_event, stream_event_ms(), 0);
 		return;
 	}
 	net_stream_write(&c->stream, "0\r\n\r\n", 5);
@@ -110,7 +131,7 @@
 	c->event = last != NULL ? atoi(last) + 1 : 0;
 	net_stream_write(&c->stream, head, strlen(head));
 	uv_timer_start(&c->timer, on_event,
-	    EVENT_MS + (uint64_t)get_switch("slow-first"), 0);
+	    stream_event_ms() + (uint64_t)get_switch("slow-first"), 0);
 }
 
 /* Sends a response whose body is that many bytes. */
@@ -164,7 +185,7 @@
 	struct conn *c = timer->data;
 
 	if (!c->stream.closing && c->endpoint->crash_mode == CRASH_NONE &&
-	    !cut_silent(c))
+	    !cut_silent(c) && !silence_defer(timer, on_slow))
 		fake_endpoint_respond(c);
 }
 
@@ -201,6 +222,10 @@
 	limit_check(c);
 	zone_check(c);
 	crash_check(c);
+	if (fake_endpoint_switch("break", ep)) {
+		net_stream_reset(&c->stream);
+		return;
+	}
 	if (cold_check(c)) {
 		fake_endpoint_crash(ep, CRASH_RESET);
 		return;
--- a/tests/fake-platform.h
+++ b/tests/fake-platform.h
@@ -10,9 +10,6 @@
 
 /* Port of the store and of each endpoint. */
 #define FAKE_PORT 9000
-/* Number of events of a stream. */
-#define STREAM_EVENTS 8
-
 enum topic {
 	TOPIC_OP,
 	TOPIC_SERVERS,
@@ -34,7 +31,8 @@
  * An engine or plain endpoint. max_epoch: highest epoch of a join so far;
  * stalled_ms: when the head's group lost a member; n_runs: requests run;
  * full_fd, queued_fd: listening socket with a full queue, and the connection in
- * it, while the endpoint accepts none.
+ * it, while the endpoint accepts none; stopped_until_ms: when it goes on, 0 if
+ * it is not stopped.
  */
 struct fake_endpoint {
 	char ip[32];
@@ -59,6 +57,7 @@
 	unsigned n_runs;
 	int full_fd;
 	int queued_fd;
+	uint64_t stopped_until_ms;
 };
 
 /*
@@ -107,6 +106,7 @@
 void fake_endpoint_write_entry(struct fake_endpoint *);
 void fake_endpoint_request(struct conn *);
 char *fake_endpoint_headers(const struct conn *);
+int fake_stream_events(void);
 
 /* fake-group.c: groups of engines, and checks of joins. */
 void group_handle_order(struct conn *);
@@ -135,6 +135,12 @@
 int cold_left_ms(const struct fake_endpoint *);
 bool cold_check(const struct conn *);
 
+/* fake-silence.c: endpoints that stop for some time. */
+void silence_apply(const char *, int);
+void silence_poll(void);
+void silence_check_accepted(struct conn *);
+bool silence_defer(uv_timer_t *, uv_timer_cb);
+
 /* fake-unaccepted.c: endpoints to which no connection can be made. */
 void unaccepted_tick(struct fake_endpoint *);
 
--- a/tests/fake-store.c
+++ b/tests/fake-store.c
@@ -177,6 +177,7 @@
 	    GINT_TO_POINTER(atoi(w[1])));
 	if (g_str_has_prefix(w[0], "cut-"))
 		cut_apply();
+	silence_apply(w[0], atoi(w[1]));
 	if (g_str_has_prefix(w[0], "excuse-")) {
 		backoff_forget_daemon(w[0] + strlen("excuse-"));
 		limit_forget_daemon(w[0] + strlen("excuse-"));
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -15,6 +15,10 @@
  *	down		the store refuses all calls
  *	silent		the store doesn't answer
  *	dark-IP		the endpoint doesn't answer
+ *	stop		all engines stop for so many ms: they read and send
+ *			nothing, and go on afterwards where they were
+ *	stop-IP		the endpoint stops likewise
+ *	break-IP	the endpoint resets the connection of each new request
  *	unaccepted-IP	the endpoint doesn't answer, and new connections to it
  *			are neither accepted nor refused
  *	cut-IP		IP of a daemon: it is cut off from all endpoints. 1: its
@@ -23,6 +27,8 @@
  *			as before; 3: new ones only; 4: new ones are refused
  *	lapse-IP	the endpoint's entry is removed
  *	drain-IP	the endpoint reports that it drains
+ *	events		events of a stream; 0: 8
+ *	event-ms	ms between them; 0: 10
  *	cut, cuts	the next "cuts" streams end in the middle of event "cut"
  *	stray		before the next N plain responses, one to another
  *			request is sent
@@ -241,7 +247,8 @@
 	store_drop_conn(c);
 	if (c->endpoint != NULL)
 		TAILQ_REMOVE(&c->endpoint->conns, c, entry);
-	if (c->endpoint != NULL && c->streaming && c->event < STREAM_EVENTS)
+	if (c->endpoint != NULL && c->streaming &&
+	    c->event < fake_stream_events())
 		g_string_append_printf(fake_journal, "%s left %s\n",
 		    c->endpoint->id, c->id);
 	uv_close((uv_handle_t *)&c->timer, on_timer_closed);
@@ -286,8 +293,10 @@
 	net_stream_init(&c->stream, fake_loop, &conn_ops, c);
 	if (status != 0 || net_stream_accept(&c->stream, listener) != 0)
 		net_stream_close(&c->stream);
-	else if (c->endpoint != NULL)
+	else if (c->endpoint != NULL) {
 		cut_check_accepted(c);
+		silence_check_accepted(c);
+	}
 }
 
 static uv_tcp_t *
@@ -364,6 +373,7 @@
 static void
 on_poll(uv_timer_t *timer)
 {
+	silence_poll();
 	waiters_check();
 }
 
