Learn no pace or overhead from a gap in which an endpoint was silent

Cause: an endpoint that goes on after a silence keeps its streams now, and the gap was taken for its pace and for the overhead of the model: one of 1.2 s made it 20 times as slow to its daemon, which chose it no more (proc-edge-silent- replica.sh, proc-edge-silent-streams.sh: 'all replicas are used' failed after 20 s).

Change: neither is learned from the first bytes after a silence.

Measured: proc-edge-silent-streams.sh, 28 checks, 1 failed before, 0 after.

--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -90,7 +90,8 @@
 
 /*
  * The first event confirms that the prompt was prefilled. Its delay beyond the
- * profile's estimate goes into the measured overhead of the model.
+ * profile's estimate goes into the measured overhead of the model, unless the
+ * endpoint was silent.
  */
 static void
 response_first_event(struct fwd_send *send)
@@ -105,13 +106,16 @@
 	send->in_backlog = false;
 	fwd_backlog_confirm(&ep->backlog, send->backlog_mark, now);
 	ep->pending = MAX(ep->pending - ex->prompt, 0);
+	if (send->found_silent)
+		return;
 	fwd_estimate_add_first(fwd_exchange_estimate(ex),
 	    (double)(now - basis->sent_ms) - basis->expected_ms +
 		basis->overhead_ms);
 	fwd_send_note_first(send, now);
 }
 
-/* Updates an endpoint's slowness from the time since the last event. */
+/* Updates an endpoint's slowness from the time since the last event. A gap in
+ * which it was silent tells nothing about its pace. */
 static void
 response_update_slowness(struct fwd_send *send, uint64_t now)
 {
@@ -119,7 +123,7 @@
 	struct endpoint *ep = send->endpoint;
 	double expected, ratio;
 
-	if (ex->model == NULL || send->in_backlog ||
+	if (ex->model == NULL || send->in_backlog || send->found_silent ||
 	    send->heard_ms <= send->basis.sent_ms)
 		return;
 	expected = fwd_expect_gap(ep, ex->engine, ex->model) / ep->slowness *
