Say that bankliftd is ready only once it has the host list

Cause: a set of targets without any counted as one that serves. Without the platform's host list no deployment or service has a target, so a daemon that had the configuration first said that it was ready, and refused what the load balancer then sent as no_endpoint. Ruled out by reading: evidence is not needed for the fault, and the test's balancer asks a daemon that isn't ready only when none is. Change: a view says whether it was built from a host list, and without it the daemon isn't ready; the 3 s for evidence begin when both configuration and hosts are known. The health page decides once for status and text, and logs an answer that differs from the last (ready, not_ready with a reason).

--- a/src/http-listen.c
+++ b/src/http-listen.c
@@ -26,15 +26,14 @@
 static int
 health_check(const struct _u_request *in, struct _u_response *res, void *arg)
 {
-	struct server *server = arg;
-	const char *state = "ready";
-
-	if (atomic_load(&server->draining))
-		state = "leaving";
-	else if (!server_ready(server))
-		state = "starting";
-	ulfius_set_string_body_response(res, server_ready(server) ? 200 : 503,
-	    state);
+	enum server_health health = server_tell_health(arg);
+
+	if (health == SERVER_READY)
+		ulfius_set_string_body_response(res, 200, "ready");
+	else if (health == SERVER_LEAVING)
+		ulfius_set_string_body_response(res, 503, "leaving");
+	else
+		ulfius_set_string_body_response(res, 503, "starting");
 	return (U_CALLBACK_COMPLETE);
 }
 
--- a/src/inventory.c
+++ b/src/inventory.c
@@ -81,19 +81,21 @@
  * Hosts that are no longer listed are kept and marked as unlisted, since a
  * group may still name them.
  *
- * Return: whether a host was added, disappeared, or began or stopped leaving.
+ * Return: whether this is the first list, or a host was added, disappeared, or
+ * began or stopped leaving.
  */
 bool
 inventory_update(struct inventory *inv, json_t *list, uint64_t now)
 {
 	g_autoptr(GHashTable) listed = NULL;
-	bool changed = false;
 	struct host *host;
+	bool changed;
 	json_t *item;
 	size_t i;
 
 	listed = g_hash_table_new(g_str_hash, g_str_equal);
 	g_mutex_lock(&inv->lock);
+	changed = inv->listed_ms == 0;
 	inv->listed_ms = now;
 	json_array_foreach(list, i, item) {
 		const char *name =
--- a/src/operator-status.c
+++ b/src/operator-status.c
@@ -93,7 +93,7 @@
 		"name", server->set.name, "domain", server->set.domain,
 		"applied", (json_int_t)next - 1, "in_force",
 		(json_int_t)server_view_next(server) - 1, "digest", hex,
-		"ready", server_ready(server), "leaving",
+		"ready", server_health(server) == SERVER_READY, "leaving",
 		atomic_load(&server->draining), "log_ok",
 		config_log_ok(&server->config, LOG_OK_AGE_MS), "controller",
 		controller_holds_lease(server), "active",
--- a/src/server.c
+++ b/src/server.c
@@ -77,6 +77,12 @@
 	g_free(server);
 }
 
+static bool
+view_has_configuration(const struct view *view)
+{
+	return (view != NULL && view->next > 1);
+}
+
 /**
  * server_view_rebuild() - build a view of the current state and publish it.
  * @server: the daemon
@@ -94,6 +100,9 @@
 	view = view_build(&server->tables, server->config.state, &server->inv,
 	    server->set.domain, daemons);
 	g_mutex_unlock(&server->config.lock);
+	if (view_has_configuration(view) && view->hosts_listed &&
+	    atomic_load(&server->known_ms) == 0)
+		atomic_store(&server->known_ms, clock_now_ms());
 	old = server->view;
 	rcu_assign_pointer(server->view, view);
 	synchronize_rcu();
@@ -101,8 +110,6 @@
 		view_free(old);
 	/* Once the lock is released, another thread may free this view. */
 	next = view->next;
-	if (next > 1 && atomic_load(&server->config_known_ms) == 0)
-		atomic_store(&server->config_known_ms, clock_now_ms());
 	g_mutex_unlock(&server->view_lock);
 	log_debug("view_published", "next=%" G_GUINT64_FORMAT, next);
 }
@@ -147,32 +154,73 @@
 	return (true);
 }
 
+/* Health by what the daemon knows. Called within an RCU read-side section. */
+static enum server_health
+view_health(const struct server *server, const struct view *view)
+{
+	uint64_t now = clock_now_ms();
+
+	if (!view_has_configuration(view))
+		return (SERVER_NO_CONFIGURATION);
+	if (!view->hosts_listed)
+		return (SERVER_NO_HOSTS);
+	if (now >= atomic_load(&server->known_ms) + READY_WAIT_MS)
+		return (SERVER_READY);
+	if (!sets_have_target(view->deployments, now) ||
+	    !sets_have_target(view->services, now))
+		return (SERVER_NO_EVIDENCE);
+	return (SERVER_READY);
+}
+
 /**
- * server_ready() - whether the load balancer should send clients here.
+ * server_health() - whether the load balancer should send clients here.
  * @server: the daemon
  *
  * A daemon is ready when it has a configuration, replayed from the log or
- * fetched from a peer, and evidence about a target of each deployment and
- * service that has targets. After READY_WAIT_MS it is ready without evidence.
+ * fetched from a peer, the platform's host list, without which no deployment
+ * or service has a target, and evidence about a target of each deployment and
+ * service that has targets. READY_WAIT_MS after it has the first two it is
+ * ready without evidence.
  */
-bool
-server_ready(struct server *server)
+enum server_health
+server_health(struct server *server)
 {
-	uint64_t now = clock_now_ms();
-	uint64_t known_ms = atomic_load(&server->config_known_ms);
-	struct view *view;
-	bool serving;
+	enum server_health health;
 
-	if (atomic_load(&server->draining) || known_ms == 0)
-		return (false);
-	if (now >= known_ms + READY_WAIT_MS)
-		return (true);
+	if (atomic_load(&server->draining))
+		return (SERVER_LEAVING);
 	rcu_read_lock();
-	view = rcu_dereference(server->view);
-	serving = sets_have_target(view->deployments, now) &&
-	    sets_have_target(view->services, now);
+	health = view_health(server, rcu_dereference(server->view));
 	rcu_read_unlock();
-	return (serving);
+	return (health);
+}
+
+/**
+ * server_tell_health() - health for the health page; logs it if it differs from
+ * what the page said last.
+ * @server: the daemon
+ */
+enum server_health
+server_tell_health(struct server *server)
+{
+	static const char *const reasons[] = {
+		[SERVER_NO_CONFIGURATION] = "no_configuration",
+		[SERVER_NO_HOSTS] = "no_hosts",
+		[SERVER_NO_EVIDENCE] = "no_evidence",
+		[SERVER_LEAVING] = "leaving",
+	};
+	enum server_health health = server_health(server);
+
+	if (atomic_exchange(&server->health, health) == health)
+		return (health);
+	if (health == SERVER_READY)
+		event_log(LOG_NOTICE, "ready", "next=%" G_GUINT64_FORMAT,
+		    server_view_next(server));
+	else
+		event_log(LOG_NOTICE, "not_ready",
+		    "reason=%s next=%" G_GUINT64_FORMAT, reasons[health],
+		    server_view_next(server));
+	return (health);
 }
 
 /**
--- a/src/server.h
+++ b/src/server.h
@@ -14,6 +14,25 @@
 
 struct claims;
 
+/**
+ * enum server_health - whether the load balancer should send clients here.
+ * @SERVER_STARTED: the health page was not asked yet
+ * @SERVER_NO_CONFIGURATION: the configuration is not known yet
+ * @SERVER_NO_HOSTS: the platform's host list is not known yet
+ * @SERVER_NO_EVIDENCE: a deployment or service has targets, and it is not known
+ *	of any that it is ready
+ * @SERVER_READY: clients are served
+ * @SERVER_LEAVING: the daemon drains
+ */
+enum server_health {
+	SERVER_STARTED,
+	SERVER_NO_CONFIGURATION,
+	SERVER_NO_HOSTS,
+	SERVER_NO_EVIDENCE,
+	SERVER_READY,
+	SERVER_LEAVING,
+};
+
 /**
  * struct server - state of a daemon.
  * @set: its settings
@@ -33,7 +52,9 @@
  *	be queried
  * @remote_used_ms: when a request last needed another failure domain, 0 for
  *	never
- * @config_known_ms: when a configuration was first known, 0 before that
+ * @known_ms: when a configuration and the host list were first known, 0 before
+ *	that
+ * @health: what the health page said last
  * @draining: the health page reports that the daemon is leaving; new
  *	connections are still accepted
  * @refusing: new requests are refused
@@ -55,7 +76,8 @@
 	struct view *view;
 	atomic_bool want_remote;
 	_Atomic uint64_t remote_used_ms;
-	_Atomic uint64_t config_known_ms;
+	_Atomic uint64_t known_ms;
+	_Atomic(enum server_health) health;
 	atomic_bool draining;
 	atomic_bool refusing;
 	atomic_bool stopping;
@@ -65,7 +87,8 @@
 struct server *server_create(const struct settings *);
 void server_free(struct server *);
 void server_view_rebuild(struct server *);
-bool server_ready(struct server *);
+enum server_health server_health(struct server *);
+enum server_health server_tell_health(struct server *);
 uint64_t server_view_next(struct server *);
 bool server_sleep(struct server *, uint64_t);
 
--- a/src/view.c
+++ b/src/view.c
@@ -255,6 +255,7 @@
 	b.view->services = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 	    (GDestroyNotify)route_set_free);
 	g_mutex_lock(&inv->lock);
+	b.view->hosts_listed = inv->listed_ms != 0;
 	build_resources(&b);
 	build_groups(&b);
 	build_slots(&b);
--- a/src/view.h
+++ b/src/view.h
@@ -12,12 +12,14 @@
 /**
  * struct view - one published view.
  * @next: next offset of the configuration that it was built from
+ * @hosts_listed: it was built from a host list of the platform
  * @by_key: SHA-256 of a customer's API key, in hex, to struct customer
  * @deployments: name to struct route_set
  * @services: name to struct route_set
  */
 struct view {
 	uint64_t next;
+	bool hosts_listed;
 	GHashTable *by_key;
 	GHashTable *deployments;
 	GHashTable *services;
