Trim the log in proc-config.sh again

Since lines have the time in a field of that name too, the shell could not evaluate it ("syntax error in expression"), the log was not trimmed, and the four checks after it passed on the whole log. Change: the offset is the field after the event. No check changes.

--- a/tests/proc-config.sh
+++ b/tests/proc-config.sh
@@ -86,8 +86,8 @@
 	cat "$RUN"/daemon-*.log | grep -q 'event=snapshot_written'
 }
 check_true "a snapshot is written" until_true 10 snapshot
-at=$(grep -h 'event=snapshot_written' "$RUN"/daemon-*.log | tail -n1 |
-    grep -o 'at=[0-9]*' | cut -d= -f2)
+at=$(sed -n 's/.*event=snapshot_written at=\([0-9]*\) .*/\1/p' \
+    "$RUN"/daemon-*.log | tail -n1)
 curl -s -X PUT -d "{\"stream\":\"config\",\"first\":$((at + 1))}" \
     "$LOG_URL/trim" >/dev/null
 for d in 1 2 3; do
