Say that bankliftd is ready only after it has read the log to its end

Cause: a daemon counted its configuration as known after the first read of the log, which gives 1,000 records at most. With a longer log it was ready with a part of the configuration and refused clients it will know (401) or services that are declared later. Change: the configuration tells whether it once was complete: the log was read to the offset that it names as its next, or the log failed and the peers have no more. A view has that, and the daemon isn't ready without it.

--- a/src/config.c
+++ b/src/config.c
@@ -77,9 +77,21 @@
 	}
 }
 
+/* Notes that no further records can be had now; returns true the first time.
+ * The configuration is locked. */
+static bool
+config_note_complete(struct config *config)
+{
+	bool first = !config->complete;
+
+	config->complete = true;
+	return (first);
+}
+
 /*
  * Replays the records of a read, except those that the state contains already
- * since it was taken from a peer. Returns true when the state has advanced.
+ * since it was taken from a peer. Returns true when the state has advanced or
+ * is complete for the first time.
  */
 static bool
 config_apply_batch(struct config *config, const struct log_batch *batch)
@@ -99,6 +111,8 @@
 	}
 	if (advanced)
 		g_cond_broadcast(&config->advanced);
+	if (config->state->next >= batch->next)
+		advanced = config_note_complete(config) || advanced;
 	g_mutex_unlock(&config->lock);
 	return (advanced);
 }
@@ -192,6 +206,25 @@
 	g_usleep((RETRY_MIN_MS + random_below(RETRY_JITTER_MS)) * 1000);
 }
 
+/*
+ * Handles a failed read of the log: takes the state of a peer that has a longer
+ * prefix. Returns true when the state has advanced or is complete for the first
+ * time.
+ */
+static bool
+config_follow_peers(struct config *config)
+{
+	bool advanced = config_fetch(config), completed = false;
+
+	g_mutex_lock(&config->lock);
+	if (config->state->next > 1)
+		completed = config_note_complete(config);
+	g_mutex_unlock(&config->lock);
+	if (!advanced)
+		config_wait_retry();
+	return (advanced || completed);
+}
+
 /**
  * config_follow() - read once from the log and replay the records.
  * @config: the configuration
@@ -216,9 +249,7 @@
 		    config_snapshot_restore(config, batch.first);
 	} else {
 		log_debug("log_read_failed", " ");
-		advanced = config_fetch(config);
-		if (!advanced)
-			config_wait_retry();
+		advanced = config_follow_peers(config);
 	}
 	if (advanced && config->ops != NULL && config->ops->changed != NULL)
 		config->ops->changed(config->ops_arg);
--- a/src/config.h
+++ b/src/config.h
@@ -28,6 +28,8 @@
  * @lock: guards the members below
  * @advanced: signalled when the state has advanced
  * @state: result of replay; never replaced by the state of a shorter prefix
+ * @complete: @state once had all records, or as many as could be had while the
+ *	log was unavailable
  * @verdicts: change id to struct config_verdict, of recent records
  * @verdict_order: change ids, oldest first
  * @log_ok_ms: time of the last successful read of the log, 0 for never
@@ -40,6 +42,7 @@
 	GMutex lock;
 	GCond advanced;
 	struct state *state;
+	bool complete;
 	GHashTable *verdicts;
 	GQueue verdict_order;
 	uint64_t log_ok_ms;
--- a/src/server.c
+++ b/src/server.c
@@ -80,7 +80,7 @@
 static bool
 view_has_configuration(const struct view *view)
 {
-	return (view != NULL && view->next > 1);
+	return (view != NULL && view->next > 1 && view->config_complete);
 }
 
 /**
@@ -99,6 +99,7 @@
 	g_mutex_lock(&server->config.lock);
 	view = view_build(&server->tables, server->config.state, &server->inv,
 	    server->set.domain, daemons);
+	view->config_complete = server->config.complete;
 	g_mutex_unlock(&server->config.lock);
 	if (view_has_configuration(view) && view->hosts_listed &&
 	    atomic_load(&server->known_ms) == 0)
@@ -176,11 +177,11 @@
  * server_health() - whether the load balancer should send clients here.
  * @server: the daemon
  *
- * A daemon is ready when it has a configuration, replayed from the log or
- * fetched from a peer, the platform's host list, without which no deployment
- * or service has a target, and evidence about a target of each deployment and
- * service that has targets. READY_WAIT_MS after it has the first two it is
- * ready without evidence.
+ * A daemon is ready when it has a configuration, replayed from the log to its
+ * end or fetched from a peer, the platform's host list, without which no
+ * deployment or service has a target, and evidence about a target of each
+ * deployment and service that has targets. READY_WAIT_MS after it has the first
+ * two it is ready without evidence.
  */
 enum server_health
 server_health(struct server *server)
--- a/src/view.h
+++ b/src/view.h
@@ -12,6 +12,7 @@
 /**
  * struct view - one published view.
  * @next: next offset of the configuration that it was built from
+ * @config_complete: the configuration was complete, see struct config
  * @hosts_listed: it was built from a host list of the platform
  * @by_key: SHA-256 of a customer's API key, in hex, to struct customer
  * @deployments: name to struct route_set
@@ -19,6 +20,7 @@
  */
 struct view {
 	uint64_t next;
+	bool config_complete;
 	bool hosts_listed;
 	GHashTable *by_key;
 	GHashTable *deployments;
--- a/tests/proc-start.sh
+++ b/tests/proc-start.sh
@@ -1,5 +1,6 @@
 # A daemon that starts says that it is ready only once it can serve: not before it has
-# the platform's host list, however early it has the configuration.
+# the platform's host list, however early it has the configuration, nor before it has
+# read the log to its end, which takes several reads.
 . tests/lib.sh
 
 HOSTS_PER_REPLICA=1
@@ -7,6 +8,8 @@
 start_engines 1 2 50 1
 start_services 1 1
 put_hosts
+# More records than one read gives, before the resources; they are void.
+curl -s -o /dev/null -d '{}' "$LOG_URL/streams/config/records?n=[1-1100]"
 start_daemon 1 1
 until_true 10 curl -s "$(client_url 1 1)/health"
 until_true 10 apply_resources '{"mvd-centro":2}'
@@ -47,6 +50,24 @@
 check "an answer is logged when it differs from the last" "" \
     "$(answers | uniq -d)"
 
+# Each read of the log takes a while.
+fault "$LOG_URL" '{"slow_ms":1500}'
+start_daemon 1 3
+known() { # NEXT: whether daemon 3 has the configuration before this offset
+	grep -q "view_published next=$1" "$RUN/daemon-1-3.log"
+}
+check_true "it has the first of the records" until_true 5 known 1001
+said=no
+for _ in $(seq 1 5); do
+	ready 1 3 && said=yes
+	sleep 0.02
+done
+check "before the last of them it isn't ready" no "$said"
+check_true "with all of them it is" until_true 10 ready 1 3
+check "then a completion is served there" 200 \
+    "$(complete 1 3 ping 1 | status_of)"
+fault "$LOG_URL" '{"slow_ms":0}'
+
 # Leaving is logged too.
 stop daemon-1-2 TERM
 check_true "it says that it leaves" until_true 5 sh -c \
