Draw random samples of daemons in one place

Cause: three functions kept a random sample of the daemons that they went through, each with counters of its own: the gateways that are heard, the gateways that are named to others, and the daemon that a configuration is fetched from. Change: struct random_sample says where the next item is kept; all three use it, with the same probabilities as before. Measured: test-tunnel, test-mesh (which fetches configurations), proc-edge-tunnel (29 checks) and proc-edge-fleet (20 checks) pass.

--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -4,6 +4,7 @@
 #include "event-log.h"
 #include "mesh.h"
 #include "net-call.h"
+#include "random-sample.h"
 #include "random.h"
 
 #define FETCH_TIMEOUT_MS 600
@@ -91,15 +92,16 @@
 static struct mesh_peer *
 config_source(const struct mesh *mesh, struct mesh_peer *peer)
 {
+	struct random_sample sample = { .max = 1 };
 	struct mesh_peer *other, *source = peer;
-	uint32_t n = 1;
 
 	if (peer != mesh->relay)
 		return (peer);
+	random_sample_place(&sample);
 	TAILQ_FOREACH(other, &mesh->peers, entry) {
 		if (other->config_current &&
 		    mesh->now_ms - other->listed_ms < LISTED_MS &&
-		    random_below(++n) == 0)
+		    random_sample_place(&sample) < sample.max)
 			source = other;
 	}
 	return (source);
--- a/src/mesh-gateway-names.c
+++ b/src/mesh-gateway-names.c
@@ -5,6 +5,7 @@
 
 #include "clock.h"
 #include "mesh-gateway.h"
+#include "random-sample.h"
 #include "random.h"
 
 /* Pause between two requests for names while gateways are wanted. */
@@ -126,21 +127,15 @@
 	    &g->list[random_below(g->n)].gateway, &request, &ask_ops, g);
 }
 
-/* Adds a daemon to a list, at a random place if it is full. */
+/* Adds a daemon to a list, or puts it in the place of another one. */
 static void
-list_add(struct tunnel_gateway *list, unsigned *n, unsigned max, unsigned *seen,
+list_add(struct tunnel_gateway *list, struct random_sample *sample,
     const struct mesh_peer *peer)
 {
-	unsigned at = *n;
-
-	(*seen)++;
-	if (*n < max)
-		(*n)++;
-	else
-		at = random_below(*seen);
-	if (at >= max)
-		return;
-	list[at] = mesh_gateway_of(peer);
+	unsigned at = random_sample_place(sample);
+
+	if (at < sample->max)
+		list[at] = mesh_gateway_of(peer);
 }
 
 /**
@@ -157,19 +152,21 @@
 {
 	uint64_t now = clock_loop_ms(mesh->loop);
 	struct tunnel_gateway members[TUNNEL_LIST_MAX];
-	unsigned n = 0, n_members = 0, seen = 0, seen_members = 0;
+	struct random_sample relays = { .max = LIST_RELAYS_MAX };
+	struct random_sample in_cell = { .max = TUNNEL_LIST_MAX };
 	const struct mesh_peer *peer;
+	unsigned n;
 
 	TAILQ_FOREACH(peer, &mesh->peers, entry) {
 		if (!mesh_gateway_eligible(mesh, peer, now))
 			continue;
 		if (mesh_peer_in_cell(mesh, peer))
-			list_add(members, &n_members, TUNNEL_LIST_MAX,
-			    &seen_members, peer);
+			list_add(members, &in_cell, peer);
 		else
-			list_add(list, &n, LIST_RELAYS_MAX, &seen, peer);
+			list_add(list, &relays, peer);
 	}
-	for (unsigned i = 0; i < n_members && n < TUNNEL_LIST_MAX; i++)
+	n = relays.n;
+	for (unsigned i = 0; i < in_cell.n && n < TUNNEL_LIST_MAX; i++)
 		list[n++] = members[i];
 	return (n);
 }
--- a/src/mesh-gateway.c
+++ b/src/mesh-gateway.c
@@ -5,6 +5,7 @@
 #include "clock.h"
 #include "event-log.h"
 #include "mesh-gateway.h"
+#include "random-sample.h"
 #include "random.h"
 
 /* Interval at which the daemons that are considered are chosen anew. */
@@ -108,23 +109,19 @@
 gateways_choose_heard(struct mesh_gateways *g, struct mesh_gateway *out,
     uint64_t now_ms)
 {
+	struct random_sample sample = { .max = MESH_GATEWAYS_HEARD_MAX };
 	const struct mesh_peer *peer;
-	unsigned n = 0, seen = 0;
 
 	TAILQ_FOREACH(peer, &g->mesh->peers, entry) {
-		unsigned at = n;
+		unsigned at;
 
 		if (!mesh_gateway_eligible(g->mesh, peer, now_ms))
 			continue;
-		seen++;
-		if (n < MESH_GATEWAYS_HEARD_MAX)
-			n++;
-		else
-			at = random_below(seen);
-		if (at < MESH_GATEWAYS_HEARD_MAX)
+		at = random_sample_place(&sample);
+		if (at < sample.max)
 			gateway_set_heard(g, peer, &out[at]);
 	}
-	return (n);
+	return (sample.n);
 }
 
 /* Whether a gateway that another one named is considered further. */
@@ -140,7 +137,7 @@
 static void
 gateways_refresh(struct mesh_gateways *g, uint64_t now_ms)
 {
-	struct mesh_gateway next[MESH_GATEWAYS_MAX];
+	struct mesh_gateway next[MESH_GATEWAYS_MAX] = { 0 };
 	unsigned n = gateways_choose_heard(g, next, now_ms);
 	unsigned n_heard = n;
 
