Use one sequence of random numbers that a seed determines

Cause: the repair of gaps and the model of the fleet had the same generator, with its constants written twice. Change: random_sequence_below() is that generator; both keep their state. The numbers are the same, so scripts and their results are.

--- a/src/fleet-model.c
+++ b/src/fleet-model.c
@@ -3,20 +3,19 @@
 #include <string.h>
 
 #include "fleet-model-daemon.h"
+#include "random.h"
 
 /**
  * fleet_model_random() - draw a random number from the model's own generator.
  * @model: the model
  * @below: exclusive upper bound
  *
- * The generator is small and belongs to the model, so that a seed determines
- * the whole run.
+ * The state belongs to the model, so that a seed determines the whole run.
  */
 uint32_t
 fleet_model_random(struct fleet_model *model, uint32_t below)
 {
-	model->seed = model->seed * 6364136223846793005u + 1442695040888963407u;
-	return ((uint32_t)(model->seed >> 33) % below);
+	return (random_sequence_below(&model->seed, below));
 }
 
 /**
--- a/src/mesh-repair.c
+++ b/src/mesh-repair.c
@@ -9,6 +9,7 @@
  */
 #include "event-log.h"
 #include "mesh.h"
+#include "random.h"
 
 /* Offsets that one request covers: a few datagrams. */
 #define REQUEST_OFFSETS 192
@@ -31,9 +32,6 @@
 #define RESEND_BYTES_BURST 500000
 /* Requests for a datagram after which a relay sends it to its whole cell. */
 #define SPREAD_REQUESTS 8
-/* Multiplier and increment of the generator of random numbers. */
-#define DRAW_FACTOR 6364136223846793005u
-#define DRAW_INCREMENT 1442695040888963407u
 
 /* Draws a random number. */
 static uint32_t
@@ -43,8 +41,7 @@
 
 	if (repair->draw == 0)
 		repair->draw = mesh->incarnation;
-	repair->draw = repair->draw * DRAW_FACTOR + DRAW_INCREMENT;
-	return ((uint32_t)(repair->draw >> 33) % below);
+	return (random_sequence_below(&repair->draw, below));
 }
 
 /* Whether a daemon was heard lately, and has entries that are missing here. */
--- a/src/random.c
+++ b/src/random.c
@@ -8,6 +8,10 @@
 
 #include "random.h"
 
+/* Multiplier and increment of a linear congruential sequence of 64 bits. */
+#define SEQUENCE_FACTOR 6364136223846793005u
+#define SEQUENCE_INCREMENT 1442695040888963407u
+
 /**
  * random_u64() - 64 random bits from the kernel.
  */
@@ -42,6 +46,18 @@
 	return ((uint32_t)g_random_int_range(0, (gint32)bound));
 }
 
+/**
+ * random_sequence_below() - next number of a sequence that its seed determines.
+ * @state: state of the sequence; the seed at first
+ * @bound: exclusive upper bound
+ */
+uint32_t
+random_sequence_below(uint64_t *state, uint32_t bound)
+{
+	*state = *state * SEQUENCE_FACTOR + SEQUENCE_INCREMENT;
+	return ((uint32_t)(*state >> 33) % bound);
+}
+
 /**
  * random_id() - identifier of 128 random bits in hexadecimal; free with
  * g_free().
