Make addresses and their keys in one place

Cause: an address was put together from its IPv4 address and port in five functions of the mesh and the tunnels, and the key by which addresses are looked up was written in two. Change: net_address_make() and net_address_key() serve all. What is sent is the same.

--- a/src/mesh-receive.c
+++ b/src/mesh-receive.c
@@ -165,7 +165,7 @@
 apply_redirect(struct mesh *mesh, struct mesh_peer *peer,
     const struct mesh_address *relay)
 {
-	struct sockaddr_in addr = { .sin_family = AF_INET };
+	struct sockaddr_in addr = net_address_make(relay->ip, relay->port);
 	struct mesh_peer *named = mesh_find(mesh, relay->name);
 
 	peer->relay_heard_ms = 0;
@@ -177,8 +177,6 @@
 	    named->relay_heard_ms != 0 &&
 	    mesh->now_ms - named->relay_heard_ms < SILENT_RELAY_MS)
 		return;
-	addr.sin_addr.s_addr = relay->ip;
-	addr.sin_port = htons(relay->port);
 	named =
 	    mesh_add(mesh, relay->name, peer->domain, relay->capacity, &addr);
 	if (named == NULL)
@@ -249,11 +247,10 @@
 {
 	for (uint32_t i = 0; i < msg->n_addresses; i++) {
 		const struct mesh_address *told = &msg->addresses[i];
-		struct sockaddr_in addr = { .sin_family = AF_INET,
-			.sin_port = htons(told->port) };
+		struct sockaddr_in addr =
+		    net_address_make(told->ip, told->port);
 		struct mesh_peer *peer;
 
-		addr.sin_addr.s_addr = told->ip;
 		peer = mesh_add(mesh, told->name, told->domain, told->capacity,
 		    &addr);
 		if (peer != NULL)
--- a/src/mesh-spread.c
+++ b/src/mesh-spread.c
@@ -12,6 +12,7 @@
 
 #include "event-log.h"
 #include "mesh.h"
+#include "net-address.h"
 
 /* Members up to which a relay sends to each itself. */
 #define DIRECT_MAX 64
@@ -43,13 +44,20 @@
 		target->ack = (uint16_t)peer->sequence | MESH_ACK_VALID;
 }
 
-static void
-target_address(const struct mesh_target *target, struct sockaddr_in *addr)
+static struct sockaddr_in
+target_address(const struct mesh_target *target)
 {
-	memset(addr, 0, sizeof *addr);
-	addr->sin_family = AF_INET;
-	addr->sin_addr.s_addr = target->ip;
-	addr->sin_port = htons(target->port);
+	return (net_address_make(target->ip, target->port));
+}
+
+/* This daemon as the origin of an envelope. */
+static struct mesh_target
+own_target(const struct mesh *mesh)
+{
+	const struct mesh_target own = { .ip = mesh->addr.sin_addr.s_addr,
+		.port = ntohs(mesh->addr.sin_port) };
+
+	return (own);
 }
 
 /* Sends a datagram in an envelope to its receiver. */
@@ -67,7 +75,7 @@
 		    length);
 		return;
 	}
-	target_address(&envelope->self, &addr);
+	addr = target_address(&envelope->self);
 	mesh->send_datagram(mesh->send_arg, &addr, out, n);
 }
 
@@ -77,9 +85,7 @@
 {
 	struct mesh_envelope envelope;
 
-	envelope.origin.ip = s->mesh->addr.sin_addr.s_addr;
-	envelope.origin.port = ntohs(s->mesh->addr.sin_port);
-	envelope.origin.ack = 0;
+	envelope.origin = own_target(s->mesh);
 	envelope.n_targets = n - 1;
 	fill_target(s->members->pdata[first % s->members->len], &envelope.self);
 	for (unsigned i = 1; i < n; i++)
@@ -110,8 +116,7 @@
 {
 	struct mesh_envelope envelope = { 0 };
 
-	envelope.origin.ip = mesh->addr.sin_addr.s_addr;
-	envelope.origin.port = ntohs(mesh->addr.sin_port);
+	envelope.origin = own_target(mesh);
 	fill_target(peer, &envelope.self);
 	envelope_send(mesh, &envelope, bytes, length);
 }
@@ -204,7 +209,7 @@
 	*in += at;
 	*length -= at;
 	*ack = envelope.self.ack;
-	target_address(&envelope.origin, from);
+	*from = target_address(&envelope.origin);
 	next.origin = envelope.origin;
 	next.n_targets = 0;
 	for (uint32_t i = 0; i < envelope.n_targets; i++) {
--- a/src/net-address.c
+++ b/src/net-address.c
@@ -1,6 +1,33 @@
 /* Addresses of daemons and endpoints. */
+#include <arpa/inet.h>
+
 #include "net-address.h"
 
+/**
+ * net_address_make() - an address of its parts.
+ * @ip: IPv4 address, in network order
+ * @port: port, in host order
+ */
+struct sockaddr_in
+net_address_make(uint32_t ip, uint16_t port)
+{
+	const struct sockaddr_in addr = { .sin_family = AF_INET,
+		.sin_port = htons(port),
+		.sin_addr.s_addr = ip };
+
+	return (addr);
+}
+
+/**
+ * net_address_key() - number that is the same for equal addresses alone.
+ * @addr: the address
+ */
+uint64_t
+net_address_key(const struct sockaddr_in *addr)
+{
+	return ((uint64_t)addr->sin_addr.s_addr << 16 | addr->sin_port);
+}
+
 /**
  * net_address_equal() - whether two addresses have the same host and port.
  * @a: one address
--- a/src/net-address.h
+++ b/src/net-address.h
@@ -4,7 +4,10 @@
 
 #include <netinet/in.h>
 #include <stdbool.h>
+#include <stdint.h>
 
+struct sockaddr_in net_address_make(uint32_t, uint16_t);
+uint64_t net_address_key(const struct sockaddr_in *);
 bool net_address_equal(const struct sockaddr_in *, const struct sockaddr_in *);
 
 #endif
--- a/src/net-tunnel.c
+++ b/src/net-tunnel.c
@@ -4,6 +4,7 @@
 #include <rpc/rpc.h>
 #include <string.h>
 
+#include "net-address.h"
 #include "net-tunnel.h"
 
 /* First word of a request and of a reply: "BLT" and the version of the
@@ -41,9 +42,7 @@
 	    !xdr_uint32_t(xdr, &request->name_hash))
 		return (FALSE);
 	request->kind = (enum tunnel_request_kind)kind;
-	request->peer.sin_family = AF_INET;
-	request->peer.sin_addr.s_addr = ip;
-	request->peer.sin_port = htons((uint16_t)port);
+	request->peer = net_address_make(ip, (uint16_t)port);
 	return (TRUE);
 }
 
@@ -133,9 +132,7 @@
 	    port > UINT16_MAX || !xdr_uint64_t(xdr, &gateway->incarnation) ||
 	    !xdr_uint32_t(xdr, &gateway->name_hash))
 		return (FALSE);
-	gateway->addr.sin_family = AF_INET;
-	gateway->addr.sin_addr.s_addr = ip;
-	gateway->addr.sin_port = htons((uint16_t)port);
+	gateway->addr = net_address_make(ip, (uint16_t)port);
 	return (TRUE);
 }
 
--- a/src/placer-call.c
+++ b/src/placer-call.c
@@ -3,6 +3,7 @@
 
 #include "clock.h"
 #include "event-log.h"
+#include "net-address.h"
 #include "placer.h"
 
 /* An order without an answer within this time ends with ORDER_UNKNOWN. */
@@ -220,7 +221,7 @@
 
 	if (ep != NULL)
 		return (&ep->pool);
-	key = (gint64)m->address.sin_addr.s_addr << 16 | m->address.sin_port;
+	key = (gint64)net_address_key(&m->address);
 	pool = g_hash_table_lookup(p->pools, &key);
 	if (pool == NULL) {
 		pool = g_new0(struct net_pool, 1);
--- a/src/registry-fleet.c
+++ b/src/registry-fleet.c
@@ -4,6 +4,7 @@
 
 #include "registry-fleet.h"
 #include "event-log.h"
+#include "net-address.h"
 
 /* An unreadable entry is taken for lapsed after this time, which is how long an
  * entry lives without a heartbeat: three heartbeats of the endpoint would have
@@ -34,8 +35,7 @@
 static gpointer
 address_key(const struct sockaddr_in *addr)
 {
-	return ((
-	    gpointer)((uintptr_t)addr->sin_addr.s_addr << 16 | addr->sin_port));
+	return ((gpointer)(uintptr_t)net_address_key(addr));
 }
 
 static void
