Read entries in scripts of fleets by one function

Cause: the commands feed and remove parsed their daemon and number alike. Change: read_entries() does it for both.

--- a/tests/fleet-script-config.c
+++ b/tests/fleet-script-config.c
@@ -111,17 +111,25 @@
 	g_string_append_printf(out, "%u\n", (unsigned)registry->endpoints.next);
 }
 
-/* feed NAME records=N: a daemon reads N changed entries and distributes them */
-void
-fleet_script_feed(const char *rest, GString *out)
+/* NAME records=N: has a daemon read N entries in the given way */
+static void
+read_entries(const char *rest,
+    void (*how)(struct fleet_model *, unsigned, unsigned))
 {
 	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
 
-	fleet_model_feed(fleet_script_model,
+	how(fleet_script_model,
 	    fleet_model_find(fleet_script_model, name)->index,
 	    (unsigned)script_number(rest, "records", 0));
 }
 
+/* feed NAME records=N: a daemon reads N changed entries and distributes them */
+void
+fleet_script_feed(const char *rest, GString *out)
+{
+	read_entries(rest, fleet_model_feed);
+}
+
 /* stream N each=MS for=MS: from now on, the reader reads N changed entries at a
  * time and distributes them */
 void
@@ -182,11 +190,7 @@
 void
 fleet_script_remove(const char *rest, GString *out)
 {
-	g_autofree char *name = g_strndup(rest, strcspn(rest, " "));
-
-	fleet_model_remove(fleet_script_model,
-	    fleet_model_find(fleet_script_model, name)->index,
-	    (unsigned)script_number(rest, "records", 0));
+	read_entries(rest, fleet_model_remove);
 }
 
 /* removed: fewest and most removals that a daemon applied, but for the one that
