Ignore trailers after an empty chunked body too

Cause: trailers were told from headers by whether the body has bytes. After an empty chunked body the value of a trailer took the place of the last header's, so that a wrong API key with the right one in a trailer was served, and a right one with any trailer refused. Change: a connection notes that the head was read. Measured: proc-edge-http with its two new checks fails on the code before (401 in place of 200, 200 in place of 401) and passes, 29 checks.

--- a/src/fwd-conn.c
+++ b/src/fwd-conn.c
@@ -66,6 +66,7 @@
 	net_head_reset(&c->head);
 	conn_drop_body(c);
 	c->started = true;
+	c->head_read = false;
 	c->since_ms = clock_loop_ms(c->fwd->loop);
 	return (0);
 }
@@ -94,8 +95,7 @@
 {
 	struct fwd_conn *c = parser->data;
 
-	/* Trailers, which come after the body, are ignored. */
-	if (c->body->len > 0)
+	if (c->head_read)
 		return (0);
 	/* http_parser accepts a space in a header name; other parsers would
 	 * read it as another name. */
@@ -110,7 +110,7 @@
 {
 	struct fwd_conn *c = parser->data;
 
-	if (c->body->len > 0)
+	if (c->head_read)
 		return (0);
 	net_head_add_value(&c->head, at, length);
 	return (conn_check_head(c));
@@ -124,6 +124,7 @@
 	const char *expect;
 
 	net_head_close_value(&c->head);
+	c->head_read = true;
 	c->head_only = parser->method == HTTP_HEAD;
 	if (sized &&
 	    parser->content_length > (uint64_t)conn_limits(c)->max_body_bytes)
--- a/src/fwd-conn.h
+++ b/src/fwd-conn.h
@@ -22,6 +22,7 @@
  * @keep_alive: the connection may carry another request
  * @complete: a complete request was read
  * @started: part of a request was read
+ * @head_read: its head was read; trailers, which follow the body, are ignored
  * @chunked: the response uses chunked transfer coding
  * @error_status: status with which an invalid request is refused; 0 for none
  * @entry: entry in the proxy's list
@@ -40,6 +41,7 @@
 	bool keep_alive;
 	bool complete;
 	bool started;
+	bool head_read;
 	bool chunked;
 	unsigned error_status;
 	TAILQ_ENTRY(fwd_conn) entry;
--- a/tests/proc-edge-http.sh
+++ b/tests/proc-edge-http.sh
@@ -24,6 +24,8 @@
 H='Host: h\r\nX-Api-Key: k1\r\nAttempt-Id: r\r\n'
 GET="GET /look/x HTTP/1.1\r\n$H"
 POST="POST /look/x HTTP/1.1\r\n$H"
+LAST='POST /look/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: r\r\n'
+LAST="${LAST}Transfer-Encoding: chunked\r\n"
 
 check "a plain request" 200 "$(first "$GET\r\n")"
 check "length and chunks together" 400 "$(first \
@@ -53,6 +55,10 @@
     "${POST}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n")"
 check "a body in chunks with trailers" 200 "$(first \
     "${POST}Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX-T: 1\r\n\r\n")"
+check "trailers after an empty body in chunks" 200 "$(first \
+    "${LAST}X-Api-Key: k1\r\n\r\n0\r\nX-T: none\r\n\r\n")"
+check "a key in the trailers is none" 401 "$(first \
+    "${LAST}X-Api-Key: none\r\n\r\n0\r\nX-Api-Key: k1\r\n\r\n")"
 check "Expect: 100-continue" 100 "$(first \
     "${POST}Expect: 100-continue\r\nContent-Length: 2\r\n\r\nab")"
 check "Expect: 100-continue: the final response" 1 "$(count \
