Refuse a response that is too large to be kept

Cause: of a response body beyond 8 MB the piece that didn't fit was dropped, smaller ones after it were appended, and the call ended as if the body were whole. Change: the call ends without a response, the connection is closed and the event response_ignored says why.

--- a/src/net-call.c
+++ b/src/net-call.c
@@ -5,6 +5,7 @@
 #include <arpa/inet.h>
 
 #include "clock.h"
+#include "event-log.h"
 #include "net-call.h"
 
 /* Longest idle time of a pooled connection that is used again; a shorter time
@@ -62,14 +63,34 @@
 	return (NET_ACCEPT);
 }
 
+/* Ends a call whose response is too large to be kept. */
+static void
+call_refuse_body(struct net_call *call)
+{
+	const struct sockaddr_in *peer = &call->conn->pool->addr;
+	char ip[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &peer->sin_addr, ip, sizeof ip);
+	event_log(LOG_ERR, "response_ignored",
+	    "peer=%s:%u max=%u reason=body_too_large", ip,
+	    ntohs(peer->sin_port), CALL_RESPONSE_MAX_BYTES);
+	call->response.status = 0;
+	call->response.reached = true;
+	net_conn_abort(call->conn);
+	call->conn = NULL;
+	call_end(call);
+}
+
 static void
 call_body(void *owner, const char *at, size_t length)
 {
 	struct net_call *call = owner;
 
-	if (call->body->len + length <= CALL_RESPONSE_MAX_BYTES)
-		g_byte_array_append(call->body, (const guint8 *)at,
-		    (guint)length);
+	if (length > CALL_RESPONSE_MAX_BYTES - call->body->len) {
+		call_refuse_body(call);
+		return;
+	}
+	g_byte_array_append(call->body, (const guint8 *)at, (guint)length);
 }
 
 static void
--- a/src/net-call.h
+++ b/src/net-call.h
@@ -6,7 +6,7 @@
 
 /**
  * struct net_response - the outcome of a call.
- * @status: HTTP status; 0 without a complete response
+ * @status: HTTP status; 0 without a complete response, or if it is too large
  * @body: body of the response; valid until the callback returns
  * @sent_ms: loop time at which the call was started
  * @reached: without a response: the peer may have executed the request
