Open a new connection where one is asked for

Cause: net_pool_take() took the longest idle time 0, which asks for a new connection, as a bound like any other, so it used a connection again that had become idle in the same millisecond. Change: with 0 none is used again. Measured: test-net, which takes a connection as a call ends, fails on the code before and passes.

--- a/src/net-pool.c
+++ b/src/net-pool.c
@@ -122,7 +122,8 @@
 	if (conn == NULL)
 		return (NULL);
 	idle = clock_loop_ms(pool->loop) - conn->idle_since_ms;
-	if (idle >= conn->idle_timeout_ms || idle > max_idle_ms)
+	if (max_idle_ms == 0 || idle >= conn->idle_timeout_ms ||
+	    idle > max_idle_ms)
 		return (NULL);
 	net_pool_remove_idle(conn);
 	return (conn);
--- a/tests/test-net.c
+++ b/tests/test-net.c
@@ -146,6 +146,88 @@
 	}
 }
 
+/* What is asked of a pool when a call ends. */
+struct taker {
+	uint64_t max_idle_ms;
+	bool taken;
+	bool reused;
+};
+
+static enum net_head_action
+taken_head(void *owner, unsigned status, const struct net_head *head)
+{
+	return (NET_ACCEPT);
+}
+
+static void
+taken_body(void *owner, const char *at, size_t length)
+{
+}
+
+static void
+taken_done(void *owner)
+{
+}
+
+static void
+taken_failed(void *owner, enum net_failure reason)
+{
+}
+
+static const struct net_conn_ops taken_ops = {
+	.head = taken_head,
+	.body = taken_body,
+	.done = taken_done,
+	.failed = taken_failed,
+};
+
+/* Takes a connection in the millisecond in which another one went idle. */
+static void
+on_take(void *arg, const struct net_response *r)
+{
+	struct taker *taker = arg;
+	struct net_conn *idle = TAILQ_FIRST(&pool.idle);
+	struct net_conn *conn =
+	    net_pool_take(&pool, taker->max_idle_ms, &taken_ops, NULL);
+
+	taker->taken = idle != NULL && conn != NULL;
+	taker->reused = conn == idle;
+	net_conn_abort(conn);
+}
+
+static void
+take(uint64_t max_idle_ms, struct taker *taker)
+{
+	const struct net_request req = { .method = "GET", .target = "/" };
+
+	memset(taker, 0, sizeof *taker);
+	taker->max_idle_ms = max_idle_ms;
+	net_open();
+	g_string_assign(response,
+	    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+	net_call_start(&pool, &req, TIMEOUT_MS, on_take, taker);
+	while (n_requests == 0 || TAILQ_EMPTY(&pool.idle)) {
+		uv_run(&loop, UV_RUN_ONCE);
+		if (taker->taken)
+			break;
+	}
+	net_close();
+	CU_ASSERT_TRUE(taker->taken);
+}
+
+/* Where a new connection is asked for, none is used again, not even one that
+ * has just become idle. */
+static void
+test_new_connection(void)
+{
+	struct taker taker;
+
+	take(1000, &taker);
+	CU_ASSERT_TRUE(taker.reused);
+	take(0, &taker);
+	CU_ASSERT_FALSE(taker.reused);
+}
+
 int
 main(void)
 {
@@ -155,6 +237,7 @@
 	CU_initialize_registry();
 	suite = CU_add_suite("net", NULL, NULL);
 	CU_add_test(suite, "large body", test_large_body);
+	CU_add_test(suite, "new connection", test_new_connection);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
