--- a/tests/test-net.c
+++ b/tests/test-net.c
@@ -5,10 +5,13 @@
 #include <string.h>
 
 #include "net-call.h"
+#include "platform.h"
 
 #define TIMEOUT_MS 5000
 /* Largest body that a call keeps. */
 #define BODY_MAX_BYTES (8u << 20)
+/* Longest key of a record in the store. */
+#define KEY_MAX_BYTES 255
 
 static uv_loop_t loop;
 static uv_tcp_t listener;
@@ -228,6 +231,47 @@
 	CU_ASSERT_FALSE(taker.reused);
 }
 
+static void
+on_appended(void *arg, const struct store_response *r)
+{
+	*(bool *)arg = true;
+}
+
+/* Appends a record whose key has this length; returns whether it was sent. */
+static bool
+append_key(size_t length)
+{
+	struct store_record record = { .key = g_strnfill(length, 'k') };
+	g_autoptr(GArray) records =
+	    g_array_new(FALSE, TRUE, sizeof(struct store_record));
+	struct store *store;
+	bool ended = false, sent;
+
+	net_open();
+	g_string_assign(response,
+	    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 16\r\n\r\n"
+	    "{\"end_offset\":3}");
+	store = platform_store_open(&loop, &pool.addr, TIMEOUT_MS);
+	g_array_append_val(records, record);
+	sent = store->ops->append(store, TOPIC_PLACEMENT, records, -1,
+	    on_appended, &ended);
+	while (sent && !ended)
+		uv_run(&loop, UV_RUN_ONCE);
+	CU_ASSERT_EQUAL(n_requests, sent);
+	net_close();
+	platform_store_close(store);
+	g_free(record.key);
+	return (sent);
+}
+
+/* A key that the format has no room for is not cut: it would be another one. */
+static void
+test_long_key(void)
+{
+	CU_ASSERT_TRUE(append_key(KEY_MAX_BYTES));
+	CU_ASSERT_FALSE(append_key(KEY_MAX_BYTES + 1));
+}
+
 int
 main(void)
 {
@@ -238,6 +282,7 @@
 	suite = CU_add_suite("net", NULL, NULL);
 	CU_add_test(suite, "large body", test_large_body);
 	CU_add_test(suite, "new connection", test_new_connection);
+	CU_add_test(suite, "long key", test_long_key);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
