Refuse a replica's record with a malformed member

Cause: a member that couldn't be read was skipped, so the next host became the head where it was the first, and ranks of orders in doubt were those of other members. Change: the record is refused, as one without members is: the placer then doesn't count on records, and takes the group over by what its hosts report.

--- a/src/placer-record.c
+++ b/src/placer-record.c
@@ -41,6 +41,28 @@
 	json_decref(ranks);
 }
 
+/* Decodes the members, the head first; returns false if one is malformed, as
+ * the others would get ranks that they don't have. */
+static bool
+decode_members(const json_t *members, struct replica *r)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(members, i, item) {
+		const char *id, *ip;
+		struct sockaddr_in addr;
+		int port;
+
+		if (json_unpack(item, "{s:s,s:s,s:i}", "id", &id, "ip", &ip,
+			"port", &port) != 0 ||
+		    uv_ip4_addr(ip, port, &addr) != 0)
+			return (false);
+		replica_add_member(r, id, &addr);
+	}
+	return (true);
+}
+
 /* Decodes whether a replica has settled, and which orders to join are in
  * doubt; its members are known. */
 static void
@@ -98,18 +120,17 @@
  * @bytes: value of the record
  * @length: length of the value
  *
- * Return: the replica, or NULL if the record is malformed or has no members.
+ * Return: the replica, or NULL if the record or a member of it is malformed, or
+ * it has no members.
  */
 struct replica *
 placer_decode_replica(const char *name, const void *bytes, size_t length)
 {
 	json_auto_t *root = json_loadb(bytes, length, 0, NULL);
-	const char *service, *model, *id, *ip;
+	const char *service, *model;
 	json_int_t epoch;
-	json_t *members, *item;
+	json_t *members;
 	struct replica *r;
-	size_t i;
-	int port;
 
 	if (root == NULL ||
 	    json_unpack(root, "{s:s,s:s,s:I,s:o}", "service", &service, "model",
@@ -120,13 +141,11 @@
 	}
 	r = replica_create(name, service, model, epoch);
 	r->term = json_integer_value(json_object_get(root, "term"));
-	json_array_foreach(members, i, item) {
-		struct sockaddr_in addr;
-
-		if (json_unpack(item, "{s:s,s:s,s:i}", "id", &id, "ip", &ip,
-			"port", &port) == 0 &&
-		    uv_ip4_addr(ip, port, &addr) == 0)
-			replica_add_member(r, id, &addr);
+	if (!decode_members(members, r)) {
+		event_log(LOG_ERR, "record_ignored", "group=%s reason=member",
+		    name);
+		replica_free(r);
+		return (NULL);
 	}
 	decode_settled(root, r);
 	if (r->n > 0)
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -172,6 +172,23 @@
 		g_string_append(out, "record\n");
 }
 
+/* decode JSON: prints the members that a record names, the head first */
+static void
+exec_decode(const char *rest, GString *out)
+{
+	struct replica *read = placer_decode_replica("g1", rest, strlen(rest));
+
+	if (read == NULL) {
+		g_string_append(out, "refused\n");
+		return;
+	}
+	for (unsigned i = 0; i < read->n; i++)
+		g_string_append_printf(out, "%s%s", i > 0 ? " " : "",
+		    read->members[i].id);
+	g_string_append_c(out, '\n');
+	replica_free(read);
+}
+
 /* adopt now=MS [kept=0]: the group has no record and is taken over; whoever
  * removed the record did not keep it long enough */
 static void
@@ -298,6 +315,7 @@
 	{ "late-open", exec_late_open },
 	{ "inherit", exec_inherit },
 	{ "take-over", exec_take_over },
+	{ "decode", exec_decode },
 	{ "adopt", exec_adopt },
 	{ "lease", exec_lease },
 	{ "joined", exec_joined },
