Count a negative shard rank of a host as none

Cause: a host's answer to a probe may have any number as its shard; one below -1 led to a shift by a negative number. Change: only ranks of the group are counted. Measured: test-place, new: UBSan ends it on the code before (shift exponent -2), 7 assertions pass.

--- a/src/place.c
+++ b/src/place.c
@@ -109,8 +109,8 @@
 	for (int i = 0; i < view->n_hosts; i++) {
 		const struct place_host *h = &view->hosts[i];
 
-		if (h->fabric == fabric && h->reusable &&
-		    h->shard != PLACE_NO_SHARD && h->shard < view->size)
+		if (h->fabric == fabric && h->reusable && h->shard >= 0 &&
+		    h->shard < view->size)
 			held |= UINT64_C(1) << h->shard;
 	}
 	return (__builtin_popcountll(held));
