Free the names of models that a service no longer has

Cause: the counts of a service freed as many names as it has models now. Change: all are freed; the downtime of a model that comes back goes on as before.

--- a/src/placer-usage.c
+++ b/src/placer-usage.c
@@ -28,7 +28,7 @@
 {
 	struct service_usage *u = data;
 
-	for (unsigned i = 0; i < u->n_models; i++)
+	for (unsigned i = 0; i < PLANNER_MODELS_MAX; i++)
 		g_free(u->names[i]);
 	idle_log_clear(&u->idle);
 	g_free(u);
--- a/src/placer-usage.h
+++ b/src/placer-usage.h
@@ -30,7 +30,7 @@
  * @free: number of live hosts that are in no replica
  * @stranded_ms: time summed over hosts that are in no serving replica, in
  *	ms x hosts
- * @names: names of the models
+ * @names: names of the models, and of former ones where there are fewer now
  * @models: counts of the models, in the order of the engine profile
  * @n_models: number of models
  * @idle: uses last logged for the hosts
