Remove a step that no replica takes and a count that nothing reads

Cause: REPLICA_QUERY and the number of queued operations of a partition were left over. Change: both are gone. Measured: test-replica and test-claims pass.

--- a/src/claim-partition.c
+++ b/src/claim-partition.c
@@ -27,7 +27,6 @@
 	GThread *thread;
 	bool stopping;
 	struct claim_item_list queue;
-	unsigned queued;
 	uint64_t backoff_until_ms;
 	char *stream;
 	uint64_t interval_ms;
@@ -187,7 +186,6 @@
 	while (n++ < BATCH_MAX && (item = TAILQ_FIRST(&p->queue)) != NULL) {
 		TAILQ_REMOVE(&p->queue, item, entry);
 		TAILQ_INSERT_TAIL(items, item, entry);
-		p->queued--;
 	}
 	g_mutex_unlock(&p->lock);
 	return (!TAILQ_EMPTY(items));
@@ -337,7 +335,6 @@
 		verdict = CLAIM_UNAVAILABLE;
 	if (verdict == CLAIM_PENDING && !partition_queued(p, item)) {
 		TAILQ_INSERT_TAIL(&p->queue, item, entry);
-		p->queued++;
 		item = NULL;
 		g_cond_signal(&p->work);
 	}
--- a/src/replica.h
+++ b/src/replica.h
@@ -204,13 +204,11 @@
  * enum replica_action - what to do next for a replica.
  * @REPLICA_WAIT: nothing now
  * @REPLICA_ORDER: send an order to a member
- * @REPLICA_QUERY: send a query to a member
  * @REPLICA_DISSOLVED: remove it: no host serves in it and its hosts are free
  */
 enum replica_action {
 	REPLICA_WAIT,
 	REPLICA_ORDER,
-	REPLICA_QUERY,
 	REPLICA_DISSOLVED,
 };
 
