Log "-" for the fabric domain of a host that reports none

Cause: three events of the placer printed the name without a check for NULL. Change: planner_host_fabric() gives the name for the log. No test reads these fields of such a host.

--- a/src/placer-form.c
+++ b/src/placer-form.c
@@ -62,8 +62,8 @@
 	    "group=%s epoch=%lld model=%s hosts=%u loads=%u head=%s fabric=%s",
 	    name, (long long)epoch, r->model, r->n, plan->loads,
 	    r->members[0].id,
-	    planner_host_at(view, g_array_index(plan->members, guint, 0))
-		->fabric);
+	    planner_host_fabric(
+		planner_host_at(view, g_array_index(plan->members, guint, 0))));
 	TAILQ_INSERT_TAIL(&p->replicas, r, entry);
 	placer_record_replica(p, r, false);
 	return (r);
@@ -107,8 +107,8 @@
 		return (false);
 	planner_view_set_copying(view, h, model);
 	event_log(LOG_NOTICE, "copy_planned",
-	    "host=%s model=%s fabric=%s free=%d", h->id, model->name, h->fabric,
-	    h->free);
+	    "host=%s model=%s fabric=%s free=%d", h->id, model->name,
+	    planner_host_fabric(h), h->free);
 	placer_copy_start(p, h->id, model, now_ms);
 	return (true);
 }
@@ -132,7 +132,7 @@
 		return (false);
 	planner_view_set_warming(view, h);
 	event_log(LOG_INFO, "warming_planned", "host=%s model=%s fabric=%s",
-	    h->id, model->name, h->fabric);
+	    h->id, model->name, planner_host_fabric(h));
 	g_hash_table_replace(p->warming, g_strdup(h->id),
 	    g_memdup2(&until, sizeof until));
 	placer_order_warm(p, h->id, model->name, next_epoch(p));
--- a/src/planner-view.c
+++ b/src/planner-view.c
@@ -26,6 +26,18 @@
 	return (&g_array_index(view->hosts, struct planner_host, index));
 }
 
+/**
+ * planner_host_fabric() - name of a host's fabric domain, for the log.
+ * @h: the host
+ *
+ * Return: the name; "-" where the host reports none.
+ */
+const char *
+planner_host_fabric(const struct planner_host *h)
+{
+	return (h->fabric != NULL ? h->fabric : "-");
+}
+
 /**
  * planner_fabric_at() - get a fabric domain of a view.
  * @view: the view
--- a/src/planner.h
+++ b/src/planner.h
@@ -193,6 +193,7 @@
     unsigned);
 const struct planner_host *planner_host_at(const struct planner_view *,
     unsigned);
+const char *planner_host_fabric(const struct planner_host *);
 const struct planner_fabric *planner_fabric_at(const struct planner_view *,
     unsigned);
 unsigned planner_fabric_host(const struct planner_view *, unsigned, unsigned);
