Keep the settings of the proxy in one struct

Cause: nine switches and numbers of the proxy stood in two structs, and were copied from one to the other at the start and field by field at a reload. Change: struct fwd_setting has a file of its own and is part of the settings of banklift-edge, whose table fills it in; a reload replaces it as a whole. Flags, defaults and ranges are the same.

--- a/src/edge-setting.h
+++ b/src/edge-setting.h
@@ -2,14 +2,17 @@
 #ifndef BL_EDGE_SETTING_H
 #define BL_EDGE_SETTING_H
 
+#include "fwd-setting.h"
 #include "setting-table.h"
 
 /**
  * struct edge_settings - the checked settings.
+ * @fwd: settings of the proxy; those that depend on others are filled in by
+ *	edge_apply_settings()
+ * @check: check the settings and exit
  *
- * Each field but @check is a setting of the same name; see the table in
- * edge-setting.c for meanings, units, ranges and defaults. With @check the
- * daemon checks its settings and exits.
+ * Each other field is a setting of the same name; see the table in
+ * edge-setting.c for meanings, units, ranges and defaults.
  */
 struct edge_settings {
 	char *config;
@@ -24,28 +27,18 @@
 	char *tunnel_address;
 	char *log_level;
 	int64_t key_proof_ms;
-	bool keys_fail_closed;
 	int64_t apply_ms;
 	int64_t drain_ms;
 	double grace_s;
 	int64_t rest_most_ms;
 	int64_t stall_ms;
-	double retry_ratio;
 	double retry_window_s;
-	double retry_slack;
-	char *released_works;
-	char *refused_works;
 	double cpu_share;
 	double cores;
 	double memory_mb;
 	bool first_start;
-	bool overload_levels;
-	bool customer_shares;
-	bool retry_schedule;
-	bool endpoint_evidence;
-	bool balance_spread;
-	bool balance_domains;
 	bool placement_demand;
+	struct fwd_setting fwd;
 	bool check;
 };
 
--- a/src/edge.c
+++ b/src/edge.c
@@ -72,31 +72,21 @@
 void
 edge_apply_settings(struct edge *e)
 {
-	struct fwd_setting *set = &e->fwd.set;
+	struct fwd_setting *set = &e->set.fwd;
 
 	event_log_open("banklift-edge", event_log_level(e->set.log_level));
 	set->domain = e->set.domain;
 	set->key_proof_ms =
 	    (uint64_t)MAX(e->set.key_proof_ms - KEY_PROOF_MARGIN_MS,
 		e->set.key_proof_ms / 2);
-	set->keys_fail_closed = e->set.keys_fail_closed;
 	set->backoff_max_ms = (uint64_t)e->set.rest_most_ms;
 	set->deny_proof_ms = (uint64_t)e->set.apply_ms;
 	e->placer.stall_ms = (uint64_t)e->set.stall_ms;
-	set->released_fingerprints = e->set.released_works;
-	set->refused_fingerprints = e->set.refused_works;
 	set->held_max_bytes =
 	    (size_t)(e->set.memory_mb * BYTES_PER_MB * HELD_SHARE);
-	set->overload_levels = e->set.overload_levels;
-	set->customer_shares = e->set.customer_shares;
-	set->retry_schedule = e->set.retry_schedule;
-	set->endpoint_evidence = e->set.endpoint_evidence;
-	set->balance_spread = e->set.balance_spread;
-	set->balance_domains = e->set.balance_domains;
 	e->placer.placement_demand = e->set.placement_demand;
-	set->retry.ratio = e->set.retry_ratio;
-	set->retry.slack = e->set.retry_slack;
 	set->retry.window_ms = (uint64_t)(e->set.retry_window_s * 1000);
+	e->fwd.set = *set;
 }
 
 /**
@@ -111,6 +101,7 @@
 {
 	g_autoptr(GError) error = NULL;
 	struct edge_settings next;
+	struct fwd_setting former;
 
 	if (!edge_setting_parse(&next, e->argc, e->argv, &error)) {
 		event_log(LOG_ERR, "reload_refused", "why=%s reason=%s", reason,
@@ -119,27 +110,17 @@
 		return;
 	}
 	/* The settings of sockets and of the mesh only change at a restart. */
+	former = e->set.fwd;
+	e->set.fwd = next.fwd;
+	next.fwd = former;
 	e->set.key_proof_ms = next.key_proof_ms;
-	e->set.keys_fail_closed = next.keys_fail_closed;
 	e->set.apply_ms = next.apply_ms;
 	e->set.drain_ms = next.drain_ms;
 	e->set.grace_s = next.grace_s;
 	e->set.rest_most_ms = next.rest_most_ms;
 	e->set.stall_ms = next.stall_ms;
-	e->set.overload_levels = next.overload_levels;
-	e->set.customer_shares = next.customer_shares;
-	e->set.retry_schedule = next.retry_schedule;
-	e->set.endpoint_evidence = next.endpoint_evidence;
-	e->set.balance_spread = next.balance_spread;
-	e->set.balance_domains = next.balance_domains;
 	e->set.placement_demand = next.placement_demand;
-	e->set.retry_ratio = next.retry_ratio;
 	e->set.retry_window_s = next.retry_window_s;
-	e->set.retry_slack = next.retry_slack;
-	g_free(e->set.released_works);
-	e->set.released_works = g_steal_pointer(&next.released_works);
-	g_free(e->set.refused_works);
-	e->set.refused_works = g_steal_pointer(&next.refused_works);
 	g_free(e->set.log_level);
 	e->set.log_level = g_steal_pointer(&next.log_level);
 	edge_setting_free(&next);
