Tell requests apart by their query

Cause: the fingerprint of a request to bankliftd had its path without the query, so one with the same id and another query got the first one's response. Change: the query, where there is one, is part of it; other fingerprints are as before. Measured: proc-once with its new check fails on the code before (200 in place of 422) and passes, 31 checks.

--- a/src/client-api.c
+++ b/src/client-api.c
@@ -204,16 +204,19 @@
 }
 
 /*
- * Hash of the method, path, service and body, which tells a request sent again
- * from a different request with the same id.
+ * Hash of the method, path, query, service and body, which tells a request sent
+ * again from a different request with the same id.
  */
 static uint64_t
 request_fingerprint(const struct request *req, const struct _u_request *in)
 {
+	const char *query = strchr(in->http_url, '?');
 	XXH64_hash_t h;
 
 	h = XXH64(in->http_verb, strlen(in->http_verb), 0);
 	h = XXH64(in->url_path, strlen(in->url_path), h);
+	if (query != NULL)
+		h = XXH64(query, strlen(query), h);
 	h = XXH64(req->service, strlen(req->service), h);
 	if (in->binary_body_length > 0)
 		h = XXH64(in->binary_body, in->binary_body_length, h);
--- a/tests/proc-once.sh
+++ b/tests/proc-once.sh
@@ -40,6 +40,10 @@
 check "another request under the same id is refused" 422 "$(call 3 1 \
     /s/board/other -H 'Banklift-Request-Id: plain' -d x | status_of)"
 
+check "so is one with another query" 422 "$(call 3 1 \
+    '/s/board/results?season=2' -H 'Banklift-Request-Id: plain' \
+    -d 'result plain' | status_of)"
+
 # Many requests at the same time, to all daemons.
 for n in $(seq 1 8); do
 	for d in 1 2 3; do
