Send the finish reason of a completion without text

Cause: a stream whose completion ended without a chunk had the end marker alone. Change: stream_append_end() queues the last event and the marker for both cases.

--- a/src/client-api-completion.c
+++ b/src/client-api-completion.c
@@ -166,6 +166,18 @@
 	json_decref(json);
 }
 
+/* Queues the last event and the end marker, which is sent only if the
+ * completion is complete. */
+static void
+stream_append_end(struct completion_stream *s)
+{
+	stream_append_event(s,
+	    response_json(s->id, s->chat,
+		choice_json(s->chat, true, "", "stop")));
+	g_string_append(s->pending, "data: [DONE]\n\n");
+	s->ended = true;
+}
+
 /* Waits for the next chunk and queues the event for the client. */
 static void
 stream_advance(struct completion_stream *s)
@@ -180,18 +192,14 @@
 			choice_json(s->chat, true, text, NULL)));
 		return;
 	case COMPLETION_END:
-		stream_append_event(s,
-		    response_json(s->id, s->chat,
-			choice_json(s->chat, true, "", "stop")));
-		/* The end marker: sent only if the completion is complete. */
-		g_string_append(s->pending, "data: [DONE]\n\n");
-		break;
+		stream_append_end(s);
+		return;
 	case COMPLETION_FAILED:
 		g_string_append(s->pending, "event: error\n");
 		stream_append_event(s, http_failure_json(&f, s->id));
-		break;
+		s->ended = true;
+		return;
 	}
-	s->ended = true;
 }
 
 /* Called by the HTTP server whenever more can be sent to the client. */
@@ -251,8 +259,7 @@
 		    response_json(s->id, chat,
 			choice_json(chat, true, text, NULL)));
 	} else {
-		g_string_append(s->pending, "data: [DONE]\n\n");
-		s->ended = true;
+		stream_append_end(s);
 	}
 	u_map_put(res->map_header, "Content-Type", "text/event-stream");
 	ulfius_set_stream_response(res, 200, stream_read, stream_free,
--- a/tests/proc-streams.sh
+++ b/tests/proc-streams.sh
@@ -66,6 +66,15 @@
 fault "$E2" '{"die_at":0,"stall_at":6}'
 complete_both "one truncates, one stalls"
 
+# An engine may end with no text: the stream says that it is complete.
+all_engines '{"die_at":0,"stall_at":0,"truncate":0,"empty":1}'
+out=$(stream tale 12)
+check "no text: a finish reason" 1 \
+    "$(echo "$out" | grep -c '"finish_reason":"stop"')"
+check "no text: end mark" "data: [DONE]" \
+    "$(echo "$out" | grep -v '^$' | tail -n1)"
+all_engines '{"empty":0}'
+
 # All engines truncate: a typed error and no end mark, never a truncated response.
 all_engines '{"die_at":0,"stall_at":0,"truncate":6}'
 out=$(stream tale 12)
--- a/tests/standin-engine.c
+++ b/tests/standin-engine.c
@@ -8,6 +8,7 @@
  *	ignore_epoch	serve requests for another epoch
  *	leaving		report that the host leaves; refuse requests
  *	die_at		cut the stream before chunk n-1
+ *	empty		generate no text
  *	truncate	end the stream before chunk n-1, without its end mark
  *	stall_at	send nothing from chunk n-1 on
  *	duplicate	send each chunk twice
@@ -228,7 +229,7 @@
 	g_mutex_unlock(&lock);
 	a->seed = g_str_hash(prompt);
 	a->index = from;
-	a->count = count;
+	a->count = fault_get("empty") ? 0 : count;
 	json_decref(body);
 	u_map_put(res->map_header, "Engine-Resumes", "exact");
 	u_map_put(res->map_header, "Content-Type", "text/event-stream");
