Add to a retry budget in one step

Cause: the bound was checked before the credit was added, so successes at the same moment lifted a budget above ten retries. Change: the credit is replaced only if it is still the one that was checked.

--- a/src/retry-budget.c
+++ b/src/retry-budget.c
@@ -24,8 +24,13 @@
 void
 retry_budget_note_success(struct retry_budget *budget)
 {
-	if (atomic_load(&budget->credit) + SUCCESS_CREDIT <= CREDIT_MAX)
-		atomic_fetch_add(&budget->credit, SUCCESS_CREDIT);
+	int credit = atomic_load(&budget->credit);
+
+	while (credit + SUCCESS_CREDIT <= CREDIT_MAX) {
+		if (atomic_compare_exchange_weak(&budget->credit, &credit,
+			credit + SUCCESS_CREDIT))
+			return;
+	}
 }
 
 /**
