Refuse a word as the version to wait for

Cause: bankliftctl wait took anything that is no number as version 0, which is in force everywhere. Change: it exits with 2, wrong usage.

--- a/src/cmd-wait.c
+++ b/src/cmd-wait.c
@@ -1,6 +1,5 @@
 /* bankliftctl wait VERSION: waits until all daemons given have it in force. */
 #include <stdio.h>
-#include <stdlib.h>
 
 #include "cleanup.h"
 #include "clock.h"
@@ -29,9 +28,17 @@
 cmd_wait_exec(const struct cmd_context *ctx)
 {
 	uint64_t start_ms = clock_now_ms();
-	long long version = atoll(ctx->args[0]);
+	long long version;
+	guint64 number;
 	int behind;
 
+	if (!g_ascii_string_to_unsigned(ctx->args[0], 10, 0, G_MAXINT64,
+		&number, NULL)) {
+		fprintf(stderr, "bankliftctl: not a version: %s\n",
+		    ctx->args[0]);
+		return (CMD_USAGE);
+	}
+	version = (long long)number;
 	do {
 		behind = 0;
 		for (char **url = ctx->urls; *url != NULL; url++)
