--- a/tests/proc-config.sh
+++ b/tests/proc-config.sh
@@ -89,7 +89,7 @@
 }
 check_true "a snapshot is written" until_true 10 snapshot
 at=$(grep -h 'event=snapshot_written' "$RUN"/daemon-*.log | tail -n1 |
-    grep -o 'at=[0-9]*' | cut -d= -f2)
+    grep -o 'at=[0-9]*' | tail -n1 | cut -d= -f2)
 curl -s -X PUT -d "{\"stream\":\"config\",\"first\":$((at + 1))}" \
     "$LOG_URL/trim" >/dev/null
 for d in 1 2 3; do
