--- a/src/mesh.h
+++ b/src/mesh.h
@@ -377,10 +377,12 @@
 
 /* mesh-send.c: which state is sent to whom, and when. */
 void mesh_fill_message(struct mesh *, enum mesh_kind, struct mesh_message *);
-void mesh_round(struct mesh *);
 void mesh_send(struct mesh *);
 void mesh_send_to(struct mesh *, struct mesh_peer *, enum mesh_kind);
 
+/* mesh-round.c: who is alive, which daemon is the relay, whether to send. */
+void mesh_round(struct mesh *);
+
 /* mesh-receive.c: handling of received datagrams. */
 void mesh_receive(struct mesh *, char *, size_t, const struct sockaddr_in *);
 
