Record finishes and releases of claims in a type of its own

Change: struct claim_reporter has the thread, its queue and a lock of its own, and is given the function that sends one. Behaviour is the same.

--- a/src/claims.c
+++ b/src/claims.c
@@ -8,6 +8,7 @@
 #include <xxhash.h>
 
 #include "claim-partition.h"
+#include "claim-reporter.h"
 #include "claims.h"
 #include "cleanup.h"
 #include "clock.h"
@@ -22,13 +23,6 @@
 #define RESEND_MS 500
 /* Timeout of a call to another daemon. */
 #define CALL_TIMEOUT_MS 300
-/* How long recording a finish or a release is retried. */
-#define REPORT_TIMEOUT_MS 60000
-/* Pause after a failed attempt to record a finish or a release. */
-#define REPORT_RETRY_MS 200
-/* Largest number of finishes and releases that wait to be recorded. */
-#define REPORTS_MAX 10000
-
 /* A thread that waits for the decision on an operation. */
 struct waiter {
 	char *key;
@@ -36,15 +30,6 @@
 	struct claim_result result;
 };
 
-/* A finish or release that is still to be recorded. */
-struct report {
-	struct claim_request req;
-	uint64_t until_ms;
-	TAILQ_ENTRY(report) entry;
-};
-
-TAILQ_HEAD(report_list, report);
-
 struct claims {
 	struct server *server;
 	GMutex lock;
@@ -52,14 +37,10 @@
 	GHashTable *waiters;
 	GMutex partition_lock;
 	struct claim_partition **partitions;
-	GThread *reporter;
-	bool stopping;
-	struct report_list reports;
-	unsigned n_reports;
-	GCond work;
+	struct claim_reporter *reporter;
 };
 
-static void *reporter_run(void *);
+static bool claims_record(void *, struct claim_request *);
 
 static void
 result_set(struct claim_result *result, const struct claim_answer *answer)
@@ -160,24 +141,13 @@
 	g_mutex_init(&claims->lock);
 	g_mutex_init(&claims->partition_lock);
 	g_cond_init(&claims->decided);
-	g_cond_init(&claims->work);
-	TAILQ_INIT(&claims->reports);
 	claims->waiters = g_hash_table_new(g_str_hash, g_str_equal);
 	claims->partitions =
 	    g_new0(struct claim_partition *, server->set.claim_partitions);
-	claims->reporter = g_thread_new("reporter", reporter_run, claims);
+	claims->reporter = claim_reporter_create(claims_record, claims);
 	return (claims);
 }
 
-static void
-report_free(struct report *report)
-{
-	g_free(report->req.item.id);
-	g_free(report->req.item.token);
-	g_free(report->req.item.body.body_val);
-	g_free(report);
-}
-
 /**
  * claims_free() - try once more to record the pending reports, and free.
  * @claims: the claims
@@ -185,27 +155,16 @@
 void
 claims_free(struct claims *claims)
 {
-	struct report *report;
-
-	g_mutex_lock(&claims->lock);
-	claims->stopping = true;
-	g_cond_signal(&claims->work);
-	g_mutex_unlock(&claims->lock);
-	g_thread_join(claims->reporter);
+	claim_reporter_free(claims->reporter);
 	for (int64_t i = 0; i < claims->server->set.claim_partitions; i++) {
 		if (claims->partitions[i] != NULL)
 			claim_partition_free(claims->partitions[i]);
 	}
-	while ((report = TAILQ_FIRST(&claims->reports)) != NULL) {
-		TAILQ_REMOVE(&claims->reports, report, entry);
-		report_free(report);
-	}
 	g_free(claims->partitions);
 	g_hash_table_unref(claims->waiters);
 	g_mutex_clear(&claims->lock);
 	g_mutex_clear(&claims->partition_lock);
 	g_cond_clear(&claims->decided);
-	g_cond_clear(&claims->work);
 	g_free(claims);
 }
 
@@ -356,106 +315,21 @@
 claims_report(struct claims *claims, enum claim_op_kind kind, const char *id,
     const char *token, int status, const char *body)
 {
-	size_t len = body != NULL ? strlen(body) : 0;
-	struct report *report;
-
-	report = g_new0(struct report, 1);
-	report->until_ms = clock_now_ms() + REPORT_TIMEOUT_MS;
-	report->req.item.op = kind;
-	report->req.item.id = g_strdup(id);
-	report->req.item.token = g_strdup(token);
-	report->req.item.status = status;
-	if (len > 0 && len <= CLAIM_BODY_MAX) {
-		report->req.item.body.body_val = g_strdup(body);
-		report->req.item.body.body_len = (unsigned)len;
-	}
-	g_mutex_lock(&claims->lock);
-	if (claims->n_reports < REPORTS_MAX) {
-		TAILQ_INSERT_TAIL(&claims->reports, report, entry);
-		claims->n_reports++;
-		report = NULL;
-		g_cond_signal(&claims->work);
-	}
-	g_mutex_unlock(&claims->lock);
-	if (report != NULL) {
-		event_log(LOG_WARNING, "claim_report_dropped", "op=%d", kind);
-		report_free(report);
-	}
+	claim_reporter_add(claims->reporter, kind, id, token, status, body);
 }
 
-/* Sends a report once; returns whether it was recorded. */
+/* Sends a finish or release once; returns whether it was recorded. */
 static bool
-report_send(struct claims *claims, struct report *report)
+claims_record(void *arg, struct claim_request *req)
 {
 	g_autoptr(GArray) excluded =
 	    g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	struct claims *claims = arg;
 	struct waiter waiter = { 0 };
 
-	waiter_register(claims, &waiter, &report->req);
-	claims_send_and_wait(claims, &report->req, excluded, &waiter,
-	    UINT64_MAX);
+	waiter_register(claims, &waiter, req);
+	claims_send_and_wait(claims, req, excluded, &waiter, UINT64_MAX);
 	waiter_unregister(claims, &waiter);
 	g_free(waiter.result.body);
 	return (waiter.result.verdict == CLAIM_GRANTED);
 }
-
-/* Takes the next report; waits for one. NULL when the daemon stops. */
-static struct report *
-reporter_take(struct claims *claims)
-{
-	struct report *report;
-
-	g_mutex_lock(&claims->lock);
-	while (TAILQ_EMPTY(&claims->reports) && !claims->stopping)
-		g_cond_wait(&claims->work, &claims->lock);
-	report = TAILQ_FIRST(&claims->reports);
-	if (report != NULL) {
-		TAILQ_REMOVE(&claims->reports, report, entry);
-		claims->n_reports--;
-	}
-	g_mutex_unlock(&claims->lock);
-	return (report);
-}
-
-/*
- * Puts a report that was not recorded back at the end of the queue, unless it
- * has timed out. Returns false if the daemon is stopping: without the log, the
- * other reports would fail as well.
- */
-static bool
-reporter_requeue(struct claims *claims, struct report *report)
-{
-	bool requeued, stopping;
-
-	g_mutex_lock(&claims->lock);
-	stopping = claims->stopping;
-	requeued = !stopping && clock_now_ms() < report->until_ms;
-	if (requeued) {
-		TAILQ_INSERT_TAIL(&claims->reports, report, entry);
-		claims->n_reports++;
-	}
-	g_mutex_unlock(&claims->lock);
-	if (!requeued) {
-		event_log(LOG_WARNING, "claim_report_given_up", "op=%u",
-		    report->req.item.op);
-		report_free(report);
-	}
-	if (!stopping)
-		g_usleep(REPORT_RETRY_MS * 1000);
-	return (!stopping);
-}
-
-static void *
-reporter_run(void *arg)
-{
-	struct claims *claims = arg;
-	struct report *report;
-
-	while ((report = reporter_take(claims)) != NULL) {
-		if (report_send(claims, report))
-			report_free(report);
-		else if (!reporter_requeue(claims, report))
-			break;
-	}
-	return (NULL);
-}
