Count no crash of a request where other connections were reset too

Cause: a cut resets all connections of a daemon, and each reset under a request counted as an endpoint that the request had ended, until the endpoint was heard. Change: a crash that this daemon saw is in doubt, and isn't told, while connections to most endpoints that did not have the request, of all or of its failure domain, were reset within 10 ms; until the entry lapses or another daemon reports the crash. A reset less than 2 ms after the send is no crash, where the caller says when it was sent.

--- a/src/mesh-poison.c
+++ b/src/mesh-poison.c
@@ -70,7 +70,9 @@
 		const struct poison_crash *crash = &request->crashes[i];
 		struct mesh_poison *item;
 
-		if (!all && !origin_sent(msg->kind, crash->origin))
+		if (!poison_crash_told(&mesh->registry->fleet, request,
+			crash) ||
+		    (!all && !origin_sent(msg->kind, crash->origin)))
 			continue;
 		item = message_add(msg, request->fingerprint,
 		    mesh->now_ms - MIN(crash->at_ms, mesh->now_ms));
@@ -153,6 +155,8 @@
 	bool all = mesh->newcomer_ms != 0 &&
 	    mesh->now_ms - mesh->newcomer_ms < RELAY_CHANGE_SEND_MS;
 
+	poison_judge(&mesh->registry->poison, &mesh->registry->fleet,
+	    mesh->now_ms);
 	fill_changed(mesh, msg, all, 2, POISON_CRASHES_MAX);
 	fill_changed(mesh, msg, all, 0, 1);
 	if (all ||
--- a/src/net-conn.c
+++ b/src/net-conn.c
@@ -219,8 +219,10 @@
 {
 	struct net_conn *conn = link->owner;
 
+	if (!clean)
+		conn->pool->path.reset_ms = clock_loop_ms(conn->pool->loop);
 	if (!clean && !link->tunnel)
-		conn->pool->path.doubt_ms = clock_loop_ms(conn->pool->loop);
+		conn->pool->path.doubt_ms = conn->pool->path.reset_ms;
 	if (conn->ops == NULL) {
 		net_pool_remove_idle(conn);
 		net_conn_close(conn);
--- a/src/net-path.h
+++ b/src/net-path.h
@@ -93,6 +93,7 @@
  * @heard_ms: loop time at which it was last proved: a connection was
  *	established or bytes arrived; 0 for never
  * @doubt_ms: loop time at which a connection was reset; 0 for never
+ * @reset_ms: the same of any connection to the peer, also through a gateway
  * @lost_ms: loop time since which it is lost; 0 while it isn't
  * @probed_ms: loop time at which a direct connection was last started
  * @checked_ms: loop time at which a check was last started; 0 for never
@@ -101,6 +102,7 @@
 struct net_path {
 	uint64_t heard_ms;
 	uint64_t doubt_ms;
+	uint64_t reset_ms;
 	uint64_t lost_ms;
 	uint64_t probed_ms;
 	uint64_t checked_ms;
--- a/src/registry-poison-verdict.c
+++ b/src/registry-poison-verdict.c
@@ -58,9 +58,16 @@
 	return (false);
 }
 
-/* The incarnation that a crash is about; NULL if it is no longer known. */
-static const struct endpoint *
-crash_endpoint(const struct fleet *fleet, const struct poison_crash *crash)
+/**
+ * poison_crash_endpoint() - the incarnation that a crash is about.
+ * @fleet: the endpoints
+ * @crash: the crash
+ *
+ * Return: the endpoint, or NULL if it is no longer known.
+ */
+const struct endpoint *
+poison_crash_endpoint(const struct fleet *fleet,
+    const struct poison_crash *crash)
 {
 	const struct endpoint *ep = fleet_find_by_hash(fleet, crash->id_hash);
 
@@ -87,14 +94,15 @@
 poison_crash_refuted(const struct fleet *fleet,
     const struct poison_crash *crash)
 {
-	return (endpoint_outlived(crash_endpoint(fleet, crash), crash));
+	return (endpoint_outlived(poison_crash_endpoint(fleet, crash), crash));
 }
 
 /* Checks a reported crash against what the fleet knows of the endpoint. */
 static enum crash_status
-crash_check(const struct fleet *fleet, const struct poison_crash *crash)
+crash_check(const struct fleet *fleet, const struct poison_request *request,
+    const struct poison_crash *crash, uint64_t now_ms)
 {
-	const struct endpoint *ep = crash_endpoint(fleet, crash);
+	const struct endpoint *ep = poison_crash_endpoint(fleet, crash);
 
 	if (ep == NULL)
 		return (CRASH_PROBABLE);
@@ -106,6 +114,8 @@
 		return (CRASH_UNCONFIRMED);
 	if (crash->silent && !domain_heard(fleet, ep, crash->at_ms))
 		return (CRASH_UNCONFIRMED);
+	if (poison_crash_shared(fleet, request, crash, now_ms))
+		return (CRASH_UNCONFIRMED);
 	return (CRASH_PROBABLE);
 }
 
@@ -179,7 +189,8 @@
 	memset(verdict, 0, sizeof *verdict);
 	for (unsigned i = 0; i < request->n_crashes; i++) {
 		const struct poison_crash *crash = &request->crashes[i];
-		enum crash_status status = crash_check(fleet, crash);
+		enum crash_status status =
+		    crash_check(fleet, request, crash, now_ms);
 
 		if (status == CRASH_REFUTED)
 			continue;
--- a/src/registry-poison.c
+++ b/src/registry-poison.c
@@ -20,6 +20,10 @@
  */
 #define POISON_CLEARED_TTL_MS 600000
 #define POISON_CLEARED_RESEND_MS 1000
+/* A request that ends its endpoint is read and begun there first: a connection
+ * that is reset sooner after the send was not reset by it. */
+#define POISON_RUN_MIN_MS 2
+
 /**
  * poison_init() - initialize an empty table.
  * @poison: the table
@@ -105,9 +109,15 @@
 	return (request);
 }
 
-/* Notes a change, and moves the request to the head of the list. */
-static void
-request_changed(struct poison *poison, struct poison_request *request,
+/**
+ * poison_request_changed() - note a change of a request, so that peers are
+ * told.
+ * @poison: the table
+ * @request: the request
+ * @now_ms: loop time
+ */
+void
+poison_request_changed(struct poison *poison, struct poison_request *request,
     uint64_t now_ms)
 {
 	request->changed_ms = now_ms;
@@ -195,7 +205,17 @@
 	    now_ms - request->changed_ms < POISON_CLEARED_RESEND_MS)
 		return;
 	request->cleared_origin = POISON_LOCAL;
-	request_changed(poison, request, now_ms);
+	poison_request_changed(poison, request, now_ms);
+}
+
+/* Whether another daemon, whose path is another one, saw a crash for which this
+ * daemon's path may be the cause. */
+static bool
+crash_confirms(const struct poison_crash *known,
+    const struct poison_crash *crash)
+{
+	return (known->cause == POISON_SHARED && !crash->silent &&
+	    crash->origin != POISON_LOCAL);
 }
 
 /**
@@ -221,6 +241,11 @@
 	if (request == NULL)
 		request = request_create(poison, fingerprint);
 	known = poison_request_find(request, crash);
+	if (known != NULL && crash_confirms(known, crash)) {
+		known->cause = POISON_CONFIRMED;
+		poison_request_changed(poison, request, now_ms);
+		return (true);
+	}
 	if (known != NULL && (!known->silent || crash->silent))
 		return (false);
 	/* A broken connection is stronger evidence than silence. */
@@ -228,13 +253,22 @@
 		*known = *crash;
 	else
 		request_add_crash(request, crash);
-	request_changed(poison, request, now_ms);
+	poison_request_changed(poison, request, now_ms);
 	return (true);
 }
 
+/* Whether a connection was reset before its request can have run. */
+static bool
+crash_too_soon(const struct poison_crash *crash)
+{
+	return (!crash->silent && crash->sent_ms != 0 &&
+	    crash->at_ms - MIN(crash->sent_ms, crash->at_ms) <
+		POISON_RUN_MIN_MS);
+}
+
 /**
  * poison_observe_crash() - add a crash that this daemon observed, unless the
- * request was completed lately.
+ * request was completed lately or had only just been sent.
  * @poison: the table
  * @fingerprint: the request's fingerprint
  * @crash: the crash
@@ -249,6 +283,8 @@
 	const struct poison_success *success =
 	    &poison->successes[fingerprint % POISON_SUCCESSES_MAX];
 
+	if (crash_too_soon(crash))
+		return (false);
 	if (success->fingerprint == fingerprint &&
 	    now_ms - success->at_ms < POISON_SUCCESS_TTL_MS)
 		return (false);
@@ -285,7 +321,7 @@
 	request->cleared_ms = at_ms;
 	request->cleared_origin = origin;
 	if (before > 1 && request->n_crashes < before)
-		request_changed(poison, request, now_ms);
+		poison_request_changed(poison, request, now_ms);
 	return (request->n_crashes < before);
 }
 
@@ -334,8 +370,10 @@
 void
 poison_sweep(struct poison *poison, const struct fleet *fleet, uint64_t now_ms)
 {
-	struct poison_request *request = TAILQ_FIRST(&poison->requests);
+	struct poison_request *request;
 
+	poison_judge(poison, fleet, now_ms);
+	request = TAILQ_FIRST(&poison->requests);
 	while (request != NULL) {
 		struct poison_request *next = TAILQ_NEXT(request, entry);
 
--- a/src/registry-poison.h
+++ b/src/registry-poison.h
@@ -38,21 +38,41 @@
 	POISON_REMOTE,
 };
 
+/**
+ * enum poison_cause - what reset a connection that this daemon lost.
+ * @POISON_UNJUDGED: not judged yet
+ * @POISON_OWN: the endpoint's own end, as far as this daemon saw
+ * @POISON_SHARED: it may be this daemon's path, as most other connections were
+ *	reset at the same time
+ * @POISON_CONFIRMED: it was shared, but the endpoint's entry has lapsed or
+ *	another daemon saw the crash too
+ */
+enum poison_cause {
+	POISON_UNJUDGED,
+	POISON_OWN,
+	POISON_SHARED,
+	POISON_CONFIRMED,
+};
+
 /**
  * struct poison_crash - an incarnation of an endpoint that seems to have ended
  * while it ran a request.
  * @id_hash: hash of the endpoint's id
  * @started: low 32 bits of the time of day of the incarnation's start, in ms
  * @at_ms: loop time of the crash
+ * @sent_ms: loop time at which the request was sent; 0 if unknown
  * @silent: the endpoint fell silent; otherwise its connection broke
  * @origin: how this daemon learned of it
+ * @cause: what broke the connection, for POISON_LOCAL
  */
 struct poison_crash {
 	uint32_t id_hash;
 	uint32_t started;
 	uint64_t at_ms;
+	uint64_t sent_ms;
 	bool silent;
 	enum poison_origin origin;
+	enum poison_cause cause;
 };
 
 /**
@@ -143,12 +163,22 @@
     uint64_t);
 struct poison_crash *poison_request_find(const struct poison_request *,
     const struct poison_crash *);
+const struct endpoint *poison_crash_endpoint(const struct fleet *,
+    const struct poison_crash *);
 bool poison_crash_refuted(const struct fleet *, const struct poison_crash *);
 bool poison_may_retry(const struct poison *, const struct fleet *, uint64_t,
     uint64_t);
 void poison_evaluate(const struct poison *, const struct fleet *,
     const struct poison_request *, uint64_t, struct poison_verdict *);
 void poison_sweep(struct poison *, const struct fleet *, uint64_t);
+void poison_request_changed(struct poison *, struct poison_request *, uint64_t);
 struct poison_crash poison_crash_of(const struct endpoint *, bool, uint64_t);
 
+/* registry-poison-resets.c: connections that were reset together. */
+bool poison_crash_shared(const struct fleet *, const struct poison_request *,
+    const struct poison_crash *, uint64_t);
+bool poison_crash_told(const struct fleet *, const struct poison_request *,
+    const struct poison_crash *);
+void poison_judge(struct poison *, const struct fleet *, uint64_t);
+
 #endif
--- a/tests/test-poison.c
+++ b/tests/test-poison.c
@@ -70,9 +70,25 @@
 		ep->heard_ms = script_number(rest, "at", 0);
 }
 
+/* conns ID n=N: this daemon has connections to an endpoint */
+static void
+exec_conns(const char *rest, GString *out)
+{
+	endpoint_of(rest)->pool.n_open = (unsigned)script_number(rest, "n", 0);
+}
+
+/* reset ID at=MS: a connection to an endpoint is reset, whether it has a
+ * request or not */
+static void
+exec_reset(const char *rest, GString *out)
+{
+	endpoint_of(rest)->pool.path.reset_ms = script_number(rest, "at", 0);
+}
+
 /*
- * crash REQUEST endpoint=ID at=MS [silent=1] [remote=1] [now=MS]: an endpoint
- * ended while it ran a request; reported by another daemon; reported then
+ * crash REQUEST endpoint=ID at=MS [sent=MS] [silent=1] [remote=1] [now=MS]: an
+ * endpoint ended while it ran a request that was sent then; reported by another
+ * daemon; reported then
  */
 static void
 exec_crash(const char *rest, GString *out)
@@ -85,6 +101,7 @@
 	    poison_crash_of(ep, script_number(rest, "silent", 0) != 0, at);
 	bool changed;
 
+	crash.sent_ms = script_number(rest, "sent", 0);
 	crash.origin = script_number(rest, "remote", 0) != 0 ? POISON_REMOTE :
 							       POISON_LOCAL;
 	changed = crash.origin == POISON_LOCAL ?
@@ -93,6 +110,21 @@
 	g_string_append(out, changed ? "added\n" : "no change\n");
 }
 
+/* told REQUEST at=MS: how many of its crashes other daemons are told of */
+static void
+exec_told(const char *rest, GString *out)
+{
+	const struct poison_request *request =
+	    poison_find(&poison, fingerprint_of(rest));
+	unsigned told = 0;
+
+	poison_judge(&poison, &fleet, script_number(rest, "at", 0));
+	for (unsigned i = 0; i < request->n_crashes; i++)
+		told +=
+		    poison_crash_told(&fleet, request, &request->crashes[i]);
+	g_string_append_printf(out, "%u of %u\n", told, request->n_crashes);
+}
+
 /* changed REQUEST: when its record last changed */
 static void
 exec_changed(const char *rest, GString *out)
@@ -208,7 +240,10 @@
 	{ "entry", exec_entry },
 	{ "lapse", exec_lapse },
 	{ "heard", exec_heard },
+	{ "conns", exec_conns },
+	{ "reset", exec_reset },
 	{ "crash", exec_crash },
+	{ "told", exec_told },
 	{ "changed", exec_changed },
 	{ "answered", exec_answered },
 	{ "cleared", exec_cleared },
