--- a/tests/proc-config.sh
+++ b/tests/proc-config.sh
@@ -37,6 +37,8 @@
 
 v=$(put 1 1 p replace | version_of)
 check_true "in force at all daemons within 10 s" wait_all "$v"
+wait_all newest >/dev/null 2>&1
+check "a version to wait for that is none" 2 $?
 check_true "state digests are equal at equal offsets" until_true 10 \
     digests_equal
 
