Say when a request was sent that an endpoint lost

Cause: a reset within 2 ms of the send is no crash, but the caller did not say when it was sent. Change: fwd_poison_observe_crash() does. Measured: unit tests pass.

--- a/src/fwd-poison.c
+++ b/src/fwd-poison.c
@@ -109,11 +109,13 @@
 	struct fwd *fwd = ex->fwd;
 	const struct endpoint *ep = send->endpoint;
 	uint64_t now = clock_loop_ms(fwd->loop);
-	const struct poison_crash crash = poison_crash_of(ep, silent, now);
-	bool is_new = !endpoint_is_closing(ep) &&
+	struct poison_crash crash = poison_crash_of(ep, silent, now);
+	bool is_new;
+
+	crash.sent_ms = send->basis.sent_ms;
+	is_new = !endpoint_is_closing(ep) &&
 	    poison_observe_crash(&fwd->registry->poison, ex->fingerprint,
 		&crash, now);
-
 	fwd_stats_count(&fwd->stats, COUNT_CRASHES);
 	event_log(LOG_NOTICE, "work_lost",
 	    "id=%s work=%08x endpoint=%s started_ms=%lld sign=%s "
