Bound what two sends and shared silence may do

Cause, by a review of the code: a begun response for which no connection could be started was sent again without end in one turn of the loop; the newer of two silent sends was never replaced; a refusal by the endpoint that a response was released from ended it; a begun response that is no stream got a second send that could not continue it; buffered responses ran twice to their end; one request that hangs two endpoints counted as shared silence; endpoints that hang together under requests that can't be hedged were never reported; when a pause ended, the endpoints heard of last were reported; a second send went to idle endpoints, which may be paused too; a silent send counted as evidence for as long as it lasted.

Change: what reached no endpoint is sent again from the loop, and a failed connection makes a hedge wait for 1 s; only the newer send is hedged or replaced; an endpoint stays released unless it fails the request; obstacle not_resumable; the head of a buffered success settles; shared silence takes three endpoints, holds for 0.3 s and excuses 3 s of an endpoint's; only endpoints that were heard of within 0.4 s get a send then; silent sends are no evidence and give no duration.

--- a/src/fwd-choose.c
+++ b/src/fwd-choose.c
@@ -97,20 +97,9 @@
 		return (!criteria->released_only);
 	if (tried->active)
 		return (false);
-	if (criteria->released_only)
-		return (tried->released);
-	return (resort == RESORT_TRIED &&
-	    criteria->now_ms - tried->failed_ms >= TRIED_AGAIN_MS);
-}
-
-/* Whether an endpoint was heard of as lately as is required. */
-static bool
-criteria_allows_heard(const struct fwd_criteria *criteria,
-    const struct endpoint *ep)
-{
-	return (
-	    MAX(ep->heard_ms, ep->peer_heard_ms) >= criteria->heard_since_ms ||
-	    ep->inflight + ep->peer_inflight == 0);
+	if (criteria->released_only ? !tried->released : resort != RESORT_TRIED)
+		return (false);
+	return (criteria->now_ms - tried->failed_ms >= TRIED_AGAIN_MS);
 }
 
 /* Notes an endpoint that has asked for a backoff or is draining. */
@@ -213,7 +202,8 @@
 		choice_note_unavailable(choice, ep, criteria->now_ms);
 		if (!resort_allows(ep, criteria->now_ms, resort) ||
 		    !criteria_allows_tried(criteria, ep, resort) ||
-		    !criteria_allows_heard(criteria, ep) ||
+		    MAX(ep->heard_ms, ep->peer_heard_ms) <
+			criteria->heard_since_ms ||
 		    !choice_check_limit(choice, ep, criteria))
 			continue;
 		choice_count_usable(choice, ep, criteria);
--- a/src/fwd-choose.h
+++ b/src/fwd-choose.h
@@ -14,8 +14,10 @@
  * struct fwd_tried - an endpoint that a request was sent to.
  * @endpoint: the endpoint
  * @active: it has the request now
- * @released: this daemon cancelled the request there, and it did not fail it
- * @failed_ms: loop time at which it last failed the request; 0 for never
+ * @released: it ran the request until this daemon cancelled that, and has not
+ *	failed it since
+ * @failed_ms: loop time at which it last failed or refused the request; 0 for
+ *	never
  */
 struct fwd_tried {
 	struct endpoint *endpoint;
@@ -44,8 +46,7 @@
  * @tried: endpoints that the request was sent to
  * @n_tried: length of @tried
  * @released_only: only those of them that did not fail it may be chosen
- * @heard_since_ms: only endpoints that were heard of since then, or have no
- *	requests, may be chosen; 0 for all
+ * @heard_since_ms: only endpoints that were heard of since then may be chosen
  * @ahead: requests of the same service and model queued before it at this
  *	daemon
  * @now_ms: loop time
--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -8,9 +8,12 @@
 #include "fwd-exchange.h"
 #include "random.h"
 
-/* Number of requests queued before this one for the same slots. */
-static unsigned
-exchange_count_ahead(const struct fwd_exchange *ex)
+/**
+ * fwd_exchange_count_ahead() - requests queued before one for the same slots.
+ * @ex: the exchange; all are before one that is not queued
+ */
+unsigned
+fwd_exchange_count_ahead(const struct fwd_exchange *ex)
 {
 	const struct fwd_exchange *other;
 	unsigned ahead = 0;
@@ -126,9 +129,12 @@
 	    ex->resubmitted && ex->fwd->set.overload_levels));
 }
 
-/* Inserts a request into the queue, by rank. */
-static void
-exchange_enqueue(struct fwd_exchange *ex)
+/**
+ * fwd_exchange_enqueue() - insert a request into the queue, by rank.
+ * @ex: the exchange
+ */
+void
+fwd_exchange_enqueue(struct fwd_exchange *ex)
 {
 	struct fwd_exchange *at;
 
@@ -156,7 +162,7 @@
 	bool arrived = ex->state != EXCHANGE_QUEUED && ex->sends == 0;
 
 	if (ex->state != EXCHANGE_QUEUED)
-		exchange_enqueue(ex);
+		fwd_exchange_enqueue(ex);
 	if (fwd_poison_refuse(ex))
 		return;
 	if (!fwd_exchange_recheck(ex)) {
@@ -164,7 +170,7 @@
 		return;
 	}
 	fwd_exchange_criteria(ex, &criteria);
-	criteria.ahead = exchange_count_ahead(ex);
+	criteria.ahead = fwd_exchange_count_ahead(ex);
 	fwd_choose(&ex->fwd->registry->fleet, &criteria, &choice);
 	if (choice.unavailable > 0 && !ex->held_back) {
 		ex->held_back = true;
--- a/src/fwd-evidence-collect.c
+++ b/src/fwd-evidence-collect.c
@@ -25,7 +25,7 @@
 static void
 record_send_overdue(const struct fwd_send *send, uint64_t now_ms)
 {
-	if (send->in_backlog && !send->path_doubted)
+	if (send->in_backlog && !send->path_doubted && !send->found_silent)
 		fwd_evidence_add_overdue(&send->endpoint->evidence,
 		    fwd_send_lateness_ms(send, now_ms));
 }
--- a/src/fwd-exchange.c
+++ b/src/fwd-exchange.c
@@ -20,15 +20,31 @@
 	return (NULL);
 }
 
+/* Whether an endpoint has the request now, and the path to it is not lost. */
+static bool
+exchange_is_active_at(const struct fwd_exchange *ex, const struct endpoint *ep)
+{
+	const struct fwd_send *send;
+
+	TAILQ_FOREACH(send, &ex->active, entry) {
+		if (send->endpoint == ep && !send->path_lost)
+			return (true);
+	}
+	return (false);
+}
+
 /* Makes room among the endpoints that the request was sent to, by forgetting
  * the first one that failed it. Returns false if none did. */
 static bool
 exchange_forget_tried(struct fwd_exchange *ex)
 {
 	for (unsigned i = 0; i < ex->n_tried; i++) {
-		if (ex->tried[i].failed_ms == 0)
+		const struct fwd_tried *tried = &ex->tried[i];
+
+		if (tried->failed_ms == 0 || tried->released ||
+		    exchange_is_active_at(ex, tried->endpoint))
 			continue;
-		ex->tried[i].endpoint->refs--;
+		tried->endpoint->refs--;
 		ex->n_tried--;
 		memmove(&ex->tried[i], &ex->tried[i + 1],
 		    (ex->n_tried - i) * sizeof ex->tried[0]);
@@ -41,12 +57,8 @@
 static void
 exchange_note_tried(struct fwd_exchange *ex, struct endpoint *ep)
 {
-	struct fwd_tried *tried = exchange_find_tried(ex, ep);
-
-	if (tried != NULL) {
-		tried->released = false;
+	if (exchange_find_tried(ex, ep) != NULL)
 		return;
-	}
 	if (ex->n_tried == FWD_TRIED_MAX && !exchange_forget_tried(ex))
 		return;
 	ep->refs++;
@@ -54,21 +66,40 @@
 }
 
 /**
- * fwd_exchange_note_left() - note that an endpoint has the request no more.
+ * fwd_exchange_note_failed() - note that an endpoint failed or refused a
+ *	request.
+ * @ex: the exchange
+ * @ep: the endpoint
+ * @ran: it may have run the request
+ */
+void
+fwd_exchange_note_failed(struct fwd_exchange *ex, const struct endpoint *ep,
+    bool ran)
+{
+	struct fwd_tried *tried = exchange_find_tried(ex, ep);
+
+	if (tried == NULL)
+		return;
+	tried->failed_ms = clock_loop_ms(ex->fwd->loop);
+	if (ran)
+		tried->released = false;
+}
+
+/**
+ * fwd_exchange_note_released() - note that this daemon cancelled a request at
+ *an endpoint that may have run it.
  * @ex: the exchange
  * @ep: the endpoint
- * @failed: it failed the request; otherwise this daemon cancelled it there
  */
 void
-fwd_exchange_note_left(struct fwd_exchange *ex, const struct endpoint *ep,
-    bool failed)
+fwd_exchange_note_released(struct fwd_exchange *ex, const struct endpoint *ep)
 {
 	struct fwd_tried *tried = exchange_find_tried(ex, ep);
 
 	if (tried == NULL)
 		return;
-	tried->released = !failed;
-	tried->failed_ms = failed ? clock_loop_ms(ex->fwd->loop) : 0;
+	tried->released = true;
+	tried->failed_ms = 0;
 }
 
 /**
@@ -84,7 +115,10 @@
 	exchange_note_tried(ex, choice->endpoint);
 	ex->sends++;
 	fwd_count_sent(ex);
-	return (fwd_send_start(ex, choice) != NULL);
+	if (fwd_send_start(ex, choice) != NULL)
+		return (true);
+	fwd_exchange_note_failed(ex, choice->endpoint, false);
+	return (false);
 }
 
 /**
@@ -101,22 +135,13 @@
 		fwd_exchange_retry(ex, "no_connection");
 }
 
-/* Notes which endpoints have the request now, but for those to which the path
- * may be lost: these may have it again by another one. */
+/* Notes which endpoints have the request now. */
 static void
 exchange_mark_active(struct fwd_exchange *ex)
 {
-	const struct fwd_send *send;
-
 	for (unsigned i = 0; i < ex->n_tried; i++)
-		ex->tried[i].active = false;
-	TAILQ_FOREACH(send, &ex->active, entry) {
-		struct fwd_tried *tried =
-		    exchange_find_tried(ex, send->endpoint);
-
-		if (tried != NULL && !send->path_doubted)
-			tried->active = true;
-	}
+		ex->tried[i].active =
+		    exchange_is_active_at(ex, ex->tried[i].endpoint);
 }
 
 /**
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -120,8 +120,9 @@
 void fwd_exchange_criteria(struct fwd_exchange *, struct fwd_criteria *);
 void fwd_exchange_send(struct fwd_exchange *, const struct fwd_choice *);
 bool fwd_exchange_add_send(struct fwd_exchange *, const struct fwd_choice *);
-void fwd_exchange_note_left(struct fwd_exchange *, const struct endpoint *,
+void fwd_exchange_note_failed(struct fwd_exchange *, const struct endpoint *,
     bool);
+void fwd_exchange_note_released(struct fwd_exchange *, const struct endpoint *);
 void fwd_exchange_tick(struct fwd_exchange *, uint64_t);
 struct fwd_estimate *fwd_exchange_estimate(const struct fwd_exchange *);
 
@@ -134,6 +135,8 @@
 
 /* fwd-dispatch.c: sends, queues or refuses a request. */
 void fwd_exchange_dispatch(struct fwd_exchange *);
+void fwd_exchange_enqueue(struct fwd_exchange *);
+unsigned fwd_exchange_count_ahead(const struct fwd_exchange *);
 
 /* fwd-sends.c: this daemon's sends, from which those of others are estimated.
  */
@@ -173,8 +176,18 @@
 bool fwd_exchange_recheck(struct fwd_exchange *);
 void fwd_exchange_end_wait(struct fwd_exchange *);
 
+/**
+ * enum hedge_choice - endpoints that may have a second send.
+ * @HEDGE_ANY: any other one
+ * @HEDGE_HEARD: one that was heard of a moment ago, as most are silent
+ */
+enum hedge_choice {
+	HEDGE_ANY,
+	HEDGE_HEARD,
+};
+
 /* fwd-hedge.c: a second send beside one whose endpoint is silent. */
-void fwd_hedge(struct fwd_send *, const char *, bool);
+void fwd_hedge(struct fwd_send *, const char *, enum hedge_choice);
 void fwd_hedge_settle(struct fwd_send *);
 
 #endif
--- a/src/fwd-hedge.c
+++ b/src/fwd-hedge.c
@@ -9,61 +9,63 @@
 
 /* Pause between two tries to hedge a request. */
 #define HEDGE_PAUSE_MS 100
-/* What other daemons tell of an endpoint is older by this time than it seems.
- */
-#define HEARD_LAG_MS 100
+/* The same after no connection could be started. */
+#define HEDGE_FAILED_PAUSE_MS 1000
+/* An endpoint that a daemon was told of within this time was heard of a moment
+ * ago: what others tell is up to 0.5 s old. */
+#define HEARD_RECENTLY_MS 400
 
-/* Finds the send that a new one would replace: with two silent ones, the newer.
- * Returns false if the request may not be with another endpoint now. */
+/* Whether the request may get another send beside this one, or in its place: of
+ * two silent sends the newer one is replaced. */
 static bool
-hedge_find_replaced(struct fwd_send *send, struct fwd_send **replaced)
+hedge_may_add(const struct fwd_send *send)
 {
-	struct fwd_send *newest =
-	    TAILQ_LAST(&send->exchange->active, fwd_send_list);
-
-	*replaced = NULL;
-	if (TAILQ_FIRST(&send->exchange->active) == newest)
-		return (true);
-	*replaced = newest;
-	return (send == newest);
+	return (TAILQ_LAST(&send->exchange->active, fwd_send_list) == send);
 }
 
 /* Cancels a send. */
 static void
 hedge_cancel(struct fwd_send *send)
 {
-	bool connected = send->conn->connected;
-
-	fwd_exchange_note_left(send->exchange, send->endpoint, !connected);
-	if (!connected)
-		fwd_send_end(send, false);
+	if (send->conn->connected)
+		fwd_exchange_note_released(send->exchange, send->endpoint);
+	else
+		fwd_send_note_reached(send, false);
 	fwd_send_free(send);
 }
 
+/* Chooses an endpoint for a second send. */
+static void
+hedge_choose(struct fwd_exchange *ex, enum hedge_choice which,
+    struct fwd_choice *choice)
+{
+	struct fwd_criteria criteria;
+
+	fwd_exchange_criteria(ex, &criteria);
+	criteria.ahead = fwd_exchange_count_ahead(ex);
+	if (which == HEDGE_HEARD)
+		criteria.heard_since_ms =
+		    criteria.now_ms - MIN(criteria.now_ms, HEARD_RECENTLY_MS);
+	fwd_choose(&ex->fwd->registry->fleet, &criteria, choice);
+}
+
 /* Starts a second send, or returns what keeps the request from it. */
 static enum fwd_obstacle
-hedge_start(struct fwd_send *send, uint64_t heard_since_ms)
+hedge_start(struct fwd_send *send, enum hedge_choice which)
 {
 	struct fwd_exchange *ex = send->exchange;
-	enum fwd_obstacle obstacle;
-	struct fwd_criteria criteria;
+	enum fwd_obstacle obstacle = fwd_exchange_obstacle(ex);
 	struct fwd_choice choice;
-	struct fwd_send *replaced;
 
-	if (!hedge_find_replaced(send, &replaced))
-		return (OBSTACLE_HEDGED);
-	obstacle = fwd_exchange_obstacle(ex);
 	if (obstacle != OBSTACLE_NONE)
 		return (obstacle);
-	fwd_exchange_criteria(ex, &criteria);
-	criteria.heard_since_ms = heard_since_ms;
-	fwd_choose(&ex->fwd->registry->fleet, &criteria, &choice);
+	hedge_choose(ex, which, &choice);
 	if (choice.endpoint == NULL)
 		return (OBSTACLE_NO_ENDPOINT);
 	if (!fwd_exchange_take_budget(ex))
 		return (OBSTACLE_BUDGET);
-	if (replaced != NULL)
-		hedge_cancel(replaced);
+	if (fwd_send_other(send))
+		hedge_cancel(send);
 	fwd_exchange_count_retry(ex);
 	fwd_stats_count(&ex->fwd->stats, COUNT_HEDGED);
 	return (fwd_exchange_add_send(ex, &choice) ? OBSTACLE_NONE :
@@ -89,14 +91,13 @@
 
 /**
  * fwd_hedge() - send a request to a second endpoint as well, if it may be.
- * @send: a send whose endpoint is silent; it goes on, but for the newer one of
- *	two silent sends, which may be replaced
+ * @send: a send whose endpoint is silent; it goes on, unless it is the newer
+ *one of two silent sends and is replaced
  * @reason: reason for the log
- * @unshared: if false, most endpoints are silent, and only one that was heard
- *	of since is chosen
+ * @which: endpoints that may be chosen
  */
 void
-fwd_hedge(struct fwd_send *send, const char *reason, bool unshared)
+fwd_hedge(struct fwd_send *send, const char *reason, enum hedge_choice which)
 {
 	struct fwd_exchange *ex = send->exchange;
 	const char *endpoint = send->endpoint->report.id;
@@ -104,12 +105,12 @@
 	uint64_t heard = send->heard_ms;
 	enum fwd_obstacle obstacle;
 
-	if (now < ex->hedge_again_ms)
-		return;
-	ex->hedge_again_ms = now + HEDGE_PAUSE_MS;
-	obstacle = hedge_start(send, unshared ? 0 : heard + HEARD_LAG_MS);
-	if (obstacle == OBSTACLE_HEDGED)
+	if (!hedge_may_add(send) || now < ex->hedge_again_ms)
 		return;
+	obstacle = hedge_start(send, which);
+	ex->hedge_again_ms = now +
+	    (obstacle == OBSTACLE_NO_CONNECTION ? HEDGE_FAILED_PAUSE_MS :
+						  HEDGE_PAUSE_MS);
 	if (obstacle == OBSTACLE_NONE || obstacle != ex->hedge_obstacle)
 		hedge_log(ex, endpoint, reason, obstacle,
 		    now - MIN(heard, now));
--- a/src/fwd-obstacle.c
+++ b/src/fwd-obstacle.c
@@ -12,7 +12,7 @@
 	[OBSTACLE_BUDGET] = "retry_budget",
 	[OBSTACLE_NO_ENDPOINT] = "no_endpoint",
 	[OBSTACLE_NO_CONNECTION] = "no_connection",
-	[OBSTACLE_HEDGED] = "hedged",
+	[OBSTACLE_NOT_RESUMABLE] = "not_resumable",
 };
 
 /**
--- a/src/fwd-obstacle.h
+++ b/src/fwd-obstacle.h
@@ -16,7 +16,7 @@
  * @OBSTACLE_BUDGET: the retry budget is used up
  * @OBSTACLE_NO_ENDPOINT: no other endpoint has a free slot
  * @OBSTACLE_NO_CONNECTION: no connection could be started
- * @OBSTACLE_HEDGED: it is with two endpoints already
+ * @OBSTACLE_NOT_RESUMABLE: its response was begun and is no stream
  * @OBSTACLES: number of obstacles
  */
 enum fwd_obstacle {
@@ -30,7 +30,7 @@
 	OBSTACLE_BUDGET,
 	OBSTACLE_NO_ENDPOINT,
 	OBSTACLE_NO_CONNECTION,
-	OBSTACLE_HEDGED,
+	OBSTACLE_NOT_RESUMABLE,
 	OBSTACLES,
 };
 
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -74,7 +74,8 @@
 	if (!response.wrong_endpoint)
 		endpoint_note_heard(send->endpoint, send->heard_ms);
 	send->status = status;
-	ex->status = status;
+	if (!fwd_send_other(send))
+		ex->status = status;
 	send->has_signature = response.has_signature;
 	send->not_run = response.not_run;
 	fwd_feedback_apply(send, &response);
@@ -85,6 +86,10 @@
 	send->streaming = ex->route->retry == RETRY_STREAM &&
 	    status_is_success(status) && send->has_signature;
 	response_keep_headers(send, head);
+	/* A response that is buffered is passed on only once it is complete. */
+	if (status_is_success(status) && send->has_signature &&
+	    !send->streaming)
+		fwd_hedge_settle(send);
 	return (NET_ACCEPT);
 }
 
@@ -162,6 +167,7 @@
 	struct fwd_exchange *ex = send->exchange;
 
 	fwd_count_first(ex);
+	ex->status = send->status;
 	ex->state = EXCHANGE_RESPONDING;
 	fwd_conn_begin(ex->conn, send->status, send->headers->str);
 }
@@ -231,10 +237,8 @@
 	    (send->body->len <= fwd_hold_limit(ex->fwd) || send->not_run ||
 		!send->has_signature || ex->first_us > 0))
 		return;
-	if (!send->passthrough) {
-		fwd_hedge_settle(send);
+	if (!send->passthrough)
 		response_begin(send);
-	}
 	send->passthrough = true;
 	fwd_conn_write(ex->conn, send->body->data, send->body->len);
 	fwd_send_drop_body(send);
@@ -303,6 +307,7 @@
 response_deliver(struct fwd_send *send)
 {
 	fwd_hedge_settle(send);
+	send->exchange->status = send->status;
 	fwd_exchange_deliver(send->exchange, send);
 }
 
@@ -314,8 +319,10 @@
 	bool lacks_signature =
 	    status_is_success(send->status) && !send->has_signature;
 
-	fwd_estimate_add_duration(fwd_exchange_estimate(ex),
-	    (double)(clock_loop_ms(ex->fwd->loop) - send->basis.sent_ms));
+	if (!send->was_silent)
+		fwd_estimate_add_duration(fwd_exchange_estimate(ex),
+		    (double)(clock_loop_ms(ex->fwd->loop) -
+			send->basis.sent_ms));
 	endpoint_count_outcome(send->endpoint,
 	    lacks_signature ||
 		send->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
@@ -370,7 +377,7 @@
 		return;
 	}
 	endpoint_count_outcome(send->endpoint, true);
-	fwd_send_end(send, failure != NET_CONNECT_FAILED);
+	fwd_send_note_reached(send, failure != NET_CONNECT_FAILED);
 	if (failure == NET_CONNECT_FAILED)
 		fwd_endpoint_cool_down(send, COOLDOWN_UNREACHED_MS,
 		    "unreached");
--- a/src/fwd-retry.c
+++ b/src/fwd-retry.c
@@ -104,6 +104,8 @@
 		return (obstacle);
 	if (!fwd_exchange_retryable(ex))
 		return (OBSTACLE_MAY_HAVE_RUN);
+	if (ex->first_us > 0 && ex->route->retry != RETRY_STREAM)
+		return (OBSTACLE_NOT_RESUMABLE);
 	if (exchange_attempts_used(ex) &&
 	    (ex->first_us == 0 || !exchange_has_released(ex)))
 		return (OBSTACLE_ATTEMPTS);
@@ -189,7 +191,12 @@
 		fwd_exchange_count_retry(ex);
 	ex->failed = reason;
 	ex->failed_ms = clock_loop_ms(ex->fwd->loop);
-	fwd_exchange_dispatch(ex);
+	/* What reached no endpoint is sent again from the loop, since nothing
+	 * bounds the sends of a response that was begun. */
+	if (ex->first_us > 0 && !ex->reached)
+		fwd_exchange_enqueue(ex);
+	else
+		fwd_exchange_dispatch(ex);
 }
 
 /**
--- a/src/fwd-send.c
+++ b/src/fwd-send.c
@@ -220,7 +220,7 @@
 }
 
 /**
- * fwd_send_end() - record whether a send reached its endpoint.
+ * fwd_send_note_reached() - record whether a send reached its endpoint.
  * @send: the send
  * @reached: the endpoint may have received the request
  *
@@ -228,7 +228,7 @@
  * may have reached an endpoint counts as a run.
  */
 void
-fwd_send_end(struct fwd_send *send, bool reached)
+fwd_send_note_reached(struct fwd_send *send, bool reached)
 {
 	send->reached = reached;
 	if (reached)
@@ -286,7 +286,8 @@
 	struct fwd_exchange *ex = send->exchange;
 	const char *endpoint = send->endpoint->report.id;
 
-	fwd_exchange_note_left(ex, send->endpoint, true);
+	fwd_exchange_note_failed(ex, send->endpoint,
+	    send->reached && !send->not_run);
 	fwd_send_free(send);
 	if (TAILQ_EMPTY(&ex->active)) {
 		fwd_exchange_retry(ex, reason);
@@ -311,7 +312,7 @@
 fwd_send_withdraw(struct fwd_send *send, bool reached, const char *reason)
 {
 	fwd_path_note(send);
-	fwd_send_end(send, reached);
+	fwd_send_note_reached(send, reached);
 	fwd_send_fail(send, reason);
 }
 
--- a/src/fwd-send.h
+++ b/src/fwd-send.h
@@ -61,6 +61,8 @@
  * @passthrough: the response is passed on unbuffered, since it is too large
  * @heard_ms: loop time of the last byte from the endpoint
  * @found_silent: its endpoint was silent when it was last checked
+ * @was_silent: it was so at any check
+ * @path_lost: the path to the endpoint was lost when it was last checked
  * @crash_suspected: the fingerprint was reported as a suspect since the
  *	endpoint fell silent
  * @path_doubted: its path to the endpoint may be lost: its silence tells
@@ -89,6 +91,8 @@
 	bool passthrough;
 	uint64_t heard_ms;
 	bool found_silent;
+	bool was_silent;
+	bool path_lost;
 	bool crash_suspected;
 	bool path_doubted;
 	bool paused;
@@ -97,7 +101,7 @@
 
 struct fwd_send *fwd_send_start(struct fwd_exchange *,
     const struct fwd_choice *);
-void fwd_send_end(struct fwd_send *, bool);
+void fwd_send_note_reached(struct fwd_send *, bool);
 void fwd_send_free(struct fwd_send *);
 bool fwd_send_other(const struct fwd_send *);
 void fwd_send_fail(struct fwd_send *, const char *);
--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -42,6 +42,8 @@
 #define CONNECT_TUNNEL_MS 60
 /* Cooldown after that: a single lost packet is no reason for a longer one. */
 #define COOLDOWN_CONNECT_MS 500
+/* Longest silence of an endpoint that is put down to that of most. */
+#define SHARED_MAX_MS 3000
 /* If no daemon has heard from an endpoint for this time, a missing connection
  * is no lost packet. Loads, which tell it, are up to 0.5 s old. */
 #define UNHEARD_MS 700
@@ -159,8 +161,8 @@
 		ex->fwd->on_silent(ex->fwd->on_silent_arg, send->endpoint);
 }
 
-/* Starts a cooldown of an endpoint that accepts no connection, and moves the
- * request. */
+/* Starts a cooldown of an endpoint that accepts no connection, and withdraws
+ * the request. */
 static void
 send_handle_no_connection(struct fwd_send *send, uint64_t now)
 {
@@ -245,9 +247,20 @@
 void
 fwd_silence_outlasted(const struct fwd_send *send, struct fwd_send *other)
 {
-	if (!send->found_silent && other->found_silent)
-		send_report_silence(other,
-		    clock_loop_ms(send->exchange->fwd->loop));
+	uint64_t now = clock_loop_ms(send->exchange->fwd->loop);
+
+	if (!send->found_silent && other->found_silent &&
+	    fwd_silence_part(other, now) >= 1)
+		send_report_silence(other, now);
+}
+
+/* Whether the silence of an endpoint is that of most. After a while it counts
+ * by itself again, as endpoints that hang together would not be found. */
+static bool
+send_shares_silence(const struct fwd_send *send, uint64_t now)
+{
+	return (now - MIN(send_heard_ms(send), now) < SHARED_MAX_MS &&
+	    fwd_survey_is_shared(send, now));
 }
 
 /* Handles a silent endpoint. Silence that most endpoints share is not the fault
@@ -255,11 +268,11 @@
 static void
 send_handle_silence(struct fwd_send *send, uint64_t now)
 {
-	bool shared = fwd_survey_is_shared(send, now);
+	bool shared = send_shares_silence(send, now);
 
 	if (!shared)
 		send_report_silence(send, now);
-	fwd_hedge(send, "endpoint_silent", !shared);
+	fwd_hedge(send, "endpoint_silent", shared ? HEDGE_HEARD : HEDGE_ANY);
 }
 
 /**
--- a/src/fwd-survey.c
+++ b/src/fwd-survey.c
@@ -8,8 +8,12 @@
 /* An endpoint counts as silent from this part of its timeout on: the others
  * whose silence began at the same time have not been found yet. */
 #define SILENT_PART 0.5
-/* Silence of fewer endpoints is not taken as shared. */
-#define SHARED_MIN 2
+/* Silence of fewer endpoints is not taken as shared: a request that silences
+ * endpoints is with two at once. */
+#define SHARED_MIN 3
+/* Silence counts as shared for this time after it was found to be: when a pause
+ * ends, some endpoints are heard of before the others. */
+#define SHARED_HOLD_MS 300
 /* A survey holds for this time. */
 #define SURVEY_MS 20
 
@@ -39,7 +43,7 @@
 survey_add(struct fwd_survey *survey, GHashTable *seen,
     const struct fwd_send *send, uint64_t now_ms)
 {
-	if (!send->conn->connected || send->path_doubted ||
+	if (!send->conn->connected || send->path_doubted || send->paused ||
 	    !send_is_due(send, now_ms) ||
 	    !g_hash_table_add(seen, send->endpoint))
 		return;
@@ -71,12 +75,14 @@
 survey_take(struct fwd *fwd, const char *service, uint64_t now_ms,
     struct fwd_survey *survey)
 {
-	bool shared = survey->shared;
+	bool shared = now_ms < survey->shared_until_ms;
 
 	survey_count(fwd, service, now_ms, survey);
 	survey->taken_ms = now_ms;
-	survey->shared = fwd_survey_judge(survey);
-	if (!survey->shared || shared)
+	if (!fwd_survey_judge(survey))
+		return;
+	survey->shared_until_ms = now_ms + SHARED_HOLD_MS;
+	if (shared)
 		return;
 	fwd_stats_count(&fwd->stats, COUNT_SHARED_SILENCES);
 	event_log(LOG_NOTICE, "silence_shared",
@@ -112,5 +118,5 @@
 
 	if (survey->taken_ms == 0 || now_ms - survey->taken_ms >= SURVEY_MS)
 		survey_take(fwd, service, now_ms, survey);
-	return (survey->shared);
+	return (now_ms < survey->shared_until_ms);
 }
--- a/src/fwd-survey.h
+++ b/src/fwd-survey.h
@@ -12,13 +12,14 @@
  * @taken_ms: loop time of the survey; 0 for never
  * @waiting: endpoints that a byte is expected from
  * @silent: of these, the ones that are silent
- * @shared: silence is shared by most of them
+ * @shared_until_ms: silence counts as shared by most of them before this loop
+ *	time
  */
 struct fwd_survey {
 	uint64_t taken_ms;
 	unsigned waiting;
 	unsigned silent;
-	bool shared;
+	uint64_t shared_until_ms;
 };
 
 bool fwd_survey_judge(const struct fwd_survey *);
