Dissolve nothing for silence while the placer reaches no hosts

Cause: a member counted as silent after half a second without an answer, whoever was cut off. Ruled out: to compare silent members with each other, as a rack that ends looks alike; to look at what requests hear, as connections from before a cut may go on. If less than half answer, silence tells nothing of members until hosts answer again, or no member is silent; each is then asked again first. A member whose entry has lapsed counts as before, and one that is silent stays so until it answers. Members that didn't answer are asked on until they do.

--- a/src/placer-call.c
+++ b/src/placer-call.c
@@ -315,8 +315,8 @@
 		m->query_pending = false;
 		if (status == ORDER_REPORT_OK)
 			member_set_report(r, m, report, now);
-		else if (m->silent_since_ms == 0)
-			m->silent_since_ms = call->sent_ms;
+		else
+			replica_member_set_unheard(m, call->sent_ms);
 		m->address_reused = status == ORDER_REPORT_ADDRESS_REUSED;
 		if (status != ORDER_REPORT_OK)
 			event_log(LOG_INFO, "member_silent",
@@ -325,6 +325,8 @@
 			    call->group, call->id,
 			    status == ORDER_REPORT_ADDRESS_REUSED,
 			    (unsigned long long)(now - m->silent_since_ms));
+		if (status != ORDER_REPORT_OK)
+			placer_check_reach(call->placer, now);
 	}
 	call_free(call);
 }
--- a/src/placer.c
+++ b/src/placer.c
@@ -43,8 +43,8 @@
 
 /*
  * Queries all members while the replica is suspect, and otherwise those that
- * have no entry, are silent or did not answer an order, as long as their
- * answers matter.
+ * have no entry, did not answer a query or an order, as long as their answers
+ * matter.
  */
 static void
 replica_query_members(struct placer *p, struct replica *r, uint64_t now_ms)
@@ -53,8 +53,8 @@
 
 	for (unsigned i = 0; i < r->n; i++) {
 		const struct replica_member *m = &r->members[i];
-		bool lapsed = m->liveness == MEMBER_LAPSED ||
-		    m->liveness == MEMBER_SILENT;
+		bool lapsed =
+		    m->liveness == MEMBER_LAPSED || m->silent_since_ms != 0;
 
 		if (m->liveness != MEMBER_DEAD &&
 		    replica_member_queried(r, i) &&
@@ -158,7 +158,8 @@
 
 	for (unsigned i = 0; i < r->n; i++)
 		replica_member_refresh(r, &r->members[i],
-		    fleet_find(&p->registry->fleet, r->members[i].id), now_ms);
+		    fleet_find(&p->registry->fleet, r->members[i].id),
+		    &p->reach, now_ms);
 	replica_query_members(p, r, now_ms);
 	for (unsigned orders = 0; orders < r->n; orders++) {
 		replica_next_step(r, now_ms, p->stall_ms, &step);
@@ -232,6 +233,7 @@
 		next = TAILQ_NEXT(r, entry);
 		replica_update(p, r, now_ms);
 	}
+	placer_check_reach(p, now_ms);
 	placer_update_records_kept(p, now_ms);
 	placer_adopt_groups(p, now_ms);
 	placer_form_replicas(p, now_ms);
--- a/src/placer.h
+++ b/src/placer.h
@@ -98,6 +98,9 @@
  * @no_placer_ms: loop time since which no placer has been heard, in ms; 0 while
  *	one is
  * @last_pass_ms: loop time of the last pass, in ms
+ * @reach: whether this daemon reaches hosts, since it began to ask
+ * @sampling: a sample of hosts is being asked
+ * @sampled_ms: loop time at which a sample was last asked; 0 for never
  * @read_after: last key of the previous page, while the records are being read
  */
 struct placer {
@@ -140,6 +143,9 @@
 	uint64_t pass_us;
 	uint64_t no_placer_ms;
 	uint64_t last_pass_ms;
+	struct replica_reach reach;
+	bool sampling;
+	uint64_t sampled_ms;
 	char *read_after;
 };
 
@@ -161,6 +167,9 @@
 void placer_order_warm(struct placer *, const char *, const char *, int64_t);
 bool placer_is_warm_group(const char *);
 
+/* placer-reach.c: whether this daemon itself reaches hosts. */
+void placer_check_reach(struct placer *, uint64_t);
+
 /* placer-lease.c: taking, verifying and losing the lease. */
 void placer_lease_poll(struct placer *, uint64_t);
 void placer_step_down(struct placer *, const char *);
--- a/src/replica-member.c
+++ b/src/replica-member.c
@@ -42,6 +42,19 @@
 	m->silent_since_ms = 0;
 }
 
+/**
+ * replica_member_set_unheard() - note a query that had no answer.
+ * @m: the member
+ * @sent_ms: loop time at which it was sent
+ */
+void
+replica_member_set_unheard(struct replica_member *m, uint64_t sent_ms)
+{
+	if (m->silent_since_ms == 0)
+		m->silent_since_ms = sent_ms;
+	m->unheard_ms = sent_ms;
+}
+
 /* Whether a member can't rejoin its group: its incarnation has ended, or it has
  * seen a newer epoch and refuses to join an older group. */
 static bool
@@ -127,11 +140,32 @@
 	return (ep != NULL && ep->lapsed_ms == 0 && !ep->gone);
 }
 
+/*
+ * Whether a member counts as silent. While its entry is current, the placer
+ * must have reached other hosts since its silence began. Once it is silent it
+ * stays so until it answers.
+ */
+static bool
+member_silent(const struct replica_member *m, bool current,
+    const struct replica_reach *reach, uint64_t now_ms)
+{
+	uint64_t since_ms = m->silent_since_ms;
+
+	if (m->silent_since_ms == 0)
+		return (false);
+	if (current && m->liveness != MEMBER_SILENT &&
+	    !replica_reach_tells(reach, m->silent_since_ms, m->unheard_ms,
+		&since_ms))
+		return (false);
+	return (now_ms - since_ms >= MEMBER_SILENT_MS);
+}
+
 /**
  * replica_member_refresh() - update a member from the endpoint of its host.
  * @r: the replica
  * @m: the member
  * @ep: its endpoint; NULL once its entry is gone and nothing references it
+ * @reach: whether the placer reaches hosts
  * @now_ms: loop time
  *
  * Without an entry, the member keeps the group that it last reported: a host
@@ -139,8 +173,11 @@
  */
 void
 replica_member_refresh(const struct replica *r, struct replica_member *m,
-    const struct endpoint *ep, uint64_t now_ms)
+    const struct endpoint *ep, const struct replica_reach *reach,
+    uint64_t now_ms)
 {
+	bool silent = member_silent(m, entry_current(ep), reach, now_ms);
+
 	if (m->address_reused || m->liveness == MEMBER_DEAD) {
 		m->liveness = MEMBER_DEAD;
 		return;
@@ -149,8 +186,7 @@
 		m->liveness = MEMBER_LAPSED;
 	else
 		m->liveness = ep->draining ? MEMBER_DRAINING : MEMBER_ALIVE;
-	if (m->silent_since_ms != 0 &&
-	    now_ms - m->silent_since_ms >= MEMBER_SILENT_MS)
+	if (silent)
 		m->liveness = MEMBER_SILENT;
 	if (ep != NULL && ep->seen_ms >= m->last_report_ms)
 		member_set_entry(r, m, ep);
--- a/src/replica.h
+++ b/src/replica.h
@@ -10,6 +10,7 @@
 
 #include "registry-fleet.h"
 #include "order-ops.h"
+#include "replica-reach.h"
 
 /* Maximum number of hosts in a replica. */
 #define REPLICA_SIZE_MAX 64
@@ -105,6 +106,7 @@
  * @queried_ms: loop time of the last query to it
  * @silent_since_ms: loop time since which it has not answered; 0 while it
  *	answers
+ * @unheard_ms: loop time at which the last query without an answer was sent
  * @query_pending: a query to it has not ended yet
  * @address_reused: another incarnation has its address
  * @unanswered_ms: loop time at which an order to it last ended without an
@@ -135,6 +137,7 @@
 	uint64_t suspect_ms;
 	uint64_t queried_ms;
 	uint64_t silent_since_ms;
+	uint64_t unheard_ms;
 	bool query_pending;
 	bool address_reused;
 	uint64_t unanswered_ms;
@@ -283,7 +286,8 @@
     const struct endpoint_report *, uint64_t);
 void replica_member_set_report(const struct replica *, struct replica_member *,
     const struct endpoint_report *, uint64_t);
+void replica_member_set_unheard(struct replica_member *, uint64_t);
 void replica_member_refresh(const struct replica *, struct replica_member *,
-    const struct endpoint *, uint64_t);
+    const struct endpoint *, const struct replica_reach *, uint64_t);
 
 #endif
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -8,11 +8,13 @@
 #define STALL_MS 5000
 
 static struct replica *r;
+static struct replica_reach reach;
 
 static void
 reset(void)
 {
 	g_clear_pointer(&r, replica_free);
+	memset(&reach, 0, sizeof reach);
 }
 
 /*
@@ -83,10 +85,28 @@
 	bool none = script_number(rest, "none", 0) != 0;
 
 	read_report(rest, &ep.report);
-	replica_member_refresh(r, member(rest), none ? NULL : &ep, at);
+	replica_member_refresh(r, member(rest), none ? NULL : &ep, &reach, at);
 	g_free(ep.report.group);
 }
 
+/* unheard h=N sent=MS: a query to the member, sent then, had no answer */
+static void
+exec_unheard(const char *rest, GString *out)
+{
+	replica_member_set_unheard(member(rest),
+	    script_number(rest, "sent", 0));
+}
+
+/* sample asked=N answered=N at=MS: a sample of hosts was asked then */
+static void
+exec_sample(const char *rest, GString *out)
+{
+	replica_reach_note(&reach, (unsigned)script_number(rest, "asked", 0),
+	    (unsigned)script_number(rest, "answered", 0),
+	    script_number(rest, "at", 0));
+	g_string_append(out, reach.lost ? "not reached\n" : "reached\n");
+}
+
 /* answered h=N [group=G] [epoch=N] at=MS: the member answered a query with this
  * report */
 static void
@@ -289,6 +309,8 @@
 	{ "new", exec_new },
 	{ "report", exec_report },
 	{ "entry", exec_entry },
+	{ "unheard", exec_unheard },
+	{ "sample", exec_sample },
 	{ "answered", exec_answered },
 	{ "liveness", exec_liveness },
 	{ "newer-group", exec_newer_group },
