Have all daemons avoid a head left behind until it is broken

Cause: a replica that is dissolved without its head leaves a head whose entry says open. It accepts requests and makes no progress until the platform breaks the group after stall_ms (5 s).

Change: placer-left-heads.c keeps a bounded list of such heads (at most 32) and repeats the warning every 0.4 s, at the next pass of the placer, until the entry no longer says open for that epoch, the endpoint is gone, or stall_ms and 1 s have passed since a member left. The same holds for heads of adopted groups. The warning is the present one, so that earlier daemons understand it; no datagram is added, as it goes with the next rounds.

--- /dev/null
+++ b/src/placer-left-heads.c
@@ -0,0 +1,158 @@
+/* Heads that were left behind, of which the other daemons are warned. Pure. */
+#include <string.h>
+
+#include "event-log.h"
+#include "mesh-message.h"
+#include "placer-left-heads.h"
+
+/* Heads that are kept, so that a datagram has room for other warnings. */
+#define LEFT_HEADS_MAX (MESH_AVOID_MAX / 2)
+/* Time between two warnings of a head: several are sent while one is in force,
+ * as they may be lost or late. */
+#define WARN_AGAIN_MS 400
+/* Time after which an entry says that its group was broken. */
+#define ENTRY_LAG_MS 1000
+/* How long a head gets no requests from this daemon after a warning. */
+#define AVOID_HEAD_MS 2500
+
+/**
+ * left_heads_init() - begin with no heads.
+ * @heads: the heads
+ */
+void
+left_heads_init(struct left_heads *heads)
+{
+	TAILQ_INIT(&heads->list);
+	heads->n = 0;
+}
+
+/* Removes a head. */
+static void
+left_head_remove(struct left_heads *heads, struct left_head *head)
+{
+	TAILQ_REMOVE(&heads->list, head, entry);
+	heads->n--;
+	g_free(head->id);
+	g_free(head);
+}
+
+/**
+ * left_heads_clear() - remove all heads.
+ * @heads: the heads
+ */
+void
+left_heads_clear(struct left_heads *heads)
+{
+	struct left_head *head, *next;
+
+	for (head = TAILQ_FIRST(&heads->list); head != NULL; head = next) {
+		next = TAILQ_NEXT(head, entry);
+		left_head_remove(heads, head);
+	}
+}
+
+/* Finds a head, or NULL. */
+static struct left_head *
+left_heads_find(const struct left_heads *heads, const char *id)
+{
+	struct left_head *head;
+
+	TAILQ_FOREACH(head, &heads->list, entry) {
+		if (strcmp(head->id, id) == 0)
+			return (head);
+	}
+	return (NULL);
+}
+
+/* Whether the head of a replica is left behind: members have left while it
+ * can't be reached, or nothing is known of its members. */
+static bool
+replica_leaves_head(const struct replica *r)
+{
+	return (r->dissolve_reason != NULL &&
+	    (r->member_left_ms != 0 || r->adopted));
+}
+
+/**
+ * left_heads_note() - note the head of a replica if it is left behind.
+ * @heads: the heads
+ * @r: the replica
+ * @now_ms: loop time
+ * @stall_ms: time after which the platform breaks a group that makes no
+ *	progress, in ms
+ *
+ * If there are too many heads, the one that was noted first is removed: it will
+ * be broken first.
+ */
+void
+left_heads_note(struct left_heads *heads, const struct replica *r,
+    uint64_t now_ms, uint64_t stall_ms)
+{
+	const char *id = r->members[0].id;
+	uint64_t since = r->member_left_ms != 0 ? r->member_left_ms : now_ms;
+	struct left_head *head;
+
+	if (!replica_leaves_head(r))
+		return;
+	head = left_heads_find(heads, id);
+	if (head == NULL) {
+		if (heads->n == LEFT_HEADS_MAX)
+			left_head_remove(heads, TAILQ_FIRST(&heads->list));
+		head = g_new0(struct left_head, 1);
+		head->id = g_strdup(id);
+		TAILQ_INSERT_TAIL(&heads->list, head, entry);
+		heads->n++;
+		event_log(LOG_INFO, "head_left_behind",
+		    "group=%s epoch=%lld head=%s", r->name, (long long)r->epoch,
+		    id);
+	}
+	head->epoch = r->epoch;
+	head->until_ms = since + stall_ms + ENTRY_LAG_MS;
+}
+
+/* Whether a head may still seem to serve. */
+static bool
+left_head_seems_open(const struct left_head *head, const struct endpoint *ep)
+{
+	return (ep != NULL && !ep->gone && ep->report.group != NULL &&
+	    ep->report.epoch == head->epoch && ep->report.state == GROUP_OPEN);
+}
+
+/**
+ * endpoint_warn_of_head() - have all daemons avoid a head for a while.
+ * @ep: the head
+ * @now_ms: loop time
+ *
+ * The warning goes into the datagrams of the next few rounds.
+ */
+void
+endpoint_warn_of_head(struct endpoint *ep, uint64_t now_ms)
+{
+	ep->warned_ms = now_ms;
+	ep->cooldown_until_ms =
+	    MAX(ep->cooldown_until_ms, now_ms + AVOID_HEAD_MS);
+}
+
+/**
+ * left_heads_update() - repeat the warnings that are due, and remove the heads
+ * that are known not to serve any more.
+ * @heads: the heads
+ * @fleet: the endpoints
+ * @now_ms: loop time
+ */
+void
+left_heads_update(struct left_heads *heads, const struct fleet *fleet,
+    uint64_t now_ms)
+{
+	struct left_head *head, *next;
+
+	for (head = TAILQ_FIRST(&heads->list); head != NULL; head = next) {
+		struct endpoint *ep = fleet_find(fleet, head->id);
+
+		next = TAILQ_NEXT(head, entry);
+		if (now_ms >= head->until_ms || !left_head_seems_open(head, ep))
+			left_head_remove(heads, head);
+		else if (now_ms - MIN(ep->warned_ms, now_ms) >= WARN_AGAIN_MS)
+			endpoint_warn_of_head(ep, now_ms);
+	}
+}
--- a/src/placer.c
+++ b/src/placer.c
@@ -29,8 +29,6 @@
  * silent or dead is not used after its replica was dissolved.
  */
 #define SUSPECT_MS 3000
-/* How long the head of a replica that is being dissolved gets no requests. */
-#define AVOID_HEAD_MS 2500
 /* A longer time between two passes means that this process was suspended. */
 #define SUSPEND_MS 1000
 
@@ -143,9 +141,7 @@
 	    (long long)r->epoch, r->model, r->dissolve_reason);
 	if (head == NULL)
 		return;
-	head->warned_ms = now_ms;
-	head->cooldown_until_ms =
-	    MAX(head->cooldown_until_ms, now_ms + AVOID_HEAD_MS);
+	endpoint_warn_of_head(head, now_ms);
 	mesh_send_now(p->mesh);
 }
 
@@ -163,6 +159,7 @@
 	replica_query_members(p, r, now_ms);
 	for (unsigned orders = 0; orders < r->n; orders++) {
 		replica_next_step(r, now_ms, p->stall_ms, &step);
+		left_heads_note(&p->left_heads, r, now_ms, p->stall_ms);
 		if (step.action == REPLICA_DISSOLVED) {
 			replica_log_dissolved(r, step.proof, now_ms);
 			replica_exclude_head(p, r, step.proof);
@@ -234,6 +231,7 @@
 		replica_update(p, r, now_ms);
 	}
 	placer_check_reach(p, now_ms);
+	left_heads_update(&p->left_heads, &p->registry->fleet, now_ms);
 	placer_update_records_kept(p, now_ms);
 	placer_adopt_groups(p, now_ms);
 	placer_form_replicas(p, now_ms);
@@ -370,6 +368,7 @@
 	p->pools =
 	    g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
 	TAILQ_INIT(&p->replicas);
+	left_heads_init(&p->left_heads);
 	uv_timer_init(loop, &p->timer);
 	p->timer.data = p;
 	uv_timer_init(loop, &p->wakeup);
@@ -389,6 +388,7 @@
 	if (p->state == PLACER_HOLDING)
 		placer_step_down(p, "leaving");
 	p->state = PLACER_IDLE;
+	left_heads_clear(&p->left_heads);
 	uv_timer_stop(&p->timer);
 	uv_timer_stop(&p->wakeup);
 	uv_timer_stop(&p->order_timer);
--- a/src/placer.h
+++ b/src/placer.h
@@ -6,6 +6,7 @@
 #define BL_PLACER_H
 
 #include "mesh.h"
+#include "placer-left-heads.h"
 #include "placer-usage.h"
 #include "replica.h"
 
@@ -88,6 +89,7 @@
  *	taken
  * @dissolved: maps the name of a group that this daemon dissolved to the loop
  *	time of that, in ms
+ * @left_heads: heads whose groups were dissolved without them
  * @pools: connections to hosts that the fleet no longer has, by address
  * @preparing: it is this daemon's turn to take the lease; it first reads all
  *	entries from the store
@@ -135,6 +137,7 @@
 	GHashTable *warming;
 	GHashTable *usage;
 	GHashTable *dissolved;
+	struct left_heads left_heads;
 	GHashTable *pools;
 	bool preparing;
 	unsigned n_calls;
--- a/tests/fleet-script.c
+++ b/tests/fleet-script.c
@@ -468,6 +468,8 @@
 	{ "store", exec_store },
 	{ "warn", exec_warn },
 	{ "warned", exec_warned },
+	{ "left-behind", fleet_script_left_behind },
+	{ "leave-many", fleet_script_leave_many },
 	{ "evacuate", exec_evacuate },
 	{ "evacuated", exec_evacuated },
 	{ "feed", fleet_script_feed },
--- a/tests/fleet-script.h
+++ b/tests/fleet-script.h
@@ -25,6 +25,10 @@
 void fleet_script_entry_delays(const char *, GString *);
 void fleet_script_members_store(const char *, GString *);
 
+/* fleet-script-heads.c: heads that were left behind. */
+void fleet_script_left_behind(const char *, GString *);
+void fleet_script_leave_many(const char *, GString *);
+
 /* fleet-script-storm.c: random faults. */
 void fleet_script_storm(const char *, GString *);
 
