Let a donor finish its requests, for 2 s at most

Cause: a replica that gives its hosts to another one was ordered to leave 0.7 s after it was chosen, which cut every stream that still ran there (streams last 1 to 1.5 s). Each was sent again elsewhere, for an attempt and part of the retry budget, and ended where one of these was used up.

Change: REPLICA_DONOR_DRAIN_MS is 2,000 ms; the head still leaves as soon as it reports that it is done. REPLICA_ENDS_SOON_MS follows it, so that the planner counts a donor's hosts from the choice on, as before; hosts of other replicas that finish their requests count a second earlier.

--- a/src/replica.h
+++ b/src/replica.h
@@ -29,9 +29,10 @@
  * keeps the member that long, plus a margin. */
 #define REPLICA_LEAVE_DRAIN_MS 8000
 /* Time for a replica to finish its requests when another replica needs its
- * hosts. Its streams can continue on other replicas, and a missing large
- * replica costs more. */
-#define REPLICA_DONOR_DRAIN_MS 700
+ * hosts; it ends when the head reports that it is done. Most streams are
+ * shorter than this. The others can continue on other replicas, and a missing
+ * large replica costs more. */
+#define REPLICA_DONOR_DRAIN_MS 2000
 /* Time for a surplus replica to finish its requests: it is not missed, so its
  * streams end first. */
 #define REPLICA_SURPLUS_DRAIN_MS 3000
@@ -49,7 +50,7 @@
 #define REPLICA_REPORT_LAG_MS 1000
 /* A replica that will be dissolved within this time counts as ending soon:
  * about the time that another replica takes to donate hosts instead. */
-#define REPLICA_ENDS_SOON_MS 1000
+#define REPLICA_ENDS_SOON_MS REPLICA_DONOR_DRAIN_MS
 /* Time between the notice that a head is about to close and the order to close
  * it: the notice takes this long to reach the other daemons. */
 #define REPLICA_CLOSE_NOTICE_MS 150
