End the warnings of a head left behind before its host serves again

Cause: the warnings of a head that was left behind went on until its entry said that the group was broken, and were in force for 1.5 s after that (2.5 s at the placer). The host may serve as the head of another group by then.

Change: the last warning is given 0.6 s before the platform must have broken the group, and is in force for 1.5 s at the placer as well.

--- a/src/placer-left-heads.c
+++ b/src/placer-left-heads.c
@@ -10,10 +10,12 @@
 /* Time between two warnings of a head: several are sent while one is in force,
  * as they may be lost or late. */
 #define WARN_AGAIN_MS 400
-/* Time after which an entry says that its group was broken. */
-#define ENTRY_LAG_MS 1000
-/* How long a head gets no requests from this daemon after a warning. */
-#define AVOID_HEAD_MS 2500
+/* How long a head gets no requests after a warning of it, as at the daemons
+ * that are warned. */
+#define AVOID_MS 1500
+/* The last warning is given this long before the platform breaks the group, so
+ * that it is in force until then, and no longer when the host serves again. */
+#define LAST_WARNING_MS 600
 
 /**
  * left_heads_init() - begin with no heads.
@@ -107,7 +109,7 @@
 		    id);
 	}
 	head->epoch = r->epoch;
-	head->until_ms = since + stall_ms + ENTRY_LAG_MS;
+	head->until_ms = since + stall_ms - MIN(stall_ms, LAST_WARNING_MS);
 }
 
 /* Whether a head may still seem to serve. */
@@ -122,15 +124,15 @@
  * endpoint_warn_of_head() - have all daemons avoid a head for a while.
  * @ep: the head
  * @now_ms: loop time
+ * @avoid_ms: time for which it gets no requests from this daemon, in ms
  *
  * The warning goes into the datagrams of the next few rounds.
  */
 void
-endpoint_warn_of_head(struct endpoint *ep, uint64_t now_ms)
+endpoint_warn_of_head(struct endpoint *ep, uint64_t now_ms, uint64_t avoid_ms)
 {
 	ep->warned_ms = now_ms;
-	ep->cooldown_until_ms =
-	    MAX(ep->cooldown_until_ms, now_ms + AVOID_HEAD_MS);
+	ep->cooldown_until_ms = MAX(ep->cooldown_until_ms, now_ms + avoid_ms);
 }
 
 /**
@@ -153,6 +155,6 @@
 		if (now_ms >= head->until_ms || !left_head_seems_open(head, ep))
 			left_head_remove(heads, head);
 		else if (now_ms - MIN(ep->warned_ms, now_ms) >= WARN_AGAIN_MS)
-			endpoint_warn_of_head(ep, now_ms);
+			endpoint_warn_of_head(ep, now_ms, AVOID_MS);
 	}
 }
--- a/src/placer-left-heads.h
+++ b/src/placer-left-heads.h
@@ -13,8 +13,7 @@
  * struct left_head - a head that was left behind.
  * @id: id of the host's incarnation
  * @epoch: epoch of the group
- * @until_ms: loop time by which the platform has broken the group and its entry
- *	says so
+ * @until_ms: loop time until which others are warned of it
  * @entry: in the list
  */
 struct left_head {
@@ -41,6 +40,6 @@
 void left_heads_note(struct left_heads *, const struct replica *, uint64_t,
     uint64_t);
 void left_heads_update(struct left_heads *, const struct fleet *, uint64_t);
-void endpoint_warn_of_head(struct endpoint *, uint64_t);
+void endpoint_warn_of_head(struct endpoint *, uint64_t, uint64_t);
 
 #endif
--- a/src/placer.c
+++ b/src/placer.c
@@ -29,6 +29,8 @@
  * silent or dead is not used after its replica was dissolved.
  */
 #define SUSPECT_MS 3000
+/* How long the head of a replica that is being dissolved gets no requests. */
+#define AVOID_HEAD_MS 2500
 /* A longer time between two passes means that this process was suspended. */
 #define SUSPEND_MS 1000
 
@@ -141,7 +143,7 @@
 	    (long long)r->epoch, r->model, r->dissolve_reason);
 	if (head == NULL)
 		return;
-	endpoint_warn_of_head(head, now_ms);
+	endpoint_warn_of_head(head, now_ms, AVOID_HEAD_MS);
 	mesh_send_now(p->mesh);
 }
 
--- a/tests/fleet-script-heads.c
+++ b/tests/fleet-script-heads.c
@@ -10,6 +10,8 @@
 /* Time between two looks at all daemons. */
 #define LOOK_MS 50
 #define STALL_MS 5000
+/* How long the placer itself avoids a head after its first warning. */
+#define AVOID_HEAD_MS 2500
 #define LEFT_MAX 100
 
 /* Sets what the entry of an endpoint says, as a daemon knows it. */
@@ -106,7 +108,7 @@
 	placer->mesh.self.placer = true;
 	leave_behind(&heads, id, placer->mesh.now_ms);
 	endpoint_warn_of_head(set_entry(placer, id, GROUP_OPEN),
-	    placer->mesh.now_ms);
+	    placer->mesh.now_ms, AVOID_HEAD_MS);
 	mesh_send(&placer->mesh);
 	for (guint64 t = 0; t < ms; t += LOOK_MS) {
 		if (t == broken)
