Note a head left behind once, and only while it seems to serve

Cause: while a replica without a reachable head is still being dissolved, its head was noted again in each pass once its entry was gone or its time was over, with a log line each time, and of more than 32 heads each pass dropped and noted some again.

Change: a head is noted only while its entry says open for the epoch and until the last warning is due; with 32 heads no further one is noted.

--- a/src/placer-left-heads.c
+++ b/src/placer-left-heads.c
@@ -75,49 +75,59 @@
 	    (r->member_left_ms != 0 || r->adopted));
 }
 
+/* Whether an endpoint still seems to be the head that serves in a group. */
+static bool
+endpoint_seems_open(const struct endpoint *ep, int64_t epoch)
+{
+	return (ep != NULL && !ep->gone && ep->report.group != NULL &&
+	    ep->report.epoch == epoch && ep->report.state == GROUP_OPEN);
+}
+
+/* Adds a head. */
+static struct left_head *
+left_heads_add(struct left_heads *heads, const struct replica *r)
+{
+	struct left_head *head = g_new0(struct left_head, 1);
+
+	head->id = g_strdup(r->members[0].id);
+	TAILQ_INSERT_TAIL(&heads->list, head, entry);
+	heads->n++;
+	event_log(LOG_INFO, "head_left_behind", "group=%s epoch=%lld head=%s",
+	    r->name, (long long)r->epoch, head->id);
+	return (head);
+}
+
 /**
- * left_heads_note() - note the head of a replica if it is left behind.
+ * left_heads_note() - note the head of a replica if it is left behind and seems
+ * to serve.
  * @heads: the heads
  * @r: the replica
+ * @fleet: the endpoints
  * @now_ms: loop time
  * @stall_ms: time after which the platform breaks a group that makes no
  *	progress, in ms
  *
- * If there are too many heads, the one that was noted first is removed: it will
- * be broken first.
+ * If there are too many heads, it is not noted; it may be later.
  */
 void
 left_heads_note(struct left_heads *heads, const struct replica *r,
-    uint64_t now_ms, uint64_t stall_ms)
+    const struct fleet *fleet, uint64_t now_ms, uint64_t stall_ms)
 {
 	const char *id = r->members[0].id;
 	uint64_t since = r->member_left_ms != 0 ? r->member_left_ms : now_ms;
+	uint64_t until = since + stall_ms - MIN(stall_ms, LAST_WARNING_MS);
 	struct left_head *head;
 
-	if (!replica_leaves_head(r))
+	if (!replica_leaves_head(r) || now_ms >= until ||
+	    !endpoint_seems_open(fleet_find(fleet, id), r->epoch))
 		return;
 	head = left_heads_find(heads, id);
-	if (head == NULL) {
-		if (heads->n == LEFT_HEADS_MAX)
-			left_head_remove(heads, TAILQ_FIRST(&heads->list));
-		head = g_new0(struct left_head, 1);
-		head->id = g_strdup(id);
-		TAILQ_INSERT_TAIL(&heads->list, head, entry);
-		heads->n++;
-		event_log(LOG_INFO, "head_left_behind",
-		    "group=%s epoch=%lld head=%s", r->name, (long long)r->epoch,
-		    id);
-	}
+	if (head == NULL && heads->n < LEFT_HEADS_MAX)
+		head = left_heads_add(heads, r);
+	if (head == NULL)
+		return;
 	head->epoch = r->epoch;
-	head->until_ms = since + stall_ms - MIN(stall_ms, LAST_WARNING_MS);
-}
-
-/* Whether a head may still seem to serve. */
-static bool
-left_head_seems_open(const struct left_head *head, const struct endpoint *ep)
-{
-	return (ep != NULL && !ep->gone && ep->report.group != NULL &&
-	    ep->report.epoch == head->epoch && ep->report.state == GROUP_OPEN);
+	head->until_ms = until;
 }
 
 /**
@@ -152,7 +162,8 @@
 		struct endpoint *ep = fleet_find(fleet, head->id);
 
 		next = TAILQ_NEXT(head, entry);
-		if (now_ms >= head->until_ms || !left_head_seems_open(head, ep))
+		if (now_ms >= head->until_ms ||
+		    !endpoint_seems_open(ep, head->epoch))
 			left_head_remove(heads, head);
 		else if (now_ms - MIN(ep->warned_ms, now_ms) >= WARN_AGAIN_MS)
 			endpoint_warn_of_head(ep, now_ms, AVOID_MS);
--- a/src/placer-left-heads.h
+++ b/src/placer-left-heads.h
@@ -37,8 +37,8 @@
 
 void left_heads_init(struct left_heads *);
 void left_heads_clear(struct left_heads *);
-void left_heads_note(struct left_heads *, const struct replica *, uint64_t,
-    uint64_t);
+void left_heads_note(struct left_heads *, const struct replica *,
+    const struct fleet *, uint64_t, uint64_t);
 void left_heads_update(struct left_heads *, const struct fleet *, uint64_t);
 void endpoint_warn_of_head(struct endpoint *, uint64_t, uint64_t);
 
--- a/src/placer.c
+++ b/src/placer.c
@@ -161,7 +161,8 @@
 	replica_query_members(p, r, now_ms);
 	for (unsigned orders = 0; orders < r->n; orders++) {
 		replica_next_step(r, now_ms, p->stall_ms, &step);
-		left_heads_note(&p->left_heads, r, now_ms, p->stall_ms);
+		left_heads_note(&p->left_heads, r, &p->registry->fleet, now_ms,
+		    p->stall_ms);
 		if (step.action == REPLICA_DISSOLVED) {
 			replica_log_dissolved(r, step.proof, now_ms);
 			replica_exclude_head(p, r, step.proof);
