Warn of a head left behind until it must have been broken, with a margin

Change: the warnings go on for stall_ms and 1 s, unless the entry says before that the head doesn't serve.

--- a/src/placer-left-heads.c
+++ b/src/placer-left-heads.c
@@ -13,9 +13,9 @@
 /* How long a head gets no requests after a warning of it, as at the daemons
  * that are warned. */
 #define AVOID_MS 1500
-/* The last warning is given this long before the platform breaks the group, so
- * that it is in force until then, and no longer when the host serves again. */
-#define LAST_WARNING_MS 600
+/* A head that was suspended when its member left may be broken later than that
+ * by this time, and its entry says so later. */
+#define BROKEN_LATE_MS 1000
 
 /**
  * left_heads_init() - begin with no heads.
@@ -115,7 +115,7 @@
 {
 	const char *id = r->members[0].id;
 	uint64_t since = r->member_left_ms != 0 ? r->member_left_ms : now_ms;
-	uint64_t until = since + stall_ms - MIN(stall_ms, LAST_WARNING_MS);
+	uint64_t until = since + stall_ms + BROKEN_LATE_MS;
 	struct left_head *head;
 
 	if (!replica_leaves_head(r) || now_ms >= until ||
