Read the lines of logs by one function

Cause: three commands each made the array that log_files_read() fills. Change: it returns the array.

--- a/src/cmd-account.c
+++ b/src/cmd-account.c
@@ -231,11 +231,9 @@
 static enum cmd_exit
 cmd_account_exec(const struct cmd_context *ctx)
 {
-	g_autoptr(GArray) lines =
-	    g_array_new(FALSE, FALSE, sizeof(struct log_line));
+	g_autoptr(GArray) lines = log_files_read(ctx->args);
 
-	g_array_set_clear_func(lines, log_line_clear);
-	if (!log_files_read(lines, ctx->args))
+	if (lines == NULL)
 		return (CMD_FAILED);
 	if (lines->len == 0)
 		return (CMD_NOT_FOUND);
--- a/src/cmd-estimates.c
+++ b/src/cmd-estimates.c
@@ -90,13 +90,11 @@
 static enum cmd_exit
 cmd_estimates_exec(const struct cmd_context *ctx)
 {
-	g_autoptr(GArray) lines =
-	    g_array_new(FALSE, FALSE, sizeof(struct log_line));
+	g_autoptr(GArray) lines = log_files_read(ctx->args);
 	g_autoptr(GHashTable) models =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 
-	g_array_set_clear_func(lines, log_line_clear);
-	if (!log_files_read(lines, ctx->args))
+	if (lines == NULL)
 		return (CMD_FAILED);
 	for (guint i = 0; i < lines->len; i++) {
 		const char *text =
--- a/src/cmd-explain.c
+++ b/src/cmd-explain.c
@@ -137,11 +137,10 @@
 {
 	const char *id = ctx->args[0];
 	struct explain_scope scope = { 0 };
-	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct log_line));
-	bool ok;
+	g_autoptr(GArray) lines = log_files_read(ctx->args + 1);
 
-	g_array_set_clear_func(lines, log_line_clear);
-	ok = log_files_read(lines, ctx->args + 1);
+	if (lines == NULL)
+		return (CMD_FAILED);
 	scope.endpoints =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	scope.fingerprints =
@@ -155,17 +154,14 @@
 			scope_add_line(&scope, line);
 	}
 	g_array_sort(lines, log_line_compare_time);
-	if (ok && scope.first_ms != 0)
+	if (scope.first_ms != 0)
 		timeline_print(lines, id, &scope);
-	else if (ok)
+	else
 		fprintf(stderr, "bankliftctl: no log line with id=%s\n", id);
 	g_hash_table_destroy(scope.endpoints);
 	g_hash_table_destroy(scope.fingerprints);
 	g_hash_table_destroy(scope.sources);
-	g_array_free(lines, TRUE);
-	return (!ok		    ? CMD_FAILED :
-		scope.first_ms == 0 ? CMD_NOT_FOUND :
-				      CMD_OK);
+	return (scope.first_ms == 0 ? CMD_NOT_FOUND : CMD_OK);
 }
 
 const struct cmd_entry cmd_explain_entry = {
--- a/src/cmd-log-line.c
+++ b/src/cmd-log-line.c
@@ -5,11 +5,8 @@
 
 #include "cmd-log-line.h"
 
-/**
- * log_line_clear() - free the text of a line; a GDestroyNotify for arrays.
- * @data: the struct log_line
- */
-void
+/* Frees the text of a line; a GDestroyNotify for arrays. */
+static void
 log_line_clear(void *data)
 {
 	struct log_line *line = data;
@@ -95,19 +92,22 @@
 
 /**
  * log_files_read() - read the lines of logs that have a time.
- * @lines: array of struct log_line to append to
  * @files: paths, terminated by NULL; "-", or an empty list, is standard input
  *
- * Return: false if a file can't be opened, after a message on standard error.
+ * Return: array of struct log_line, to be freed by g_array_unref(); NULL if a
+ * file can't be opened, after a message on standard error.
  */
-bool
-log_files_read(GArray *lines, const char *const *files)
+GArray *
+log_files_read(const char *const *files)
 {
+	g_autoptr(GArray) lines =
+	    g_array_new(FALSE, FALSE, sizeof(struct log_line));
 	bool ok = true;
 
+	g_array_set_clear_func(lines, log_line_clear);
 	if (files[0] == NULL)
-		return (log_file_read(lines, "-"));
+		ok = log_file_read(lines, "-");
 	for (size_t i = 0; ok && files[i] != NULL; i++)
 		ok = log_file_read(lines, files[i]);
-	return (ok);
+	return (ok ? g_steal_pointer(&lines) : NULL);
 }
--- a/src/cmd-log-line.h
+++ b/src/cmd-log-line.h
@@ -17,10 +17,9 @@
 	const char *source;
 };
 
-void log_line_clear(void *);
 char *log_line_get(const char *, const char *);
 bool log_line_has(const char *, const char *, const char *);
 int log_line_compare_time(const void *, const void *);
-bool log_files_read(GArray *, const char *const *);
+GArray *log_files_read(const char *const *);
 
 #endif
