Write addresses as text in one place

Cause: three functions put the text of an address together, and two of the RPC made an address from its parts. Change: net_address_format() and net_address_make() serve them.

--- a/src/net-address.c
+++ b/src/net-address.c
@@ -1,5 +1,6 @@
 /* Addresses of daemons and endpoints. */
 #include <arpa/inet.h>
+#include <glib.h>
 
 #include "net-address.h"
 
@@ -28,6 +29,21 @@
 	return ((uint64_t)addr->sin_addr.s_addr << 16 | addr->sin_port);
 }
 
+/**
+ * net_address_format() - an address as text, "ip:port".
+ * @addr: the address
+ *
+ * Return: the text; free with g_free().
+ */
+char *
+net_address_format(const struct sockaddr_in *addr)
+{
+	char ip[INET_ADDRSTRLEN];
+
+	inet_ntop(AF_INET, &addr->sin_addr, ip, sizeof ip);
+	return (g_strdup_printf("%s:%u", ip, ntohs(addr->sin_port)));
+}
+
 /**
  * net_address_equal() - whether two addresses have the same host and port.
  * @a: one address
--- a/src/net-call.c
+++ b/src/net-call.c
@@ -2,10 +2,9 @@
  * HTTP calls whose response is kept in memory until it is complete; used for
  * the store, and for orders and queries to endpoints.
  */
-#include <arpa/inet.h>
-
 #include "clock.h"
 #include "event-log.h"
+#include "net-address.h"
 #include "net-call.h"
 
 /* Longest idle time of a pooled connection that is used again; a shorter time
@@ -67,13 +66,11 @@
 static void
 call_refuse_body(struct net_call *call)
 {
-	const struct sockaddr_in *peer = &call->conn->pool->addr;
-	char ip[INET_ADDRSTRLEN];
+	g_autofree char *peer = net_address_format(&call->conn->pool->addr);
 
-	inet_ntop(AF_INET, &peer->sin_addr, ip, sizeof ip);
 	event_log(LOG_ERR, "response_ignored",
-	    "peer=%s:%u max=%u reason=body_too_large", ip,
-	    ntohs(peer->sin_port), CALL_RESPONSE_MAX_BYTES);
+	    "peer=%s max=%u reason=body_too_large", peer,
+	    CALL_RESPONSE_MAX_BYTES);
 	call->response.status = 0;
 	call->response.reached = true;
 	net_conn_abort(call->conn);
@@ -138,11 +135,10 @@
     const struct net_request *req)
 {
 	g_autoptr(GString) text = g_string_sized_new(256 + req->length);
-	char ip[INET_ADDRSTRLEN];
+	g_autofree char *host = net_address_format(&pool->addr);
 
-	inet_ntop(AF_INET, &pool->addr.sin_addr, ip, sizeof ip);
-	g_string_append_printf(text, "%s %s HTTP/1.1\r\nHost: %s:%u\r\n",
-	    req->method, req->target, ip, ntohs(pool->addr.sin_port));
+	g_string_append_printf(text, "%s %s HTTP/1.1\r\nHost: %s\r\n",
+	    req->method, req->target, host);
 	if (req->headers != NULL)
 		g_string_append(text, req->headers);
 	if (req->content_type != NULL)
--- a/src/net-path.c
+++ b/src/net-path.c
@@ -1,5 +1,4 @@
 /* Whether a peer is reached directly. */
-#include <arpa/inet.h>
 #include <glib.h>
 
 #include "event-log.h"
@@ -42,11 +41,10 @@
 path_log(const char *event, const struct sockaddr_in *peer,
     const char *evidence, uint64_t ms)
 {
-	char ip[INET_ADDRSTRLEN];
+	g_autofree char *address = net_address_format(peer);
 
-	inet_ntop(AF_INET, &peer->sin_addr, ip, sizeof ip);
-	event_log(LOG_NOTICE, event, "address=%s:%u evidence=%s ms=%llu", ip,
-	    ntohs(peer->sin_port), evidence, (unsigned long long)ms);
+	event_log(LOG_NOTICE, event, "address=%s evidence=%s ms=%llu", address,
+	    evidence, (unsigned long long)ms);
 }
 
 /**
--- a/src/peer-client.c
+++ b/src/peer-client.c
@@ -8,6 +8,7 @@
 #include "clock.h"
 #include "config.h"
 #include "control-traffic.h"
+#include "net-address.h"
 #include "peer-client.h"
 #include "peer-gossip.h"
 #include "server.h"
@@ -43,9 +44,7 @@
 static CLIENT *
 client_open(uint32_t ip, uint16_t port)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET,
-		.sin_port = htons(port),
-		.sin_addr.s_addr = htonl(ip) };
+	struct sockaddr_in sin = net_address_make(htonl(ip), port);
 	struct netbuf address = { sizeof sin, sizeof sin, &sin };
 	struct timeval resend = timeval_from_ms(RESEND_MS);
 	CLIENT *client;
--- a/src/peer-server.c
+++ b/src/peer-server.c
@@ -12,6 +12,7 @@
 #include "claims.h"
 #include "control-traffic.h"
 #include "error.h"
+#include "net-address.h"
 #include "peer-gossip.h"
 #include "peer-server.h"
 #include "peer_rpc.h"
@@ -35,9 +36,9 @@
 bool
 peer_server_open(struct server *server, GError **error)
 {
-	struct sockaddr_in sin = { .sin_family = AF_INET,
-		.sin_port = htons(server->members.self.port),
-		.sin_addr.s_addr = htonl(server->members.self.ip) };
+	struct sockaddr_in sin =
+	    net_address_make(htonl(server->members.self.ip),
+		server->members.self.port);
 	SVCXPRT *xprt;
 
 	peer_server = server;
