Name the hosts that a model needs by what they are

Cause: model_peak.hosts isn't the number of hosts of the model but of those that would serve its requests just in time. Change: it is hosts_needed; field asked of the event placement stays. Measured: test-planner and test-usage pass.

--- a/src/placer-usage.c
+++ b/src/placer-usage.c
@@ -86,7 +86,7 @@
 	if (u->peak.updated_ms == 0)
 		return (g_strdup(""));
 	return (g_strdup_printf(" asked=%.1f peak=%.1f",
-	    u->peak.models[i].hosts, planner_peak_hosts(&u->peak, i)));
+	    u->peak.models[i].hosts_needed, planner_peak_hosts(&u->peak, i)));
 }
 
 /* Logs the counts of each model, at most once per LOG_INTERVAL_MS. */
--- a/src/planner-peak.c
+++ b/src/planner-peak.c
@@ -102,11 +102,11 @@
 
 		peaks_advance(m, last_ms, now_ms);
 		if (hosts >= 0) {
-			m->hosts +=
+			m->hosts_needed +=
 			    sample_weight(now_ms - last_ms, PEAK_AVERAGE_MS) *
-			    (hosts - m->hosts);
+			    (hosts - m->hosts_needed);
 		}
-		*max = MAX(*max, m->hosts);
+		*max = MAX(*max, m->hosts_needed);
 	}
 	peak->updated_ms = MAX(now_ms, 1);
 }
@@ -137,10 +137,10 @@
 {
 	const struct model_peak *m = &peak->models[model];
 	uint64_t second = peak->updated_ms / MS_PER_S + PEAK_SPAN_S - 1;
-	double rise = m->hosts - m->peaks[second % PEAK_SPAN_S];
+	double rise = m->hosts_needed - m->peaks[second % PEAK_SPAN_S];
 
 	return (MAX(planner_peak_hosts(peak, model),
-	    m->hosts + PEAK_AHEAD_S * MAX(rise, 0)));
+	    m->hosts_needed + PEAK_AHEAD_S * MAX(rise, 0)));
 }
 
 /* Whether the bound may change now in at least one direction. */
--- a/src/planner-peak.h
+++ b/src/planner-peak.h
@@ -17,12 +17,12 @@
 
 /**
  * struct model_peak - recent demand for one model.
- * @hosts: one-second average of the number of hosts whose replicas would serve
- *	the model's requests just in time
- * @peaks: maximum of @hosts in each second of the last PEAK_SPAN_S
+ * @hosts_needed: one-second average of the number of hosts whose replicas would
+ *	serve the model's requests just in time; field asked of event placement
+ * @peaks: maximum of @hosts_needed in each second of the last PEAK_SPAN_S
  */
 struct model_peak {
-	double hosts;
+	double hosts_needed;
 	double peaks[PEAK_SPAN_S];
 };
 
