Share two functions of the process tests

Cause: six tests had all_ready() and two journal_has(), word for word. Change: lib-edge.sh has them; no check is changed.

--- a/tests/lib-edge.sh
+++ b/tests/lib-edge.sh
@@ -29,6 +29,13 @@
 	    "http://$(edge_ip "$1"):8083/readyz")" = 200 ]
 }
 
+# Whether daemons 1 to COUNT are ready.
+all_ready() {
+	for n in $(seq $COUNT); do
+		edge_ready "$n" || return 1
+	done
+}
+
 control() { # SWITCH NUMBER
 	curl -s -m 5 -X PUT --data "$1 $2" "$STORE/control"
 }
@@ -37,6 +44,10 @@
 	curl -s -m 5 "$STORE/journal"
 }
 
+journal_has() { # PATTERN
+	journal | grep -q "$1"
+}
+
 metric() { # DAEMON-NUMBER NAME
 	curl -s -m 5 "http://$(edge_ip "$1"):9464/metrics" |
 	    sed -n "s/^banklift_$2 //p"
--- a/tests/proc-edge-cold.sh
+++ b/tests/proc-edge-cold.sh
@@ -6,12 +6,6 @@
 B=127.$NET.2
 COUNT=4
 
-all_ready() {
-	for n in $(seq $COUNT); do
-		edge_ready "$n" || return 1
-	done
-}
-
 over_cold() {
 	journal | grep -c '^over-cold'
 }
--- a/tests/proc-edge-crashing-request-resent.sh
+++ b/tests/proc-edge-crashing-request-resent.sh
@@ -4,12 +4,6 @@
 
 COUNT=9
 
-all_ready() {
-	for n in $(seq $COUNT); do
-		edge_ready "$n" || return 1
-	done
-}
-
 # ask_with_crashes SECONDS PATH MARK...: sends 25 requests a second with distinct
 # bodies, round-robin to all daemons, and five a second with one of the marks as their
 # body. The status codes go to $ASKED and $CRASHED.
--- a/tests/proc-edge-evacuate.sh
+++ b/tests/proc-edge-evacuate.sh
@@ -10,12 +10,6 @@
 	curl -s -m 5 -X PUT --data "$2" "$STORE/evacuate/$1"
 }
 
-all_ready() {
-	for n in $(seq $COUNT); do
-		edge_ready "$n" || return 1
-	done
-}
-
 all_know() { # NUMBER of evacuated failure domains
 	for n in $(seq $COUNT); do
 		[ "$(metric "$n" domains_evacuated)" = "$1" ] || return 1
--- a/tests/proc-edge-late.sh
+++ b/tests/proc-edge-late.sh
@@ -11,10 +11,6 @@
 . tests/lib-edge.sh
 
 E=127.$NET.1
-journal_has() { # PATTERN
-	journal | grep -q "$1"
-}
-
 # The head rejoins its group and serves again by a late join and a late open, which
 # got no response when they were sent.
 start_edge_platform 3 1
--- a/tests/proc-edge-limit.sh
+++ b/tests/proc-edge-limit.sh
@@ -21,12 +21,6 @@
 	journal | grep -c "^over-limit ${1:-}"
 }
 
-all_ready() {
-	for n in $(seq $COUNT); do
-		edge_ready "$n" || return 1
-	done
-}
-
 start_edge_platform 4 3
 put_config 1
 for n in $(seq $COUNT); do
--- a/tests/proc-edge-overload.sh
+++ b/tests/proc-edge-overload.sh
@@ -5,12 +5,6 @@
 
 COUNT=3
 
-all_ready() {
-	for n in $(seq $COUNT); do
-		edge_ready "$n" || return 1
-	done
-}
-
 # ask_into FILE PATH: asks one of the daemons and adds the status to a file.
 ask_into() {
 	asked=$((${asked:-0} + 1))
--- a/tests/proc-edge-placer-killed.sh
+++ b/tests/proc-edge-placer-killed.sh
@@ -5,10 +5,6 @@
 . tests/lib-edge.sh
 
 E=127.$NET.1
-journal_has() { # PATTERN
-	journal | grep -q "$1"
-}
-
 start_edge_platform 4 1
 control "lapse-$E.4" 1
 control late-ms 7000
--- a/tests/proc-edge-unaccepted.sh
+++ b/tests/proc-edge-unaccepted.sh
@@ -6,12 +6,6 @@
 B=127.$NET.2
 COUNT=6
 
-all_ready() {
-	for n in $(seq $COUNT); do
-		edge_ready "$n" || return 1
-	done
-}
-
 # Number of complete responses so far that took 250 ms or more, of all daemons.
 late() {
 	cat "$RUN"/edge-*.out | grep 'event=request_answered' |
