Read what came during a pause before a client counts as idle

Cause: after a pause of the process the bounds on idle connections and on heads were judged before what had arrived meanwhile was read.

Change: clients' silence isn't judged in the grace time after a pause, as that of endpoints isn't; the pause is noticed by whichever timer comes first.

--- a/src/fwd-conn.c
+++ b/src/fwd-conn.c
@@ -356,6 +356,8 @@
 		conn_run_pipelined(c);
 		return;
 	}
+	if (now_ms < c->fwd->grace_until_ms)
+		return;
 	if (c->started && waited > (uint64_t)limits->header_timeout_ms &&
 	    c->body->len == 0) {
 		c->error_status = HTTP_STATUS_REQUEST_TIMEOUT;
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -17,7 +17,7 @@
 /* A tick this late means that this process was stopped. */
 #define PAUSE_MS 200
 /* Time after a pause in which the data that has queued up is read before any
- * endpoint is judged silent. */
+ * endpoint is judged silent, or any client idle. */
 #define PAUSE_GRACE_MS 400
 
 static void
@@ -66,19 +66,27 @@
 	}
 }
 
+/* Notes a pause of this process: for a while nobody's silence is judged. */
+static void
+detect_pause(struct fwd *fwd, uint64_t now)
+{
+	uint64_t last = fwd->last_tick_ms;
+
+	fwd->last_tick_ms = now;
+	if (last == 0 || now - last <= TICK_IDLE_MS + PAUSE_MS)
+		return;
+	fwd->grace_until_ms = now + PAUSE_GRACE_MS;
+	event_log(LOG_NOTICE, "paused", "ms=%llu",
+	    (unsigned long long)(now - last));
+}
+
 static void
 on_tick(uv_timer_t *timer)
 {
 	struct fwd *fwd = timer->data;
 	uint64_t now = clock_loop_ms(fwd->loop);
 
-	if (fwd->last_tick_ms != 0 &&
-	    now - fwd->last_tick_ms > TICK_IDLE_MS + PAUSE_MS) {
-		fwd->grace_until_ms = now + PAUSE_GRACE_MS;
-		event_log(LOG_NOTICE, "paused", "ms=%llu",
-		    (unsigned long long)(now - fwd->last_tick_ms));
-	}
-	fwd->last_tick_ms = now;
+	detect_pause(fwd, now);
 	fwd_level_update_all(fwd, now);
 	tick_exchanges(fwd, now);
 	dispatch_queue(fwd);
@@ -92,9 +100,11 @@
 on_dispatch(uv_timer_t *timer)
 {
 	struct fwd *fwd = timer->data;
+	uint64_t now = clock_loop_ms(fwd->loop);
 
+	detect_pause(fwd, now);
 	dispatch_queue(fwd);
-	tick_conns(fwd, clock_loop_ms(fwd->loop));
+	tick_conns(fwd, now);
 }
 
 /**
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -44,8 +44,8 @@
  *	response
  * @listener_closed: the listener is closed
  * @last_tick_ms: loop time of the last tick
- * @grace_until_ms: after a pause of this process, silence of endpoints is not
- *	judged before this loop time
+ * @grace_until_ms: after a pause of this process, silence of endpoints and of
+ *	clients is not judged before this loop time
  * @on_silent: called when all streams of an endpoint have fallen silent
  * @on_silent_arg: argument of @on_silent
  * @on_limit: called when an endpoint names, changes or lifts a rate limit
