Keep a silent call of bankliftd until another has gone on

Where one was missing, and where the next endpoint refused or broke, an answer that was whole so far ended as stream_broken or 502, although the endpoint would have gone on. Change: an endpoint that is silent is not left. If the request may run more than once, and budget and a target allow it, another is called beside it; the first that goes on is kept, the other cancelled. Else the call is waited for until the endpoint answers or breaks, or the deadline passes.

--- a/src/call.c
+++ b/src/call.c
@@ -7,6 +7,9 @@
 
 /* Longest single wait in curl_multi_poll(). */
 #define POLL_MAX_MS 1000
+/* The same where several transfers are waited for, of which it wakes for one.
+ */
+#define POLL_SEVERAL_MS 10
 /* Statuses by which an endpoint refuses a request for the time being. */
 #define HTTP_TOO_MANY 429
 #define HTTP_UNAVAILABLE 503
@@ -24,6 +27,7 @@
  * @head_received: the head of the final response was received
  * @started_us: monotonic time at which the call was created
  * @first_us: monotonic time of the first byte of the body, 0 before
+ * @heard_us: monotonic time of the latest bytes, or of the call's creation
  * @ended: the transfer has ended
  * @rc: result of the transfer once it has ended
  */
@@ -37,6 +41,7 @@
 	bool head_received;
 	uint64_t started_us;
 	uint64_t first_us;
+	uint64_t heard_us;
 	bool ended;
 	CURLcode rc;
 };
@@ -48,8 +53,9 @@
 
 	if (call->body->len + size * n > BODY_MAX_BYTES)
 		return (0);
+	call->heard_us = clock_now_us();
 	if (call->first_us == 0)
-		call->first_us = clock_now_us();
+		call->first_us = call->heard_us;
 	g_byte_array_append(call->body, (const guint8 *)data,
 	    (guint)(size * n));
 	return (size * n);
@@ -62,6 +68,7 @@
 	struct call *call = arg;
 	char *colon = strchr(line, ':');
 
+	call->heard_us = clock_now_us();
 	g_strchomp(line);
 	if (line[0] == '\0') {
 		long status = 0;
@@ -143,6 +150,7 @@
 	call_set_options(call, method, url, body, len, may_resend);
 	curl_multi_add_handle(call->multi, call->easy);
 	call->started_us = clock_now_us();
+	call->heard_us = call->started_us;
 	return (call);
 }
 
@@ -189,33 +197,42 @@
 	}
 }
 
+/* Drives a transfer; returns whether it was heard or has ended meanwhile. */
+static bool
+call_advance(struct call *call)
+{
+	uint64_t heard_us = call->heard_us;
+	int running;
+
+	curl_multi_perform(call->multi, &running);
+	call_check_end(call);
+	return (call->ended || call->heard_us != heard_us);
+}
+
 /**
- * call_poll() - drive the transfer until there is progress.
- * @call: the call
+ * call_poll() - drive transfers until one of them makes progress.
+ * @calls: the calls
+ * @n: number of these, at least 1
  * @until_ms: monotonic time at which to stop waiting, in ms
  *
- * Return: true if the head or some of the body was received, or if the call has
- * ended; false if there was no progress before @until_ms.
+ * Return: true if some of a response was received, or if a call has ended;
+ * false if there was no progress before @until_ms.
  */
 bool
-call_poll(struct call *call, uint64_t until_ms)
+call_poll(struct call *const *calls, size_t n, uint64_t until_ms)
 {
-	guint before = call->body->len;
-	bool had_head = call->head_received;
+	uint64_t longest_ms = n > 1 ? POLL_SEVERAL_MS : POLL_MAX_MS;
+	bool progress = false;
 	uint64_t now;
-	int running;
 
 	for (;;) {
-		curl_multi_perform(call->multi, &running);
-		call_check_end(call);
-		if (call->ended || call->body->len != before ||
-		    call->head_received != had_head)
-			return (true);
+		for (size_t i = 0; i < n; i++)
+			progress = call_advance(calls[i]) || progress;
 		now = clock_now_ms();
-		if (now >= until_ms)
-			return (false);
-		curl_multi_poll(call->multi, NULL, 0,
-		    (int)MIN(until_ms - now, POLL_MAX_MS), NULL);
+		if (progress || now >= until_ms)
+			return (progress);
+		curl_multi_poll(calls[0]->multi, NULL, 0,
+		    (int)MIN(until_ms - now, longest_ms), NULL);
 	}
 }
 
@@ -330,6 +347,17 @@
 	return (call->started_us / 1000);
 }
 
+/**
+ * call_heard_ms() - monotonic time at which some of the response was received
+ * last, or else at which the call was created, in ms.
+ * @call: the call
+ */
+uint64_t
+call_heard_ms(const struct call *call)
+{
+	return (call->heard_us / 1000);
+}
+
 /**
  * call_each_header() - call a function for each header of the response.
  * @call: the call
--- a/src/call.h
+++ b/src/call.h
@@ -28,7 +28,7 @@
     const void *, size_t, bool);
 void call_free(struct call *);
 void call_cleanup(struct call **);
-bool call_poll(struct call *, uint64_t);
+bool call_poll(struct call *const *, size_t, uint64_t);
 GByteArray *call_body(struct call *);
 bool call_head_received(const struct call *);
 bool call_ended(const struct call *);
@@ -37,6 +37,7 @@
 const char *call_retry_after(const struct call *);
 const char *call_limit(const struct call *);
 uint64_t call_started_ms(const struct call *);
+uint64_t call_heard_ms(const struct call *);
 const char *call_header(const struct call *, const char *);
 void call_each_header(const struct call *,
     void (*)(const char *, const char *, void *), void *);
--- a/src/request.c
+++ b/src/request.c
@@ -253,16 +253,26 @@
 }
 
 /**
- * request_retry_allowed() - take one retry from the customer's retry budget.
+ * request_retry_target() - choose the target of a retry, and take the retry
+ * from the customer's retry budget.
  * @req: the request
  *
- * Return: false if the budget is exhausted.
+ * A caller that can do without the retry loses nothing by asking.
+ *
+ * Return: as request_next_target(); NULL also if the budget is used up.
  */
-bool
-request_retry_allowed(struct request *req)
+struct target *
+request_retry_target(struct request *req)
 {
-	return (retry_budget_take(
-	    customer_retry_budget(req->customer, req->service)));
+	struct retry_budget *budget =
+	    customer_retry_budget(req->customer, req->service);
+	struct target *target = NULL;
+
+	if (retry_budget_left(budget))
+		target = request_next_target(req);
+	if (target == NULL || !retry_budget_take(budget))
+		return (NULL);
+	return (target);
 }
 
 /* Counts the end of a request in one series of the metrics. */
--- a/src/request.h
+++ b/src/request.h
@@ -80,8 +80,8 @@
 bool request_admit(struct request *, struct failure *);
 bool request_expired(const struct request *);
 struct target *request_next_target(struct request *);
+struct target *request_retry_target(struct request *);
 bool request_service_declared(struct request *, bool *);
-bool request_retry_allowed(struct request *);
 void request_end(struct request *, enum outcome, int, const char *);
 void request_count_refused(struct request *);
 void failure_set(struct failure *, enum error_code, enum outcome, uint64_t,
--- a/src/retry-budget.c
+++ b/src/retry-budget.c
@@ -28,6 +28,16 @@
 		atomic_fetch_add(&budget->credit, SUCCESS_CREDIT);
 }
 
+/**
+ * retry_budget_left() - whether there is credit for a retry.
+ * @budget: the budget
+ */
+bool
+retry_budget_left(struct retry_budget *budget)
+{
+	return (atomic_load(&budget->credit) >= RETRY_COST);
+}
+
 /**
  * retry_budget_take() - use the credit of one retry.
  * @budget: the budget
--- a/src/retry-budget.h
+++ b/src/retry-budget.h
@@ -15,6 +15,7 @@
 
 void retry_budget_init(struct retry_budget *);
 void retry_budget_note_success(struct retry_budget *);
+bool retry_budget_left(struct retry_budget *);
 bool retry_budget_take(struct retry_budget *);
 
 #endif
--- a/src/setting.c
+++ b/src/setting.c
@@ -57,7 +57,7 @@
 	{ "call-timeout-ms", SETTING_INT, AT(call_timeout_ms), "60000", 10,
 	    3600000, "ms", "default deadline of a request" },
 	{ "stall-ms", SETTING_INT, AT(stall_ms), "5000", 10, 600000, "ms",
-	    "silence of an endpoint after which a call fails" },
+	    "silence of an endpoint after which another is called" },
 	{ "load-parallel", SETTING_INT, AT(load_parallel), "4", 1, 1000,
 	    "count", "concurrent weight loads in this failure domain" },
 	{ "dead-ms", SETTING_INT, AT(dead_ms), "7000", 100, 600000, "ms",
