Send comments while a stream of bankliftd waits for its next event

Cause: the HTTP server closes a connection that was idle for 30 s, and a stream whose endpoint is silent counts as idle. A stream that was silent for 32 s within its deadline was cut without an error event, and its outcome logged as unknown with status 0. Change: completion_next() waits until a given time at most, and a stream that waits sends a comment each 10 s, which clients of server-sent events ignore. A client that has gone is noticed by that as well.

--- a/src/client-api-completion.c
+++ b/src/client-api-completion.c
@@ -4,6 +4,7 @@
 
 #include "client-api.h"
 #include "cleanup.h"
+#include "clock.h"
 #include "completion.h"
 #include "http-reply.h"
 #include "text-stream.h"
@@ -17,6 +18,9 @@
  */
 #define PREFIX_BYTES 256
 #define STREAM_BLOCK_BYTES 4096
+/* A stream that waits for its next chunk sends a comment this often, so that no
+ * side takes the connection for idle. */
+#define COMMENT_MS 10000
 
 /* Parameters of a completion, after validation. */
 struct completion_params {
@@ -166,14 +170,19 @@
 	json_decref(json);
 }
 
-/* Waits for the next chunk and queues the event for the client. */
+/* Waits for the next chunk and queues the event for the client. While there is
+ * none, queues comments. */
 static void
 stream_advance(struct completion_stream *s)
 {
 	CLEANUP(failure_clear) struct failure f = { 0 };
 	g_autofree char *text = NULL;
 
-	switch (completion_next(s->completion, &text, &f)) {
+	switch (completion_next(s->completion, clock_now_ms() + COMMENT_MS,
+	    &text, &f)) {
+	case COMPLETION_WAITS:
+		g_string_append(s->pending, ": waiting\n\n");
+		return;
 	case COMPLETION_CHUNK:
 		stream_append_event(s,
 		    response_json(s->id, s->chat,
@@ -235,7 +244,7 @@
 	enum completion_result result;
 	struct completion_stream *s;
 
-	result = completion_next(c, &text, &f);
+	result = completion_next(c, UINT64_MAX, &text, &f);
 	if (result == COMPLETION_FAILED) {
 		http_reply_failure(res, &f, req->id);
 		completion_free(c);
@@ -269,7 +278,8 @@
 	enum completion_result result;
 	char *text;
 
-	while ((result = completion_next(c, &text, &f)) == COMPLETION_CHUNK) {
+	while ((result = completion_next(c, UINT64_MAX, &text, &f)) ==
+	    COMPLETION_CHUNK) {
 		g_string_append(output, text);
 		g_free(text);
 	}
--- a/src/completion.c
+++ b/src/completion.c
@@ -236,12 +236,26 @@
 	return (call_poll(calls, c->n_sends, until_ms));
 }
 
+/* Handles that the sends made no progress; false if the request has failed. */
+static bool
+completion_idle(struct completion *c, uint64_t silence_ms, struct failure *f)
+{
+	if (!request_expired(c->req)) {
+		if (clock_now_ms() < silence_ms)
+			return (true);
+		return (completion_silent(c, f));
+	}
+	while (c->n_sends > 1)
+		completion_drop(c, 0);
+	return (completion_lose(c, 0, f));
+}
+
 /*
- * Waits for progress and processes what was received. Returns false if the
- * request has failed.
+ * Waits for progress, at most until the given time, and processes what was
+ * received. Returns false if the request has failed.
  */
 static bool
-completion_wait(struct completion *c, struct failure *f)
+completion_wait(struct completion *c, uint64_t until_ms, struct failure *f)
 {
 	uint64_t silence_ms = completion_silence_ms(c);
 
@@ -249,16 +263,12 @@
 		if (completion_send_over(c->sends[i]))
 			return (completion_lose(c, i, f));
 	}
-	if (completion_poll(c, MIN(silence_ms, c->req->deadline_ms))) {
-		for (unsigned i = 0; i < c->n_sends; i++)
-			completion_send_read(c->sends[i]);
-		return (true);
-	}
-	if (!request_expired(c->req))
-		return (completion_silent(c, f));
-	while (c->n_sends > 1)
-		completion_drop(c, 0);
-	return (completion_lose(c, 0, f));
+	until_ms = MIN(until_ms, c->req->deadline_ms);
+	if (!completion_poll(c, MIN(silence_ms, until_ms)))
+		return (completion_idle(c, silence_ms, f));
+	for (unsigned i = 0; i < c->n_sends; i++)
+		completion_send_read(c->sends[i]);
+	return (true);
 }
 
 /* Keeps the send that goes on, and cancels the other. */
@@ -309,11 +319,14 @@
 /**
  * completion_next() - wait for the next chunk of the text.
  * @c: the completion
+ * @until_ms: monotonic time at which to stop waiting, in ms; the wait may take
+ *	somewhat longer where another replica is looked for
  * @text: set to the chunk, or NULL; free with g_free()
  * @f: set if the completion failed
  */
 enum completion_result
-completion_next(struct completion *c, char **text, struct failure *f)
+completion_next(struct completion *c, uint64_t until_ms, char **text,
+    struct failure *f)
 {
 	unsigned from = 0;
 
@@ -328,7 +341,9 @@
 		    OUTCOME_NOT_RUN, "no whole replica can be reached"));
 	}
 	while (!completion_take(c, text, &from)) {
-		if (!completion_wait(c, f))
+		if (clock_now_ms() >= until_ms)
+			return (COMPLETION_WAITS);
+		if (!completion_wait(c, until_ms, f))
 			return (COMPLETION_FAILED);
 	}
 	completion_keep(c, from);
