Hedge a lost path to any endpoint

Two flags that the same change declared were never set: the endpoint with the lost path could not have the request again by another path, and durations included silences.

Change: HEDGE_ANY, path_lost and was_silent as meant.

--- a/src/fwd-silence.c
+++ b/src/fwd-silence.c
@@ -288,10 +288,12 @@
 	enum fwd_path_verdict verdict = fwd_path_judge(send, now_ms);
 
 	send->path_doubted = verdict != FWD_PATH_SOUND;
+	send->path_lost = verdict == FWD_PATH_LOST;
 	send->found_silent =
 	    verdict == FWD_PATH_SOUND && fwd_silence_part(send, now_ms) >= 1;
-	if (verdict == FWD_PATH_LOST)
-		fwd_hedge(send, "path_lost", true);
+	send->was_silent |= send->found_silent;
+	if (send->path_lost)
+		fwd_hedge(send, "path_lost", HEDGE_ANY);
 	else if (send->found_silent)
 		send_handle_silence(send, now_ms);
 }
