Refuse what a draining daemon can't answer in time

Cause: nothing weighed a request against what was left of the grace time. The lost requests' log lines (daemon_ends, runs=1, first_ms=0) show that they arrived 4 s after the SIGTERM. That the connection was kept, as its response had begun before, is one of several ways there: late bodies, pipelined requests, queued ones and those sent again take the same path.

Ruled out: closing each connection with the end of its response. It loses requests that cross the close and leaves the other ways open.

Change: fwd_exchange_dispatch() asks fwd_drain_fits() before each send: the deadline comes before the end, or nearly all requests of the kind end in time (mean and four mean deviations). What does not fit is refused at once, as it has not run. Pipelined requests are answered; an idle connection is closed half a second after its last response. Drain code moves to fwd-drain.c.

--- a/src/edge-drain.c
+++ b/src/edge-drain.c
@@ -8,8 +8,11 @@
  * no more clients by then. */
 #define DRAIN_ACCEPT_MS 3000
 #define DRAIN_POLL_MS 50
-/* Part of the grace time that is left for closing connections and exiting. */
-#define DRAIN_MARGIN_MS 700
+/* What is left is ended this long before the end of the grace time, and the
+ * process exits this long before it at the latest: the time between is for the
+ * last responses to leave. */
+#define DRAIN_END_MS 700
+#define DRAIN_EXIT_MS 200
 
 /* Stops the event loop; what still runs ends with the process. */
 static void
@@ -21,26 +24,53 @@
 	uv_stop(e->loop);
 }
 
+/* Loop time by which what the daemon does must be done, with so much time left
+ * of the grace time. The settings may change meanwhile. */
+static uint64_t
+edge_drain_deadline(const struct edge *e, uint64_t left_ms)
+{
+	uint64_t grace = (uint64_t)(e->set.grace_s * 1000);
+
+	return (e->draining_since_ms + grace - MIN(left_ms, grace));
+}
+
+/* Whether nothing is under way through this daemon. */
+static bool
+edge_drained(const struct edge *e)
+{
+	return (fwd_drain_done(&e->fwd) && e->tunnels.n_tunnels == 0);
+}
+
+/* Ends what is left at the end of the grace time. */
+static void
+edge_drain_end(struct edge *e)
+{
+	uint64_t now = clock_loop_ms(e->loop);
+
+	fwd_drain_end(&e->fwd);
+	if (now >= edge_drain_deadline(e, DRAIN_EXIT_MS) ||
+	    (fwd_drain_closed(&e->fwd) && e->tunnels.n_tunnels == 0))
+		edge_stop(e, "grace_over");
+}
+
 static void
 on_drain_timer(uv_timer_t *timer)
 {
 	struct edge *e = timer->data;
-	uint64_t since = clock_loop_ms(e->loop) - e->draining_since_ms;
-	uint64_t grace = (uint64_t)(e->set.grace_s * 1000);
+	uint64_t now = clock_loop_ms(e->loop);
+	uint64_t end = edge_drain_deadline(e, DRAIN_END_MS);
 
-	if (since >= DRAIN_ACCEPT_MS) {
+	fwd_drain(&e->fwd, end);
+	if (now >= e->draining_since_ms + DRAIN_ACCEPT_MS) {
 		fwd_stop_listening(&e->fwd);
-		fwd_close_conns(&e->fwd, false);
-		if (e->fwd.n_exchanges == 0 && e->tunnels.n_tunnels == 0 &&
-		    fwd_conns_drained(&e->fwd)) {
+		fwd_drain_close_idle(&e->fwd);
+		if (edge_drained(e)) {
 			edge_stop(e, "drained");
 			return;
 		}
 	}
-	if (since + DRAIN_MARGIN_MS >= grace) {
-		fwd_close_conns(&e->fwd, true);
-		edge_stop(e, "grace_over");
-	}
+	if (now >= end)
+		edge_drain_end(e);
 }
 
 /**
@@ -49,7 +79,7 @@
  *
  * The daemon is no longer ready but accepts connections until the load balancer
  * has taken it out of rotation. It exits when all exchanges have ended, or
- * shortly before the grace time is over.
+ * shortly before the grace time is over, after each that is left got an end.
  */
 void
 edge_drain(struct edge *e)
@@ -61,7 +91,7 @@
 	placer_stop(&e->placer);
 	e->mesh.self.draining = true;
 	mesh_send_now(&e->mesh);
-	fwd_drain(&e->fwd);
+	fwd_drain(&e->fwd, edge_drain_deadline(e, DRAIN_END_MS));
 	tunnel_server_drain(&e->tunnels);
 	uv_timer_start(&e->drain_timer, on_drain_timer, DRAIN_POLL_MS,
 	    DRAIN_POLL_MS);
--- a/src/fwd-conn.c
+++ b/src/fwd-conn.c
@@ -334,6 +334,17 @@
 		net_stream_close(&c->stream);
 }
 
+/**
+ * fwd_conn_idle() - whether a connection carries nothing.
+ * @c: the connection
+ */
+bool
+fwd_conn_idle(const struct fwd_conn *c)
+{
+	return (c->exchange == NULL && !c->started && c->pipelined->len == 0 &&
+	    !c->stream.write_shutdown && !c->stream.closing);
+}
+
 /**
  * fwd_conn_tick() - check the timeouts of a connection without an exchange.
  * @c: the connection
--- a/src/fwd-conn.h
+++ b/src/fwd-conn.h
@@ -57,5 +57,6 @@
 void fwd_conn_end(struct fwd_conn *);
 void fwd_conn_abort(struct fwd_conn *);
 void fwd_conn_tick(struct fwd_conn *, uint64_t);
+bool fwd_conn_idle(const struct fwd_conn *);
 
 #endif
--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -5,6 +5,7 @@
 #include "event-log.h"
 #include "fwd-admission.h"
 #include "fwd-cost.h"
+#include "fwd-drain.h"
 #include "fwd-exchange.h"
 #include "random.h"
 
@@ -169,6 +170,11 @@
 		    refusal.reason, refusal.retry_ms);
 		return;
 	}
+	if (!fwd_drain_fits(ex)) {
+		fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY, "daemon_ends",
+		    FWD_DRAIN_RETRY_MS);
+		return;
+	}
 	if (!fwd_exchange_recheck(ex)) {
 		fwd_exchange_end_wait(ex);
 		return;
--- /dev/null
+++ b/src/fwd-drain.c
@@ -0,0 +1,147 @@
+/*
+ * Graceful shutdown of the proxy: which requests are still sent to endpoints,
+ * and what becomes of those that are left when the daemon ends.
+ */
+#include "clock.h"
+#include "fwd-drain.h"
+#include "fwd-exchange.h"
+
+/* Idle time after which a client's connection is closed. A client that sends
+ * requests one after the other gets a response with "Connection: close" before.
+ */
+#define DRAIN_IDLE_MS 500
+
+/**
+ * fwd_drain_allows() - whether a request will end before its daemon does.
+ * @request: the request
+ * @end_ms: loop time at which the daemon ends what is left
+ */
+bool
+fwd_drain_allows(const struct fwd_drain_request *request, uint64_t end_ms)
+{
+	if (request->deadline_ms <= end_ms)
+		return (true);
+	return (
+	    (double)request->now_ms + request->longest_ms <= (double)end_ms);
+}
+
+/**
+ * fwd_drain_fits() - whether an exchange may be sent to an endpoint, as far as
+ *	a graceful shutdown is concerned.
+ * @ex: the exchange
+ *
+ * A response that was begun is continued in any case: it can't be refused.
+ */
+bool
+fwd_drain_fits(const struct fwd_exchange *ex)
+{
+	const struct fwd *fwd = ex->fwd;
+	const struct fwd_drain_request request = {
+		.now_ms = clock_loop_ms(fwd->loop),
+		.deadline_ms = ex->deadline_ms,
+		.longest_ms = fwd_estimate_longest(fwd_exchange_estimate(ex)),
+	};
+
+	if (fwd->drain_end_ms == 0 || ex->first_us > 0)
+		return (true);
+	return (fwd_drain_allows(&request, fwd->drain_end_ms));
+}
+
+/**
+ * fwd_drain() - close each client connection after its next response, and
+ *	refuse what can't be served in time.
+ * @fwd: the proxy
+ * @end_ms: loop time at which fwd_drain_end() is to be called; it may be called
+ *	again with another one
+ */
+void
+fwd_drain(struct fwd *fwd, uint64_t end_ms)
+{
+	fwd->drain_end_ms = end_ms;
+}
+
+/**
+ * fwd_stop_listening() - close the listening socket.
+ * @fwd: the proxy
+ */
+void
+fwd_stop_listening(struct fwd *fwd)
+{
+	if (fwd->listener_closed)
+		return;
+	fwd->listener_closed = true;
+	uv_close((uv_handle_t *)&fwd->listener, NULL);
+}
+
+/* Closes the connections that have been idle for so long. */
+static void
+close_idle(struct fwd *fwd, uint64_t idle_ms)
+{
+	uint64_t now = clock_loop_ms(fwd->loop);
+	struct fwd_conn *c, *next;
+
+	for (c = TAILQ_FIRST(&fwd->conns); c != NULL; c = next) {
+		next = TAILQ_NEXT(c, entry);
+		if (fwd_conn_idle(c) && now - c->since_ms >= idle_ms)
+			net_stream_close(&c->stream);
+	}
+}
+
+/**
+ * fwd_drain_close_idle() - close idle client connections.
+ * @fwd: the proxy
+ */
+void
+fwd_drain_close_idle(struct fwd *fwd)
+{
+	close_idle(fwd, DRAIN_IDLE_MS);
+}
+
+/**
+ * fwd_drain_done() - whether no client waits for anything.
+ * @fwd: the proxy
+ *
+ * Responses that are with the kernel need not be waited for: it goes on sending
+ * them when the process has exited.
+ */
+bool
+fwd_drain_done(const struct fwd *fwd)
+{
+	const struct fwd_conn *c;
+
+	if (fwd->n_exchanges > 0)
+		return (false);
+	TAILQ_FOREACH(c, &fwd->conns, entry) {
+		if (!c->stream.closing && !c->stream.write_shutdown)
+			return (false);
+		if (c->stream.queued > 0)
+			return (false);
+	}
+	return (true);
+}
+
+/**
+ * fwd_drain_end() - end all requests that are left.
+ * @fwd: the proxy
+ */
+void
+fwd_drain_end(struct fwd *fwd)
+{
+	struct fwd_exchange *ex, *next;
+
+	for (ex = TAILQ_FIRST(&fwd->exchanges); ex != NULL; ex = next) {
+		next = TAILQ_NEXT(ex, entry);
+		fwd_exchange_abort(ex, "daemon_ends");
+	}
+	close_idle(fwd, 0);
+}
+
+/**
+ * fwd_drain_closed() - whether all client connections are closed.
+ * @fwd: the proxy
+ */
+bool
+fwd_drain_closed(const struct fwd *fwd)
+{
+	return (TAILQ_EMPTY(&fwd->conns));
+}
--- a/src/fwd-expect.c
+++ b/src/fwd-expect.c
@@ -1,4 +1,6 @@
 /* Latency estimates: first event and gap between events. Pure. */
+#include <math.h>
+
 #include "fwd-expect.h"
 
 /* Weight of the newest response in the averages of a model; hundreds come in a
@@ -13,6 +15,9 @@
 /* Weight of the newest response in the errors by load; a daemon has about one
  * response a second for each point. */
 #define LOAD_ERROR_ALPHA 0.05
+/* Nearly all requests end within their mean duration and so many mean
+ * deviations. */
+#define LONGEST_DEVIATIONS 4
 /* The profile gives the time for a million pairs of tokens. */
 #define PAIRS_UNIT 1e6
 
@@ -292,6 +297,30 @@
 void
 fwd_estimate_add_duration(struct fwd_estimate *estimate, double duration_ms)
 {
-	estimate->duration_ms += average_weight(++estimate->n_duration) *
-	    (duration_ms - estimate->duration_ms);
+	double weight = average_weight(++estimate->n_duration);
+	double error = duration_ms - estimate->duration_ms;
+
+	if (estimate->n_duration == 1)
+		estimate->deviation_ms = duration_ms / 2;
+	else
+		estimate->deviation_ms +=
+		    weight * (fabs(error) - estimate->deviation_ms);
+	estimate->duration_ms += weight * error;
+}
+
+/**
+ * fwd_estimate_longest() - time within which nearly all requests end.
+ * @estimate: estimates of the model or service
+ *
+ * The same bound as that of TCP's retransmission timeout (RFC 6298).
+ *
+ * Return: milliseconds from the send; infinite before any request has ended.
+ */
+double
+fwd_estimate_longest(const struct fwd_estimate *estimate)
+{
+	if (estimate->n_duration == 0)
+		return (INFINITY);
+	return (estimate->duration_ms +
+	    LONGEST_DEVIATIONS * estimate->deviation_ms);
 }
--- a/src/fwd-expect.h
+++ b/src/fwd-expect.h
@@ -16,6 +16,7 @@
  *	round trip
  * @n_overhead: number of first events in @overhead_ms
  * @duration_ms: time for which a request occupies its slot
+ * @deviation_ms: mean deviation of those times from @duration_ms
  * @n_duration: number of requests in @duration_ms
  * @load_error_ms: how much later first events come than expected, by the load
  *	of the endpoint at the send: its requests as a part of its slots
@@ -28,6 +29,7 @@
 	double overhead_ms;
 	unsigned n_overhead;
 	double duration_ms;
+	double deviation_ms;
 	unsigned n_duration;
 	double load_error_ms[FWD_LOAD_POINTS];
 	struct fwd_rate sends;
@@ -83,5 +85,6 @@
 void fwd_estimate_add_first(struct fwd_estimate *, double);
 void fwd_estimate_add_load_error(struct fwd_estimate *, double, double);
 void fwd_estimate_add_duration(struct fwd_estimate *, double);
+double fwd_estimate_longest(const struct fwd_estimate *);
 
 #endif
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -40,8 +40,8 @@
  * @name_hash: hash of this daemon's name
  * @held_bytes: bytes held for clients: bodies of requests in progress, buffered
  *	responses, and output that clients have not read
- * @draining: the daemon is shutting down; connections are closed after their
- *	response
+ * @drain_end_ms: the daemon is shutting down, and ends what is left at this
+ *loop time; connections are closed after their response; 0 otherwise
  * @listener_closed: the listener is closed
  * @last_tick_ms: loop time of the last tick
  * @withdrawn_ms: loop time at which requests were last looked through for what
@@ -79,7 +79,7 @@
 	uint64_t collected_ms;
 	uint32_t name_hash;
 	size_t held_bytes;
-	bool draining;
+	uint64_t drain_end_ms;
 	bool listener_closed;
 	uint64_t last_tick_ms;
 	uint64_t withdrawn_ms;
@@ -95,13 +95,17 @@
 };
 
 int fwd_open(struct fwd *, uv_loop_t *, const struct sockaddr_in *);
-void fwd_drain(struct fwd *);
-void fwd_stop_listening(struct fwd *);
-void fwd_close_conns(struct fwd *, bool);
-bool fwd_conns_drained(const struct fwd *);
 void fwd_schedule_dispatch(struct fwd *);
 void fwd_tick_soon(struct fwd *);
 
+/* fwd-drain.c: graceful shutdown. */
+void fwd_drain(struct fwd *, uint64_t);
+void fwd_stop_listening(struct fwd *);
+void fwd_drain_close_idle(struct fwd *);
+bool fwd_drain_done(const struct fwd *);
+void fwd_drain_end(struct fwd *);
+bool fwd_drain_closed(const struct fwd *);
+
 /* fwd-poison-refuse.c: requests that may crash endpoints. */
 void fwd_poison_sweep(struct fwd *);
 bool fwd_poison_changed(const struct fwd *, uint64_t);
--- a/tests/endpoint-script-choice.c
+++ b/tests/endpoint-script-choice.c
@@ -3,6 +3,7 @@
 
 #include "endpoint-script.h"
 #include "fwd-admission.h"
+#include "fwd-drain.h"
 
 /* The workload that a command's prompt is for the engine. */
 static struct fwd_workload
@@ -221,3 +222,33 @@
 		    (long long)fwd_admission_retry_ms(&a));
 	g_string_append_c(out, '\n');
 }
+
+/* lasted MS...: requests ended after this time */
+void
+endpoint_script_lasted(const char *rest, GString *out)
+{
+	g_auto(GStrv) words = g_strsplit(rest, " ", -1);
+
+	for (char **w = words; *w != NULL; w++)
+		fwd_estimate_add_duration(&endpoint_script.estimate,
+		    g_ascii_strtod(*w, NULL));
+	g_string_append_printf(out, "%.0f\n",
+	    fwd_estimate_longest(&endpoint_script.estimate));
+}
+
+/* fits left=MS deadline=MS: whether a request is sent by a daemon that ends in
+ * that time, and must have its response by the deadline */
+void
+endpoint_script_fits(const char *rest, GString *out)
+{
+	const struct fwd_drain_request request = {
+		.now_ms = 1000,
+		.deadline_ms = 1000 + script_number(rest, "deadline", 0),
+		.longest_ms = fwd_estimate_longest(&endpoint_script.estimate),
+	};
+
+	g_string_append(out,
+	    fwd_drain_allows(&request, 1000 + script_number(rest, "left", 0)) ?
+		"sent\n" :
+		"ended\n");
+}
--- a/tests/endpoint-script.h
+++ b/tests/endpoint-script.h
@@ -61,5 +61,7 @@
 void endpoint_script_choose(const char *, GString *);
 void endpoint_script_count(const char *, GString *);
 void endpoint_script_admit(const char *, GString *);
+void endpoint_script_lasted(const char *, GString *);
+void endpoint_script_fits(const char *, GString *);
 
 #endif
--- /dev/null
+++ b/tests/proc-edge-drain-orders.sh
@@ -0,0 +1,176 @@
+# Guards against requests that a draining daemon loses: requests accepted though they
+# could not end in time, and reset at the end of the grace time whatever their state.
+# Goes through what a request may wait for when SIGTERM comes and when the grace time ends.
+. tests/lib-edge.sh
+
+GRACE_S=5
+FIT=30000
+
+# text ID PATH [LENGTH]: a request without its body.
+text() {
+	printf 'POST %s HTTP/1.1\\r\\nHost: h\\r\\nX-Api-Key: k1\\r\\n' "$2"
+	printf 'Attempt-Id: %s\\r\\nModel: m\\r\\nToken-Counts: 100,40\\r\\n' "$1"
+	printf 'Content-Length: %s\\r\\n\\r\\n' "${3:-0}"
+}
+
+# raw NAME DAEMON PART...: sends each part on one connection; "sleep SECONDS" is a pause.
+# What comes back until the connection ends goes to a file, and whether it was reset.
+raw() {
+	file=$RUN/$1
+	exec 3<>"/dev/tcp/$(edge_ip "$2")/8080"
+	shift 2
+	timeout 12 cat <&3 >"$file" 2>"$file.error" &
+	reader=$!
+	for part; do
+		case $part in
+		sleep*) sleep "${part#sleep }" ;;
+		*) printf '%b' "$part" >&3 ;;
+		esac
+	done
+	wait "$reader"
+	echo "exit $?" >>"$file.error"
+	exec 3>&-
+}
+
+# statuses NAME: the status of each response on a connection, in one line.
+statuses() {
+	grep -ao 'HTTP/1.1 [0-9]*' "$RUN/$1" | cut -d' ' -f2 | tr '\n' ' '
+}
+
+ended_in_order() { # NAME
+	[ "$(cat "$RUN/$1.error")" = "exit 0" ]
+}
+
+ran() { # ID
+	journal_has " ran $1 "
+}
+
+# begin DAEMON WORK-MS: a daemon that has learned how long requests take.
+begin() {
+	control slow "$2"
+	control events 2
+	start_edge "$1" --grace-s $GRACE_S
+	check_true "daemon $1 is ready" until_true 10 edge_ready "$1"
+	check_true "daemon $1 knows a replica" until_true 10 groups_open "$1" 1
+	for i in 1 2 3; do
+		ask "$1" /once/x >"$RUN/learn-$1-$i" &
+		ASKING="$ASKING $!"
+		ask "$1" /write/x >"$RUN/learn-$1-$i" &
+		ASKING="$ASKING $!"
+	done
+	# shellcheck disable=SC2086
+	wait $ASKING
+	ASKING=
+	control events 30
+}
+
+# terminate DAEMON: sends SIGTERM; the time counts from here.
+terminate() {
+	TERM_MS=$(now_ms)
+	stop "edge-$1" TERM
+}
+
+# until_ms MS: sleeps until so long after the SIGTERM.
+until_ms() {
+	left=$((TERM_MS + $1 - $(now_ms)))
+	[ "$left" -le 0 ] || sleep "$((left / 1000)).$(printf %03d $((left % 1000)))"
+}
+
+await_end() { # DAEMON: waits for its requests and its end
+	# shellcheck disable=SC2086
+	wait $ASKING
+	check_true "daemon $1 ends within its grace time" until_true $((GRACE_S + 1)) ended "$1"
+	check_true "daemon $1 ends by itself, $(($(now_ms) - TERM_MS)) ms after SIGTERM" \
+	    [ "$(($(now_ms) - TERM_MS))" -lt $((GRACE_S * 1000 + 200)) ]
+}
+
+ended() { # DAEMON
+	grep -aq 'event=stopped' "$RUN/edge-$1.out"
+}
+
+start_edge_platform 2 3
+put_config 1 "s/\"timeout_ms\":[24]000/\"timeout_ms\":$FIT/g
+    s/\"target_latency_ms\":300/\"target_latency_ms\":20000/
+    s/\"idle_timeout_ms\":3000/\"idle_timeout_ms\":20000/"
+control event-ms 100
+ASKING=
+
+# Requests are known to be short.
+begin 1 20
+raw kept 1 "$(text kept-stream /write/x)" "sleep 3.2" "$(text kept-next /once/x)" &
+ASKING="$ASKING $!"
+raw idle 1 "$(text idle-stream /write/x)" &
+ASKING="$ASKING $!"
+sleep 0.5
+raw body 1 "$(text body /once/x 5)ab" &
+ASKING="$ASKING $!"
+raw pipelined 1 "$(text pipelined-1 /once/x)$(text pipelined-2 /once/x)" &
+ASKING="$ASKING $!"
+terminate 1
+raw first 1 "$(text first /once/x)" &
+ASKING="$ASKING $!"
+until_ms 2000
+raw begun 1 "$(text begun /write/x)" &
+ASKING="$ASKING $!"
+until_ms 2900
+control slow 4000
+raw sent 1 "$(text sent /once/x)" &
+ASKING="$ASKING $!"
+await_end 1
+check "a request right after SIGTERM is served" "200 " "$(statuses first)"
+check "one on a kept connection that fits is served" "200 200 " "$(statuses kept)"
+check "and closes the connection" 1 "$(grep -ac '^Connection: close' "$RUN/kept")"
+check "pipelined requests are served" "200 200 " "$(statuses pipelined)"
+check "an idle connection is closed in order" "200 yes" \
+    "$(statuses idle)$(ended_in_order idle && echo yes)"
+check_true "a request that runs longer than expected was sent" ran sent
+check "a response that was begun is broken off" "200 0" \
+    "$(statuses begun)$(grep -ac '^0' "$RUN/begun")"
+
+# Requests are known to take longer than what is left.
+begin 2 2000
+raw late 2 "$(text late-stream /write/x)" "sleep 3.3" "$(text late-next /once/x)" &
+ASKING="$ASKING $!"
+sleep 0.4
+raw late-body 2 "$(text late-body /once/x 2)a" "sleep 2.5" b &
+ASKING="$ASKING $!"
+raw behind 2 "$(text behind-1 /once/x)$(text behind-2 /once/x)" &
+ASKING="$ASKING $!"
+sleep 0.1
+terminate 2
+await_end 2
+for name in late-next late-body behind-2; do
+	check "$name: no endpoint runs it" no "$(ran "$name" && echo yes || echo no)"
+done
+check "what can't end in time on a kept connection is refused" "200 503 " \
+    "$(statuses late)"
+check "and told when to retry" 1 "$(grep -ac '^Retry-After: ' "$RUN/late")"
+check "so is one whose body ends late" "503 " "$(statuses late-body)"
+check "and a pipelined one, after the response before it" "200 503 " \
+    "$(statuses behind)"
+check_true "all of them end in order" ended_in_order late
+check_true "also the late body" ended_in_order late-body
+
+# Requests wait in the queue, as others have taken all slots.
+begin 3 1500
+control slow 20000
+for n in $(seq 12); do
+	raw "long-$n" 3 "$(text "long-$n" /once/x)" &
+	ASKING="$ASKING $!"
+done
+sleep 0.2
+for n in 1 2 3; do
+	raw "queued-$n" 3 "$(text "queued-$n" /once/x)" &
+	ASKING="$ASKING $!"
+done
+sleep 0.2
+check "requests wait in the queue" 12 "$(journal | grep -c ' ran \(long\|queued\)-')"
+terminate 3
+await_end 3
+for n in 1 2 3; do
+	check "a queued request that can't end in time is refused" "503 no" \
+	    "$(statuses queued-$n)$(ran queued-$n && echo yes || echo no)"
+	check "and told when to retry" 1 \
+	    "$(grep -ac '^Retry-After: ' "$RUN/queued-$n")"
+done
+verdict
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -213,6 +213,8 @@
 	{ "sent", endpoint_script_sent },
 	{ "event", endpoint_script_event },
 	{ "learn", endpoint_script_learn },
+	{ "lasted", endpoint_script_lasted },
+	{ "fits", endpoint_script_fits },
 	{ "expect", endpoint_script_expect },
 	{ "load", exec_load },
 	{ "backoff", endpoint_script_backoff },
