End what is left of a drain by what it waits for

Cause: at the end every exchange was aborted whatever its state, which is for responses that were begun, and the process exited in the same turn of the loop. The log lines have daemon_ends with runs=0. A body that was still arriving was neither answered nor its connection closed.

Change: fwd_drain_end() refuses what has not run, also what waits for a connection to its endpoint and what has not arrived as a whole, fails what may have run with 502, and breaks off only what was begun.

--- a/src/fwd-conn.c
+++ b/src/fwd-conn.c
@@ -173,6 +173,19 @@
 	.on_message_complete = on_complete,
 };
 
+/* Refuses a request that was not read as a whole, and ends the connection. */
+static void
+conn_refuse_part(struct fwd_conn *c, unsigned status, const char *reason,
+    int64_t retry_ms)
+{
+	event_log(LOG_INFO, "request_unreadable", "status=%u reason=%s", status,
+	    reason);
+	c->keep_alive = false;
+	c->started = false;
+	g_string_truncate(c->pipelined, 0);
+	fwd_conn_refuse(c, status, NULL, retry_ms);
+}
+
 /* Refuses an invalid or incomplete request, and ends the connection. */
 static void
 conn_refuse_input(struct fwd_conn *c)
@@ -181,10 +194,8 @@
 	    c->error_status != 0 ? c->error_status : HTTP_STATUS_BAD_REQUEST;
 
 	fwd_stats_count(&c->fwd->stats, COUNT_BAD_REQUESTS);
-	event_log(LOG_INFO, "request_unreadable", "status=%u reason=%s", status,
-	    http_errno_name(HTTP_PARSER_ERRNO(&c->parser)));
-	c->keep_alive = false;
-	fwd_conn_refuse(c, status, NULL,
+	conn_refuse_part(c, status,
+	    http_errno_name(HTTP_PARSER_ERRNO(&c->parser)),
 	    status == HTTP_STATUS_SERVICE_UNAVAILABLE ? RETRY_ROOM_MS : -1);
 }
 
@@ -345,6 +356,30 @@
 	    !c->stream.write_shutdown && !c->stream.closing);
 }
 
+/**
+ * fwd_conn_receiving() - whether a part of a request has arrived.
+ * @c: the connection
+ */
+bool
+fwd_conn_receiving(const struct fwd_conn *c)
+{
+	return (c->exchange == NULL && c->started &&
+	    !c->stream.write_shutdown && !c->stream.closing);
+}
+
+/**
+ * fwd_conn_refuse_unread() - refuse the request of which a part has arrived.
+ * @c: the connection, which is receiving; it is ended
+ * @reason: reason for the log
+ * @retry_ms: time after which the client should retry
+ */
+void
+fwd_conn_refuse_unread(struct fwd_conn *c, const char *reason, int64_t retry_ms)
+{
+	fwd_stats_count(&c->fwd->stats, COUNT_REFUSED);
+	conn_refuse_part(c, HTTP_STATUS_SERVICE_UNAVAILABLE, reason, retry_ms);
+}
+
 /**
  * fwd_conn_tick() - check the timeouts of a connection without an exchange.
  * @c: the connection
--- a/src/fwd-conn.h
+++ b/src/fwd-conn.h
@@ -17,7 +17,7 @@
  * @out: response bytes not yet passed to @stream
  * @exchange: the request in progress, or NULL
  * @since_ms: loop time from which the idle and header timeouts count: the
- *	accept, the first byte of a request or the end of a response
+ *	accept, the first byte of a request, the end of a response
  * @head_only: the method is HEAD
  * @keep_alive: the connection may carry another request
  * @complete: a complete request was read
@@ -58,5 +58,7 @@
 void fwd_conn_abort(struct fwd_conn *);
 void fwd_conn_tick(struct fwd_conn *, uint64_t);
 bool fwd_conn_idle(const struct fwd_conn *);
+bool fwd_conn_receiving(const struct fwd_conn *);
+void fwd_conn_refuse_unread(struct fwd_conn *, const char *, int64_t);
 
 #endif
--- a/src/fwd-drain.c
+++ b/src/fwd-drain.c
@@ -120,18 +120,50 @@
 	return (true);
 }
 
+/* Withdraws a request from endpoints that it was not sent to yet, as a
+ * connection to them is being made: it can't have run there. */
+static void
+withdraw_unsent(struct fwd_exchange *ex)
+{
+	struct fwd_send *send, *next;
+
+	for (send = TAILQ_FIRST(&ex->active); send != NULL; send = next) {
+		next = TAILQ_NEXT(send, entry);
+		if (send->conn->connected)
+			continue;
+		fwd_send_note_reached(send, false);
+		fwd_send_free(send);
+	}
+}
+
 /**
- * fwd_drain_end() - end all requests that are left.
+ * fwd_drain_end() - end all requests that are left, each as truly as its state
+ *	allows.
  * @fwd: the proxy
+ *
+ * A request that has not run is refused, also one whose body is still arriving;
+ * one that may have run gets an error status; a response that was begun is
+ * broken off. Responses leave with the next turns of the loop, in which
+ * pipelined requests may arrive: it is to be called again until
+ * fwd_drain_closed().
  */
 void
 fwd_drain_end(struct fwd *fwd)
 {
-	struct fwd_exchange *ex, *next;
+	struct fwd_exchange *ex, *next_ex;
+	struct fwd_conn *c, *next;
 
-	for (ex = TAILQ_FIRST(&fwd->exchanges); ex != NULL; ex = next) {
-		next = TAILQ_NEXT(ex, entry);
-		fwd_exchange_abort(ex, "daemon_ends");
+	for (ex = TAILQ_FIRST(&fwd->exchanges); ex != NULL; ex = next_ex) {
+		next_ex = TAILQ_NEXT(ex, entry);
+		withdraw_unsent(ex);
+		fwd_exchange_give_up(ex, HTTP_STATUS_BAD_GATEWAY, "daemon_ends",
+		    FWD_DRAIN_RETRY_MS);
+	}
+	for (c = TAILQ_FIRST(&fwd->conns); c != NULL; c = next) {
+		next = TAILQ_NEXT(c, entry);
+		if (fwd_conn_receiving(c))
+			fwd_conn_refuse_unread(c, "daemon_ends",
+			    FWD_DRAIN_RETRY_MS);
 	}
 	close_idle(fwd, 0);
 }
--- a/tests/proc-edge-drain-orders.sh
+++ b/tests/proc-edge-drain-orders.sh
@@ -124,6 +124,9 @@
 check "an idle connection is closed in order" "200 yes" \
     "$(statuses idle)$(ended_in_order idle && echo yes)"
 check_true "a request that runs longer than expected was sent" ran sent
+check "it gets an error status at the end" "502 " "$(statuses sent)"
+check "a request whose body is still arriving is refused" "503 " "$(statuses body)"
+check "and told when to retry" 1 "$(grep -ac '^Retry-After: ' "$RUN/body")"
 check "a response that was begun is broken off" "200 0" \
     "$(statuses begun)$(grep -ac '^0' "$RUN/begun")"
 
@@ -173,4 +176,6 @@
 	check "and told when to retry" 1 \
 	    "$(grep -ac '^Retry-After: ' "$RUN/queued-$n")"
 done
+check "those that may have run get an error status" 12 \
+    "$(cat "$RUN"/long-? "$RUN"/long-?? | grep -ac '^HTTP/1.1 502 ')"
 verdict
