Keep connections open while a client still reads its response

Callers saw: of whole responses of 2.4 to 5.4 MB, made after a SIGTERM and read 3.5 s later, those of 4.0 and 4.2 MB were cut; none without the signal.

Cause: a connection that ends was closed one second after the end of its response had been queued, and an idle one three seconds after the SIGTERM, whether or not output still waited. A tunnel whose endpoint has closed its side was ended after one second, too (by reading).

Change: output that leaves counts as activity. The second begins when all is written; a client that takes nothing is left after the idle timeout. A tunnel waits while output is queued; a requester that reads nothing fails by the timeout of its connection.

proc-edge-drain-slow-readers.sh fails without it.

--- a/src/fwd-conn.c
+++ b/src/fwd-conn.c
@@ -17,7 +17,8 @@
 #define HEADER_DEFAULT_MS 3000
 #define IDLE_DEFAULT_MS 15000
 
-/* How long a client may take to read a response that ends its connection. */
+/* How long a client may take to close a connection whose last response has been
+ * written. */
 #define LINGER_MS 1000
 
 static const struct client_limits limits_default = { HEADER_BYTES_DEFAULT,
@@ -353,7 +354,8 @@
 fwd_conn_idle(const struct fwd_conn *c)
 {
 	return (c->exchange == NULL && !c->started && c->pipelined->len == 0 &&
-	    !c->stream.write_shutdown && !c->stream.closing);
+	    c->stream.queued == 0 && !c->stream.write_shutdown &&
+	    !c->stream.closing);
 }
 
 /**
@@ -380,6 +382,17 @@
 	conn_refuse_part(c, HTTP_STATUS_SERVICE_UNAVAILABLE, reason, retry_ms);
 }
 
+/* Notes when output left last: a client that goes on reading is not idle. */
+static void
+conn_note_output(struct fwd_conn *c, uint64_t now_ms)
+{
+	size_t unwritten = net_stream_unwritten(&c->stream);
+
+	if (unwritten != c->unwritten)
+		c->since_ms = now_ms;
+	c->unwritten = unwritten;
+}
+
 /**
  * fwd_conn_tick() - check the timeouts of a connection without an exchange.
  * @c: the connection
@@ -389,16 +402,18 @@
 fwd_conn_tick(struct fwd_conn *c, uint64_t now_ms)
 {
 	const struct client_limits *limits = conn_limits(c);
-	uint64_t waited = now_ms - c->since_ms;
+	uint64_t waited;
 
 	if (c->exchange != NULL || c->stream.closing)
 		return;
-	if (c->stream.write_shutdown) {
+	conn_note_output(c, now_ms);
+	waited = now_ms - c->since_ms;
+	if (c->stream.write_shutdown && c->unwritten == 0) {
 		if (waited > LINGER_MS)
 			net_stream_close(&c->stream);
 		return;
 	}
-	if (c->pipelined->len > 0) {
+	if (c->pipelined->len > 0 && !c->stream.write_shutdown) {
 		conn_run_pipelined(c);
 		return;
 	}
--- a/src/fwd-conn.h
+++ b/src/fwd-conn.h
@@ -17,7 +17,9 @@
  * @out: response bytes not yet passed to @stream
  * @exchange: the request in progress, or NULL
  * @since_ms: loop time from which the idle and header timeouts count: the
- *	accept, the first byte of a request, the end of a response
+ *	accept, the first byte of a request, the end of a response or when
+ *	output last left
+ * @unwritten: bytes of output that waited to be written at the last tick
  * @head_only: the method is HEAD
  * @keep_alive: the connection may carry another request
  * @complete: a complete request was read
@@ -37,6 +39,7 @@
 	GString *out;
 	struct fwd_exchange *exchange;
 	uint64_t since_ms;
+	size_t unwritten;
 	bool head_only;
 	bool keep_alive;
 	bool complete;
--- a/src/net-stream.c
+++ b/src/net-stream.c
@@ -267,6 +267,19 @@
 	stream_add_queued(stream, length);
 }
 
+/**
+ * net_stream_unwritten() - bytes that the socket has not accepted yet.
+ * @stream: the connection
+ *
+ * Unlike the count of queued bytes this one falls with each part of a write.
+ */
+size_t
+net_stream_unwritten(const struct net_stream *stream)
+{
+	return (
+	    uv_stream_get_write_queue_size((const uv_stream_t *)&stream->tcp));
+}
+
 static void
 on_shutdown(uv_shutdown_t *req, int status)
 {
--- a/src/net-stream.h
+++ b/src/net-stream.h
@@ -61,6 +61,7 @@
 int net_stream_accept(struct net_stream *, uv_stream_t *);
 void net_stream_set_reading(struct net_stream *, bool);
 void net_stream_write(struct net_stream *, const char *, size_t);
+size_t net_stream_unwritten(const struct net_stream *);
 void net_stream_shutdown(struct net_stream *);
 void net_stream_close(struct net_stream *);
 void net_stream_reset(struct net_stream *);
--- a/src/tunnel-server.c
+++ b/src/tunnel-server.c
@@ -20,8 +20,8 @@
 #define UNREACHED_PAUSE_MS 300
 /* Bytes that wait for one side, from which on the other is not read. */
 #define QUEUED_MAX 65536
-/* How long the requester may take to read the rest after the endpoint has
- * closed its side. */
+/* After the endpoint has closed its side, how often it is checked whether the
+ * requester has read the rest; one that reads nothing fails by itself. */
 #define LINGER_MS 1000
 /* Idle time after which the system checks whether the requester still exists.
  */
@@ -177,6 +177,8 @@
 		tunnel_unreached(t);
 	else if (t->state == TUNNEL_READING)
 		tunnel_reject(t, "timeout");
+	else if (t->client.queued > 0)
+		tunnel_set_state(t, TUNNEL_ENDING, LINGER_MS);
 	else
 		tunnel_close(t, false);
 }
