Refuse a tunnel whose gateway began to drain while it was being connected

Cause: whether a tunnel may be opened was looked at when it was asked for, and a draining gateway told only users of tunnels that already served. One that was being connected opened then, and its request was lost with the gateway. The same holds for an endpoint that asks for a backoff meanwhile.

Change: the obstacles are looked at again once the endpoint is reached, before the user is told; nothing was sent yet, so it asks another gateway.

test-tunnel (drain while connecting) fails without it.

--- a/src/tunnel-server.c
+++ b/src/tunnel-server.c
@@ -183,12 +183,48 @@
 		tunnel_close(t, false);
 }
 
+/* Why no tunnel may be opened now; TUNNEL_OPEN if one may. */
+static enum tunnel_result
+server_obstacle(const struct tunnel_server *server)
+{
+	uint64_t now = clock_loop_ms(server->loop);
+
+	if (server->draining)
+		return (TUNNEL_DRAINING);
+	if (server->n_tunnels > TUNNELS_MAX)
+		return (TUNNEL_BUSY);
+	if (server->unreached >= UNREACHED_MAX &&
+	    now - server->unreached_ms < UNREACHED_PAUSE_MS)
+		return (TUNNEL_UNREACHED);
+	return (TUNNEL_OPEN);
+}
+
+/* The same for a tunnel to an endpoint. */
+static enum tunnel_result
+tunnel_obstacle(const struct tunnel_server *server,
+    const struct sockaddr_in *peer)
+{
+	enum tunnel_result obstacle = server_obstacle(server);
+
+	if (obstacle != TUNNEL_OPEN)
+		return (obstacle);
+	return (server->ops->judge(server->arg, peer));
+}
+
 static void
 target_connected(struct net_stream *stream)
 {
 	struct tunnel *t = stream->owner;
+	enum tunnel_result obstacle;
 
 	t->server->unreached = 0;
+	/* This daemon or the endpoint may drain since the tunnel was asked for.
+	 */
+	obstacle = tunnel_obstacle(t->server, &t->peer);
+	if (obstacle != TUNNEL_OPEN) {
+		tunnel_refuse(t, obstacle);
+		return;
+	}
 	t->server->n_served++;
 	tunnel_set_state(t, TUNNEL_SERVING, 0);
 	tunnel_reply(t, TUNNEL_OPEN);
@@ -243,22 +279,6 @@
 	.closed = stream_closed,
 };
 
-/* Why no tunnel may be opened now; TUNNEL_OPEN if one may. */
-static enum tunnel_result
-server_obstacle(const struct tunnel_server *server)
-{
-	uint64_t now = clock_loop_ms(server->loop);
-
-	if (server->draining)
-		return (TUNNEL_DRAINING);
-	if (server->n_tunnels > TUNNELS_MAX)
-		return (TUNNEL_BUSY);
-	if (server->unreached >= UNREACHED_MAX &&
-	    now - server->unreached_ms < UNREACHED_PAUSE_MS)
-		return (TUNNEL_UNREACHED);
-	return (TUNNEL_OPEN);
-}
-
 /* Starts to connect to the endpoint. */
 static void
 tunnel_connect(struct tunnel *t)
@@ -340,7 +360,7 @@
 tunnel_handle_request(struct tunnel *t)
 {
 	struct tunnel_request request;
-	enum tunnel_result obstacle = server_obstacle(t->server);
+	enum tunnel_result obstacle;
 
 	if (!tunnel_request_decode(&request, t->request)) {
 		tunnel_reject(t, "format");
@@ -360,8 +380,7 @@
 		tunnel_close(t, false);
 		return;
 	}
-	if (obstacle == TUNNEL_OPEN)
-		obstacle = t->server->ops->judge(t->server->arg, &request.peer);
+	obstacle = tunnel_obstacle(t->server, &request.peer);
 	if (obstacle != TUNNEL_OPEN) {
 		tunnel_refuse(t, obstacle);
 		return;
--- a/tests/test-tunnel.c
+++ b/tests/test-tunnel.c
@@ -7,6 +7,8 @@
 #include <string.h>
 
 #include "mesh-gateway.h"
+#include "net-link.h"
+#include "tunnel-server.h"
 
 #define PEERS 300
 #define TRIES_MAX 5
@@ -190,6 +192,126 @@
 	uv_loop_close(&loop);
 }
 
+/* What becomes of a tunnel whose gateway begins to drain while it connects. */
+struct drain_case {
+	struct tunnel_server server;
+	uv_timer_t drain;
+	bool established;
+	enum tunnel_result result;
+};
+
+static void
+on_drain(uv_timer_t *timer)
+{
+	struct drain_case *dc = timer->data;
+
+	tunnel_server_drain(&dc->server);
+	uv_close((uv_handle_t *)timer, NULL);
+}
+
+/* The gateway connects to the endpoint next: it drains in between. */
+static enum tunnel_result
+drain_judge(void *arg, const struct sockaddr_in *peer)
+{
+	struct drain_case *dc = arg;
+
+	if (!dc->server.draining)
+		uv_timer_start(&dc->drain, on_drain, 0, 0);
+	return (TUNNEL_OPEN);
+}
+
+static const struct tunnel_server_ops drain_server_ops = {
+	.judge = drain_judge,
+};
+
+static void
+drain_link_established(struct net_link *link)
+{
+	struct drain_case *dc = link->owner;
+
+	dc->established = true;
+	net_link_close(link);
+	uv_stop(dc->server.loop);
+}
+
+static void
+drain_link_failed(struct net_link *link, enum tunnel_result result)
+{
+	struct drain_case *dc = link->owner;
+
+	dc->result = result;
+	uv_stop(dc->server.loop);
+}
+
+static const struct net_link_ops drain_link_ops = {
+	.established = drain_link_established,
+	.failed = drain_link_failed,
+};
+
+static void
+on_endpoint_connection(uv_stream_t *listener, int status)
+{
+}
+
+/* Address at which a listener accepts connections. */
+static struct sockaddr_in
+listener_address(const uv_tcp_t *listener)
+{
+	struct sockaddr_in addr;
+	int length = sizeof addr;
+
+	CU_ASSERT_EQUAL(uv_tcp_getsockname(listener, (struct sockaddr *)&addr,
+			    &length),
+	    0);
+	return (addr);
+}
+
+static void
+close_handle(uv_handle_t *handle, void *arg)
+{
+	if (!uv_is_closing(handle))
+		uv_close(handle, NULL);
+}
+
+/* Guards against a tunnel that is opened through a gateway that drains: its
+ * request would be lost at the end of the gateway's grace time. */
+static void
+test_drain_while_connecting(void)
+{
+	struct drain_case dc = { .result = TUNNEL_OPEN };
+	struct tunnel_request request = { .kind = TUNNEL_CONNECT };
+	struct net_gateway gateway = { 0 };
+	struct sockaddr_in any;
+	uv_tcp_t endpoint;
+	uv_loop_t loop;
+
+	uv_loop_init(&loop);
+	uv_ip4_addr("127.0.0.1", 0, &any);
+	uv_tcp_init(&loop, &endpoint);
+	CU_ASSERT_EQUAL(uv_tcp_bind(&endpoint, (const struct sockaddr *)&any,
+			    0),
+	    0);
+	CU_ASSERT_EQUAL(uv_listen((uv_stream_t *)&endpoint, 1,
+			    on_endpoint_connection),
+	    0);
+	uv_timer_init(&loop, &dc.drain);
+	dc.drain.data = &dc;
+	dc.server.ops = &drain_server_ops;
+	dc.server.arg = &dc;
+	CU_ASSERT_EQUAL(tunnel_server_open(&dc.server, &loop, &any), 0);
+	request.peer = listener_address(&endpoint);
+	gateway.addr = listener_address(&dc.server.listener);
+	net_link_open_tunnel(&loop, &gateway, &request, &drain_link_ops, &dc);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	CU_ASSERT_TRUE(dc.server.draining);
+	CU_ASSERT_FALSE(dc.established);
+	CU_ASSERT_EQUAL(dc.result, TUNNEL_DRAINING);
+	uv_run(&loop, UV_RUN_NOWAIT);
+	uv_walk(&loop, close_handle, NULL);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	uv_loop_close(&loop);
+}
+
 int
 main(void)
 {
@@ -203,6 +325,8 @@
 	CU_add_test(suite, "list", test_list);
 	CU_add_test(suite, "paths", test_paths);
 	CU_add_test(suite, "half cut", test_half_cut);
+	CU_add_test(suite, "drain while connecting",
+	    test_drain_while_connecting);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
 	CU_basic_run_tests();
 	failures = CU_get_number_of_failures();
