--- a/src/registry-follower-peers.c
+++ b/src/registry-follower-peers.c
@@ -120,6 +120,8 @@
 		f->peer_read_ms = update->as_of_ms;
 		f->peer_took_ms = MIN(update->took_ms, PEER_TOOK_MAX_MS);
 	}
+	if (f->snapshot_keys != NULL)
+		f->peer_end = MAX(f->peer_end, update->end);
 	if (!f->synced || f->snapshot_keys != NULL)
 		return (true);
 	if (update->from > f->next) {
@@ -193,8 +195,9 @@
 }
 
 /**
- * topic_follower_overtaken() - whether an update from peers may have had a
- * record already: it came during the read, or was applied beyond a gap.
+ * topic_follower_overtaken() - whether a snapshot or an update from peers may
+ * have had a record already: it came during the read, or was applied beyond a
+ * gap.
  * @f: the follower, in the callback for a record
  * @record: the record
  *
@@ -206,7 +209,8 @@
 {
 	if (g_hash_table_lookup(f->ahead_offsets, record->key) != NULL)
 		return (true);
-	return (f->snapshot_keys == NULL && f->next > f->read_from);
+	return (f->snapshot_keys == NULL &&
+	    (f->next > f->read_from || record->offset < f->snapshot_end));
 }
 
 /**
--- a/src/registry-follower.c
+++ b/src/registry-follower.c
@@ -174,26 +174,39 @@
 	f->snapshot_keys =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	g_clear_pointer(&f->after, g_free);
+	f->peer_end = 0;
 }
 
+/*
+ * Continues after a snapshot. Daemons that follow peers have not read it. What
+ * it changes here tells them what is new since the topic was known here; if
+ * peers have passed records on meanwhile, they are ahead of that, so that what
+ * is new to them is read again, record by record.
+ */
 static void
-follower_finish_snapshot(struct topic_follower *f)
+follower_continue(struct topic_follower *f, bool known)
 {
-	bool known = f->synced;
+	bool overtaken = known && f->peer_end > f->read_from &&
+	    f->peer_end < f->snapshot_end;
 
-	if (f->ops->snapshot_done != NULL)
-		f->ops->snapshot_done(f->owner, f->snapshot_keys);
-	g_hash_table_destroy(f->snapshot_keys);
-	f->snapshot_keys = NULL;
-	f->next = f->snapshot_end;
+	f->next = overtaken ? f->peer_end : f->snapshot_end;
 	topic_follower_advance(f, f->next);
 	f->synced = true;
-	/* Daemons that follow peers have not read this snapshot. */
-	if (known && f->ops->advanced != NULL)
+	if (known && !overtaken && f->ops->advanced != NULL)
 		f->ops->advanced(f->owner, MIN(f->read_from, f->snapshot_end),
 		    f->snapshot_end);
 }
 
+static void
+follower_finish_snapshot(struct topic_follower *f)
+{
+	if (f->ops->snapshot_done != NULL)
+		f->ops->snapshot_done(f->owner, f->snapshot_keys);
+	g_hash_table_destroy(f->snapshot_keys);
+	f->snapshot_keys = NULL;
+	follower_continue(f, f->synced);
+}
+
 static void
 on_snapshot_page(void *arg, const struct store_response *response)
 {
@@ -221,10 +234,13 @@
 		follower_read(f);
 		return;
 	}
-	follower_finish_snapshot(f);
 	/* A record of an earlier page may have changed since. */
 	follower_succeeded(f, f->snapshot_ms);
-	follower_schedule_next(f);
+	follower_finish_snapshot(f);
+	if (f->next < f->snapshot_end)
+		follower_read(f);
+	else
+		follower_schedule_next(f);
 }
 
 static void
--- a/src/registry-follower.h
+++ b/src/registry-follower.h
@@ -73,6 +73,8 @@
  * @after: last key of the previous page of the snapshot
  * @snapshot_end: end offset of the topic as of the snapshot's first page
  * @snapshot_ms: loop time just before the call for that page
+ * @peer_end: offset up to which peers have passed the topic on while the
+ *	snapshot is read
  * @proof_ms: loop time as of which the local copy is known to be current; 0
  *	for never
  * @more: the newest read was cut short, so the local copy lacks newer records
@@ -110,6 +112,7 @@
 	char *after;
 	uint64_t snapshot_end;
 	uint64_t snapshot_ms;
+	uint64_t peer_end;
 	uint64_t proof_ms;
 	bool more;
 	unsigned failures;
--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -58,8 +58,10 @@
 static void
 on_advanced(void *owner, uint64_t from, uint64_t end)
 {
-	g_string_append_printf(printed, "advanced %u to %u\n", (unsigned)from,
-	    (unsigned)end);
+	bool dated = follower.more || follower.proof_ms >= follower.snapshot_ms;
+
+	g_string_append_printf(printed, "advanced %u to %u%s\n", (unsigned)from,
+	    (unsigned)end, dated ? "" : " as of before");
 }
 
 static const struct topic_follower_ops follow_ops = {
