Tell an outage of the store from a daemon's own cut

Cause: entries that lapse in an outage are written again after it, so their endpoints are kept for 2.3 s. An outage was what followed a failed call of this daemon, however long ago, as only an own read forgot it, and what another daemon said. Removals are logged with may_return=1 and follow store_regained.

Ruled out: forgetting failures with what others tell. A daemon that is cut off now, and those that it tells, would still be wrong.

Change: registry-outage.c keeps when the store answered any daemon: own reads, others' reads and their proofs of the configuration. A gap of 1.2 s with a failed call in it is an outage, unless the other daemons fell silent with the store. One that others report is believed if no answer from that time is known, and refuted by one that is heard of later. The end of an outage is logged with its evidence (store_outage).

--- a/src/cmd-explain.c
+++ b/src/cmd-explain.c
@@ -34,8 +34,8 @@
 /* Log events that affect all requests of a daemon. */
 static const char *const daemon_events[] = { "config_in_force",
 	"domain_evacuated", "domain_taken_back", "store_lost", "store_regained",
-	"path_lost", "path_restored", "silence_shared", "not_ready", "ready",
-	"paused", "leaving", "stopped", "started" };
+	"store_outage", "path_lost", "path_restored", "silence_shared",
+	"not_ready", "ready", "paused", "leaving", "stopped", "started" };
 
 /*
  * What the request's own lines tell: their times, its endpoints and
--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -67,7 +67,7 @@
 	if (f->held)
 		topic_follower_adopt(f, next, proof_ms);
 	topic_follower_skip(f, next);
-	registry->peer_proof_ms = MAX(registry->peer_proof_ms, proof_ms);
+	registry_note_proof(registry, proof_ms, mesh->now_ms);
 }
 
 static void
--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -168,6 +168,7 @@
     const GArray *records)
 {
 	const struct topic_follower *f = &mesh->registry->endpoints;
+	uint64_t regained_ms = mesh->registry->outage.regained_ms;
 	struct mesh_entries entries = { .from = from,
 		.regained_age_ms = UINT32_MAX };
 	bool repeat = mesh->last_entries != NULL &&
@@ -178,10 +179,10 @@
 
 	g_array_set_clear_func(all, store_record_clear);
 	g_strlcpy(entries.name, mesh->name, sizeof entries.name);
-	if (f->regained_ms != 0)
-		entries.regained_age_ms = (uint32_t)MIN(mesh->now_ms -
-			MIN(f->regained_ms, mesh->now_ms),
-		    UINT32_MAX);
+	if (regained_ms != 0)
+		entries.regained_age_ms =
+		    (uint32_t)MIN(mesh->now_ms - MIN(regained_ms, mesh->now_ms),
+			UINT32_MAX);
 	entries.stamp.incarnation = mesh->incarnation;
 	entries.stamp.sent_ms = mesh->now_ms;
 	entries.stamp.age_ms = f->more ?
@@ -244,6 +245,17 @@
 	return (sent_ms - stamp->age_ms);
 }
 
+/* Loop time at which the store answered the sender of a datagram again after an
+ * outage; 0 if there was none. */
+static uint64_t
+feed_regained_ms(const struct mesh_entries *entries, uint64_t sent_ms)
+{
+	if (entries->regained_age_ms == UINT32_MAX ||
+	    entries->regained_age_ms >= sent_ms)
+		return (0);
+	return (sent_ms - entries->regained_age_ms);
+}
+
 /* Applies the records of a datagram. */
 static void
 feed_apply(struct mesh *mesh, const struct mesh_entries *entries)
@@ -261,7 +273,7 @@
 	    entries->end > mesh->registry->endpoints.next)
 		histogram_add(&mesh->repair.delays, mesh->now_ms - sent_ms);
 	registry_apply_endpoints(mesh->registry, &update,
-	    entries->regained_age_ms, mesh->now_ms);
+	    feed_regained_ms(entries, sent_ms), mesh->now_ms);
 }
 
 /* Saves received entries for others, forwards them once, whatever order they
--- a/src/mesh-receive.c
+++ b/src/mesh-receive.c
@@ -68,8 +68,7 @@
 	if (registry->catalog == NULL || peer->config_proof_ms == 0 ||
 	    peer->config_version > registry->catalog->version)
 		return;
-	registry->peer_proof_ms =
-	    MAX(registry->peer_proof_ms, peer->config_proof_ms);
+	registry_note_proof(registry, peer->config_proof_ms, mesh->now_ms);
 	topic_follower_set_updated(&registry->config, peer->config_proof_ms);
 }
 
@@ -393,6 +392,7 @@
 	    (peer->incarnation == msg.incarnation &&
 		msg.sequence <= peer->sequence))
 		return;
+	outage_note_heard(&mesh->registry->outage, mesh->now_ms);
 	record_self(mesh, peer, &msg);
 	apply_kind(mesh, peer, &msg);
 	apply_evacuations(mesh, peer, &msg);
--- a/src/registry-config.c
+++ b/src/registry-config.c
@@ -298,4 +298,6 @@
 const struct topic_follower_ops registry_config_ops = {
 	.record = config_record,
 	.snapshot_done = config_snapshot_done,
+	.answered = registry_note_answered,
+	.failed = registry_note_failed,
 };
--- a/src/registry-follower-peers.c
+++ b/src/registry-follower-peers.c
@@ -19,6 +19,21 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
+/**
+ * topic_follower_begin_records() - note when the records that will be passed
+ *	were read.
+ * @f: the follower
+ * @as_of_ms: loop time; 0 for unknown
+ */
+void
+topic_follower_begin_records(struct topic_follower *f, uint64_t as_of_ms)
+{
+	f->records_ms = as_of_ms;
+	f->copy_ms = MAX(f->proof_ms, f->peer_update_ms);
+	if (f->ops->answered != NULL)
+		f->ops->answered(f->owner, as_of_ms);
+}
+
 /**
  * topic_follower_pass() - pass a record to the owner, unless a newer one of its
  * key was passed before a gap was closed.
@@ -116,6 +131,7 @@
 	 * to 23 of 162 hosts. */
 	bool reads_all = f->reader && f->partial;
 
+	topic_follower_begin_records(f, update->as_of_ms);
 	if (update->as_of_ms > f->peer_read_ms) {
 		f->peer_read_ms = update->as_of_ms;
 		f->peer_took_ms = MIN(update->took_ms, PEER_TOOK_MAX_MS);
--- a/src/registry-follower.c
+++ b/src/registry-follower.c
@@ -114,42 +114,33 @@
 	if (!f->reader)
 		pause = MAX(pause, follower_retry_ms(f));
 	f->failures++;
+	if (f->ops->failed != NULL)
+		f->ops->failed(f->owner);
 	follower_schedule(f, pause);
 }
 
-/* Notes that the store answers. */
+/* Notes that the store answers, before what it answered is used. */
 static void
-follower_answered(struct topic_follower *f)
+follower_answered(struct topic_follower *f, uint64_t sent_ms)
 {
-	if (f->failures > 0) {
-		f->regained_ms = clock_loop_ms(f->loop);
+	if (f->failures > 0)
 		event_log(LOG_NOTICE, "store_regained",
 		    "topic=%s failures=%u age_ms=%llu",
 		    store_topic_name(f->topic), f->failures,
 		    (unsigned long long)topic_follower_age(f,
 			clock_loop_ms(f->loop)));
-	}
 	f->failures = 0;
+	topic_follower_begin_records(f, sent_ms);
 }
 
 /* Notes that the local copy is current as of a time. */
 static void
 follower_succeeded(struct topic_follower *f, uint64_t as_of_ms)
 {
-	follower_answered(f);
 	f->more = false;
 	f->proof_ms = MAX(f->proof_ms, as_of_ms);
 }
 
-/* Notes that records follow those of the response, which proves nothing about
- * the newest ones. */
-static void
-follower_cut(struct topic_follower *f)
-{
-	follower_answered(f);
-	f->more = true;
-}
-
 /* Passes records to the owner, and collects the keys of a snapshot. */
 static void
 follower_pass_records(struct topic_follower *f, const GArray *records)
@@ -225,6 +216,8 @@
 		f->snapshot_end = response->end;
 		f->snapshot_ms = response->sent_ms;
 	}
+	follower_answered(f, response->sent_ms);
+	f->records_ms = f->snapshot_ms;
 	follower_pass_records(f, response->records);
 	if (response->more && response->records->len > 0) {
 		last = &g_array_index(response->records, struct store_record,
@@ -254,6 +247,7 @@
 	if (response->result == STORE_TRIMMED) {
 		event_log(LOG_NOTICE, "store_trimmed", "topic=%s from=%llu",
 		    store_topic_name(f->topic), (unsigned long long)f->next);
+		follower_answered(f, response->sent_ms);
 		follower_restart(f);
 		follower_read(f);
 		return;
@@ -262,10 +256,13 @@
 		follower_failed(f, response);
 		return;
 	}
+	follower_answered(f, response->sent_ms);
 	follower_pass_records(f, response->records);
 	topic_follower_advance(f, response->end);
+	/* Records that follow those of the response are not known, so it proves
+	 * nothing about the newest ones. */
 	if (response->more)
-		follower_cut(f);
+		f->more = true;
 	else
 		follower_succeeded(f, response->sent_ms);
 	/* Updates from peers may have moved f->next during the read, so the
--- a/src/registry-follower.h
+++ b/src/registry-follower.h
@@ -15,11 +15,16 @@
  * @advanced: called after the records from the first offset to the second were
  *	passed to @record; after a snapshot of a topic that was known before,
  *	the range is what is new since then
+ * @answered: the store has answered a call that was sent at that loop time;
+ *	called before its records are passed; NULL if of no use
+ * @failed: a call has failed; NULL if of no use
  */
 struct topic_follower_ops {
 	void (*record)(void *, const struct store_record *);
 	void (*snapshot_done)(void *, GHashTable *);
 	void (*advanced)(void *, uint64_t, uint64_t);
+	void (*answered)(void *, uint64_t);
+	void (*failed)(void *);
 };
 
 /**
@@ -79,8 +84,9 @@
  *	for never
  * @more: the newest read was cut short, so the local copy lacks newer records
  * @failures: consecutive failed calls
- * @regained_ms: loop time of the first successful call after failures; 0 if
- *	there were none
+ * @records_ms: loop time as of which the records that are passed to the owner
+ *	were read
+ * @copy_ms: loop time as of which the local copy was current before them
  * @held: no calls yet, as a peer may provide a snapshot
  * @stopped: no more calls
  */
@@ -116,7 +122,8 @@
 	uint64_t proof_ms;
 	bool more;
 	unsigned failures;
-	uint64_t regained_ms;
+	uint64_t records_ms;
+	uint64_t copy_ms;
 	bool held;
 	bool stopped;
 };
@@ -136,6 +143,7 @@
 
 /* registry-follower-peers.c: what peers read, and how current the copy is. */
 void topic_follower_init_copy(struct topic_follower *);
+void topic_follower_begin_records(struct topic_follower *, uint64_t);
 bool topic_follower_apply(struct topic_follower *, const struct topic_update *);
 void topic_follower_pass(struct topic_follower *, const struct store_record *);
 bool topic_follower_ahead_full(const struct topic_follower *);
--- a/src/registry.c
+++ b/src/registry.c
@@ -26,16 +26,80 @@
 	g_array_append_val(registry->relay, copy);
 }
 
-/* Whether the records being read piled up during a store outage. */
+/* Logs the end of an outage, and what it was concluded from. */
+static void
+log_outage(const struct store_outage *o, bool told, uint64_t now_ms)
+{
+	event_log(LOG_NOTICE, "store_outage",
+	    "ms=%llu ended_ms_ago=%llu failed_ms_ago=%lld heard_ms_ago=%lld "
+	    "told=%d",
+	    (unsigned long long)(o->until_ms - o->from_ms),
+	    (unsigned long long)(now_ms - MIN(o->regained_ms, now_ms)),
+	    o->failed_ms != 0 ? (long long)(now_ms - o->failed_ms) : -1LL,
+	    o->heard_ms != 0 ? (long long)(now_ms - o->heard_ms) : -1LL, told);
+}
+
+/* Notes that the store has answered this daemon or another one, as of a time
+ * that is 0 if unknown. */
+static void
+note_answered(struct registry *registry, uint64_t as_of_ms, uint64_t now_ms)
+{
+	if (outage_note_answered(&registry->outage, as_of_ms, now_ms))
+		log_outage(&registry->outage, false, now_ms);
+}
+
+/**
+ * registry_note_answered() - note that the store has answered, as a callback of
+ *	topics' followers.
+ * @owner: the registry
+ * @as_of_ms: loop time as of which it did; 0 for unknown
+ */
+void
+registry_note_answered(void *owner, uint64_t as_of_ms)
+{
+	struct registry *registry = owner;
+
+	note_answered(registry, as_of_ms, clock_loop_ms(registry->loop));
+}
+
+/**
+ * registry_note_failed() - note that a call to the store has failed, as a
+ *	callback of topics' followers.
+ * @owner: the registry
+ */
+void
+registry_note_failed(void *owner)
+{
+	struct registry *registry = owner;
+
+	outage_note_failed(&registry->outage, clock_loop_ms(registry->loop));
+}
+
+/**
+ * registry_note_proof() - adopt a peer's proof that the catalog is the newest.
+ * @registry: the registry
+ * @proof_ms: loop time as of which it was; 0 for none
+ * @now_ms: loop time
+ */
+void
+registry_note_proof(struct registry *registry, uint64_t proof_ms,
+    uint64_t now_ms)
+{
+	registry->peer_proof_ms = MAX(registry->peer_proof_ms, proof_ms);
+	note_answered(registry, proof_ms, now_ms);
+}
+
+/* Whether an entry whose removal is being passed may have lapsed because of an
+ * outage. */
 static bool
-catching_up(const struct registry *registry)
+outage_may_have_caused(const struct registry *registry)
 {
 	const struct topic_follower *f = &registry->endpoints;
-	uint64_t now = clock_loop_ms(registry->loop);
+	uint64_t as_of = f->records_ms;
 
-	return (f->failures > 0 ||
-	    (f->regained_ms != 0 &&
-		now - f->regained_ms < REGISTRY_CATCH_UP_MS));
+	if (as_of == 0)
+		as_of = clock_loop_ms(registry->loop);
+	return (outage_caused(&registry->outage, f->copy_ms, as_of));
 }
 
 /*
@@ -103,7 +167,7 @@
 
 	if (record->value == NULL) {
 		fleet_lapse(&registry->fleet, record->key, now,
-		    catching_up(registry));
+		    outage_may_have_caused(registry));
 		relay_add(registry, record);
 		return;
 	}
@@ -156,7 +220,8 @@
 		    g_hash_table_contains(keys, ep->report.id))
 			continue;
 		fleet_lapse(&registry->fleet, ep->report.id,
-		    clock_loop_ms(registry->loop), catching_up(registry));
+		    clock_loop_ms(registry->loop),
+		    outage_may_have_caused(registry));
 		record.offset =
 		    registry_removal_offset(registry->endpoints.snapshot_end,
 			n++);
@@ -181,6 +246,8 @@
 	.record = endpoint_record,
 	.snapshot_done = endpoints_snapshot_done,
 	.advanced = endpoints_advanced,
+	.answered = registry_note_answered,
+	.failed = registry_note_failed,
 };
 
 /**
@@ -319,17 +386,17 @@
  * registry_apply_endpoints() - apply changed entries that a peer read.
  * @registry: the registry
  * @update: the entries
- * @regained_age_ms: time since the store answered the peer again after an
- *	outage
+ * @regained_ms: loop time at which the store answered the peer again after an
+ *	outage; 0 if there was none
  * @now: loop time
  */
 void
 registry_apply_endpoints(struct registry *registry,
-    const struct topic_update *update, uint64_t regained_age_ms, uint64_t now)
+    const struct topic_update *update, uint64_t regained_ms, uint64_t now)
 {
-	if (regained_age_ms < REGISTRY_RECOVERY_MS && regained_age_ms < now)
-		registry->endpoints.regained_ms =
-		    MAX(registry->endpoints.regained_ms, now - regained_age_ms);
+	if (regained_ms != 0 &&
+	    outage_note_told(&registry->outage, regained_ms))
+		log_outage(&registry->outage, true, now);
 	topic_follower_apply(&registry->endpoints, update);
 	registry_sweep(registry, now);
 	if (update->records->len > 0)
@@ -356,17 +423,15 @@
 void
 registry_sweep(struct registry *registry, uint64_t now_ms)
 {
-	const struct topic_follower *f = &registry->endpoints;
-	bool recovering = f->regained_ms != 0 &&
-	    now_ms - f->regained_ms < REGISTRY_RECOVERY_MS;
+	const struct store_outage *outage = &registry->outage;
 
 	poison_sweep(&registry->poison, &registry->fleet, now_ms);
 	/* During a store outage a lapse shows nothing about the endpoint. */
-	if (f->failures > 0 &&
-	    now_ms - f->peer_update_ms >= REGISTRY_PEER_UPDATE_MS)
+	if (outage_active(outage, now_ms))
 		return;
 	/* Just after it, entries that lapsed meanwhile may be written again. */
-	fleet_sweep(&registry->fleet, now_ms, !recovering);
+	fleet_sweep(&registry->fleet, now_ms,
+	    !outage_recovering(outage, now_ms));
 }
 
 /**
--- a/src/registry.h
+++ b/src/registry.h
@@ -10,16 +10,9 @@
 #include "registry-evacuation.h"
 #include "registry-fleet.h"
 #include "registry-follower.h"
+#include "registry-outage.h"
 #include "registry-poison.h"
 
-/* Entries that lapsed during a store outage are written again within about 2 s
- * of its end. */
-#define REGISTRY_RECOVERY_MS 2300
-/* Lapses read this soon after a store outage date from it; later ones are
- * current. */
-#define REGISTRY_CATCH_UP_MS 250
-/* An update from peers counts as an answer of the store for this long. */
-#define REGISTRY_PEER_UPDATE_MS 1500
 /* Largest accepted lead of an endpoint's clock over the clock here: no clock
  * that is set at all is a day off. */
 #define REGISTRY_CLOCK_SKEW_MS 86400000
@@ -72,6 +65,7 @@
  * @n_refused: number of entries refused so far
  * @config: follower of the configuration
  * @endpoints: follower of the endpoints' entries
+ * @outage: the newest outage of the store
  * @peer_proof_ms: loop time as of which a peer has proved that @catalog is the
  *	newest; 0 for never
  * @relay: records to relay to peers, of struct store_record
@@ -94,6 +88,7 @@
 	uint64_t n_refused;
 	struct topic_follower config;
 	struct topic_follower endpoints;
+	struct store_outage outage;
 	uint64_t peer_proof_ms;
 	GArray *relay;
 	void (*relayed)(void *, uint64_t, uint64_t, const GArray *);
@@ -109,6 +104,9 @@
     const struct registry_fallback *);
 void registry_apply_endpoints(struct registry *, const struct topic_update *,
     uint64_t, uint64_t);
+void registry_note_answered(void *, uint64_t);
+void registry_note_failed(void *);
+void registry_note_proof(struct registry *, uint64_t, uint64_t);
 bool registry_apply_snapshot(struct registry *, uint64_t, const GArray *,
     uint64_t);
 uint64_t registry_removal_offset(uint64_t, unsigned);
--- a/tests/test-follow.c
+++ b/tests/test-follow.c
@@ -58,7 +58,7 @@
 static void
 on_advanced(void *owner, uint64_t from, uint64_t end)
 {
-	bool dated = follower.more || follower.proof_ms >= follower.snapshot_ms;
+	bool dated = follower.more || follower.proof_ms >= follower.records_ms;
 
 	g_string_append_printf(printed, "advanced %u to %u%s\n", (unsigned)from,
 	    (unsigned)end, dated ? "" : " as of before");
