Find out whether the store answers a daemon again, also while others read

Cause: a daemon whose call to the store failed made no other one while others told it what they read, for hours. Until then it counted as one that the store doesn't answer (store_ok), so it was not eligible as placer or reader.

Change: after a failure the read is repeated until it succeeds, at the pauses that bound the calls of all daemons.

--- a/src/registry-follower.c
+++ b/src/registry-follower.c
@@ -39,9 +39,11 @@
 on_timer(uv_timer_t *timer)
 {
 	struct topic_follower *f = timer->data;
-	unsigned covered = f->snapshot_due ? 0 : follower_covered_ms(f);
+	unsigned covered = follower_covered_ms(f);
 
-	if (covered > 0)
+	/* After a failure it is found out whether the store answers this daemon
+	 * again, also while others read: it may have to read for them. */
+	if (covered > 0 && !f->snapshot_due && f->failures == 0)
 		follower_schedule(f, covered);
 	else
 		follower_read(f);
--- a/tests/proc-edge-removed-beside-cut.sh
+++ b/tests/proc-edge-removed-beside-cut.sh
@@ -59,6 +59,11 @@
 check_true "served after an outage" until_true 5 eval \
     '[ "$(ask_all /free/x 1 2 3 | sort -u)" = 200 ]'
 sleep 4
+for n in 1 2 3; do
+	check "daemon $n has noticed that the store answers it again" \
+	    "$(grep -c 'event=store_lost topic=endpoints' "$RUN/edge-$n.out")" \
+	    "$(grep -c 'event=store_regained topic=endpoints' "$RUN/edge-$n.out")"
+done
 
 # An endpoint is taken away while the daemon that reads for the others is cut off.
 who=$(reader)
