--- a/src/registry.h
+++ b/src/registry.h
@@ -102,20 +102,24 @@
 void registry_configure(struct registry *, unsigned, unsigned);
 void registry_set_fallback(struct registry *, const struct registry_fallback *,
     const struct registry_fallback *);
-void registry_apply_endpoints(struct registry *, const struct topic_update *,
-    uint64_t, uint64_t);
 void registry_note_answered(void *, uint64_t);
 void registry_note_failed(void *);
 void registry_note_proof(struct registry *, uint64_t, uint64_t);
-bool registry_apply_snapshot(struct registry *, uint64_t, const GArray *,
-    uint64_t);
-uint64_t registry_removal_offset(uint64_t, unsigned);
-void registry_get_snapshot(const struct registry *, GArray *);
+void registry_note_told(struct registry *, uint64_t, uint64_t);
 void registry_release(struct registry *);
 void registry_stop(struct registry *);
 void registry_sweep(struct registry *, uint64_t);
 uint64_t registry_config_age(const struct registry *, uint64_t);
 
+/* registry-entries.c: the endpoints' entries. */
+extern const struct topic_follower_ops registry_endpoints_ops;
+void registry_apply_endpoints(struct registry *, const struct topic_update *,
+    uint64_t, uint64_t);
+bool registry_apply_snapshot(struct registry *, uint64_t, const GArray *,
+    uint64_t);
+uint64_t registry_removal_offset(uint64_t, unsigned);
+void registry_get_snapshot(const struct registry *, GArray *);
+
 /* registry-config.c: the configuration, and evacuations. */
 extern const struct topic_follower_ops registry_config_ops;
 void registry_notify(struct registry *);
