--- a/src/tunnel-server.h
+++ b/src/tunnel-server.h
@@ -55,6 +55,8 @@
 	uint64_t unreached_ms;
 };
 
+enum tunnel_result tunnel_server_obstacle(const struct tunnel_server *,
+    const struct sockaddr_in *);
 void tunnel_server_decline(struct tunnel_server *, const struct sockaddr_in *);
 void tunnel_server_drain(struct tunnel_server *);
 int tunnel_server_open(struct tunnel_server *, uv_loop_t *,
