--- a/Makefile
+++ b/Makefile
@@ -66,7 +66,8 @@
 	$(BUILD)/tests/fake-zone.o $(BUILD)/tests/fake-cold.o \
 	$(BUILD)/tests/fake-unaccepted.o $(BUILD)/tests/fake-cut.o \
 	$(BUILD)/tests/fake-silence.o
-$(BUILD)/test-mesh $(BUILD)/test-large $(BUILD)/test-entries: $(BUILD)/test-%: \
+$(BUILD)/test-mesh $(BUILD)/test-large $(BUILD)/test-entries \
+    $(BUILD)/test-repair: $(BUILD)/test-%: \
 	$(BUILD)/tests/test-%.o $(BUILD)/tests/fleet-script.o \
 	$(BUILD)/tests/fleet-script-config.o $(BUILD)/tests/fleet-script-heads.o \
 	$(BUILD)/tests/fleet-script-storm.o \
