Let the error rate of an endpoint fade with time

Cause: the error rate moved with responses only. An endpoint that is avoided for it gets none at low load, so nothing could show that it has recovered.

Change: it fades with a time constant of 5 s as well. Where requests come it stays what their outcomes make it.

fleet-errors-fade.txt fails without it (the rate never falls).

--- a/src/fwd-cost.c
+++ b/src/fwd-cost.c
@@ -73,16 +73,18 @@
 	double cross = fwd_cost_is_local(ep, criteria) ?
 	    0 :
 	    preference * fwd_cost_cross_domain(criteria);
+	double errors =
+	    ERROR_WEIGHT * endpoint_error_rate(ep, criteria->now_ms);
 	struct fwd_workload workload;
 
 	*first = 0;
 	if (criteria->model != NULL) {
 		fwd_criteria_workload(criteria, criteria->prompt, &workload);
 		*first = fwd_expect_first(ep, &workload);
-		return (*first * (1 + ERROR_WEIGHT * ep->error_rate) + cross);
+		return (*first * (1 + errors) + cross);
 	}
-	return (fwd_expect_running(ep) / MAX(ep->report.slots, 1) +
-	    ERROR_WEIGHT * ep->error_rate + cross);
+	return (
+	    fwd_expect_running(ep) / MAX(ep->report.slots, 1) + errors + cross);
 }
 
 /**
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -6,8 +6,6 @@
 #include "fwd-exchange.h"
 #include "registry-silence.h"
 
-/* Weight of the newest response in an endpoint's error rate. */
-#define ERROR_ALPHA 0.1
 /* Weight of the newest gap in an endpoint's slowness, and bounds of that. */
 #define SLOWNESS_ALPHA 0.03
 #define SLOWNESS_MIN 0.5
@@ -38,12 +36,12 @@
 	}
 }
 
-/* Updates an endpoint's error rate and its count of consecutive failures. */
+/* Counts the outcome of a send at its endpoint. */
 static void
-endpoint_count_outcome(struct endpoint *ep, bool failed)
+response_count_outcome(const struct fwd_send *send, bool failed)
 {
-	ep->error_rate += ERROR_ALPHA * ((failed ? 1.0 : 0.0) - ep->error_rate);
-	ep->failures = failed ? ep->failures + 1 : 0;
+	endpoint_count_outcome(send->endpoint, failed,
+	    clock_loop_ms(send->exchange->fwd->loop));
 }
 
 static enum net_head_action
@@ -241,7 +239,7 @@
 static void
 response_too_large(struct fwd_send *send)
 {
-	endpoint_count_outcome(send->endpoint, true);
+	response_count_outcome(send, true);
 	if (send->not_run)
 		response_not_run(send);
 	else
@@ -348,7 +346,7 @@
 		fwd_estimate_add_duration(fwd_exchange_estimate(ex),
 		    (double)(clock_loop_ms(ex->fwd->loop) -
 			send->basis.sent_ms));
-	endpoint_count_outcome(send->endpoint,
+	response_count_outcome(send,
 	    lacks_signature || stream_was_cut(send) ||
 		send->status >= HTTP_STATUS_INTERNAL_SERVER_ERROR);
 	if (send->streaming)
@@ -415,7 +413,7 @@
 		fwd_exchange_free(send->exchange);
 		return;
 	}
-	endpoint_count_outcome(send->endpoint, true);
+	response_count_outcome(send, true);
 	fwd_send_note_reached(send, failure != NET_CONNECT_FAILED);
 	if (failure == NET_CONNECT_FAILED)
 		fwd_endpoint_cool_down(send, COOLDOWN_UNREACHED_MS,
--- a/src/registry-fleet.c
+++ b/src/registry-fleet.c
@@ -1,4 +1,5 @@
 /* The endpoints and the replicas that they form, as last reported. */
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -16,6 +17,12 @@
  * kept at a time. */
 #define LAPSED_KEPT_MS 120000
 
+/* Weight of the newest response in an endpoint's error rate. */
+#define ERROR_ALPHA 0.1
+/* Time constant at which an error rate fades: an endpoint that is avoided for
+ * it gets few requests that could show that it has recovered. */
+#define ERROR_FADE_MS 5000.0
+
 /**
  * fleet_init() - initialize an empty fleet.
  * @fleet: the fleet
@@ -445,3 +452,35 @@
 	return (
 	    endpoint_accepts(ep, now_ms) && now_ms >= ep->cooldown_until_ms);
 }
+
+/**
+ * endpoint_error_rate() - share of an endpoint's recent responses that are
+ *	failures.
+ * @ep: the endpoint
+ * @now_ms: loop time
+ *
+ * Return: 0 to 1.
+ */
+double
+endpoint_error_rate(const struct endpoint *ep, uint64_t now_ms)
+{
+	double elapsed = (double)(now_ms - MIN(ep->error_ms, now_ms));
+
+	return (ep->error_rate * exp(-elapsed / ERROR_FADE_MS));
+}
+
+/**
+ * endpoint_count_outcome() - count the outcome of a request at an endpoint.
+ * @ep: the endpoint
+ * @failed: it failed
+ * @now_ms: loop time
+ */
+void
+endpoint_count_outcome(struct endpoint *ep, bool failed, uint64_t now_ms)
+{
+	double rate = endpoint_error_rate(ep, now_ms);
+
+	ep->error_rate = rate + ERROR_ALPHA * ((failed ? 1.0 : 0.0) - rate);
+	ep->error_ms = now_ms;
+	ep->failures = failed ? ep->failures + 1 : 0;
+}
--- a/src/registry-fleet.h
+++ b/src/registry-fleet.h
@@ -54,7 +54,8 @@
  * @peer_heard_ms: the same of other daemons' exchanges
  * @slowness: moving average of the ratio of observed to expected event gaps
  * @error_rate: moving average of the share of responses that are server
- *	failures
+ *	failures, as of @error_ms
+ * @error_ms: loop time of the newest of them
  * @entry_bytes: its entry as encoded in the store, while it may be sent
  *	requests; passed to daemons that start
  * @entry: link in the fleet's list
@@ -94,6 +95,7 @@
 	uint64_t peer_heard_ms;
 	double slowness;
 	double error_rate;
+	uint64_t error_ms;
 	GBytes *entry_bytes;
 	TAILQ_ENTRY(endpoint) entry;
 };
@@ -140,5 +142,7 @@
 bool endpoint_accepts(const struct endpoint *, uint64_t);
 bool endpoint_suspected(const struct endpoint *);
 bool endpoint_usable(const struct endpoint *, uint64_t);
+double endpoint_error_rate(const struct endpoint *, uint64_t);
+void endpoint_count_outcome(struct endpoint *, bool, uint64_t);
 
 #endif
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -197,7 +197,31 @@
 	g_string_append_printf(out, "%u entries\n", records->len);
 }
 
+/* outcomes ID count=N at=MS [failed=1]: so many requests to it ended then */
+static void
+exec_outcomes(const char *rest, GString *out)
+{
+	struct endpoint *ep = endpoint_script_find(rest);
+	bool failed = script_number(rest, "failed", 0) != 0;
+
+	for (guint64 i = 0; i < script_number(rest, "count", 1); i++)
+		endpoint_count_outcome(ep, failed,
+		    script_number(rest, "at", 0));
+}
+
+/* error-rate ID at=MS: its error rate then, in parts of 100 */
+static void
+exec_error_rate(const char *rest, GString *out)
+{
+	double rate = endpoint_error_rate(endpoint_script_find(rest),
+	    script_number(rest, "at", 0));
+
+	g_string_append_printf(out, "%.0f\n", rate * 100);
+}
+
 static const struct script_command commands[] = {
+	{ "outcomes", exec_outcomes },
+	{ "error-rate", exec_error_rate },
 	{ "entry", exec_entry },
 	{ "lapse", exec_lapse },
 	{ "unreadable", exec_unreadable },
