Weigh a request only while draining; one way to date an age

Cause: fwd_drain_fits() looked up the estimates of each request on each dispatch, though they count only while the daemon drains; mesh-feed.c turned an age into a loop time twice; registry-outage.c asked three times whether there was a first answer at all, and once more whether the gap is long. Change: the early return comes first; feed_date_age() serves both; gap_is_long() knows that 0 is no answer. No change of behaviour.

--- a/src/fwd-drain.c
+++ b/src/fwd-drain.c
@@ -36,14 +36,13 @@
 fwd_drain_fits(const struct fwd_exchange *ex)
 {
 	const struct fwd *fwd = ex->fwd;
-	const struct fwd_drain_request request = {
-		.now_ms = clock_loop_ms(fwd->loop),
-		.deadline_ms = ex->deadline_ms,
-		.longest_ms = fwd_estimate_longest(fwd_exchange_estimate(ex)),
-	};
+	struct fwd_drain_request request;
 
 	if (fwd->drain_end_ms == 0 || ex->first_us > 0)
 		return (true);
+	request.now_ms = clock_loop_ms(fwd->loop);
+	request.deadline_ms = ex->deadline_ms;
+	request.longest_ms = fwd_estimate_longest(fwd_exchange_estimate(ex));
 	return (fwd_drain_allows(&request, fwd->drain_end_ms));
 }
 
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -40,8 +40,8 @@
  * @name_hash: hash of this daemon's name
  * @held_bytes: bytes held for clients: bodies of requests in progress, buffered
  *	responses, and output that clients have not read
- * @drain_end_ms: the daemon is shutting down, and ends what is left at this
- *loop time; connections are closed after their response; 0 otherwise
+ * @drain_end_ms: loop time at which the daemon, which is shutting down, ends
+ *	what is left; connections are closed after their response; 0 otherwise
  * @listener_closed: the listener is closed
  * @last_tick_ms: loop time of the last tick
  * @withdrawn_ms: loop time at which requests were last looked through for what
--- a/src/mesh-feed.c
+++ b/src/mesh-feed.c
@@ -233,27 +233,23 @@
 	    stamp->sent_ms, mesh->now_ms));
 }
 
-/* Loop time as of which the topic ended where a datagram does; 0 for unknown.
- */
+/* Loop time of what was so old when a datagram was sent; 0 for never. */
 static uint64_t
-feed_as_of_ms(const struct mesh_stamp *stamp, uint64_t sent_ms)
+feed_date_age(uint32_t age_ms, uint64_t sent_ms)
 {
-	if (stamp->incarnation == 0)
-		return (sent_ms);
-	if (stamp->age_ms == UINT32_MAX || stamp->age_ms >= sent_ms)
+	if (age_ms == UINT32_MAX || age_ms >= sent_ms)
 		return (0);
-	return (sent_ms - stamp->age_ms);
+	return (sent_ms - age_ms);
 }
 
-/* Loop time at which the store answered the sender of a datagram again after an
- * outage; 0 if there was none. */
+/* Loop time as of which the topic ended where a datagram does; 0 for unknown.
+ */
 static uint64_t
-feed_regained_ms(const struct mesh_entries *entries, uint64_t sent_ms)
+feed_as_of_ms(const struct mesh_stamp *stamp, uint64_t sent_ms)
 {
-	if (entries->regained_age_ms == UINT32_MAX ||
-	    entries->regained_age_ms >= sent_ms)
-		return (0);
-	return (sent_ms - entries->regained_age_ms);
+	if (stamp->incarnation == 0)
+		return (sent_ms);
+	return (feed_date_age(stamp->age_ms, sent_ms));
 }
 
 /* Applies the records of a datagram. */
@@ -273,7 +269,7 @@
 	    entries->end > mesh->registry->endpoints.next)
 		histogram_add(&mesh->repair.delays, mesh->now_ms - sent_ms);
 	registry_apply_endpoints(mesh->registry, &update,
-	    feed_regained_ms(entries, sent_ms), mesh->now_ms);
+	    feed_date_age(entries->regained_age_ms, sent_ms), mesh->now_ms);
 }
 
 /* Saves received entries for others, forwards them once, whatever order they
--- a/src/registry-outage.c
+++ b/src/registry-outage.c
@@ -26,11 +26,12 @@
  * end. */
 #define RECOVERY_MS 2300
 
-/* Whether entries can have lapsed between two answers. */
+/* Whether entries can have lapsed between two answers, of which the first may
+ * be none (0). */
 static bool
 gap_is_long(uint64_t from_ms, uint64_t until_ms)
 {
-	return (until_ms >= from_ms + OUTAGE_MIN_MS);
+	return (from_ms != 0 && until_ms >= from_ms + OUTAGE_MIN_MS);
 }
 
 /* Whether this daemon was cut off itself: the other daemons fell silent when
@@ -99,14 +100,13 @@
 		outage_split(o, as_of_ms);
 		return (false);
 	}
-	ended = from != 0 && gap_is_long(from, as_of_ms) &&
-	    o->failed_ms > from && !outage_is_isolation(o, now_ms);
-	if (from != 0 && gap_is_long(from, as_of_ms)) {
-		o->from_ms = from;
-		o->until_ms = as_of_ms;
-		o->regained_ms = ended ? now_ms : 0;
-	}
+	ended = o->failed_ms > from && !outage_is_isolation(o, now_ms);
 	o->answered_ms = as_of_ms;
+	if (!gap_is_long(from, as_of_ms))
+		return (false);
+	o->from_ms = from;
+	o->until_ms = as_of_ms;
+	o->regained_ms = ended ? now_ms : 0;
 	return (ended);
 }
 
@@ -123,10 +123,8 @@
 bool
 outage_note_told(struct store_outage *o, uint64_t regained_ms)
 {
-	bool is_open =
-	    o->answered_ms != 0 && gap_is_long(o->answered_ms, regained_ms);
-	bool is_gap = o->until_ms != 0 &&
-	    gap_is_long(o->from_ms, regained_ms) &&
+	bool is_open = gap_is_long(o->answered_ms, regained_ms);
+	bool is_gap = gap_is_long(o->from_ms, regained_ms) &&
 	    !gap_is_long(o->until_ms, regained_ms);
 
 	if (regained_ms <= o->regained_ms || (!is_open && !is_gap))
