Share what several tests wrote themselves

Change: runs_of and readers are in lib-edge.sh, fleet_script_main() in fleet-script.c, begin_raw in the test. The assertions stay as they are.

--- a/tests/fleet-script.c
+++ b/tests/fleet-script.c
@@ -1,7 +1,9 @@
 /* Commands of scripts on simulated fleets of daemons that exchange state. */
 #include <math.h>
 #include <string.h>
+#include <syslog.h>
 
+#include "event-log.h"
 #include "limit-model.h"
 #include "fleet-script.h"
 
@@ -401,7 +403,7 @@
 	g_string_append_printf(out, "%u\n", s.store_queries);
 }
 
-const struct script_command fleet_script_commands[] = {
+static const struct script_command fleet_script_commands[] = {
 	{ "fleet", exec_fleet },
 	{ "run", exec_run },
 	{ "poison", fleet_script_poison },
@@ -451,3 +453,16 @@
 	{ "storm", fleet_script_storm },
 	{ NULL, NULL },
 };
+
+/* Runs all scripts of a suite; returns the exit status of the program. */
+int
+fleet_script_main(const char *suite)
+{
+	g_autofree char *program = g_strconcat("test-", suite, NULL);
+	int rc;
+
+	event_log_open(program, LOG_ERR);
+	rc = script_main(suite, fleet_script_commands, fleet_script_reset);
+	fleet_script_reset();
+	return (rc);
+}
--- a/tests/fleet-script.h
+++ b/tests/fleet-script.h
@@ -5,10 +5,10 @@
 #include "fleet-model.h"
 #include "script.h"
 
-extern const struct script_command fleet_script_commands[];
 extern struct fleet_model *fleet_script_model;
 
 /* fleet-script.c: fleets, their daemons and links. */
+int fleet_script_main(const char *);
 void fleet_script_reset(void);
 void fleet_script_views(const char *, GString *);
 
--- a/tests/lib-edge.sh
+++ b/tests/lib-edge.sh
@@ -58,11 +58,22 @@
 	journal | grep -q "$1"
 }
 
+runs_of() { # ENDPOINT: number of requests that it ran
+	journal | grep -c "^$1 ran "
+}
+
 metric() { # DAEMON-NUMBER NAME
 	curl -s -m 5 "http://$(edge_ip "$1"):9464/metrics" |
 	    sed -n "s/^banklift_$2 //p"
 }
 
+# Prints which of daemons 1 to COUNT read the entries for the others.
+readers() {
+	for n in $(seq $COUNT); do
+		[ "$(metric "$n" reader)" = 1 ] && echo "$n"
+	done
+}
+
 # put_config VERSION [sed expression]: writes the default configuration.
 put_config() {
 	cat <<END | tr -d '\n' | sed "${2:-}" |
--- a/tests/proc-edge-drain-orders.sh
+++ b/tests/proc-edge-drain-orders.sh
@@ -4,7 +4,9 @@
 . tests/lib-edge.sh
 
 GRACE_S=5
-FIT=30000
+# Longer than the grace time.
+TIMEOUT_MS=30000
+ASKING=
 
 # text ID PATH [LENGTH]: a request without its body.
 text() {
@@ -32,6 +34,12 @@
 	exec 3>&-
 }
 
+# begin_raw NAME DAEMON PART...: the same in the background. Adds to ASKING.
+begin_raw() {
+	raw "$@" &
+	ASKING="$ASKING $!"
+}
+
 # statuses NAME: the status of each response on a connection, in one line.
 statuses() {
 	grep -ao 'HTTP/1.1 [0-9]*' "$RUN/$1" | cut -d' ' -f2 | tr '\n' ' '
@@ -53,10 +61,10 @@
 	check_true "daemon $1 is ready" until_true 10 edge_ready "$1"
 	check_true "daemon $1 knows a replica" until_true 10 groups_open "$1" 1
 	for i in 1 2 3; do
-		ask "$1" /once/x >"$RUN/learn-$1-$i" &
-		ASKING="$ASKING $!"
-		ask "$1" /write/x >"$RUN/learn-$1-$i" &
-		ASKING="$ASKING $!"
+		for path in once write; do
+			ask "$1" "/$path/x" >"$RUN/learn-$1-$path-$i" &
+			ASKING="$ASKING $!"
+		done
 	done
 	# shellcheck disable=SC2086
 	wait $ASKING
@@ -89,33 +97,25 @@
 }
 
 start_edge_platform 2 3
-put_config 1 "s/\"timeout_ms\":[24]000/\"timeout_ms\":$FIT/g
+put_config 1 "s/\"timeout_ms\":[24]000/\"timeout_ms\":$TIMEOUT_MS/g
     s/\"target_latency_ms\":300/\"target_latency_ms\":20000/
     s/\"idle_timeout_ms\":3000/\"idle_timeout_ms\":20000/"
 control event-ms 100
-ASKING=
 
 # Requests are known to be short.
 begin 1 20
-raw kept 1 "$(text kept-stream /write/x)" "sleep 3.2" "$(text kept-next /once/x)" &
-ASKING="$ASKING $!"
-raw idle 1 "$(text idle-stream /write/x)" &
-ASKING="$ASKING $!"
+begin_raw kept 1 "$(text kept-stream /write/x)" "sleep 3.2" "$(text kept-next /once/x)"
+begin_raw idle 1 "$(text idle-stream /write/x)"
 sleep 0.5
-raw body 1 "$(text body /once/x 5)ab" &
-ASKING="$ASKING $!"
-raw pipelined 1 "$(text pipelined-1 /once/x)$(text pipelined-2 /once/x)" &
-ASKING="$ASKING $!"
+begin_raw body 1 "$(text body /once/x 5)ab"
+begin_raw pipelined 1 "$(text pipelined-1 /once/x)$(text pipelined-2 /once/x)"
 terminate 1
-raw first 1 "$(text first /once/x)" &
-ASKING="$ASKING $!"
+begin_raw first 1 "$(text first /once/x)"
 until_ms 2000
-raw begun 1 "$(text begun /write/x)" &
-ASKING="$ASKING $!"
+begin_raw begun 1 "$(text begun /write/x)"
 until_ms 2900
 control slow 4000
-raw sent 1 "$(text sent /once/x)" &
-ASKING="$ASKING $!"
+begin_raw sent 1 "$(text sent /once/x)"
 await_end 1
 check "a request right after SIGTERM is served" "200 " "$(statuses first)"
 check "one on a kept connection that fits is served" "200 200 " "$(statuses kept)"
@@ -132,13 +132,10 @@
 
 # Requests are known to take longer than what is left.
 begin 2 2000
-raw late 2 "$(text late-stream /write/x)" "sleep 3.3" "$(text late-next /once/x)" &
-ASKING="$ASKING $!"
+begin_raw late 2 "$(text late-stream /write/x)" "sleep 3.3" "$(text late-next /once/x)"
 sleep 0.4
-raw late-body 2 "$(text late-body /once/x 2)a" "sleep 2.5" b &
-ASKING="$ASKING $!"
-raw behind 2 "$(text behind-1 /once/x)$(text behind-2 /once/x)" &
-ASKING="$ASKING $!"
+begin_raw late-body 2 "$(text late-body /once/x 2)a" "sleep 2.5" b
+begin_raw behind 2 "$(text behind-1 /once/x)$(text behind-2 /once/x)"
 sleep 0.1
 terminate 2
 await_end 2
@@ -158,13 +155,11 @@
 begin 3 1500
 control slow 20000
 for n in $(seq 12); do
-	raw "long-$n" 3 "$(text "long-$n" /once/x)" &
-	ASKING="$ASKING $!"
+	begin_raw "long-$n" 3 "$(text "long-$n" /once/x)"
 done
 sleep 0.2
 for n in 1 2 3; do
-	raw "queued-$n" 3 "$(text "queued-$n" /once/x)" &
-	ASKING="$ASKING $!"
+	begin_raw "queued-$n" 3 "$(text "queued-$n" /once/x)"
 done
 sleep 0.2
 check "requests wait in the queue" 12 "$(journal | grep -c ' ran \(long\|queued\)-')"
--- a/tests/proc-edge-drain-slow-readers.sh
+++ b/tests/proc-edge-drain-slow-readers.sh
@@ -3,7 +3,7 @@
 # ones from three seconds after SIGTERM on, whether or not output still waited.
 . tests/lib-edge.sh
 
-MB=1000000
+# Sizes of responses in KB, some of which the sockets hold but for their last part.
 SIZES="2400 2600 2800 3000 3200 3400 3600 3800 4000 4200 4400 4600 4800 5000 5200 5400"
 
 # read_late NAME PAUSE-S: asks daemon 1, and reads nothing for some time.
@@ -20,7 +20,7 @@
 all_late() {
 	ASKING=
 	for kb in $SIZES; do
-		control large $((kb * MB / 1000))
+		control large $((kb * 1000))
 		read_late "$1-$kb" "$2" &
 		ASKING="$ASKING $!"
 		sleep 0.05
@@ -36,7 +36,7 @@
 		chunked=$(head -c 2000 "$file" | grep -aic '^transfer-encoding: chunked')
 		if [ "$chunked" = 1 ]; then
 			tail -c 5 "$file" | grep -aq '^0' || printf '%s ' "$kb"
-		elif [ "$(wc -c <"$file")" != $((length + 2 + kb * MB / 1000)) ]; then
+		elif [ "$(wc -c <"$file")" != $((length + 2 + kb * 1000)) ]; then
 			printf '%s ' "$kb"
 		fi
 	done
--- a/tests/proc-edge-endless-responses.sh
+++ b/tests/proc-edge-endless-responses.sh
@@ -13,10 +13,6 @@
 ROUND=24
 ROUNDS_MAX=10
 
-runs_of() { # ENDPOINT
-	journal | grep -c "^$1 ran "
-}
-
 # ask_until_run ENDPOINT: asks in rounds until the endpoint has run a request; prints the
 # statuses.
 ask_until_run() {
--- a/tests/proc-edge-fleet.sh
+++ b/tests/proc-edge-fleet.sh
@@ -73,9 +73,7 @@
 }
 # The first daemon is the relay, but another may have taken the placer's lease
 # before it and is the reader then.
-reader=$(for n in $(seq 1 $COUNT); do
-	[ "$(metric "$n" reader)" = 1 ] && echo "$n"
-done)
+reader=$(readers)
 others=$(seq 1 $COUNT | grep -vx "$reader")
 before=0
 for n in $others; do
--- a/tests/proc-edge-limit.sh
+++ b/tests/proc-edge-limit.sh
@@ -43,10 +43,6 @@
 control "limit-127.$NET.1.${head#e}" 0
 
 # All plain endpoints name limits, which are used up; the rest is refused at once.
-runs_of() { # ENDPOINT
-	journal | grep -c "^$1 ran"
-}
-
 all_runs() {
 	echo $(($(runs_of b1) + $(runs_of b2) + $(runs_of b3)))
 }
--- a/tests/proc-edge-removed-beside-cut.sh
+++ b/tests/proc-edge-removed-beside-cut.sh
@@ -13,12 +13,6 @@
 	STORE_AT=127.$NET.8.$1:9000
 }
 
-reader() { # the daemon that reads the entries for the others
-	for n in 1 2 3; do
-		[ "$(metric "$n" reader)" = 1 ] && echo "$n"
-	done | tail -n 1
-}
-
 # ask_all PATH DAEMON...: a request at each daemon; prints the statuses.
 ask_all() {
 	path=$1
@@ -28,10 +22,6 @@
 	done
 }
 
-runs_of() { # ENDPOINT
-	journal | grep -c "^$1 ran "
-}
-
 # ask_for MS DAEMON...: requests at these daemons for some time; prints the statuses.
 ask_for() {
 	until=$(($(now_ms) + $1))
@@ -66,7 +56,7 @@
 done
 
 # An endpoint is taken away while the daemon that reads for the others is cut off.
-who=$(reader)
+who=$(readers | tail -n 1)
 check_true "a daemon reads for the others" [ -n "$who" ]
 others=$(echo 1 2 3 | tr -d "$who")
 stop "path-$who" STOP
@@ -85,7 +75,7 @@
 sleep 4
 
 # Two endpoints are taken away while a daemon is cut off, as it learns later.
-who=$(reader)
+who=$(readers | tail -n 1)
 stop "path-$who" STOP
 sleep 0.3
 control "lapse-127.$NET.2.2" 1
--- a/tests/proc-edge-rest.sh
+++ b/tests/proc-edge-rest.sh
@@ -60,10 +60,6 @@
 
 # A backoff stays in force over a reload, a lapse of the entry and an outage of the
 # store. The endpoint would serve, so that its journal shows any request.
-runs_of() { # ENDPOINT
-	journal | grep -c "^$1 ran"
-}
-
 asks_backoff() { # ENDPOINT
 	[ "$(ask 1 /look/x | status_last)" = 200 ] &&
 	    grep -q "endpoint_asks_rest endpoint=$1 .*ms=9000" "$RUN/edge-1.out"
--- a/tests/test-entries.c
+++ b/tests/test-entries.c
@@ -1,16 +1,8 @@
 /* Runs scripts on how soon the daemons of large fleets know changed entries. */
-#include <syslog.h>
-
-#include "event-log.h"
 #include "fleet-script.h"
 
 int
 main(void)
 {
-	int rc;
-
-	event_log_open("test-entries", LOG_ERR);
-	rc = script_main("entries", fleet_script_commands, fleet_script_reset);
-	fleet_script_reset();
-	return (rc);
+	return (fleet_script_main("entries"));
 }
