--- a/review/lib-3.sh
+++ b/review/lib-3.sh
@@ -58,13 +58,13 @@
 	eval "echo \$PID_$1"
 }
 
-# start_platform ENGINES SERVICES: the project's stand-in, on a free network.
+# start_platform ENGINES SERVICES: the stand-in $PLATFORM, on a free network.
 start_platform() {
 	for net in 171 173 177 179 181 183 187 189; do
 		NET=$net
 		STORE=http://127.$NET.0.1:9000
 		web -o /dev/null "$STORE/journal" && continue
-		start platform target/standin-platform "$NET" "$1" "$2"
+		start platform "$PLATFORM" "$NET" "$1" "$2"
 		until_true 5 web -f -o /dev/null "$STORE/journal" &&
 		    kill -0 "$(pid_of platform)" 2>/dev/null && return 0
 	done
