What is no response in HTTP/1.1 ends an attempt at once

Seen: endpoints that answered with status 000, 099 or 20 kept clients waiting until their deadline; 600 and 999 reached them, 0200 as 200; from the 101st field on, names were appended to the value before; 204 and 304 with a length waited for a body that never comes.

Cause: each status under 200 was taken for interim and each other one passed on. The parser accepts any status up to 999, and nothing in the project said what a response is.

Change: net-head-check.c says so for all outgoing connections: status line, status, number of fields, fields that tell where a body ends. Ids and signatures must be there once and not empty. What fails this is a protocol error of the exchange, counted and logged (response_invalid). bankliftd's calls use the same functions, and drop the fields of interim responses. The server of test-net is shared with the new test.

--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,7 @@
 	$(BUILD)/tests/fake-group.o $(BUILD)/tests/fake-backoff.o \
 	$(BUILD)/tests/fake-limit.o $(BUILD)/tests/fake-crash.o \
 	$(BUILD)/tests/fake-crash-mark.o $(BUILD)/tests/fake-endless.o \
+	$(BUILD)/tests/fake-invalid.o \
 	$(BUILD)/tests/fake-zone.o $(BUILD)/tests/fake-cold.o \
 	$(BUILD)/tests/fake-unaccepted.o $(BUILD)/tests/fake-cut.o \
 	$(BUILD)/tests/fake-silence.o
@@ -96,6 +97,10 @@
 	$(BUILD)/tests/schedules-world.o $(BUILD)/tests/schedules-daemon.o \
 	$(BUILD)/tests/script.o $(BUILD)/tests/fake-log.o $(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ -lcunit $(LIBS)
+$(BUILD)/test-net $(BUILD)/test-response: $(BUILD)/test-%: \
+	$(BUILD)/tests/test-%.o $(BUILD)/tests/loop-server.o \
+	$(BUILD)/tests/script.o $(BUILD)/libbanklift.a
+	@$(CC) -o $@ $^ -lcunit $(LIBS)
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/tests/script.o \
 	$(BUILD)/tests/fake-log.o \
 	$(BUILD)/libbanklift.a
--- a/src/call.c
+++ b/src/call.c
@@ -4,6 +4,7 @@
 
 #include "call.h"
 #include "clock.h"
+#include "net-head-check.h"
 
 /* Longest single wait in curl_multi_poll(). */
 #define POLL_MAX_MS 1000
@@ -61,28 +62,61 @@
 	return (size * n);
 }
 
+/* Notes the end of a head. Returns false if it is not that of a response. */
+static bool
+call_end_head(struct call *call)
+{
+	long status = 0;
+
+	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
+	if (!net_status_valid((unsigned)status))
+		return (false);
+	call->status = (int)status;
+	/* A 1xx response is not the final response. */
+	call->head_received = status >= 200;
+	return (true);
+}
+
+/* Adds a header line. Returns false if the body has two lengths. */
+static bool
+call_add_header(struct call *call, char *line)
+{
+	char *colon = strchr(line, ':');
+	char *name;
+
+	if (colon == NULL)
+		return (true);
+	*colon = '\0';
+	name = g_ascii_strdown(line, -1);
+	if (strcmp(name, "content-length") == 0 &&
+	    g_hash_table_contains(call->headers, name)) {
+		g_free(name);
+		return (false);
+	}
+	g_hash_table_replace(call->headers, name,
+	    g_strdup(g_strstrip(colon + 1)));
+	return (true);
+}
+
+/* Reads a line of a head; what is no response in HTTP/1.1 fails the call. */
 static size_t
 header_write(char *data, size_t size, size_t n, void *arg)
 {
 	g_autofree char *line = g_strndup(data, size * n);
 	struct call *call = arg;
-	char *colon = strchr(line, ':');
+	bool valid;
 
 	call->heard_us = clock_now_us();
-	g_strchomp(line);
-	if (line[0] == '\0') {
-		long status = 0;
-
-		curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-		call->status = (int)status;
-		/* A 1xx response is not the final response. */
-		call->head_received = status >= 200;
-	} else if (colon != NULL) {
-		*colon = '\0';
-		g_hash_table_replace(call->headers, g_ascii_strdown(line, -1),
-		    g_strdup(g_strstrip(colon + 1)));
+	if (g_str_has_prefix(line, "HTTP/")) {
+		/* The fields of an interim response are not the final one's. */
+		g_hash_table_remove_all(call->headers);
+		return (
+		    net_status_line_valid(0, line, size * n) ? size * n : 0);
 	}
-	return (size * n);
+	g_strchomp(line);
+	valid =
+	    line[0] == '\0' ? call_end_head(call) : call_add_header(call, line);
+	return (valid ? size * n : 0);
 }
 
 static void
--- a/src/fwd-conn-respond.c
+++ b/src/fwd-conn-respond.c
@@ -2,6 +2,7 @@
 #include "clock.h"
 #include "fwd-conn.h"
 #include "fwd-exchange.h"
+#include "net-head-check.h"
 
 /* Writes the status line and the headers that every response has. */
 static void
@@ -48,15 +49,14 @@
 fwd_conn_respond(struct fwd_conn *c, unsigned status, const char *headers,
     const void *body, size_t length)
 {
-	bool bodiless = status == HTTP_STATUS_NO_CONTENT ||
-	    status == HTTP_STATUS_NOT_MODIFIED;
+	bool has_body = net_status_has_body(status);
 
 	conn_write_head(c, status, headers);
-	if (!bodiless)
+	if (has_body)
 		g_string_append_printf(c->out, "Content-Length: %zu\r\n",
 		    length);
 	g_string_append(c->out, "\r\n");
-	if (length > 0 && !bodiless && !c->head_only)
+	if (length > 0 && has_body && !c->head_only)
 		g_string_append_len(c->out, body, (gssize)length);
 	conn_end_response(c);
 }
--- a/src/fwd-conn.c
+++ b/src/fwd-conn.c
@@ -98,9 +98,7 @@
 
 	if (c->head_read)
 		return (0);
-	/* http_parser accepts a space in a header name; other parsers would
-	 * read it as another name. */
-	if (memchr(at, ' ', length) != NULL)
+	if (!net_head_name_valid(at, length))
 		return (conn_reject(c, HTTP_STATUS_BAD_REQUEST));
 	net_head_add_name(&c->head, at, length);
 	return (conn_check_head(c));
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -52,6 +52,8 @@
 	struct wire_response response;
 
 	ex->fwd->wire->read_response(status, head, &response);
+	if (response.malformed)
+		return (NET_REJECT);
 	if (response.id != NULL && strcmp(response.id, ex->id) != 0) {
 		fwd_stats_count(&ex->fwd->stats, COUNT_STRAY_RESPONSES);
 		event_log(LOG_NOTICE, "stray_answer",
--- a/src/fwd-wire.h
+++ b/src/fwd-wire.h
@@ -97,6 +97,7 @@
 
 /**
  * struct wire_response - decoded headers of an endpoint's response.
+ * @malformed: a header that must be unambiguous is empty or occurs twice
  * @id: id of the attempt that it responds to, or NULL
  * @has_signature: it has the endpoint's signature header
  * @not_run: the endpoint did not run the request
@@ -106,6 +107,7 @@
  * @feedback: feedback about the endpoint, indexed by enum feedback_kind
  */
 struct wire_response {
+	bool malformed;
 	const char *id;
 	bool has_signature;
 	bool not_run;
--- a/src/net-conn.c
+++ b/src/net-conn.c
@@ -3,6 +3,8 @@
 #include <string.h>
 
 #include "clock.h"
+#include "event-log.h"
+#include "net-address.h"
 #include "net-conn.h"
 
 static void
@@ -109,6 +111,8 @@
 {
 	struct net_conn *conn = parser->data;
 
+	if (!net_head_name_valid(at, length))
+		return (-1);
 	net_head_add_name(&conn->head, at, length);
 	return (0);
 }
@@ -131,6 +135,9 @@
 	if (conn->complete)
 		return (-1);
 	net_head_reset(&conn->head);
+	conn->line_bytes = 1;
+	/* The status line is checked from its second byte on. */
+	http_parser_pause(parser, 1);
 	return (0);
 }
 
@@ -143,26 +150,52 @@
 	return (conn->skipped_bytes <= NET_SKIPPED_MAX_BYTES);
 }
 
+/* Passes the head of a final response on. Returns false if the owner rejects
+ * it. */
+static bool
+conn_pass_head(struct net_conn *conn)
+{
+	enum net_head_action action;
+
+	if (conn->ops == NULL)
+		return (true);
+	action =
+	    conn->ops->head(conn->owner, conn->parser.status_code, &conn->head);
+	conn->skipping = action == NET_SKIP;
+	if (conn->skipping)
+		conn->no_reuse = true;
+	if (action == NET_REJECT)
+		conn->fault = "rejected";
+	return (action != NET_REJECT);
+}
+
+/* Reads a head. Returns false if it is not that of a response to this request.
+ */
+static bool
+conn_read_head(struct net_conn *conn)
+{
+	enum net_head_kind kind =
+	    net_head_check(&conn->head, &conn->parser, &conn->fault);
+
+	if (kind == NET_HEAD_INVALID)
+		return (false);
+	if (kind == NET_HEAD_FINAL)
+		return (conn_pass_head(conn));
+	conn->skipping = true;
+	return (conn_skip(conn, conn->head.text->len + NET_HEAD_MIN_BYTES));
+}
+
 static int
 on_head(http_parser *parser)
 {
 	struct net_conn *conn = parser->data;
+	bool to_head;
 
 	net_head_close_value(&conn->head);
-	conn->skipping = parser->status_code < HTTP_STATUS_OK;
-	if (conn->skipping)
-		return (
-		    conn_skip(conn, conn->head.text->len + NET_HEAD_MIN_BYTES) ?
-			0 :
-			-1);
-	if (conn->ops == NULL)
-		return (0);
-	if (conn->ops->head(conn->owner, parser->status_code, &conn->head) ==
-	    NET_SKIP) {
-		conn->skipping = true;
-		conn->no_reuse = true;
-	}
-	return (conn->head_request && !conn->skipping ? 1 : 0);
+	if (!conn_read_head(conn))
+		return (-1);
+	to_head = conn->head_request && !conn->skipping;
+	return (to_head || !net_status_has_body(parser->status_code) ? 1 : 0);
 }
 
 static int
@@ -200,12 +233,64 @@
 	.on_message_complete = on_complete,
 };
 
+/* Checks the next bytes if they are the start of a status line. */
+static bool
+conn_check_line(struct net_conn *conn, const char *at, size_t length)
+{
+	size_t n = MIN(length, NET_STATUS_LINE_BYTES - conn->line_bytes);
+
+	if (!net_status_line_valid(conn->line_bytes, at, n)) {
+		conn->fault = "status_line";
+		return (false);
+	}
+	conn->line_bytes += (unsigned)n;
+	return (true);
+}
+
+/* Parses bytes up to the end of the response. Returns false if they are none.
+ */
+static bool
+conn_parse(struct net_conn *conn, const char *at, size_t length)
+{
+	while (length > 0) {
+		enum http_errno rc;
+		size_t used;
+
+		if (!conn_check_line(conn, at, length))
+			return (false);
+		used = http_parser_execute(&conn->parser, &response_settings,
+		    at, length);
+		rc = HTTP_PARSER_ERRNO(&conn->parser);
+		if (rc == HPE_PAUSED)
+			http_parser_pause(&conn->parser, 0);
+		if (rc != HPE_PAUSED && (rc != HPE_OK || used != length))
+			return (false);
+		at += used;
+		length -= used;
+	}
+	return (true);
+}
+
+/* Ends an exchange whose peer sent something else than a response. */
+static void
+conn_fail_protocol(struct net_conn *conn)
+{
+	g_autofree char *peer = net_address_format(&conn->pool->addr);
+
+	event_log(LOG_NOTICE, "response_invalid",
+	    "peer=%s reason=%s parser=%s status=%u", peer,
+	    conn->fault != NULL ? conn->fault : "syntax",
+	    http_errno_name(HTTP_PARSER_ERRNO(&conn->parser)),
+	    conn->parser.status_code);
+	conn_fail(conn, NET_PROTOCOL_ERROR);
+}
+
 static void
 on_readable(struct net_link *link, const char *at, size_t length)
 {
 	struct net_conn *conn = link->owner;
 	struct net_pool *pool = conn->pool;
-	size_t used;
+	bool valid;
 
 	if (!link->tunnel)
 		net_path_heard(&pool->path, pool->tunnels, &pool->addr,
@@ -216,19 +301,16 @@
 		net_conn_close(conn);
 		return;
 	}
-	used =
-	    http_parser_execute(&conn->parser, &response_settings, at, length);
+	valid = conn_parse(conn, at, length);
 	if (conn->ops == NULL)
 		return;
 	if (conn->complete) {
-		if (used != length ||
-		    HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
+		if (!valid)
 			conn->no_reuse = true;
 		conn_done(conn);
-		return;
+	} else if (!valid) {
+		conn_fail_protocol(conn);
 	}
-	if (used != length || HTTP_PARSER_ERRNO(&conn->parser) != HPE_OK)
-		conn_fail(conn, NET_PROTOCOL_ERROR);
 }
 
 static void
--- a/src/net-conn.h
+++ b/src/net-conn.h
@@ -8,7 +8,7 @@
 #include <stdint.h>
 
 #include "net-dial.h"
-#include "net-head.h"
+#include "net-head-check.h"
 
 /* Idle timeout if the peer names none: shorter than that of usual servers. */
 #define NET_IDLE_DEFAULT_MS 900
@@ -39,10 +39,12 @@
  * enum net_head_action - the owner's decision on the head of a response.
  * @NET_ACCEPT: it is the response to this request
  * @NET_SKIP: it belongs to another request; wait for the next response
+ * @NET_REJECT: it is no valid response; the exchange fails
  */
 enum net_head_action {
 	NET_ACCEPT,
 	NET_SKIP,
+	NET_REJECT,
 };
 
 /**
@@ -115,6 +117,9 @@
  * @closing: no callback is called any more
  * @paused: reading is paused
  * @head_request: the method is HEAD, so the response has no body
+ * @line_bytes: bytes of its status line that were checked,
+ *	NET_STATUS_LINE_BYTES at most
+ * @fault: why a head is not that of a response, for the log; NULL otherwise
  * @skipping: the response being read is interim or belongs to another request
  * @skipped_bytes: bytes of such responses since the exchange began
  * @no_reuse: to be closed after this exchange
@@ -139,6 +144,8 @@
 	bool closing;
 	bool paused;
 	bool head_request;
+	unsigned line_bytes;
+	const char *fault;
 	bool skipping;
 	size_t skipped_bytes;
 	bool no_reuse;
--- a/src/net-head.h
+++ b/src/net-head.h
@@ -6,6 +6,7 @@
 #include <http_parser.h>
 #include <stdbool.h>
 #include <stddef.h>
+#include <string.h>
 
 /* Largest number of headers in a message; a request has about a dozen. */
 #define NET_HEAD_FIELDS_MAX 100
@@ -38,6 +39,20 @@
 	bool too_large;
 };
 
+/**
+ * net_head_name_valid() - whether bytes of a name may stand there.
+ * @at: the bytes
+ * @length: number of bytes
+ *
+ * http_parser accepts a space in a name; other parsers would read it as another
+ * name.
+ */
+static inline bool
+net_head_name_valid(const char *at, size_t length)
+{
+	return (memchr(at, ' ', length) == NULL);
+}
+
 void net_head_init(struct net_head *);
 void net_head_clear(struct net_head *);
 void net_head_reset(struct net_head *);
--- a/src/net-pool.c
+++ b/src/net-pool.c
@@ -169,6 +169,8 @@
 	conn->ops = ops;
 	conn->owner = owner;
 	conn->complete = false;
+	conn->line_bytes = NET_STATUS_LINE_BYTES;
+	conn->fault = NULL;
 	conn->skipping = false;
 	conn->skipped_bytes = 0;
 	http_parser_init(&conn->parser, HTTP_RESPONSE);
--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -272,7 +272,8 @@
 	    net_head_find(&c->head, "x-api-key") != NULL ? "passed" : "none",
 	    priority != NULL ? " priority=" : "",
 	    priority != NULL ? priority : "");
-	if (endless_respond(c) || (crash_schedule(c) && !ep->engine))
+	if (endless_respond(c) || invalid_respond(c) ||
+	    (crash_schedule(c) && !ep->engine))
 		return;
 	if (ep->engine)
 		fake_endpoint_stream(c);
--- a/tests/fake-platform.h
+++ b/tests/fake-platform.h
@@ -125,6 +125,9 @@
 /* fake-endless.c: bytes without end that are no response. */
 bool endless_respond(struct conn *);
 
+/* fake-invalid.c: what is no response in HTTP/1.1. */
+bool invalid_respond(struct conn *);
+
 /* fake-group.c: groups of engines, and checks of joins. */
 void group_handle_order(struct conn *);
 void group_tick(struct fake_endpoint *);
--- a/tests/proc-outcomes.sh
+++ b/tests/proc-outcomes.sh
@@ -46,6 +46,8 @@
 row "its own 503" no '{"status":503}' "503 whole 1"
 row "its own 503" yes '{"status":503}' "503 whole 1"
 row "its own 429" no '{"status":429}' "429 whole 1"
+row "a status that HTTP/1.1 doesn't have" no '{"status":600}' "502 unknown 1"
+row "a status that HTTP/1.1 doesn't have" yes '{"status":999}' "502 unknown 1"
 row "slower than the deadline" no '{"slow_ms":900}' "504 unknown 1" \
     -H 'Banklift-Deadline-Ms: 300'
 row "slower than the deadline" yes '{"slow_ms":900}' "504 unknown 1" \
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -40,6 +40,8 @@
  *			2: a body without proof, 3: the body of another
  *			response, 4: an event, 5: interim responses, 6: the body
  *			of a refusal
+ *	invalid-IP	the endpoint answers with what is no response in
+ *			HTTP/1.1, of kind 1 to 10 of fake-invalid.c
  *	reset		connections of unframed responses are reset
  *	slow		ms before a plain response
  *	large		bytes of a plain response
--- a/tests/test-adapter.c
+++ b/tests/test-adapter.c
@@ -200,6 +200,8 @@
 	    response.id != NULL ? response.id : "-", response.has_signature,
 	    response.not_run, response.wrong_endpoint,
 	    response.lost_member != NULL ? response.lost_member : "-");
+	if (response.malformed)
+		g_string_append(out, " malformed");
 	if (response.feedback[FEEDBACK_DRAINING].number == 1)
 		g_string_append(out, " draining=1");
 	print_feedback(&response.feedback[FEEDBACK_BACKOFF], "backoff", " ms",
--- a/tests/test-net.c
+++ b/tests/test-net.c
@@ -1,9 +1,9 @@
 /* HTTP calls and pooled connections, against a server in the same event loop.
  */
 #include <CUnit/Basic.h>
-#include <arpa/inet.h>
 #include <string.h>
 
+#include "loop-server.h"
 #include "net-call.h"
 #include "platform.h"
 
@@ -13,86 +13,7 @@
 /* Longest key of a record in the store. */
 #define KEY_MAX_BYTES 255
 
-static uv_loop_t loop;
-static uv_tcp_t listener;
-static struct net_pool pool;
-static GString *response;
-static unsigned n_requests;
-
-/* A connection that the server accepted. */
-struct peer {
-	uv_tcp_t tcp;
-	uv_write_t write;
-	char in[4096];
-};
-
-static void
-peer_free(uv_handle_t *handle)
-{
-	g_free(handle->data);
-}
-
-static void
-peer_alloc(uv_handle_t *handle, size_t size, uv_buf_t *buf)
-{
-	struct peer *p = handle->data;
-
-	*buf = uv_buf_init(p->in, sizeof p->in);
-}
-
-/* Sends the response to each request; all requests are short. */
-static void
-peer_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
-{
-	struct peer *p = stream->data;
-	uv_buf_t out = uv_buf_init(response->str, (unsigned)response->len);
-
-	if (n < 0) {
-		uv_close((uv_handle_t *)stream, peer_free);
-		return;
-	}
-	n_requests++;
-	uv_write(&p->write, stream, &out, 1, NULL);
-}
-
-static void
-on_connection(uv_stream_t *server, int status)
-{
-	struct peer *p = g_new0(struct peer, 1);
-
-	uv_tcp_init(&loop, &p->tcp);
-	p->tcp.data = p;
-	uv_accept(server, (uv_stream_t *)&p->tcp);
-	uv_read_start((uv_stream_t *)&p->tcp, peer_alloc, peer_read);
-}
-
-/* Opens the server, at any port, and a pool of connections to it. */
-static void
-net_open(void)
-{
-	struct sockaddr_in addr;
-	int length = sizeof addr;
-
-	uv_loop_init(&loop);
-	uv_ip4_addr("127.0.0.1", 0, &addr);
-	uv_tcp_init(&loop, &listener);
-	uv_tcp_bind(&listener, (struct sockaddr *)&addr, 0);
-	uv_listen((uv_stream_t *)&listener, 8, on_connection);
-	uv_tcp_getsockname(&listener, (struct sockaddr *)&addr, &length);
-	net_pool_init(&pool, &loop, &addr);
-	response = g_string_new(NULL);
-	n_requests = 0;
-}
-
-static void
-net_close(void)
-{
-	net_pool_clear(&pool);
-	uv_close((uv_handle_t *)&listener, NULL);
-	uv_run(&loop, UV_RUN_DEFAULT);
-	CU_ASSERT_EQUAL(uv_loop_close(&loop), 0);
-	g_string_free(response, TRUE);
-}
+static struct loop_server server;
 
 /* The outcome of a call. */
 struct outcome {
@@ -120,15 +41,16 @@
 	const struct net_request req = { .method = "GET", .target = "/" };
 
 	memset(out, 0, sizeof *out);
-	net_open();
-	g_string_printf(response,
+	loop_server_open(&server);
+	g_string_printf(server.response,
 	    "HTTP/1.1 200 OK\r\nContent-Length: %zu\r\n\r\n", length);
-	g_string_set_size(response, response->len + length);
-	memset(response->str + response->len - length, 'a', length);
-	net_call_start(&pool, &req, TIMEOUT_MS, on_ended, out);
+	g_string_set_size(server.response, server.response->len + length);
+	memset(server.response->str + server.response->len - length, 'a',
+	    length);
+	net_call_start(&server.pool, &req, TIMEOUT_MS, on_ended, out);
 	while (!out->ended)
-		uv_run(&loop, UV_RUN_ONCE);
-	net_close();
+		uv_run(&server.loop, UV_RUN_ONCE);
+	loop_server_close(&server);
 }
 
 /* A body is kept whole; if it is too large there is no response. */
@@ -189,9 +111,9 @@
 on_take(void *arg, const struct net_response *r)
 {
 	struct taker *taker = arg;
-	struct net_conn *idle = TAILQ_FIRST(&pool.idle);
+	struct net_conn *idle = TAILQ_FIRST(&server.pool.idle);
 	struct net_conn *conn =
-	    net_pool_take(&pool, taker->max_idle_ms, &taken_ops, NULL);
+	    net_pool_take(&server.pool, taker->max_idle_ms, &taken_ops, NULL);
 
 	taker->taken = idle != NULL && conn != NULL;
 	taker->reused = conn == idle;
@@ -205,16 +127,16 @@
 
 	memset(taker, 0, sizeof *taker);
 	taker->max_idle_ms = max_idle_ms;
-	net_open();
-	g_string_assign(response,
+	loop_server_open(&server);
+	g_string_assign(server.response,
 	    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
-	net_call_start(&pool, &req, TIMEOUT_MS, on_take, taker);
-	while (n_requests == 0 || TAILQ_EMPTY(&pool.idle)) {
-		uv_run(&loop, UV_RUN_ONCE);
+	net_call_start(&server.pool, &req, TIMEOUT_MS, on_take, taker);
+	while (server.n_requests == 0 || TAILQ_EMPTY(&server.pool.idle)) {
+		uv_run(&server.loop, UV_RUN_ONCE);
 		if (taker->taken)
 			break;
 	}
-	net_close();
+	loop_server_close(&server);
 	CU_ASSERT_TRUE(taker->taken);
 }
 
@@ -247,18 +169,19 @@
 	struct store *store;
 	bool ended = false, sent;
 
-	net_open();
-	g_string_assign(response,
+	loop_server_open(&server);
+	g_string_assign(server.response,
 	    "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 16\r\n\r\n"
 	    "{\"end_offset\":3}");
-	store = platform_store_open(&loop, &pool.addr, TIMEOUT_MS);
+	store =
+	    platform_store_open(&server.loop, &server.pool.addr, TIMEOUT_MS);
 	g_array_append_val(records, record);
 	sent = store->ops->append(store, TOPIC_PLACEMENT, records, -1,
 	    on_appended, &ended);
 	while (sent && !ended)
-		uv_run(&loop, UV_RUN_ONCE);
-	CU_ASSERT_EQUAL(n_requests, sent);
-	net_close();
+		uv_run(&server.loop, UV_RUN_ONCE);
+	CU_ASSERT_EQUAL(server.n_requests, sent);
+	loop_server_close(&server);
 	platform_store_close(store);
 	g_free(record.key);
 	return (sent);
