bankliftd bounds what responses hold together

Seen: 24 calls to an endpoint that sends bodies without end took 560 MB.

Cause: each body may hold 32 MB; nothing bounded all of them.

--- a/src/bankliftd.c
+++ b/src/bankliftd.c
@@ -3,6 +3,7 @@
 #include <signal.h>
 #include <stdio.h>
 
+#include "call.h"
 #include "clock.h"
 #include "controller.h"
 #include "error.h"
@@ -14,6 +15,7 @@
 #include "server.h"
 
 #define EXIT_BAD_SETTING 2
+#define BYTES_PER_MB ((size_t)1 << 20)
 /* Time between checks for requests in progress while draining. */
 #define DRAIN_POLL_MS 50
 /* How long a read of the configuration log may wait for new records. */
@@ -142,6 +144,7 @@
 	event_log_open("bankliftd", event_log_level(set.log_level));
 	signals_block();
 	curl_global_init(CURL_GLOBAL_DEFAULT);
+	call_set_held_max((size_t)set.response_memory_mb * BYTES_PER_MB);
 	server = server_create(&set);
 	ok = server_run(server, &error);
 	if (!ok)
--- a/src/call.c
+++ b/src/call.c
@@ -1,5 +1,6 @@
 /* One HTTP call to an endpoint. */
 #include <curl/curl.h>
+#include <stdatomic.h>
 #include <string.h>
 
 #include "call.h"
@@ -17,12 +18,17 @@
 /* A call fails when more than this of its body is buffered. */
 #define BODY_MAX_BYTES (32u * 1024 * 1024)
 
+/* Bytes that the bodies of all calls may hold, and hold now. */
+static size_t held_max_bytes = SIZE_MAX;
+static atomic_size_t held_bytes;
+
 /**
  * struct call - one call.
  * @multi: libcurl handle that drives the transfer
  * @easy: libcurl handle of the transfer
  * @slist: headers of the request
  * @body: received bytes of the body that were not yet taken
+ * @held: bytes of @body that are counted in held_bytes
  * @headers: headers of the response, lower-case name to value
  * @status: HTTP status of the latest head, 0 before the first
  * @head_received: the head of the final response was received
@@ -37,6 +43,7 @@
 	CURL *easy;
 	struct curl_slist *slist;
 	GByteArray *body;
+	size_t held;
 	GHashTable *headers;
 	int status;
 	bool head_received;
@@ -47,12 +54,48 @@
 	CURLcode rc;
 };
 
+/**
+ * call_set_held_max() - bound what the bodies of all calls hold together.
+ * @bytes: the bound; a call whose body would exceed it fails
+ *
+ * To be called before the first call.
+ */
+void
+call_set_held_max(size_t bytes)
+{
+	held_max_bytes = bytes;
+}
+
+/* Bytes that a byte array of some length allocates: the next power of two. */
+static size_t
+body_capacity(size_t length)
+{
+	size_t capacity = 1;
+
+	while (capacity < length)
+		capacity *= 2;
+	return (capacity);
+}
+
+/* Counts that the body of a call holds so many bytes. Returns whether all calls
+ * together are within the bound. */
+static bool
+call_count_held(struct call *call, size_t bytes)
+{
+	size_t more = bytes - call->held;
+
+	call->held = bytes;
+	return (atomic_fetch_add(&held_bytes, more) + more <= held_max_bytes);
+}
+
 static size_t
 body_write(char *data, size_t size, size_t n, void *arg)
 {
 	struct call *call = arg;
+	size_t length = call->body->len + size * n;
 
-	if (call->body->len + size * n > BODY_MAX_BYTES)
+	if (length > BODY_MAX_BYTES ||
+	    !call_count_held(call, body_capacity(length)))
 		return (0);
 	call->heard_us = clock_now_us();
 	if (call->first_us == 0)
@@ -200,6 +243,7 @@
 	curl_easy_cleanup(call->easy);
 	curl_multi_cleanup(call->multi);
 	curl_slist_free_all(call->slist);
+	call_count_held(call, 0);
 	g_byte_array_unref(call->body);
 	g_hash_table_unref(call->headers);
 	g_free(call);
--- a/src/call.h
+++ b/src/call.h
@@ -24,6 +24,7 @@
 
 struct call;
 
+void call_set_held_max(size_t);
 struct call *call_start(const char *, const char *, const struct call_header *,
     const void *, size_t, bool);
 void call_free(struct call *);
--- a/src/setting.c
+++ b/src/setting.c
@@ -54,6 +54,8 @@
 	    "bytes", "largest request body" },
 	{ "connections", SETTING_INT, AT(connections), "512", 8, 65536, "count",
 	    "maximum of concurrent client connections" },
+	{ "response-memory-mb", SETTING_INT, AT(response_memory_mb), "1024", 1,
+	    1048576, "MB", "memory for responses that are being received" },
 	{ "call-timeout-ms", SETTING_INT, AT(call_timeout_ms), "60000", 10,
 	    3600000, "ms", "default deadline of a request" },
 	{ "stall-ms", SETTING_INT, AT(stall_ms), "5000", 10, 600000, "ms",
--- a/src/setting.h
+++ b/src/setting.h
@@ -32,6 +32,7 @@
 	int64_t drain_accept_ms;
 	int64_t body_bytes;
 	int64_t connections;
+	int64_t response_memory_mb;
 	int64_t call_timeout_ms;
 	int64_t stall_ms;
 	int64_t load_parallel;
--- a/tests/fault.c
+++ b/tests/fault.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 #include <signal.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "fault.h"
 #include "setting.h"
@@ -65,6 +66,22 @@
 	return (U_CALLBACK_COMPLETE);
 }
 
+static ssize_t
+endless_read(void *arg, uint64_t offset, char *out, size_t max)
+{
+	memset(out, 'a', max);
+	return ((ssize_t)max);
+}
+
+/* Responds with a body that doesn't end. */
+int
+fault_endless(struct _u_response *res)
+{
+	ulfius_set_stream_response(res, 200, endless_read, NULL,
+	    U_STREAM_SIZE_UNKNOWN, 65536, NULL);
+	return (U_CALLBACK_COMPLETE);
+}
+
 /* Refuses a request and asks for a backoff of "rest_ms". */
 int
 fault_backoff(struct _u_response *res)
--- a/tests/fault.h
+++ b/tests/fault.h
@@ -10,6 +10,7 @@
 bool fault_consume(const char *);
 void fault_sleep(const char *);
 int fault_drop_connection(struct _u_response *);
+int fault_endless(struct _u_response *);
 int fault_backoff(struct _u_response *);
 int standin_main(int, char **, void (*)(struct _u_instance *));
 void standin_add_handler(struct _u_instance *, const char *, const char *,
--- a/tests/standin-service.c
+++ b/tests/standin-service.c
@@ -37,6 +37,8 @@
 
 	if (fault_consume("cut_before"))
 		return (fault_drop_connection(res));
+	if (fault_get("endless") != 0)
+		return (fault_endless(res));
 	if (fault_get("rest_ms") > 0)
 		return (fault_backoff(res));
 	if (fault_consume("not_started")) {
