Bytes without end from many endpoints don't fill a daemon's memory

Seen: 60 endpoints that answered orders with bodies without end took a daemon to 554 MB; 192 streams with events without end took 99 and 145 MB.

Cause: the bounds held for one response, not for all together. Orders to 64 hosts at a time had the bound of a page of the store, 8 MB each, and the buffers of events weren't counted as held for clients.

Buffers of events count as held; while more than half of that is used, an event of over 16 KB ends its send.

The other tests of endless responses, events and streams pass.

--- a/src/fwd-lookup.c
+++ b/src/fwd-lookup.c
@@ -6,6 +6,13 @@
 #define HOLD_BYTES 262144
 #define HOLD_LOW_BYTES 16384
 
+/* Whether more than half of the bytes that may be held for clients are. */
+static bool
+fwd_is_pressed(const struct fwd *fwd)
+{
+	return (fwd->held_bytes > fwd->set.held_max_bytes / 2);
+}
+
 /**
  * fwd_hold_limit() - bytes of a response that are held for one client.
  * @fwd: the proxy
@@ -17,8 +24,17 @@
 size_t
 fwd_hold_limit(const struct fwd *fwd)
 {
-	return (fwd->held_bytes > fwd->set.held_max_bytes / 2 ? HOLD_LOW_BYTES :
-								HOLD_BYTES);
+	return (fwd_is_pressed(fwd) ? HOLD_LOW_BYTES : HOLD_BYTES);
+}
+
+/**
+ * fwd_event_limit() - bytes of an event that are held until it is complete.
+ * @fwd: the proxy
+ */
+size_t
+fwd_event_limit(const struct fwd *fwd)
+{
+	return (fwd_is_pressed(fwd) ? HOLD_LOW_BYTES : FWD_EVENT_MAX_BYTES);
 }
 
 /**
--- a/src/fwd-response.c
+++ b/src/fwd-response.c
@@ -215,7 +215,13 @@
 		fwd_send_withdraw(send, true, "event_too_large");
 		return;
 	}
-	if (response_pass_events(send) && ex->conn != NULL)
+	if (!response_pass_events(send))
+		return;
+	if (!fwd_send_count_events(send)) {
+		fwd_send_withdraw(send, true, "event_too_large");
+		return;
+	}
+	if (ex->conn != NULL)
 		fwd_conn_flush(ex->conn);
 }
 
--- a/src/fwd-send.c
+++ b/src/fwd-send.c
@@ -251,7 +251,7 @@
 		net_conn_abort(send->conn);
 	send_free_slot(send);
 	ex->reached = send->reached;
-	ex->fwd->held_bytes -= send->body->len;
+	ex->fwd->held_bytes -= send->body->len + send->events_held;
 	TAILQ_REMOVE(&ex->active, send, entry);
 	g_string_free(send->headers, TRUE);
 	g_byte_array_unref(send->body);
@@ -343,6 +343,24 @@
 	g_byte_array_set_size(send->body, 0);
 }
 
+/**
+ * fwd_send_count_events() - count the buffer of a response's events among the
+ *	bytes held for clients.
+ * @send: the send
+ *
+ * Return: false if the event in it is too large to be held.
+ */
+bool
+fwd_send_count_events(struct fwd_send *send)
+{
+	struct fwd *fwd = send->exchange->fwd;
+	const GString *buf = send->events.buf;
+
+	fwd->held_bytes += buf->allocated_len - send->events_held;
+	send->events_held = buf->allocated_len;
+	return (buf->len <= fwd_event_limit(fwd));
+}
+
 /* Whether the endpoint's rate limit allows the request. Takes a permit if the
  * endpoint has named the limit since it was chosen. */
 static bool
--- a/src/fwd-send.h
+++ b/src/fwd-send.h
@@ -57,6 +57,7 @@
  * @not_run: the response says that the request did not run
  * @streaming: the response is passed on event by event
  * @events: events of the response
+ * @events_held: bytes of their buffer that are counted as held for clients
  * @body: body of the response while it is buffered
  * @passthrough: the response is passed on unbuffered, since it is too large
  * @heard_ms: loop time of the last byte from the endpoint
@@ -90,6 +91,7 @@
 	bool not_run;
 	bool streaming;
 	struct fwd_events events;
+	size_t events_held;
 	GByteArray *body;
 	bool passthrough;
 	uint64_t heard_ms;
@@ -109,6 +111,7 @@
 void fwd_send_note_reached(struct fwd_send *, bool);
 void fwd_send_free(struct fwd_send *);
 bool fwd_send_other(const struct fwd_send *);
+bool fwd_send_count_events(struct fwd_send *);
 void fwd_send_fail(struct fwd_send *, const char *);
 void fwd_send_withdraw(struct fwd_send *, bool, const char *);
 void fwd_send_pause(struct fwd_send *, bool);
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -113,6 +113,7 @@
 
 /* fwd-lookup.c: budgets, estimates and bounds. */
 size_t fwd_hold_limit(const struct fwd *);
+size_t fwd_event_limit(const struct fwd *);
 struct fwd_budget *fwd_budget_get(struct fwd *, const char *);
 struct fwd_estimate *fwd_estimate_get(struct fwd *, const char *);
 
--- a/src/net-call.c
+++ b/src/net-call.c
@@ -10,8 +10,6 @@
 /* Longest idle time of a pooled connection that is used again; a shorter time
  * that the peer names takes precedence. */
 #define CALL_IDLE_MS 10000
-/* Largest response body that is kept; the largest page is 1 MB in base64. */
-#define CALL_RESPONSE_MAX_BYTES (8u << 20)
 
 /**
  * struct net_call - one call.
@@ -19,6 +17,7 @@
  * @timer: its timeout
  * @response: the outcome, filled in as the response arrives
  * @body: body of the response
+ * @max_bytes: largest body that is kept
  * @fn: completion callback; NULL once it was called or the call was cancelled
  * @arg: passed to @fn
  */
@@ -27,6 +26,7 @@
 	uv_timer_t timer;
 	struct net_response response;
 	GByteArray *body;
+	size_t max_bytes;
 	net_call_fn *fn;
 	void *arg;
 };
@@ -69,8 +69,7 @@
 	g_autofree char *peer = net_address_format(&call->conn->pool->addr);
 
 	event_log(LOG_ERR, "response_ignored",
-	    "peer=%s max=%u reason=body_too_large", peer,
-	    CALL_RESPONSE_MAX_BYTES);
+	    "peer=%s max=%zu reason=body_too_large", peer, call->max_bytes);
 	call->response.status = 0;
 	call->response.reached = true;
 	net_conn_abort(call->conn);
@@ -83,7 +82,7 @@
 {
 	struct net_call *call = owner;
 
-	if (length > CALL_RESPONSE_MAX_BYTES - call->body->len) {
+	if (length > call->max_bytes - call->body->len) {
 		call_refuse_body(call);
 		return;
 	}
@@ -173,6 +172,9 @@
 		return (NULL);
 	}
 	call->body = g_byte_array_new();
+	call->max_bytes = req->response_max_bytes != 0 ?
+	    req->response_max_bytes :
+	    NET_CALL_RESPONSE_MAX_BYTES;
 	call->response.body = call->body;
 	call->response.sent_ms = clock_loop_ms(pool->loop);
 	call->fn = fn;
--- a/src/net-call.h
+++ b/src/net-call.h
@@ -4,6 +4,10 @@
 
 #include "net-conn.h"
 
+/* Largest body of a response that is kept; the largest page of the store is
+ * 1 MB in base64. */
+#define NET_CALL_RESPONSE_MAX_BYTES ((size_t)8 << 20)
+
 /**
  * struct net_response - the outcome of a call.
  * @status: HTTP status; 0 without a complete response, or if it is too large
@@ -31,6 +35,8 @@
  * @content_type: content type of the body, or NULL for no body
  * @body: the body
  * @length: bytes of the body
+ * @response_max_bytes: largest body of a response that is kept; 0 for
+ *	NET_CALL_RESPONSE_MAX_BYTES
  */
 struct net_request {
 	const char *method;
@@ -39,6 +45,7 @@
 	const char *content_type;
 	const void *body;
 	size_t length;
+	size_t response_max_bytes;
 };
 
 struct net_call *net_call_start(struct net_pool *, const struct net_request *,
--- a/tests/fake-endless.c
+++ b/tests/fake-endless.c
@@ -15,6 +15,7 @@
 	ENDLESS_EVENT,
 	ENDLESS_INTERIM,
 	ENDLESS_REFUSAL,
+	ENDLESS_CALL,
 };
 
 #define PIECE_BYTES 65536
@@ -33,6 +34,7 @@
 	[ENDLESS_INTERIM] = "HTTP/1.1 102 Processing\r\nX-Id: %s\r\n\r\n",
 	[ENDLESS_REFUSAL] = "HTTP/1.1 503 Full\r\nAttempt-Id: %s\r\n"
 			    "Not-Executed: 1\r\n\r\n",
+	[ENDLESS_CALL] = "HTTP/1.1 200 OK\r\n\r\n",
 };
 
 /* Writes the next piece. */
@@ -54,20 +56,36 @@
 	uv_timer_start(timer, on_piece, 1, 0);
 }
 
+static void
+endless_start(struct conn *c, enum endless_kind kind)
+{
+	g_autoptr(GString) begin = g_string_new(begins[kind]);
+
+	g_string_replace(begin, "%s", c->id != NULL ? c->id : "-", 1);
+	net_stream_write(&c->stream, begin->str, begin->len);
+	c->event = 0;
+	uv_timer_start(&c->timer, on_piece, 1, 0);
+}
+
 /* Starts such a response if the endpoint is to; returns whether it is. */
 bool
 endless_respond(struct conn *c)
 {
 	enum endless_kind kind =
 	    (enum endless_kind)fake_endpoint_switch("endless", c->endpoint);
-	g_autoptr(GString) begin = g_string_new(NULL);
 
-	if (kind == ENDLESS_NONE || kind >= G_N_ELEMENTS(begins))
+	if (kind == ENDLESS_NONE || kind >= ENDLESS_CALL)
 		return (false);
-	g_string_append(begin, begins[kind]);
-	g_string_replace(begin, "%s", c->id, 1);
-	net_stream_write(&c->stream, begin->str, begin->len);
-	c->event = 0;
-	uv_timer_start(&c->timer, on_piece, 1, 0);
+	endless_start(c, kind);
+	return (true);
+}
+
+/* The same for orders and queries of reports. */
+bool
+endless_respond_call(struct conn *c)
+{
+	if (fake_endpoint_switch("endless", c->endpoint) != ENDLESS_CALL)
+		return (false);
+	endless_start(c, ENDLESS_CALL);
 	return (true);
 }
--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -229,6 +229,9 @@
 		conn_reply(c, 421, "", "", 0);
 		return;
 	}
+	if ((strcmp(target, "/order") == 0 || strcmp(target, "/report") == 0) &&
+	    endless_respond_call(c))
+		return;
 	if (strcmp(target, "/order") == 0) {
 		group_handle_order(c);
 		return;
--- a/tests/fake-platform.h
+++ b/tests/fake-platform.h
@@ -124,6 +124,7 @@
 
 /* fake-endless.c: bytes without end that are no response. */
 bool endless_respond(struct conn *);
+bool endless_respond_call(struct conn *);
 
 /* fake-invalid.c: what is no response in HTTP/1.1. */
 bool invalid_respond(struct conn *);
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -39,7 +39,8 @@
  *	endless-IP	the endpoint answers with bytes without end; 1: a head,
  *			2: a body without proof, 3: the body of another
  *			response, 4: an event, 5: interim responses, 6: the body
- *			of a refusal
+ *			of a refusal, 7: the body of the response to an order or
+ *			a query for a report
  *	invalid-IP	the endpoint answers with what is no response in
  *			HTTP/1.1, of kind 1 to 10 of fake-invalid.c
  *	reset		connections of unframed responses are reset
