Groups outlast an outage of the store in which entries lapse

Cause: whether an endpoint is expected to serve was judged twice. The registry keeps endpoints whose entries lapsed in an outage for the time in which they are written again; the placer took them for gone, and its view of the service lost their hosts.

Change: both ask endpoint_expected(). A member whose entry may return is asked for its status, but not given up; its host is no free one.

--- a/src/placer-view.c
+++ b/src/placer-view.c
@@ -112,8 +112,8 @@
 		struct planner_host host = { 0 };
 		const struct host_membership *membership;
 
-		if (strcmp(ep->report.service, service) != 0 || ep->gone ||
-		    ep->draining || ep->lapsed_ms != 0 || ep->evacuated)
+		if (strcmp(ep->report.service, service) != 0 ||
+		    !endpoint_expected(ep) || ep->draining || ep->evacuated)
 			continue;
 		host.id = ep->report.id;
 		host.domain = ep->report.domain;
@@ -124,8 +124,8 @@
 		host.warming = host_warming(p, ep->report.id, now_ms);
 		membership = g_hash_table_lookup(memberships, ep->report.id);
 		host.group = membership != NULL ? membership->replica : NULL;
-		host.free =
-		    membership == NULL && host_available(ep, names, now_ms);
+		host.free = membership == NULL && ep->lapsed_ms == 0 &&
+		    host_available(ep, names, now_ms);
 		host.free_soon = membership != NULL &&
 		    membership->member->liveness < MEMBER_SILENT &&
 		    replica_ends_soon(membership->replica, now_ms);
--- a/src/placer.c
+++ b/src/placer.c
@@ -53,8 +53,8 @@
 
 	for (unsigned i = 0; i < r->n; i++) {
 		const struct replica_member *m = &r->members[i];
-		bool lapsed =
-		    m->liveness == MEMBER_LAPSED || m->silent_since_ms != 0;
+		bool lapsed = m->liveness == MEMBER_LAPSED ||
+		    m->liveness == MEMBER_RETURNING || m->silent_since_ms != 0;
 
 		if (m->liveness != MEMBER_DEAD &&
 		    replica_member_queried(r, i) &&
--- a/src/registry-fleet.c
+++ b/src/registry-fleet.c
@@ -307,6 +307,17 @@
 	    (unsigned long long)(now_ms - ep->seen_ms), outage);
 }
 
+/**
+ * endpoint_expected() - whether an endpoint is expected to serve: its entry is
+ *	there, or lapsed in an outage of the store and may be written again.
+ * @ep: the endpoint
+ */
+bool
+endpoint_expected(const struct endpoint *ep)
+{
+	return (!ep->gone && (ep->lapsed_ms == 0 || ep->may_return));
+}
+
 /**
  * fleet_find() - find an endpoint by its id.
  * @fleet: the fleet
--- a/src/registry-fleet.h
+++ b/src/registry-fleet.h
@@ -136,6 +136,7 @@
 struct endpoint *fleet_find_by_hash(const struct fleet *, uint32_t);
 struct endpoint *fleet_find_by_address(const struct fleet *,
     const struct sockaddr_in *);
+bool endpoint_expected(const struct endpoint *);
 void endpoint_mark_gone(struct endpoint *);
 void fleet_sweep(struct fleet *, uint64_t, bool);
 void endpoint_set_entry(struct endpoint *, bool, const void *, size_t);
--- a/src/replica-member.c
+++ b/src/replica-member.c
@@ -133,27 +133,31 @@
 	m->joined = m->joined || m->in_group;
 }
 
-/* Whether the entry of a member is current. */
-static bool
-entry_current(const struct endpoint *ep)
+/* What the entry of a member tells of it. */
+static enum member_liveness
+entry_liveness(const struct endpoint *ep)
 {
-	return (ep != NULL && ep->lapsed_ms == 0 && !ep->gone);
+	if (ep == NULL || !endpoint_expected(ep))
+		return (MEMBER_LAPSED);
+	if (ep->draining)
+		return (MEMBER_DRAINING);
+	return (ep->lapsed_ms != 0 ? MEMBER_RETURNING : MEMBER_ALIVE);
 }
 
 /*
- * Whether a member counts as silent. While its entry is current, the placer
+ * Whether a member counts as silent. While it is expected to serve, the placer
  * must have reached other hosts since its silence began. Once it is silent it
  * stays so until it answers.
  */
 static bool
-member_silent(const struct replica_member *m, bool current,
+member_silent(const struct replica_member *m, bool expected,
     const struct replica_reach *reach, uint64_t now_ms)
 {
 	uint64_t since_ms = m->silent_since_ms;
 
 	if (m->silent_since_ms == 0)
 		return (false);
-	if (current && m->liveness != MEMBER_SILENT &&
+	if (expected && m->liveness != MEMBER_SILENT &&
 	    !replica_reach_tells(reach, m->silent_since_ms, m->unheard_ms,
 		&since_ms))
 		return (false);
@@ -176,18 +180,15 @@
     const struct endpoint *ep, const struct replica_reach *reach,
     uint64_t now_ms)
 {
-	bool silent = member_silent(m, entry_current(ep), reach, now_ms);
+	enum member_liveness liveness = entry_liveness(ep);
+	bool silent =
+	    member_silent(m, liveness != MEMBER_LAPSED, reach, now_ms);
 
 	if (m->address_reused || m->liveness == MEMBER_DEAD) {
 		m->liveness = MEMBER_DEAD;
 		return;
 	}
-	if (!entry_current(ep))
-		m->liveness = MEMBER_LAPSED;
-	else
-		m->liveness = ep->draining ? MEMBER_DRAINING : MEMBER_ALIVE;
-	if (silent)
-		m->liveness = MEMBER_SILENT;
+	m->liveness = silent ? MEMBER_SILENT : liveness;
 	if (ep != NULL && ep->seen_ms >= m->last_report_ms)
 		member_set_entry(r, m, ep);
 }
--- a/src/replica.h
+++ b/src/replica.h
@@ -58,6 +58,8 @@
 /**
  * enum member_liveness - liveness of a member.
  * @MEMBER_ALIVE: its entry in the store is current
+ * @MEMBER_RETURNING: its entry lapsed in an outage of the store and may be
+ *	written again
  * @MEMBER_DRAINING: it has announced that it is leaving
  * @MEMBER_LAPSED: its entry is gone; it may still serve and answer
  * @MEMBER_SILENT: it does not answer queries either; it may still serve
@@ -66,6 +68,7 @@
  */
 enum member_liveness {
 	MEMBER_ALIVE,
+	MEMBER_RETURNING,
 	MEMBER_DRAINING,
 	MEMBER_LAPSED,
 	MEMBER_SILENT,
--- a/tests/test-replica.c
+++ b/tests/test-replica.c
@@ -72,8 +72,9 @@
 }
 
 /*
- * entry h=N [group=G] [epoch=N] [lapsed=MS] at=MS: the endpoint that the fleet
- * has of a host; with none=1 it has none, as once the entry is gone and nothing
+ * entry h=N [group=G] [epoch=N] [lapsed=MS [returns=1]] [gone=1] at=MS: the
+ * endpoint that the fleet has of a host, whose entry may return after an outage
+ * of the store; with none=1 it has none, as once the entry is gone and nothing
  * references the endpoint
  */
 static void
@@ -81,7 +82,9 @@
 {
 	guint64 at = script_number(rest, "at", 0);
 	struct endpoint ep = { .seen_ms = at,
-		.lapsed_ms = script_number(rest, "lapsed", 0) };
+		.lapsed_ms = script_number(rest, "lapsed", 0),
+		.may_return = script_number(rest, "returns", 0) != 0,
+		.gone = script_number(rest, "gone", 0) != 0 };
 	bool none = script_number(rest, "none", 0) != 0;
 
 	read_report(rest, &ep.report);
@@ -124,8 +127,8 @@
 static void
 exec_liveness(const char *rest, GString *out)
 {
-	static const char *const names[] = { "alive", "draining", "lapsed",
-		"silent", "dead" };
+	static const char *const names[] = { "alive", "returning", "draining",
+		"lapsed", "silent", "dead" };
 	g_autofree char *is = script_word(rest, "is");
 
 	for (int i = 0; i < (int)G_N_ELEMENTS(names); i++) {
