Idle connections don't keep the memory of their last response

Cause: the output buffer of a connection was truncated, which keeps its memory, until the connection was closed; held_bytes doesn't count it.

Change: buffers over 4 KB are freed when they are empty: output with the end of its response, heads and pipelined bytes while a connection is idle.

--- a/src/fwd-conn-respond.c
+++ b/src/fwd-conn-respond.c
@@ -128,8 +128,12 @@
 	if (c->out->len == 0)
 		return;
 	net_stream_write(&c->stream, c->out->str, c->out->len);
+	if (c->exchange == NULL) {
+		net_string_release(&c->out);
+		return;
+	}
 	g_string_truncate(c->out, 0);
-	if (c->exchange != NULL && c->stream.queued > fwd_hold_limit(c->fwd))
+	if (c->stream.queued > fwd_hold_limit(c->fwd))
 		fwd_exchange_pause(c->exchange, true);
 }
 
--- a/src/fwd-conn.c
+++ b/src/fwd-conn.c
@@ -391,6 +391,15 @@
 	c->unwritten = unwritten;
 }
 
+/* Frees what the last request and its response left in the buffers of an idle
+ * connection. */
+static void
+conn_release_buffers(struct fwd_conn *c)
+{
+	net_head_release(&c->head);
+	net_string_release(&c->pipelined);
+}
+
 /**
  * fwd_conn_tick() - check the timeouts of a connection without an exchange.
  * @c: the connection
@@ -404,6 +413,8 @@
 
 	if (c->exchange != NULL || c->stream.closing)
 		return;
+	if (fwd_conn_idle(c))
+		conn_release_buffers(c);
 	conn_note_output(c, now_ms);
 	waited = now_ms - c->since_ms;
 	if (c->stream.write_shutdown && c->unwritten == 0) {
--- a/src/net-conn.c
+++ b/src/net-conn.c
@@ -98,6 +98,7 @@
 	conn->owner = NULL;
 	if (conn_reusable(conn)) {
 		net_conn_pause(conn, false);
+		net_head_release(&conn->head);
 		net_pool_add_idle(conn->pool, conn);
 	} else {
 		net_conn_close(conn);
--- a/src/net-head.c
+++ b/src/net-head.c
@@ -47,6 +47,32 @@
 	head->too_large = false;
 }
 
+/**
+ * net_string_release() - empty a connection's buffer, and free its memory if
+ *	that is large.
+ * @string: the buffer
+ */
+void
+net_string_release(GString **string)
+{
+	g_string_truncate(*string, 0);
+	if ((*string)->allocated_len <= NET_BUFFER_KEPT_BYTES)
+		return;
+	g_string_free(*string, TRUE);
+	*string = g_string_new(NULL);
+}
+
+/**
+ * net_head_release() - empty a head whose connection is idle.
+ * @head: the head
+ */
+void
+net_head_release(struct net_head *head)
+{
+	net_head_reset(head);
+	net_string_release(&head->text);
+}
+
 /**
  * net_head_add_target() - append bytes of the request target.
  * @head: the head
--- a/src/net-head.h
+++ b/src/net-head.h
@@ -8,6 +8,8 @@
 #include <stddef.h>
 #include <string.h>
 
+/* Larger buffers of connections are freed when they are empty. */
+#define NET_BUFFER_KEPT_BYTES 4096
 /* Largest number of headers in a message; a request has about a dozen. */
 #define NET_HEAD_FIELDS_MAX 100
 
@@ -56,6 +58,8 @@
 void net_head_init(struct net_head *);
 void net_head_clear(struct net_head *);
 void net_head_reset(struct net_head *);
+void net_head_release(struct net_head *);
+void net_string_release(GString **);
 void net_head_add_target(struct net_head *, const char *, size_t);
 void net_head_add_name(struct net_head *, const char *, size_t);
 void net_head_add_value(struct net_head *, const char *, size_t);
