A peer that reads late isn't taken for dead

Cause: TCP_USER_TIMEOUT of 8 s on all connections. The kernel counts the time for which the peer's window is closed as well.

Change: it is set where nothing else limits the time: for the status server and on a gateway's connections to its peers; the others end by their deadlines, timeouts and idle times.

--- a/src/net-stream.c
+++ b/src/net-stream.c
@@ -10,9 +10,6 @@
 /* Largest read; a whole response of a plain service fits, and a stream event is
  * far smaller. */
 #define READ_BUFFER_BYTES 65536
-/* A connection fails if its output is not acknowledged within this time, since
- * a dead peer does not reset it. */
-#define USER_TIMEOUT_MS 8000
 
 /* All connections are on one loop thread, so they can share a buffer. */
 static char read_buffer[READ_BUFFER_BYTES];
@@ -154,17 +151,22 @@
 	stream->owner = owner;
 }
 
-/* Sets the socket options of all connections. */
-static void
-stream_set_options(struct net_stream *stream)
+/**
+ * net_stream_set_user_timeout() - let a connection fail if its output is not
+ *	acknowledged in time.
+ * @stream: the connection
+ * @ms: the time
+ *
+ * The kernel counts a peer that is alive and reads nothing as well. So this is
+ * only for connections whose use has no time limit of its own.
+ */
+void
+net_stream_set_user_timeout(struct net_stream *stream, unsigned ms)
 {
-	unsigned timeout = USER_TIMEOUT_MS;
 	uv_os_fd_t fd;
 
-	uv_tcp_nodelay(&stream->tcp, 1);
 	if (uv_fileno((uv_handle_t *)&stream->tcp, &fd) == 0)
-		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
-		    sizeof timeout);
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &ms, sizeof ms);
 }
 
 /**
@@ -189,7 +191,7 @@
 		rc = uv_tcp_connect(&stream->connect, &stream->tcp,
 		    (const struct sockaddr *)to, on_connected);
 	if (rc == 0)
-		stream_set_options(stream);
+		uv_tcp_nodelay(&stream->tcp, 1);
 	return (rc);
 }
 
@@ -208,7 +210,7 @@
 	rc = uv_accept(listener, (uv_stream_t *)&stream->tcp);
 	if (rc != 0)
 		return (rc);
-	stream_set_options(stream);
+	uv_tcp_nodelay(&stream->tcp, 1);
 	net_stream_set_reading(stream, true);
 	return (0);
 }
--- a/src/net-stream.h
+++ b/src/net-stream.h
@@ -6,6 +6,10 @@
 #include <stddef.h>
 #include <uv.h>
 
+/* Where nothing else limits the time, a peer that acknowledges no output for so
+ * long is taken for dead. */
+#define NET_USER_TIMEOUT_MS 8000
+
 struct net_stream;
 
 /**
@@ -59,6 +63,7 @@
 int net_stream_connect(struct net_stream *, const struct sockaddr_in *,
     const struct sockaddr_in *);
 int net_stream_accept(struct net_stream *, uv_stream_t *);
+void net_stream_set_user_timeout(struct net_stream *, unsigned);
 void net_stream_set_reading(struct net_stream *, bool);
 void net_stream_write(struct net_stream *, const char *, size_t);
 size_t net_stream_unwritten(const struct net_stream *);
--- a/src/status-server.c
+++ b/src/status-server.c
@@ -116,7 +116,9 @@
 	http_parser_init(&c->parser, HTTP_REQUEST);
 	c->parser.data = c;
 	net_stream_init(&c->stream, listener->loop, &conn_ops, c);
-	if (net_stream_accept(&c->stream, listener) != 0)
+	if (net_stream_accept(&c->stream, listener) == 0)
+		net_stream_set_user_timeout(&c->stream, NET_USER_TIMEOUT_MS);
+	else
 		net_stream_close(&c->stream);
 }
 
--- a/src/tunnel.c
+++ b/src/tunnel.c
@@ -372,4 +372,5 @@
 		return;
 	}
 	uv_tcp_keepalive(&t->client.tcp, 1, KEEPALIVE_S);
+	net_stream_set_user_timeout(&t->client, NET_USER_TIMEOUT_MS);
 }
--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -155,13 +155,14 @@
 	    stream_event_ms() + (uint64_t)get_switch("slow-first"), 0);
 }
 
-/* Sends a response whose body is that many bytes. */
+/* Sends a response whose body is that many zero bytes. */
 static void
 conn_reply_large(struct conn *c, const char *headers, size_t length)
 {
 	g_autoptr(GByteArray) body = g_byte_array_new();
 
 	g_byte_array_set_size(body, (guint)length);
+	memset(body->data, 0, length);
 	conn_reply(c, 200, headers, body->data, length);
 }
 
