A large configuration is in force in time

Cause: a fetch from a peer ended after 600 ms and a read of the store after 1.2 s, however much had come; what was thrown away filled the links.

Change: both end when nothing has arrived for so long, and after 5 s in any case. Peers fetch the configuration compressed (zlib, which GLib's development package already needs); one that doesn't serve it so is asked for it as it is.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # `make lint` checks format and lint, `make demo` runs the demonstration.
 BUILD ?= build/debug
 SAN ?=
-PKGS = libuv libulfius libmicrohttpd libtirpc popt glib-2.0 liburcu-bp libcurl jansson libxxhash
+PKGS = libuv libulfius libmicrohttpd libtirpc popt glib-2.0 liburcu-bp libcurl jansson libxxhash zlib
 CC = gcc
 CFLAGS_ALL = -std=c11 -D_GNU_SOURCE -O2 -g -Wall -Wextra -Werror \
 	-Wmissing-prototypes -Wstrict-prototypes -Wshadow -Wno-unused-parameter \
@@ -63,7 +63,7 @@
 	$(BUILD)/tests/fake-group.o $(BUILD)/tests/fake-backoff.o \
 	$(BUILD)/tests/fake-limit.o $(BUILD)/tests/fake-crash.o \
 	$(BUILD)/tests/fake-crash-mark.o $(BUILD)/tests/fake-endless.o \
-	$(BUILD)/tests/fake-invalid.o \
+	$(BUILD)/tests/fake-invalid.o $(BUILD)/tests/fake-pace.o \
 	$(BUILD)/tests/fake-zone.o $(BUILD)/tests/fake-cold.o \
 	$(BUILD)/tests/fake-unaccepted.o $(BUILD)/tests/fake-cut.o \
 	$(BUILD)/tests/fake-silence.o
--- a/src/mesh-config.c
+++ b/src/mesh-config.c
@@ -1,13 +1,17 @@
 /* Fetching a newer configuration from a peer. */
 #include <string.h>
 
+#include "deflate.h"
 #include "event-log.h"
 #include "mesh.h"
 #include "net-call.h"
 #include "random-sample.h"
 #include "random.h"
 
-#define FETCH_TIMEOUT_MS 600
+/* A fetch from a peer ends when nothing has arrived for so long, and after this
+ * time in any case. */
+#define FETCH_SILENCE_MS 600
+#define FETCH_TIMEOUT_MS 5000
 /* A newer configuration is not fetched across failure domains until this time
  * has passed: traffic between failure domains is billed, and the wait is short
  * against the bound within which a configuration must be in force. */
@@ -70,18 +74,36 @@
 	registry_note_proof(registry, proof_ms, mesh->now_ms);
 }
 
+/* Ends a fetch that brought no configuration. */
+static void
+fetch_failed(struct mesh *mesh, unsigned status)
+{
+	event_log(LOG_INFO, "config_not_fetched", "status=%u plain=%d", status,
+	    mesh->fetch_plain);
+	/* A daemon of an earlier version serves it as it is. */
+	mesh->fetch_plain = status == HTTP_STATUS_NOT_FOUND;
+}
+
 static void
 on_fetched(void *arg, const struct net_response *response)
 {
+	const GByteArray *body = response->body;
+	g_autoptr(GBytes) bytes = NULL;
 	struct mesh *mesh = arg;
 
 	mesh->fetching_config = false;
 	if (response->status == HTTP_STATUS_OK)
-		mesh_config_fetched(mesh, response->body->data,
-		    response->body->len);
-	else
-		event_log(LOG_INFO, "config_not_fetched", "status=%u",
-		    response->status);
+		bytes = mesh->fetch_plain ?
+		    g_bytes_new(body->data, body->len) :
+		    deflate_unpack(body->data, body->len,
+			NET_CALL_RESPONSE_MAX_BYTES);
+	if (bytes == NULL) {
+		fetch_failed(mesh, response->status);
+		return;
+	}
+	mesh->fetch_plain = false;
+	mesh_config_fetched(mesh, g_bytes_get_data(bytes, NULL),
+	    g_bytes_get_size(bytes));
 }
 
 /*
@@ -137,7 +159,9 @@
 {
 	const struct catalog *catalog = mesh->registry->catalog;
 	const struct net_request req = { .method = "GET",
-		.target = MESH_CONFIG_PATH };
+		.target = mesh->fetch_plain ? MESH_CONFIG_PATH :
+					      MESH_CONFIG_PACKED_PATH,
+		.silence_ms = FETCH_SILENCE_MS };
 	int64_t own = catalog != NULL ? catalog->version : -1;
 	struct mesh_peer *source;
 	uint64_t now = mesh->now_ms;
--- a/src/mesh-serve.c
+++ b/src/mesh-serve.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "clock.h"
+#include "deflate.h"
 #include "event-log.h"
 #include "mesh.h"
 #include "net-call.h"
@@ -15,17 +16,29 @@
  * part. */
 #define HEADER_BYTES 256
 
-/* Serves the configuration in force here. */
+/* Returns the configuration in force here, compressed. */
+static GBytes *
+config_packed(struct registry *registry)
+{
+	GBytes *bytes = registry->config_bytes;
+
+	if (registry->config_packed == NULL && bytes != NULL)
+		registry->config_packed =
+		    deflate_pack(g_bytes_get_data(bytes, NULL),
+			g_bytes_get_size(bytes));
+	return (registry->config_packed);
+}
+
+/* Serves an encoding of the configuration in force here. */
 static unsigned
-serve_config(const struct mesh *mesh, GString *body)
+serve_bytes(GBytes *bytes, GString *body)
 {
-	const GBytes *bytes = mesh->registry->config_bytes;
 	gsize length;
 	const char *data;
 
 	if (bytes == NULL)
 		return (HTTP_STATUS_NOT_FOUND);
-	data = g_bytes_get_data((GBytes *)bytes, &length);
+	data = g_bytes_get_data(bytes, &length);
 	g_string_append_len(body, data, (gssize)length);
 	return (HTTP_STATUS_OK);
 }
@@ -90,7 +103,9 @@
 	const struct mesh *mesh = arg;
 
 	if (strcmp(path, MESH_CONFIG_PATH) == 0)
-		return (serve_config(mesh, body));
+		return (serve_bytes(mesh->registry->config_bytes, body));
+	if (strcmp(path, MESH_CONFIG_PACKED_PATH) == 0)
+		return (serve_bytes(config_packed(mesh->registry), body));
 	if (strcmp(path, ENTRIES_PATH) == 0)
 		return (serve_entries(mesh, body));
 	return (HTTP_STATUS_NOT_FOUND);
--- a/src/mesh.h
+++ b/src/mesh.h
@@ -28,6 +28,8 @@
 #define MESH_REPORTS_MAX 16
 /* HTTP path under which a daemon serves its configuration to other daemons. */
 #define MESH_CONFIG_PATH "/config"
+/* The same, compressed by deflate_pack(). */
+#define MESH_CONFIG_PACKED_PATH "/config-packed"
 
 /**
  * struct mesh_peer - another daemon.
@@ -182,6 +184,7 @@
  * @fetching_entries: entries are being fetched from the relay
  * @fetch_entries_ms: when that began
  * @fetching_config: a configuration is being fetched from a peer
+ * @fetch_plain: the peer asked last doesn't serve it compressed
  * @fetched_version: version that the peer had when the fetch began
  * @fetched_offset: store offset of that version
  * @fetched_proof_ms: time as of which that version was the newest; 0 for
@@ -261,6 +264,7 @@
 	bool fetching_entries;
 	uint64_t fetch_entries_ms;
 	bool fetching_config;
+	bool fetch_plain;
 	int64_t fetched_version;
 	uint64_t fetched_offset;
 	uint64_t fetched_proof_ms;
--- a/src/net-call.c
+++ b/src/net-call.c
@@ -14,7 +14,9 @@
 /**
  * struct net_call - one call.
  * @conn: its connection; NULL once the exchange has ended
- * @timer: its timeout
+ * @timer: runs out at @end_ms, or when nothing has arrived for @silence_ms
+ * @end_ms: loop time at which it ends in any case
+ * @silence_ms: see struct net_request
  * @response: the outcome, filled in as the response arrives
  * @body: body of the response
  * @max_bytes: largest body that is kept
@@ -24,6 +26,8 @@
 struct net_call {
 	struct net_conn *conn;
 	uv_timer_t timer;
+	uint64_t end_ms;
+	unsigned silence_ms;
 	struct net_response response;
 	GByteArray *body;
 	size_t max_bytes;
@@ -53,12 +57,37 @@
 	uv_close((uv_handle_t *)&call->timer, on_timer_closed);
 }
 
+static void
+on_timeout(uv_timer_t *timer)
+{
+	struct net_call *call = timer->data;
+
+	call->response.status = 0;
+	call->response.reached = call->conn->connected;
+	net_conn_abort(call->conn);
+	call->conn = NULL;
+	call_end(call);
+}
+
+/* Starts the timeout anew, at the start and when something has arrived. */
+static void
+call_start_timer(struct net_call *call)
+{
+	uint64_t now = clock_loop_ms(call->timer.loop);
+	uint64_t left = call->end_ms - MIN(now, call->end_ms);
+
+	if (call->silence_ms != 0)
+		left = MIN(left, call->silence_ms);
+	uv_timer_start(&call->timer, on_timeout, left, 0);
+}
+
 static enum net_head_action
 call_head(void *owner, unsigned status, const struct net_head *head)
 {
 	struct net_call *call = owner;
 
 	call->response.status = status;
+	call_start_timer(call);
 	return (NET_ACCEPT);
 }
 
@@ -87,6 +116,7 @@
 		return;
 	}
 	g_byte_array_append(call->body, (const guint8 *)at, (guint)length);
+	call_start_timer(call);
 }
 
 static void
@@ -116,18 +146,6 @@
 	.failed = call_failed,
 };
 
-static void
-on_timeout(uv_timer_t *timer)
-{
-	struct net_call *call = timer->data;
-
-	call->response.status = 0;
-	call->response.reached = call->conn->connected;
-	net_conn_abort(call->conn);
-	call->conn = NULL;
-	call_end(call);
-}
-
 /* Sends the request of a call. */
 static void
 call_send(struct net_call *call, const struct net_pool *pool,
@@ -181,7 +199,9 @@
 	call->arg = arg;
 	uv_timer_init(pool->loop, &call->timer);
 	call->timer.data = call;
-	uv_timer_start(&call->timer, on_timeout, timeout_ms, 0);
+	call->end_ms = call->response.sent_ms + timeout_ms;
+	call->silence_ms = req->silence_ms;
+	call_start_timer(call);
 	call_send(call, pool, req);
 	return (call);
 }
--- a/src/net-call.h
+++ b/src/net-call.h
@@ -35,6 +35,8 @@
  * @content_type: content type of the body, or NULL for no body
  * @body: the body
  * @length: bytes of the body
+ * @silence_ms: the call also ends when nothing has arrived for so long; 0 for
+ *	no such bound
  * @response_max_bytes: largest body of a response that is kept; 0 for
  *	NET_CALL_RESPONSE_MAX_BYTES
  */
@@ -45,6 +47,7 @@
 	const char *content_type;
 	const void *body;
 	size_t length;
+	unsigned silence_ms;
 	size_t response_max_bytes;
 };
 
--- a/src/registry-config.c
+++ b/src/registry-config.c
@@ -152,6 +152,7 @@
 	catalog_unref(registry->catalog);
 	registry->catalog = next;
 	g_clear_pointer(&registry->config_bytes, g_bytes_unref);
+	g_clear_pointer(&registry->config_packed, g_bytes_unref);
 	registry->config_bytes = g_bytes_new(value, length);
 	endpoints_update_cold(registry);
 	/* The proof of freshness of the previous version remains valid, as this
--- a/src/registry.h
+++ b/src/registry.h
@@ -54,6 +54,7 @@
  * @decode: the adapter's decoders
  * @catalog: the configuration in force; NULL before the first
  * @config_bytes: @catalog as encoded in the store
+ * @config_packed: the same for peers, by deflate_pack(); NULL until one asks
  * @evacuations: the failure domains that are evacuated
  * @fleet: the endpoints
  * @poison: requests suspected of crashing endpoints
@@ -79,6 +80,7 @@
 	const struct registry_decoders *decode;
 	struct catalog *catalog;
 	GBytes *config_bytes;
+	GBytes *config_packed;
 	struct evacuations evacuations;
 	struct fleet fleet;
 	struct poison poison;
--- a/src/store-ops.h
+++ b/src/store-ops.h
@@ -95,7 +95,8 @@
 /**
  * struct store - a store and its adapter's functions.
  * @ops: functions of the adapter
- * @timeout_ms: time-out of one call
+ * @timeout_ms: an append ends after this time, a read when nothing has arrived
+ *	for so long
  * @calls: number of calls made, by topic
  * @failures: number of calls refused or without a valid response
  */
--- a/tests/fake-platform.h
+++ b/tests/fake-platform.h
@@ -75,7 +75,8 @@
  * A connection to any of the addresses. endpoint: NULL at the store's;
  * handles: libuv handles not yet closed; unframed: the response to the request
  * ends with the connection; event: next event of the stream;
- * mute_at_accept: value of the switch "mute" when it was accepted.
+ * mute_at_accept: value of the switch "mute" when it was accepted; paced: what
+ * is still to be sent of a response in pieces, or NULL.
  */
 struct conn {
 	struct net_stream stream;
@@ -91,6 +92,7 @@
 	int event;
 	int last;
 	int mute_at_accept;
+	GString *paced;
 	TAILQ_ENTRY(conn) entry;
 };
 
@@ -129,6 +131,9 @@
 /* fake-invalid.c: what is no response in HTTP/1.1. */
 bool invalid_respond(struct conn *);
 
+/* fake-pace.c: a slow link of the store. */
+bool pace_reply(struct conn *, const GString *);
+
 /* fake-group.c: groups of engines, and checks of joins. */
 void group_handle_order(struct conn *);
 void group_tick(struct fake_endpoint *);
--- a/tests/loop-server.c
+++ b/tests/loop-server.c
@@ -11,13 +11,26 @@
 	uv_tcp_t tcp;
 	uv_write_t write;
 	uv_shutdown_t shutdown;
+	uv_timer_t timer;
+	unsigned handles;
+	size_t sent;
 	char in[4096];
 };
 
 static void
 peer_free(uv_handle_t *handle)
 {
-	g_free(handle->data);
+	struct peer *p = handle->data;
+
+	if (--p->handles == 0)
+		g_free(p);
+}
+
+static void
+peer_close(struct peer *p)
+{
+	uv_close((uv_handle_t *)&p->tcp, peer_free);
+	uv_close((uv_handle_t *)&p->timer, peer_free);
 }
 
 static void
@@ -28,6 +41,21 @@
 	*buf = uv_buf_init(p->in, sizeof p->in);
 }
 
+/* Sends the next piece of the response. */
+static void
+peer_send_piece(uv_timer_t *timer)
+{
+	struct peer *p = timer->data;
+	struct loop_server *s = p->server;
+	size_t n = MIN(s->piece_bytes, s->response->len - p->sent);
+	uv_buf_t out = uv_buf_init(s->response->str + p->sent, (unsigned)n);
+
+	uv_try_write((uv_stream_t *)&p->tcp, &out, 1);
+	p->sent += n;
+	if (p->sent < s->response->len)
+		uv_timer_start(&p->timer, peer_send_piece, s->piece_ms, 0);
+}
+
 /* Sends the response to each request; all requests are short. */
 static void
 peer_read(uv_stream_t *stream, ssize_t n, const uv_buf_t *buf)
@@ -38,10 +66,14 @@
 	    uv_buf_init(s->response->str, (unsigned)s->response->len);
 
 	if (n < 0) {
-		uv_close((uv_handle_t *)stream, peer_free);
+		peer_close(p);
 		return;
 	}
 	s->n_requests++;
+	if (s->piece_bytes > 0) {
+		peer_send_piece(&p->timer);
+		return;
+	}
 	uv_write(&p->write, stream, &out, 1, NULL);
 	if (s->closes)
 		uv_shutdown(&p->shutdown, stream, NULL);
@@ -55,6 +87,9 @@
 	p->server = listener->data;
 	uv_tcp_init(listener->loop, &p->tcp);
 	p->tcp.data = p;
+	uv_timer_init(listener->loop, &p->timer);
+	p->timer.data = p;
+	p->handles = 2;
 	uv_accept(listener, (uv_stream_t *)&p->tcp);
 	uv_read_start((uv_stream_t *)&p->tcp, peer_alloc, peer_read);
 }
--- a/tests/loop-server.h
+++ b/tests/loop-server.h
@@ -12,7 +12,9 @@
 /*
  * The server and what a test uses with it. loop: the event loop; pool:
  * connections to the server; response: bytes that it sends to each request;
- * closes: it closes the connection after them; n_requests: requests so far.
+ * closes: it closes the connection after them; piece_bytes, piece_ms: it sends
+ * them in pieces of that size, so long after each other; 0 for at once;
+ * n_requests: requests so far.
  */
 struct loop_server {
 	uv_loop_t loop;
@@ -20,6 +22,8 @@
 	struct net_pool pool;
 	GString *response;
 	bool closes;
+	size_t piece_bytes;
+	unsigned piece_ms;
 	unsigned n_requests;
 };
 
--- a/tests/standin-platform.c
+++ b/tests/standin-platform.c
@@ -14,6 +14,8 @@
  * Switches (IP is the address of an endpoint, unless noted):
  *	down		the store refuses all calls
  *	silent		the store doesn't answer
+ *	piece-ms	the store sends its responses in pieces of 64 KB, so
+ *			many ms after each other
  *	dark-IP		the endpoint doesn't answer
  *	stop		all engines stop for so many ms: they read and send
  *			nothing, and go on afterwards where they were
@@ -148,7 +150,8 @@
 	    "HTTP/1.1 %u X\r\n%sContent-Length: %zu\r\n\r\n", status, headers,
 	    length);
 	g_string_append_len(out, body, (gssize)length);
-	net_stream_write(&c->stream, out->str, out->len);
+	if (!pace_reply(c, out))
+		net_stream_write(&c->stream, out->str, out->len);
 }
 
 void
@@ -239,6 +242,8 @@
 		return;
 	net_head_clear(&c->head);
 	g_byte_array_free(c->body, TRUE);
+	if (c->paced != NULL)
+		g_string_free(c->paced, TRUE);
 	g_free(c->id);
 	g_free(c);
 }
--- a/tests/test-fuzz.c
+++ b/tests/test-fuzz.c
@@ -9,6 +9,7 @@
 #include "call-end.h"
 #include "chunk-order.h"
 #include "claim-index.h"
+#include "deflate.h"
 #include "event-stream.h"
 #include "evidence.h"
 #include "host.h"
@@ -300,6 +301,38 @@
 	CU_ASSERT(msg.sums[SUM_EVIDENCE].n == 0);
 }
 
+/* What is compressed comes back, up to the bound; what is not is refused or of
+ * the length that it names. */
+static void
+test_deflate(void)
+{
+	for (unsigned i = 0; i < ROUNDS; i++) {
+		const char *sample = samples[draw(G_N_ELEMENTS(samples))];
+		size_t length = strlen(sample);
+		g_autoptr(GBytes) packed = deflate_pack(sample, length);
+		g_autoptr(GBytes) whole =
+		    deflate_unpack(g_bytes_get_data(packed, NULL),
+			g_bytes_get_size(packed), length);
+		g_autoptr(GBytes) small =
+		    deflate_unpack(g_bytes_get_data(packed, NULL),
+			g_bytes_get_size(packed), length - 1);
+		g_autofree guint8 *odd =
+		    g_memdup2(g_bytes_get_data(packed, NULL),
+			g_bytes_get_size(packed));
+		g_autoptr(GBytes) unpacked = NULL;
+
+		CU_ASSERT_TRUE(whole != NULL &&
+		    g_bytes_get_size(whole) == length &&
+		    memcmp(g_bytes_get_data(whole, NULL), sample, length) == 0);
+		CU_ASSERT_PTR_NULL(small);
+		odd[draw(g_bytes_get_size(packed))] = (guint8)draw(256);
+		unpacked = deflate_unpack(odd,
+		    draw(g_bytes_get_size(packed) + 1), 2 * length);
+		CU_ASSERT_TRUE(unpacked == NULL ||
+		    g_bytes_get_size(unpacked) <= 2 * length);
+	}
+}
+
 int
 main(void)
 {
@@ -308,6 +341,7 @@
 
 	CU_initialize_registry();
 	suite = CU_add_suite("fuzz", NULL, NULL);
+	CU_add_test(suite, "deflate", test_deflate);
 	CU_add_test(suite, "texts", test_texts);
 	CU_add_test(suite, "entries", test_entries);
 	CU_add_test(suite, "messages", test_messages);
--- a/tests/test-net.c
+++ b/tests/test-net.c
@@ -8,6 +8,8 @@
 #include "platform.h"
 
 #define TIMEOUT_MS 5000
+/* Body of a response that is sent in pieces; the head fits into the first. */
+#define PIECED_BYTES 1000
 /* Largest body that a call keeps. */
 #define BODY_MAX_BYTES (8u << 20)
 /* Longest key of a record in the store. */
@@ -71,6 +73,38 @@
 	}
 }
 
+/* Gets a response of some ten pieces; returns whether it was whole. */
+static bool
+get_pieces(unsigned piece_ms, unsigned silence_ms, unsigned timeout_ms)
+{
+	const struct net_request req = { .method = "GET",
+		.target = "/",
+		.silence_ms = silence_ms };
+	struct outcome out = { 0 };
+
+	loop_server_open(&server);
+	g_string_printf(server.response,
+	    "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%0*d", PIECED_BYTES,
+	    PIECED_BYTES, 0);
+	server.piece_bytes = server.response->len / 10;
+	server.piece_ms = piece_ms;
+	net_call_start(&server.pool, &req, timeout_ms, on_ended, &out);
+	while (!out.ended)
+		uv_run(&server.loop, UV_RUN_ONCE);
+	loop_server_close(&server);
+	return (out.status == 200 && out.length == PIECED_BYTES);
+}
+
+/* A call goes on while something arrives, up to its timeout. */
+static void
+test_slow_response(void)
+{
+	CU_ASSERT_TRUE(get_pieces(60, 300, TIMEOUT_MS));
+	CU_ASSERT_FALSE(get_pieces(300, 100, TIMEOUT_MS));
+	CU_ASSERT_FALSE(get_pieces(60, 300, 200));
+	CU_ASSERT_TRUE(get_pieces(60, 0, TIMEOUT_MS));
+}
+
 /* What is asked of a pool when a call ends. */
 struct taker {
 	uint64_t max_idle_ms;
@@ -204,6 +238,7 @@
 	CU_initialize_registry();
 	suite = CU_add_suite("net", NULL, NULL);
 	CU_add_test(suite, "large body", test_large_body);
+	CU_add_test(suite, "slow response", test_slow_response);
 	CU_add_test(suite, "new connection", test_new_connection);
 	CU_add_test(suite, "long key", test_long_key);
 	CU_basic_set_mode(CU_BRM_VERBOSE);
