An entry that is read again doesn't revive its endpoint

Cause: the daemon that reads for the others reads again what a peer told it. The removal hadn't moved the endpoint's offset, so the entry before it revived the endpoint, and the removal counted as one after the outage.

Change: a removal notes its offset; what was written before it has no effect.

--- a/src/registry-entries.c
+++ b/src/registry-entries.c
@@ -100,7 +100,7 @@
 	bool grouped;
 
 	if (record->value == NULL) {
-		fleet_lapse(&registry->fleet, record->key, now,
+		fleet_lapse(&registry->fleet, record->key, record->offset, now,
 		    outage_may_have_caused(registry));
 		relay_add(registry, record);
 		return;
@@ -153,12 +153,12 @@
 		if (ep->lapsed_ms != 0 ||
 		    g_hash_table_contains(keys, ep->report.id))
 			continue;
-		fleet_lapse(&registry->fleet, ep->report.id,
-		    clock_loop_ms(registry->loop),
-		    outage_may_have_caused(registry));
 		record.offset =
 		    registry_removal_offset(registry->endpoints.snapshot_end,
 			n++);
+		fleet_lapse(&registry->fleet, ep->report.id, record.offset,
+		    clock_loop_ms(registry->loop),
+		    outage_may_have_caused(registry));
 		relay_add(registry, &record);
 	}
 }
--- a/src/registry-fleet.c
+++ b/src/registry-fleet.c
@@ -290,16 +290,21 @@
  * fleet_lapse() - note that an endpoint's entry was removed.
  * @fleet: the fleet
  * @id: the endpoint's id
+ * @offset: store offset of the removal, or one before it; 0 if there is none
  * @now_ms: loop time
  * @outage: it may have lapsed because of a store outage and be written again
+ *
+ * An entry from before the removal, which is read again, has no effect then.
  */
 void
-fleet_lapse(struct fleet *fleet, const char *id, uint64_t now_ms, bool outage)
+fleet_lapse(struct fleet *fleet, const char *id, uint64_t offset,
+    uint64_t now_ms, bool outage)
 {
 	struct endpoint *ep = fleet_find(fleet, id);
 
 	if (ep == NULL || ep->lapsed_ms != 0)
 		return;
+	ep->offset = MAX(ep->offset, offset);
 	ep->lapsed_ms = now_ms > 0 ? now_ms : 1;
 	ep->may_return = outage;
 	event_log(LOG_INFO, "endpoint_lapsed",
@@ -411,7 +416,7 @@
 			    ep->inflight);
 		if (ep->unreadable_ms != 0 &&
 		    now_ms - ep->unreadable_ms >= UNREADABLE_MAX_MS)
-			fleet_lapse(fleet, ep->report.id, now_ms, false);
+			fleet_lapse(fleet, ep->report.id, 0, now_ms, false);
 		if (!ep->gone && ep->lapsed_ms != 0 && (all || !ep->may_return))
 			endpoint_mark_gone(ep);
 		if (ep->gone && ep->lapsed_ms != 0 && ep->refs == 0 &&
--- a/src/registry-fleet.h
+++ b/src/registry-fleet.h
@@ -14,7 +14,7 @@
  * struct endpoint - one incarnation of an endpoint.
  * @report: its newest report
  * @id_hash: hash of its id, by which daemons refer to it among each other
- * @offset: store offset of the entry that @report came from
+ * @offset: store offset of the entry that @report came from, or of its removal
  * @seen_ms: loop time at which that entry was read
  * @lapsed_ms: when its entry was found removed; 0 while there is one
  * @may_return: its entry lapsed during a store outage and may be written again
@@ -131,7 +131,7 @@
 bool fleet_serving_differs(const struct fleet *, const struct endpoint_report *,
     bool);
 void fleet_mark_unreadable(struct fleet *, const char *, uint64_t, uint64_t);
-void fleet_lapse(struct fleet *, const char *, uint64_t, bool);
+void fleet_lapse(struct fleet *, const char *, uint64_t, uint64_t, bool);
 struct endpoint *fleet_find(const struct fleet *, const char *);
 struct endpoint *fleet_find_by_hash(const struct fleet *, uint32_t);
 struct endpoint *fleet_find_by_address(const struct fleet *,
--- a/tests/test-fleet.c
+++ b/tests/test-fleet.c
@@ -35,9 +35,18 @@
 	s->offset = 0;
 }
 
+/* Store offset of a record: the one that the command names, or the next one. */
+static uint64_t
+next_offset(const char *rest)
+{
+	uint64_t next = ++endpoint_script.offset;
+
+	return (script_number(rest, "offset", next));
+}
+
 /*
  * entry ID at=MS [state=draining] [domain=D] [head=1] [started=MS]
- * [sequence=N]: an entry is read
+ * [sequence=N] [offset=N]: an entry is read
  */
 static void
 exec_entry(const char *rest, GString *out)
@@ -59,17 +68,19 @@
 		report.group = g_strdup("g");
 		report.state = GROUP_OPEN;
 	}
-	fleet_update(&endpoint_script.fleet, &report, ++endpoint_script.offset,
+	fleet_update(&endpoint_script.fleet, &report, next_offset(rest),
 	    script_number(rest, "at", 0));
 }
 
-/* lapse ID at=MS [outage=1]: the entry is removed, during a store outage */
+/* lapse ID at=MS [outage=1] [offset=N]: the entry is removed, during a store
+ * outage */
 static void
 exec_lapse(const char *rest, GString *out)
 {
 	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
 
-	fleet_lapse(&endpoint_script.fleet, id, script_number(rest, "at", 0),
+	fleet_lapse(&endpoint_script.fleet, id, next_offset(rest),
+	    script_number(rest, "at", 0),
 	    script_number(rest, "outage", 0) != 0);
 }
 
--- a/tests/test-placer-copies.c
+++ b/tests/test-placer-copies.c
@@ -132,7 +132,8 @@
 {
 	g_autofree char *id = g_strndup(rest, strcspn(rest, " "));
 
-	fleet_lapse(&registry.fleet, id, script_number(rest, "at", 0), false);
+	fleet_lapse(&registry.fleet, id, ++offset, script_number(rest, "at", 0),
+	    false);
 }
 
 /* begin ID at=MS: the host is ordered to copy the model, which takes 1,000 ms
--- a/tests/test-poison.c
+++ b/tests/test-poison.c
@@ -66,7 +66,7 @@
 static void
 exec_lapse(const char *rest, GString *out)
 {
-	fleet_lapse(&fleet, endpoint_of(rest)->report.id,
+	fleet_lapse(&fleet, endpoint_of(rest)->report.id, ++offset,
 	    script_number(rest, "at", 0), false);
 }
 
