proc-edge-evacuate waits until the daemon that started is ready

The trace: a daemon that had started at 811.210 was asked at 811.237, and said that it was ready at 811.460; it refused with key_unproved and 503. That is right: it isn't ready, and no load balancer sends clients there. The test only waited for the two evacuations, which a daemon may know sooner.

Change: one more check, that it is ready, before it is asked; all others stay.

--- a/tests/proc-edge-evacuate.sh
+++ b/tests/proc-edge-evacuate.sh
@@ -51,6 +51,7 @@
 end edge-2
 start_edge 2 --domain a
 check_true "a daemon that started knows both" until_true 5 all_know 2
+check_true "it is ready" until_true 10 edge_ready 2
 ask_paced 2 $COUNT /look/x
 check "all are served" 50 "$(answered 200)"
 check "none reached an evacuated endpoint" 0 "$(journal | grep -c '^in-evacuated')"
