--- a/src/net-head-check.c
+++ b/src/net-head-check.c
@@ -1,5 +1,4 @@
 /* What is a response in HTTP/1.1 (RFC 9110, RFC 9112). Pure. */
-#include <string.h>
 #include <strings.h>
 
 #include "net-head-check.h"
--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -75,6 +75,12 @@
 	done
 }
 
+# memory_kb PROCESS FIELD: memory of a process that `start` began: VmHWM for the most that
+# it had, VmRSS for what it has.
+memory_kb() {
+	sed -n "s/^$2:[^0-9]*\([0-9]*\).*/\1/p" "/proc/$(pid_of "$1")/status"
+}
+
 now_ms() {
 	date +%s%3N
 }
--- a/tests/proc-edge-endless-many.sh
+++ b/tests/proc-edge-endless-many.sh
@@ -9,10 +9,6 @@
 # Freed memory that the sanitizer keeps would count as used.
 export ASAN_OPTIONS=${ASAN_OPTIONS:-}:quarantine_size_mb=4
 
-peak_kb() { # DAEMON
-	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$(pid_of "edge-$1")/status"
-}
-
 endless() { # KIND: of all engines
 	for n in $(seq $ENGINES); do
 		control "endless-127.$NET.1.$n" "$1"
@@ -24,7 +20,7 @@
 }
 
 check_grown() { # NAME DAEMON
-	grown=$(($(peak_kb "$2") - before))
+	grown=$(($(memory_kb "edge-$2" VmHWM) - before))
 	check_true "$1: memory grows by 64 MB at most ($grown KB)" \
 	    [ "$grown" -le $LIMIT_KB ]
 }
@@ -33,7 +29,7 @@
 endless 7
 start_edge 1
 check_true "the daemon runs" until_true 10 curl -s -m 1 "http://$(edge_ip 1):9464/metrics"
-before=$(peak_kb 1)
+before=$(memory_kb edge-1 VmHWM)
 put_config 1
 check_true "orders: their responses are ignored" until_true 20 ignored $ENGINES
 check_grown "orders" 1
@@ -42,7 +38,7 @@
 start_edge 2
 check_true "the replicas serve" until_true 30 groups_open 2 $((ENGINES / 2))
 endless 4
-before=$(peak_kb 2)
+before=$(memory_kb edge-2 VmHWM)
 for n in $(seq $STREAMS); do
 	ask 2 /write/x --data "own $n" >"$RUN/stream-$n" 2>/dev/null &
 	asking="${asking:-} $!"
--- a/tests/proc-edge-endless-responses.sh
+++ b/tests/proc-edge-endless-responses.sh
@@ -4,10 +4,6 @@
 
 LIMIT_KB=65536
 
-peak_kb() {
-	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$(pid_of edge-1)/status"
-}
-
 # Requests of one round; a request goes to any of eight endpoints, by chance, and a round
 # leaves out a given one 4 times in 100.
 ROUND=24
@@ -33,11 +29,11 @@
 check_kind() {
 	bad=127.$NET.2.$1
 	control "endless-$bad" "$1"
-	before=$(peak_kb)
+	before=$(memory_kb edge-1 VmHWM)
 	runs=$(runs_of "b$1")
 	ask_until_run "b$1" >"$RUN/asked"
 	control "endless-$bad" 0
-	grown=$(($(peak_kb) - before))
+	grown=$(($(memory_kb edge-1 VmHWM) - before))
 	check "$2: all are served" "$(wc -l <"$RUN/asked")" "$(grep -c '^200$' "$RUN/asked")"
 	check_true "$2: at least $ROUND were asked" [ "$(wc -l <"$RUN/asked")" -ge $ROUND ]
 	check_true "$2: the endpoint was asked" [ "$(runs_of "b$1")" -gt "$runs" ]
@@ -62,9 +58,9 @@
 for n in 1 2 3 4; do
 	control "endless-127.$NET.1.$n" 4
 done
-before=$(peak_kb)
+before=$(memory_kb edge-1 VmHWM)
 check "an event without end: no endpoint serves it" 502 \
     "$(ask 1 /write/x | status_last)"
-check_true "an event: memory grows by 64 MB at most ($(($(peak_kb) - before)) KB)" \
-    [ $(($(peak_kb) - before)) -le "$LIMIT_KB" ]
+check_true "an event: memory grows by 64 MB at most ($(($(memory_kb edge-1 VmHWM) - before)) KB)" \
+    [ $(($(memory_kb edge-1 VmHWM) - before)) -le "$LIMIT_KB" ]
 verdict
--- a/tests/proc-edge-idle-memory.sh
+++ b/tests/proc-edge-idle-memory.sh
@@ -9,10 +9,6 @@
 # Freed memory that the sanitizer keeps would count as used.
 export ASAN_OPTIONS=${ASAN_OPTIONS:-}:quarantine_size_mb=1
 
-resident_kb() {
-	sed -n 's/^VmRSS:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$(pid_of edge-1)/status"
-}
-
 # fetch ID: one response on a new connection, which is kept.
 fetch() {
 	exec {fd}<>"/dev/tcp/$(edge_ip 1)/8080"
@@ -28,12 +24,12 @@
 start_edge 1
 check_true "the daemon is ready" until_true 10 edge_ready 1
 fetch warm >"$RUN/warm"
-before=$(resident_kb)
+before=$(memory_kb edge-1 VmRSS)
 for n in $(seq $CONNECTIONS); do
 	fetch "kept-$n"
 done >"$RUN/lengths"
 check "all responses are whole" $CONNECTIONS "$(grep -cx $BODY_BYTES "$RUN/lengths")"
 sleep 1
-grown=$(($(resident_kb) - before))
+grown=$(($(memory_kb edge-1 VmRSS) - before))
 check_true "idle connections hold 16 MB at most ($grown KB)" [ "$grown" -le $LIMIT_KB ]
 verdict
--- a/tests/proc-edge-slow-clients.sh
+++ b/tests/proc-edge-slow-clients.sh
@@ -8,10 +8,6 @@
 READ=65536
 CLIENTS=100
 
-resident_kb() {
-	sed -n 's/^VmRSS:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$(pid_of edge-1)/status"
-}
-
 start_edge_platform 2 3
 put_config 1
 start_edge 1 --memory-mb 16
@@ -20,7 +16,7 @@
 check "a request is served" 200 "$(ask 1 /look/x | status_last)"
 
 control large 8000000
-before=$(resident_kb)
+before=$(memory_kb edge-1 VmRSS)
 start unread "$BUILD/load-unread" "$(edge_ip 1)" 8080 /look/x $CLIENTS
 sleep 1
 held=$(metric 1 held_bytes)
@@ -28,7 +24,7 @@
     [ "$held" -gt $READ ]
 check_true "it holds its bound and one read for each at most" \
     [ "$held" -le $((MAX + CLIENTS * READ)) ]
-grown=$(($(resident_kb) - before))
+grown=$(($(memory_kb edge-1 VmRSS) - before))
 check_true "its memory grows by no more than that and a half ($grown KB)" \
     [ "$grown" -le $(((MAX + CLIENTS * READ) * 3 / 2 / 1024)) ]
 
--- a/tests/proc-endless.sh
+++ b/tests/proc-endless.sh
@@ -9,10 +9,6 @@
 # Freed memory that the sanitizer keeps would count as used.
 export ASAN_OPTIONS=${ASAN_OPTIONS:-}:quarantine_size_mb=4
 
-peak_kb() {
-	sed -n 's/^VmHWM:[^0-9]*\([0-9]*\).*/\1/p' "/proc/$(pid_of daemon-1-1)/status"
-}
-
 start_platform
 start_services 1 1
 put_hosts
@@ -20,7 +16,7 @@
 until_true 10 curl -s "$(client_url 1 1)/health"
 until_true 10 apply_resources '{}'
 check_true "a service is called" until_true 10 service_ok 1 1
-before=$(peak_kb)
+before=$(memory_kb daemon-1-1 VmHWM)
 fault "$(service_url 1 1)" '{"endless":1}'
 asking=
 for n in $(seq $CALLS); do
@@ -30,7 +26,7 @@
 done
 # shellcheck disable=SC2086
 wait $asking
-grown=$(($(peak_kb) - before))
+grown=$(($(memory_kb daemon-1-1 VmHWM) - before))
 check_true "memory grows by $((LIMIT_KB / 1024)) MB at most ($grown KB)" \
     [ "$grown" -le $LIMIT_KB ]
 check "no response is passed on" $CALLS "$(cat "$RUN"/status-* | grep -c '^502$')"
