--- a/src/fwd-dispatch.c
+++ b/src/fwd-dispatch.c
@@ -6,6 +6,7 @@
 #include "event-log.h"
 #include "fwd-admission.h"
 #include "fwd-cost.h"
+#include "fwd-drain-admit.h"
 #include "fwd-exchange.h"
 #include "random.h"
 
@@ -150,20 +151,39 @@
 		TAILQ_INSERT_TAIL(&ex->fwd->queue, ex, queue_entry);
 }
 
+/* Whether a request may be taken for one like others of its model or service:
+ * its client may repeat it if it is not, or it says how long its stream may be.
+ */
+static bool
+exchange_is_comparable(const struct fwd_exchange *ex)
+{
+	switch (ex->route->retry) {
+	case RETRY_NEVER:
+		return (false);
+	case RETRY_IDEMPOTENT:
+		return (true);
+	case RETRY_STREAM:
+		return (ex->response_tokens > 0);
+	}
+	return (false);
+}
+
 /* Whether a graceful shutdown leaves a request time to be sent. A response that
  * was begun is continued in any case: it can't be refused. */
 static bool
 exchange_fits_drain(const struct fwd_exchange *ex)
 {
-	const struct fwd *fwd = ex->fwd;
+	const struct fwd_drain_window *window = &ex->fwd->drain;
 	struct fwd_drain_request request;
 
-	if (fwd->drain.end_ms == 0 || ex->first_us > 0)
+	if (window->end_ms == 0 || ex->first_us > 0)
 		return (true);
-	request.now_ms = clock_loop_ms(fwd->loop);
+	request.now_ms = clock_loop_ms(ex->fwd->loop);
 	request.deadline_ms = ex->deadline_ms;
-	request.longest_ms = fwd_estimate_longest(fwd_exchange_estimate(ex));
-	return (fwd_drain_admits(&fwd->drain, &request));
+	request.usual_ms = exchange_is_comparable(ex) ?
+	    fwd_estimate_longest(fwd_exchange_estimate(ex)) :
+	    INFINITY;
+	return (fwd_drain_admits(window, &request));
 }
 
 /**
--- a/src/fwd-drain-admit.c
+++ b/src/fwd-drain-admit.c
@@ -6,8 +6,8 @@
  * @window: times of the shutdown
  * @request: the request
  *
- * A deadline bounds the request itself. An estimate only tells how long others
- * took, so it counts only while load balancers still send clients here.
+ * A deadline bounds the request itself. How long others took doesn't, so that
+ * counts only while load balancers still send clients here.
  */
 bool
 fwd_drain_admits(const struct fwd_drain_window *window,
@@ -20,5 +20,5 @@
 	if (request->now_ms >= window->estimate_until_ms)
 		return (false);
 	left_ms = (double)window->end_ms - (double)request->now_ms;
-	return (request->longest_ms <= left_ms);
+	return (request->usual_ms <= left_ms);
 }
--- a/src/fwd-drain-admit.h
+++ b/src/fwd-drain-admit.h
@@ -11,8 +11,8 @@
 
 /**
  * struct fwd_drain_window - times of a graceful shutdown.
- * @estimate_until_ms: loop time until which a request is sent if it is expected
- *	to end in time; later only its deadline counts
+ * @estimate_until_ms: loop time until which a request is sent if others like it
+ *	ended in time; later only its deadline counts
  * @end_ms: loop time at which the daemon ends what is left; 0 if it doesn't
  *	drain
  */
@@ -27,12 +27,13 @@
  * @now_ms: loop time
  * @deadline_ms: loop time at which the request gets its final response in any
  *	case
- * @longest_ms: time within which nearly all requests of its kind end
+ * @usual_ms: time within which nearly all others like it end; infinite if
+ *	nothing tells that it is like others
  */
 struct fwd_drain_request {
 	uint64_t now_ms;
 	uint64_t deadline_ms;
-	double longest_ms;
+	double usual_ms;
 };
 
 bool fwd_drain_admits(const struct fwd_drain_window *,
--- a/src/fwd-exchange.h
+++ b/src/fwd-exchange.h
@@ -40,6 +40,7 @@
  * @head_only: the method is HEAD
  * @priority: its priority, 0 to 9; 0 is the highest
  * @prompt: length of the prompt, in tokens
+ * @response_tokens: maximum length of the response, in tokens; 0 if not given
  * @arrived_ms: loop time of the arrival
  * @arrived_us: the same in microseconds of the monotonic clock, for the
  *	histograms
@@ -87,6 +88,7 @@
 	bool head_only;
 	int priority;
 	double prompt;
+	double response_tokens;
 	uint64_t arrived_ms;
 	uint64_t arrived_us;
 	uint64_t deadline_ms;
--- a/src/fwd-resolve.c
+++ b/src/fwd-resolve.c
@@ -82,6 +82,7 @@
 	}
 	ex->engine = service != NULL ? service->engine : NULL;
 	ex->prompt = req->prompt_tokens;
+	ex->response_tokens = req->response_tokens;
 	if (ex->engine == NULL || ex->engine->models->len == 0)
 		return (true);
 	if (req->model != NULL)
--- a/tests/lib-drain.sh
+++ b/tests/lib-drain.sh
@@ -11,6 +11,11 @@
 	printf 'Content-Length: %s\\r\\n\\r\\n' "${3:-0}"
 }
 
+# budget MS: gives the request on standard input a time budget of its own.
+budget() {
+	sed "s/Content-Length/Deadline-Ms: $1\\\\r\\\\n&/"
+}
+
 # raw NAME DAEMON PART...: sends each part on one connection; "sleep SECONDS" is a pause.
 # What comes back until the connection ends goes to a file, and whether it was reset.
 raw() {
@@ -72,3 +77,17 @@
 ended() { # DAEMON
 	grep -aq 'event=stopped' "$RUN/edge-$1.out"
 }
+
+# learn COUNT: daemon 1 learns from so many requests of each kind that they are short.
+learn() {
+	control events 2
+	for n in $(seq "$1"); do
+		for path in once write; do
+			ask 1 "/$path/x" >"$RUN/learn-$path-$n" &
+			ASKING="$ASKING $!"
+		done
+	done
+	# shellcheck disable=SC2086
+	wait $ASKING
+	ASKING=
+}
