--- a/src/edge-drain.c
+++ b/src/edge-drain.c
@@ -97,7 +97,9 @@
 {
 	if (e->draining_since_ms != 0)
 		return;
-	e->draining_since_ms = clock_loop_ms(e->loop);
+	/* The platform counts from when it sent the signal, and this process
+	 * may have been stopped since. */
+	e->draining_since_ms = fwd_awake_ms(&e->fwd, clock_loop_ms(e->loop));
 	event_log(LOG_NOTICE, "leaving", "exchanges=%u", e->fwd.n_exchanges);
 	placer_stop(&e->placer);
 	e->mesh.self.draining = true;
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -85,6 +85,14 @@
 	}
 }
 
+/* Whether this process was stopped between two times, which are a tick apart
+ * unless it was. */
+static bool
+is_pause(uint64_t last, uint64_t now)
+{
+	return (last != 0 && now - last > TICK_IDLE_MS + PAUSE_MS);
+}
+
 /* Notes a pause of this process: for a while nobody's silence is judged. */
 static void
 detect_pause(struct fwd *fwd, uint64_t now)
@@ -92,8 +100,9 @@
 	uint64_t last = fwd->last_tick_ms;
 
 	fwd->last_tick_ms = now;
-	if (last == 0 || now - last <= TICK_IDLE_MS + PAUSE_MS)
+	if (!is_pause(last, now))
 		return;
+	fwd->paused_ms = last;
 	fwd->grace_until_ms = now + PAUSE_GRACE_MS;
 	event_log(LOG_NOTICE, "paused", "ms=%llu",
 	    (unsigned long long)(now - last));
@@ -139,6 +148,23 @@
 		uv_timer_start(&fwd->tick, on_tick, TICK_BUSY_MS, 0);
 }
 
+/**
+ * fwd_awake_ms() - when this process was last known to run before events that
+ *	are handled now.
+ * @fwd: the proxy
+ * @now: loop time
+ *
+ * Return: loop time of the last tick before a pause that has just ended; @now
+ * if there was none.
+ */
+uint64_t
+fwd_awake_ms(const struct fwd *fwd, uint64_t now)
+{
+	if (is_pause(fwd->last_tick_ms, now))
+		return (fwd->last_tick_ms);
+	return (now < fwd->grace_until_ms ? fwd->paused_ms : now);
+}
+
 /**
  * fwd_schedule_dispatch() - dispatch queued exchanges and read pipelined
  *	requests in the next round of the loop.
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -47,6 +47,7 @@
  * @last_tick_ms: loop time of the last tick
  * @withdrawn_ms: loop time at which requests were last looked through for what
  *	has been quarantined
+ * @paused_ms: loop time of the last tick before the newest pause
  * @grace_until_ms: after a pause of this process, silence of endpoints and of
  *	clients is not judged before this loop time
  * @on_silent: called when all streams of an endpoint have fallen silent
@@ -84,6 +85,7 @@
 	bool listener_closed;
 	uint64_t last_tick_ms;
 	uint64_t withdrawn_ms;
+	uint64_t paused_ms;
 	uint64_t grace_until_ms;
 	void (*on_silent)(void *, struct endpoint *);
 	void *on_silent_arg;
@@ -98,6 +100,7 @@
 int fwd_open(struct fwd *, uv_loop_t *, const struct sockaddr_in *);
 void fwd_schedule_dispatch(struct fwd *);
 void fwd_tick_soon(struct fwd *);
+uint64_t fwd_awake_ms(const struct fwd *, uint64_t);
 
 /* fwd-drain.c: graceful shutdown. */
 void fwd_drain(struct fwd *, const struct fwd_drain_window *);
