--- a/Makefile
+++ b/Makefile
@@ -59,6 +59,7 @@
 $(BUILD)/standin-%: $(BUILD)/tests/standin-%.o $(BUILD)/tests/fault.o \
 	$(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ $(LIBS)
+$(BUILD)/standin-raw: $(BUILD)/tests/raw-server.o
 $(BUILD)/standin-platform: $(BUILD)/tests/fake-store.o $(BUILD)/tests/fake-endpoints.o \
 	$(BUILD)/tests/fake-group.o $(BUILD)/tests/fake-backoff.o \
 	$(BUILD)/tests/fake-limit.o $(BUILD)/tests/fake-crash.o \
@@ -101,6 +102,10 @@
 	$(BUILD)/tests/test-%.o $(BUILD)/tests/loop-server.o \
 	$(BUILD)/tests/script.o $(BUILD)/libbanklift.a
 	@$(CC) -o $@ $^ -lcunit $(LIBS)
+$(BUILD)/test-transfer: $(BUILD)/tests/test-transfer.o \
+	$(BUILD)/tests/raw-server.o $(BUILD)/tests/script.o \
+	$(BUILD)/libbanklift.a
+	@$(CC) -o $@ $^ -lcunit $(LIBS)
 $(BUILD)/test-%: $(BUILD)/tests/test-%.o $(BUILD)/tests/script.o \
 	$(BUILD)/tests/fake-log.o \
 	$(BUILD)/libbanklift.a
--- a/src/call.c
+++ b/src/call.c
@@ -5,7 +5,7 @@
 
 #include "call.h"
 #include "clock.h"
-#include "net-head-check.h"
+#include "http-head.h"
 
 /* Longest single wait in curl_multi_poll(). */
 #define POLL_MAX_MS 1000
@@ -29,9 +29,7 @@
  * @slist: headers of the request
  * @body: received bytes of the body that were not yet taken
  * @held: bytes of @body that are counted in held_bytes
- * @headers: headers of the response, lower-case name to value
- * @status: HTTP status of the latest head, 0 before the first
- * @head_received: the head of the final response was received
+ * @head: head of the response
  * @started_us: monotonic time at which the call was created
  * @first_us: monotonic time of the first byte of the body, 0 before
  * @heard_us: monotonic time of the latest bytes, or of the call's creation
@@ -44,9 +42,7 @@
 	struct curl_slist *slist;
 	GByteArray *body;
 	size_t held;
-	GHashTable *headers;
-	int status;
-	bool head_received;
+	struct http_head head;
 	uint64_t started_us;
 	uint64_t first_us;
 	uint64_t heard_us;
@@ -105,61 +101,14 @@
 	return (size * n);
 }
 
-/* Notes the end of a head. Returns false if it is not that of a response. */
-static bool
-call_end_head(struct call *call)
-{
-	long status = 0;
-
-	curl_easy_getinfo(call->easy, CURLINFO_RESPONSE_CODE, &status);
-	if (!net_status_valid((unsigned)status))
-		return (false);
-	call->status = (int)status;
-	/* A 1xx response is not the final response. */
-	call->head_received = status >= 200;
-	return (true);
-}
-
-/* Adds a header line. Returns false if the body has two lengths. */
-static bool
-call_add_header(struct call *call, char *line)
-{
-	char *colon = strchr(line, ':');
-	char *name;
-
-	if (colon == NULL)
-		return (true);
-	*colon = '\0';
-	name = g_ascii_strdown(line, -1);
-	if (strcmp(name, "content-length") == 0 &&
-	    g_hash_table_contains(call->headers, name)) {
-		g_free(name);
-		return (false);
-	}
-	g_hash_table_replace(call->headers, name,
-	    g_strdup(g_strstrip(colon + 1)));
-	return (true);
-}
-
 /* Reads a line of a head; what is no response in HTTP/1.1 fails the call. */
 static size_t
 header_write(char *data, size_t size, size_t n, void *arg)
 {
-	g_autofree char *line = g_strndup(data, size * n);
 	struct call *call = arg;
-	bool valid;
 
 	call->heard_us = clock_now_us();
-	if (g_str_has_prefix(line, "HTTP/")) {
-		/* The fields of an interim response are not the final one's. */
-		g_hash_table_remove_all(call->headers);
-		return (
-		    net_status_line_valid(0, line, size * n) ? size * n : 0);
-	}
-	g_strchomp(line);
-	valid =
-	    line[0] == '\0' ? call_end_head(call) : call_add_header(call, line);
-	return (valid ? size * n : 0);
+	return (http_head_read(data, size, n, &call->head));
 }
 
 static void
@@ -215,8 +164,7 @@
 	call->multi = curl_multi_init();
 	call->easy = curl_easy_init();
 	call->body = g_byte_array_new();
-	call->headers =
-	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	http_head_init(&call->head);
 	call->slist = curl_slist_append(NULL, "Expect:");
 	for (; headers->name != NULL; headers++) {
 		g_autofree char *line =
@@ -245,7 +193,7 @@
 	curl_slist_free_all(call->slist);
 	call_count_held(call, 0);
 	g_byte_array_unref(call->body);
-	g_hash_table_unref(call->headers);
+	http_head_clear(&call->head);
 	g_free(call);
 }
 
@@ -334,7 +282,7 @@
 bool
 call_head_received(const struct call *call)
 {
-	return (call->head_received);
+	return (call->head.complete);
 }
 
 /**
@@ -358,9 +306,9 @@
 {
 	long sent = 0;
 
-	if (call->ended && call->rc == CURLE_OK)
+	if (call->ended && http_head_whole(&call->head, call->rc))
 		return (CALL_COMPLETE);
-	if (call->head_received)
+	if (call->head.complete)
 		return (CALL_RESPONDING);
 	curl_easy_getinfo(call->easy, CURLINFO_REQUEST_SIZE, &sent);
 	return (sent > 0 ? CALL_SENT : CALL_CONNECTING);
@@ -373,7 +321,7 @@
 int
 call_status(const struct call *call)
 {
-	return (call->status);
+	return ((int)call->head.status);
 }
 
 /**
@@ -384,7 +332,7 @@
 const char *
 call_header(const struct call *call, const char *name)
 {
-	return (g_hash_table_lookup(call->headers, name));
+	return (g_hash_table_lookup(call->head.fields, name));
 }
 
 /**
@@ -397,7 +345,8 @@
 const char *
 call_retry_after(const struct call *call)
 {
-	if (call->status != HTTP_UNAVAILABLE && call->status != HTTP_TOO_MANY)
+	if (call_status(call) != HTTP_UNAVAILABLE &&
+	    call_status(call) != HTTP_TOO_MANY)
 		return (NULL);
 	return (call_header(call, "retry-after"));
 }
@@ -449,7 +398,7 @@
 	GHashTableIter iter;
 	gpointer name, value;
 
-	g_hash_table_iter_init(&iter, call->headers);
+	g_hash_table_iter_init(&iter, call->head.fields);
 	while (g_hash_table_iter_next(&iter, &name, &value))
 		fn(name, value, arg);
 }
--- a/src/cmd-call.c
+++ b/src/cmd-call.c
@@ -3,7 +3,9 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "cleanup.h"
 #include "cmd.h"
+#include "http-head.h"
 
 /**
  * cmd_report_error() - print the typed error of a daemon's response.
@@ -56,20 +58,11 @@
 	return (CMD_OK);
 }
 
-/**
- * cmd_stream() - GET a body that is not JSON and pass it on as it arrives.
- * @ctx: options and arguments of the command line
- * @url: complete URL
- * @write: callback as for CURLOPT_WRITEFUNCTION
- * @arg: argument of @write
- *
- * Return: CMD_OK at the end of the body, and when the time limit has passed,
- * which is how a watch ends; otherwise CMD_UNAVAILABLE, after a message on
- * standard error.
- */
-enum cmd_exit
-cmd_stream(const struct cmd_context *ctx, const char *url,
-    size_t (*write)(char *, size_t, size_t, void *), void *arg)
+/* Runs a GET whose body is passed on as it arrives. */
+static CURLcode
+stream_perform(const struct cmd_context *ctx, const char *url,
+    size_t (*write)(char *, size_t, size_t, void *), void *arg,
+    struct http_head *head)
 {
 	g_autofree char *auth = NULL;
 	struct curl_slist *headers;
@@ -85,15 +78,50 @@
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)ctx->timeout_ms);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, write);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, arg);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, http_head_read);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, head);
 	rc = curl_easy_perform(curl);
 	curl_slist_free_all(headers);
 	curl_easy_cleanup(curl);
-	if (rc == CURLE_OK || rc == CURLE_OPERATION_TIMEDOUT)
-		return (CMD_OK);
-	fprintf(stderr, "bankliftctl: %s: %s\n", url, curl_easy_strerror(rc));
+	return (rc);
+}
+
+/* Reports a GET that brought no whole response. */
+static enum cmd_exit
+stream_report(const char *url, CURLcode rc)
+{
+	fprintf(stderr, "bankliftctl: %s: %s\n", url,
+	    rc != CURLE_OK ? curl_easy_strerror(rc) :
+			     "the response was cut short");
 	return (CMD_UNAVAILABLE);
 }
 
+/**
+ * cmd_stream() - GET a body that is not JSON and pass it on as it arrives.
+ * @ctx: options and arguments of the command line
+ * @url: complete URL
+ * @write: callback as for CURLOPT_WRITEFUNCTION
+ * @arg: argument of @write
+ *
+ * Return: CMD_OK at the end of the body, and when the time limit has passed,
+ * which is how a watch ends; otherwise CMD_UNAVAILABLE, after a message on
+ * standard error.
+ */
+enum cmd_exit
+cmd_stream(const struct cmd_context *ctx, const char *url,
+    size_t (*write)(char *, size_t, size_t, void *), void *arg)
+{
+	CLEANUP(http_head_clear) struct http_head head;
+	CURLcode rc;
+
+	http_head_init(&head);
+	rc = stream_perform(ctx, url, write, arg, &head);
+	if (http_head_whole(&head, rc) ||
+	    (rc == CURLE_OPERATION_TIMEDOUT && head.complete))
+		return (CMD_OK);
+	return (stream_report(url, rc));
+}
+
 static size_t
 page_write(char *data, size_t size, size_t n, void *arg)
 {
@@ -107,12 +135,20 @@
  * @url: complete URL
  * @page: text to append the body to
  *
- * Return: CMD_OK or CMD_UNAVAILABLE, as cmd_stream().
+ * Return: CMD_OK if all of it came; otherwise CMD_UNAVAILABLE, after a message
+ * on standard error.
  */
 enum cmd_exit
 cmd_page(const struct cmd_context *ctx, const char *url, GString *page)
 {
-	return (cmd_stream(ctx, url, page_write, page));
+	CLEANUP(http_head_clear) struct http_head head;
+	CURLcode rc;
+
+	http_head_init(&head);
+	rc = stream_perform(ctx, url, page_write, page, &head);
+	if (http_head_whole(&head, rc))
+		return (CMD_OK);
+	return (stream_report(url, rc));
 }
 
 /**
--- a/src/cmd-compare.c
+++ b/src/cmd-compare.c
@@ -55,7 +55,6 @@
 {
 	enum cmd_exit rc;
 
-	printf("%-36s %16s %16s\n", "", ctx->args[0], ctx->args[1]);
 	for (char **url = ctx->urls; *url != NULL; url++) {
 		g_autofree char *metrics = g_strconcat(*url, "/metrics", NULL);
 		g_autoptr(GString) page = g_string_new(NULL);
@@ -63,6 +62,9 @@
 		rc = cmd_page(ctx, metrics, page);
 		if (rc != CMD_OK)
 			return (rc);
+		if (url == ctx->urls)
+			printf("%-36s %16s %16s\n", "", ctx->args[0],
+			    ctx->args[1]);
 		if (ctx->urls[1] != NULL)
 			printf("%s\n", *url);
 		print_comparison(page->str, ctx->args);
--- a/src/http-batch.c
+++ b/src/http-batch.c
@@ -5,15 +5,17 @@
 #include "clock.h"
 #include "control-traffic.h"
 #include "http-batch.h"
+#include "http-head.h"
 
 #define RESPONSE_MAX_BYTES 65536
 #define POLL_TIMEOUT_MS 20
 
-/* A call in progress; @body collects the response's body, @text is the encoded
- * body of the request. */
+/* A call in progress; @head and @body collect the response, @text is the
+ * encoded body of the request. */
 struct transfer {
 	struct http_call *call;
 	CURL *easy;
+	struct http_head head;
 	GByteArray *body;
 	char *text;
 };
@@ -122,12 +124,15 @@
 	t->call = call;
 	t->easy = curl_easy_init();
 	t->body = g_byte_array_new();
+	http_head_init(&t->head);
 	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(t->easy, CURLOPT_URL, call->url);
 	curl_easy_setopt(t->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
 	curl_easy_setopt(t->easy, CURLOPT_WRITEFUNCTION, transfer_write);
 	curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t);
+	curl_easy_setopt(t->easy, CURLOPT_HEADERFUNCTION, http_head_read);
+	curl_easy_setopt(t->easy, CURLOPT_HEADERDATA, &t->head);
 	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
 	if (call->body != NULL) {
 		t->text = json_dumps(call->body, JSON_COMPACT);
@@ -159,15 +164,15 @@
 	curl_easy_getinfo(easy, CURLINFO_PRIVATE, &private);
 	t = private;
 	transfer_count_bytes(easy, t);
-	if (rc == CURLE_OK) {
-		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE,
-		    &t->call->status);
+	if (http_head_whole(&t->head, rc)) {
+		t->call->status = t->head.status;
 		t->call->json = json_loadb((const char *)t->body->data,
 		    t->body->len, 0, NULL);
 	}
 	curl_multi_remove_handle(batch->multi, easy);
 	curl_easy_cleanup(easy);
 	g_byte_array_unref(t->body);
+	http_head_clear(&t->head);
 	free(t->text);
 	g_free(t);
 }
--- a/src/http-client.c
+++ b/src/http-client.c
@@ -2,13 +2,16 @@
 #include <curl/curl.h>
 #include <string.h>
 
+#include "cleanup.h"
 #include "control-traffic.h"
 #include "error.h"
 #include "http-client.h"
+#include "http-head.h"
 
 /* Largest body of a response; none that this project sends is larger. */
 #define RESPONSE_MAX_BYTES (64u * 1024 * 1024)
-#define ETAG_HEADER "etag:"
+
+#define HTTP_OK 200
 
 /* One libcurl handle per thread, so that connections are reused. */
 static GPrivate thread_handle =
@@ -43,19 +46,22 @@
 	return (size * n);
 }
 
-/* Stores the entity tag of the response. */
-static size_t
-header_write(char *data, size_t size, size_t n, void *arg)
+/* Fills in a response that was received whole. A success without JSON was cut
+ * short if only the close of the connection ends its body. */
+static bool
+response_fill(struct http_response *response, const struct http_head *head,
+    const GByteArray *body, GError **error)
 {
-	g_autofree char *line = g_strndup(data, size * n);
-	struct http_response *response = arg;
-
-	if (g_ascii_strncasecmp(line, ETAG_HEADER, strlen(ETAG_HEADER)) == 0) {
-		g_free(response->etag);
-		response->etag =
-		    g_strdup(g_strstrip(line + strlen(ETAG_HEADER)));
+	response->json = json_loadb((const char *)body->data, body->len,
+	    JSON_ALLOW_NUL, NULL);
+	if (head->status == HTTP_OK && response->json == NULL) {
+		error_set(error, ERROR_ENDPOINT_FAILED,
+		    "the response is not JSON");
+		return (false);
 	}
-	return (size * n);
+	response->status = head->status;
+	response->etag = g_strdup(g_hash_table_lookup(head->fields, "etag"));
+	return (true);
 }
 
 /* Runs the prepared call and parses the response. */
@@ -64,30 +70,30 @@
     struct http_response *response, GError **error)
 {
 	g_autoptr(GByteArray) body = g_byte_array_new();
+	CLEANUP(http_head_clear) struct http_head head;
 	long sent = 0, headers = 0;
 	CURLcode rc;
 
 	memset(response, 0, sizeof *response);
+	http_head_init(&head);
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, timeout_ms);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, body_write);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, header_write);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, response);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, http_head_read);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &head);
 	rc = curl_easy_perform(curl);
 	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
 	curl_easy_getinfo(curl, CURLINFO_HEADER_SIZE, &headers);
 	control_traffic_add(TRAFFIC_LOG,
 	    (uint64_t)sent + (uint64_t)headers + body->len);
-	if (rc != CURLE_OK) {
+	if (!http_head_whole(&head, rc)) {
 		error_set(error, ERROR_ENDPOINT_FAILED, "%s",
-		    curl_easy_strerror(rc));
+		    rc != CURLE_OK ? curl_easy_strerror(rc) :
+				     "the response was cut short");
 		return (false);
 	}
-	curl_easy_getinfo(curl, CURLINFO_RESPONSE_CODE, &response->status);
-	response->json = json_loadb((const char *)body->data, body->len,
-	    JSON_ALLOW_NUL, NULL);
-	return (true);
+	return (response_fill(response, &head, body, error));
 }
 
 /**
