--- a/Makefile
+++ b/Makefile
@@ -67,7 +67,7 @@
 	$(BUILD)/tests/fake-invalid.o $(BUILD)/tests/fake-pace.o \
 	$(BUILD)/tests/fake-zone.o $(BUILD)/tests/fake-cold.o \
 	$(BUILD)/tests/fake-unaccepted.o $(BUILD)/tests/fake-cut.o \
-	$(BUILD)/tests/fake-silence.o
+	$(BUILD)/tests/fake-silence.o $(BUILD)/tests/fake-stop.o
 $(BUILD)/test-mesh $(BUILD)/test-large $(BUILD)/test-entries \
     $(BUILD)/test-repair: $(BUILD)/test-%: \
 	$(BUILD)/tests/test-%.o $(BUILD)/tests/fleet-script.o \
--- a/tests/fake-endpoints.c
+++ b/tests/fake-endpoints.c
@@ -276,7 +276,7 @@
 	    net_head_find(&c->head, "x-api-key") != NULL ? "passed" : "none",
 	    priority != NULL ? " priority=" : "",
 	    priority != NULL ? priority : "");
-	if (endless_respond(c) || invalid_respond(c) ||
+	if (endless_respond(c) || invalid_respond(c) || stop_respond(c) ||
 	    (crash_schedule(c) && !ep->engine))
 		return;
 	if (ep->engine)
--- a/tests/fake-platform.h
+++ b/tests/fake-platform.h
@@ -130,6 +130,7 @@
 
 /* fake-invalid.c: what is no response in HTTP/1.1. */
 bool invalid_respond(struct conn *);
+bool stop_respond(struct conn *);
 
 /* fake-pace.c: a slow link of the store. */
 bool pace_reply(struct conn *, const GString *);
