--- a/src/fwd.c
+++ b/src/fwd.c
@@ -18,6 +18,9 @@
 /* Time after a pause in which the data that has queued up is read before any
  * endpoint is judged silent, or any client idle. */
 #define PAUSE_GRACE_MS 400
+/* A signal that was sent during a pause is handled within this time after it;
+ * one that is handled later was sent later. */
+#define PAUSE_SIGNAL_MS 50
 
 static void
 on_connection(uv_stream_t *listener, int status)
@@ -103,6 +106,7 @@
 	if (!is_pause(last, now))
 		return;
 	fwd->paused_ms = last;
+	fwd->resumed_ms = now;
 	fwd->grace_until_ms = now + PAUSE_GRACE_MS;
 	event_log(LOG_NOTICE, "paused", "ms=%llu",
 	    (unsigned long long)(now - last));
@@ -162,7 +166,7 @@
 {
 	if (is_pause(fwd->last_tick_ms, now))
 		return (fwd->last_tick_ms);
-	return (now < fwd->grace_until_ms ? fwd->paused_ms : now);
+	return (now < fwd->resumed_ms + PAUSE_SIGNAL_MS ? fwd->paused_ms : now);
 }
 
 /**
