--- a/src/cmd-call.c
+++ b/src/cmd-call.c
@@ -78,8 +78,7 @@
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)ctx->timeout_ms);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, write);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, arg);
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, http_head_read);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, head);
+	http_head_watch(head, curl);
 	rc = curl_easy_perform(curl);
 	curl_slist_free_all(headers);
 	curl_easy_cleanup(curl);
@@ -90,9 +89,7 @@
 static enum cmd_exit
 stream_report(const char *url, CURLcode rc)
 {
-	fprintf(stderr, "bankliftctl: %s: %s\n", url,
-	    rc != CURLE_OK ? curl_easy_strerror(rc) :
-			     "the response was cut short");
+	fprintf(stderr, "bankliftctl: %s: %s\n", url, http_head_error(rc));
 	return (CMD_UNAVAILABLE);
 }
 
@@ -114,7 +111,6 @@
 	CLEANUP(http_head_clear) struct http_head head;
 	CURLcode rc;
 
-	http_head_init(&head);
 	rc = stream_perform(ctx, url, write, arg, &head);
 	if (http_head_whole(&head, rc) ||
 	    (rc == CURLE_OPERATION_TIMEDOUT && head.complete))
@@ -144,7 +140,6 @@
 	CLEANUP(http_head_clear) struct http_head head;
 	CURLcode rc;
 
-	http_head_init(&head);
 	rc = stream_perform(ctx, url, page_write, page, &head);
 	if (http_head_whole(&head, rc))
 		return (CMD_OK);
--- a/src/fwd.c
+++ b/src/fwd.c
@@ -106,7 +106,6 @@
 	if (!is_pause(last, now))
 		return;
 	fwd->paused_ms = last;
-	fwd->resumed_ms = now;
 	fwd->grace_until_ms = now + PAUSE_GRACE_MS;
 	event_log(LOG_NOTICE, "paused", "ms=%llu",
 	    (unsigned long long)(now - last));
@@ -164,9 +163,11 @@
 uint64_t
 fwd_awake_ms(const struct fwd *fwd, uint64_t now)
 {
+	uint64_t since_ms = PAUSE_GRACE_MS - PAUSE_SIGNAL_MS;
+
 	if (is_pause(fwd->last_tick_ms, now))
 		return (fwd->last_tick_ms);
-	return (now < fwd->resumed_ms + PAUSE_SIGNAL_MS ? fwd->paused_ms : now);
+	return (now + since_ms < fwd->grace_until_ms ? fwd->paused_ms : now);
 }
 
 /**
--- a/src/fwd.h
+++ b/src/fwd.h
@@ -48,7 +48,6 @@
  * @withdrawn_ms: loop time at which requests were last looked through for what
  *	has been quarantined
  * @paused_ms: loop time of the last tick before the newest pause
- * @resumed_ms: loop time of the first tick after it
  * @grace_until_ms: after a pause of this process, silence of endpoints and of
  *	clients is not judged before this loop time
  * @on_silent: called when all streams of an endpoint have fallen silent
@@ -87,7 +86,6 @@
 	uint64_t last_tick_ms;
 	uint64_t withdrawn_ms;
 	uint64_t paused_ms;
-	uint64_t resumed_ms;
 	uint64_t grace_until_ms;
 	void (*on_silent)(void *, struct endpoint *);
 	void *on_silent_arg;
--- a/src/http-batch.c
+++ b/src/http-batch.c
@@ -124,15 +124,13 @@
 	t->call = call;
 	t->easy = curl_easy_init();
 	t->body = g_byte_array_new();
-	http_head_init(&t->head);
+	http_head_watch(&t->head, t->easy);
 	curl_easy_setopt(t->easy, CURLOPT_NOSIGNAL, 1L);
 	curl_easy_setopt(t->easy, CURLOPT_PROXY, "");
 	curl_easy_setopt(t->easy, CURLOPT_URL, call->url);
 	curl_easy_setopt(t->easy, CURLOPT_TIMEOUT_MS, timeout_ms);
 	curl_easy_setopt(t->easy, CURLOPT_WRITEFUNCTION, transfer_write);
 	curl_easy_setopt(t->easy, CURLOPT_WRITEDATA, t);
-	curl_easy_setopt(t->easy, CURLOPT_HEADERFUNCTION, http_head_read);
-	curl_easy_setopt(t->easy, CURLOPT_HEADERDATA, &t->head);
 	curl_easy_setopt(t->easy, CURLOPT_PRIVATE, t);
 	if (call->body != NULL) {
 		t->text = json_dumps(call->body, JSON_COMPACT);
--- a/src/http-client.c
+++ b/src/http-client.c
@@ -75,13 +75,11 @@
 	CURLcode rc;
 
 	memset(response, 0, sizeof *response);
-	http_head_init(&head);
+	http_head_watch(&head, curl);
 	curl_easy_setopt(curl, CURLOPT_URL, url);
 	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, timeout_ms);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, body_write);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, body);
-	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, http_head_read);
-	curl_easy_setopt(curl, CURLOPT_HEADERDATA, &head);
 	rc = curl_easy_perform(curl);
 	curl_easy_getinfo(curl, CURLINFO_REQUEST_SIZE, &sent);
 	curl_easy_getinfo(curl, CURLINFO_HEADER_SIZE, &headers);
@@ -89,8 +87,7 @@
 	    (uint64_t)sent + (uint64_t)headers + body->len);
 	if (!http_head_whole(&head, rc)) {
 		error_set(error, ERROR_ENDPOINT_FAILED, "%s",
-		    rc != CURLE_OK ? curl_easy_strerror(rc) :
-				     "the response was cut short");
+		    http_head_error(rc));
 		return (false);
 	}
 	return (response_fill(response, &head, body, error));
--- a/src/http-head.c
+++ b/src/http-head.c
@@ -97,6 +97,19 @@
 	return (read_field(head, line) ? size * n : 0);
 }
 
+/**
+ * http_head_watch() - prepare for a transfer, and have its head read.
+ * @head: the head
+ * @curl: the transfer
+ */
+void
+http_head_watch(struct http_head *head, CURL *curl)
+{
+	http_head_init(head);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, http_head_read);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, head);
+}
+
 /**
  * http_head_whole() - whether a transfer that has ended brought a whole
  *	response.
@@ -110,3 +123,14 @@
 {
 	return (rc == CURLE_OK && head->complete);
 }
+
+/**
+ * http_head_error() - why a transfer brought no whole response.
+ * @rc: its result
+ */
+const char *
+http_head_error(CURLcode rc)
+{
+	return (rc != CURLE_OK ? curl_easy_strerror(rc) :
+				 "the response was cut short");
+}
--- a/src/http-head.h
+++ b/src/http-head.h
@@ -21,8 +21,10 @@
 };
 
 void http_head_init(struct http_head *);
+void http_head_watch(struct http_head *, CURL *);
 void http_head_clear(struct http_head *);
 size_t http_head_read(char *, size_t, size_t, void *);
 bool http_head_whole(const struct http_head *, CURLcode);
+const char *http_head_error(CURLcode);
 
 #endif
--- a/tests/lib-drain.sh
+++ b/tests/lib-drain.sh
@@ -91,3 +91,17 @@
 	wait $ASKING
 	ASKING=
 }
+
+# start_learned TIMEOUT-MS COUNT: a daemon that has learned from so many requests, with routes
+# of that timeout and events of streams every EVENT_MS.
+start_learned() {
+	start_edge_platform 2 3
+	put_config 1 "s/\"timeout_ms\":[24]000/\"timeout_ms\":$1/g
+	    s/\"target_latency_ms\":300/\"target_latency_ms\":20000/
+	    s/\"idle_timeout_ms\":3000/\"idle_timeout_ms\":20000/"
+	control event-ms $EVENT_MS
+	start_edge 1 --grace-s $GRACE_S
+	check_true "the daemon is ready" until_true 10 edge_ready 1
+	check_true "it knows a replica" until_true 10 groups_open 1 1
+	learn "$2"
+}
--- a/tests/proc-edge-drain-early.sh
+++ b/tests/proc-edge-drain-early.sh
@@ -6,15 +6,7 @@
 GRACE_S=8
 EVENT_MS=100
 
-start_edge_platform 2 3
-put_config 1 "s/\"timeout_ms\":[24]000/\"timeout_ms\":9000/g
-    s/\"target_latency_ms\":300/\"target_latency_ms\":20000/
-    s/\"idle_timeout_ms\":3000/\"idle_timeout_ms\":20000/"
-control event-ms $EVENT_MS
-start_edge 1 --grace-s $GRACE_S
-check_true "the daemon is ready" until_true 10 edge_ready 1
-check_true "it knows a replica" until_true 10 groups_open 1 1
-learn 24
+start_learned 9000 24
 
 # A stream without a maximum length.
 stream() {
